--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -5,8 +5,8 @@
 
 // The kinds. Numbers are never used again for something else.
 const (
-	KindSubmit    Kind = 1 // entry to group owner: Submit -> model.Result
-	KindCancel    Kind = 2 // entry to group owner: Cancel -> Ack
+	KindSubmit    Kind = 1 // entry to group owner: Submit -> SubmitReply
+	KindCancel    Kind = 2 // entry to group owner: Cancel -> CancelReply
 	KindStatus    Kind = 3 // entry to group owner: StatusQuery -> StatusReply
 	KindHeartbeat Kind = 4 // owner to successors: Heartbeat -> Ack
 	KindConfig    Kind = 5 // any to any: ConfigPush -> ConfigHave
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -20,9 +20,12 @@
 	Limit   int           `cbor:"3,keyasint"`
 }
 
-// StatusReply lists what the asked scheduler knows.
+// StatusReply lists what the asked scheduler knows. Moved and Owner are as in
+// SubmitReply, and are set only when one key was asked for.
 type StatusReply struct {
-	Items []Status `cbor:"1,keyasint"`
+	Items []Status     `cbor:"1,keyasint"`
+	Moved bool         `cbor:"2,keyasint,omitempty"`
+	Owner model.Member `cbor:"3,keyasint,omitempty"`
 }
 
 // Status is where one piece of work stands.
