Add stand-ins for the platform and their HTTP clients

Nothing could run against the platform's interfaces. Released gains Incarnation and Since: after a restart a worker can't know whether a lease was ever started, and without them Started=false would read as proof that it was not.

--- /dev/null
+++ b/internal/platform/httpworker/options.go
@@ -0,0 +1,28 @@
+package httpworker
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform/httpcall"
+)
+
+const defaultPoll = 5 * time.Second
+
+// Options are the settings of the clients. The zero value has sensible defaults.
+type Options struct {
+	// Region is the caller's own.
+	Region model.Region
+	// Timeout bounds each call. Default 2 s.
+	Timeout time.Duration
+	// Poll is how long one request of Wait is held at the worker. Default 5 s.
+	Poll time.Duration
+	// MaxConns bounds the open connections to each worker. Default 60.
+	MaxConns int
+	// Dial replaces the TCP dialler, for tests.
+	Dial httpcall.DialFunc
+}
+
+func (o Options) call() httpcall.Options {
+	return httpcall.Options{Region: o.Region, Timeout: o.Timeout, MaxConns: o.MaxConns, Dial: o.Dial}
+}
--- a/internal/platform/release.go
+++ b/internal/platform/release.go
@@ -1,6 +1,10 @@
 package platform
 
-import "coltsfootmux/internal/model"
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
 
 // Release ends or bars a lease.
 type Release struct {
@@ -19,4 +23,9 @@
 	Running bool `json:"running"`
 	// Ending is set when the task has ended.
 	Ending *Ending `json:"ending,omitempty"`
+	// Incarnation changes with each restart of the worker, which forgets all.
+	Incarnation string `json:"incarnation"`
+	// Since is how far back the worker's memory of leases reaches. A lease that
+	// was first used longer ago may have run although Started is false.
+	Since time.Duration `json:"since"`
 }
--- /dev/null
+++ b/internal/standin/fault/set.go
@@ -0,0 +1,124 @@
+package fault
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// maxConns bounds how many connections a Set remembers.
+const maxConns = 8192
+
+// Set holds the faults in force for one stand-in. It is safe for concurrent use.
+type Set struct {
+	clock   func() time.Time
+	mu      sync.Mutex
+	fault   Fault
+	resumed chan struct{}
+	conns   map[string]bool // remote address -> silent
+	order   []string        // the keys of conns, oldest first
+}
+
+// NewSet gives a healthy Set that tells the time by clock.
+func NewSet(clock func() time.Time) *Set {
+	return &Set{
+		clock:   clock,
+		resumed: make(chan struct{}),
+		conns:   make(map[string]bool),
+	}
+}
+
+// Put replaces the faults in force. A pause that ends lets held requests go on.
+func (s *Set) Put(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault.Paused && !f.Paused {
+		close(s.resumed)
+		s.resumed = make(chan struct{})
+	}
+	s.fault = f
+}
+
+// Get gives the faults in force.
+func (s *Set) Get() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// Silence makes every connection that was used so far go silent for good:
+// requests on it vanish and answers to it are never sent. New ones work.
+func (s *Set) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for addr := range s.conns {
+		s.conns[addr] = true
+	}
+}
+
+// Before applies the faults that come ahead of the action. It reports whether
+// the service is down, and returns early when ctx ends.
+func (s *Set) Before(ctx context.Context) (down bool) {
+	s.mu.Lock()
+	f, resumed := s.fault, s.resumed
+	s.mu.Unlock()
+	if f.Paused {
+		select {
+		case <-resumed:
+		case <-ctx.Done():
+		}
+	}
+	if f.Slow > 0 {
+		sleep(ctx, f.Slow)
+	}
+	return f.Down
+}
+
+// LoseAnswer reports whether the answer of the action just done is lost.
+func (s *Set) LoseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.fault.LoseAnswers < 0:
+		return true
+	case s.fault.LoseAnswers > 0:
+		s.fault.LoseAnswers--
+		return true
+	}
+	return false
+}
+
+// used notes a connection and reports whether it has gone silent.
+func (s *Set) used(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent, known := s.conns[addr]
+	if known {
+		return silent
+	}
+	if len(s.order) >= maxConns {
+		delete(s.conns, s.order[0])
+		s.order = s.order[1:]
+	}
+	s.conns[addr] = false
+	s.order = append(s.order, addr)
+	return false
+}
+
+// forget drops a connection that has been closed, as its port may be used again.
+func (s *Set) forget(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.conns[addr]; known {
+		s.conns[addr] = false
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/serve/recorder.go
@@ -0,0 +1,36 @@
+package serve
+
+import (
+	"bytes"
+	"net/http"
+)
+
+// Recorder keeps an answer back until it is known whether it may be sent.
+type Recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// NewRecorder gives an empty Recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{header: make(http.Header), status: http.StatusOK}
+}
+
+// Header gives the header to be sent.
+func (r *Recorder) Header() http.Header { return r.header }
+
+// WriteHeader sets the status to be sent.
+func (r *Recorder) WriteHeader(status int) { r.status = status }
+
+// Write adds to the body to be sent.
+func (r *Recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+// SendTo sends the answer.
+func (r *Recorder) SendTo(w http.ResponseWriter) {
+	for k, v := range r.header {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write(r.body.Bytes())
+}
--- /dev/null
+++ b/internal/standin/worker/lease.go
@@ -0,0 +1,60 @@
+package worker
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
+)
+
+// lease is room given out, and the task in it once it has been started.
+type lease struct {
+	id      model.LeaseID
+	cell    model.CellID
+	shape   model.Shape
+	label   platform.Label
+	granted time.Time
+	expires time.Time
+	task    *task
+}
+
+// task is the one task of a lease.
+type task struct {
+	plan  Plan
+	began time.Time
+	due   time.Time
+	// checkpoint is when a checkpoint will be complete; zero for none.
+	checkpoint time.Time
+	throttled  bool
+	run        int // its place in the journal
+}
+
+// next gives when and how the lease will end if nothing else happens to it.
+func (l *lease) next() (time.Time, platform.EndState) {
+	at, how := l.expires, platform.EndLapsed
+	if l.task == nil {
+		return at, how
+	}
+	if c := l.task.checkpoint; !c.IsZero() && !c.After(at) {
+		at, how = c, platform.EndCheckpointed
+	}
+	if !l.task.due.After(at) {
+		at, how = l.task.due, endState(l.task.plan.Failed)
+	}
+	return at, how
+}
+
+func endState(failed bool) platform.EndState {
+	if failed {
+		return platform.EndFailed
+	}
+	return platform.EndDone
+}
+
+func (l *lease) inScope(s model.Scope) bool {
+	return inScope(s, l.cell, l.label.Group)
+}
+
+func inScope(s model.Scope, cell model.CellID, group model.GroupID) bool {
+	return s == model.CellScope(cell) || s == model.GroupScope(group)
+}
