--- a/internal/standin/logstore/client.go
+++ b/internal/standin/logstore/client.go
@@ -21,18 +21,33 @@
 	region model.Region
 }
 
+type appended struct {
+	first model.Offset
+	err   error
+}
+
+// Append goes on when its caller has given up: what was sent is done, late.
 func (c *client) Append(ctx context.Context, name platform.Stream, recs []platform.Record) (model.Offset, error) {
-	if err := c.before(ctx); err != nil {
-		return 0, err
-	}
-	if !sleep(ctx, c.store.opts.Latency[c.region]) {
+	done := make(chan appended, 1)
+	go func() { done <- c.append(context.WithoutCancel(ctx), name, recs) }()
+	select {
+	case a := <-done:
+		return a.first, a.err
+	case <-ctx.Done():
 		return 0, eris.Wrap(platform.ErrUnclear, ctx.Err().Error())
 	}
+}
+
+func (c *client) append(ctx context.Context, name platform.Stream, recs []platform.Record) appended {
+	if err := c.before(ctx); err != nil {
+		return appended{err: err}
+	}
+	sleep(ctx, c.store.opts.Latency[c.region])
 	first, err := c.store.append(name, recs)
 	if c.store.faults.LoseAnswer() {
-		return 0, eris.Wrap(platform.ErrUnclear, "answer lost")
+		return appended{err: eris.Wrap(platform.ErrUnclear, "answer lost")}
 	}
-	return first, err
+	return appended{first: first, err: err}
 }
 
 func (c *client) Read(ctx context.Context, name platform.Stream, from model.Offset, limit int, wait time.Duration) ([]platform.Entry, error) {
@@ -79,16 +94,11 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(max(d, 0))
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
