Let a cell owner announce where an attempt starts before it starts it

A forwarded attempt whose link breaks must be settled by asking at the workers. The key group's owner can do that only if it knows the leases before any start is sent, so the cell owner announces them and waits for the answer.

--- /dev/null
+++ b/internal/wire/begun.go
@@ -0,0 +1,25 @@
+package wire
+
+import "coltsfootmux/internal/model"
+
+// Begun tells a key group's owner where an attempt is about to be started. The
+// sender starts nothing unless the answer is an Ack that refuses nothing.
+type Begun struct {
+	Key     model.Key     `cbor:"1,keyasint"`
+	Group   model.GroupID `cbor:"2,keyasint"`
+	Attempt int           `cbor:"3,keyasint"`
+	Traces  []Trace       `cbor:"4,keyasint"`
+}
+
+// Trace is where one member of an attempt may be found.
+type Trace struct {
+	Worker model.WorkerID `cbor:"1,keyasint"`
+	Cell   model.CellID   `cbor:"2,keyasint"`
+	Lease  model.LeaseID  `cbor:"3,keyasint"`
+}
+
+// Withdraw asks a cell's owner to give up work that it was asked to place.
+type Withdraw struct {
+	Key     model.Key `cbor:"1,keyasint"`
+	Attempt int       `cbor:"2,keyasint"`
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -5,15 +5,17 @@
 
 // The kinds. Numbers are never used again for something else.
 const (
-	KindSubmit    Kind = 1 // entry to group owner: Submit -> SubmitReply
-	KindCancel    Kind = 2 // entry to group owner: Cancel -> CancelReply
-	KindStatus    Kind = 3 // entry to group owner: StatusQuery -> StatusReply
-	KindHeartbeat Kind = 4 // owner to successors: Heartbeat -> Ack
-	KindConfig    Kind = 5 // any to any: ConfigPush -> ConfigHave
-	KindPlace     Kind = 6 // group owner to cell owner: Place -> Placed
-	KindHandOver  Kind = 7 // owner to successor: HandOver -> Ack
-	KindSummary   Kind = 8 // cell owner to peers: Summary -> Ack
-	KindOverview  Kind = 9 // admin to scheduler: OverviewQuery -> Overview
+	KindSubmit    Kind = 1  // entry to group owner: Submit -> SubmitReply
+	KindCancel    Kind = 2  // entry to group owner: Cancel -> CancelReply
+	KindStatus    Kind = 3  // entry to group owner: StatusQuery -> StatusReply
+	KindHeartbeat Kind = 4  // owner to successors: Heartbeat -> Ack
+	KindConfig    Kind = 5  // any to any: ConfigPush -> ConfigHave
+	KindPlace     Kind = 6  // group owner to cell owner: Place -> PlaceReply
+	KindHandOver  Kind = 7  // owner to successor: HandOver -> Ack
+	KindSummary   Kind = 8  // cell owner to peers: Summary -> Ack
+	KindOverview  Kind = 9  // admin to scheduler: OverviewQuery -> Overview
+	KindBegun     Kind = 10 // cell owner to group owner: Begun -> Ack
+	KindWithdraw  Kind = 11 // group owner to cell owner: Withdraw -> Ack
 )
 
 // String names the kind for metrics and logs.
@@ -37,6 +39,10 @@
 		return "summary"
 	case KindOverview:
 		return "overview"
+	case KindBegun:
+		return "begun"
+	case KindWithdraw:
+		return "withdraw"
 	}
 	return "other"
 }
