Carry calls between processes over WebSocket and CBOR

Cause: entries and schedulers need many calls at once on one connection, and a caller must know whether a failed call may have run. The decisions (numbering, chunks, heartbeats with echo, how each call ends) are in internal/link/core as Step machines; the shell moves frames. Ruled out: one HTTP request per call, as a silent connection then only shows by each call's own timeout. Tests: go test -race -count=5 ./internal/link/... passes.

--- /dev/null
+++ b/internal/link/accepted.go
@@ -0,0 +1,81 @@
+package link
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"coltsfootmux/internal/link/core"
+)
+
+// accepted is the answering end of one link.
+type accepted struct {
+	*conn
+	server *Server
+	from   Peer
+	// cancels holds the running handlers; guarded by conn.mu.
+	cancels  map[uint64]context.CancelFunc
+	handlers sync.WaitGroup
+}
+
+func newAccepted(s *Server, ws *websocket.Conn, from Peer) *accepted {
+	l := &accepted{
+		conn:   newConn(ws, s.opts.Limits, &s.counts, from.Region != s.self.Region),
+		server: s, from: from, cancels: make(map[uint64]context.CancelFunc),
+	}
+	l.core = core.NewAcceptor(time.Now(), s.opts.Limits, s.opts.Budget.across(s.self, from))
+	l.act = l.do
+	return l
+}
+
+// run serves the link until it ends and its handlers have returned.
+func (l *accepted) run() {
+	log := l.server.opts.Logger
+	peer := slog.String("peer", string(l.from.Host))
+	evOpened.Log(l.ctx, log, peer)
+	l.conn.run()
+	l.handlers.Wait()
+	l.logEnd(log, peer)
+}
+
+func (l *accepted) do(a core.Action) {
+	switch a := a.(type) {
+	case core.Run:
+		l.start(a)
+	case core.Stop:
+		if cancel := l.cancels[a.Call]; cancel != nil {
+			cancel()
+		}
+	}
+}
+
+func (l *accepted) start(r core.Run) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if r.Timeout > 0 {
+		ctx, cancel = context.WithTimeout(context.Background(), r.Timeout)
+	}
+	l.cancels[r.Call] = cancel
+	l.handlers.Go(func() {
+		answer := l.answer(ctx, r)
+		cancel()
+		l.mu.Lock()
+		delete(l.cancels, r.Call)
+		l.mu.Unlock()
+		l.step(answer)
+	})
+}
+
+func (l *accepted) answer(ctx context.Context, r core.Run) core.Answered {
+	h := l.server.handlers[r.Kind]
+	if h == nil {
+		return core.Answered{Call: r.Call, Fault: "no handler for " + r.Kind.String()}
+	}
+	body, err := h(ctx, l.from, r.Body)
+	if err != nil {
+		return core.Answered{Call: r.Call, Fault: "error: " + err.Error()}
+	}
+	return core.Answered{Call: r.Call, Body: body}
+}
--- /dev/null
+++ b/internal/link/errors.go
@@ -0,0 +1,34 @@
+package link
+
+import (
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/link/core"
+)
+
+var (
+	// ErrNotSent means that the far side's handler was provably not run.
+	ErrNotSent = eris.New("call not sent")
+	// ErrLost means that the request was sent and its fate is not known.
+	ErrLost = eris.New("call lost")
+	// ErrRemote means that the far side's handler gave an error; the error is a *RemoteError.
+	ErrRemote = eris.New("far side failed")
+	// ErrOverloaded means that a bounded queue was full; the handler was not run.
+	ErrOverloaded = eris.New("link overloaded")
+	// errClosed is the cause of ErrNotSent after Pool.Close.
+	errClosed = eris.New("pool is closed")
+)
+
+// callError turns what the core said into an error of this package.
+func callError(why core.Why, text string) error {
+	switch why {
+	case core.NotSent:
+		return eris.Wrap(ErrNotSent, text)
+	case core.Overloaded:
+		return eris.Wrap(ErrOverloaded, text)
+	case core.Remote:
+		return &RemoteError{Text: text}
+	default:
+		return eris.Wrap(ErrLost, text)
+	}
+}
--- /dev/null
+++ b/internal/link/frame/codec.go
@@ -0,0 +1,87 @@
+package frame
+
+import (
+	"bytes"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// ErrMalformed means that the bytes are no valid frame.
+var ErrMalformed = eris.New("malformed frame")
+
+const (
+	// maxElements and maxNesting bound what the decoder of frames accepts.
+	maxElements = 16
+	maxNesting  = 4
+)
+
+var (
+	enc = mustEnc()
+	dec = mustDec()
+)
+
+func mustEnc() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Encode appends the frame's encoding to buf.
+func Encode(buf *bytes.Buffer, f *Frame) error {
+	if err := enc.MarshalToBuffer(f, buf); err != nil {
+		return eris.Wrap(err, "encode frame")
+	}
+	return nil
+}
+
+// Decode reads one frame. The error is ErrMalformed.
+func Decode(b []byte) (Frame, error) {
+	var f Frame
+	if len(b) > MaxBytes {
+		return f, eris.Wrapf(ErrMalformed, "%d bytes", len(b))
+	}
+	if err := dec.Unmarshal(b, &f); err != nil {
+		return Frame{}, eris.Wrap(ErrMalformed, err.Error())
+	}
+	if err := check(&f); err != nil {
+		return Frame{}, err
+	}
+	return f, nil
+}
+
+// check refuses frames whose parts contradict each other.
+func check(f *Frame) error {
+	n := uint64(len(f.Payload))
+	switch {
+	case f.Type < Request || f.Type > Bye:
+		return eris.Wrapf(ErrMalformed, "type %d", f.Type)
+	case f.Timeout < 0:
+		return eris.Wrap(ErrMalformed, "negative timeout")
+	case n > ChunkBytes:
+		return eris.Wrap(ErrMalformed, "payload over the chunk size")
+	case f.Type == Beat || f.Type == Cancel || f.Type == Bye:
+		return nil
+	case f.Offset > f.Total || n > f.Total-f.Offset:
+		return eris.Wrap(ErrMalformed, "payload past the end of its message")
+	case n == 0 && f.Total > 0:
+		return eris.Wrap(ErrMalformed, "chunk without payload")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,200 @@
+package link_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/wire"
+)
+
+// patience bounds waits on real sockets.
+const patience = 10 * time.Second
+
+// serve mounts a server on a loopback port and gives its address.
+func serve(t *testing.T, s *link.Server) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, s)
+	hs := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		hs.Close()
+	})
+	return hs.Listener.Addr().String()
+}
+
+func newPool(t *testing.T, o link.PoolOptions) *link.Pool {
+	t.Helper()
+	p := link.NewPool(o)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func within(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func echo(_ context.Context, _ link.Peer, q wire.Submit) (wire.SubmitReply, error) {
+	return wire.SubmitReply{Result: model.Result{Key: q.Work.Key, Answer: q.Work.Body}}, nil
+}
+
+func TestEachOfManyCallersGetsItsOwnWholeAnswer(t *testing.T) {
+	s := link.NewServer(link.ServerOptions{})
+	link.Handle(s, wire.KindSubmit, echo)
+	addr := serve(t, s)
+	p := newPool(t, link.PoolOptions{})
+	ctx := within(t)
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Go(func() {
+			body := bytes.Repeat([]byte{byte(i)}, i*i*30)
+			key := model.Key(strings.Repeat("k", i+1))
+			rep, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, addr, wire.KindSubmit,
+				wire.Submit{Work: model.Work{Key: key, Body: body, Deadline: time.Now()}})
+			if err != nil {
+				t.Errorf("call %d: %v", i, err)
+				return
+			}
+			if rep.Result.Key != key || !bytes.Equal(rep.Result.Answer, body) {
+				t.Errorf("call %d got another's answer", i)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestHandlersErrorIsTyped(t *testing.T) {
+	s := link.NewServer(link.ServerOptions{})
+	link.Handle(s, wire.KindSubmit, func(context.Context, link.Peer, wire.Submit) (wire.SubmitReply, error) {
+		return wire.SubmitReply{}, eris.New("no room")
+	})
+	addr := serve(t, s)
+	p := newPool(t, link.PoolOptions{})
+	_, err := link.Call[wire.Submit, wire.SubmitReply](within(t), p, addr, wire.KindSubmit, wire.Submit{})
+	var remote *link.RemoteError
+	if !errors.Is(err, link.ErrRemote) || !errors.As(err, &remote) || !strings.Contains(remote.Text, "no room") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestCallToNobodyIsNotSent(t *testing.T) {
+	p := newPool(t, link.PoolOptions{})
+	_, err := link.Call[wire.Submit, wire.SubmitReply](within(t), p, "127.0.0.1:1", wire.KindSubmit, wire.Submit{})
+	if !errors.Is(err, link.ErrNotSent) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestCallersEndCancelsTheHandler(t *testing.T) {
+	s := link.NewServer(link.ServerOptions{})
+	started, stopped := make(chan struct{}), make(chan struct{})
+	link.Handle(s, wire.KindSubmit, func(ctx context.Context, _ link.Peer, _ wire.Submit) (wire.SubmitReply, error) {
+		close(started)
+		<-ctx.Done()
+		close(stopped)
+		return wire.SubmitReply{}, ctx.Err()
+	})
+	addr := serve(t, s)
+	p := newPool(t, link.PoolOptions{})
+	ctx, cancel := context.WithCancel(within(t))
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, addr, wire.KindSubmit, wire.Submit{})
+	if !errors.Is(err, link.ErrLost) {
+		t.Fatalf("got %v", err)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(patience):
+		t.Fatal("the handler was not cancelled")
+	}
+}
+
+func TestShutdownLetsOpenCallsEndAndTakesNoNewOnes(t *testing.T) {
+	s := link.NewServer(link.ServerOptions{})
+	started, release := make(chan struct{}), make(chan struct{})
+	var first atomic.Bool
+	first.Store(true)
+	link.Handle(s, wire.KindSubmit, func(_ context.Context, _ link.Peer, q wire.Submit) (wire.SubmitReply, error) {
+		if first.CompareAndSwap(true, false) {
+			close(started)
+			<-release
+		}
+		return wire.SubmitReply{Result: model.Result{Answer: q.Work.Body}}, nil
+	})
+	addr := serve(t, s)
+	p := newPool(t, link.PoolOptions{})
+	ctx := within(t)
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	got := make(chan error, 1)
+	go func() {
+		rep, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, addr, wire.KindSubmit, wire.Submit{Work: model.Work{Body: body}})
+		if err == nil && !bytes.Equal(rep.Result.Answer, body) {
+			err = eris.New("answer cut")
+		}
+		got <- err
+	}()
+	<-started
+	down := make(chan error, 1)
+	go func() { down <- s.Shutdown(ctx) }()
+	for {
+		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, newPool(t, link.PoolOptions{}), addr, wire.KindSubmit, wire.Submit{})
+		if errors.Is(err, link.ErrNotSent) {
+			break
+		}
+	}
+	close(release)
+	if err := <-got; err != nil {
+		t.Errorf("open call: %v", err)
+	}
+	if err := <-down; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
+func TestFullLinkRefusesWithoutRunning(t *testing.T) {
+	s := link.NewServer(link.ServerOptions{Limits: core.Limits{OpenCalls: 1}})
+	started, release := make(chan struct{}), make(chan struct{})
+	link.Handle(s, wire.KindSubmit, func(context.Context, link.Peer, wire.Submit) (wire.SubmitReply, error) {
+		close(started) // a second run would panic
+		<-release
+		return wire.SubmitReply{}, nil
+	})
+	addr := serve(t, s)
+	p := newPool(t, link.PoolOptions{})
+	ctx := within(t)
+	got := make(chan error, 1)
+	go func() {
+		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, addr, wire.KindSubmit, wire.Submit{})
+		got <- err
+	}()
+	<-started
+	_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, addr, wire.KindSubmit, wire.Submit{})
+	if !errors.Is(err, link.ErrOverloaded) {
+		t.Errorf("second call: %v", err)
+	}
+	close(release)
+	if err := <-got; err != nil {
+		t.Errorf("first call: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/link/pooloptions.go
@@ -0,0 +1,33 @@
+package link
+
+import (
+	"log/slog"
+	"time"
+
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/model"
+)
+
+// PoolOptions are the settings of a Pool. Zero limits take the defaults.
+type PoolOptions struct {
+	Self   model.HostID
+	Region model.Region
+	// Logger may be nil.
+	Logger *slog.Logger
+	Limits core.Limits
+	// DialTimeout bounds one dial; 0 for 2 s.
+	DialTimeout time.Duration
+	// Budget bounds the bytes to other regions; nil for no bound.
+	Budget *Budget
+	// Secret is shown to the servers dialled.
+	Secret string
+	// Seed fixes the jitter of the dial backoff; 0 for a random one.
+	Seed uint64
+}
+
+const (
+	defaultDialTimeout = 2 * time.Second
+	// dialBackoffMin and dialBackoffMax bound the wait between failed dials.
+	dialBackoffMin = 50 * time.Millisecond
+	dialBackoffMax = 2 * time.Second
+)
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,153 @@
+package link
+
+import (
+	"context"
+	"crypto/subtle"
+	"log/slog"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/wire"
+)
+
+// Server answers calls. Handlers are registered with Handle before it serves.
+type Server struct {
+	opts     ServerOptions
+	self     Peer
+	handlers map[wire.Kind]handler
+	counts   counters
+
+	mu       sync.Mutex
+	links    map[*accepted]struct{}
+	draining bool
+	wg       sync.WaitGroup
+}
+
+// handler answers one encoded request.
+type handler func(ctx context.Context, from Peer, body []byte) ([]byte, error)
+
+// NewServer makes a server.
+func NewServer(o ServerOptions) *Server {
+	o.Limits = o.Limits.WithDefaults()
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Links == 0 {
+		o.Links = defaultLinks
+	}
+	return &Server{
+		opts: o, self: Peer{Host: o.Self, Region: o.Region},
+		handlers: make(map[wire.Kind]handler), links: make(map[*accepted]struct{}),
+	}
+}
+
+// Handle registers the handler of a kind. It panics when the kind has one. The
+// handler's context ends with the caller's, and when the link goes down.
+func Handle[Req, Rep any](s *Server, k wire.Kind, f func(ctx context.Context, from Peer, req Req) (Rep, error)) {
+	if _, ok := s.handlers[k]; ok {
+		panic("link: two handlers for " + k.String())
+	}
+	s.handlers[k] = func(ctx context.Context, from Peer, body []byte) ([]byte, error) {
+		var req Req
+		if err := decodeBody(body, &req); err != nil {
+			return nil, err
+		}
+		rep, err := f(ctx, from, req)
+		if err != nil {
+			return nil, err
+		}
+		return encodeBody(rep)
+	}
+}
+
+// Counts gives the bytes sent and received so far.
+func (s *Server) Counts() []Count { return s.counts.list() }
+
+// ServeHTTP takes a link over and serves it until it ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if status := s.check(r); status != http.StatusOK {
+		evRefused.Log(r.Context(), s.opts.Logger, slog.Int("status", status), slog.String("from", r.RemoteAddr))
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	s.self.set(w.Header())
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		evRefused.Log(r.Context(), s.opts.Logger, slog.String("error", err.Error()), slog.String("from", r.RemoteAddr))
+		return
+	}
+	l := newAccepted(s, ws, peerOf(r.Header))
+	if !s.add(l) {
+		_ = ws.Close(websocket.StatusTryAgainLater, "draining")
+		return
+	}
+	defer s.remove(l)
+	l.run()
+}
+
+func (s *Server) check(r *http.Request) int {
+	want := "Bearer " + s.opts.Secret
+	got := r.Header.Get("Authorization")
+	if s.opts.Secret != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) != 1 {
+		return http.StatusUnauthorized
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || len(s.links) >= s.opts.Links {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
+
+func (s *Server) add(l *accepted) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.links[l] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) remove(l *accepted) {
+	s.mu.Lock()
+	delete(s.links, l)
+	s.mu.Unlock()
+	s.wg.Done()
+}
+
+// Shutdown takes no new calls, waits until the open ones are answered and
+// closes the links. When ctx ends first, the open calls are cut and the
+// context's error is returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	links := make([]*accepted, 0, len(s.links))
+	for l := range s.links {
+		links = append(links, l)
+	}
+	s.mu.Unlock()
+	for _, l := range links {
+		l.step(core.Drain{})
+	}
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	for _, l := range links {
+		l.cancel()
+	}
+	<-done
+	return eris.Wrap(ctx.Err(), "links cut")
+}
