--- /dev/null
+++ b/internal/load/mix.go
@@ -0,0 +1,59 @@
+package load
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
+
+const (
+	kib         = 1024
+	slotCPU     = 1000
+	slotMemory  = 2 * kib
+	trainMemory = 8 * kib
+)
+
+func slot() model.Shape {
+	return model.Shape{Slots: 1, CPUMilli: slotCPU, MemoryMB: slotMemory}
+}
+
+func accelerators(n int) model.Shape {
+	return model.Shape{Slots: 1, Accelerators: n, CPUMilli: 2 * slotCPU, MemoryMB: trainMemory}
+}
+
+// Cooperative gives the ordering service's mix for the given client accounts.
+func Cooperative(orders, planning model.Account) []KindSpec {
+	return []KindSpec{
+		{
+			Kind: "reservation", Account: orders, Class: model.ClassUrgent, Members: 1, Shape: slot(),
+			Run: 20 * time.Millisecond, AnswerBytes: 256, PerSecond: 60, Deadline: 10 * time.Second,
+		},
+		{
+			Kind: "standing-order-check", Account: orders, Class: model.ClassNormal, Idempotent: true, Members: 1,
+			Shape: slot(), Run: 40 * time.Millisecond, AnswerBytes: 2 * kib, PerSecond: 40, Deadline: 10 * time.Second,
+		},
+		{
+			Kind: "route-plan", Account: planning, Class: model.ClassNormal, Idempotent: true, Members: 1,
+			Shape: accelerators(1), Run: 400 * time.Millisecond, AnswerBytes: 64 * kib, PerSecond: 6, Deadline: 20 * time.Second,
+		},
+	}
+}
+
+// Observatory gives the rent index's mix for the given client accounts.
+func Observatory(analysts, index model.Account) []KindSpec {
+	return []KindSpec{
+		{
+			Kind: "listing-check", Account: analysts, Class: model.ClassUrgent, Idempotent: true, Members: 1, Shape: slot(),
+			Run: 30 * time.Millisecond, AnswerBytes: kib, PerSecond: 50, Deadline: 10 * time.Second,
+		},
+		{
+			Kind: "district-recompute", Account: index, Class: model.ClassNormal, Idempotent: true, Job: true,
+			Members: 16, Shape: accelerators(4), Adjacency: model.AdjacentRack, Run: 2 * time.Second, AnswerBytes: kib,
+			PerSecond: 0.2, Deadline: 60 * time.Second,
+		},
+		{
+			Kind: "listing-sweep", Account: index, Class: model.ClassBatch, Job: true, Members: 1,
+			Shape: accelerators(2), Run: 600 * time.Millisecond, AnswerBytes: 4 * kib, PerSecond: 3, Deadline: 60 * time.Second,
+		},
+	}
+}
--- /dev/null
+++ b/internal/load/tally.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"coltsfootmux/internal/model"
+)
+
+const (
+	histMinMicros = 1
+	histMaxMicros = int64(10 * time.Minute / time.Microsecond)
+	histDigits    = 3
+)
+
+// Tally counts answers by kind. It is safe for concurrent use.
+type Tally struct {
+	mu      sync.Mutex
+	rows    map[model.Kind]*Row
+	answers []Answer
+}
+
+// Row is the count of one kind.
+type Row struct {
+	Kind    model.Kind
+	Sent    int
+	Done    int
+	NotRun  int
+	Unknown int
+	Lost    int
+	// Doubled and Untrue are found by Check against what the workers really ran:
+	// non-idempotent work run more than once, and work said not to have run that ran.
+	Doubled int
+	Untrue  int
+	hist    *hdrhistogram.Histogram
+}
+
+// NewTally gives an empty tally.
+func NewTally() *Tally { return &Tally{rows: make(map[model.Kind]*Row)} }
+
+// Sent counts a request as sent.
+func (t *Tally) Sent(k model.Kind) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.row(k).Sent++
+}
+
+// Add counts an answer.
+func (t *Tally) Add(a Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.row(a.Kind)
+	t.answers = append(t.answers, a)
+	switch {
+	case a.Lost:
+		r.Lost++
+	case a.Outcome == model.OutcomeDone:
+		r.Done++
+		_ = r.hist.RecordValue(max(histMinMicros, a.Took.Microseconds()))
+	case a.Outcome == model.OutcomeNotRun:
+		r.NotRun++
+	default:
+		r.Unknown++
+	}
+}
+
+func (t *Tally) row(k model.Kind) *Row {
+	r, ok := t.rows[k]
+	if !ok {
+		r = &Row{Kind: k, hist: hdrhistogram.New(histMinMicros, histMaxMicros, histDigits)}
+		t.rows[k] = r
+	}
+	return r
+}
+
+// Answered gives how many requests have an outcome or are lost.
+func (t *Tally) Answered() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.answers)
+}
+
+// Rows gives the counts in the order of their kinds.
+func (t *Tally) Rows() []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Row, 0, len(t.rows))
+	for _, r := range t.rows {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Kind, b.Kind) })
+	return out
+}
+
+// Total sums all kinds up.
+func (t *Tally) Total() Row {
+	sum := Row{Kind: "all", hist: hdrhistogram.New(histMinMicros, histMaxMicros, histDigits)}
+	for _, r := range t.Rows() {
+		sum.Sent += r.Sent
+		sum.Done += r.Done
+		sum.NotRun += r.NotRun
+		sum.Unknown += r.Unknown
+		sum.Lost += r.Lost
+		sum.Doubled += r.Doubled
+		sum.Untrue += r.Untrue
+		sum.hist.Merge(r.hist)
+	}
+	return sum
+}
+
+// Quantile gives a quantile (0 to 100) of the time to a whole answer.
+func (r Row) Quantile(q float64) time.Duration {
+	return time.Duration(r.hist.ValueAtQuantile(q)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/node/errors.go
@@ -0,0 +1,6 @@
+package node
+
+import "github.com/rotisserie/eris"
+
+// ErrListen means that the program's listener can't be opened or has failed.
+var ErrListen = eris.New("listener")
--- /dev/null
+++ b/internal/node/listener.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// Listener serves a program's handler on its own address.
+type Listener struct {
+	ln  net.Listener
+	srv *http.Server
+}
+
+// Listen opens an address. The error wraps ErrListen.
+func Listen(addr string) (*Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	return &Listener{ln: ln, srv: &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}}, nil
+}
+
+// Addr gives the address listened on.
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
+
+// Serve serves until Shutdown or Close. The error wraps ErrListen.
+func (l *Listener) Serve(h http.Handler) error {
+	l.srv.Handler = h
+	if err := l.srv.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	return nil
+}
+
+// Shutdown takes no new connections and waits for open requests until ctx ends.
+func (l *Listener) Shutdown(ctx context.Context) error { return l.srv.Shutdown(ctx) }
+
+// Close cuts every connection at once.
+func (l *Listener) Close() error { return l.srv.Close() }
