Decide ownership of cells and key groups in a core

A place in a line names the start of a process (Member.Boot), because a restarted host has no memory of what it sent. Holds carry the incarnation that was fenced, and the answer to a release says how far back the worker remembers: without these a message delayed over a worker's restart, or a bar set by a worker that forgot, would look like proof.

--- a/internal/core/ledger/action.go
+++ b/internal/core/ledger/action.go
@@ -19,6 +19,19 @@
 	Result model.Result
 }
 
+// Moved tells one waiter that nothing was decided here: the key's group belongs
+// to another scheduler, which is to be asked.
+type Moved struct{ Waiter Waiter }
+
+// AnswerCancel answers a Cancelled. Done says that nothing of the work starts
+// from now on and that it did not run.
+type AnswerCancel struct {
+	Waiter Waiter
+	Done   bool
+	Reason model.Reason
+	Moved  bool
+}
+
 // Ask settles the fate of an attempt at one worker: the lease is barred if
 // unstarted. The shell answers with Settled.
 type Ask struct {
@@ -35,8 +48,10 @@
 // Withdraw takes waiting work out of placement, or stops running work.
 type Withdraw struct{ Key model.Key }
 
-func (Dispatch) action() {}
-func (Reply) action()    {}
-func (Ask) action()      {}
-func (Record) action()   {}
-func (Withdraw) action() {}
+func (Dispatch) action()     {}
+func (Reply) action()        {}
+func (Moved) action()        {}
+func (AnswerCancel) action() {}
+func (Ask) action()          {}
+func (Record) action()       {}
+func (Withdraw) action()     {}
--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -49,6 +49,14 @@
 	Ending *platform.Ending
 }
 
+// WorkerJoined brings what a worker knew that could not be reached when its
+// group was gained, and what is left of the gap.
+type WorkerJoined struct {
+	Group model.GroupID
+	Found []Found
+	Gap   time.Time
+}
+
 // GroupLost says that another scheduler owns the group now.
 type GroupLost struct{ Group model.GroupID }
 
@@ -114,27 +122,32 @@
 	// Running says that the task still runs.
 	Running bool
 	Ending  *platform.Ending
+	// Since is how long ago the worker's incarnation began, as it answered.
+	Since time.Duration
 }
 
 // Cancelled is a caller's wish to end its own work.
 type Cancelled struct {
 	Key     model.Key
 	Account model.Account
+	// Waiter gets the AnswerCancel.
+	Waiter Waiter
 }
 
 // Tick lets time-bound decisions happen.
 type Tick struct{}
 
-func (Configured) event()  {}
-func (GroupGained) event() {}
-func (GroupLost) event()   {}
-func (HoldsLapsed) event() {}
-func (Submitted) event()   {}
-func (WaiterGone) event()  {}
-func (Begun) event()       {}
-func (Answered) event()    {}
-func (NotRun) event()      {}
-func (Unclear) event()     {}
-func (Settled) event()     {}
-func (Cancelled) event()   {}
-func (Tick) event()        {}
+func (Configured) event()   {}
+func (GroupGained) event()  {}
+func (WorkerJoined) event() {}
+func (GroupLost) event()    {}
+func (HoldsLapsed) event()  {}
+func (Submitted) event()    {}
+func (WaiterGone) event()   {}
+func (Begun) event()        {}
+func (Answered) event()     {}
+func (NotRun) event()       {}
+func (Unclear) event()      {}
+func (Settled) event()      {}
+func (Cancelled) event()    {}
+func (Tick) event()         {}
--- a/internal/core/ownership/action.go
+++ b/internal/core/ownership/action.go
@@ -49,6 +49,8 @@
 	Worker model.Worker
 	TTL    time.Duration
 	Echo   uint64
+	// Incarnation is the one that was fenced; the worker refuses under another.
+	Incarnation string
 }
 
 // Gain says that the scope is owned under an epoch, and what was found there.
@@ -67,14 +69,24 @@
 	Listing platform.Listing
 }
 
+// Raise says that a cell is still owned, under a higher epoch. Every message
+// from now on carries it; nothing that runs or waits is touched.
+type Raise struct {
+	Scope model.Scope
+	Epoch model.Epoch
+}
+
 // Joined says that a worker of an owned scope was fenced and scanned late.
 type Joined struct {
 	Scope model.Scope
 	Epoch model.Epoch
 	Found Scanned
+	// Gap is what is left of the gap given by Gain.
+	Gap time.Time
 }
 
-// Suspend says that a key group's majority of holds has lapsed.
+// Suspend says that a key group's keyed starts must stop until the next Gain:
+// its majority of holds has lapsed, or its epoch is being raised.
 type Suspend struct{ Scope model.Scope }
 
 // Lose says that the scope is no longer owned.
@@ -88,5 +100,6 @@
 func (Hold) action()         {}
 func (Gain) action()         {}
 func (Joined) action()       {}
+func (Raise) action()        {}
 func (Suspend) action()      {}
 func (Lose) action()         {}
--- a/internal/core/ownership/event.go
+++ b/internal/core/ownership/event.go
@@ -19,6 +19,9 @@
 	Witnesses []model.WorkerID
 	// Near is the data centre that should own it.
 	Near model.DataCentre
+	// Since is when the scope's workers were last changed by configuration; zero
+	// for never. Older keys may have run on workers that are not listed here.
+	Since time.Time
 }
 
 // Configured gives the scopes of the configuration in force.
@@ -76,7 +79,8 @@
 	Err    error
 }
 
-// Refused says that a worker refused the epoch in use for a higher one.
+// Refused says that a worker refused a call of ours under Epoch, because it has
+// seen a higher one for the scope.
 type Refused struct {
 	Scope model.Scope
 	Epoch model.Epoch
--- /dev/null
+++ b/internal/core/ownership/holds.go
@@ -0,0 +1,124 @@
+package ownership
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
+
+// advanceGroup takes a key group through its phases: a majority of witnesses
+// fenced, old holds lapsed there, new holds and listings at hand.
+func (c *Core) advanceGroup(now time.Time, s *scope) {
+	t := s.term
+	switch t.phase {
+	case fencing:
+		if s.majority(func(g *guard) bool { return g.fenced }) {
+			t.phase = waiting
+			c.advanceGroup(now, s)
+		}
+	case waiting:
+		if s.follows() || s.waited(now, c.set.holdWait()) {
+			t.phase, t.began = scanning, now
+			c.holdAll(now, s)
+		}
+	case scanning:
+		c.renew(now, s)
+		if s.heldBy(now) && s.majorityListed() && s.scanned(now, c.set.AnswerWithin) {
+			c.gain(now, s)
+		}
+	case owned:
+		c.renew(now, s)
+		if !s.heldBy(now) {
+			c.suspend(now, s)
+		}
+	}
+}
+
+// follows says that nobody can have held the group since the epoch followed.
+func (s *scope) follows() bool {
+	return s.majority(func(g *guard) bool { return g.fenced && g.same })
+}
+
+// waited says that a majority of witnesses has refused old epochs for long
+// enough, without a restart in between.
+func (s *scope) waited(now time.Time, wait time.Duration) bool {
+	return s.majority(func(g *guard) bool { return g.fenced && now.Sub(g.fencedAt) >= wait })
+}
+
+func (s *scope) majorityListed() bool {
+	return s.majority(func(g *guard) bool { return g.fenced && g.listed })
+}
+
+// heldBy says that a majority of the witnesses' holds is unexpired.
+func (s *scope) heldBy(now time.Time) bool {
+	return s.majority(func(g *guard) bool { return g.until.After(now) })
+}
+
+// suspend stops keyed starts and begins the same epoch anew.
+func (c *Core) suspend(now time.Time, s *scope) {
+	c.do(Suspend{Scope: s.target.Scope})
+	c.restart(now, s)
+}
+
+func (c *Core) holdAll(now time.Time, s *scope) {
+	for _, g := range s.term.guards {
+		if g.fenced {
+			c.hold(now, s, g)
+		}
+	}
+}
+
+// renew asks for holds whose last asking is a share of the time to live ago.
+func (c *Core) renew(now time.Time, s *scope) {
+	every := c.set.HoldTTL / renewalsPerTTL
+	for _, g := range s.term.guards {
+		if g.fenced && now.Sub(g.holdSent) >= every {
+			c.hold(now, s, g)
+		}
+	}
+}
+
+func (c *Core) hold(now time.Time, s *scope, g *guard) {
+	g.holdSent = now
+	c.do(Hold{
+		Scope:       s.target.Scope,
+		Epoch:       s.term.epoch,
+		Worker:      g.worker,
+		TTL:         c.set.HoldTTL,
+		Echo:        g.echo,
+		Incarnation: g.incarnation,
+	})
+}
+
+// holdAnswered counts a hold from the time its request was sent.
+func (c *Core) holdAnswered(now time.Time, e HoldAnswered) {
+	s, g := c.find(e.Scope, e.Epoch, e.Worker)
+	if g == nil || !g.fenced || e.Err != nil {
+		return
+	}
+	if e.Held.Highest > e.Epoch {
+		c.yield(now, s)
+		return
+	}
+	if e.Held.Incarnation != g.incarnation {
+		c.unfence(now, s, g)
+		return
+	}
+	if e.Held.Refused {
+		g.echo = 0
+		return
+	}
+	g.echo = e.Held.Echo
+	g.until = later(g.until, e.Sent.Add(c.set.heldFor()))
+	c.advance(now, s)
+}
+
+// MayStart reports whether keyed work of a group may be started now, and under
+// which epoch. Callers ask right before each start.
+func (c *Core) MayStart(now time.Time, group model.GroupID) (model.Epoch, bool) {
+	s := c.byScope[model.GroupScope(group)]
+	if s == nil || s.term == nil || s.term.phase != owned || !s.heldBy(now) {
+		return 0, false
+	}
+	return s.term.epoch, true
+}
--- a/internal/model/claim.go
+++ b/internal/model/claim.go
@@ -4,6 +4,9 @@
 type Member struct {
 	Host HostID `json:"host" cbor:"1,keyasint"`
 	Addr string `json:"addr" cbor:"2,keyasint"`
+	// Boot names one start of the host's process. A process never acts on a place
+	// in a line that was given to another start of its host.
+	Boot string `json:"boot" cbor:"3,keyasint"`
 }
 
 // Claim is the record by which a host becomes a scope's owner. The first claim
--- a/internal/model/scope.go
+++ b/internal/model/scope.go
@@ -9,6 +9,9 @@
 const (
 	ScopeCell  ScopeKind = "cell"
 	ScopeGroup ScopeKind = "group"
+	// ScopeHost is not owned: a claim of this kind announces the start of a
+	// host's process, which may be given a place in lines from then on.
+	ScopeHost ScopeKind = "host"
 )
 
 // Scope is a cell or a key group: the unit that has one owner at a time.
--- a/internal/platform/hold.go
+++ b/internal/platform/hold.go
@@ -14,6 +14,9 @@
 	// Echo is the number from the worker's last answer; 0 asks for a new hold.
 	// A renewal with another number is refused, as is one of a lapsed hold.
 	Echo uint64 `json:"echo"`
+	// Incarnation, when set, is the one that the asker fenced. Another
+	// incarnation refuses, so that a message delayed over a restart has no effect.
+	Incarnation string `json:"incarnation"`
 }
 
 // Held is a worker's answer to a hold.
--- a/internal/platform/release.go
+++ b/internal/platform/release.go
@@ -1,6 +1,10 @@
 package platform
 
-import "coltsfootmux/internal/model"
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
 
 // Release ends or bars a lease.
 type Release struct {
@@ -19,4 +23,7 @@
 	Running bool `json:"running"`
 	// Ending is set when the task has ended.
 	Ending *Ending `json:"ending,omitempty"`
+	// Since is how long ago the worker's incarnation began. A lease of an earlier
+	// one may have run although this one knows nothing of it.
+	Since time.Duration `json:"since"`
 }
