Answer for request keys in a ledger core

One attempt for non-idempotent work, joined repeats, settlement by asking, and not_run only while the group's holds are good. A key that outlived the retention is answered unknown, since it may have run before it was forgotten.

--- /dev/null
+++ b/internal/core/ledger/group.go
@@ -0,0 +1,193 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/model"
+)
+
+// groupGained lets keyed work of a group start, after what is known of its past
+// has been taken in.
+func (c *Core) groupGained(now time.Time, ev GroupGained) {
+	g := c.group(ev.Group)
+	g.owned, g.held, g.epoch, g.gap = true, true, ev.Epoch, ev.Gap
+	for _, o := range ev.Outcomes {
+		c.adoptOutcome(now, g, o)
+	}
+	c.adoptFound(now, g, ev.Found)
+	for _, e := range slices.Clone(c.live) {
+		if e.group == g.id {
+			c.resume(now, g, e)
+		}
+	}
+}
+
+// resume goes on with work of an owner that lost its holds for a while. Another
+// owner may have run it in between.
+func (c *Core) resume(now time.Time, g *group, e *entry) {
+	if e.state == dispatched && e.idempotent {
+		return
+	}
+	if !e.unsent() {
+		return
+	}
+	if !e.idempotent && c.mayHaveRun(now, g, e.key) {
+		c.withdraw(e)
+		c.finish(now, e, model.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonHistoryGap})
+		return
+	}
+	if e.verdict != nil {
+		c.finish(now, e, *e.verdict)
+		return
+	}
+	c.dispatch(now, e)
+}
+
+// adoptOutcome takes in an outcome that the log kept.
+func (c *Core) adoptOutcome(now time.Time, g *group, o Recorded) {
+	old := c.keys[o.Result.Key]
+	if old != nil {
+		if old.live() && o.Result.Outcome == model.OutcomeDone {
+			c.withdraw(old)
+			c.finish(now, old, o.Result)
+		}
+		return
+	}
+	e := &entry{
+		key:     o.Result.Key,
+		group:   g.id,
+		account: o.Account,
+		sum:     o.Sum,
+		hasSum:  true,
+		state:   ended,
+		result:  o.Result,
+		endedAt: o.At,
+	}
+	c.keys[e.key] = e
+	c.ended = append(c.ended, e)
+	c.bytes += e.size()
+}
+
+func (c *Core) workerJoined(now time.Time, ev WorkerJoined) {
+	g := c.group(ev.Group)
+	if !g.owned {
+		return
+	}
+	g.gap = ev.Gap
+	c.adoptFound(now, g, ev.Found)
+}
+
+// adoptFound takes in work that was found on workers. A lease that never started
+// there tells nothing: the fence refuses its start for good.
+func (c *Core) adoptFound(now time.Time, g *group, found []Found) {
+	found = slices.DeleteFunc(slices.Clone(found), func(f Found) bool {
+		return f.Label.Group != g.id || f.Label.Key == "" || (!f.Started && f.Ending == nil)
+	})
+	slices.SortStableFunc(found, func(a, b Found) int {
+		return cmp.Or(
+			cmp.Compare(a.Label.Key, b.Label.Key),
+			cmp.Compare(a.Label.Attempt, b.Label.Attempt),
+			cmp.Compare(a.Label.Member, b.Label.Member),
+			cmp.Compare(a.Worker, b.Worker),
+		)
+	})
+	var touched []*entry
+	for _, f := range found {
+		if e := c.adopt(now, g, f); e != nil && !slices.Contains(touched, e) {
+			touched = append(touched, e)
+		}
+	}
+	for _, e := range touched {
+		if e.live() {
+			c.ask(now, e)
+		}
+	}
+}
+
+// adopt notes one trace. Of idempotent work only the latest attempt is followed.
+func (c *Core) adopt(now time.Time, g *group, f Found) *entry {
+	e := c.keys[f.Label.Key]
+	if e == nil {
+		e = &entry{
+			key:        f.Label.Key,
+			group:      g.id,
+			account:    f.Label.Account,
+			kind:       f.Label.Kind,
+			members:    f.Label.Members,
+			idempotent: f.Label.Idempotent,
+			detached:   f.Label.Detached,
+		}
+		c.keys[e.key] = e
+		c.live = append(c.live, e)
+	}
+	if !e.live() || f.Label.Attempt < e.attempt {
+		return nil
+	}
+	if e.unsent() {
+		c.withdraw(e)
+	}
+	if f.Label.Attempt > e.attempt {
+		e.mayHaveRun = e.mayHaveRun || len(e.traces) > 0
+		e.traces = nil
+	}
+	e.attempt, e.state, e.verdict = f.Label.Attempt, asking, nil
+	if e.doubt == "" {
+		e.doubt = model.ReasonOwnerLost
+	}
+	t := e.trace(Trace{Worker: f.Worker, Lease: f.Lease})
+	if t == nil {
+		t = &trace{Trace: Trace{Worker: f.Worker, Cell: f.Cell, Lease: f.Lease}}
+		e.traces = append(e.traces, t)
+	}
+	if f.Ending != nil {
+		t.ending = f.Ending
+	}
+	return e
+}
+
+// groupLost hands every waiter on to the group's owner. What was sent stays
+// noted; what was not is taken back.
+func (c *Core) groupLost(ev GroupLost) {
+	g := c.group(ev.Group)
+	g.owned, g.held = false, false
+	for _, e := range c.live {
+		if e.group == g.id {
+			c.moveWaiters(e)
+			c.leave(e)
+		}
+	}
+}
+
+func (c *Core) moveWaiters(e *entry) {
+	for _, w := range e.waiters {
+		c.do(Moved{w})
+	}
+	for _, w := range e.cancels {
+		c.do(AnswerCancel{Waiter: w, Moved: true})
+	}
+	e.waiters, e.cancels = nil, nil
+}
+
+// leave takes back what was not sent. The rest is asked about if the group comes
+// back to this scheduler.
+func (c *Core) leave(e *entry) {
+	if !e.unsent() {
+		e.state = asking
+		if e.doubt == "" {
+			e.doubt = model.ReasonOwnerLost
+		}
+		return
+	}
+	c.withdraw(e)
+	e.state = dropped
+	c.liveChange = true
+	delete(c.keys, e.key)
+}
+
+func (c *Core) withdraw(e *entry) {
+	if e.state == dispatched {
+		c.do(Withdraw{e.key})
+	}
+}
