Place work inside owned cells under guarantees

Cause: the scheduler shell needs the decisions about what runs where. The core queues work by demand, packs it into racks, keeps firm work out of entitled room, takes room back from borrowers, drains cells for large work, and tells bad workers from bad jobs. Ruled out: one flat queue scanned per event, whose cost grows with the wait. Not measured yet.

--- /dev/null
+++ b/internal/core/placement/begin.go
@@ -0,0 +1,215 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
+)
+
+const (
+	// beginTries bounds the tries to begin one attempt.
+	beginTries = 8
+	// beginPause is how long a worker that refused a job is kept from it.
+	beginPause = 200 * time.Millisecond
+	// refusedRetryAfter is when a caller may come back after the tries are spent.
+	refusedRetryAfter = 5 * time.Second
+)
+
+// assign holds room for a job on ws and begins it once its victims have left.
+func (c *Core) assign(j *job, ws []*worker, victims []*job) {
+	c.dequeue(j)
+	c.endDrain(j)
+	firm := c.firm(j)
+	j.tasks = make([]*task, len(ws))
+	for i, w := range ws {
+		t := &task{job: j, member: i, worker: w, shape: j.work.Shape, firm: firm}
+		j.tasks[i] = t
+		w.addTask(t)
+		w.health.admitted(j.work.Key)
+	}
+	if len(victims) == 0 {
+		c.begin(j)
+		return
+	}
+	j.state = jobReclaiming
+	j.asked = c.now
+	c.waiting++
+	for _, w := range ws {
+		w.dropPlanned(j)
+		w.planned = append(w.planned, j)
+	}
+	for _, v := range victims {
+		c.evict(v)
+	}
+	c.after(c.conf.def.ReclaimWithin.D(), timer{kind: timerReclaim, key: j.work.Key, round: j.round})
+}
+
+// begin asks the shell to lease and start every member.
+func (c *Core) begin(j *job) {
+	j.state = jobBeginning
+	j.try++
+	parts := make([]Part, len(j.tasks))
+	for i, t := range j.tasks {
+		t.lease = model.LeaseID(fmt.Sprintf("%s/%d.%d/%d", j.work.Key, j.attempt, j.try, t.member))
+		c.tasks[t.lease] = t
+		parts[i] = Part{
+			Member: t.member, Lease: t.lease, Cell: t.worker.cell.id,
+			Worker: t.worker.id, Shape: t.shape,
+		}
+	}
+	j.live = len(j.tasks)
+	c.running++
+	c.emit(Begin{
+		Work: j.work, Group: j.group, GroupEpoch: j.epoch, Attempt: j.attempt, Parts: parts,
+	})
+}
+
+// roomCame begins the planned jobs of a worker whose victims have all left.
+func (c *Core) roomCame(w *worker) {
+	for _, j := range append([]*job(nil), w.planned...) {
+		if !c.ready(j) {
+			continue
+		}
+		c.unplan(j)
+		c.waiting--
+		c.begin(j)
+	}
+}
+
+func (c *Core) ready(j *job) bool {
+	for _, t := range j.tasks {
+		if t.worker.free.Negative() {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) unplan(j *job) {
+	for _, t := range j.tasks {
+		t.worker.dropPlanned(j)
+	}
+}
+
+// dropPlan gives up the room held for a job whose victims have not all left.
+func (c *Core) dropPlan(j *job) {
+	c.unplan(j)
+	c.waiting--
+	c.dropTasks(j)
+}
+
+// dropTasks gives back all room that a job holds.
+func (c *Core) dropTasks(j *job) {
+	for _, t := range j.tasks {
+		if t.lease != "" {
+			if _, live := c.tasks[t.lease]; !live {
+				continue
+			}
+			delete(c.tasks, t.lease)
+		}
+		c.dropTask(t)
+	}
+	j.tasks = nil
+	j.live = 0
+}
+
+func (c *Core) dropTask(t *task) {
+	w := t.worker
+	w.dropTask(t)
+	if w.health.probe == t.job.work.Key {
+		w.health.probe = ""
+	}
+	c.free(w.cell)
+	c.roomCame(w)
+	c.settle(w.cell)
+}
+
+func (c *Core) started(e Started) {
+	j, ok := c.jobs[e.Key]
+	if !ok || j.state != jobBeginning {
+		return
+	}
+	j.state = jobRunning
+	j.startAt = c.now
+	j.ran = true
+	switch {
+	case j.cancelled:
+		c.stop(j, model.ReasonCancelled)
+	case j.failed:
+		c.stop(j, j.stopReason)
+	case j.evicted:
+		c.evict(j)
+	}
+	switch {
+	case j.live > 0:
+	case j.moved:
+		c.running--
+		c.forget(j)
+	default:
+		c.finish(j)
+	}
+}
+
+func (c *Core) beginFailed(e BeginFailed) {
+	j, ok := c.jobs[e.Key]
+	if !ok || j.state != jobBeginning {
+		return
+	}
+	c.running--
+	c.dropTasks(j)
+	j.failed = false
+	evicted := j.evicted
+	j.evicted = false
+	switch {
+	case j.cancelled:
+		c.giveUp(j, model.ReasonCancelled, 0)
+	case evicted:
+		c.enqueue(j)
+	case j.try >= beginTries:
+		c.giveUp(j, model.ReasonRetriesSpent, refusedRetryAfter)
+	default:
+		j.avoid = e.Worker
+		c.enqueue(j)
+		c.after(beginPause, timer{kind: timerRetry, key: j.work.Key, round: j.round})
+	}
+}
+
+// retryDue lets a job go back to the worker that refused it.
+func (c *Core) retryDue(t timer) {
+	j, ok := c.jobs[t.key]
+	if !ok || j.round != t.round || j.state != jobWaiting {
+		return
+	}
+	j.avoid = ""
+	c.unblock(j.queue)
+}
+
+// stop tells every member of a running job to stop.
+func (c *Core) stop(j *job, why model.Reason) {
+	if !j.stopping {
+		j.stopping = true
+		j.stopReason = why
+	}
+	c.controlAll(j, platform.VerbStop)
+}
+
+// giveUp answers for work that will not be started again.
+func (c *Core) giveUp(j *job, why model.Reason, retryAfter time.Duration) {
+	c.forget(j)
+	if j.ran {
+		c.emit(Complete{Key: j.work.Key, Failed: true, Reason: why})
+		return
+	}
+	c.emit(Refuse{Key: j.work.Key, Reason: why, RetryAfter: retryAfter})
+}
+
+func (c *Core) forget(j *job) {
+	if j.queue != nil {
+		c.dequeue(j)
+	}
+	c.endDrain(j)
+	j.state = jobGone
+	delete(c.jobs, j.work.Key)
+}
--- /dev/null
+++ b/internal/core/placement/job.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
+
+// jobState is where a job stands.
+type jobState uint8
+
+const (
+	jobWaiting jobState = iota
+	// jobReclaiming has workers chosen and waits for victims to leave them.
+	jobReclaiming
+	jobBeginning
+	jobRunning
+	jobGone
+)
+
+// job is a piece of work that the core answers for.
+type job struct {
+	work    model.Work
+	acc     *account
+	class   model.Class
+	group   model.GroupID
+	epoch   model.Epoch
+	cells   []model.CellID
+	attempt int
+	try     int
+	seq     uint64
+
+	state    jobState
+	queue    *queue
+	queuedAt time.Time
+	// round tells this wait of the job from earlier ones.
+	round int
+
+	tasks   []*task
+	live    int
+	startAt time.Time
+	// asked is when its reclaim began.
+	asked time.Time
+
+	cancelled bool
+	// evicted says that it was told to leave so that others may start.
+	evicted bool
+	// stopping says that its members were told to stop, for stopReason.
+	stopping   bool
+	stopReason model.Reason
+	failed     bool
+	// left says that a member left before its end because the job was evicted.
+	left bool
+	// retry says that the failure was the task's own, so another worker may do better.
+	retry bool
+	// ran says that some attempt of it has run.
+	ran bool
+	// adopted work was found running; its body is not at hand.
+	adopted bool
+	// moved says that some of its members run in a cell that was lost.
+	moved  bool
+	badOn  []model.WorkerID
+	avoid  model.WorkerID
+	drains []*cell
+}
+
+// firm reports whether the job, once started, can't be taken off again.
+func (c *Core) firm(j *job) bool {
+	if !j.work.Preemptible || !j.work.Idempotent {
+		return true
+	}
+	return j.attempt >= c.conf.maxAttempts()
+}
+
+// task is one member of a job on a worker.
+type task struct {
+	lease  model.LeaseID
+	job    *job
+	member int
+	worker *worker
+	shape  model.Shape
+	firm   bool
+	over   overuse
+}
--- /dev/null
+++ b/internal/core/placement/order.go
@@ -0,0 +1,87 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// shareSteps is how finely accounts' shares are told apart; closer ones tie.
+const shareSteps = 16
+
+// score is a queue's place in the order of a pass; the lowest goes first.
+type score struct {
+	rank  int
+	share int
+	run   int
+	seq   uint64
+}
+
+// The ranks of OrderFair, first to last.
+const (
+	rankUrgent = iota
+	rankEntitled
+	rankAged
+	rankNormal
+	rankBatch
+)
+
+func (a score) compare(b score) int {
+	return cmp.Or(
+		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.share, b.share),
+		cmp.Compare(a.run, b.run),
+		cmp.Compare(a.seq, b.seq),
+	)
+}
+
+func (c *Core) scoreOf(q *queue, j *job) score {
+	if c.policy.Order != OrderFair {
+		return score{seq: j.seq}
+	}
+	s := score{rank: c.rankOf(q, j), seq: j.seq}
+	if s.rank == rankAged {
+		return s
+	}
+	s.share = int(c.share(q.acc) * shareSteps)
+	s.run = c.runStep(j)
+	return s
+}
+
+func (c *Core) rankOf(q *queue, j *job) int {
+	switch {
+	case q.demand.class == urgentClass:
+		return rankUrgent
+	case c.withinEntitlement(q):
+		return rankEntitled
+	case c.now.Sub(j.queuedAt) >= c.agedAfter(j):
+		return rankAged
+	case q.demand.class == batchClass:
+		return rankBatch
+	}
+	return rankNormal
+}
+
+// agedAfter is the wait after which a job goes by age alone.
+func (c *Core) agedAfter(j *job) time.Duration {
+	longest := c.conf.longestWait(j.work.Account, j.work.Kind)
+	return min(c.conf.def.LargeWait.D(), longest/2)
+}
+
+// runStep is the power of two of the expected run time, less one step for each
+// time that the wait has outgrown it.
+func (c *Core) runStep(j *job) int {
+	run := c.expected(j)
+	wait := c.now.Sub(j.queuedAt)
+	return int(math.Log2(1 + float64(run)/float64(time.Millisecond)/(1+float64(wait)/float64(max(run, time.Millisecond)))))
+}
+
+// withinEntitlement reports whether the queue's next job fits into what its
+// account is entitled to and does not hold.
+func (c *Core) withinEntitlement(q *queue) bool {
+	ent := q.acc.entitled
+	if ent.IsZero() {
+		return false
+	}
+	return q.demand.shape.Times(q.demand.members).Fits(ent.Sub(q.acc.used))
+}
