--- a/internal/platform/release.go
+++ b/internal/platform/release.go
@@ -23,7 +23,9 @@
 	Running bool `json:"running"`
 	// Ending is set when the task has ended.
 	Ending *Ending `json:"ending,omitempty"`
-	// Since is how long ago the worker's incarnation began. A lease of an earlier
-	// one may have run although this one knows nothing of it.
+	// Incarnation changes with each restart of the worker, which forgets all.
+	Incarnation string `json:"incarnation"`
+	// Since is how far back the worker's memory of leases reaches. A lease that
+	// was first used longer ago may have run although Started is false.
 	Since time.Duration `json:"since"`
 }
