Add rates, concurrency, retry budget, adaptive limit, circuit and backoff

Cause: admission at entries and the scheduler's use of workers both need them, driven by virtual time and a seeded random source. The adaptive limit is additive increase, multiplicative decrease: it needs no notion of a target's unloaded latency, which a worker that runs tasks from milliseconds to hours doesn't have. A gradient limit was ruled out for that.

--- /dev/null
+++ b/internal/core/limits/limits_test.go
@@ -0,0 +1,207 @@
+package limits_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coltsfootmux/internal/core/limits"
+	_ "coltsfootmux/internal/testseed"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func TestRateHoldsOverAnyPatternOfCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.5, 200).Draw(t, "rate")
+		r := limits.NewRates[string](time.Second)
+		now, allowed := start, 0
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			ok, wait := r.Allow(now, "a", perSecond)
+			if ok {
+				allowed++
+			} else if wait <= 0 {
+				t.Fatal("refused without a time to wait")
+			}
+		}
+		bound := max(1, perSecond) + perSecond*now.Sub(start).Seconds() + 1
+		if float64(allowed) > bound {
+			t.Fatalf("%d allowed, bound %.1f", allowed, bound)
+		}
+	})
+}
+
+func TestWaitOfARefusedCallIsEnough(t *testing.T) {
+	r := limits.NewRates[string](time.Second)
+	now := start
+	for range 5 {
+		r.Allow(now, "a", 5)
+	}
+	ok, wait := r.Allow(now, "a", 5)
+	if ok {
+		t.Fatal("sixth call of a burst of five was allowed")
+	}
+	if ok, _ := r.Allow(now.Add(wait), "a", 5); !ok {
+		t.Fatal("refused again after the wait that was asked for")
+	}
+}
+
+func TestOneNameDoesNotUseUpAnothersRate(t *testing.T) {
+	r := limits.NewRates[string](time.Second)
+	for range 100 {
+		r.Allow(start, "loud", 1)
+	}
+	if ok, _ := r.Allow(start, "quiet", 1); !ok {
+		t.Fatal("the quiet name was refused")
+	}
+	r.Sweep(start.Add(time.Hour), time.Minute)
+	if r.Len() != 0 {
+		t.Fatalf("%d names held after a sweep", r.Len())
+	}
+}
+
+func TestConcurrencyNeverPassesItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(1, 5).Draw(t, "bound")
+		c, open := limits.NewConcurrency[int](), make(map[int]int)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			name := rapid.IntRange(0, 2).Draw(t, "name")
+			if rapid.Bool().Draw(t, "release") && open[name] > 0 {
+				c.Release(name)
+				open[name]--
+			} else if c.Acquire(name, bound) {
+				open[name]++
+			} else if open[name] < bound {
+				t.Fatalf("refused with %d of %d open", open[name], bound)
+			}
+			if open[name] > bound || c.Open(name) != open[name] {
+				t.Fatalf("%d open, counted %d, bound %d", open[name], c.Open(name), bound)
+			}
+		}
+	})
+}
+
+func TestRetriesStayAShareOfFirstTries(t *testing.T) {
+	const share, reserve = 0.1, 10
+	b := limits.NewRetryBudget(share, reserve)
+	retries := 0
+	for range 1000 {
+		b.First()
+		for range 3 {
+			if b.Retry() {
+				retries++
+			}
+		}
+	}
+	if got, most := retries, int(1000*share)+reserve; got > most || got < most-1 {
+		t.Fatalf("%d retries, want about %d", got, most)
+	}
+}
+
+func options() limits.AdaptiveOptions {
+	return limits.AdaptiveOptions{Min: 2, Max: 64, Start: 8, Slow: time.Second, Shrink: 0.7, Pause: time.Second}
+}
+
+func TestAdaptiveLimitStaysInItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, now := limits.NewAdaptive(options()), start
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "acquire") {
+				a.Acquire()
+			} else if a.Open() > 0 {
+				a.Release(now, time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms"))*time.Millisecond, rapid.Bool().Draw(t, "bad"))
+			}
+			if a.Limit() < 2 || a.Limit() > 64 {
+				t.Fatalf("limit %d", a.Limit())
+			}
+		}
+	})
+}
+
+// serveRounds offers full load to a target that overloads beyond its capacity.
+func serveRounds(a *limits.Adaptive, capacity, rounds int) {
+	now := start
+	for range rounds {
+		n := 0
+		for a.Acquire() {
+			n++
+		}
+		now = now.Add(2 * time.Second)
+		for i := range n {
+			a.Release(now, time.Millisecond, i >= capacity)
+		}
+	}
+}
+
+func TestAdaptiveLimitFindsTheTargetsCapacity(t *testing.T) {
+	for _, capacity := range []int{4, 16, 40} {
+		a := limits.NewAdaptive(options())
+		serveRounds(a, capacity, 400)
+		if l := a.Limit(); l < capacity/2 || l > capacity+2 {
+			t.Errorf("capacity %d: limit %d", capacity, l)
+		}
+	}
+}
+
+func TestBackoffGrowsWithinItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := limits.Backoff{Min: 10 * time.Millisecond, Max: time.Second}
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		n := rapid.IntRange(-3, 100).Draw(t, "n")
+		span := min(b.Min<<min(max(n, 1)-1, 20), b.Max)
+		if w := b.Wait(n, r); w < span/2 || w > span {
+			t.Fatalf("retry %d: waits %v, span %v", n, w, span)
+		}
+	})
+}
+
+func circuit() (*limits.Circuit, *rand.Rand) {
+	return limits.NewCircuit(limits.CircuitOptions{
+		Failures: 3, Probe: limits.Backoff{Min: time.Second, Max: time.Minute},
+	}), rand.New(rand.NewPCG(1, 2))
+}
+
+func TestCircuitOpensAfterFailuresInARow(t *testing.T) {
+	c, r := circuit()
+	for _, ok := range []bool{false, false, true, false, false} {
+		c.Report(start, ok, r)
+	}
+	if c.State() != limits.Closed {
+		t.Fatal("opened although a try worked in between")
+	}
+	c.Report(start, false, r)
+	if c.State() != limits.Broken || c.Allow(start) {
+		t.Fatalf("state %v after three failures in a row", c.State())
+	}
+}
+
+func TestOpenCircuitLetsOneProbeThrough(t *testing.T) {
+	c, r := circuit()
+	for range 3 {
+		c.Report(start, false, r)
+	}
+	first := c.ProbeAt()
+	if !c.Allow(first) || c.Allow(first) || c.Allow(first.Add(time.Hour)) {
+		t.Fatal("want one probe and no more")
+	}
+	c.Report(first, false, r)
+	if c.Allow(first) {
+		t.Fatal("a failed probe did not keep the circuit open")
+	}
+	second := c.ProbeAt()
+	if !c.Allow(second) {
+		t.Fatal("no second probe")
+	}
+	c.Forget()
+	if !c.Allow(second) {
+		t.Fatal("a probe that said nothing was not replaced")
+	}
+	c.Report(second, true, r)
+	if c.State() != limits.Closed || !c.Allow(second) {
+		t.Fatal("a good probe did not close the circuit")
+	}
+}
