Add the scheduler's shell around the cores

One loop owns the ownership, ledger and placement cores; everything that waits reports back to it. Work whose cells have no owner is held, since nothing of it was sent; idempotent work cut off by a lost worker is tried again.

--- a/internal/core/ledger/attempt.go
+++ b/internal/core/ledger/attempt.go
@@ -38,6 +38,10 @@
 		return
 	}
 	if e.state != ended {
+		if e.attempt == a.Attempt && a.Result.Failed && c.retry(now, e, a.Result.Reason) {
+			e.mayHaveRun = true
+			return
+		}
 		c.finish(now, e, a.Result)
 		return
 	}
@@ -56,7 +60,7 @@
 		return
 	}
 	e.traces = nil
-	if c.retry(now, e, n.Reason) {
+	if c.hold(now, e, n.Reason) || c.retry(now, e, n.Reason) {
 		return
 	}
 	c.giveUp(now, e, n.Reason, n.RetryAfter)
@@ -79,6 +83,17 @@
 	c.ask(now, e)
 }
 
+// hold keeps work that found no owner for its cells. Nothing of the attempt was
+// sent, so it does not count, not even for non-idempotent work.
+func (c *Core) hold(now time.Time, e *entry, why model.Reason) bool {
+	if why != model.ReasonNoOwner || e.state != dispatched || e.cancelled || !c.timeLeft(now, e) {
+		return false
+	}
+	e.attempt--
+	c.again(now, e)
+	return true
+}
+
 // retry sends idempotent work again when another try may help.
 func (c *Core) retry(now time.Time, e *entry, why model.Reason) bool {
 	if !e.idempotent || e.cancelled || !transient(why) || !c.attemptsLeft(e) || !c.timeLeft(now, e) {
--- a/internal/core/placement/core.go
+++ b/internal/core/placement/core.go
@@ -83,6 +83,10 @@
 		c.configured(e)
 	case CellGained:
 		c.cellGained(e)
+	case WorkerFound:
+		for _, r := range e.Running {
+			c.adopt(r)
+		}
 	case CellLost:
 		c.cellLost(e)
 	case Submitted:
--- a/internal/core/placement/event.go
+++ b/internal/core/placement/event.go
@@ -31,6 +31,13 @@
 // the core stays; work running there is no longer this core's.
 type CellLost struct{ Cell model.CellID }
 
+// WorkerFound brings what runs on a worker of an owned cell that could not be
+// reached when the cell was gained.
+type WorkerFound struct {
+	Worker  model.WorkerID
+	Running []Running
+}
+
 // Submitted adds work to the queue.
 type Submitted struct {
 	Work       model.Work
@@ -81,6 +88,7 @@
 func (Configured) event()  {}
 func (CellGained) event()  {}
 func (CellLost) event()    {}
+func (WorkerFound) event() {}
 func (Submitted) event()   {}
 func (Cancelled) event()   {}
 func (Started) event()     {}
--- /dev/null
+++ b/internal/scheduler/begin.go
@@ -0,0 +1,126 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+
+	"coltsfootmux/internal/core/ledger"
+	"coltsfootmux/internal/core/placement"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
+	"coltsfootmux/internal/wire"
+)
+
+// beginOutcome says how a two-phase start went.
+type beginOutcome uint8
+
+const (
+	// beginNothing: no member started, and none will.
+	beginNothing beginOutcome = iota
+	// beginAll: every member runs or has run.
+	beginAll
+	// beginSome: a member of a gang could not be started after others were.
+	beginSome
+	// beginUnclear: a member may run.
+	beginUnclear
+)
+
+// starter carries one two-phase start out, in a goroutine of its own.
+type starter struct {
+	s        *Scheduler
+	b        placement.Begin
+	epochs   map[model.CellID]model.Epoch
+	ttl      platformTTL
+	announce *wire.Begun
+	to       model.Member
+}
+
+// begin starts a Begin of placement: the ledger hears of the leases first.
+func (l *loop) begin(b placement.Begin) {
+	at, ok := l.attempts[b.Work.Key]
+	if !ok {
+		at = &attempt{work: b.Work, group: b.Group, groupEpoch: b.GroupEpoch, number: b.Attempt}
+		l.attempts[b.Work.Key] = at
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	at.cancel = cancel
+	at.parts = b.Parts
+	at.ended = make(map[model.LeaseID]platform.Ending, len(b.Parts))
+	st := &starter{s: l.s, b: b, epochs: l.epochsOf(b.Parts), ttl: l.leaseTTL()}
+	st.b.Attempt = at.number
+	if at.remote != nil {
+		st.to = at.from
+		st.announce = &wire.Begun{Key: b.Work.Key, Group: b.Group, Attempt: at.number, Traces: at.traces()}
+	} else {
+		l.stepLedger(ledger.Begun{Key: b.Work.Key, Attempt: at.number, Parts: ledgerTraces(at.traces())})
+	}
+	if at.remote == nil && !l.mayStart(b) {
+		go l.s.post(beginDoneMsg{key: b.Work.Key, attempt: at.number, outcome: beginNothing})
+		return
+	}
+	go st.run(ctx)
+}
+
+// mayStart asks the ownership core whether keyed work may be started now.
+func (l *loop) mayStart(b placement.Begin) bool {
+	if b.Work.Idempotent {
+		return true
+	}
+	e, ok := l.own.MayStart(now(), b.Group)
+	return ok && e == b.GroupEpoch
+}
+
+func (l *loop) epochsOf(parts []placement.Part) map[model.CellID]model.Epoch {
+	out := make(map[model.CellID]model.Epoch)
+	for _, p := range parts {
+		if c, ok := l.cells[p.Cell]; ok {
+			out[p.Cell] = c.epoch
+		}
+	}
+	return out
+}
+
+// beginDone tells placement how a start went.
+func (l *loop) beginDone(m beginDoneMsg) {
+	at, ok := l.attempts[m.key]
+	if !ok || at.number != m.attempt {
+		return
+	}
+	switch m.outcome {
+	case beginNothing:
+		evBeginFailed.Log(l.ctx, l.s.o.Logger, slog.String("key", string(m.key)), slog.String("worker", string(m.worker)))
+		l.stepPlace(placement.BeginFailed{Key: m.key, Worker: m.worker, Fault: m.fault})
+	case beginAll, beginSome:
+		l.stepPlace(placement.Started{Key: m.key})
+	case beginUnclear:
+		evBeginUnclear.Log(l.ctx, l.s.o.Logger, slog.String("key", string(m.key)), slog.String("worker", string(m.worker)))
+		l.stepPlace(placement.Started{Key: m.key})
+		if at.remote == nil {
+			l.stepLedger(ledger.Unclear{Key: m.key, Attempt: m.attempt, Reason: model.ReasonWorkerLost})
+		}
+	}
+}
+
+// abort stops a start that is under way; the starter releases what it has.
+func (l *loop) abort(a placement.Abort) {
+	if at, ok := l.attempts[a.Key]; ok {
+		at.cancel()
+	}
+}
+
+// announced reports whether the key group's owner knows of the leases and lets
+// the start go on.
+func (st *starter) announced(ctx context.Context) bool {
+	if st.announce == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, st.s.o.Timing.CallTimeout)
+	defer cancel()
+	ack, err := link.Call[wire.Begun, wire.Ack](ctx, st.s.o.Pool, st.to.Addr, wire.KindBegun, *st.announce)
+	return err == nil && ack.Refused == ""
+}
+
+func (st *starter) done(o beginOutcome, w model.WorkerID, fault bool) {
+	st.s.post(beginDoneMsg{key: st.b.Work.Key, attempt: st.b.Attempt, outcome: o, worker: w, fault: fault})
+}
