--- a/internal/standin/worker/holds.go
+++ b/internal/standin/worker/holds.go
@@ -20,10 +20,15 @@
 	echo    uint64
 }
 
-// newHolds starts the echo numbers from the clock, so that a number from before
-// a restart never matches one from after it.
-func newHolds(now time.Time) *holds {
-	return &holds{byGroup: make(map[model.GroupID]hold), echo: uint64(now.UnixNano())}
+// restartShift sets the echo numbers of successive restarts apart.
+const restartShift = 32
+
+// newHolds starts the echo numbers from the clock and the count of restarts, so
+// that a number from before a restart never matches one from after it, also
+// when the restart takes no time.
+func newHolds(now time.Time, restarts int) *holds {
+	echo := uint64(now.UnixNano()) + uint64(restarts)<<restartShift
+	return &holds{byGroup: make(map[model.GroupID]hold), echo: echo}
 }
 
 // ask gives or renews a hold; the epoch has been found not to be stale.
--- a/internal/standin/worker/state.go
+++ b/internal/standin/worker/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,15 +28,15 @@
 	fault       Fault
 }
 
-func newState(opts Options, incarnation string, j *journal, f Fault, now time.Time) *state {
+func newState(opts Options, restarts int, j *journal, f Fault, now time.Time) *state {
 	return &state{
 		opts:        opts,
-		incarnation: incarnation,
+		incarnation: incarnationOf(opts.ID, restarts, now),
 		since:       now,
 		free:        opts.Capacity,
 		leases:      make(map[model.LeaseID]*lease),
 		epochs:      make(map[model.Scope]model.Epoch),
-		holds:       newHolds(now),
+		holds:       newHolds(now, restarts),
 		history:     newHistory(opts.HistoryFor, now),
 		bars:        newBars(opts.BarFor),
 		journal:     j,
@@ -43,6 +44,11 @@
 	}
 }
 
+// incarnationOf names one life of a worker.
+func incarnationOf(id model.WorkerID, restarts int, now time.Time) string {
+	return string(id) + "#" + strconv.Itoa(restarts) + "@" + strconv.FormatInt(now.UnixNano(), 36)
+}
+
 // advance ends what was due by now, in the order in which it was due.
 func (s *state) advance(now time.Time) (ended bool) {
 	for {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -45,9 +44,7 @@
 
 // boot begins a new incarnation; the caller holds the lock or is New.
 func (w *Worker) boot(f Fault) {
-	now := w.opts.Clock()
-	id := string(w.opts.ID) + "#" + strconv.Itoa(w.restarts) + "@" + strconv.FormatInt(now.UnixNano(), 36)
-	w.state = newState(w.opts, id, w.journal, f, now)
+	w.state = newState(w.opts, w.restarts, w.journal, f, w.opts.Clock())
 }
 
 // Restart ends all tasks and forgets everything but the faults in force.
