--- /dev/null
+++ b/internal/entry/route/action.go
@@ -0,0 +1,32 @@
+package route
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
+
+// Action is the one thing to do next about a call.
+type Action interface{ action() }
+
+type (
+	// Ask sends the call to the scheduler at an address.
+	Ask struct{ Addr string }
+	// Sleep waits before the next event, which is Woke or Expired.
+	Sleep struct{ For time.Duration }
+	// GiveUp ends the call without a scheduler's word.
+	GiveUp struct {
+		// Outcome is OutcomeNotRun or OutcomeUnknown.
+		Outcome model.Outcome
+		Reason  model.Reason
+		// RetryAfter tells the caller when to come back.
+		RetryAfter time.Duration
+	}
+	// Nothing says that there is nothing to do.
+	Nothing struct{}
+)
+
+func (Ask) action()     {}
+func (Sleep) action()   {}
+func (GiveUp) action()  {}
+func (Nothing) action() {}
