Take callers' requests and find the owner of their keys

Cause: callers need one HTTP address that checks input, keeps accounts within their limits, and holds the connection until the answer is whole. Whom to ask, when to wait and what may be said when time runs out is decided in internal/entry/route, a Step machine; the server carries it out. Ruled out: giving a waiting request up when the retry budget is spent. A takeover takes seconds and each waiting request must be offered again for it, so a spent budget makes the waits longest instead. Tests: go test -count=3 ./internal/entry/... passes.

--- /dev/null
+++ b/internal/entry/ask.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"coltsfootmux/internal/entry/route"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/wire"
+)
+
+// answer is what a reply says of its sender: whether it did nothing because the
+// key's group is another's, and whose.
+type answer interface{ moved() (bool, model.Member) }
+
+// ask offers a request about a key to schedulers until one answers for it. A nil
+// GiveUp means that rep is that answer. ctx ends when the caller stops waiting.
+func ask[Req any, Rep answer](ctx context.Context, s *Server, key model.Key, k wire.Kind, req Req) (rep Rep, none *route.GiveUp) {
+	t := route.Ticket(s.tickets.Add(1))
+	until, _ := ctx.Deadline()
+	act := s.step(route.Begin{Ticket: t, Key: key, Until: until})
+	for {
+		var ev route.Event
+		switch a := act.(type) {
+		case route.Ask:
+			rep, ev = askOne[Req, Rep](ctx, s, t, a.Addr, k, req)
+		case route.Sleep:
+			ev = s.sleep(ctx, t, a.For)
+		case route.GiveUp:
+			return rep, &a
+		default:
+			return rep, nil
+		}
+		act = s.step(ev)
+		if _, ended := ev.(route.Settled); !ended && ctx.Err() != nil {
+			act = s.expire(t, act)
+		}
+	}
+}
+
+// askOne asks one scheduler and turns how that ended into an event.
+func askOne[Req any, Rep answer](ctx context.Context, s *Server, t route.Ticket, addr string, k wire.Kind, req Req) (Rep, route.Event) {
+	rep, err := link.Call[Req, Rep](ctx, s.opts.Pool, addr, k, req)
+	switch {
+	case err == nil:
+		if moved, owner := rep.moved(); moved {
+			asks.With("moved").Inc()
+			return rep, route.Moved{Ticket: t, Owner: owner}
+		}
+		asks.With("answered").Inc()
+		return rep, route.Settled{Ticket: t}
+	case errors.Is(err, link.ErrNotSent):
+		asks.With("not_sent").Inc()
+		return rep, route.NotTaken{Ticket: t}
+	case errors.Is(err, link.ErrOverloaded):
+		asks.With("overloaded").Inc()
+		return rep, route.NotTaken{Ticket: t, Overloaded: true}
+	}
+	asks.With("lost").Inc()
+	if ctx.Err() == nil {
+		evDoubt.Log(ctx, s.opts.Logger, slog.String("addr", addr), slog.String("error", err.Error()))
+	}
+	return rep, route.Doubtful{Ticket: t}
+}
+
+// sleep waits out a pause unless the caller stops waiting first.
+func (s *Server) sleep(ctx context.Context, t route.Ticket, d time.Duration) route.Event {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return route.Woke{Ticket: t}
+	case <-ctx.Done():
+		return route.Expired{Ticket: t}
+	}
+}
+
+// expire ends a call that the router has not ended yet.
+func (s *Server) expire(t route.Ticket, act route.Action) route.Action {
+	if _, ended := act.(route.GiveUp); ended {
+		return act
+	}
+	return s.step(route.Expired{Ticket: t})
+}
+
+func (s *Server) step(ev route.Event) route.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.Step(time.Now(), ev)
+}
--- /dev/null
+++ b/internal/entry/check.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/problem"
+)
+
+const (
+	// maxMembers is the largest gang that is looked at.
+	maxMembers = 4096
+	// maxShapePart bounds each part of a shape, so that sums can't overflow.
+	maxShapePart = 1 << 30
+	// maxNameBytes is the longest name of a kind.
+	maxNameBytes = 128
+)
+
+// invalid is a field with a value that is not allowed.
+func invalid(detail string) *problem.Problem {
+	return problem.New(http.StatusUnprocessableEntity, codeInvalid, detail)
+}
+
+// refused is a request that a reason of the model speaks against.
+func refused(reason model.Reason, detail string) *problem.Problem {
+	return problem.New(http.StatusUnprocessableEntity, string(reason), detail)
+}
+
+// checker checks one submission against the configuration in force.
+type checker struct {
+	now  time.Time
+	conf *inForce
+}
+
+// work makes the work that a caller asks for. Nothing has run when it refuses.
+func (c *checker) work(b *JobBody, key model.Key, detached bool) (*model.Work, *problem.Problem) {
+	body, p := c.body(&b.RequestBody)
+	if p != nil {
+		return nil, p
+	}
+	class, ok := model.ParseClass(b.Class)
+	if !ok {
+		return nil, invalid("The class is batch, normal or urgent.")
+	}
+	usual := defaultTimeout
+	if detached {
+		usual = defaultJobTimeout
+	}
+	w := &model.Work{
+		Key: key, Account: b.Account, Kind: b.Kind, Class: class, Idempotent: b.Idempotent,
+		Deadline: deadlineOf(c.now, b.Deadline, b.Timeout, usual), Submitted: c.now,
+		Members: 1, Shape: model.Shape{Slots: 1}, Adjacency: b.Adjacency,
+		Preemptible: b.Preemptible, DeclaredRun: b.DeclaredRun.D(), Detached: detached, Body: body,
+	}
+	if b.Members != nil {
+		w.Members = *b.Members
+	}
+	if b.Shape != nil {
+		w.Shape = *b.Shape
+	}
+	if p := c.fields(b, w); p != nil {
+		return nil, p
+	}
+	return w, c.against(w)
+}
+
+// body gives the bytes for the task. JSON is compacted, so that a repeat with
+// other white space is the same request.
+func (c *checker) body(b *RequestBody) ([]byte, *problem.Problem) {
+	if len(b.Body) > 0 && len(b.BodyBase64) > 0 {
+		return nil, invalid("Set body or body_base64, not both.")
+	}
+	body := b.BodyBase64
+	if len(b.Body) > 0 {
+		var buf bytes.Buffer
+		if err := json.Compact(&buf, b.Body); err != nil {
+			return nil, invalid("The body is no JSON value.")
+		}
+		body = buf.Bytes()
+	}
+	if len(body) > c.conf.doc.Defaults.BodyLimitBytes {
+		return nil, problem.New(http.StatusRequestEntityTooLarge, codeTooLarge, "The body is over the size limit.")
+	}
+	return body, nil
+}
+
+// fields checks what can be judged without the configuration.
+func (c *checker) fields(b *JobBody, w *model.Work) *problem.Problem {
+	switch {
+	case !b.Deadline.IsZero() && b.Timeout != nil:
+		return invalid("Set deadline or timeout, not both.")
+	case w.Kind == "" || len(w.Kind) > maxNameBytes:
+		return invalid("The kind is a name of 1 to 128 characters.")
+	case w.Shape.Negative():
+		return invalid("No part of the shape may be negative.")
+	case w.Shape.IsZero():
+		return invalid("The shape asks for nothing.")
+	case tooBig(w.Shape):
+		return refused(model.ReasonImpossible, "No worker holds a member of this shape.")
+	case w.Members < 1 || w.Members > maxMembers:
+		return invalid("The number of members is from 1 to 4096.")
+	case !w.Adjacency.Valid():
+		return invalid("The adjacency is data_centre, rack, worker or left out.")
+	case w.DeclaredRun < 0:
+		return invalid("The declared run time may not be negative.")
+	case w.Preemptible && !w.Idempotent:
+		return invalid("Preemptible work may be stopped and started again, so it must be idempotent.")
+	case !w.Deadline.After(c.now):
+		return refused(model.ReasonDeadline, "The deadline has passed.")
+	}
+	return nil
+}
+
+func tooBig(s model.Shape) bool {
+	return max(s.Slots, s.Accelerators, s.CPUMilli, s.MemoryMB) > maxShapePart
+}
+
+// against checks the work against the configuration.
+func (c *checker) against(w *model.Work) *problem.Problem {
+	l, ok := limitsOf(c.conf.doc, w.Account)
+	switch {
+	case !ok:
+		return refused(model.ReasonUnknownAccount, "The client account is not in the configuration.")
+	case fromFuture(w.Key, c.now, c.conf.doc.Defaults.CallerSkew.D()):
+		return refused(model.ReasonKeyFromFuture, "The key's own time is further ahead than clocks may differ.")
+	case !c.conf.room.holds(w, l.dataCentres):
+		return refused(model.ReasonImpossible, "No set of workers that the account may use holds this shape.")
+	}
+	return nil
+}
+
+// inForce is a configuration with what is derived from it once.
+type inForce struct {
+	version config.Version
+	doc     *config.Document
+	room    *room
+}
--- /dev/null
+++ b/internal/entry/decode.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"coltsfootmux/internal/problem"
+)
+
+const (
+	// envelopeBytes is room for the fields around a body.
+	envelopeBytes = 16 << 10
+	// bodyGrowth bounds what base64 or JSON escapes add to a body.
+	bodyGrowth = 2
+)
+
+// Codes of refused input, besides the model's reasons.
+const (
+	codeMalformed  = "malformed"
+	codeTooLarge   = "body_too_large"
+	codeSlow       = "body_too_slow"
+	codeMediaType  = "media_type"
+	codeKeyMissing = "key_missing"
+	codeKeyInvalid = "key_invalid"
+	codeInvalid    = "invalid_field"
+	codeForbidden  = "forbidden"
+	codeNotFound   = "not_found"
+)
+
+// readJSON decodes a request's body into v. Unknown fields, a second value and
+// more than limit bytes of content are refused. The error is a *problem.Problem.
+func readJSON(w http.ResponseWriter, r *http.Request, limit int, within time.Duration, v any) error {
+	if ct := r.Header.Get("Content-Type"); ct != "" && !strings.HasPrefix(ct, "application/json") {
+		return problem.New(http.StatusUnsupportedMediaType, codeMediaType, "Send the body as application/json.")
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(within))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, contentLimit(limit)))
+	if err != nil {
+		return readProblem(err)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return decodeJSON(b, v)
+}
+
+// contentLimit is the longest content of a call whose body may have limit bytes.
+func contentLimit(limit int) int64 { return int64(limit)*bodyGrowth + envelopeBytes }
+
+func readProblem(err error) *problem.Problem {
+	var large *http.MaxBytesError
+	var slow interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &large):
+		return problem.New(http.StatusRequestEntityTooLarge, codeTooLarge, "The body is over the size limit.")
+	case errors.As(err, &slow) && slow.Timeout():
+		return problem.New(http.StatusRequestTimeout, codeSlow, "The body did not arrive in time.")
+	}
+	return problem.New(http.StatusBadRequest, codeMalformed, "The body was cut short.")
+}
+
+func decodeJSON(b []byte, v any) error {
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return problem.New(http.StatusBadRequest, codeMalformed, "The body is no valid JSON for this call: "+err.Error()+".")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return problem.New(http.StatusBadRequest, codeMalformed, "The body holds more than one JSON value.")
+	}
+	return nil
+}
--- a/internal/entry/route/event.go
+++ b/internal/entry/route/event.go
@@ -14,8 +14,12 @@
 type Event interface{ event() }
 
 type (
-	// Configured says that a new mapping is in force.
-	Configured struct{ Mapping *mapping.Mapping }
+	// Configured says that a new configuration is in force.
+	Configured struct {
+		Mapping *mapping.Mapping
+		// RetryShare is the share of calls that may start further rounds early.
+		RetryShare float64
+	}
 	// HostsSeen is the host list as the platform last gave it.
 	HostsSeen struct{ Hosts []model.Host }
 	// Begin starts a call about a key. Until is when its caller stops waiting.
--- a/internal/entry/route/options.go
+++ b/internal/entry/route/options.go
@@ -16,8 +16,6 @@
 	Region     model.Region
 	// Backoff spaces the rounds of a call.
 	Backoff limits.Backoff
-	// RetryShare is the share of calls that may start further rounds early.
-	RetryShare float64
 	// Rand is the source of jitter.
 	Rand *rand.Rand
 }
--- a/internal/entry/route/router.go
+++ b/internal/entry/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootmux/internal/core/limits"
@@ -23,7 +24,7 @@
 func New(o Options) *Router {
 	return &Router{
 		opts: o, owners: make(map[model.GroupID]string), calls: make(map[Ticket]*call),
-		budget: limits.NewRetryBudget(o.RetryShare, retryReserve),
+		budget: limits.NewRetryBudget(0, retryReserve),
 	}
 }
 
@@ -35,6 +36,7 @@
 	switch ev := ev.(type) {
 	case Configured:
 		r.onConfigured(ev.Mapping)
+		r.budget.SetShare(ev.RetryShare)
 	case HostsSeen:
 		r.near = nearest(&r.opts, ev.Hosts)
 	case Begin:
@@ -204,3 +206,6 @@
 
 // maxRounds stands for so many rounds that the backoff is at its longest.
 const maxRounds = 30
+
+// Schedulers gives the addresses of the schedulers seen, the nearest first.
+func (r *Router) Schedulers() []string { return slices.Clone(r.near) }
--- /dev/null
+++ b/internal/entry/setup_test.go
@@ -0,0 +1,246 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"coltsfootmux/internal/auth"
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/entry"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/wire"
+)
+
+// patience bounds waits on real sockets.
+const patience = 10 * time.Second
+
+// document is a fleet of two cells with two accounts; labs may use dc-b only.
+func document() config.Document {
+	d := config.Document{
+		Fleet: config.Fleet{
+			DataCentres: []config.DataCentre{{Name: "dc-a", Region: "home"}, {Name: "dc-b", Region: "far"}},
+			KeyGroups:   8, CellsPerGroup: 1, Witnesses: 3,
+		},
+		Defaults: config.Defaults{
+			CallerSkew: config.Duration(5 * time.Second), RatePerSecond: 1000, Concurrency: 100,
+			RetryShare: 0.1, BodyLimitBytes: 1 << 20,
+		},
+		Accounts: []config.Account{
+			{Name: "farms"},
+			{Name: "labs", DataCentres: []model.DataCentre{"dc-b"}, Concurrency: 1},
+		},
+	}
+	for _, c := range []struct {
+		id   model.CellID
+		dc   model.DataCentre
+		accs int
+	}{{"a1", "dc-a", 8}, {"b1", "dc-b", 2}} {
+		cell := model.Cell{ID: c.id, DataCentre: c.dc}
+		for i := range 2 {
+			cell.Workers = append(cell.Workers, model.Worker{
+				ID:       model.WorkerID(fmt.Sprintf("%s-%d", c.id, i)),
+				Capacity: model.Shape{Slots: 8, Accelerators: c.accs, CPUMilli: 32000, MemoryMB: 128 << 10},
+			})
+		}
+		d.Fleet.Cells = append(d.Fleet.Cells, cell)
+	}
+	return d
+}
+
+// fixed gives one configuration for good.
+type fixed struct{ v *config.Versioned }
+
+func (f fixed) Current() *config.Versioned { return f.v }
+
+// hostList is a host list that tests change.
+type hostList struct {
+	mu    sync.Mutex
+	hosts []model.Host
+}
+
+func (h *hostList) Hosts(context.Context) ([]model.Host, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hosts, nil
+}
+
+func (h *hostList) set(addrs ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hosts = nil
+	for i, a := range addrs {
+		h.hosts = append(h.hosts, model.Host{
+			ID: model.HostID(fmt.Sprint("s", i)), Role: model.RoleScheduler, Addr: a, State: model.HostLive,
+		})
+	}
+}
+
+// scheduler is a fake that counts what it was asked.
+type scheduler struct {
+	addr string
+	srv  *link.Server
+	http *httptest.Server
+
+	mu      sync.Mutex
+	submits []wire.Submit
+	cancels []wire.Cancel
+	// submit answers; nil echoes the body.
+	submit func(context.Context, wire.Submit) (wire.SubmitReply, error)
+	status func(wire.StatusQuery) wire.StatusReply
+}
+
+func newScheduler(t *testing.T) *scheduler {
+	t.Helper()
+	f := &scheduler{srv: link.NewServer(link.ServerOptions{})}
+	link.Handle(f.srv, wire.KindSubmit, f.onSubmit)
+	link.Handle(f.srv, wire.KindCancel, f.onCancel)
+	link.Handle(f.srv, wire.KindStatus, f.onStatus)
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, f.srv)
+	f.http = httptest.NewServer(mux)
+	f.addr = f.http.Listener.Addr().String()
+	t.Cleanup(f.kill)
+	return f
+}
+
+// kill ends every link and the listener at once.
+func (f *scheduler) kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = f.srv.Shutdown(ctx)
+	f.http.Close()
+}
+
+func (f *scheduler) onSubmit(ctx context.Context, _ link.Peer, q wire.Submit) (wire.SubmitReply, error) {
+	f.mu.Lock()
+	f.submits = append(f.submits, q)
+	answer := f.submit
+	f.mu.Unlock()
+	if answer != nil {
+		return answer(ctx, q)
+	}
+	return done(q.Work.Body), nil
+}
+
+func done(body []byte) wire.SubmitReply {
+	return wire.SubmitReply{Result: model.Result{Outcome: model.OutcomeDone, Reason: model.ReasonOK, Answer: body}}
+}
+
+func (f *scheduler) onCancel(_ context.Context, _ link.Peer, q wire.Cancel) (wire.CancelReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels = append(f.cancels, q)
+	return wire.CancelReply{Done: true}, nil
+}
+
+func (f *scheduler) onStatus(_ context.Context, _ link.Peer, q wire.StatusQuery) (wire.StatusReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.status == nil {
+		return wire.StatusReply{}, nil
+	}
+	return f.status(q), nil
+}
+
+func (f *scheduler) taken() []wire.Submit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]wire.Submit(nil), f.submits...)
+}
+
+// system is an entry host in front of fake schedulers.
+type system struct {
+	*entry.Server
+	url   string
+	hosts *hostList
+	http  *httptest.Server
+}
+
+func newSystem(t *testing.T, a auth.Authenticator, doc config.Document, scheds ...*scheduler) *system {
+	t.Helper()
+	hosts := &hostList{}
+	for _, s := range scheds {
+		hosts.set(append(addrs(hosts), s.addr)...)
+	}
+	pool := link.NewPool(link.PoolOptions{Seed: 1})
+	srv, err := entry.New(entry.Options{
+		Pool: pool, Configs: fixed{&config.Versioned{Version: 1, Document: doc}}, Hosts: hosts, Auth: a,
+		HostsEvery: 10 * time.Millisecond, BodyTimeout: 200 * time.Millisecond, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() {
+		defer close(ran)
+		srv.Run(ctx)
+	}()
+	hs := httptest.NewServer(srv.Handler())
+	t.Cleanup(func() {
+		hs.Close()
+		cancel()
+		<-ran
+		_ = pool.Close()
+	})
+	sys := &system{Server: srv, url: hs.URL, hosts: hosts, http: hs}
+	sys.awaitReady(t)
+	return sys
+}
+
+func addrs(h *hostList) []string {
+	var out []string
+	for _, x := range h.hosts {
+		out = append(out, x.Addr)
+	}
+	return out
+}
+
+func (s *system) awaitReady(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(patience); !s.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not ready")
+		}
+	}
+}
+
+// reply is an HTTP answer read whole.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (s *system) do(t *testing.T, method, path, body string, headers ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(b)}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"coltsfootmux/internal/auth"
+	"coltsfootmux/internal/entry/route"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/problem"
+	"coltsfootmux/internal/wire"
+)
+
+// queryTimeout bounds status queries and cancellations.
+const queryTimeout = 10 * time.Second
+
+// handleStatus answers GET /v1/requests/{key}.
+func (s *Server) handleStatus(w http.ResponseWriter, r *http.Request) {
+	key := model.Key(r.PathValue("key"))
+	if p := checkKey(key); p != nil {
+		p.Write(w)
+		return
+	}
+	who, _ := auth.FromContext(r.Context())
+	ctx, cancel := context.WithTimeout(r.Context(), queryTimeout)
+	defer cancel()
+	rep, none := ask[wire.StatusQuery, statusReply](ctx, s, key, wire.KindStatus, wire.StatusQuery{Key: key, Limit: 1})
+	if none != nil {
+		notAnswered(none).Write(w)
+		return
+	}
+	for i := range rep.Items {
+		it := &rep.Items[i]
+		if it.Key == key && it.State != wire.StateNone && who.MaySee(it.Account) {
+			writeJSON(w, http.StatusOK, answerOf(it))
+			return
+		}
+	}
+	notFound().Write(w)
+}
+
+func notFound() *problem.Problem {
+	return problem.New(http.StatusNotFound, codeNotFound, "No request with this key is known.")
+}
+
+// notAnswered is for queries that no scheduler answered.
+func notAnswered(g *route.GiveUp) *problem.Problem {
+	p := problem.New(http.StatusServiceUnavailable, string(g.Reason), "No scheduler could answer for this key; try again.")
+	p.RetryAfter = max(g.RetryAfter, usualRetryAfter)
+	return p
+}
--- /dev/null
+++ b/internal/entry/submit_test.go
@@ -0,0 +1,234 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"coltsfootmux/internal/entry"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/problem"
+	"coltsfootmux/internal/wire"
+)
+
+func TestRequestIsAnsweredWithTheWholeAnswer(t *testing.T) {
+	f := newScheduler(t)
+	s := newSystem(t, nil, document(), f)
+	key := newKey()
+	got := s.do(t, "POST", "/v1/requests", `{"account":"farms","kind":"order","body":{"litres": 30}}`, "Idempotency-Key", key)
+	var a entry.AnswerBody
+	if err := json.Unmarshal([]byte(got.body), &a); err != nil {
+		t.Fatal(err)
+	}
+	if got.status != http.StatusOK || a.Outcome != model.OutcomeDone || string(a.Answer) != `{"litres":30}` || string(a.Key) != key {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+	work := f.taken()[0].Work
+	if work.Members != 1 || work.Shape.Slots != 1 || work.Detached || work.Submitted.IsZero() {
+		t.Fatalf("work %+v", work)
+	}
+}
+
+func TestBytesThatAreNoJSONComeBackUnchanged(t *testing.T) {
+	s := newSystem(t, nil, document(), newScheduler(t))
+	body := base64.StdEncoding.EncodeToString([]byte{0, 1, 2, 255})
+	got := s.do(t, "POST", "/v1/requests", `{"key":"k1","account":"farms","kind":"x","body_base64":"`+body+`"}`)
+	if got.status != http.StatusOK || !strings.Contains(got.body, `"answer_base64":"`+body+`"`) {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+}
+
+func TestJobIsAcceptedOnceItIsRecorded(t *testing.T) {
+	f := newScheduler(t)
+	f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
+		return wire.SubmitReply{Result: model.Result{Reason: model.ReasonOK}}, nil
+	}
+	s := newSystem(t, nil, document(), f)
+	got := s.do(t, "POST", "/v1/jobs", `{"key":"j1","account":"farms","kind":"sweep","members":2,"adjacency":"rack","shape":{"accelerators":8}}`)
+	if got.status != http.StatusAccepted || got.header.Get("Location") != "/v1/requests/j1" {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+	if w := f.taken()[0].Work; !w.Detached || w.Members != 2 || w.Adjacency != model.AdjacentRack {
+		t.Fatalf("work %+v", w)
+	}
+}
+
+func TestJobThatIsNotRecordedIsNotPromised(t *testing.T) {
+	f := newScheduler(t)
+	f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
+		return wire.SubmitReply{Result: model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonNotRecorded}}, nil
+	}
+	s := newSystem(t, nil, document(), f)
+	got := s.do(t, "POST", "/v1/jobs", `{"key":"j1","account":"farms","kind":"sweep"}`)
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"code":"not_accepted_yet"`) || got.header.Get("Retry-After") == "" {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+}
+
+func TestBadInputIsRefusedAndNothingRuns(t *testing.T) {
+	f := newScheduler(t)
+	s := newSystem(t, nil, document(), f)
+	future := uuid.Must(uuid.NewV7())
+	ms := time.Now().Add(time.Minute).UnixMilli()
+	for i := range 6 {
+		future[i] = byte(ms >> (40 - 8*i))
+	}
+	const request, job = "/v1/requests", "/v1/jobs"
+	for name, c := range map[string]struct {
+		path, body string
+		status     int
+		code       string
+	}{
+		"no JSON":                       {request, `{`, 400, "malformed"},
+		"an unknown field":              {request, `{"key":"k","account":"farms","kind":"x","color":1}`, 400, "malformed"},
+		"members in a request":          {request, `{"key":"k","account":"farms","kind":"x","members":2}`, 400, "malformed"},
+		"two values":                    {request, `{"key":"k","account":"farms","kind":"x"} {}`, 400, "malformed"},
+		"a number out of range":         {request, `{"key":"k","account":"farms","kind":"x","shape":{"slots":1e300}}`, 400, "malformed"},
+		"no key":                        {request, `{"account":"farms","kind":"x"}`, 400, "key_missing"},
+		"a key with a space":            {request, `{"key":"a b","account":"farms","kind":"x"}`, 400, "key_invalid"},
+		"a key that is too long":        {request, `{"key":"` + strings.Repeat("k", 129) + `","account":"farms","kind":"x"}`, 400, "key_invalid"},
+		"a key from the future":         {request, `{"key":"` + future.String() + `","account":"farms","kind":"x"}`, 422, "key_from_future"},
+		"an unknown account":            {request, `{"key":"k","account":"nobody","kind":"x"}`, 422, "unknown_account"},
+		"no kind":                       {request, `{"key":"k","account":"farms"}`, 422, "invalid_field"},
+		"an unknown class":              {request, `{"key":"k","account":"farms","kind":"x","class":"royal"}`, 422, "invalid_field"},
+		"a negative size":               {request, `{"key":"k","account":"farms","kind":"x","shape":{"slots":-1}}`, 422, "invalid_field"},
+		"an empty shape":                {request, `{"key":"k","account":"farms","kind":"x","shape":{}}`, 422, "invalid_field"},
+		"a shape no worker holds":       {request, `{"key":"k","account":"farms","kind":"x","shape":{"accelerators":9}}`, 422, "impossible_shape"},
+		"a shape of absurd size":        {request, `{"key":"k","account":"farms","kind":"x","shape":{"slots":9000000000000000000}}`, 422, "impossible_shape"},
+		"a shape only other sites hold": {request, `{"key":"k","account":"labs","kind":"x","shape":{"accelerators":8}}`, 422, "impossible_shape"},
+		"an expired deadline":           {request, `{"key":"k","account":"farms","kind":"x","deadline":"2020-01-01T00:00:00Z"}`, 422, "deadline"},
+		"a negative timeout":            {request, `{"key":"k","account":"farms","kind":"x","timeout":"-1s"}`, 422, "deadline"},
+		"deadline and timeout":          {request, `{"key":"k","account":"farms","kind":"x","timeout":"1s","deadline":"2999-01-01T00:00:00Z"}`, 422, "invalid_field"},
+		"preemptible, not idempotent":   {request, `{"key":"k","account":"farms","kind":"x","preemptible":true}`, 422, "invalid_field"},
+		"two bodies":                    {request, `{"key":"k","account":"farms","kind":"x","body":1,"body_base64":"AA=="}`, 422, "invalid_field"},
+		"a body over the limit":         {request, `{"key":"k","account":"farms","kind":"x","body":"` + strings.Repeat("x", 1<<20) + `"}`, 413, "body_too_large"},
+		"content over the limit":        {request, `{"key":"k","account":"farms","kind":"x","body":"` + strings.Repeat("x", 3<<20) + `"}`, 413, "body_too_large"},
+		"a gang of none":                {job, `{"key":"k","account":"farms","kind":"x","members":0}`, 422, "invalid_field"},
+		"a gang below none":             {job, `{"key":"k","account":"farms","kind":"x","members":-3}`, 422, "invalid_field"},
+		"a bad adjacency":               {job, `{"key":"k","account":"farms","kind":"x","adjacency":"moon"}`, 422, "invalid_field"},
+		"a gang no rack holds":          {job, `{"key":"k","account":"farms","kind":"x","members":3,"adjacency":"rack","shape":{"accelerators":8}}`, 422, "impossible_shape"},
+		"a gang no worker holds":        {job, `{"key":"k","account":"farms","kind":"x","members":2,"adjacency":"worker","shape":{"accelerators":8}}`, 422, "impossible_shape"},
+		"a negative declared run":       {job, `{"key":"k","account":"farms","kind":"x","declared_run":"-1s"}`, 422, "invalid_field"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := s.do(t, "POST", c.path, c.body)
+			if got.status != c.status || !strings.Contains(got.body, fmt.Sprintf(`"code":%q`, c.code)) {
+				t.Errorf("got %d %s", got.status, got.body)
+			}
+			if got.header.Get("Content-Type") != problem.ContentType {
+				t.Errorf("content type %q", got.header.Get("Content-Type"))
+			}
+		})
+	}
+	if n := len(f.taken()); n != 0 {
+		t.Fatalf("%d refused requests reached a scheduler", n)
+	}
+}
+
+func TestKeysInHeaderAndBodyMustAgree(t *testing.T) {
+	s := newSystem(t, nil, document(), newScheduler(t))
+	got := s.do(t, "POST", "/v1/requests", `{"key":"a","account":"farms","kind":"x"}`, "Idempotency-Key", "b")
+	if got.status != http.StatusBadRequest {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+}
+
+func TestSameWorkHasTheSameSumAndOtherWorkAnother(t *testing.T) {
+	f := newScheduler(t)
+	s := newSystem(t, nil, document(), f)
+	for _, body := range []string{
+		`{"key":"k","account":"farms","kind":"x","body":{"a":1}}`,
+		`{"key":"k","account":"farms","kind":"x","timeout":"5s","body":{ "a": 1 }}`,
+		`{"key":"k","account":"farms","kind":"x","body":{"a":2}}`,
+		`{"key":"k","account":"farms","kind":"y","body":{"a":1}}`,
+		`{"key":"k","account":"labs","kind":"x","body":{"a":1}}`,
+		`{"key":"k","account":"farms","kind":"x","idempotent":true,"body":{"a":1}}`,
+		`{"key":"k","account":"farms","kind":"x","shape":{"slots":2},"body":{"a":1}}`,
+	} {
+		if got := s.do(t, "POST", "/v1/requests", body); got.status != http.StatusOK {
+			t.Fatalf("got %d %s", got.status, got.body)
+		}
+	}
+	sums := make(map[uint64]int)
+	taken := f.taken()
+	for _, q := range taken {
+		sums[q.Sum]++
+	}
+	if taken[0].Sum != taken[1].Sum || len(sums) != len(taken)-1 {
+		t.Fatalf("sums %v", sums)
+	}
+}
+
+func TestAccountOverItsConcurrencyIsRefusedAtOnce(t *testing.T) {
+	f := newScheduler(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	f.submit = func(_ context.Context, q wire.Submit) (wire.SubmitReply, error) {
+		close(started)
+		<-release
+		return done(nil), nil
+	}
+	s := newSystem(t, nil, document(), f)
+	first := make(chan reply, 1)
+	go func() { first <- s.do(t, "POST", "/v1/requests", `{"key":"a","account":"labs","kind":"x"}`) }()
+	<-started
+	got := s.do(t, "POST", "/v1/requests", `{"key":"b","account":"labs","kind":"x","timeout":"1h"}`)
+	if got.status != http.StatusTooManyRequests || got.header.Get("Retry-After") == "" || !strings.Contains(got.body, "queue_full") {
+		t.Errorf("got %d %s", got.status, got.body)
+	}
+	close(release)
+	if got := <-first; got.status != http.StatusOK {
+		t.Errorf("first: %d %s", got.status, got.body)
+	}
+}
+
+func TestOutcomesThatAreNotDoneAreProblems(t *testing.T) {
+	f := newScheduler(t)
+	s := newSystem(t, nil, document(), f)
+	for name, c := range map[string]struct {
+		result model.Result
+		status int
+		retry  string
+	}{
+		"unknown":             {model.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonWorkerLost}, 504, "1"},
+		"cancelled":           {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonCancelled}, 409, ""},
+		"key reused":          {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonKeyReused}, 422, ""},
+		"can't make deadline": {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonTooLate, RetryAfter: 7 * time.Second}, 503, "7"},
+		"queue full":          {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonQueueFull}, 429, "1"},
+		"no room for a gang":  {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonGangIncomplete}, 503, "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.mu.Lock()
+			f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
+				return wire.SubmitReply{Result: c.result}, nil
+			}
+			f.mu.Unlock()
+			got := s.do(t, "POST", "/v1/requests", `{"key":"k","account":"farms","kind":"x","timeout":"1h"}`)
+			if got.status != c.status || got.header.Get("Retry-After") != c.retry {
+				t.Errorf("got %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+			}
+			want := fmt.Sprintf(`"code":%q,`, c.result.Reason)
+			if !strings.Contains(got.body, want) || !strings.Contains(got.body, fmt.Sprintf(`"outcome":%q`, c.result.Outcome)) {
+				t.Errorf("got %s", got.body)
+			}
+		})
+	}
+}
+
+func TestFailedTaskIsDoneAndSaysSo(t *testing.T) {
+	f := newScheduler(t)
+	f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
+		return wire.SubmitReply{Result: model.Result{Outcome: model.OutcomeDone, Reason: model.ReasonTaskFailed, Failed: true}}, nil
+	}
+	s := newSystem(t, nil, document(), f)
+	got := s.do(t, "POST", "/v1/requests", `{"key":"k","account":"farms","kind":"x"}`)
+	if got.status != http.StatusOK || !strings.Contains(got.body, `"failed":true`) {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+}
