--- /dev/null
+++ b/internal/load/httpcaller.go
@@ -0,0 +1,150 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/model"
+)
+
+// ErrNoAnswer means that a call brought no answer that says what became of it.
+var ErrNoAnswer = eris.New("no answer")
+
+const (
+	idleConns = 512
+	// maxAnswerBytes bounds what is read of one answer.
+	maxAnswerBytes = 16 << 20
+)
+
+// HTTPCaller sends calls to the callers' API of several entry hosts in turn, as a
+// balancer would.
+type HTTPCaller struct {
+	client *http.Client
+	bases  []string
+	next   atomic.Uint64
+	token  string
+}
+
+// NewHTTPCaller makes a caller for the base URLs of entry hosts. Token, when set,
+// is sent as a bearer token.
+func NewHTTPCaller(bases []string, token string) *HTTPCaller {
+	t := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: time.Minute}
+	return &HTTPCaller{client: &http.Client{Transport: t}, bases: bases, token: token}
+}
+
+// Close closes the connections that are not in use.
+func (h *HTTPCaller) Close() { h.client.CloseIdleConnections() }
+
+// request is the JSON of a request or job.
+type request struct {
+	Key         model.Key       `json:"key"`
+	Account     model.Account   `json:"account"`
+	Kind        model.Kind      `json:"kind"`
+	Idempotent  bool            `json:"idempotent"`
+	Deadline    time.Time       `json:"deadline"`
+	Shape       model.Shape     `json:"shape"`
+	Class       string          `json:"class"`
+	Preemptible bool            `json:"preemptible"`
+	DeclaredRun string          `json:"declared_run"`
+	Body        json.RawMessage `json:"body"`
+	Members     *int            `json:"members,omitempty"`
+	Adjacency   model.Adjacency `json:"adjacency,omitempty"`
+}
+
+// reply holds the fields of answers and problems that callers look at.
+type reply struct {
+	State   string        `json:"state"`
+	Outcome model.Outcome `json:"outcome"`
+	Reason  model.Reason  `json:"reason"`
+	Code    model.Reason  `json:"code"`
+}
+
+// Send posts the call to the next entry host. The error wraps ErrNoAnswer.
+func (h *HTTPCaller) Send(ctx context.Context, c Call) (Told, error) {
+	k := c.Spec
+	body := request{
+		Key: c.Key, Account: k.Account, Kind: k.Kind, Idempotent: k.Idempotent, Deadline: c.Deadline,
+		Shape: k.Shape, Class: k.Class.String(), Preemptible: k.Preemptible,
+		DeclaredRun: k.Run.String(), Body: c.Body,
+	}
+	path := "/v1/requests"
+	if k.Job {
+		path = "/v1/jobs"
+		body.Members, body.Adjacency = &k.Members, k.Adjacency
+	}
+	return h.do(ctx, h.sling().Post(path).BodyJSON(body))
+}
+
+// Status asks the next entry host about a key. The error wraps ErrNoAnswer.
+func (h *HTTPCaller) Status(ctx context.Context, account model.Account, k model.Key) (Told, error) {
+	q := struct {
+		Account model.Account `url:"account"`
+	}{account}
+	return h.do(ctx, h.sling().Get("/v1/requests/"+url.PathEscape(string(k))).QueryStruct(q))
+}
+
+func (h *HTTPCaller) sling() *sling.Sling {
+	base := h.bases[h.next.Add(1)%uint64(len(h.bases))]
+	s := sling.New().Base(base)
+	if h.token != "" {
+		s = s.Set("Authorization", "Bearer "+h.token)
+	}
+	return s
+}
+
+func (h *HTTPCaller) do(ctx context.Context, s *sling.Sling) (Told, error) {
+	req, err := s.Request()
+	if err != nil {
+		return Told{}, eris.Wrap(ErrNoAnswer, err.Error())
+	}
+	resp, err := h.client.Do(req.WithContext(ctx))
+	if err != nil {
+		return Told{}, eris.Wrap(ErrNoAnswer, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return Told{}, eris.Wrap(ErrNoAnswer, err.Error())
+	}
+	return told(resp, data)
+}
+
+// told says what an answer means to its caller.
+func told(resp *http.Response, data []byte) (Told, error) {
+	var r reply
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Told{}, eris.Wrap(ErrNoAnswer, err.Error())
+	}
+	t := Told{Outcome: r.Outcome, Reason: r.Reason, RetryAfter: retryAfter(resp)}
+	if t.Reason == "" {
+		t.Reason = r.Code
+	}
+	switch {
+	case t.Outcome != "":
+		return t, nil
+	case resp.StatusCode == http.StatusAccepted, r.State == "waiting", r.State == "running":
+		t.Accepted = true
+		return t, nil
+	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError:
+		t.Outcome = model.OutcomeNotRun
+		return t, nil
+	}
+	return Told{}, eris.Wrapf(ErrNoAnswer, "status %d, code %q", resp.StatusCode, r.Code)
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/ownership"
+	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/platform"
 )
@@ -26,13 +27,9 @@
 }
 
 // followClaims tells the loop of every claim in log order, and when it has read
-// up to what was the head when it began.
+// up to the log's head.
 func (s *Scheduler) followClaims(ctx context.Context) error {
-	head := s.claimsHead(ctx)
-	if head <= 1 {
-		s.post(ownMsg{ev: ownership.CaughtUp{}})
-	}
-	told := head <= 1
+	caughtUp := logclient.OnCaughtUp(func(model.Offset) { s.post(ownMsg{ev: ownership.CaughtUp{}}) })
 	return s.o.Log.Follow(ctx, platform.StreamClaims, 1, func(e platform.Entry) {
 		var c model.Claim
 		if err := decode(e.Record, &c); err != nil {
@@ -40,24 +37,5 @@
 			return
 		}
 		s.post(ownMsg{ev: ownership.ClaimRead{Offset: e.Offset, Claim: c}})
-		if !told && e.Offset+1 >= head {
-			told = true
-			s.post(ownMsg{ev: ownership.CaughtUp{}})
-		}
-	})
-}
-
-// claimsHead asks for the head until it is told or ctx ends.
-func (s *Scheduler) claimsHead(ctx context.Context) model.Offset {
-	for {
-		b, err := s.o.RawLog.Bounds(ctx, platform.StreamClaims)
-		if err == nil {
-			return b.Next
-		}
-		select {
-		case <-ctx.Done():
-			return 0
-		case <-time.After(s.o.Timing.HostsEvery):
-		}
-	}
+	}, caughtUp)
 }
--- a/internal/scheduler/log.go
+++ b/internal/scheduler/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/platform"
 )
@@ -14,5 +15,5 @@
 	// Enqueue appends later, in batches. It fails when its queue is full.
 	Enqueue(s platform.Stream, rec platform.Record) error
 	// Follow calls f with each entry from an offset on until ctx ends.
-	Follow(ctx context.Context, s platform.Stream, from model.Offset, f func(platform.Entry)) error
+	Follow(ctx context.Context, s platform.Stream, from model.Offset, f func(platform.Entry), opts ...logclient.FollowOption) error
 }
