Bind starts and holds to the incarnation that was fenced

Start gains Incarnation; the ownership core's Incarnation view gives it. Offers can carry the group's epoch, since one delayed past another owner's not_run could otherwise still run.

--- a/internal/core/ledger/attempt.go
+++ b/internal/core/ledger/attempt.go
@@ -124,7 +124,7 @@
 	if e.mayHaveRun {
 		r.Outcome = model.OutcomeUnknown
 	}
-	if g := c.group(e.group); r.Outcome == model.OutcomeNotRun && !g.held {
+	if g := c.group(e.group); r.Outcome == model.OutcomeNotRun && !c.held(now, g) {
 		// Another scheduler may own the key by now; it may run there.
 		e.state, e.verdict = waiting, &r
 		return
--- a/internal/core/ledger/core.go
+++ b/internal/core/ledger/core.go
@@ -25,6 +25,7 @@
 // Core is the request ledger of one scheduler.
 type Core struct {
 	self   model.HostID
+	holds  Holds
 	cfg    *config.Versioned
 	routes *mapping.Mapping
 	groups map[model.GroupID]*group
@@ -40,11 +41,30 @@
 	liveChange bool
 }
 
+// Holds tells whether keyed work of a group may be started at a moment. The
+// ownership core does.
+type Holds interface {
+	MayStart(now time.Time, g model.GroupID) (model.Epoch, bool)
+}
+
+// Watch makes the ledger ask for the holds whenever it decides. Without it, it
+// relies on HoldsLapsed coming in time, which a pause of the process prevents.
+func (c *Core) Watch(h Holds) { c.holds = h }
+
+// held says that keyed work of a group may start, and that a not_run is ours to say.
+func (c *Core) held(now time.Time, g *group) bool {
+	if !g.held || c.holds == nil {
+		return g.held
+	}
+	_, ok := c.holds.MayStart(now, g.id)
+	return ok
+}
+
 // group is a key group that this scheduler owns or has owned.
 type group struct {
 	id    model.GroupID
 	owned bool
-	// held says that keyed work may start and that a not_run is ours to say.
+	// held says that the group was gained, and not suspended since.
 	held  bool
 	epoch model.Epoch
 	gap   time.Time
--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -69,6 +69,10 @@
 	Work   model.Work
 	Sum    uint64
 	Waiter Waiter
+	// Epoch is the group's epoch that the offer was made under; 0 when not told.
+	// One made under another epoch is sent on: its caller may have been told
+	// not_run by an owner in between.
+	Epoch model.Epoch
 }
 
 // WaiterGone says that a caller's connection is closed.
--- a/internal/core/ledger/submit.go
+++ b/internal/core/ledger/submit.go
@@ -15,7 +15,7 @@
 		return
 	}
 	g := c.group(c.routes.Group(s.Work.Key))
-	if !g.owned {
+	if !g.owned || (s.Epoch != 0 && s.Epoch != g.epoch) {
 		c.do(Moved{s.Waiter})
 		return
 	}
@@ -121,7 +121,7 @@
 // dispatch hands waiting work to placement once its group's holds allow it.
 func (c *Core) dispatch(now time.Time, e *entry) {
 	g := c.group(e.group)
-	if e.state != waiting || !g.held || !e.hasWork || e.verdict != nil || now.Before(e.notBefore) {
+	if e.state != waiting || !c.held(now, g) || !e.hasWork || e.verdict != nil || now.Before(e.notBefore) {
 		return
 	}
 	if !e.deadline.IsZero() && !now.Before(e.deadline) {
--- a/internal/core/ledger/tick.go
+++ b/internal/core/ledger/tick.go
@@ -13,6 +13,10 @@
 		return
 	}
 	for _, e := range slices.Clone(c.live) {
+		if e.verdict != nil && c.held(now, c.group(e.group)) {
+			c.finish(now, e, *e.verdict)
+			continue
+		}
 		c.dispatch(now, e)
 		if e.live() && !c.timeLeft(now, e) {
 			c.overdue(now, e)
--- a/internal/core/ledger/views.go
+++ b/internal/core/ledger/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/wire"
@@ -9,12 +10,12 @@
 
 // MayBegin reports whether an attempt's starts may still be sent. The shell asks
 // in the same step as it tells Begun.
-func (c *Core) MayBegin(k model.Key, attempt int) bool {
+func (c *Core) MayBegin(now time.Time, k model.Key, attempt int) bool {
 	e := c.current(k, attempt)
 	if e == nil || e.cancelled {
 		return false
 	}
-	return (e.state == dispatched || e.state == sent) && c.group(e.group).held
+	return (e.state == dispatched || e.state == sent) && c.held(now, c.group(e.group))
 }
 
 // Status tells where one key stands; false when the ledger knows nothing of it.
--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -17,13 +17,13 @@
 			c.advanceGroup(now, s)
 		}
 	case waiting:
-		if s.follows() || s.waited(now, c.set.holdWait()) {
+		if s.waited(now, c.set.holdWait()) {
 			t.phase, t.began = scanning, now
 			c.holdAll(now, s)
 		}
 	case scanning:
 		c.renew(now, s)
-		if s.heldBy(now) && s.majorityListed() && s.scanned(now, c.set.AnswerWithin) {
+		if s.ready(now, c.set.holdWait()) && s.scanned(now, c.set.AnswerWithin) {
 			c.gain(now, s)
 		}
 	case owned:
@@ -34,19 +34,27 @@
 	}
 }
 
+// safe says that no old owner can start keyed work by this witness's leave: it
+// has refused old epochs for long enough, or nobody came between it and us.
+func (g *guard) safe(now time.Time, wait time.Duration) bool {
+	return g.fenced && (g.same || now.Sub(g.fencedAt) >= wait)
+}
+
 // follows says that nobody can have held the group since the epoch followed.
 func (s *scope) follows() bool {
 	return s.majority(func(g *guard) bool { return g.fenced && g.same })
 }
 
-// waited says that a majority of witnesses has refused old epochs for long
-// enough, without a restart in between.
 func (s *scope) waited(now time.Time, wait time.Duration) bool {
-	return s.majority(func(g *guard) bool { return g.fenced && now.Sub(g.fencedAt) >= wait })
+	return s.majority(func(g *guard) bool { return g.safe(now, wait) })
 }
 
-func (s *scope) majorityListed() bool {
-	return s.majority(func(g *guard) bool { return g.fenced && g.listed })
+// ready says that a majority of witnesses is safe, listed and held. A witness
+// that restarted meanwhile has to be waited for again.
+func (s *scope) ready(now time.Time, wait time.Duration) bool {
+	return s.majority(func(g *guard) bool {
+		return g.safe(now, wait) && g.listed && g.until.After(now)
+	})
 }
 
 // heldBy says that a majority of the witnesses' holds is unexpired.
--- a/internal/core/ownership/scope.go
+++ b/internal/core/ownership/scope.go
@@ -70,8 +70,6 @@
 	own    bool
 	guards []*guard
 	gained bool
-	// floor is a gap that earlier terms left.
-	floor time.Time
 }
 
 // guard is one worker as seen by a term.
@@ -90,8 +88,8 @@
 	listing Scanned
 	// ended is since when the worker keeps endings.
 	ended time.Time
-	// missed is when the group was gained without this worker.
-	missed time.Time
+	// past is until when work may have run here before the gain without a trace.
+	past time.Time
 	// told says that the listing went out in a Gain or Joined.
 	told bool
 	// askedAt is when a fence or listing was last sent.
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -25,7 +25,7 @@
 // newTerm makes a term. One that follows an owned term of this process keeps
 // what that one learned of each worker, in case nobody came in between.
 func newTerm(now time.Time, target Target, e model.Epoch, old *term) *term {
-	t := &term{epoch: e, began: now, started: now, floor: target.Since, guards: newGuards(target)}
+	t := &term{epoch: e, began: now, started: now, guards: newGuards(target)}
 	if old == nil {
 		return t
 	}
@@ -88,7 +88,7 @@
 func keepListings(t, old *term) {
 	for _, g := range t.guards {
 		if o := old.guard(g.worker.ID); o != nil {
-			g.listed, g.told, g.listing, g.missed = o.listed, o.told, o.listing, o.missed
+			g.listed, g.told, g.listing, g.past = o.listed, o.told, o.listing, o.past
 			g.incarnation, g.history, g.ended = o.incarnation, o.history, o.ended
 		}
 	}
@@ -185,17 +185,20 @@
 
 // unfence starts again with a worker that restarted and forgot.
 func (c *Core) unfence(now time.Time, s *scope, g *guard) {
-	*g = guard{worker: g.worker, witness: g.witness}
+	*g = guard{worker: g.worker, witness: g.witness, past: g.past}
 	c.fence(now, s, g)
 }
 
 func (c *Core) joined(now time.Time, s *scope, g *guard) {
 	g.told = true
+	if from := later(g.history, g.ended); from.Before(g.past) {
+		g.past = from
+	}
 	c.do(Joined{
 		Scope: s.target.Scope,
 		Epoch: s.term.epoch,
 		Found: g.listing,
-		Gap:   s.gap(now),
+		Gap:   s.gap(),
 	})
 	g.listing = Scanned{}
 }
@@ -255,10 +258,9 @@
 	t := s.term
 	t.phase, t.began, t.gained = owned, now, true
 	g := Gain{Target: s.target, Epoch: t.epoch}
+	follows := t.own && s.follows()
 	for _, x := range t.guards {
-		if !x.listed && x.missed.IsZero() {
-			x.missed = now
-		}
+		x.closeGap(now, follows)
 		if x.listed && !x.told {
 			x.told = true
 			g.Found = append(g.Found, x.listing)
@@ -266,27 +268,33 @@
 		}
 	}
 	if s.isGroup() {
-		g.Gap = s.gap(now)
+		g.Gap = s.gap()
 	}
 	c.do(g)
 }
 
-// gap is the time before which work may have run without a trace at hand: now
-// while a worker is unheard of, else when the youngest history begins.
-func (s *scope) gap(now time.Time) time.Time {
-	gap := s.term.floor
+// gap is the time before which work may have run without a trace at hand.
+func (s *scope) gap() time.Time {
+	gap := s.target.Since
 	for _, g := range s.term.guards {
-		from := now
-		if g.listed {
-			from = later(g.history, g.ended)
-		} else if !g.missed.IsZero() {
-			from = g.missed
-		}
-		gap = later(gap, from)
+		gap = later(gap, g.past)
 	}
 	return gap
 }
 
+// closeGap notes at a gain until when work may have run at a worker without
+// trace: now while it is unheard of, else to the begin of its history. When
+// nobody came in between, what an earlier term of ours noted stands.
+func (g *guard) closeGap(now time.Time, follows bool) {
+	if follows && !g.past.IsZero() {
+		return
+	}
+	g.past = now
+	if g.listed {
+		g.past = later(g.history, g.ended)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/core/ownership/views.go
+++ b/internal/core/ownership/views.go
@@ -23,6 +23,20 @@
 	return s.term.epoch, true
 }
 
+// Incarnation gives the worker's incarnation that the scope's fence holds for.
+// Starts carry it, so that one delayed over a restart has no effect.
+func (c *Core) Incarnation(sc model.Scope, w model.WorkerID) (string, bool) {
+	s := c.byScope[sc]
+	if s == nil || s.term == nil {
+		return "", false
+	}
+	g := s.term.guard(w)
+	if g == nil || !g.fenced {
+		return "", false
+	}
+	return g.incarnation, true
+}
+
 // OwnedCount gives how many scopes this scheduler decides for.
 func (c *Core) OwnedCount() int {
 	n := 0
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -22,4 +22,7 @@
 	// own clock from the request's arrival; 0 for no bound.
 	Within time.Duration `json:"within"`
 	Body   []byte        `json:"body"`
+	// Incarnation, when set, is the one that the asker fenced. Another
+	// incarnation refuses: it has forgotten whether the start ran before.
+	Incarnation string `json:"incarnation"`
 }
