Read, validate and compare configuration documents

Faults come with the line and field that they are about, several at once: the YAML library stops at its first error and names no field, so the tree is checked against the types before it is decoded.

--- a/internal/config/account.go
+++ b/internal/config/account.go
@@ -8,11 +8,11 @@
 	// Guarantees are the shapes that the account gets back whenever it asks.
 	Guarantees []Guarantee `yaml:"guarantees" json:"guarantees" validate:"dive"`
 	// Share is the account's weight in fair sharing beyond its guarantees.
-	Share float64 `yaml:"share" json:"share" validate:"gte=0"`
+	Share float64 `yaml:"share" json:"share" validate:"gte=0,lte=1e9"`
 	// DataCentres lists where its work may run; empty for anywhere.
 	DataCentres   []model.DataCentre `yaml:"dataCentres" json:"data_centres"`
 	LongestWait   Duration           `yaml:"longestWait" json:"longest_wait" validate:"gte=0"`
-	RatePerSecond float64            `yaml:"ratePerSecond" json:"rate_per_second" validate:"gte=0"`
+	RatePerSecond float64            `yaml:"ratePerSecond" json:"rate_per_second" validate:"gte=0,lte=1e9"`
 	Concurrency   int                `yaml:"concurrency" json:"concurrency" validate:"gte=0"`
 	QueueBound    int                `yaml:"queueBound" json:"queue_bound" validate:"gte=0"`
 }
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -25,7 +25,7 @@
 	// QueueBound is how many pieces of work of one account may wait at one scheduler.
 	QueueBound int `yaml:"queueBound" json:"queue_bound" validate:"gte=1"`
 	// RatePerSecond is how many requests a second one entry host takes from one account.
-	RatePerSecond float64 `yaml:"ratePerSecond" json:"rate_per_second" validate:"gt=0"`
+	RatePerSecond float64 `yaml:"ratePerSecond" json:"rate_per_second" validate:"gt=0,lte=1e9"`
 	// Concurrency is how many requests of one account one entry host holds at once.
 	Concurrency int `yaml:"concurrency" json:"concurrency" validate:"gte=1"`
 	// RetryShare is the share of requests that may be retries, from 0 to 1.
@@ -44,6 +44,6 @@
 
 // Weights are the objective's weights; only their ratio counts.
 type Weights struct {
-	Completion    float64 `yaml:"completion" json:"completion" validate:"gte=0"`
-	Fragmentation float64 `yaml:"fragmentation" json:"fragmentation" validate:"gte=0"`
+	Completion    float64 `yaml:"completion" json:"completion" validate:"gte=0,lte=1e9"`
+	Fragmentation float64 `yaml:"fragmentation" json:"fragmentation" validate:"gte=0,lte=1e9"`
 }
--- /dev/null
+++ b/internal/config/encode.go
@@ -0,0 +1,15 @@
+package config
+
+import (
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+)
+
+// Encode writes a document as YAML that Parse reads back to an equal document.
+func Encode(doc *Document) ([]byte, error) {
+	b, err := yaml.MarshalWithOptions(doc, yaml.Indent(2), yaml.IndentSequence(true))
+	if err != nil {
+		return nil, eris.Wrap(err, "encode configuration")
+	}
+	return b, nil
+}
--- a/internal/config/exception.go
+++ b/internal/config/exception.go
@@ -14,12 +14,14 @@
 	// Expires ends the exception; zero for no end.
 	Expires time.Time `yaml:"expires,omitempty" json:"expires,omitzero"`
 
-	Account model.Account  `yaml:"account,omitempty" json:"account,omitempty"`
-	Kind    model.Kind     `yaml:"kind,omitempty" json:"kind,omitempty"`
-	Cell    model.CellID   `yaml:"cell,omitempty" json:"cell,omitempty"`
-	Worker  model.WorkerID `yaml:"worker,omitempty" json:"worker,omitempty"`
+	Account model.Account `yaml:"account,omitempty" json:"account,omitempty"`
+	Kind    model.Kind    `yaml:"kind,omitempty" json:"kind,omitempty"`
+	// DataCentre, Cell and Worker select by place, for draining.
+	DataCentre model.DataCentre `yaml:"dataCentre,omitempty" json:"data_centre,omitempty"`
+	Cell       model.CellID     `yaml:"cell,omitempty" json:"cell,omitempty"`
+	Worker     model.WorkerID   `yaml:"worker,omitempty" json:"worker,omitempty"`
 
-	// Drain keeps new work off the selected cell or worker.
+	// Drain keeps new work off the selected place; false lifts a wider drain.
 	Drain         *bool     `yaml:"drain,omitempty" json:"drain,omitempty"`
 	LongestWait   *Duration `yaml:"longestWait,omitempty" json:"longest_wait,omitempty"`
 	RatePerSecond *float64  `yaml:"ratePerSecond,omitempty" json:"rate_per_second,omitempty"`
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// MaxTextBytes bounds the text of a document.
+const MaxTextBytes = 16 << 20
+
+// Parse reads a document from YAML, fills omitted fields with their defaults,
+// puts it in canonical order and validates it. The error is an *InvalidError
+// that holds every fault found, each with its line and field.
+func Parse(text []byte) (*Document, error) {
+	if len(text) > MaxTextBytes {
+		return nil, asError([]*FieldError{{Field: "document", Problem: fmt.Sprintf("longer than %d bytes", MaxTextBytes)}})
+	}
+	root, err := parseTree(text)
+	if err != nil {
+		return nil, err
+	}
+	pos := newPositions(root)
+	if faults := checkSchema(root); len(faults) > 0 {
+		return nil, asError(faults)
+	}
+	var doc Document
+	if err := yaml.NodeToValue(root, &doc); err != nil {
+		return nil, asError([]*FieldError{pos.fromYAML(err)})
+	}
+	filled := doc.WithDefaults()
+	if faults := problems(filled); len(faults) > 0 {
+		pos.fill(faults)
+		return nil, asError(faults)
+	}
+	return filled.Canonical(), nil
+}
+
+// parseTree reads the text as one YAML value without aliases. Keys written twice
+// are left for checkSchema, which names them.
+func parseTree(text []byte) (ast.Node, error) {
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, asError([]*FieldError{positions{}.fromYAML(err)})
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, asError([]*FieldError{{Line: 1, Field: "document", Problem: "want one YAML document"}})
+	}
+	root := file.Docs[0].Body
+	if n := findAlias(root); n != nil {
+		line := n.GetToken().Position.Line
+		return nil, asError([]*FieldError{{Line: line, Field: "document", Problem: "anchors and aliases are not allowed"}})
+	}
+	return root, nil
+}
+
+// aliasFinder stops at the first anchor, alias or merge key.
+type aliasFinder struct{ found ast.Node }
+
+// Visit is called by ast.Walk for each node.
+func (f *aliasFinder) Visit(n ast.Node) ast.Visitor {
+	switch n.Type() {
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+		f.found = n
+	}
+	if f.found != nil {
+		return nil
+	}
+	return f
+}
+
+func findAlias(n ast.Node) ast.Node {
+	f := &aliasFinder{}
+	ast.Walk(f, n)
+	return f.found
+}
+
+// yamlProblem gives the message of a YAML error without its source excerpt.
+func yamlProblem(err error) (line int, problem string) {
+	var ye yaml.Error
+	if !errors.As(err, &ye) {
+		return 0, err.Error()
+	}
+	if tk := ye.GetToken(); tk != nil && tk.Position != nil {
+		line = tk.Position.Line
+	}
+	return line, ye.GetMessage()
+}
--- /dev/null
+++ b/internal/config/select.go
@@ -0,0 +1,35 @@
+package config
+
+import (
+	"time"
+
+	"coltsfootmux/internal/model"
+)
+
+// specificRanks is the number of ranks: none, kind, account, both.
+const specificRanks = 4
+
+// rank orders exceptions on limits from the widest to the most specific.
+func (e *Exception) rank() int {
+	n := 0
+	if e.Kind != "" {
+		n++
+	}
+	if e.Account != "" {
+		n += 2
+	}
+	return n
+}
+
+// selects reports whether an exception on limits applies to an account's work of a kind.
+func (e *Exception) selects(account model.Account, kind model.Kind) bool {
+	if !e.overridesLimits() || e.placeSelectors() > 0 {
+		return false
+	}
+	return (e.Account == "" || e.Account == account) && (e.Kind == "" || e.Kind == kind)
+}
+
+// ActiveAt reports whether the exception has not expired at a time.
+func (e *Exception) ActiveAt(now time.Time) bool {
+	return e.Expires.IsZero() || now.Before(e.Expires)
+}
