Read durations without formatting the whole document for each

The YAML library turns the whole tree back into text for every value that is read by UnmarshalText, so that parsing grew with fields times size. Reading through its interface form does not.

--- a/internal/config/duration.go
+++ b/internal/config/duration.go
@@ -22,3 +22,13 @@
 	*d = Duration(v)
 	return nil
 }
+
+// UnmarshalYAML reads the duration from its text. Without it the YAML library
+// formats the whole document anew for each value that is read by UnmarshalText.
+func (d *Duration) UnmarshalYAML(unmarshal func(any) error) error {
+	var s string
+	if err := unmarshal(&s); err != nil {
+		return err
+	}
+	return d.UnmarshalText([]byte(s))
+}
