Run the whole path in one process: stand-ins, own hosts, both workloads

coltsfootmux-dev demo sends both users' workloads through three own hosts, kills one, and compares the answers with what the workers ran. Most of the not_run answers follow the kill; their cause is the next thing to find.

--- /dev/null
+++ b/internal/dev/command.go
@@ -0,0 +1,87 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"coltsfootmux/internal/process"
+)
+
+const (
+	demoFor  = 15 * time.Second
+	demoSeed = 1
+)
+
+// Command gives the command line of coltsfootmux-dev.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:     "coltsfootmux-dev",
+		Usage:    "run a whole small deployment in one process on loopback",
+		Commands: []*cli.Command{demoCommand(), serveCommand()},
+	}
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "send both users' workloads, kill one own host on the way, and check every promise",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Value: demoFor, Usage: "how long requests are sent, such as 15s"},
+			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "factor on the rates of arrivals"},
+			&cli.Uint64Flag{Name: "seed", Value: demoSeed, Usage: "seed of the arrivals"},
+			&cli.BoolFlag{Name: "kill", Value: true, Usage: "kill one own host half way through"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, cmd *cli.Command) error {
+	logger, err := process.Logger(cmd, cmd.Root().ErrWriter)
+	if err != nil {
+		return err
+	}
+	if cmd.Duration("for") <= 0 {
+		return &process.SettingError{Flag: "for", Value: cmd.Duration("for"), Allowed: "a duration above 0"}
+	}
+	if cmd.Float("scale") <= 0 {
+		return &process.SettingError{Flag: "scale", Value: cmd.Float("scale"), Allowed: "a number above 0"}
+	}
+	d := &Demo{
+		Size: DefaultSize(), For: cmd.Duration("for"), Scale: cmd.Float("scale"), Seed: cmd.Uint64("seed"),
+		Kill: cmd.Bool("kill"), Out: cmd.Root().Writer, Logger: logger,
+	}
+	return d.Run(ctx)
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "serve",
+		Usage:  "keep a deployment up until a signal, and print its addresses",
+		Action: runServe,
+	}
+}
+
+func runServe(ctx context.Context, cmd *cli.Command) error {
+	logger, err := process.Logger(cmd, cmd.Root().ErrWriter)
+	if err != nil {
+		return err
+	}
+	c, err := Start(ctx, DefaultSize(), logger)
+	if err != nil {
+		return err
+	}
+	defer c.Platform.Stop()
+	out := cmd.Root().Writer
+	_, _ = fmt.Fprintf(out, "log service  %s\nhost list    %s\n", c.Platform.LogURL, c.Platform.HostsURL)
+	for _, h := range c.Hosts {
+		_, _ = fmt.Fprintf(out, "%s  callers' API %s  scheduler %s\n", h.Name, h.URL(), h.Scheduler.Node.Addr())
+	}
+	<-ctx.Done()
+	for _, h := range c.Hosts {
+		h.Stop()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dev/demo.go
@@ -0,0 +1,112 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/load"
+	"coltsfootmux/internal/standin/worker"
+)
+
+// ErrPromise means that a run broke a promise: work lost, doubled, or run
+// although its caller was told that it was not.
+var ErrPromise = eris.New("a promise was broken")
+
+// Demo is a scripted run of both users' workloads.
+type Demo struct {
+	Size Size
+	// For is how long requests are sent.
+	For time.Duration
+	// Scale multiplies the rates of arrivals.
+	Scale float64
+	Seed  uint64
+	// Kill ends one own host in the middle of the run.
+	Kill   bool
+	Out    io.Writer
+	Logger *slog.Logger
+}
+
+const (
+	ownedWithin   = 30 * time.Second
+	progressEvery = time.Second
+)
+
+// Run runs the demonstration and prints what came of it. The error wraps
+// ErrStart or ErrPromise.
+func (d *Demo) Run(ctx context.Context) error {
+	c, err := Start(ctx, d.Size, d.Logger)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	d.say("started %d workers in %d racks and %d own hosts", len(c.Platform.Workers), len(c.Platform.Cells), len(c.Hosts))
+	began := time.Now()
+	owned, cancel := context.WithTimeout(ctx, ownedWithin)
+	defer cancel()
+	if err := c.WaitOwned(owned); err != nil {
+		return err
+	}
+	d.say("every cell and key group has an owner after %v", time.Since(began).Round(time.Millisecond))
+	tally := d.load(ctx, c)
+	tally.Check(c.Platform.Truth())
+	load.WriteTable(d.Out, tally)
+	if n := tally.Total().Broken(); n > 0 {
+		return eris.Wrapf(ErrPromise, "%d answers", n)
+	}
+	return nil
+}
+
+func (d *Demo) load(ctx context.Context, c *Cluster) *load.Tally {
+	mix := append(load.Cooperative(AccountOrders, AccountPlanning), load.Observatory(AccountAnalysts, AccountIndex)...)
+	caller := load.NewHTTPCaller(c.URLs(), "")
+	defer caller.Close()
+	drv := &load.Driver{Caller: caller, Tally: load.NewTally(), Body: taskBody}
+	schedule := load.Schedule(mix, d.For, d.Scale, d.Seed)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.progress(ctx, drv.Tally, len(schedule))
+	if d.Kill {
+		go d.killOne(ctx, c)
+	}
+	drv.Run(ctx, schedule)
+	return drv.Tally
+}
+
+// killOne ends the last own host half way through.
+func (d *Demo) killOne(ctx context.Context, c *Cluster) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(d.For / 2):
+	}
+	victim := c.Hosts[len(c.Hosts)-1]
+	victim.Kill()
+	d.say("killed %s with its entry and scheduler", victim.Name)
+}
+
+func (d *Demo) progress(ctx context.Context, t *load.Tally, planned int) {
+	tick := time.NewTicker(progressEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.say("%d of %d answered", t.Answered(), planned)
+		}
+	}
+}
+
+func (d *Demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.Out, format+"\n", args...)
+}
+
+// taskBody asks a stand-in worker for a run time and an answer.
+func taskBody(run time.Duration, answerBytes int) []byte {
+	return worker.Spec{RunMS: run.Milliseconds(), AnswerBytes: answerBytes}.Encode()
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/logclient"
+	"coltsfootmux/internal/metric"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
+	"coltsfootmux/internal/platform/httphost"
+	"coltsfootmux/internal/platform/httplog"
+)
+
+// Node is what every program on an own host has in common.
+type Node struct {
+	Self     model.Host
+	Settings Settings
+	Logger   *slog.Logger
+	// RawLog is the log service, Log the client that batches and repeats.
+	RawLog  platform.Log
+	Log     *logclient.Client
+	Hosts   platform.HostList
+	Pool    *link.Pool
+	Server  *link.Server
+	Configs *follower
+
+	listener *Listener
+	draining atomic.Bool
+	killed   chan struct{}
+	killOnce sync.Once
+}
+
+// New opens the listener and builds the parts. The error wraps ErrListen.
+func New(s Settings, role model.HostRole, logger *slog.Logger) (*Node, error) {
+	ln, err := Listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	addr := s.Advertise
+	if addr == "" {
+		addr = ln.Addr()
+	}
+	n := &Node{
+		Self: model.Host{
+			ID: s.HostID, Role: role, Addr: addr,
+			DataCentre: s.DataCentre, Region: s.Region, State: model.HostLive,
+		},
+		Settings: s,
+		Logger:   logger,
+		listener: ln,
+		killed:   make(chan struct{}),
+	}
+	n.RawLog = httplog.New(s.LogURL, httplog.Options{Region: s.Region})
+	n.Log = logclient.New(n.RawLog, logclient.Options{Seed: xxhash.Sum64String(string(s.HostID)), Logger: logger})
+	n.Hosts = httphost.New(s.HostsURL, httphost.Options{Region: s.Region})
+	n.Pool = link.NewPool(link.PoolOptions{Self: s.HostID, Region: s.Region, Logger: logger})
+	n.Server = link.NewServer(link.ServerOptions{Self: s.HostID, Region: s.Region, Logger: logger})
+	n.Configs = &follower{log: n.Log}
+	return n, nil
+}
+
+// Addr gives the address that others reach the program at.
+func (n *Node) Addr() string { return n.Self.Addr }
+
+// Handle adds the listener's common paths to a program's own.
+func (n *Node) Handle(mux *http.ServeMux, ready func() bool) {
+	mux.Handle(link.Path, n.Server)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metric.Write(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if n.draining.Load() || !n.Configs.Ready() || !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// Run serves mux and runs the parts and work until ctx ends. Then it reports
+// unready, drains, and only then ends the parts. The error is the first of any.
+func (n *Node) Run(ctx context.Context, mux http.Handler, work func(context.Context) error, drain func(context.Context) error) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, inner := errgroup.WithContext(inner)
+	g.Go(func() error { return n.listener.Serve(mux) })
+	g.Go(func() error { return n.Configs.Run(inner) })
+	g.Go(func() error { return work(inner) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.shutdown(drain)
+		case <-n.killed:
+		case <-inner.Done():
+		}
+		stop()
+		n.cut()
+		return nil
+	})
+	err := g.Wait()
+	_ = n.Pool.Close()
+	n.Log.Close()
+	return err
+}
+
+// Kill ends the program at once, without any hand-over, as a lost host would.
+func (n *Node) Kill() { n.killOnce.Do(func() { close(n.killed) }) }
+
+// cut closes what is still open.
+func (n *Node) cut() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.Server.Shutdown(ended)
+	_ = n.listener.Close()
+}
+
+// shutdown drains within the time that settings allow.
+func (n *Node) shutdown(drain func(context.Context) error) {
+	n.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.DrainTimeout)
+	defer cancel()
+	if err := drain(ctx); err != nil {
+		evDrainCut.Log(ctx, n.Logger, slog.String("host", string(n.Self.ID)), slog.Any("error", err))
+	}
+	_ = n.Server.Shutdown(ctx)
+	_ = n.listener.Shutdown(ctx)
+	_ = n.Log.Flush(ctx)
+}
