Keep a cell with an owner that the host list does not show yet

Cause: the host list lags by seconds, so a host that had just started counted as absent and every other host took its claim over at once; one cell changed hands 45 times in a 25 s demo. A host now counts as live for 10 s after its start was announced on the log, whatever the list shows.

--- a/internal/core/ownership/claims.go
+++ b/internal/core/ownership/claims.go
@@ -19,7 +19,7 @@
 	}
 	if e.Claim.Scope.Kind == model.ScopeHost {
 		m := e.Claim.Line[0]
-		c.hosts.started[m.Host] = m
+		c.hosts.started[m.Host], c.hosts.startedAt[m.Host] = m, e.At
 		return
 	}
 	s := c.byScope[e.Claim.Scope]
@@ -113,7 +113,7 @@
 	s.asked, c.lastClaim = now, now
 	// The same claim asked for again has the same id, so that readers drop it.
 	id := fmt.Sprintf("%s/%d/%s/%s", s.target.Scope, s.offset, c.set.Self.Host, c.set.Self.Boot)
-	claim := model.Claim{Scope: s.target.Scope, Line: c.line(s.target)}
+	claim := model.Claim{Scope: s.target.Scope, Line: c.line(now, s.target)}
 	if s.known {
 		claim.Replaces = s.offset
 	}
@@ -138,14 +138,15 @@
 	if !c.hosts.known && now.Sub(s.vacant) < c.set.SuspectAfter {
 		return false
 	}
-	turn := slices.IndexFunc(c.order(s.target), func(m model.Member) bool { return m.Host == c.set.Self.Host })
+	turn := slices.IndexFunc(c.order(now, s.target), func(m model.Member) bool { return m.Host == c.set.Self.Host })
 	return now.Sub(s.vacant) >= time.Duration(turn)*c.set.StaggerPerRank
 }
 
 // abandoned says that nobody of the claim's line seems to be there, or that this
 // scheduler is of the line, has yielded, and has heard nothing for long.
 func (c *Core) abandoned(now time.Time, s *scope) bool {
-	if !slices.ContainsFunc(s.claim.Line, c.hosts.present) {
+	present := func(m model.Member) bool { return c.hosts.present(now, m) }
+	if !slices.ContainsFunc(s.claim.Line, present) {
 		return true
 	}
 	return s.rank >= 0 && now.Sub(s.heard) >= c.set.ReclaimAfter
@@ -166,9 +167,9 @@
 	}
 	alive := 0
 	for _, m := range s.claim.Line[1:] {
-		if c.hosts.present(m) {
+		if c.hosts.present(now, m) {
 			alive++
 		}
 	}
-	return alive < len(c.line(s.target))-1
+	return alive < len(c.line(now, s.target))-1
 }
--- a/internal/core/ownership/core.go
+++ b/internal/core/ownership/core.go
@@ -62,7 +62,7 @@
 	case Refused:
 		c.refused(now, e)
 	case Drain:
-		c.drain()
+		c.drain(now)
 	case Tick:
 		c.tick(now)
 	}
--- a/internal/core/ownership/event.go
+++ b/internal/core/ownership/event.go
@@ -34,6 +34,8 @@
 type ClaimRead struct {
 	Offset model.Offset
 	Claim  model.Claim
+	// At is when the log took the record, by the log's clock.
+	At time.Time
 }
 
 // CaughtUp says that every claim up to the log's head has been read.
--- a/internal/core/ownership/hosts.go
+++ b/internal/core/ownership/hosts.go
@@ -3,11 +3,16 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"coltsfootmux/internal/mapping"
 	"coltsfootmux/internal/model"
 )
 
+// listGrace is how long after its announced start a host counts as live although
+// the host list does not show it.
+const listGrace = 10 * time.Second
+
 // hosts is what is known of the other schedulers. It may be wrong in every way;
 // only liveness depends on it.
 type hosts struct {
@@ -16,12 +21,16 @@
 	known  bool
 	// started holds each host's latest announced start, in log order.
 	started map[model.HostID]model.Member
+	// startedAt is when the log took that announcement.
+	startedAt map[model.HostID]time.Time
 }
 
 func newHosts() hosts {
 	return hosts{
 		listed:  make(map[model.HostID]model.Host),
 		started: make(map[model.HostID]model.Member),
+
+		startedAt: make(map[model.HostID]time.Time),
 	}
 }
 
@@ -35,21 +44,23 @@
 	}
 }
 
-// live reports whether a host should be given anything new.
-func (h *hosts) live(id model.HostID) bool {
-	if !h.known {
-		_, ok := h.started[id]
-		return ok
+// live reports whether a host should be given anything new. The list lags, so a
+// host that announced its start a moment ago counts before the list shows it.
+func (h *hosts) live(now time.Time, id model.HostID) bool {
+	x, listed := h.listed[id]
+	if listed {
+		return x.State == model.HostLive
 	}
-	return h.listed[id].State == model.HostLive
+	_, started := h.started[id]
+	return started && (!h.known || now.Sub(h.startedAt[id]) < listGrace)
 }
 
 // present reports whether a member of a line may still act.
-func (h *hosts) present(m model.Member) bool {
-	if now, ok := h.started[m.Host]; ok && now.Boot != m.Boot {
+func (h *hosts) present(now time.Time, m model.Member) bool {
+	if last, ok := h.started[m.Host]; ok && last.Boot != m.Boot {
 		return false
 	}
-	return h.live(m.Host)
+	return h.live(now, m.Host)
 }
 
 // candidate is a host that might own a scope.
@@ -62,7 +73,7 @@
 // order gives the hosts that should own a target, the best first, with self
 // among them: those in its data centre, then those of self's region, then by
 // rendezvous weight.
-func (c *Core) order(t Target) []model.Member {
+func (c *Core) order(now time.Time, t Target) []model.Member {
 	var cs []candidate
 	add := func(m model.Member, dc model.DataCentre) {
 		near := 1
@@ -73,7 +84,7 @@
 	}
 	add(c.set.Self, c.set.DataCentre)
 	for id, m := range c.hosts.started {
-		if id != c.set.Self.Host && c.hosts.live(id) {
+		if id != c.set.Self.Host && c.hosts.live(now, id) {
 			add(m, c.hosts.listed[id].DataCentre)
 		}
 	}
@@ -98,9 +109,9 @@
 }
 
 // line gives a claim's line: self, then announced successors in order.
-func (c *Core) line(t Target) []model.Member {
+func (c *Core) line(now time.Time, t Target) []model.Member {
 	out := []model.Member{c.set.Self}
-	for _, m := range c.order(t) {
+	for _, m := range c.order(now, t) {
 		if len(out) == c.set.LineLength {
 			break
 		}
--- a/internal/core/ownership/ownership_test.go
+++ b/internal/core/ownership/ownership_test.go
@@ -89,7 +89,7 @@
 			return nil
 		}
 		b.next++
-		return ClaimRead{b.next - 1, a.Claim}
+		return ClaimRead{Offset: b.next - 1, At: b.now, Claim: a.Claim}
 	case Fence:
 		if b.dead[a.Worker.ID] {
 			return nil
@@ -160,12 +160,12 @@
 	line := []model.Member{{Host: "a", Boot: "1"}, {Host: "b", Boot: "1"}, {Host: "c", Boot: "1"}}
 	line[rank] = b.c.set.Self
 	for _, m := range line {
-		b.step(ClaimRead{b.next, model.Claim{Scope: model.Scope{Kind: model.ScopeHost, Name: string(m.Host)}, Line: []model.Member{m}}})
+		b.step(ClaimRead{Offset: b.next, At: b.now, Claim: model.Claim{Scope: model.Scope{Kind: model.ScopeHost, Name: string(m.Host)}, Line: []model.Member{m}}})
 		b.next++
 	}
 	at := b.next
 	b.next++
-	b.step(ClaimRead{at, model.Claim{Scope: t.Scope, Line: line}})
+	b.step(ClaimRead{Offset: at, At: b.now, Claim: model.Claim{Scope: t.Scope, Line: line}})
 	return at
 }
 
@@ -276,7 +276,7 @@
 	b.hostList("a", "self")
 	b.configure(cellTarget())
 	line := []model.Member{{Host: "a", Boot: "1"}, {Host: "self", Boot: "0"}}
-	b.step(ClaimRead{b.next, model.Claim{Scope: model.CellScope("c"), Line: line}})
+	b.step(ClaimRead{Offset: b.next, At: b.now, Claim: model.Claim{Scope: model.CellScope("c"), Line: line}})
 	b.next++
 	b.wait(5 * time.Second)
 	if len(of[Fence](b.did)) != 0 {
@@ -316,7 +316,7 @@
 	b := newBench("self")
 	b.hostList("a", "b", "self")
 	for _, h := range []model.HostID{"a", "b"} {
-		b.step(ClaimRead{b.next, model.Claim{Scope: model.Scope{Kind: model.ScopeHost}, Line: []model.Member{{Host: h, Boot: "1"}}}})
+		b.step(ClaimRead{Offset: b.next, At: b.now, Claim: model.Claim{Scope: model.Scope{Kind: model.ScopeHost}, Line: []model.Member{{Host: h, Boot: "1"}}}})
 		b.next++
 	}
 	b.configure(cellTarget())
@@ -366,7 +366,7 @@
 	b.hostList("a", "b", "z")
 	b.configure(cellTarget())
 	claim := func(h model.HostID, replaces model.Offset) {
-		b.step(ClaimRead{b.next, model.Claim{Scope: model.CellScope("c"), Replaces: replaces, Line: []model.Member{{Host: h}}}})
+		b.step(ClaimRead{Offset: b.next, At: b.now, Claim: model.Claim{Scope: model.CellScope("c"), Replaces: replaces, Line: []model.Member{{Host: h}}}})
 		b.next++
 	}
 	claim("a", 0)
@@ -383,7 +383,7 @@
 	b := newBench("self")
 	b.hostList("a", "b", "c", "d", "e", "self")
 	for _, h := range []model.HostID{"a", "b", "c", "d", "e"} {
-		b.step(ClaimRead{b.next, model.Claim{Scope: model.Scope{Kind: model.ScopeHost}, Line: []model.Member{{Host: h, Boot: "1"}}}})
+		b.step(ClaimRead{Offset: b.next, At: b.now, Claim: model.Claim{Scope: model.Scope{Kind: model.ScopeHost}, Line: []model.Member{{Host: h, Boot: "1"}}}})
 		b.next++
 	}
 	b.configure(cellTarget())
--- a/internal/core/ownership/succession.go
+++ b/internal/core/ownership/succession.go
@@ -82,23 +82,23 @@
 
 // drain hands every scope over to its next successor. A scope without one is
 // kept until the process ends.
-func (c *Core) drain() {
+func (c *Core) drain(now time.Time) {
 	c.draining = true
 	for _, s := range c.scopes {
 		if s.term == nil || s.rank < 0 || s.rank+1 >= len(s.claim.Line) {
 			continue
 		}
 		s.handed = true
-		to, claim := c.heir(s), s.offset
+		to, claim := c.heir(now, s), s.offset
 		c.lose(s)
 		c.do(TellHandOver{To: to, Claim: claim})
 	}
 }
 
 // heir is the first successor that seems to be there, or else the first.
-func (c *Core) heir(s *scope) model.Member {
+func (c *Core) heir(now time.Time, s *scope) model.Member {
 	rest := s.claim.Line[s.rank+1:]
-	if i := slices.IndexFunc(rest, c.hosts.present); i >= 0 {
+	if i := slices.IndexFunc(rest, func(m model.Member) bool { return c.hosts.present(now, m) }); i >= 0 {
 		return rest[i]
 	}
 	return rest[0]
--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -55,6 +55,9 @@
 	tally := d.load(ctx, c)
 	tally.Check(c.Platform.Truth())
 	load.WriteTable(d.Out, tally)
+	for _, r := range tally.Reasons() {
+		d.say("%s for %s: %d", r.Outcome, r.Reason, r.Count)
+	}
 	if n := tally.Total().Broken(); n > 0 {
 		return eris.Wrapf(ErrPromise, "%d answers", n)
 	}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -96,6 +96,27 @@
 	return out
 }
 
+// Reasons counts the reasons of answers that are not done, most frequent first.
+func (t *Tally) Reasons() []ReasonCount {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[ReasonCount]int)
+	for _, a := range t.answers {
+		if a.Outcome != model.OutcomeDone {
+			counts[ReasonCount{Outcome: a.Outcome, Reason: a.Reason}]++
+		}
+	}
+	out := make([]ReasonCount, 0, len(counts))
+	for r, n := range counts {
+		r.Count = n
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Outcome, b.Outcome))
+	})
+	return out
+}
+
 // Total sums all kinds up.
 func (t *Tally) Total() Row {
 	sum := Row{Kind: "all", hist: hdrhistogram.New(histMinMicros, histMaxMicros, histDigits)}
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -36,6 +36,6 @@
 			evBadRecord.Log(ctx, s.o.Logger, slog.String("stream", string(platform.StreamClaims)), slog.Any("error", err))
 			return
 		}
-		s.post(ownMsg{ev: ownership.ClaimRead{Offset: e.Offset, Claim: c}})
+		s.post(ownMsg{ev: ownership.ClaimRead{Offset: e.Offset, Claim: c, At: e.At}})
 	}, caughtUp)
 }
