Choose among the owners of cells that could ever hold the work

Cause: a scheduler handed every attempt to its own cells. Ruled out: lost workers, late configuration. The dispatch core now passes over owners whose cells could never hold the work, and a refusal that speaks of one owner only goes on to the next.

--- a/internal/core/placement/submit.go
+++ b/internal/core/placement/submit.go
@@ -75,6 +75,17 @@
 	return min(most, least+time.Duration(a.waiting)*time.Millisecond)
 }
 
+// Possible reports whether the work could run in the cells, which need not be
+// owned, with nothing running there that can be evicted.
+func (c *Core) Possible(w *model.Work, cells []model.CellID) bool {
+	if len(cells) == 0 || !c.conf.known {
+		return false
+	}
+	one := *w
+	one.Members = max(1, w.Members)
+	return c.possible(&Submitted{Work: one, Cells: cells})
+}
+
 // possible reports whether some set of the configured workers could hold the
 // work with nothing else running.
 func (c *Core) possible(e *Submitted) bool {
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -22,6 +22,8 @@
 	// is reached at from. Otherwise the ledger here does.
 	remote chan wire.PlaceReply
 	from   model.Member
+	// tried are the owners that the attempt was handed to.
+	tried []model.HostID
 	// cancel ends the waits for the attempt's tasks.
 	cancel context.CancelFunc
 }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"time"
 
+	"coltsfootmux/internal/core/dispatch"
 	"coltsfootmux/internal/core/ledger"
 	"coltsfootmux/internal/core/placement"
 	"coltsfootmux/internal/link"
@@ -11,61 +14,93 @@
 	"coltsfootmux/internal/wire"
 )
 
-// dispatch hands an attempt to placement: here when a cell of the group is owned
-// here, else to the owner of the group's first cell that has one.
+// dispatch takes an attempt on and hands it to an owner of cells.
 func (l *loop) dispatch(a ledger.Dispatch) {
-	cells := l.maps.Cells(a.Group)
 	at := &attempt{work: a.Work, group: a.Group, groupEpoch: a.GroupEpoch, number: a.Attempt, cancel: func() {}}
 	l.attempts[a.Work.Key] = at
-	if own := l.ownedOf(cells); len(own) > 0 {
-		l.stepPlace(placement.Submitted{
-			Work: a.Work, Group: a.Group, GroupEpoch: a.GroupEpoch, Attempt: a.Attempt, Cells: own,
-		})
+	l.offer(at, model.ReasonNoOwner, 0)
+}
+
+// offer hands an attempt to the owner that the dispatch core chooses. When none
+// is left, the ledger hears why the last one refused.
+func (l *loop) offer(at *attempt, last model.Reason, after time.Duration) {
+	near, far := l.cellsFor(at.group)
+	o, verdict := dispatch.Choose(l, dispatch.Question{
+		Work: &at.work, Near: near, Far: far, Self: l.s.o.Self.ID, Tried: at.tried,
+	})
+	switch verdict {
+	case dispatch.Send:
+		l.send(at, o)
 		return
+	case dispatch.Hold:
+		last, after = model.ReasonNoOwner, l.s.o.Timing.SuspectAfter
+	case dispatch.Impossible:
+		last, after = model.ReasonImpossible, 0
 	}
-	to, there := l.ownerOfAny(cells)
-	if to.Addr == "" {
-		delete(l.attempts, a.Work.Key)
-		l.stepLedger(ledger.NotRun{
-			Key: a.Work.Key, Attempt: a.Attempt, Reason: model.ReasonNoOwner, RetryAfter: l.s.o.Timing.SuspectAfter,
+	delete(l.attempts, at.work.Key)
+	l.stepLedger(ledger.NotRun{Key: at.work.Key, Attempt: at.number, Reason: last, RetryAfter: after})
+}
+
+// send hands an attempt to placement here or to another scheduler.
+func (l *loop) send(at *attempt, o dispatch.Offer) {
+	at.tried = append(at.tried, o.Owner.Host)
+	if o.Owner.Host == l.s.o.Self.ID {
+		at.from = model.Member{}
+		l.stepPlace(placement.Submitted{
+			Work: at.work, Group: at.group, GroupEpoch: at.groupEpoch, Attempt: at.number, Cells: o.Cells,
 		})
 		return
 	}
-	at.from = to
-	go l.s.forward(l.ctx, to, wire.Place{
-		Work: a.Work, Cells: there, Group: a.Group, GroupEpoch: a.GroupEpoch, Attempt: a.Attempt,
+	at.from = o.Owner
+	go l.s.forward(l.ctx, o.Owner, wire.Place{
+		Work: at.work, Cells: o.Cells, Group: at.group, GroupEpoch: at.groupEpoch, Attempt: at.number,
 		From: l.s.member(),
 	})
 }
 
-func (l *loop) ownedOf(cells []model.Cell) []model.CellID {
+// cellsFor gives the cells of a key group and all others, by id.
+func (l *loop) cellsFor(g model.GroupID) (near, far []model.CellID) {
+	for _, c := range l.maps.Cells(g) {
+		near = append(near, c.ID)
+	}
+	for _, c := range l.conf.Document.Fleet.Cells {
+		if !slices.Contains(near, c.ID) {
+			far = append(far, c.ID)
+		}
+	}
+	return near, far
+}
+
+// Owner gives who owns a cell; for the dispatch core. A cell that this scheduler
+// has claimed and not gained yet has no owner.
+func (l *loop) Owner(id model.CellID) (model.Member, bool) {
+	m, ok := l.own.Owner(model.CellScope(id))
+	if ok && m.Host == l.s.o.Self.ID {
+		_, ok = l.cells[id]
+	}
+	return m, ok
+}
+
+// Possible asks placement whether work could ever run in cells; for the dispatch core.
+func (l *loop) Possible(w *model.Work, cells []model.CellID) bool { return l.pl.Possible(w, cells) }
+
+func (l *loop) ownedOf(cells []model.CellID) []model.CellID {
 	var own []model.CellID
-	for _, c := range cells {
-		if _, ok := l.cells[c.ID]; ok {
-			own = append(own, c.ID)
+	for _, id := range cells {
+		if _, ok := l.cells[id]; ok {
+			own = append(own, id)
 		}
 	}
 	return own
 }
 
-// ownerOfAny gives the owner of the first cell that has one, and which of the
-// cells it owns.
-func (l *loop) ownerOfAny(cells []model.Cell) (model.Member, []model.CellID) {
-	var to model.Member
-	var there []model.CellID
-	for _, c := range cells {
-		m, ok := l.own.Owner(model.CellScope(c.ID))
-		if !ok || m.Host == l.s.o.Self.ID {
-			continue
-		}
-		if to.Addr == "" {
-			to = m
-		}
-		if m == to {
-			there = append(there, c.ID)
-		}
+// elsewhere says whether a refusal speaks only of the owner that gave it.
+func elsewhere(r model.Reason) bool {
+	switch r {
+	case model.ReasonNoOwner, model.ReasonQueueFull, model.ReasonImpossible:
+		return true
 	}
-	return to, there
+	return false
 }
 
 // forward asks another scheduler to place an attempt and tells the loop.
@@ -80,8 +115,13 @@
 	if !ok || at.number != m.attempt || at.remote != nil {
 		return
 	}
+	ev := placedEvent(m)
+	if n, ok := ev.(ledger.NotRun); ok && elsewhere(n.Reason) {
+		l.offer(at, n.Reason, n.RetryAfter)
+		return
+	}
 	delete(l.attempts, m.key)
-	l.stepLedger(placedEvent(m))
+	l.stepLedger(ev)
 }
 
 // placedEvent says what an answer, or its absence, means to the ledger. Where no
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -34,7 +34,7 @@
 // placeFor places work for another scheduler's key group.
 func (l *loop) placeFor(m placeReqMsg) {
 	p := m.place
-	own := l.ownedOf(l.cellsNamed(p.Cells))
+	own := l.ownedOf(p.Cells)
 	if _, busy := l.attempts[p.Work.Key]; busy || len(own) == 0 {
 		m.reply <- wire.PlaceReply{NotRun: true, Result: model.Result{Key: p.Work.Key, Reason: model.ReasonNoOwner}}
 		return
@@ -48,14 +48,6 @@
 	})
 }
 
-func (l *loop) cellsNamed(ids []model.CellID) []model.Cell {
-	out := make([]model.Cell, len(ids))
-	for i, id := range ids {
-		out[i].ID = id
-	}
-	return out
-}
-
 // withdrawFor gives up work that another scheduler had forwarded.
 func (l *loop) withdrawFor(m withdrawMsg) {
 	at, ok := l.attempts[m.withdraw.Key]
@@ -71,6 +63,10 @@
 		return
 	}
 	at.cancel()
+	if at.remote == nil && elsewhere(a.Reason) {
+		l.offer(at, a.Reason, a.RetryAfter)
+		return
+	}
 	delete(l.attempts, a.Key)
 	if at.remote != nil {
 		at.remote <- wire.PlaceReply{
