--- a/internal/core/placement/action.go
+++ b/internal/core/placement/action.go
@@ -18,6 +18,8 @@
 	GroupEpoch model.Epoch
 	Attempt    int
 	Parts      []Part
+	// Reclaimed is how long it waited for victims to leave; zero if it had none.
+	Reclaimed time.Duration
 }
 
 // Part is one member of a Begin.
--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -61,9 +61,14 @@
 	}
 	j.live = len(j.tasks)
 	c.running++
-	c.emit(Begin{
+	b := Begin{
 		Work: j.work, Group: j.group, GroupEpoch: j.epoch, Attempt: j.attempt, Parts: parts,
-	})
+	}
+	if !j.asked.IsZero() {
+		b.Reclaimed = c.now.Sub(j.asked)
+	}
+	j.asked = time.Time{}
+	c.emit(b)
 }
 
 // roomCame begins the planned jobs of a worker whose victims have all left.
@@ -97,6 +102,7 @@
 func (c *Core) dropPlan(j *job) {
 	c.unplan(j)
 	c.waiting--
+	j.asked = time.Time{}
 	c.dropTasks(j)
 }
 
--- a/internal/core/placement/view.go
+++ b/internal/core/placement/view.go
@@ -121,3 +121,9 @@
 	}
 	return fmt.Sprintf("no room for %d times %+v", j.work.Members, j.work.Shape)
 }
+
+// Reclaimable reports whether waiting work would fit now if borrowers left.
+func (c *Core) Reclaimable(k model.Key) bool {
+	j, ok := c.jobs[k]
+	return ok && j.state == jobWaiting && c.place(j, c.candidates(j), c.evictRoom) != nil
+}
--- /dev/null
+++ b/internal/experiment/policies.go
@@ -0,0 +1,28 @@
+package experiment
+
+import "coltsfootmux/internal/core/placement"
+
+// Policies gives the standard policy, the baselines and the earlier versions of
+// the standard policy, in that order.
+func Policies() []placement.Policy {
+	return []placement.Policy{
+		placement.Standard(),
+		FirstCome(),
+		BestFit(),
+	}
+}
+
+// FirstCome is first come, first served, on the first worker with room.
+func FirstCome() placement.Policy {
+	return placement.Policy{
+		Name: "first-come", Order: placement.OrderArrival, Packing: placement.PackFirstFit,
+	}
+}
+
+// BestFit goes by arrival, lets later work overtake, takes the tightest fit and
+// reserves nothing.
+func BestFit() placement.Policy {
+	return placement.Policy{
+		Name: "best-fit", Order: placement.OrderBackfill, Packing: placement.PackBestFit,
+	}
+}
