--- a/internal/core/placement/adopt.go
+++ b/internal/core/placement/adopt.go
@@ -42,6 +42,7 @@
 	}
 	j.tasks = append(j.tasks, t)
 	j.live++
+	j.found++
 	c.tasks[t.lease] = t
 	w.addTask(t)
 }
@@ -65,6 +66,7 @@
 		c.jobs[l.Key] = j
 	}
 	j.attempt = max(1, l.Attempt)
+	j.found = 0
 	j.state = jobRunning
 	j.ran = true
 	j.startAt = c.now.Add(-r.Leased.Age)
@@ -84,7 +86,7 @@
 	if !ok || j.round != t.round || j.state != jobRunning {
 		return
 	}
-	if len(j.tasks) < j.work.Members && !j.stopping {
+	if j.elsewhere() && !j.stopping {
 		j.failed = true
 		c.stop(j, model.ReasonGangIncomplete)
 	}
--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -83,9 +83,13 @@
 	}
 }
 
+// ready reports whether all victims have left the workers chosen for j.
 func (c *Core) ready(j *job) bool {
+	if j.state != jobReclaiming {
+		return false
+	}
 	for _, t := range j.tasks {
-		if t.worker.free.Negative() {
+		if t.worker.free.Negative() || t.worker.down || t.worker.cell.lost {
 			return false
 		}
 	}
@@ -148,12 +152,7 @@
 	case j.evicted:
 		c.evict(j)
 	}
-	switch {
-	case j.live > 0:
-	case j.moved:
-		c.running--
-		c.forget(j)
-	default:
+	if j.live == 0 {
 		c.finish(j)
 	}
 }
--- a/internal/core/placement/cell.go
+++ b/internal/core/placement/cell.go
@@ -14,6 +14,8 @@
 	drainFor *job
 	// freed says that room came free since the last pass.
 	freed bool
+	// lost says that another scheduler owns the cell now.
+	lost  bool
 	units []*unit
 }
 
--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -46,6 +46,7 @@
 	if !ok {
 		return
 	}
+	cl.lost = true
 	for _, j := range c.jobsIn(cl) {
 		c.leaveCell(j, cl)
 	}
--- a/internal/core/placement/end.go
+++ b/internal/core/placement/end.go
@@ -61,11 +61,14 @@
 	c.stop(j, why)
 }
 
-// finish answers for a job whose members have all ended, or queues it again.
+// finish answers for a job whose members have all ended, or queues it again. It
+// does not answer for one with members in cells that other schedulers own.
 func (c *Core) finish(j *job) {
 	c.running--
 	j.tasks = nil
 	switch {
+	case j.elsewhere():
+		c.forget(j)
 	case j.cancelled && (j.stopping || j.left):
 		c.complete(j, true, model.ReasonCancelled)
 	case j.failed && j.retry:
@@ -96,6 +99,7 @@
 
 func (c *Core) resetAttempt(j *job) {
 	j.attempt++
+	j.found = 0
 	j.try = 0
 	j.evicted = false
 	j.left = false
--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -57,6 +57,8 @@
 	ran bool
 	// adopted work was found running; its body is not at hand.
 	adopted bool
+	// found counts the members found when it was adopted; 0 for work that began here.
+	found int
 	// moved says that some of its members run in a cell that was lost.
 	moved  bool
 	badOn  []model.WorkerID
@@ -82,3 +84,8 @@
 	firm   bool
 	over   overuse
 }
+
+// elsewhere reports whether members of the job may run in cells of others.
+func (j *job) elsewhere() bool {
+	return j.moved || (j.found > 0 && j.found < j.work.Members)
+}
--- a/internal/core/placement/seen.go
+++ b/internal/core/placement/seen.go
@@ -32,6 +32,9 @@
 // replan sends jobs that waited for room on a lost worker back to the queue.
 func (c *Core) replan(w *worker) {
 	for _, j := range append([]*job(nil), w.planned...) {
+		if j.state != jobReclaiming {
+			continue
+		}
 		c.dropPlan(j)
 		c.enqueueAgain(j)
 	}
