--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -41,7 +41,7 @@
 		w.planned = append(w.planned, j)
 	}
 	for _, v := range victims {
-		c.evict(v)
+		c.evict(v, c.checkpointBound(j))
 	}
 	c.after(c.conf.def.ReclaimWithin.D(), timer{kind: timerReclaim, key: j.work.Key, round: j.round})
 }
@@ -150,7 +150,7 @@
 	case j.failed:
 		c.stop(j, j.stopReason)
 	case j.evicted:
-		c.evict(j)
+		c.evict(j, c.conf.def.CheckpointWithin.D())
 	}
 	if j.live == 0 {
 		c.finish(j)
--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -84,7 +84,7 @@
 func (c *Core) leaveCell(j *job, cl *cell) {
 	if j.state == jobReclaiming {
 		c.dropPlan(j)
-		c.enqueue(j)
+		c.enqueueSince(j, j.queuedAt)
 		return
 	}
 	kept := j.tasks[:0]
--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// drainRetry is how soon a drain is tried again when too many cells drain already.
+	// drainRetry is how soon eviction and drain are tried again for overdue work.
 	drainRetry = time.Second
 	// drainShare is the part of the owned cells that may drain at once.
 	drainShare = 3
@@ -39,16 +39,20 @@
 	if !ok || j.round != t.round || j.state != jobWaiting || !c.policy.Reserve {
 		return
 	}
+	c.after(drainRetry, t)
+	if j.queue.head() != j {
+		return
+	}
 	if c.policy.Preempt && c.reclaimIn(j, c.candidates(j), c.evictRoom) {
 		return
 	}
-	if !c.drain(j) {
-		c.after(drainRetry, t)
+	if len(j.drains) == 0 {
+		c.drain(j)
 	}
 }
 
 // drain keeps firm work out of the cells that should be free the soonest.
-func (c *Core) drain(j *job) bool {
+func (c *Core) drain(j *job) {
 	draining := 0
 	for _, cl := range c.order {
 		if cl.drainFor != nil {
@@ -57,7 +61,7 @@
 	}
 	room := max(1, len(c.order)/drainShare) - draining
 	if room <= 0 {
-		return false
+		return
 	}
 	for _, cl := range c.soonest(j) {
 		if len(j.drains) >= room {
@@ -69,7 +73,6 @@
 			break
 		}
 	}
-	return len(j.drains) > 0
 }
 
 // soonest orders the cells that could hold the job, or part of it, by when
--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -126,17 +126,31 @@
 	return true
 }
 
-// evict asks a whole job to leave.
-func (c *Core) evict(v *job) {
+// evict asks a whole job to leave, with a bound on its checkpoint.
+func (c *Core) evict(v *job, within time.Duration) {
 	v.evicted = true
 	if v.state == jobBeginning {
 		c.emit(Abort{Key: v.work.Key})
 		return
 	}
 	c.controlAll(v, platform.VerbCheckpoint)
-	c.after(c.conf.def.CheckpointWithin.D(), timer{kind: timerCheckpoint, key: v.work.Key, round: v.round})
+	c.after(within, timer{kind: timerCheckpoint, key: v.work.Key, round: v.round})
 }
 
+// checkpointBound is how long victims of j may take over their checkpoints. For
+// urgent work that is a part of its own bound.
+func (c *Core) checkpointBound(j *job) time.Duration {
+	within := c.conf.def.CheckpointWithin.D()
+	if urgent := c.conf.def.UrgentWait.D(); j.class == urgentClass && urgent > 0 {
+		within = min(within, urgent*urgentCheckpointPercent/100)
+	}
+	return within
+}
+
+// urgentCheckpointPercent is the part of the bound on an urgent start that
+// victims may take over their checkpoints; the rest is for the stop.
+const urgentCheckpointPercent = 60
+
 // checkpointLate stops a job whose checkpoint did not come in time.
 func (c *Core) checkpointLate(t timer) {
 	j, ok := c.jobs[t.key]
--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -33,6 +33,8 @@
 	state    jobState
 	queue    *queue
 	queuedAt time.Time
+	// turn orders it among the waiting jobs of its queue.
+	turn time.Time
 	// round tells this wait of the job from earlier ones.
 	round int
 
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -38,6 +38,9 @@
 	Preempt bool
 	// Guarantee keeps firm work out of room that is entitled to others.
 	Guarantee bool
+	// ResumeFirst orders preempted work by its first arrival instead of putting
+	// it behind work that never ran.
+	ResumeFirst bool
 }
 
 // Standard is the policy that schedulers run.
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"slices"
 	"strings"
+	"time"
 
 	"coltsfootmux/internal/model"
 )
@@ -39,10 +40,19 @@
 
 type jobHeap []*job
 
-func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, k int) bool { return h[i].seq < h[k].seq }
-func (h jobHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
-func (h *jobHeap) Push(x any)        { *h = append(*h, x.(*job)) }
+func (h jobHeap) Len() int { return len(h) }
+
+// Less puts those that have waited longest first, so that work which ran before
+// and was preempted goes behind work that never ran.
+func (h jobHeap) Less(i, k int) bool {
+	if !h[i].turn.Equal(h[k].turn) {
+		return h[i].turn.Before(h[k].turn)
+	}
+	return h[i].seq < h[k].seq
+}
+
+func (h jobHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *jobHeap) Push(x any)   { *h = append(*h, x.(*job)) }
 
 func (h *jobHeap) Pop() any {
 	old := *h
@@ -86,7 +96,10 @@
 }
 
 // enqueue puts a job among the waiting.
-func (c *Core) enqueue(j *job) {
+func (c *Core) enqueue(j *job) { c.enqueueSince(j, c.now) }
+
+// enqueueSince puts a job among the waiting with its wait counted from since.
+func (c *Core) enqueueSince(j *job, since time.Time) {
 	d := c.demandOf(j)
 	q, ok := c.queues[d]
 	if !ok {
@@ -99,7 +112,11 @@
 	}
 	j.state = jobWaiting
 	j.queue = q
-	j.queuedAt = c.now
+	j.queuedAt = since
+	j.turn = since
+	if c.policy.ResumeFirst {
+		j.turn = time.Time{}
+	}
 	j.round++
 	heap.Push(&q.heap, j)
 	q.live++
--- a/internal/core/placement/seen.go
+++ b/internal/core/placement/seen.go
@@ -36,17 +36,10 @@
 			continue
 		}
 		c.dropPlan(j)
-		c.enqueueAgain(j)
+		c.enqueueSince(j, j.queuedAt)
 	}
 }
 
-// enqueueAgain puts a job back among the waiting with its wait unbroken.
-func (c *Core) enqueueAgain(j *job) {
-	since := j.queuedAt
-	c.enqueue(j)
-	j.queuedAt = since
-}
-
 // workerLost ends the tasks of a worker whose leases have all lapsed.
 func (c *Core) workerLost(t timer) {
 	w, ok := c.workers[t.worker]
--- a/internal/core/placement/wait.go
+++ b/internal/core/placement/wait.go
@@ -12,13 +12,13 @@
 // armWait sets the timers that end a job's wait.
 func (c *Core) armWait(j *job) {
 	key := j.work.Key
-	until := c.now.Add(c.conf.longestWait(j.work.Account, j.work.Kind))
+	until := j.queuedAt.Add(c.conf.longestWait(j.work.Account, j.work.Kind))
 	if d := c.lastStart(j); !d.IsZero() && d.Before(until) {
 		until = d
 	}
 	c.at(until, timer{kind: timerWait, key: key, round: j.round})
 	if c.large(&j.work) {
-		c.after(c.largeBound(), timer{kind: timerLarge, key: key, round: j.round})
+		c.at(j.queuedAt.Add(c.largeBound()), timer{kind: timerLarge, key: key, round: j.round})
 	}
 }
 
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -28,6 +28,7 @@
 	all    *group
 
 	reclaim *hdrhistogram.Histogram
+	urgent  *hdrhistogram.Histogram
 	// freeTime and unservedTime are accelerator seconds, free and unable to
 	// serve the reference shape.
 	freeTime     float64
@@ -62,6 +63,7 @@
 	m := &measure{
 		trace: t, policy: policy, groups: make(map[string]*group), all: newGroup(),
 		reclaim:  hdrhistogram.New(1, histMaxMillis, histDigits),
+		urgent:   hdrhistogram.New(1, histMaxMillis, histDigits),
 		alarms:   make(map[placement.AlarmCode]int),
 		refusals: make(map[model.Reason]int),
 		failures: make(map[model.Reason]int),
@@ -97,6 +99,9 @@
 	if !l.begun && l.large(m.trace) {
 		m.largeWait = max(m.largeWait, now.Sub(l.submitted))
 	}
+	if !l.begun && l.job.Work.Class == model.ClassUrgent {
+		_ = m.urgent.RecordValue(max(1, now.Sub(l.submitted).Milliseconds()))
+	}
 	m.left(l)
 	m.asks.begun(l, len(b.Parts))
 }
@@ -130,6 +135,7 @@
 	}
 	if now.Sub(l.overdue) > d.ReclaimWithin.D() {
 		l.late = true
+
 		m.largeLate++
 	}
 }
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -9,9 +9,19 @@
 		placement.Standard(),
 		FirstCome(),
 		BestFit(),
+		resumeFirst(),
 	}
 }
 
+// resumeFirst is the standard policy as it was before preempted work went
+// behind work that never ran.
+func resumeFirst() placement.Policy {
+	p := placement.Standard()
+	p.Name = "resume-first"
+	p.ResumeFirst = true
+	return p
+}
+
 // FirstCome is first come, first served, on the first worker with room.
 func FirstCome() placement.Policy {
 	return placement.Policy{
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -24,6 +24,9 @@
 	Reclaims   int
 	ReclaimP99 time.Duration
 	ReclaimMax time.Duration
+	// UrgentP99 and UrgentMax are the waits of urgent work for its first start.
+	UrgentP99 time.Duration
+	UrgentMax time.Duration
 	// LargeWait is the longest wait of large work for its first start.
 	LargeWait time.Duration
 	// LargeLate counts large work past its bound while it would have fitted.
@@ -58,7 +61,8 @@
 		Trace: m.trace.Name, Seed: m.trace.Seed, Policy: m.policy,
 		All:      m.all.figures("all"),
 		Reclaims: int(m.reclaim.TotalCount()), ReclaimP99: quantile(m.reclaim, 99),
-		ReclaimMax: millis(m.reclaim.Max()), LargeWait: m.largeWait, LargeLate: m.largeLate,
+		ReclaimMax: millis(m.reclaim.Max()), UrgentP99: quantile(m.urgent, 99), UrgentMax: millis(m.urgent.Max()),
+		LargeWait: m.largeWait, LargeLate: m.largeLate,
 		LostHours: m.lost.Hours(), Unmet: m.asks.share(),
 		Refused: m.refusals, Failed: m.failures, Alarms: m.alarms,
 	}
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -5,6 +5,8 @@
 	"reflect"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
+
 	"coltsfootmux/internal/core/placement"
 )
 
@@ -13,13 +15,28 @@
 	if os.Getenv("COLTSFOOTMUX_EXPERIMENT") == "" {
 		t.Skip("the whole comparison is run by hand and by coltsfootmux-load")
 	}
-	var rs []Result
+	type pair struct {
+		trace  Trace
+		policy placement.Policy
+	}
+	var runs []pair
 	for _, tr := range Traces() {
 		for _, p := range Policies() {
-			rs = append(rs, Run(tr, p))
+			runs = append(runs, pair{trace: tr, policy: p})
 		}
 	}
+	rs := make([]Result, len(runs))
+	var g errgroup.Group
+	g.SetLimit(3)
+	for i, r := range runs {
+		g.Go(func() error {
+			rs[i] = Run(r.trace, r.policy)
+			return nil
+		})
+	}
+	_ = g.Wait()
 	Table(os.Stdout, rs)
+	Targets(os.Stdout, rs)
 }
 
 func TestARunIsTheSameEachTime(t *testing.T) {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -16,7 +16,7 @@
 	runs.SetOutputMirror(w)
 	runs.AppendHeader(table.Row{
 		"trace", "policy", "done", "refused", "failed", "mean", "p50", "p99", "slow mean", "slow p99",
-		"reclaims", "reclaim p99", "max", "large wait", "late", "frag", "lost h", "unmet",
+		"reclaims", "reclaim p99", "max", "urgent p99", "max", "large wait", "late", "frag", "lost h", "unmet",
 	})
 	groups := table.NewWriter()
 	groups.SetOutputMirror(w)
@@ -28,7 +28,7 @@
 			r.Trace, r.Policy, r.All.Done, counts(r.Refused), counts(r.Failed),
 			short(r.All.Mean), short(r.All.P50), short(r.All.P99),
 			number(r.All.SlowdownMean), number(r.All.SlowdownP99),
-			r.Reclaims, short(r.ReclaimP99), short(r.ReclaimMax), short(r.LargeWait), r.LargeLate,
+			r.Reclaims, short(r.ReclaimP99), short(r.ReclaimMax), short(r.UrgentP99), short(r.UrgentMax), short(r.LargeWait), r.LargeLate,
 			percent(r.Fragmentation), number(r.LostHours), percent(r.Unmet),
 		})
 		for _, g := range r.Groups {
