--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -46,6 +46,7 @@
 	if !ok {
 		return
 	}
+	cl.lost = true
 	for _, j := range c.jobsIn(cl) {
 		c.leaveCell(j, cl)
 	}
@@ -83,7 +84,7 @@
 func (c *Core) leaveCell(j *job, cl *cell) {
 	if j.state == jobReclaiming {
 		c.dropPlan(j)
-		c.enqueue(j)
+		c.enqueueSince(j, j.queuedAt)
 		return
 	}
 	kept := j.tasks[:0]
