--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -28,6 +28,10 @@
 	// Gap is the time before which a key may have run without trace. Keys that
 	// were provably made later are new. Zero when the history is whole.
 	Gap time.Time
+	// Unbroken says that nobody else can have owned the group since HoldsLapsed.
+	// Otherwise work that was not sent is sent on: an owner in between may have
+	// told its caller not_run.
+	Unbroken bool
 }
 
 // Recorded is an outcome as kept on the log.
--- a/internal/core/ledger/group.go
+++ b/internal/core/ledger/group.go
@@ -18,31 +18,23 @@
 	}
 	c.adoptFound(now, g, ev.Found)
 	for _, e := range slices.Clone(c.live) {
-		if e.group == g.id {
-			c.resume(now, g, e)
+		if e.group == g.id && e.unsent() {
+			c.resume(now, e, ev.Unbroken)
 		}
 	}
 }
 
-// resume goes on with work of an owner that lost its holds for a while. Another
-// owner may have run it in between.
-func (c *Core) resume(now time.Time, g *group, e *entry) {
-	if e.state == dispatched && e.idempotent {
-		return
-	}
-	if !e.unsent() {
-		return
-	}
-	if !e.idempotent && c.mayHaveRun(now, g, e.key) {
-		c.withdraw(e)
-		c.finish(now, e, model.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonHistoryGap})
-		return
-	}
-	if e.verdict != nil {
+// resume goes on with work that was not sent before the holds lapsed.
+func (c *Core) resume(now time.Time, e *entry, unbroken bool) {
+	switch {
+	case !unbroken:
+		c.moveWaiters(e)
+		c.leave(e)
+	case e.verdict != nil:
 		c.finish(now, e, *e.verdict)
-		return
+	default:
+		c.dispatch(now, e)
 	}
-	c.dispatch(now, e)
 }
 
 // adoptOutcome takes in an outcome that the log kept.
--- a/internal/core/ownership/action.go
+++ b/internal/core/ownership/action.go
@@ -61,6 +61,9 @@
 	// Gap, for a key group, is the time before which work may have run at a
 	// worker without trace; zero when the history is whole.
 	Gap time.Time
+	// Unbroken, for a key group, says that nobody else can have owned it since
+	// this scheduler's last Suspend.
+	Unbroken bool
 }
 
 // Scanned is what one worker knew.
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -268,7 +268,7 @@
 		}
 	}
 	if s.isGroup() {
-		g.Gap = s.gap()
+		g.Gap, g.Unbroken = s.gap(), follows
 	}
 	c.do(g)
 }
--- /dev/null
+++ b/internal/modelcheck/keysteps.go
@@ -0,0 +1,269 @@
+package modelcheck
+
+func (h *host) inTerm() bool { return h.stage >= fencing && h.stage <= owned }
+
+func (h *host) count(ok func(*guard) bool) int {
+	n := 0
+	for i := range h.guard {
+		if ok(&h.guard[i]) {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *host) fencedCount() int { return h.count(func(g *guard) bool { return g.fenced > 0 }) }
+
+func (h *host) holding() bool {
+	return h.count(func(g *guard) bool { return g.until > 0 }) >= majority
+}
+
+// mayStart is what the host's own clock allows.
+func (h *host) mayStart() bool { return h.held && h.stage == owned && h.holding() }
+
+func (k KeySpec) tick(s *KeyState, paused uint8) {
+	s.ticks++
+	for i := range s.worker {
+		if w := &s.worker[i]; w.left > 0 {
+			if w.left--; w.left == 0 {
+				w.hold = 0
+			}
+		}
+	}
+	for i := range s.host {
+		h := &s.host[i]
+		if !h.inTerm() {
+			continue
+		}
+		h.scanned = h.scanned || h.stage == scanning
+		for j := range h.guard {
+			h.guard[j].tick(k.Wait)
+		}
+		if paused&bit(uint8(i)) == 0 {
+			k.advance(s, h)
+		}
+	}
+}
+
+func (g *guard) tick(wait uint8) {
+	if g.fenced > 0 {
+		g.fenced = min(g.fenced+1, 1+wait)
+	}
+	if g.until > 0 {
+		g.until--
+	}
+}
+
+// newTerm begins a term. An unbroken earlier one is followed.
+func (k KeySpec) newTerm(h *host, epoch uint8) {
+	h.follows = 0
+	if h.stage == owned {
+		h.follows = h.epoch
+	}
+	for i := range h.guard {
+		g := &h.guard[i]
+		if h.follows == 0 {
+			*g = guard{trace: g.trace}
+		}
+		g.fenced, g.same, g.until = 0, false, 0
+		if k.Faulty.NoFence {
+			g.fenced = 1
+		}
+	}
+	h.stage, h.epoch, h.scanned, h.held = fencing, epoch, false, false
+}
+
+// lose ends the term. What was not sent is dropped, and its caller sent on.
+func (h *host) lose(beaten bool) {
+	h.beaten = h.beaten || beaten
+	h.stage, h.gained, h.held, h.follows, h.scanned = idle, false, false, 0, false
+	h.term = 0
+	if h.fate == Queued {
+		h.fate = Unheard
+	}
+	if h.fate == Sent {
+		h.fate = Asking
+	}
+	for i := range h.guard {
+		h.guard[i] = guard{trace: h.guard[i].trace}
+	}
+}
+
+func (k KeySpec) fence(s *KeyState, h *host, at uint8) {
+	w, g := &s.worker[at], &h.guard[at]
+	if !h.inTerm() || g.fenced > 0 {
+		return
+	}
+	if w.epoch > h.epoch {
+		h.lose(true)
+		return
+	}
+	g.same = h.follows != 0 && w.epoch == h.follows && g.inc == w.inc+1
+	if !g.same && !k.Faulty.ListFirst {
+		g.listed, g.seen = false, false
+	}
+	w.epoch = h.epoch
+	g.fenced, g.inc = 1, w.inc+1
+	if !k.Split && !g.listed {
+		k.list(s, h, at)
+		return
+	}
+	k.advance(s, h)
+}
+
+func (k KeySpec) list(s *KeyState, h *host, at uint8) {
+	w, g := &s.worker[at], &h.guard[at]
+	if !h.inTerm() || g.listed || (g.fenced == 0 && !k.Faulty.ListFirst) {
+		return
+	}
+	if g.fenced > 0 && !k.Faulty.NoFence && g.inc != w.inc+1 {
+		g.unfence()
+		return
+	}
+	g.listed, g.seen = true, w.ran != 0
+	if h.stage == owned {
+		g.past = g.past && w.late
+		k.adopt(s, h)
+		return
+	}
+	k.advance(s, h)
+}
+
+func (g *guard) unfence() { *g = guard{past: g.past, trace: g.trace} }
+
+// askHold sends a hold's request, which may come late.
+func (h *host) askHold(w *worker, g *guard) {
+	if g.inc == w.inc+1 {
+		w.holds |= bit(h.epoch)
+	} else {
+		w.oldHolds |= bit(h.epoch)
+	}
+}
+
+func (k KeySpec) hold(s *KeyState, h *host, at uint8) {
+	w, g := &s.worker[at], &h.guard[at]
+	if !h.inTerm() || h.stage < scanning || g.fenced == 0 {
+		return
+	}
+	if w.epoch > h.epoch {
+		h.lose(true)
+		return
+	}
+	if g.inc != w.inc+1 && !k.Faulty.NoFence {
+		g.unfence()
+		return
+	}
+	h.askHold(w, g)
+	w.epoch, w.hold, w.left = h.epoch, h.epoch, holdTicks
+	g.until = holdTicks
+	k.advance(s, h)
+}
+
+func (k KeySpec) lateHold(s *KeyState, w *worker, e uint8) {
+	msgs := w.holds
+	if k.Faulty.AnyIncarnation {
+		msgs |= w.oldHolds
+	}
+	if msgs&bit(e) == 0 || w.epoch > e {
+		return
+	}
+	s.lateHolds++
+	w.epoch, w.hold, w.left = e, e, holdTicks
+}
+
+// advance moves a term on as far as its answers and the time allow.
+func (k KeySpec) advance(s *KeyState, h *host) {
+	switch h.stage {
+	case fencing:
+		if h.fencedCount() >= majority {
+			h.stage = waiting
+			k.advance(s, h)
+		}
+	case waiting:
+		if h.count(k.safe) >= majority {
+			h.stage, h.scanned = scanning, false
+		}
+	case scanning:
+		ready := h.count(func(g *guard) bool { return k.safe(g) && g.listed && g.until > 0 })
+		listed := h.count(func(g *guard) bool { return g.listed })
+		if ready >= majority && (listed == workers || h.scanned) {
+			k.gain(s, h)
+		}
+	case owned:
+		if !h.holding() {
+			k.newTerm(h, h.epoch)
+		}
+	}
+}
+
+// safe says that no old owner can start keyed work by this witness's leave.
+func (k KeySpec) safe(g *guard) bool {
+	return g.fenced > 0 && (g.same || g.fenced > k.Wait || k.Faulty.NoWait)
+}
+
+func (k KeySpec) gain(s *KeyState, h *host) {
+	follows := h.count(func(g *guard) bool { return g.fenced > 0 && g.same }) >= majority
+	for i := range h.guard {
+		g := &h.guard[i]
+		if !follows {
+			g.past = s.made && (!g.listed || s.worker[i].late) && !k.Faulty.NoGap
+		}
+	}
+	h.stage, h.gained, h.held, h.term = owned, true, true, h.epoch
+	k.adopt(s, h)
+	if h.fate == Queued && !follows {
+		h.fate = Unheard
+	}
+}
+
+func (h *host) past() bool { return h.count(func(g *guard) bool { return g.past }) > 0 }
+
+// adopt follows the key's run where a listing showed it.
+func (k KeySpec) adopt(s *KeyState, h *host) {
+	for i := range h.guard {
+		g, w := &h.guard[i], &s.worker[i]
+		if !g.seen || g.trace || (h.fate != Unheard && h.fate != Queued) {
+			continue
+		}
+		g.trace = true
+		h.fate, h.inc = Asking, g.inc-1
+		for e := uint8(1); e <= lastEp; e++ {
+			if w.ran&bit(e) != 0 {
+				h.lease = e
+			}
+		}
+	}
+}
+
+func (k KeySpec) deliver(s *KeyState, w *worker, e uint8) {
+	msgs := w.starts
+	if k.Faulty.StartAnywhere {
+		msgs |= w.oldStarts
+	}
+	if msgs&bit(e) == 0 || (w.ran|w.barred)&bit(e) != 0 {
+		return
+	}
+	if w.epoch > e || w.hold != e {
+		return
+	}
+	s.mixed = s.mixed || w.ran>>(e+1) != 0
+	w.ran |= bit(e)
+	s.runs++
+	newer := 0
+	for i := range s.worker {
+		if s.worker[i].epoch > e {
+			newer++
+		}
+	}
+	s.overlap = s.overlap || newer >= majority
+}
+
+func (s *KeyState) restart(w *worker) {
+	s.restarts++
+	*w = worker{
+		inc:       w.inc + 1,
+		oldStarts: w.oldStarts | w.starts,
+		oldHolds:  w.oldHolds | w.holds,
+		late:      s.made,
+	}
+}
