Forget attempts of an earlier tenure when a group is regained

The model check found a key that ran told not_run: an owner sends a start that is never delivered, loses the group, another owner runs the key elsewhere, and the first, back under a fresh claim, asks only about its own start. What runs is now found by the scan alone; callers offer the rest again. Also found: a listing taken before old holds have lapsed misses work at a worker that restarts and forgets the fence, so key groups are listed after the wait. Both stay as faults that the check must find.

--- a/internal/core/ledger/entry.go
+++ b/internal/core/ledger/entry.go
@@ -47,7 +47,8 @@
 	notBefore time.Time
 	deadline  time.Time
 	traces    []*trace
-	// mayHaveRun says that an earlier attempt's fate was never settled.
+	// mayHaveRun says that an earlier attempt's fate was never settled, or lies
+	// in a gap of the group's history.
 	mayHaveRun bool
 	cancelled  bool
 	// doubt is why the attempt is asked about.
--- a/internal/core/ledger/group.go
+++ b/internal/core/ledger/group.go
@@ -13,28 +13,46 @@
 func (c *Core) groupGained(now time.Time, ev GroupGained) {
 	g := c.group(ev.Group)
 	g.owned, g.held, g.epoch, g.gap = true, true, ev.Epoch, ev.Gap
+	if !ev.Unbroken {
+		c.dropLive(g)
+	}
 	for _, o := range ev.Outcomes {
 		c.adoptOutcome(now, g, o)
 	}
 	c.adoptFound(now, g, ev.Found)
 	for _, e := range slices.Clone(c.live) {
 		if e.group == g.id && e.unsent() {
-			c.resume(now, e, ev.Unbroken)
+			c.resume(now, e)
 		}
 	}
 }
 
 // resume goes on with work that was not sent before the holds lapsed.
-func (c *Core) resume(now time.Time, e *entry, unbroken bool) {
-	switch {
-	case !unbroken:
-		c.moveWaiters(e)
-		c.leave(e)
-	case e.verdict != nil:
+func (c *Core) resume(now time.Time, e *entry) {
+	if e.verdict != nil {
 		c.finish(now, e, *e.verdict)
-	default:
-		c.dispatch(now, e)
+		return
 	}
+	c.dispatch(now, e)
+}
+
+// dropLive forgets the group's work that has not ended. Another owner may have
+// run it in between, so that traces of an earlier tenure prove nothing: what runs
+// is found again by the scan, and callers offer the rest again.
+func (c *Core) dropLive(g *group) {
+	for _, e := range c.live {
+		if e.group == g.id && e.live() {
+			c.moveWaiters(e)
+			c.drop(e)
+		}
+	}
+}
+
+func (c *Core) drop(e *entry) {
+	c.withdraw(e)
+	e.state = dropped
+	c.liveChange = true
+	delete(c.keys, e.key)
 }
 
 // adoptOutcome takes in an outcome that the log kept.
@@ -172,10 +190,7 @@
 		}
 		return
 	}
-	c.withdraw(e)
-	e.state = dropped
-	c.liveChange = true
-	delete(c.keys, e.key)
+	c.drop(e)
 }
 
 func (c *Core) withdraw(e *entry) {
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -247,6 +247,24 @@
 				t.Errorf("did %+v", b.did)
 			}
 		},
+		"a barred lease of an earlier tenure proves nothing": func(t *testing.T, b *bench) {
+			tr := b.sendOne(k, false)
+			b.step(GroupLost{})
+			f := Found{Worker: "x", Lease: "m", Started: true, Label: platform.Label{Key: k, Account: "a", Members: 1, Attempt: 1}}
+			b.step(GroupGained{Epoch: 48, Gap: start.Add(-time.Minute), Found: []Found{f}})
+			b.submit(k, 2, false)
+			b.step(Settled{Key: k, Attempt: 1, Trace: tr, Clear: true, Barred: true, Since: time.Hour})
+			b.replies(t)
+			end := &platform.Ending{State: platform.EndDone}
+			b.step(Settled{Key: k, Attempt: 1, Trace: Trace{Worker: "x", Lease: "m"}, Clear: true, Ending: end})
+			b.replies(t, "done")
+		},
+		"idempotent work whose key lies in a gap is never called not_run": func(t *testing.T, b *bench) {
+			old := keyAt(start.Add(-time.Minute), 1)
+			b.submit(old, 1, true)
+			b.step(NotRun{Key: old, Attempt: 1, Reason: model.ReasonQueueFull})
+			b.replies(t, "unknown")
+		},
 		"an offer made under another epoch of the group is sent on": func(t *testing.T, b *bench) {
 			b.step(Submitted{Waiter: 1, Epoch: 15, Work: model.Work{Key: k, Account: "a"}})
 			if len(of[Moved](b.did)) != 1 {
--- a/internal/core/ledger/submit.go
+++ b/internal/core/ledger/submit.go
@@ -83,6 +83,7 @@
 		deadline:   w.Deadline,
 		waiters:    []Waiter{s.Waiter},
 		notBefore:  now,
+		mayHaveRun: c.mayHaveRun(now, g, w.Key),
 	}
 	c.keys[e.key] = e
 	c.live = append(c.live, e)
--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -19,7 +19,7 @@
 	case waiting:
 		if s.waited(now, c.set.holdWait()) {
 			t.phase, t.began = scanning, now
-			c.holdAll(now, s)
+			c.scanAll(now, s)
 		}
 	case scanning:
 		c.renew(now, s)
@@ -27,10 +27,11 @@
 			c.gain(now, s)
 		}
 	case owned:
-		c.renew(now, s)
 		if !s.heldBy(now) {
 			c.suspend(now, s)
+			return
 		}
+		c.renew(now, s)
 	}
 }
 
@@ -68,10 +69,10 @@
 	c.restart(now, s)
 }
 
-func (c *Core) holdAll(now time.Time, s *scope) {
+func (c *Core) scanAll(now time.Time, s *scope) {
 	for _, g := range s.term.guards {
 		if g.fenced {
-			c.hold(now, s, g)
+			c.contact(now, s, g)
 		}
 	}
 }
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -138,10 +138,20 @@
 	if !same || !s.term.own {
 		g.listed, g.told = false, false
 	}
+	c.contact(now, s, g)
+}
+
+// contact goes on with a fenced worker. Those of a key group are listed and held
+// only after the wait: before, a worker that restarts forgets the fence, and the
+// old owner could start keyed work there behind the listing.
+func (c *Core) contact(now time.Time, s *scope, g *guard) {
+	if s.isGroup() && s.term.phase < scanning {
+		return
+	}
 	if !g.listed {
 		c.list(now, s, g)
 	}
-	if s.isGroup() && s.term.phase != fencing && s.term.phase != waiting {
+	if s.isGroup() {
 		c.hold(now, s, g)
 	}
 }
@@ -208,14 +218,12 @@
 	if s.term == nil {
 		return
 	}
-	c.retry(now, s)
 	if s.isGroup() {
 		c.advanceGroup(now, s)
-		return
-	}
-	if s.term.phase != owned && s.scanned(now, c.set.AnswerWithin) && s.anyListed() {
+	} else if s.term.phase != owned && s.scanned(now, c.set.AnswerWithin) && s.anyListed() {
 		c.gain(now, s)
 	}
+	c.retry(now, s)
 }
 
 // retry asks the workers again that did not answer.
@@ -226,7 +234,7 @@
 		}
 		if !g.fenced {
 			c.fence(now, s, g)
-		} else if !g.listed {
+		} else if !g.listed && (!s.isGroup() || s.term.phase >= scanning) {
 			c.list(now, s, g)
 		}
 	}
--- a/internal/modelcheck/keyledger.go
+++ b/internal/modelcheck/keyledger.go
@@ -67,7 +67,7 @@
 	}
 	if w.epoch > h.epoch {
 		if a.Verb == Ask {
-			h.lose(true)
+			h.lose(s, true)
 		}
 		return
 	}
@@ -84,6 +84,8 @@
 		k.end(s, a.Host, Unknown)
 	case h.mayStart():
 		k.end(s, a.Host, NotRun)
+	default:
+		h.fate = Proven
 	}
 }
 
@@ -142,6 +144,6 @@
 		return
 	}
 	if h.inTerm() {
-		h.lose(false)
+		h.lose(s, false)
 	}
 }
--- a/internal/modelcheck/keyspec.go
+++ b/internal/modelcheck/keyspec.go
@@ -6,12 +6,17 @@
 	NoFence bool
 	// ListFirst lets a new owner list a worker before it fences it.
 	ListFirst bool
+	// ListEarly lets a new owner list a worker before old holds have lapsed.
+	ListEarly bool
 	// NoWait lets a new owner go on without waiting for old holds to lapse.
 	NoWait bool
 	// AnyIncarnation lets a hold asked of one incarnation be given by the next.
 	AnyIncarnation bool
 	// StartAnywhere lets a start sent to one incarnation be taken by the next.
 	StartAnywhere bool
+	// KeepTraces lets an owner that comes back go by the attempts of its earlier
+	// tenure.
+	KeepTraces bool
 	// TrustBar takes a bar from a restarted worker as proof.
 	TrustBar bool
 	// AnyEpoch lets an owner take an offer made under an earlier epoch of its own.
@@ -36,7 +41,7 @@
 	Pauses bool
 	// Losses lets answers of workers be lost, besides their requests.
 	Losses bool
-	// Split lists a worker in a step of its own, after its fence.
+	// Split lists a worker in a step of its own, before its first hold.
 	Split bool
 	// Cold begins before the first owner has gained the group.
 	Cold   bool
@@ -118,9 +123,12 @@
 		try(Action{Verb: CrashHost, Host: h})
 	}
 	for w := range uint8(workers) {
-		for _, v := range []Verb{Begin, Fence, List, Hold, Ask} {
+		for _, v := range []Verb{Begin, Fence, Hold, Ask} {
 			try(Action{Verb: v, Host: h, Worker: w})
 		}
+		if k.Split || k.Faulty.ListFirst || k.Faulty.ListEarly {
+			try(Action{Verb: List, Host: h, Worker: w})
+		}
 		if !k.Losses {
 			continue
 		}
@@ -181,6 +189,7 @@
 		if h.stage == scanning && !h.scanned {
 			h.scanned = true
 			k.advance(&s, h)
+			k.sayProven(&s, a.Host)
 		}
 	case Append, Land, Read:
 		k.claim(&s, a)
--- a/internal/modelcheck/keyspec_test.go
+++ b/internal/modelcheck/keyspec_test.go
@@ -13,7 +13,11 @@
 
 func TestTryKeySpec(t *testing.T) {
 	for _, k := range []KeySpec{
+		{Wait: 1, Ticks: 2},
 		{Wait: 1, Ticks: 1, Restarts: 1},
+		{Wait: 1, Ticks: 1, Restarts: 1, Crashes: 1},
+		{Wait: 1, Ticks: 2, Claims: true, Faulty: Faulty{KeepTraces: true}},
+		{Wait: 1, Ticks: 1, Restarts: 1, Faulty: Faulty{ListEarly: true}},
 		{Wait: 1, Ticks: 2, Claims: true},
 		{Wait: 1, Ticks: 2, Restarts: 1},
 		{Wait: 1, Ticks: 3, Claims: true, Faulty: Faulty{AnyEpoch: true}},
--- a/internal/modelcheck/keystate.go
+++ b/internal/modelcheck/keystate.go
@@ -34,6 +34,8 @@
 	Queued
 	Sent
 	Asking
+	// Proven is a proof that it did not run, not told while holds are lapsed.
+	Proven
 	Done
 	NotRun
 	Unknown
@@ -56,6 +58,8 @@
 	past bool
 	// trace says that the host's attempt at the key went here.
 	trace bool
+	// late says that the listing reached back to a restart after the key was made.
+	late bool
 	// seen says that the key's run was listed here.
 	seen bool
 }
@@ -167,7 +171,7 @@
 }
 
 func (g *guard) append(b []byte) []byte {
-	flags := b2u(g.listed) | b2u(g.same)<<1 | b2u(g.past)<<2 | b2u(g.trace)<<3 | b2u(g.seen)<<4
+	flags := b2u(g.listed) | b2u(g.same)<<1 | b2u(g.past)<<2 | b2u(g.trace)<<3 | b2u(g.seen)<<4 | b2u(g.late)<<5
 	return append(b, g.fenced|g.inc<<4, flags|g.until<<6)
 }
 
@@ -216,5 +220,5 @@
 func (g *guard) pack() uint16 {
 	return uint16(g.fenced) | uint16(g.inc)<<3 | uint16(g.until)<<5 |
 		uint16(b2u(g.listed))<<7 | uint16(b2u(g.same))<<8 | uint16(b2u(g.past))<<9 |
-		uint16(b2u(g.trace))<<10 | uint16(b2u(g.seen))<<11
+		uint16(b2u(g.trace))<<10 | uint16(b2u(g.seen))<<11 | uint16(b2u(g.late))<<12
 }
--- a/internal/modelcheck/keysteps.go
+++ b/internal/modelcheck/keysteps.go
@@ -41,6 +41,7 @@
 		}
 		if paused&bit(uint8(i)) == 0 {
 			k.advance(s, h)
+			k.sayProven(s, uint8(i))
 		}
 	}
 }
@@ -63,7 +64,7 @@
 	for i := range h.guard {
 		g := &h.guard[i]
 		if h.follows == 0 {
-			*g = guard{trace: g.trace}
+			*g = guard{trace: g.trace, past: g.past}
 		}
 		g.fenced, g.same, g.until = 0, false, 0
 		if k.Faulty.NoFence {
@@ -74,12 +75,13 @@
 }
 
 // lose ends the term. What was not sent is dropped, and its caller sent on.
-func (h *host) lose(beaten bool) {
+func (h *host) lose(s *KeyState, beaten bool) {
 	h.beaten = h.beaten || beaten
+	s.sendOn(h)
 	h.stage, h.gained, h.held, h.follows, h.scanned = idle, false, false, 0, false
 	h.term = 0
-	if h.fate == Queued {
-		h.fate = Unheard
+	if h.fate == Queued || h.fate == Proven {
+		h.drop(s)
 	}
 	if h.fate == Sent {
 		h.fate = Asking
@@ -95,38 +97,45 @@
 		return
 	}
 	if w.epoch > h.epoch {
-		h.lose(true)
+		h.lose(s, true)
 		return
 	}
 	g.same = h.follows != 0 && w.epoch == h.follows && g.inc == w.inc+1
 	if !g.same && !k.Faulty.ListFirst {
-		g.listed, g.seen = false, false
+		g.listed, g.seen, g.late = false, false, false
 	}
 	w.epoch = h.epoch
 	g.fenced, g.inc = 1, w.inc+1
-	if !k.Split && !g.listed {
-		k.list(s, h, at)
-		return
-	}
 	k.advance(s, h)
 }
 
+// listing says that the host may list a worker now: once it has waited.
+func (k KeySpec) listing(h *host, g *guard) bool {
+	if k.Faulty.ListFirst {
+		return h.inTerm()
+	}
+	return g.fenced > 0 && (h.stage >= scanning || k.Faulty.ListEarly && h.inTerm())
+}
+
 func (k KeySpec) list(s *KeyState, h *host, at uint8) {
 	w, g := &s.worker[at], &h.guard[at]
-	if !h.inTerm() || g.listed || (g.fenced == 0 && !k.Faulty.ListFirst) {
+	if g.listed || !h.inTerm() || !k.listing(h, g) {
 		return
 	}
 	if g.fenced > 0 && !k.Faulty.NoFence && g.inc != w.inc+1 {
 		g.unfence()
 		return
 	}
-	g.listed, g.seen = true, w.ran != 0
+	g.listed, g.seen, g.late = true, w.ran != 0, w.late
+	k.listed(s, h, g, w)
+	k.advance(s, h)
+}
+
+func (k KeySpec) listed(s *KeyState, h *host, g *guard, w *worker) {
 	if h.stage == owned {
 		g.past = g.past && w.late
 		k.adopt(s, h)
-		return
 	}
-	k.advance(s, h)
 }
 
 func (g *guard) unfence() { *g = guard{past: g.past, trace: g.trace} }
@@ -146,13 +155,17 @@
 		return
 	}
 	if w.epoch > h.epoch {
-		h.lose(true)
+		h.lose(s, true)
 		return
 	}
 	if g.inc != w.inc+1 && !k.Faulty.NoFence {
 		g.unfence()
 		return
 	}
+	if !k.Split && !g.listed {
+		g.listed, g.seen, g.late = true, w.ran != 0, w.late
+		k.listed(s, h, g, w)
+	}
 	h.askHold(w, g)
 	w.epoch, w.hold, w.left = h.epoch, h.epoch, holdTicks
 	g.until = holdTicks
@@ -201,18 +214,52 @@
 	return g.fenced > 0 && (g.same || g.fenced > k.Wait || k.Faulty.NoWait)
 }
 
+func (s *KeyState) index(h *host) uint8 {
+	if h == &s.host[0] {
+		return 0
+	}
+	return 1
+}
+
 func (k KeySpec) gain(s *KeyState, h *host) {
 	follows := h.count(func(g *guard) bool { return g.fenced > 0 && g.same }) >= majority
 	for i := range h.guard {
 		g := &h.guard[i]
 		if !follows {
-			g.past = s.made && (!g.listed || s.worker[i].late) && !k.Faulty.NoGap
+			g.past = s.made && (!g.listed || g.late) && !k.Faulty.NoGap
 		}
 	}
 	h.stage, h.gained, h.held, h.term = owned, true, true, h.epoch
+	at := s.index(h)
+	if !follows && !h.fate.final() && !k.Faulty.KeepTraces {
+		h.drop(s)
+	}
 	k.adopt(s, h)
-	if h.fate == Queued && !follows {
-		h.fate = Unheard
+	if h.fate == Proven {
+		k.end(s, at, NotRun)
+	}
+}
+
+// sendOn makes the caller stop listening to a host.
+func (s *KeyState) sendOn(h *host) {
+	if s.target == s.index(h)+1 {
+		s.target = 0
+	}
+}
+
+// drop forgets the key, of which nothing runs, and sends its caller on.
+func (h *host) drop(s *KeyState) {
+	s.sendOn(h)
+	h.fate, h.lease, h.inc = Unheard, 0, 0
+	for i := range h.guard {
+		h.guard[i].trace = false
+	}
+}
+
+// sayProven tells a proof that had to wait for the holds.
+func (k KeySpec) sayProven(s *KeyState, at uint8) {
+	if h := &s.host[at]; h.fate == Proven && h.mayStart() {
+		k.end(s, at, NotRun)
 	}
 }
 
