Tell the ledger when a regained key group was never another's

Found by the case of the owner's death: six of thirty non-idempotent keys ran twice. Cause: a host that takes a group over under a pre-issued epoch raises it with a claim of its own about 60 ms later. That gain is unbroken and keeps the listings of the first; the shell did not pass the mark on, so that the ledger forgot what it had started in between, and callers' repeats ran it again. Ruled out: the workers' fence, the hold wait, late answers of the dead owner. Such a gain also no longer reads the group's history again.

--- a/internal/scheduler/gain.go
+++ b/internal/scheduler/gain.go
@@ -56,10 +56,18 @@
 	return out
 }
 
-// gainGroup keeps what the workers told and has the log's part read.
+// gainGroup keeps what the workers told and has the log's part read. A group that
+// was ours all the while needs no reading.
 func (l *loop) gainGroup(a ownership.Gain) {
 	g := groupOf(a.Target.Scope)
-	l.groups[g] = &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap}
+	old, had := l.groups[g]
+	og := &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap}
+	l.groups[g] = og
+	if a.Unbroken && had && old.ready {
+		og.ready = true
+		l.stepLedger(ledger.GroupGained{Group: g, Epoch: a.Epoch, Found: og.found, Gap: a.Gap, Unbroken: true})
+		return
+	}
 	go l.s.readHistory(l.ctx, g, a.Epoch)
 }
 
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -116,7 +118,7 @@
 	timing.SuspectAfter = 500 * time.Millisecond
 	s, err := scheduler.New(scheduler.Options{
 		Self: m.host, Log: m.log, RawLog: r.log.Client("home"), Hosts: r.hosts, Workers: r.workers,
-		Configs: fixed{r.conf}, Pool: m.pool, Server: m.links, Timing: timing,
+		Configs: fixed{r.conf}, Pool: m.pool, Server: m.links, Timing: timing, Logger: r.logger(id),
 	})
 	if err != nil {
 		r.t.Fatal(err)
@@ -133,6 +135,14 @@
 	return m
 }
 
+// logger writes to standard error when the tests are verbose.
+func (r *rig) logger(id model.HostID) *slog.Logger {
+	if !testing.Verbose() {
+		return nil
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("on", id)
+}
+
 // kill ends a scheduler without any hand-over.
 func (m *member) kill() {
 	m.stop()
@@ -221,3 +231,16 @@
 	}
 	return n
 }
+
+// story tells where and when a key ran, for failures.
+func (r *rig) story(k model.Key) string {
+	var b strings.Builder
+	for _, w := range r.workers {
+		for _, run := range w.Runs() {
+			if run.Key == k {
+				fmt.Fprintf(&b, "\n  %s lease %s from %s, %s", run.Worker, run.Lease, run.Start.Format(time.StampMicro), run.State)
+			}
+		}
+	}
+	return b.String()
+}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -75,7 +75,7 @@
 	wg.Wait()
 	for _, w := range works {
 		if n := r.runs(w.Key); n > 1 && !w.Idempotent {
-			t.Errorf("%s ran %d times", w.Key, n)
+			t.Errorf("%s ran %d times:%s", w.Key, n, r.story(w.Key))
 		}
 	}
 }
