--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -28,6 +28,10 @@
 	// Gap is the time before which a key may have run without trace. Keys that
 	// were provably made later are new. Zero when the history is whole.
 	Gap time.Time
+	// Unbroken says that nobody else can have owned the group since HoldsLapsed.
+	// Otherwise work that was not sent is sent on: an owner in between may have
+	// told its caller not_run.
+	Unbroken bool
 }
 
 // Recorded is an outcome as kept on the log.
@@ -69,6 +73,10 @@
 	Work   model.Work
 	Sum    uint64
 	Waiter Waiter
+	// Epoch is the group's epoch that the offer was made under; 0 when not told.
+	// One made under another epoch is sent on: its caller may have been told
+	// not_run by an owner in between.
+	Epoch model.Epoch
 }
 
 // WaiterGone says that a caller's connection is closed.
--- a/internal/core/ledger/submit.go
+++ b/internal/core/ledger/submit.go
@@ -15,7 +15,7 @@
 		return
 	}
 	g := c.group(c.routes.Group(s.Work.Key))
-	if !g.owned {
+	if !g.owned || (s.Epoch != 0 && s.Epoch != g.epoch) {
 		c.do(Moved{s.Waiter})
 		return
 	}
@@ -83,6 +83,7 @@
 		deadline:   w.Deadline,
 		waiters:    []Waiter{s.Waiter},
 		notBefore:  now,
+		mayHaveRun: c.mayHaveRun(now, g, w.Key),
 	}
 	c.keys[e.key] = e
 	c.live = append(c.live, e)
@@ -121,7 +122,7 @@
 // dispatch hands waiting work to placement once its group's holds allow it.
 func (c *Core) dispatch(now time.Time, e *entry) {
 	g := c.group(e.group)
-	if e.state != waiting || !g.held || !e.hasWork || e.verdict != nil || now.Before(e.notBefore) {
+	if e.state != waiting || !c.held(now, g) || !e.hasWork || e.verdict != nil || now.Before(e.notBefore) {
 		return
 	}
 	if !e.deadline.IsZero() && !now.Before(e.deadline) {
--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -41,7 +41,7 @@
 		w.planned = append(w.planned, j)
 	}
 	for _, v := range victims {
-		c.evict(v)
+		c.evict(v, c.checkpointBound(j))
 	}
 	c.after(c.conf.def.ReclaimWithin.D(), timer{kind: timerReclaim, key: j.work.Key, round: j.round})
 }
@@ -61,9 +61,14 @@
 	}
 	j.live = len(j.tasks)
 	c.running++
-	c.emit(Begin{
+	b := Begin{
 		Work: j.work, Group: j.group, GroupEpoch: j.epoch, Attempt: j.attempt, Parts: parts,
-	})
+	}
+	if !j.asked.IsZero() {
+		b.Reclaimed = c.now.Sub(j.asked)
+	}
+	j.asked = time.Time{}
+	c.emit(b)
 }
 
 // roomCame begins the planned jobs of a worker whose victims have all left.
@@ -78,9 +83,13 @@
 	}
 }
 
+// ready reports whether all victims have left the workers chosen for j.
 func (c *Core) ready(j *job) bool {
+	if j.state != jobReclaiming {
+		return false
+	}
 	for _, t := range j.tasks {
-		if t.worker.free.Negative() {
+		if t.worker.free.Negative() || t.worker.down || t.worker.cell.lost {
 			return false
 		}
 	}
@@ -97,6 +106,7 @@
 func (c *Core) dropPlan(j *job) {
 	c.unplan(j)
 	c.waiting--
+	j.asked = time.Time{}
 	c.dropTasks(j)
 }
 
@@ -140,14 +150,9 @@
 	case j.failed:
 		c.stop(j, j.stopReason)
 	case j.evicted:
-		c.evict(j)
+		c.evict(j, c.conf.def.CheckpointWithin.D())
 	}
-	switch {
-	case j.live > 0:
-	case j.moved:
-		c.running--
-		c.forget(j)
-	default:
+	if j.live == 0 {
 		c.finish(j)
 	}
 }
--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -33,6 +33,8 @@
 	state    jobState
 	queue    *queue
 	queuedAt time.Time
+	// turn orders it among the waiting jobs of its queue.
+	turn time.Time
 	// round tells this wait of the job from earlier ones.
 	round int
 
@@ -57,6 +59,8 @@
 	ran bool
 	// adopted work was found running; its body is not at hand.
 	adopted bool
+	// found counts the members found when it was adopted; 0 for work that began here.
+	found int
 	// moved says that some of its members run in a cell that was lost.
 	moved  bool
 	badOn  []model.WorkerID
@@ -82,3 +86,8 @@
 	firm   bool
 	over   overuse
 }
+
+// elsewhere reports whether members of the job may run in cells of others.
+func (j *job) elsewhere() bool {
+	return j.moved || (j.found > 0 && j.found < j.work.Members)
+}
