Answer an append with the offset that readers go by

When an append was given up on and sent again, the first try may arrive late and land before the second. Append then gave the offset of the second, but readers drop that one as a repeat and go by the first; for a claim the two would have disagreed about its epoch. The property test got late arrivals and failed within 100 sequences; a record that was sent more than once is now looked up in the tail, and its first place counts.

--- a/internal/core/journal/answers.go
+++ b/internal/core/journal/answers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
 )
 
 // located takes in where a stream's head is. After an offset expired, the tail
@@ -33,6 +34,11 @@
 	q.phase = idle
 	switch ev.Failure {
 	case FailNone:
+		if anySent(q.flight) {
+			// An earlier append of these records may have arrived late and come first.
+			q.check = true
+			return
+		}
 		w.recorded(q, ev.First)
 	case FailUnclear:
 		// The tail is read at once: a lost answer costs no backoff.
@@ -52,6 +58,15 @@
 	}
 }
 
+func anySent(items []*item) bool {
+	for _, it := range items {
+		if it.sent {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *Writer) recorded(q *queue, first model.Offset) {
 	for i, it := range q.flight {
 		w.answer(it, Answer{Result: Recorded, Offset: first + model.Offset(i)})
@@ -97,11 +112,8 @@
 }
 
 func (w *Writer) found(q *queue, ev TailRead) {
-	at := make(map[string]model.Offset, len(ev.Entries))
-	for _, e := range ev.Entries {
-		at[e.Record.ID] = e.Offset
-		q.next = e.Offset + 1
-	}
+	at := firstPlaces(ev.Entries)
+	q.next = ev.Entries[len(ev.Entries)-1].Offset + 1
 	var missing []*item
 	for _, it := range q.flight {
 		offset, ok := at[it.record.ID]
@@ -117,3 +129,15 @@
 		q.failures = 0
 	}
 }
+
+// firstPlaces gives the offset of each record where it comes first, which is
+// the one that readers go by.
+func firstPlaces(es []platform.Entry) map[string]model.Offset {
+	at := make(map[string]model.Offset, len(es))
+	for _, e := range es {
+		if _, ok := at[e.Record.ID]; !ok {
+			at[e.Record.ID] = e.Offset
+		}
+	}
+	return at
+}
--- a/internal/core/journal/property_test.go
+++ b/internal/core/journal/property_test.go
@@ -23,6 +23,8 @@
 	open    map[platform.Stream]journal.Action
 	appends []time.Time
 	told    map[journal.Ticket]journal.Answer
+	// late holds appends that were given up on and have not arrived yet.
+	late    [][]platform.Record
 	tickets journal.Ticket
 }
 
@@ -41,8 +43,9 @@
 		m.t.Fatalf("ticket %d answered twice", a.Ticket)
 	}
 	m.told[a.Ticket] = a
-	if a.Result == journal.Recorded && m.at[fmt.Sprint(a.Ticket)] == 0 {
-		m.t.Fatalf("ticket %d said to be recorded, but it is not", a.Ticket)
+	place := m.at[fmt.Sprint(a.Ticket)]
+	if a.Result == journal.Recorded && (place == 0 || place != a.Offset) {
+		m.t.Fatalf("ticket %d said to be recorded at %d, but readers have it at %d", a.Ticket, a.Offset, place)
 	}
 	if a.Result == journal.NotRecorded && m.at[fmt.Sprint(a.Ticket)] != 0 {
 		m.t.Fatalf("ticket %d said not to be recorded, but it is", a.Ticket)
@@ -100,6 +103,8 @@
 		var first model.Offset
 		if done {
 			first = m.write(a.Records)
+		} else if f == journal.FailUnclear {
+			m.late = append(m.late, a.Records)
 		}
 		m.step(journal.Appended{Stream: stream, First: first, Failure: f, Jitter: jitter})
 	case journal.ReadTail:
@@ -151,6 +156,12 @@
 				m.step(journal.Withdrawn{Ticket: journal.Ticket(rapid.IntRange(1, 20).Draw(t, "ticket"))})
 			},
 			"answer": m.answer,
+			"arrive": func(*rapid.T) {
+				if len(m.late) > 0 {
+					m.write(m.late[0])
+					m.late = m.late[1:]
+				}
+			},
 			"pass": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 				m.step(journal.Tick{})
