--- /dev/null
+++ b/internal/entry/badinput_test.go
@@ -0,0 +1,155 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/entry"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/node"
+)
+
+// listen serves a system on the listener that the program uses.
+func listen(t *testing.T, s *system) string {
+	t.Helper()
+	ln, err := node.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- ln.Serve(s.Handler()) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		<-served
+	})
+	return ln.Addr()
+}
+
+// send writes raw bytes, ends the sending side when told to, and gives the
+// status of the answer; 0 when the connection was closed without one.
+func send(t *testing.T, addr, raw string, closeWrite bool) int {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	_, _ = io.WriteString(c, raw) // the other side may close early
+	if closeWrite {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestListenerSurvivesBadInput(t *testing.T) {
+	f := newScheduler(t)
+	s := newSystem(t, nil, document(), f)
+	addr := listen(t, s)
+	post := func(length int, body string) string {
+		return fmt.Sprintf("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", length, body)
+	}
+	for name, c := range map[string]struct {
+		raw    string
+		close  bool
+		status []int
+	}{
+		"nothing":                  {"", true, []int{0, 400}},
+		"bytes that are no HTTP":   {"\x16\x03\x01\x00\xff\xff\r\n\r\n", true, []int{400}},
+		"a cut header":             {"POST /v1/requests HTTP/1.1\r\nHost: x\r\nConte", true, []int{0, 400}},
+		"a header without an end":  {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20), false, []int{0, 431}},
+		"a cut body":               {post(100, `{"key":`), true, []int{400}},
+		"a body that never comes":  {post(100, `{"key":`), false, []int{408}},
+		"a body announced as huge": {post(1<<40, `{"key":`), false, []int{413, 408}},
+		"a negative length":        {post(-1, ""), false, []int{400}},
+		"a wrong chunk size":       {"POST /v1/requests HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, []int{400}},
+		"two lengths":              {"POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", false, []int{400}},
+		"an upgrade to a link":     {"GET /link HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n", false, []int{404}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := send(t, addr, c.raw, c.close)
+			for _, want := range c.status {
+				if got == want {
+					return
+				}
+			}
+			t.Errorf("status %d, want one of %v", got, c.status)
+		})
+	}
+	if n := len(f.taken()); n != 0 {
+		t.Errorf("%d bad requests reached a scheduler", n)
+	}
+	if got := s.do(t, "POST", "/v1/requests", `{"key":"k","account":"farms","kind":"x"}`); got.status != http.StatusOK {
+		t.Errorf("a good request after all that: %d %s", got.status, got.body)
+	}
+	for end := time.Now().Add(patience); s.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests still held", s.Open())
+		}
+	}
+}
+
+func TestBodiesHeldAtOnceAreBounded(t *testing.T) {
+	f := newScheduler(t)
+	doc := document()
+	s := start(t, entry.Options{HeldBytes: 3 << 20, BodyTimeout: patience}, doc, link.PoolOptions{}, f.addr)
+	addr := listen(t, s)
+	const length = 1 << 20
+	head := fmt.Sprintf("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n{", length)
+	var conns []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, head); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	for end := time.Now().Add(patience); s.Open() < len(conns); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests open", s.Open())
+		}
+	}
+	if got := send(t, addr, head, false); got != http.StatusServiceUnavailable {
+		t.Fatalf("a fourth large body: status %d", got)
+	}
+}
+
+func TestRequestsHeldAtOnceAreBounded(t *testing.T) {
+	f := newScheduler(t)
+	s := start(t, entry.Options{OpenRequests: 2, BodyTimeout: patience}, document(), link.PoolOptions{}, f.addr)
+	addr := listen(t, s)
+	for range 2 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for end := time.Now().Add(patience); s.Open() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests open", s.Open())
+		}
+	}
+	got := s.do(t, "POST", "/v1/requests", `{"key":"k","account":"farms","kind":"x"}`)
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+}
--- a/internal/entry/setup_test.go
+++ b/internal/entry/setup_test.go
@@ -168,15 +168,28 @@
 
 func newSystem(t *testing.T, a auth.Authenticator, doc config.Document, scheds ...*scheduler) *system {
 	t.Helper()
-	hosts := &hostList{}
+	var addrs []string
 	for _, s := range scheds {
-		hosts.set(append(addrs(hosts), s.addr)...)
+		addrs = append(addrs, s.addr)
 	}
-	pool := link.NewPool(link.PoolOptions{Seed: 1})
-	srv, err := entry.New(entry.Options{
-		Pool: pool, Configs: fixed{&config.Versioned{Version: 1, Document: doc}}, Hosts: hosts, Auth: a,
-		HostsEvery: 10 * time.Millisecond, BodyTimeout: 200 * time.Millisecond, Seed: 1,
-	})
+	return start(t, entry.Options{Auth: a}, doc, link.PoolOptions{}, addrs...)
+}
+
+func newSystemWithLimits(t *testing.T, doc config.Document, o link.PoolOptions, addrs ...string) *system {
+	t.Helper()
+	return start(t, entry.Options{}, doc, o, addrs...)
+}
+
+// start brings an entry host up that finds schedulers at the addresses.
+func start(t *testing.T, o entry.Options, doc config.Document, po link.PoolOptions, addrs ...string) *system {
+	t.Helper()
+	hosts := &hostList{}
+	hosts.set(addrs...)
+	po.Seed = 1
+	pool := link.NewPool(po)
+	o.Pool, o.Hosts, o.Configs = pool, hosts, fixed{&config.Versioned{Version: 1, Document: doc}}
+	o.HostsEvery, o.BodyTimeout, o.Seed = 10*time.Millisecond, 200*time.Millisecond, 1
+	srv, err := entry.New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -198,14 +211,6 @@
 	return sys
 }
 
-func addrs(h *hostList) []string {
-	var out []string
-	for _, x := range h.hosts {
-		out = append(out, x.Addr)
-	}
-	return out
-}
-
 func (s *system) awaitReady(t *testing.T) {
 	t.Helper()
 	for end := time.Now().Add(patience); !s.Ready(); time.Sleep(time.Millisecond) {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -101,6 +101,11 @@
 func (s *Server) answer(w http.ResponseWriter, work *model.Work, res *model.Result) {
 	res.Key = work.Key
 	switch {
+	case work.Detached && res.Reason == model.ReasonNotRecorded:
+		p := unavailable(res.Reason, "The job is not recorded yet and not promised; send it again under the same key.")
+		p.Key, p.Outcome = string(work.Key), ""
+		p.RetryAfter = max(res.RetryAfter, usualRetryAfter)
+		p.Write(w)
 	case res.Outcome == model.OutcomeUnknown:
 		evUnknown.Log(context.Background(), s.opts.Logger, keyAttr(work.Key), reasonAttr(res.Reason))
 		resultProblem(res).Write(w)
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -63,11 +63,13 @@
 func TestJobThatIsNotRecordedIsNotPromised(t *testing.T) {
 	f := newScheduler(t)
 	f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
-		return wire.SubmitReply{Result: model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonNotRecorded}}, nil
+		return wire.SubmitReply{Result: model.Result{
+			Outcome: model.OutcomeUnknown, Reason: model.ReasonNotRecorded, RetryAfter: 3 * time.Second,
+		}}, nil
 	}
 	s := newSystem(t, nil, document(), f)
 	got := s.do(t, "POST", "/v1/jobs", `{"key":"j1","account":"farms","kind":"sweep"}`)
-	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"code":"not_accepted_yet"`) || got.header.Get("Retry-After") == "" {
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"code":"not_accepted_yet"`) || got.header.Get("Retry-After") != "3" {
 		t.Fatalf("got %d %s", got.status, got.body)
 	}
 }
