Survive malformed YAML in the tokens file

Cause: FuzzTokens found 'tokens:\n !', on which the YAML library dereferences nil; a running program that read such a file again would have ended. Ruled out: another YAML library, as the set is fixed; the configuration's parser uses the same one and is its owner's to guard.

--- a/internal/auth/entry.go
+++ b/internal/auth/entry.go
@@ -27,9 +27,9 @@
 
 // parse reads the file's content. Unknown fields are refused.
 func parse(b []byte) ([]Entry, error) {
-	var f file
-	if err := yaml.UnmarshalWithOptions(b, &f, yaml.Strict()); err != nil {
-		return nil, eris.Wrap(ErrTokens, yaml.FormatError(err, false, false))
+	f, err := decode(b)
+	if err != nil {
+		return nil, err
 	}
 	if len(f.Tokens) == 0 {
 		return nil, eris.Wrap(ErrTokens, "no tokens listed")
@@ -42,6 +42,20 @@
 	return f.Tokens, unique(f.Tokens)
 }
 
+// decode reads YAML. The library panics on some malformed documents, which must
+// not end a program that reads its file again.
+func decode(b []byte) (f file, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = eris.Wrapf(ErrTokens, "malformed YAML: %v", p)
+		}
+	}()
+	if err := yaml.UnmarshalWithOptions(b, &f, yaml.Strict()); err != nil {
+		return f, eris.Wrap(ErrTokens, yaml.FormatError(err, false, false))
+	}
+	return f, nil
+}
+
 func (e *Entry) fault() string {
 	switch {
 	case e.Name == "":
