Prove the link: silence, harmful frames, bad input, bounds

Rapid drives both cores over a network that is sound, and over one that doubles, loses, delays, crosses, cuts and changes frames: each call ends once, with its own whole answer or an error that is true of what ran. On sockets a forwarder that swallows bytes shows that a silent connection is condemned and replaced.

--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/link/linktest"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/wire"
 )
@@ -216,13 +218,14 @@
 }
 
 func TestLinkThatGoesSilentIsReplaced(t *testing.T) {
+	limits := core.Limits{BeatEvery: 50 * time.Millisecond, SilentAfter: 300 * time.Millisecond}
 	f := newScheduler(t)
-	wall := newSwallower(t, f.addr)
-	s := newSystemWithLimits(t, document(), link.PoolOptions{Limits: fastLimits()}, wall.addr)
+	wall := linktest.NewSwallower(t, f.addr)
+	s := newSystemWithLimits(t, document(), link.PoolOptions{Limits: limits}, wall.Addr)
 	if got := s.do(t, "POST", "/v1/requests", `{"key":"a","account":"farms","kind":"x"}`); got.status != http.StatusOK {
 		t.Fatalf("before: %d %s", got.status, got.body)
 	}
-	wall.swallow()
+	wall.Swallow()
 	if got := s.do(t, "POST", "/v1/requests", `{"key":"b","account":"farms","kind":"x","timeout":"9s"}`); got.status != http.StatusOK {
 		t.Fatalf("after the old connection went silent: %d %s", got.status, got.body)
 	}
--- /dev/null
+++ b/internal/link/core/bucket_test.go
@@ -0,0 +1,59 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coltsfootmux/internal/link/core"
+)
+
+func TestBucketHoldsItsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, chunk = 100_000, 5_000
+		b := core.NewBucket(rate)
+		now, taken := begin, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			lane := rapid.SampledFrom([]core.Lane{core.LaneNormal, core.LaneLow}).Draw(t, "lane")
+			n := rapid.IntRange(1, chunk).Draw(t, "bytes")
+			wait := b.Take(now, lane, n)
+			if wait == 0 {
+				taken += n
+				continue
+			}
+			now = now.Add(wait)
+		}
+		if most := rate + int(rate*now.Sub(begin).Seconds()) + chunk; taken > most {
+			t.Fatalf("%d bytes in %v, want at most %d", taken, now.Sub(begin), most)
+		}
+	})
+}
+
+func TestSummariesWaitFirstAndControlNever(t *testing.T) {
+	b := core.NewBucket(1000)
+	b.Take(begin, core.LaneNormal, 600)
+	if b.Take(begin, core.LaneLow, 1) == 0 {
+		t.Error("a summary went out although half of the budget is used")
+	}
+	if b.Take(begin, core.LaneNormal, 500) != 0 {
+		t.Error("a call waited although budget is left")
+	}
+	if b.Take(begin, core.LaneNormal, 1) == 0 {
+		t.Error("a call went out although the budget is spent")
+	}
+	if b.Take(begin, core.LaneControl, 10_000) != 0 {
+		t.Error("a heartbeat waited")
+	}
+	wait := b.Take(begin, core.LaneNormal, 1)
+	if b.Take(begin.Add(wait+time.Millisecond), core.LaneNormal, 1) != 0 {
+		t.Error("a call waited longer than it was told")
+	}
+}
+
+func TestRateOfZeroSetsNoBound(t *testing.T) {
+	b := core.NewBucket(0)
+	if b.Take(begin, core.LaneLow, 1<<30) != 0 {
+		t.Fatal("bound without a rate")
+	}
+}
--- /dev/null
+++ b/internal/link/core/fuzz_test.go
@@ -0,0 +1,58 @@
+package core_test
+
+import (
+	"bytes"
+	"testing"
+
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/link/frame"
+	"coltsfootmux/internal/wire"
+)
+
+// FuzzFrames feeds any frames to both sides: neither may panic, hold more than
+// its bound or end a call twice.
+func FuzzFrames(f *testing.F) {
+	for _, fr := range []frame.Frame{
+		{Type: frame.Request, Call: 1, Kind: wire.KindSubmit, Total: 2, Payload: []byte("ab")},
+		{Type: frame.Answer, Call: 1, Attempt: 1, Total: 2, Payload: []byte("ab"), Sum: frame.Checksum(frame.Answer, 1, 1, []byte("ab"))},
+		{Type: frame.Refuse, Call: 1, Attempt: 1},
+		{Type: frame.Bye},
+		{Type: frame.Cancel, Call: 1},
+	} {
+		var buf bytes.Buffer
+		if err := frame.Encode(&buf, &fr); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(buf.Bytes(), buf.Bytes())
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		d, a := core.NewDialer(begin, 1, limits(), nil), core.NewAcceptor(begin, limits(), nil)
+		ended := 0
+		count := func(acts []core.Action) {
+			for _, act := range acts {
+				switch act.(type) {
+				case core.Done, core.Failed:
+					ended++
+				}
+			}
+		}
+		count(d.Step(begin, core.Open{Ticket: 1, Kind: wire.KindSubmit, Body: []byte("x")}))
+		for range 2 {
+			count(d.Step(begin, core.Writable{}))
+		}
+		for _, raw := range [][]byte{first, second} {
+			fr, err := frame.Decode(raw)
+			if err != nil {
+				continue
+			}
+			count(d.Step(begin, core.Received{Frame: fr}))
+			a.Step(begin, core.Received{Frame: fr})
+			a.Step(begin, core.Writable{})
+		}
+		count(d.Step(begin, core.Down{}))
+		a.Step(begin, core.Down{})
+		if ended != 1 {
+			t.Fatalf("one call ended %d times", ended)
+		}
+	})
+}
--- /dev/null
+++ b/internal/link/core/harm_test.go
@@ -0,0 +1,131 @@
+package core_test
+
+import (
+	"testing"
+
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/link/frame"
+	"coltsfootmux/internal/wire"
+)
+
+// longAnswer brings a pair to where the three chunks of an answer are on their way.
+func longAnswer(t *testing.T) *pair {
+	t.Helper()
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 150_000)
+	for range 4 {
+		p.step(t, p.dialer, core.Writable{})
+	}
+	for len(p.toAcceptor) > 0 {
+		p.deliver(t, false, 0)
+	}
+	p.answer(t, 0, "")
+	for range 3 {
+		p.step(t, p.acceptor, core.Writable{})
+	}
+	p.toDialer = p.toDialer[1:] // the heartbeat
+	if len(p.toDialer) != 2 {
+		t.Fatalf("%d frames on their way", len(p.toDialer))
+	}
+	p.step(t, p.acceptor, core.Writable{})
+	return p
+}
+
+func TestHarmlessFramesLeaveTheLinkAndItsCallAlone(t *testing.T) {
+	for name, harm := range map[string]func(p *pair){
+		"a doubled chunk":                   func(p *pair) { p.toDialer = append(p.toDialer[:1], p.toDialer...) },
+		"a chunk of an earlier link's call": func(p *pair) { p.insert(func(f *frame.Frame) { f.Attempt, f.Payload = f.Attempt+1, f.Payload[:9] }) },
+		"a chunk of a call nobody made":     func(p *pair) { p.insert(func(f *frame.Frame) { f.Call += 7 }) },
+		"a refusal of a call nobody made": func(p *pair) {
+			p.insert(func(f *frame.Frame) { *f = frame.Frame{Type: frame.Refuse, Call: 9, Attempt: 1} })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := longAnswer(t)
+			harm(p)
+			for len(p.toDialer) > 0 {
+				p.deliver(t, true, 0)
+			}
+			if _, ok := p.ended[1].(core.Done); !ok || p.dead {
+				t.Fatalf("call: %#v, link condemned: %v", p.ended[1], p.dead)
+			}
+		})
+	}
+}
+
+// insert puts a changed copy of the first frame to the dialer in front.
+func (p *pair) insert(change func(*frame.Frame)) {
+	f := p.toDialer[0]
+	change(&f)
+	p.toDialer = append([]frame.Frame{f}, p.toDialer...)
+}
+
+func TestLinkThatLosesOrChangesChunksIsCondemned(t *testing.T) {
+	for name, harm := range map[string]func(p *pair){
+		"a lost chunk":      func(p *pair) { p.toDialer = append(p.toDialer[:1], p.toDialer[2:]...) },
+		"a changed byte":    func(p *pair) { p.toDialer[1].Payload[5] ^= 1 },
+		"a changed length":  func(p *pair) { p.toDialer[1].Total-- },
+		"a changed sum":     func(p *pair) { p.toDialer[0].Sum++ },
+		"a fault in answer": func(p *pair) { p.toDialer[1].Type = frame.Fault },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := longAnswer(t)
+			harm(p)
+			for len(p.toDialer) > 0 {
+				p.deliver(t, true, 0)
+			}
+			if f, ok := p.ended[1].(core.Failed); !p.dead || !ok || f.Why != core.Lost {
+				t.Fatalf("call: %#v, link condemned: %v", p.ended[1], p.dead)
+			}
+		})
+	}
+}
+
+func TestAnswerToACallThatIsStillBeingSentIsIgnored(t *testing.T) {
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 150_000)
+	p.step(t, p.dialer, core.Writable{}) // heartbeat
+	p.step(t, p.dialer, core.Writable{}) // the first chunk
+	body := []byte("early")
+	p.step(t, p.dialer, core.Received{Frame: frame.Frame{
+		Type: frame.Answer, Call: 1, Attempt: 1, Total: 5, Payload: body, Sum: frame.Checksum(frame.Answer, 1, 1, body),
+	}})
+	if p.ended[1] != nil || p.dead {
+		t.Fatalf("call: %#v, link condemned: %v", p.ended[1], p.dead)
+	}
+}
+
+func TestDoubledRequestRunsOnceAndIsAnsweredOnce(t *testing.T) {
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 100_000)
+	for range 3 {
+		p.step(t, p.dialer, core.Writable{})
+	}
+	p.toAcceptor = append(p.toAcceptor, p.toAcceptor...)
+	for len(p.toAcceptor) > 0 {
+		p.deliver(t, false, 0)
+	}
+	p.checkRuns(t)
+	if p.dead || len(p.running) != 1 {
+		t.Fatalf("running %d, link condemned: %v", len(p.running), p.dead)
+	}
+}
+
+func TestFarewellIsSaidOnceAndThenTheLinkIsDrained(t *testing.T) {
+	a := core.NewAcceptor(begin, limits(), nil)
+	a.Step(begin, core.Drain{})
+	byes, drained := 0, 0
+	for range 6 {
+		for _, act := range a.Step(begin, core.Writable{}) {
+			if w, ok := act.(core.Write); ok && w.Frame.Type == frame.Bye {
+				byes++
+			}
+			if _, ok := act.(core.Drained); ok {
+				drained++
+			}
+		}
+	}
+	if byes != 1 || drained == 0 {
+		t.Fatalf("%d farewells, drained %d times", byes, drained)
+	}
+}
--- /dev/null
+++ b/internal/link/core/link_test.go
@@ -0,0 +1,300 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/link/frame"
+	"coltsfootmux/internal/wire"
+)
+
+func TestEachCallEndsOnceWithItsOwnAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPair()
+		var next core.Ticket
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			p.drawStep(t, &next)
+		}
+		p.drainAll(t)
+		if len(p.ended) != int(next) {
+			t.Fatalf("%d of %d calls ended", len(p.ended), next)
+		}
+		if p.dead {
+			t.Fatalf("a sound link was condemned")
+		}
+		p.checkRuns(t)
+	})
+}
+
+// TestBadFramesNeverReachTheWrongCaller lets frames come doubled, late, crossed,
+// short, changed or not at all.
+func TestBadFramesNeverReachTheWrongCaller(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPair()
+		var next core.Ticket
+		var old []frame.Frame
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			p.drawStep(t, &next)
+			old = append(old, p.toDialer...)
+			p.spoil(t, old)
+		}
+		for _, m := range []machine{p.dialer, p.acceptor} {
+			p.step(t, m, core.Down{})
+		}
+		if len(p.ended) != int(next) {
+			t.Fatalf("%d of %d calls ended", len(p.ended), next)
+		}
+		p.checkRuns(t)
+	})
+}
+
+// spoil harms the frames on their way in one drawn manner.
+func (p *pair) spoil(t *rapid.T, old []frame.Frame) {
+	toDialer := rapid.Bool().Draw(t, "direction")
+	q := &p.toAcceptor
+	if toDialer {
+		q = &p.toDialer
+	}
+	if len(*q) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(*q)-1).Draw(t, "victim")
+	f := &(*q)[i]
+	switch rapid.IntRange(0, 9).Draw(t, "harm") {
+	case 0: // doubled
+		*q = append(*q, *f)
+	case 1: // lost
+		*q = append((*q)[:i], (*q)[i+1:]...)
+	case 2: // late
+		p.deliver(t, toDialer, i)
+	case 3: // short
+		if n := len(f.Payload); n > 0 {
+			f.Payload = f.Payload[:n/2]
+		}
+	case 4: // changed
+		if n := len(f.Payload); n > 0 {
+			f.Payload[n-1] ^= 1
+		}
+	case 5: // crossed
+		if toDialer && f.Type == frame.Answer {
+			f.Call = rapid.Uint64Range(1, 8).Draw(t, "other")
+		}
+	case 6: // from an earlier link
+		if toDialer {
+			f.Attempt++
+		}
+	case 7: // long ago
+		if toDialer && len(old) > 0 {
+			g := rapid.SampledFrom(old).Draw(t, "old")
+			if g.Type == frame.Answer || g.Type == frame.Fault {
+				p.step(t, p.dialer, core.Received{Frame: g})
+			}
+		}
+	}
+}
+
+func TestCallsOfABrokenLinkSayWhetherTheyWereSent(t *testing.T) {
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 10)
+	p.step(t, p.dialer, core.Writable{}) // the first heartbeat
+	p.step(t, p.dialer, core.Writable{}) // call 1, whole
+	p.open(t, 2, wire.KindSubmit, 100_000)
+	p.step(t, p.dialer, core.Writable{}) // call 2, the first of two chunks
+	p.open(t, 3, wire.KindSubmit, 10)
+	p.step(t, p.dialer, core.Down{})
+	want := map[core.Ticket]core.Why{1: core.Lost, 2: core.NotSent, 3: core.NotSent}
+	for tk, why := range want {
+		if f, ok := p.ended[tk].(core.Failed); !ok || f.Why != why {
+			t.Errorf("call %d: %#v, want %d", tk, p.ended[tk], why)
+		}
+	}
+	p.open(t, 4, wire.KindSubmit, 10)
+	if f, ok := p.ended[4].(core.Failed); !ok || f.Why != core.NotSent {
+		t.Errorf("call after the end: %#v", p.ended[4])
+	}
+}
+
+// quiet runs both sides for a time in which the network drops what it is told to.
+func quiet(t *testing.T, p *pair, d time.Duration, dropToAcceptor, dropToDialer bool) time.Duration {
+	t.Helper()
+	for end := p.now.Add(d); p.now.Before(end) && !p.dead; p.now = p.now.Add(250 * time.Millisecond) {
+		for _, m := range []machine{p.dialer, p.acceptor} {
+			p.step(t, m, core.Tick{})
+			p.step(t, m, core.Writable{})
+		}
+		if dropToAcceptor {
+			p.toAcceptor = nil
+		}
+		if dropToDialer {
+			p.toDialer = nil
+		}
+		for len(p.toAcceptor) > 0 {
+			p.deliver(t, false, 0)
+		}
+		for len(p.toDialer) > 0 {
+			p.deliver(t, true, 0)
+		}
+	}
+	return p.now.Sub(begin)
+}
+
+func TestLinkWithNothingToDoIsKept(t *testing.T) {
+	p := newPair()
+	quiet(t, p, time.Minute, false, false)
+	if p.dead {
+		t.Fatal("a sound link was condemned")
+	}
+}
+
+func TestSilentLinkIsCondemnedWithinSeconds(t *testing.T) {
+	for name, c := range map[string]struct{ toAcceptor, toDialer bool }{
+		"when both directions are silent":   {true, true},
+		"when only the way there is silent": {true, false},
+		"when only the way back is silent":  {false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair()
+			p.open(t, 1, wire.KindSubmit, 10)
+			if took := quiet(t, p, time.Minute, c.toAcceptor, c.toDialer); !p.dead || took > 5*time.Second {
+				t.Fatalf("condemned: %v after %v", p.dead, took)
+			}
+		})
+	}
+}
+
+func TestCallerSeesOneWaySilenceThroughTheEcho(t *testing.T) {
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 10)
+	for range 40 {
+		p.step(t, p.dialer, core.Tick{})
+		p.step(t, p.dialer, core.Writable{})
+		// The far side beats on, but hears nothing and so echoes nothing.
+		p.step(t, p.dialer, core.Received{Frame: frame.Frame{Type: frame.Beat, Call: uint64(p.now.Sub(begin) / time.Second)}})
+		p.now = p.now.Add(250 * time.Millisecond)
+	}
+	if f, ok := p.ended[1].(core.Failed); !p.dead || !ok || f.Why != core.Lost {
+		t.Fatalf("condemned: %v, call: %#v", p.dead, p.ended[1])
+	}
+}
+
+func TestUnusedLinkIsGivenUp(t *testing.T) {
+	l := limits()
+	l.IdleAfter = 10 * time.Second
+	d := core.NewDialer(begin, 1, l, nil)
+	acts := d.Step(begin.Add(2*time.Second), core.Tick{})
+	if len(acts) == 0 || acts[0] != (core.Pending{}) {
+		t.Fatalf("after 2 s: %#v", acts)
+	}
+	for s := 3; s < 12; s++ {
+		now := begin.Add(time.Duration(s) * time.Second)
+		d.Step(now, core.Received{Frame: frame.Frame{Type: frame.Beat, Call: uint64(s)}})
+		for _, a := range d.Step(now, core.Tick{}) {
+			if c, ok := a.(core.Condemn); ok {
+				if s < 10 || c.Reason != core.ReasonIdle {
+					t.Fatalf("after %d s: %s", s, c.Reason)
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("an unused link was kept")
+}
+
+func TestDrainingSideAnswersWhatItTookAndDisownsTheRest(t *testing.T) {
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 10)
+	for range 3 {
+		p.step(t, p.dialer, core.Writable{})
+	}
+	for len(p.toAcceptor) > 0 {
+		p.deliver(t, false, 0)
+	}
+	p.step(t, p.acceptor, core.Drain{})
+	p.open(t, 2, wire.KindSubmit, 10) // arrives while the side drains
+	p.step(t, p.dialer, core.Writable{})
+	p.deliver(t, false, 0)
+	p.open(t, 3, wire.KindSubmit, 10) // arrives after the farewell
+	p.step(t, p.dialer, core.Writable{})
+	p.answer(t, 0, "")
+	for range 8 {
+		p.step(t, p.acceptor, core.Writable{})
+	}
+	p.deliver(t, false, 0)
+	for len(p.toDialer) > 0 && !p.dead {
+		p.deliver(t, true, 0)
+	}
+	if _, ok := p.ended[1].(core.Done); !ok {
+		t.Errorf("the call that was taken: %#v", p.ended[1])
+	}
+	for _, tk := range []core.Ticket{2, 3} {
+		if f, ok := p.ended[tk].(core.Failed); !ok || f.Why != core.NotSent {
+			t.Errorf("call %d: %#v", tk, p.ended[tk])
+		}
+	}
+	if len(p.running) != 0 {
+		t.Error("a call was run after the farewell")
+	}
+}
+
+func TestShortCallsPassALongOne(t *testing.T) {
+	p := newPair()
+	p.open(t, 1, wire.KindSubmit, 500_000)
+	p.open(t, 2, wire.KindSubmit, 10)
+	for range 4 { // heartbeat, chunk of 1, call 2
+		p.step(t, p.dialer, core.Writable{})
+	}
+	for len(p.toAcceptor) > 0 {
+		p.deliver(t, false, 0)
+	}
+	if p.runs[p.bodies[2]] != 1 || p.runs[p.bodies[1]] != 0 {
+		t.Fatal("the short call waited for the long one")
+	}
+}
+
+func TestQueuesAreBounded(t *testing.T) {
+	p := newPair()
+	for tk := range core.Ticket(6) {
+		p.open(t, tk+1, wire.KindSubmit, 10)
+	}
+	p.open(t, 7, wire.KindSubmit, 10)
+	if f, ok := p.ended[7].(core.Failed); !ok || f.Why != core.Overloaded {
+		t.Errorf("one call too many: %#v", p.ended[7])
+	}
+	p = newPair()
+	p.open(t, 1, wire.KindSubmit, 500_000)
+	p.open(t, 2, wire.KindSubmit, 500_000)
+	p.open(t, 3, wire.KindSubmit, 500_000)
+	if f, ok := p.ended[3].(core.Failed); !ok || f.Why != core.Overloaded {
+		t.Errorf("too many bytes: %#v", p.ended[3])
+	}
+	p.open(t, 4, wire.KindSubmit, 600_000)
+	if f, ok := p.ended[4].(core.Failed); !ok || f.Why != core.NotSent {
+		t.Errorf("a message over the limit: %#v", p.ended[4])
+	}
+}
+
+func TestAssemblyHoldsNoMoreThanItsBound(t *testing.T) {
+	a := core.NewAcceptor(begin, limits(), nil)
+	refused := 0
+	for call := uint64(1); call <= 6; call++ {
+		for off := 0; off < 4; off++ {
+			a.Step(begin, core.Received{Frame: frame.Frame{
+				Type: frame.Request, Call: call, Offset: uint64(off * frame.ChunkBytes),
+				Total: 500_000, Payload: make([]byte, frame.ChunkBytes),
+			}})
+		}
+	}
+	for range 20 {
+		for _, act := range a.Step(begin, core.Writable{}) {
+			if w, ok := act.(core.Write); ok && w.Frame.Type == frame.Refuse {
+				refused++
+			}
+		}
+	}
+	if refused != 2 { // 4 calls of 256 KiB fill the bound of 1 MiB
+		t.Fatalf("%d of 6 half-sent requests refused, want 2", refused)
+	}
+}
--- /dev/null
+++ b/internal/link/count_test.go
@@ -0,0 +1,51 @@
+package link_test
+
+import (
+	"testing"
+
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/wire"
+)
+
+func find(cs []link.Count, kind string, cross bool) link.Count {
+	for _, c := range cs {
+		if c.Kind == kind && c.CrossRegion == cross {
+			return c
+		}
+	}
+	return link.Count{}
+}
+
+func TestBytesAreCountedByKindAndRegion(t *testing.T) {
+	const size = 100_000
+	for name, c := range map[string]struct {
+		region model.Region
+		cross  bool
+	}{
+		"in the same region": {"home", false},
+		"to another region":  {"far", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := link.NewServer(link.ServerOptions{Region: "home"})
+			link.Handle(s, wire.KindSubmit, echo)
+			addr := serve(t, s)
+			p := newPool(t, link.PoolOptions{Region: c.region})
+			req := wire.Submit{Work: model.Work{Body: make([]byte, size)}}
+			if _, err := link.Call[wire.Submit, wire.SubmitReply](within(t), p, addr, wire.KindSubmit, req); err != nil {
+				t.Fatal(err)
+			}
+			got := find(p.Counts(), "submit", c.cross)
+			if got.SentBytes < size || got.SentBytes > size+size/50 || got.ReceivedBytes < size || got.ReceivedBytes > size+size/50 {
+				t.Errorf("pool counts %+v", p.Counts())
+			}
+			if other := find(p.Counts(), "submit", !c.cross); other != (link.Count{}) {
+				t.Errorf("counted in the wrong place: %+v", other)
+			}
+			far := find(s.Counts(), "submit", c.cross)
+			if far.SentBytes != got.ReceivedBytes || far.ReceivedBytes != got.SentBytes {
+				t.Errorf("server counts %+v, pool %+v", far, got)
+			}
+		})
+	}
+}
--- a/internal/entry/swallower_test.go
+++ b/internal/link/linktest/swallower.go
@@ -1,33 +1,32 @@
-package entry_test
+package linktest
 
 import (
 	"io"
 	"net"
 	"sync"
 	"testing"
-	"time"
-
-	"coltsfootmux/internal/link/core"
 )
 
-// swallower forwards connections to an address. Told to swallow, it drops all
+// Swallower forwards connections to an address. Told to swallow, it drops all
 // bytes of the connections that are open and forwards new ones, as a middlebox
 // does that has lost track of them.
-type swallower struct {
-	addr string
+type Swallower struct {
+	// Addr is the address to connect to instead.
+	Addr string
 	to   string
 
 	mu   sync.Mutex
 	gone chan struct{}
 }
 
-func newSwallower(t *testing.T, to string) *swallower {
+// NewSwallower forwards connections to an address until the test ends.
+func NewSwallower(t *testing.T, to string) *Swallower {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &swallower{addr: ln.Addr().String(), to: to, gone: make(chan struct{})}
+	s := &Swallower{Addr: ln.Addr().String(), to: to, gone: make(chan struct{})}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
@@ -41,15 +40,15 @@
 	return s
 }
 
-// swallow makes the open connections silent.
-func (s *swallower) swallow() {
+// Swallow makes the open connections silent.
+func (s *Swallower) Swallow() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.gone)
 	s.gone = make(chan struct{})
 }
 
-func (s *swallower) forward(c net.Conn) {
+func (s *Swallower) forward(c net.Conn) {
 	s.mu.Lock()
 	gone := s.gone
 	s.mu.Unlock()
@@ -82,8 +81,3 @@
 		}
 	}
 }
-
-// fastLimits find a silent link within a fraction of a second.
-func fastLimits() core.Limits {
-	return core.Limits{BeatEvery: 50 * time.Millisecond, SilentAfter: 300 * time.Millisecond}
-}
