Log only the first failed dial of a row at level info

Cause: with one own host dead, the demo's output was mostly the same dial failure, one every two seconds from each host. Later ones of a row are debug.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -49,6 +49,7 @@
 
 // Run follows the host list and the configuration until ctx ends.
 func (s *Server) Run(ctx context.Context) {
+	evServing.Log(ctx, s.opts.Logger, slog.String("host", string(s.opts.Self)))
 	t := time.NewTicker(s.opts.HostsEvery)
 	defer t.Stop()
 	for {
--- a/internal/link/target.go
+++ b/internal/link/target.go
@@ -87,12 +87,11 @@
 		t.current = l
 		d.link = l
 	}
-	closed := t.closed
+	closed, failures := t.closed, t.failures
 	t.mu.Unlock()
 	close(d.done)
 	if err != nil {
-		dialFailures.Inc()
-		evDial.Log(context.Background(), t.pool.opts.Logger, slog.String("addr", t.addr), slog.String("error", err.Error()))
+		t.logFailure(err, failures)
 		return
 	}
 	if closed {
@@ -101,6 +100,16 @@
 	l.run()
 }
 
+// logFailure logs the first failed dial of a row where operators see it.
+func (t *target) logFailure(err error, inRow int) {
+	dialFailures.Inc()
+	ev := evDial
+	if inRow > 1 {
+		ev = evDialAgain
+	}
+	ev.Log(context.Background(), t.pool.opts.Logger, slog.String("addr", t.addr), slog.String("error", err.Error()))
+}
+
 func (t *target) connect(attempt uint32) (*dialled, error) {
 	o := &t.pool.opts
 	ctx, cancel := context.WithTimeout(context.Background(), o.DialTimeout)
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -35,6 +36,9 @@
 	}}, nil
 }
 
+// Secure makes the listener speak TLS; it is called before Serve.
+func (l *Listener) Secure(c *tls.Config) { l.ln = tls.NewListener(l.ln, c) }
+
 // Addr gives the address listened on.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/metric"
@@ -61,9 +63,13 @@
 	n.RawLog = httplog.New(s.LogURL, httplog.Options{Region: s.Region})
 	n.Log = logclient.New(n.RawLog, logclient.Options{Seed: xxhash.Sum64String(string(s.HostID)), Logger: logger})
 	n.Hosts = httphost.New(s.HostsURL, httphost.Options{Region: s.Region})
-	n.Pool = link.NewPool(link.PoolOptions{Self: s.HostID, Region: s.Region, Logger: logger})
-	n.Server = link.NewServer(link.ServerOptions{Self: s.HostID, Region: s.Region, Logger: logger})
+	budget := link.NewBudget(0)
+	n.Pool = link.NewPool(link.PoolOptions{Self: s.HostID, Region: s.Region, Logger: logger, Budget: budget})
+	n.Server = link.NewServer(link.ServerOptions{Self: s.HostID, Region: s.Region, Logger: logger, Budget: budget})
 	n.Configs = &follower{log: n.Log}
+	n.Configs.OnChange(func(v *config.Versioned) {
+		budget.SetRate(v.Document.Defaults.CrossRegionBytesPerSecond)
+	})
 	return n, nil
 }
 
@@ -105,6 +111,9 @@
 	err := g.Wait()
 	_ = n.Pool.Close()
 	n.Log.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil // the parts ended because they were told to
+	}
 	return err
 }
 
