--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -34,11 +34,18 @@
 	return dominant(floorShape(w.free.Sub(j.work.Shape)), w.capacity)
 }
 
+// costFullness spreads the cells' fullness wide enough that it decides before
+// what is left over on a worker.
+const costFullness = 10.0
+
 // cellCost ranks cells: broken racks before whole ones, fuller ones first.
 func (c *Core) cellCost(_ *job, cl *cell) float64 {
 	if c.policy.Packing != PackRacks {
 		return 0
 	}
+	if !c.policy.LooseRacks {
+		return dominant(floorShape(cl.free), cl.total) * costFullness
+	}
 	keep := c.conf.keepWhole()
 	cost := dominant(floorShape(cl.free), cl.total) * keep
 	if cl.whole() {
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -41,6 +41,8 @@
 	// ResumeFirst orders preempted work by its first arrival instead of putting
 	// it behind work that never ran.
 	ResumeFirst bool
+	// LooseRacks lets the fit on a worker decide before the fullness of its rack.
+	LooseRacks bool
 }
 
 // Standard is the policy that schedulers run.
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -10,9 +10,19 @@
 		FirstCome(),
 		BestFit(),
 		resumeFirst(),
+		looseRacks(),
 	}
 }
 
+// looseRacks is the standard policy as it was before the fullness of a rack
+// decided before the fit on a worker.
+func looseRacks() placement.Policy {
+	p := placement.Standard()
+	p.Name = "loose-racks"
+	p.LooseRacks = true
+	return p
+}
+
 // resumeFirst is the standard policy as it was before preempted work went
 // behind work that never ran.
 func resumeFirst() placement.Policy {
