--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -23,7 +23,12 @@
 	switch {
 	case ok && j.work.Shape.Fits(s.ent.Sub(s.all)):
 		cost += costOwnRoom
-	case !w.committed.IsZero():
+	case w.committed.IsZero():
+	case c.firm(j):
+		cost += costLentRoom
+	case !c.policy.LooseRacks:
+		cost += costLentRoom * (1 - 2*c.conf.keepWhole())
+	default:
 		cost += costLentRoom
 	}
 	return cost
@@ -44,7 +49,11 @@
 		return 0
 	}
 	if !c.policy.LooseRacks {
-		return dominant(floorShape(cl.free), cl.total) * costFullness
+		cost := dominant(floorShape(cl.free), cl.total) * costFullness
+		if ref := c.conf.def.Reference; ref.Accelerators > cl.total.Accelerators {
+			cost -= costFullness
+		}
+		return cost
 	}
 	keep := c.conf.keepWhole()
 	cost := dominant(floorShape(cl.free), cl.total) * keep
