Choose room to reclaim by what has to leave it (round 4)

Cause: reclaim ranked workers as if they were free, so it evicted long work where short work would have done. Ruled out: counting only the room (fragmentation better, lost work not) or only the work at stake (the other way round).

--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -6,6 +6,8 @@
 	costWholeWorker = 1.0
 	costOwnRoom     = -2.0
 	costLentRoom    = 0.5
+	costEvicted     = 20.0
+	costStakeMinute = 0.125
 )
 
 // workerCost ranks the workers of a cell: the least room left over first, own
@@ -16,6 +18,9 @@
 		return left
 	}
 	cost := left
+	if !c.policy.BlindEviction {
+		cost += c.evictionCost(j, w)
+	}
 	if len(w.tasks) == 0 {
 		cost += costWholeWorker
 	}
@@ -71,3 +76,19 @@
 	}
 	return w.Fragmentation / (w.Completion + w.Fragmentation)
 }
+
+// evictionCost ranks workers by what has to leave them for a member of j: the
+// least room first, then the least work at stake. It is zero where there is room.
+func (c *Core) evictionCost(j *job, w *worker) float64 {
+	short := floorShape(j.work.Shape.Sub(w.free))
+	if short.IsZero() {
+		return 0
+	}
+	var stake float64
+	for _, t := range w.tasks {
+		if c.mayEvict(j, t) {
+			stake += c.atStake(t.job).Minutes() / float64(len(t.job.tasks))
+		}
+	}
+	return costEvicted*dominant(short, w.capacity) + costStakeMinute*stake
+}
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -43,6 +43,8 @@
 	ResumeFirst bool
 	// LooseRacks lets the fit on a worker decide before the fullness of its rack.
 	LooseRacks bool
+	// BlindEviction chooses room to reclaim without regard to what has to leave.
+	BlindEviction bool
 }
 
 // Standard is the policy that schedulers run.
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -11,6 +11,7 @@
 		BestFit(),
 		resumeFirst(),
 		looseRacks(),
+		blindEviction(),
 	}
 }
 
@@ -46,3 +47,12 @@
 		Name: "best-fit", Order: placement.OrderBackfill, Packing: placement.PackBestFit,
 	}
 }
+
+// blindEviction is the standard policy as it was before room to reclaim was
+// chosen by what has to leave it.
+func blindEviction() placement.Policy {
+	p := placement.Standard()
+	p.Name = "blind-eviction"
+	p.BlindEviction = true
+	return p
+}
