--- a/internal/core/placement/core.go
+++ b/internal/core/placement/core.go
@@ -34,13 +34,16 @@
 	open   []*queue
 	byCell map[model.CellID][]*queue
 	// woken are the queues to be tried in the next pass, freed the cells.
-	woken   []*queue
-	freed   []*cell
-	pass    uint64
-	seq     uint64
-	timers  timerHeap
-	waiting int
-	running int
+	woken []*queue
+	freed []*cell
+	pass  uint64
+	// look is the place in order of the cell looked at last, nextLook when the next is due.
+	look     int
+	nextLook time.Time
+	seq      uint64
+	timers   timerHeap
+	waiting  int
+	running  int
 }
 
 // New gives a core with the standard policy.
@@ -74,6 +77,7 @@
 	c.apply(ev)
 	c.fireTimers()
 	c.schedule()
+	c.consolidate()
 	return c.out
 }
 
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -45,9 +45,11 @@
 	LooseRacks bool
 	// BlindEviction chooses room to reclaim without regard to what has to leave.
 	BlindEviction bool
+	// Consolidate moves borrowed work together to win room for the reference shape.
+	Consolidate bool
 }
 
 // Standard is the policy that schedulers run.
 func Standard() Policy {
-	return Policy{Name: "standard", Reserve: true, Preempt: true, Guarantee: true}
+	return Policy{Name: "standard", Reserve: true, Preempt: true, Guarantee: true, Consolidate: true}
 }
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -12,6 +12,7 @@
 		resumeFirst(),
 		looseRacks(),
 		blindEviction(),
+		scattered(),
 	}
 }
 
@@ -56,3 +57,12 @@
 	p.BlindEviction = true
 	return p
 }
+
+// scattered is the standard policy as it was before borrowed work was moved
+// together.
+func scattered() placement.Policy {
+	p := placement.Standard()
+	p.Name = "scattered"
+	p.Consolidate = false
+	return p
+}
