--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -41,9 +41,15 @@
 	// ResumeFirst orders preempted work by its first arrival instead of putting
 	// it behind work that never ran.
 	ResumeFirst bool
+	// LooseRacks lets the fit on a worker decide before the fullness of its rack.
+	LooseRacks bool
+	// BlindEviction chooses room to reclaim without regard to what has to leave.
+	BlindEviction bool
+	// Consolidate moves borrowed work together to win room for the reference shape.
+	Consolidate bool
 }
 
 // Standard is the policy that schedulers run.
 func Standard() Policy {
-	return Policy{Name: "standard", Reserve: true, Preempt: true, Guarantee: true}
+	return Policy{Name: "standard", Reserve: true, Preempt: true, Guarantee: true, Consolidate: true}
 }
