Count a listing only under the fence it was taken under

Found by the model check at two restarts and at a second claim: an owner that fences anew, and misses one worker, went by that worker's earlier listing; a start of its own earlier epoch could run there unseen.

--- a/internal/core/ownership/scope.go
+++ b/internal/core/ownership/scope.go
@@ -85,6 +85,9 @@
 	// history is since when the worker's incarnation lives.
 	history time.Time
 	listed  bool
+	// knew says that the term followed had listed it. That counts again once a
+	// fence shows that nobody came in between.
+	knew    bool
 	listing Scanned
 	// ended is since when the worker keeps endings.
 	ended time.Time
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -88,7 +88,7 @@
 func keepListings(t, old *term) {
 	for _, g := range t.guards {
 		if o := old.guard(g.worker.ID); o != nil {
-			g.listed, g.told, g.listing, g.past = o.listed, o.told, o.listing, o.past
+			g.knew, g.told, g.listing, g.past = o.listed || o.knew, o.told, o.listing, o.past
 			g.incarnation, g.history, g.ended = o.incarnation, o.history, o.ended
 		}
 	}
@@ -135,8 +135,9 @@
 	same := c.unbroken(now, s.term, g, f)
 	g.fenced, g.fencedAt, g.same = true, now, same
 	g.incarnation, g.history = f.Incarnation, c.historySince(now, f.Since)
-	if !same || !s.term.own {
-		g.listed, g.told = false, false
+	g.listed, g.knew = same && s.term.own && g.knew, false
+	if !g.listed {
+		g.told = false
 	}
 	c.contact(now, s, g)
 }
--- a/internal/modelcheck/keyspec.go
+++ b/internal/modelcheck/keyspec.go
@@ -17,6 +17,8 @@
 	// KeepTraces lets an owner that comes back go by the attempts of its earlier
 	// tenure.
 	KeepTraces bool
+	// StaleListing lets an owner go by a listing from before its last fence.
+	StaleListing bool
 	// TrustBar takes a bar from a restarted worker as proof.
 	TrustBar bool
 	// AnyEpoch lets an owner take an offer made under an earlier epoch of its own.
--- a/internal/modelcheck/keyspec_test.go
+++ b/internal/modelcheck/keyspec_test.go
@@ -182,6 +182,7 @@
 	for name, k := range map[string]KeySpec{
 		"offers not bound to an epoch":          {Wait: 1, Ticks: 2, Claims: true, Faulty: Faulty{AnyEpoch: true}},
 		"holds given by another incarnation":    {Wait: 1, Ticks: 1, Restarts: 1, LateHolds: 1, Faulty: Faulty{AnyIncarnation: true}},
+		"listing from before the last fence":    {Wait: 1, Ticks: 1, Restarts: 2, Faulty: Faulty{StaleListing: true}},
 		"attempts of an earlier tenure trusted": {Wait: 1, Ticks: 2, Claims: true, Faulty: Faulty{KeepTraces: true}},
 	} {
 		r := Explore(k, 12_000_000)
--- a/internal/modelcheck/keystate.go
+++ b/internal/modelcheck/keystate.go
@@ -51,7 +51,9 @@
 	// inc is the incarnation that was fenced, plus 1; 0 for none.
 	inc    uint8
 	listed bool
-	same   bool
+	// knew says that the term followed had listed it.
+	knew bool
+	same bool
 	// until is for how many ticks the hold counts.
 	until uint8
 	// past says that the key may have run here before the gain without a trace.
@@ -171,8 +173,8 @@
 }
 
 func (g *guard) append(b []byte) []byte {
-	flags := b2u(g.listed) | b2u(g.same)<<1 | b2u(g.past)<<2 | b2u(g.trace)<<3 | b2u(g.seen)<<4 | b2u(g.late)<<5
-	return append(b, g.fenced|g.inc<<4, flags|g.until<<6)
+	flags := b2u(g.listed) | b2u(g.same)<<1 | b2u(g.past)<<2 | b2u(g.trace)<<3 | b2u(g.seen)<<4 | b2u(g.late)<<5 | b2u(g.knew)<<6
+	return append(b, g.fenced|g.inc<<3|g.until<<6, flags)
 }
 
 func (w *worker) append(b []byte) []byte {
@@ -211,14 +213,14 @@
 		uint64(w.ran)<<8 | uint64(w.barred)<<12 | uint64(w.starts)<<16 | uint64(w.holds)<<20 |
 		uint64(w.oldHolds)<<24 | uint64(w.oldStarts)<<28 | uint64(b2u(w.late))<<32
 	for h := range s.host {
-		v |= uint64(s.host[h].guard[i].pack()) << (33 + 13*h)
+		v |= uint64(s.host[h].guard[i].pack()) << (33 + 14*h)
 	}
 	return v
 }
 
-// pack fits a guard into 13 bits.
+// pack fits a guard into 14 bits.
 func (g *guard) pack() uint16 {
 	return uint16(g.fenced) | uint16(g.inc)<<3 | uint16(g.until)<<5 |
 		uint16(b2u(g.listed))<<7 | uint16(b2u(g.same))<<8 | uint16(b2u(g.past))<<9 |
-		uint16(b2u(g.trace))<<10 | uint16(b2u(g.seen))<<11 | uint16(b2u(g.late))<<12
+		uint16(b2u(g.trace))<<10 | uint16(b2u(g.seen))<<11 | uint16(b2u(g.late))<<12 | uint16(b2u(g.knew))<<13
 }
--- a/internal/modelcheck/keysteps.go
+++ b/internal/modelcheck/keysteps.go
@@ -66,6 +66,8 @@
 		if h.follows == 0 {
 			*g = guard{trace: g.trace, past: g.past}
 		}
+		g.knew = g.knew || g.listed
+		g.listed = g.listed && (k.Faulty.ListFirst || k.Faulty.StaleListing)
 		g.fenced, g.same, g.until = 0, false, 0
 		if k.Faulty.NoFence {
 			g.fenced = 1
@@ -101,8 +103,10 @@
 		return
 	}
 	g.same = h.follows != 0 && w.epoch == h.follows && g.inc == w.inc+1
-	if !g.same && !k.Faulty.ListFirst {
-		g.listed, g.seen, g.late = false, false, false
+	g.listed = g.listed && k.Faulty.ListFirst || g.knew && g.same
+	g.knew = false
+	if !g.listed {
+		g.seen, g.late = false, false
 	}
 	w.epoch = h.epoch
 	g.fenced, g.inc = 1, w.inc+1
