Make the stand-in worker refuse messages for an earlier incarnation

A refused hold's number is used for the next renewal, so that a lost answer costs one renewal and not the hold's whole time to live.

--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -113,11 +113,12 @@
 		c.unfence(now, s, g)
 		return
 	}
+	// A refusal names the number of the hold that we have there, if any: its
+	// answer was lost, and a renewal may carry it.
+	g.echo = e.Held.Echo
 	if e.Held.Refused {
-		g.echo = 0
 		return
 	}
-	g.echo = e.Held.Echo
 	g.until = later(g.until, e.Sent.Add(c.set.heldFor()))
 	c.advance(now, s)
 }
--- a/internal/standin/worker/hold_test.go
+++ b/internal/standin/worker/hold_test.go
@@ -1,6 +1,7 @@
 package worker_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -74,3 +75,24 @@
 		t.Errorf("the fencing epoch: %+v", next)
 	}
 }
+
+func TestMessagesForAnEarlierIncarnationHaveNoEffect(t *testing.T) {
+	clock := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	w := worker.New(worker.Options{ID: "w", Capacity: model.Shape{Slots: 8}, Clock: func() time.Time { return clock }})
+	fenced, err := w.Fence(t.Context(), platform.Fence{Scope: model.GroupScope(1), Epoch: 16})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Restart()
+	hold := platform.Hold{Group: 1, Epoch: 16, TTL: time.Second, Incarnation: fenced.Incarnation}
+	if held, err := w.Hold(t.Context(), []platform.Hold{hold}); err != nil || !held[0].Refused {
+		t.Errorf("hold of an earlier incarnation: %+v, %v", held, err)
+	}
+	start := platform.Start{
+		Lease: "l", Cell: "c", Epoch: 16, Incarnation: fenced.Incarnation,
+		Grant: &platform.Grant{Lease: "l", Cell: "c", Epoch: 16, TTL: time.Minute, Shape: model.Shape{Slots: 1}},
+	}
+	if err := w.Start(t.Context(), start); !errors.Is(err, platform.ErrRefused) {
+		t.Errorf("start of an earlier incarnation: %v", err)
+	}
+}
--- a/internal/standin/worker/report.go
+++ b/internal/standin/worker/report.go
@@ -92,7 +92,8 @@
 func (s *state) hold(h platform.Hold, now time.Time) platform.Held {
 	scope := model.GroupScope(h.Group)
 	out := platform.Held{Incarnation: s.incarnation, Refused: true}
-	if checkTTL(h.TTL) == nil && s.see(scope, h.Epoch) == nil {
+	mine := h.Incarnation == "" || h.Incarnation == s.incarnation
+	if mine && checkTTL(h.TTL) == nil && s.see(scope, h.Epoch) == nil {
 		echo, ok := s.holds.ask(h, now)
 		out.Echo, out.Refused = echo, !ok
 	}
--- a/internal/standin/worker/start.go
+++ b/internal/standin/worker/start.go
@@ -94,6 +94,9 @@
 	if err := s.see(model.CellScope(req.Cell), req.Epoch); err != nil {
 		return err
 	}
+	if req.Incarnation != "" && req.Incarnation != s.incarnation {
+		return refuse("start is for an earlier incarnation")
+	}
 	if req.Within > 0 && waited > req.Within {
 		return refuse("start arrived too late")
 	}
