--- a/internal/core/ownership/event.go
+++ b/internal/core/ownership/event.go
@@ -19,6 +19,9 @@
 	Witnesses []model.WorkerID
 	// Near is the data centre that should own it.
 	Near model.DataCentre
+	// Since is when the scope's workers were last changed by configuration; zero
+	// for never. Older keys may have run on workers that are not listed here.
+	Since time.Time
 }
 
 // Configured gives the scopes of the configuration in force.
@@ -31,6 +34,8 @@
 type ClaimRead struct {
 	Offset model.Offset
 	Claim  model.Claim
+	// At is when the log took the record, by the log's clock.
+	At time.Time
 }
 
 // CaughtUp says that every claim up to the log's head has been read.
@@ -76,7 +81,8 @@
 	Err    error
 }
 
-// Refused says that a worker refused the epoch in use for a higher one.
+// Refused says that a worker refused a call of ours under Epoch, because it has
+// seen a higher one for the scope.
 type Refused struct {
 	Scope model.Scope
 	Epoch model.Epoch
