Keep the configuration in force on each own host

Every host follows the stream. All-to-all pushes were ruled out: calls per change would grow with the square of the hosts.

go test ./internal/confsync -v -run 'EverywhereInTime|CutOff' gives times and calls in virtual time, with 45 ms for an append and 20 ms one way on links.

--- /dev/null
+++ b/internal/confsync/store_test.go
@@ -0,0 +1,207 @@
+package confsync
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coltsfootmux/internal/core/settings"
+	"coltsfootmux/internal/standin/fault"
+)
+
+func TestChangeIsInForceEverywhereInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 40)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		time.Sleep(10 * time.Second)
+		before, sent := g.calls.Load(), g.bytes.Load()
+		from := time.Now()
+		v := g.mustPublish(g.all()[0], "second")
+		g.inForce(v)
+		t.Logf("40 hosts: in force everywhere %v after the call", time.Since(from))
+		time.Sleep(time.Second)
+		pushes := g.calls.Load() - before
+		t.Logf("%d calls, %d bytes of records, in the second around the change", pushes, g.bytes.Load()-sent)
+		// Each host pushes to two others and asks one every two seconds.
+		if pushes > 40*(DefaultFanOut+1) {
+			t.Errorf("%d calls for one change at 40 hosts", pushes)
+		}
+	})
+}
+
+func TestHostCutOffFromTheLogLearnsFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 9)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		hosts := g.all()
+		for _, h := range hosts[1:4] {
+			h.cutLog.Store(true)
+		}
+		for i := range 5 {
+			v := g.mustPublish(hosts[0], fmt.Sprint("r", i))
+			t.Logf("in force after %v with 3 of 9 hosts cut off", g.inForce(v))
+		}
+	})
+}
+
+func TestChangeComesWithAsksAloneWhenPushesAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 9)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		late := g.start()
+		late.cutLog.Store(true)
+		g.inForce(1)
+		if !g.ready(late, inForceBound) {
+			t.Error("not ready although every other host confirmed the version")
+		}
+	})
+}
+
+func TestAllHostsReplacedWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 6)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		v := g.mustPublish(g.all()[0], "second")
+		g.inForce(v)
+		g.down(true)
+		for _, old := range g.all() {
+			h := g.start()
+			if !g.ready(h, inForceBound) || h.version() != v {
+				t.Fatalf("new host: version %d, ready %v", h.version(), h.store.Ready())
+			}
+			g.end(old)
+		}
+		g.down(false)
+		time.Sleep(5 * time.Second)
+		next := g.mustPublish(g.all()[0], "third")
+		if next != v+1 {
+			t.Errorf("next version %d, want %d", next, v+1)
+		}
+		g.inForce(next)
+	})
+}
+
+func TestAllHostsReplacedAtOnceLearnFromTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		v := g.mustPublish(g.all()[0], "first")
+		g.endAll()
+		for range 3 {
+			g.start()
+		}
+		defer g.endAll()
+		g.inForce(v)
+	})
+}
+
+func TestHostAloneWithoutTheLogIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		g.mustPublish(g.all()[0], "first")
+		g.endAll()
+		g.down(true)
+		h := g.start()
+		defer g.endAll()
+		if g.ready(h, inForceBound) {
+			t.Fatal("ready without any configuration")
+		}
+		g.down(false)
+		if !g.ready(h, inForceBound) || h.version() != 1 {
+			t.Errorf("version %d after the log came back", h.version())
+		}
+	})
+}
+
+func TestOfOperatorsWhoRaceOneWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 5)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		for round := range 5 {
+			before := g.all()[0].version()
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			rulings := make(map[settings.Ruling]int)
+			for i, h := range g.all() {
+				wg.Go(func() {
+					v, err := g.publish(h, fmt.Sprintf("r%d-%d", round, i))
+					if err != nil {
+						t.Error(err)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					rulings[v.Ruling]++
+				})
+			}
+			wg.Wait()
+			if rulings[settings.RulingAccepted] != 1 || rulings[settings.RulingConflict] != 4 {
+				t.Fatalf("rulings %v", rulings)
+			}
+			g.inForce(before + 1)
+		}
+	})
+}
+
+func TestPublishDuringAnOutageIsNeverLostSilently(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		g.down(true)
+		_, err := g.publish(g.all()[0], "second")
+		if !errors.Is(err, ErrNotRecorded) && !errors.Is(err, ErrPending) {
+			t.Fatalf("got %v", err)
+		}
+		g.down(false)
+		time.Sleep(30 * time.Second)
+		got := g.all()[0].version()
+		if errors.Is(err, ErrNotRecorded) && got != 1 {
+			t.Errorf("version %d although the change was not recorded", got)
+		}
+		g.inForce(got)
+	})
+}
+
+func TestLostAppendAnswerIsOneChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		g.log.SetFault(fault.Fault{LoseAnswers: 1})
+		v, err := g.publish(g.all()[0], "second")
+		if err != nil || v.Ruling != settings.RulingAccepted || v.Version != 2 {
+			t.Fatalf("%v %v", v, err)
+		}
+		time.Sleep(time.Minute)
+		g.inForce(2)
+		if got := g.all()[0].version(); got != 2 {
+			t.Errorf("version %d", got)
+		}
+	})
+}
+
+func TestVersionOutlivesTheLogsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.endAll()
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		v := g.mustPublish(g.all()[0], "second")
+		g.inForce(v)
+		time.Sleep(3 * time.Hour)
+		g.endAll()
+		h := g.start()
+		if !g.ready(h, inForceBound) || h.version() != v {
+			t.Fatalf("version %d after the records expired, want %d", h.version(), v)
+		}
+		if n := g.mustPublish(h, "third"); n != v+1 {
+			t.Errorf("next version %d", n)
+		}
+	})
+}
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -17,7 +17,7 @@
 
 // The defaults.
 const (
-	DefaultSnapshotEvery   = time.Hour
+	DefaultSnapshotEvery   = 15 * time.Minute
 	DefaultSnapshotRecords = 1000
 	DefaultStagger         = 20 * time.Second
 	DefaultHistory         = 128
