--- a/internal/dev/ownhost.go
+++ b/internal/dev/ownhost.go
@@ -4,27 +4,27 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
-	"coltsfootmux/internal/entry"
+	entryprogram "coltsfootmux/internal/entry/program"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/node"
 	"coltsfootmux/internal/scheduler"
-	"coltsfootmux/internal/scheduler/program"
+	schedulerprogram "coltsfootmux/internal/scheduler/program"
 )
 
 // OwnHost is one of the system's own hosts with its programs.
 type OwnHost struct {
 	Name      string
 	Place     Place
-	Scheduler *program.Program
-	EntryNode *node.Node
-	Entry     *entry.Server
+	Scheduler *schedulerprogram.Program
+	Entry     *entryprogram.Program
 
 	stop context.CancelFunc
 	done chan struct{}
+	err  error
 }
 
 // settings gives the settings of one program of a host.
@@ -45,23 +45,16 @@
 	h := &OwnHost{Name: name, Place: place, done: make(chan struct{})}
 	logger := c.logger.With(slog.String("on", name))
 	var err error
-	h.Scheduler, err = program.New(c.settings(name, model.RoleScheduler, place), scheduler.DefaultTiming(), logger)
-	if err != nil {
+	sched := c.settings(name, model.RoleScheduler, place)
+	if h.Scheduler, err = schedulerprogram.New(sched, scheduler.DefaultTiming(), logger); err != nil {
 		return nil, eris.Wrap(ErrStart, err.Error())
 	}
-	h.EntryNode, err = node.New(c.settings(name, model.RoleEntry, place), model.RoleEntry, logger)
-	if err != nil {
-		return nil, eris.Wrap(ErrStart, err.Error())
-	}
-	h.Entry, err = entry.New(entry.Options{
-		Pool: h.EntryNode.Pool, Configs: h.EntryNode.Configs, Hosts: h.EntryNode.Hosts, Logger: logger,
-		Self: h.EntryNode.Self.ID, DataCentre: place.DataCentre, Region: place.Region,
-	})
-	if err != nil {
+	entry := entryprogram.Settings{Node: c.settings(name, model.RoleEntry, place)}
+	if h.Entry, err = entryprogram.New(entry, logger); err != nil {
 		return nil, eris.Wrap(ErrStart, err.Error())
 	}
 	c.Platform.Hosts.Register(h.Scheduler.Node.Self)
-	c.Platform.Hosts.Register(h.EntryNode.Self)
+	c.Platform.Hosts.Register(h.Entry.Node.Self)
 	h.run()
 	return h, nil
 }
@@ -69,31 +62,17 @@
 func (h *OwnHost) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
+	var g errgroup.Group
+	g.Go(func() error { return h.Scheduler.Run(ctx) })
+	g.Go(func() error { return h.Entry.Run(ctx) })
 	go func() {
 		defer close(h.done)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			_ = h.Scheduler.Run(ctx)
-		}()
-		_ = h.runEntry(ctx)
-		<-ended
+		h.err = g.Wait()
 	}()
 }
 
-func (h *OwnHost) runEntry(ctx context.Context) error {
-	mux := http.NewServeMux()
-	h.EntryNode.Handle(mux, h.Entry.Ready)
-	mux.Handle("/v1/", h.Entry.Handler())
-	work := func(ctx context.Context) error {
-		h.Entry.Run(ctx)
-		return nil
-	}
-	return h.EntryNode.Run(ctx, mux, work, h.Entry.Drain)
-}
-
 // URL gives the base URL of the host's callers' API.
-func (h *OwnHost) URL() string { return "http://" + h.EntryNode.Addr() }
+func (h *OwnHost) URL() string { return "http://" + h.Entry.APIAddr() }
 
 // Stop drains the host's programs and waits for their end.
 func (h *OwnHost) Stop() {
@@ -104,6 +83,6 @@
 // Kill ends the host's programs at once, as when the machine is lost.
 func (h *OwnHost) Kill() {
 	h.Scheduler.Node.Kill()
-	h.EntryNode.Kill()
+	h.Entry.Node.Kill()
 	<-h.done
 }
