--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/limits"
 	"coltsfootmux/internal/model"
 )
@@ -62,13 +63,13 @@
 }
 
 // admit opens a request of an account, or says why not and when to come back.
-func (a *admission) admit(now time.Time, name model.Account, l accountLimits) (reason model.Reason, after time.Duration) {
+func (a *admission) admit(now time.Time, name model.Account, l config.Limits) (reason model.Reason, after time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.conc.Acquire(name, l.concurrency) {
+	if !a.conc.Acquire(name, l.Concurrency) {
 		return model.ReasonQueueFull, concurrencyRetryAfter
 	}
-	if ok, wait := a.rates.Allow(now, name, l.ratePerSecond); !ok {
+	if ok, wait := a.rates.Allow(now, name, l.RatePerSecond); !ok {
 		a.conc.Release(name)
 		return model.ReasonRateLimited, wait
 	}
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -119,15 +119,18 @@
 	return max(s.Slots, s.Accelerators, s.CPUMilli, s.MemoryMB) > maxShapePart
 }
 
-// against checks the work against the configuration.
+// against checks the work against the configuration, which may force its class.
 func (c *checker) against(w *model.Work) *problem.Problem {
-	l, ok := limitsOf(c.conf.doc, w.Account)
+	l := c.conf.doc.Effective(c.now, w.Account, w.Kind)
+	if l.Class != nil {
+		w.Class = *l.Class
+	}
 	switch {
-	case !ok:
+	case c.conf.doc.Account(w.Account) == nil:
 		return refused(model.ReasonUnknownAccount, "The client account is not in the configuration.")
 	case fromFuture(w.Key, c.now, c.conf.doc.Defaults.CallerSkew.D()):
 		return refused(model.ReasonKeyFromFuture, "The key's own time is further ahead than clocks may differ.")
-	case !c.conf.room.holds(w, l.dataCentres):
+	case !c.conf.room.holds(w, l.DataCentres):
 		return refused(model.ReasonImpossible, "No set of workers that the account may use holds this shape.")
 	}
 	return nil
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -73,8 +73,8 @@
 }
 
 func (s *Server) admit(conf *inForce, w *model.Work) *problem.Problem {
-	l, _ := limitsOf(conf.doc, w.Account)
-	reason, after := s.admission.admit(time.Now(), w.Account, l)
+	now := time.Now()
+	reason, after := s.admission.admit(now, w.Account, conf.doc.Effective(now, w.Account, w.Kind))
 	if reason == "" {
 		return nil
 	}
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/entry"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/problem"
@@ -190,6 +191,27 @@
 	}
 }
 
+func TestExceptionsOfTheConfigurationHoldAtOnce(t *testing.T) {
+	f := newScheduler(t)
+	doc := document()
+	none, urgent := 0, "urgent"
+	doc.Exceptions = []config.Exception{
+		{ID: "stop", Reason: "incident", Account: "farms", Kind: "sweep", Concurrency: &none},
+		{ID: "lift", Reason: "ministry call", Account: "farms", Kind: "check", Class: &urgent},
+		{ID: "old", Reason: "over", Account: "farms", Kind: "check", Concurrency: &none, Expires: time.Unix(1, 0)},
+	}
+	s := newSystem(t, nil, doc, f)
+	if got := s.do(t, "POST", "/v1/requests", `{"key":"a","account":"farms","kind":"sweep"}`); got.status != http.StatusTooManyRequests {
+		t.Errorf("a kind that is stopped: %d %s", got.status, got.body)
+	}
+	if got := s.do(t, "POST", "/v1/requests", `{"key":"b","account":"farms","kind":"check"}`); got.status != http.StatusOK {
+		t.Errorf("another kind: %d %s", got.status, got.body)
+	}
+	if taken := f.taken(); len(taken) != 1 || taken[0].Work.Class != model.ClassUrgent {
+		t.Errorf("taken %+v", taken)
+	}
+}
+
 func TestOutcomesThatAreNotDoneAreProblems(t *testing.T) {
 	f := newScheduler(t)
 	s := newSystem(t, nil, document(), f)
