--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -68,10 +68,13 @@
 	return min(c.conf.def.LargeWait.D(), longest/2)
 }
 
-// runStep is the power of two of the expected run time, less one step for each
+// runStep is the power of two of the expected work, less one step for each
 // time that the wait has outgrown it.
 func (c *Core) runStep(j *job) int {
 	run := c.expected(j)
+	if !c.policy.ShortFirst {
+		run *= time.Duration(area(j))
+	}
 	wait := c.now.Sub(j.queuedAt)
 	return int(math.Log2(1 + float64(run)/float64(time.Millisecond)/(1+float64(wait)/float64(max(run, time.Millisecond)))))
 }
@@ -85,3 +88,6 @@
 	}
 	return q.demand.shape.Times(q.demand.members).Fits(ent.Sub(q.acc.used))
 }
+
+// area is how many accelerators the job takes, at least 1.
+func area(j *job) int { return max(1, j.work.Total().Accelerators) }
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -47,6 +47,8 @@
 	BlindEviction bool
 	// Consolidate moves borrowed work together to win room for the reference shape.
 	Consolidate bool
+	// ShortFirst orders by expected run time alone, whatever the size.
+	ShortFirst bool
 }
 
 // Standard is the policy that schedulers run.
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -13,6 +13,7 @@
 		looseRacks(),
 		blindEviction(),
 		scattered(),
+		shortFirst(),
 	}
 }
 
@@ -66,3 +67,12 @@
 	p.Consolidate = false
 	return p
 }
+
+// shortFirst is the standard policy as it was before the size of work counted
+// in its order.
+func shortFirst() placement.Policy {
+	p := placement.Standard()
+	p.Name = "short-first"
+	p.ShortFirst = true
+	return p
+}
