--- a/internal/core/gang/net_test.go
+++ b/internal/core/gang/net_test.go
@@ -341,6 +341,23 @@
 	}
 }
 
+func TestTheWordOfAFailedMemberIsToldAgainWhenItIsLost(t *testing.T) {
+	w := newWorld(t, 4, 1, 4, 8)
+	w.form("h0", "g", 8, w.cellIDs(), time.Minute)
+	w.runUntil(w.now.Add(5 * time.Second))
+	w.dead["h0"] = true
+	w.loss = 1
+	for id := range w.runs {
+		w.post(delivery{at: w.now, cell: "c2", event: MemberEnded{ID: id, Failed: true}})
+	}
+	w.runUntil(w.now.Add(100 * time.Millisecond))
+	w.loss = 0
+	w.runUntil(w.now.Add(2 * time.Second))
+	if len(w.runs) != 0 {
+		t.Fatalf("still running: %+v", w.runs)
+	}
+}
+
 func TestGangsOnABadNetwork(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, rapid.Uint64().Draw(rt, "seed"), 3, 4, 8)
--- a/internal/core/gang/participant.go
+++ b/internal/core/gang/participant.go
@@ -20,8 +20,21 @@
 	order  []*share
 	barred map[model.Key]bar
 	bars   []model.Key
+	// notices are words of a broken gang that are told again, as they may be lost.
+	notices []notice
 }
 
+// notice tells a gang's coordinator and cells that it is broken.
+type notice struct {
+	id    ID
+	peers []model.CellID
+	due   time.Time
+	left  int
+}
+
+// noticeTimes is how often a broken gang is told of.
+const noticeTimes = 6
+
 // bar says that no try up to id may begin.
 type bar struct {
 	id    ID
@@ -203,12 +216,27 @@
 // coordinator and, in case it is gone, by the peers.
 func (p *Participant) abandon(s *share) {
 	p.drop(s)
-	p.tell(s.id, Broken{ID: s.id})
-	for _, cell := range s.peers {
-		if cell != p.cell {
-			p.emit(SendCell{To: cell, Message: Broken{ID: s.id}})
+	p.notices = append(p.notices, notice{id: s.id, peers: s.peers, due: p.now, left: noticeTimes})
+	p.giveNotice()
+}
+
+// giveNotice tells of broken gangs, several times at growing distances.
+func (p *Participant) giveNotice() {
+	for i := range p.notices {
+		n := &p.notices[i]
+		if p.now.Before(n.due) {
+			continue
+		}
+		n.left--
+		n.due = p.now.Add(p.bounds.AnswerWithin << (noticeTimes - n.left) / 4)
+		p.tell(n.id, Broken{ID: n.id})
+		for _, cell := range n.peers {
+			if cell != p.cell {
+				p.emit(SendCell{To: cell, Message: Broken{ID: n.id}})
+			}
 		}
 	}
+	p.notices = slices.DeleteFunc(p.notices, func(n notice) bool { return n.left == 0 })
 }
 
 // release gives up the cell's part of a try, and bars that try for good.
@@ -263,6 +291,7 @@
 		}
 		p.abandon(s)
 	}
+	p.giveNotice()
 	p.bars = slices.DeleteFunc(p.bars, func(k model.Key) bool {
 		if p.now.Before(p.barred[k].until) {
 			return false
