Find cells by indexes of their free room

Cause: work that may run in any owned cell looked at all of them, so a decision grew with their number.

--- a/internal/core/placement/adopt.go
+++ b/internal/core/placement/adopt.go
@@ -45,6 +45,7 @@
 	j.found++
 	c.tasks[t.lease] = t
 	w.addTask(t)
+	c.reindex(w.cell)
 }
 
 // adopted makes the job of a lease that was found. Work that was handed in
--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -27,6 +27,7 @@
 		t := &task{job: j, member: i, worker: w, shape: j.work.Shape, firm: firm}
 		j.tasks[i] = t
 		w.addTask(t)
+		c.reindex(w.cell)
 		w.health.admitted(j.work.Key)
 	}
 	if len(victims) == 0 {
@@ -128,6 +129,7 @@
 func (c *Core) dropTask(t *task) {
 	w := t.worker
 	w.dropTask(t)
+	c.reindex(w.cell)
 	if w.health.probe == t.job.work.Key {
 		w.health.probe = ""
 	}
--- a/internal/core/placement/cell.go
+++ b/internal/core/placement/cell.go
@@ -17,6 +17,9 @@
 	// lost says that another scheduler owns the cell now.
 	lost  bool
 	units []*unit
+	// byAccelerators and bySlots are its places in the indexes.
+	byAccelerators place
+	bySlots        place
 }
 
 // whole reports whether nothing runs in the cell.
--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -21,6 +21,7 @@
 	at, _ := slices.BinarySearchFunc(c.order, cl, func(a, b *cell) int { return cmp.Compare(a.id, b.id) })
 	c.order = slices.Insert(c.order, at, cl)
 	c.total = c.total.Add(cl.total)
+	c.reindex(cl)
 	for _, r := range e.Running {
 		c.adopt(r)
 	}
@@ -53,9 +54,13 @@
 	c.disentitle(cl)
 	if cl.drainFor != nil {
 		j := cl.drainFor
+		cl.drainFor = nil
+		c.draining--
 		j.drains = slices.DeleteFunc(j.drains, func(o *cell) bool { return o == cl })
 	}
 	delete(c.cells, cl.id)
+	c.accelerators.remove(cl)
+	c.slots.remove(cl)
 	c.order = slices.DeleteFunc(c.order, func(o *cell) bool { return o == cl })
 	c.freed = slices.DeleteFunc(c.freed, func(o *cell) bool { return o == cl })
 	c.total = c.total.Sub(cl.total)
@@ -96,6 +101,7 @@
 		if _, live := c.tasks[t.lease]; live {
 			delete(c.tasks, t.lease)
 			t.worker.dropTask(t)
+			c.reindex(cl)
 			j.live--
 		}
 	}
--- a/internal/core/placement/configured.go
+++ b/internal/core/placement/configured.go
@@ -71,6 +71,7 @@
 		}
 		c.addWorker(cl, mw)
 		c.total = c.total.Add(mw.Capacity)
+		c.reindex(cl)
 	}
 }
 
@@ -81,4 +82,5 @@
 	w.cell.free = w.cell.free.Add(diff)
 	w.cell.total = w.cell.total.Add(diff)
 	c.total = c.total.Add(diff)
+	c.reindex(w.cell)
 }
--- a/internal/core/placement/consolidate.go
+++ b/internal/core/placement/consolidate.go
@@ -17,6 +17,8 @@
 	consolidatePercent = 50
 	// consolidateAttempts bounds the attempts of work that is still moved.
 	consolidateAttempts = 2
+	// lookMost bounds the cells that are looked at for room.
+	lookMost = 32
 )
 
 // consolidate moves borrowed work out of a cell when that lets the cell serve
@@ -100,7 +102,8 @@
 // that serve no reference shape now.
 func (c *Core) roomBeside(cl *cell, size int) bool {
 	room := 0
-	for _, o := range c.order {
+	for i := range min(len(c.order), lookMost) {
+		o := c.order[(c.look+i)%len(c.order)]
 		if o == cl || o.drainFor != nil {
 			continue
 		}
--- a/internal/core/placement/core.go
+++ b/internal/core/placement/core.go
@@ -22,9 +22,15 @@
 	total     model.Shape
 	cells     map[model.CellID]*cell
 	order     []*cell
-	workers   map[model.WorkerID]*worker
-	accounts  map[model.Account]*account
-	kinds     map[kindKey]*runStats
+	// accelerators and slots index the cells by free room.
+	accelerators *freeIndex
+	slots        *freeIndex
+	// window is where the next search for room to reclaim begins in order.
+	window   int
+	draining int
+	workers  map[model.WorkerID]*worker
+	accounts map[model.Account]*account
+	kinds    map[kindKey]*runStats
 
 	jobs   map[model.Key]*job
 	tasks  map[model.LeaseID]*task
@@ -52,18 +58,20 @@
 // NewWithPolicy gives a core that decides by p.
 func NewWithPolicy(self model.HostID, p Policy) *Core {
 	return &Core{
-		self:      self,
-		policy:    p,
-		conf:      defaultSettings(),
-		cells:     make(map[model.CellID]*cell),
-		workers:   make(map[model.WorkerID]*worker),
-		accounts:  make(map[model.Account]*account),
-		kinds:     make(map[kindKey]*runStats),
-		jobs:      make(map[model.Key]*job),
-		tasks:     make(map[model.LeaseID]*task),
-		queues:    make(map[demand]*queue),
-		fitsEmpty: make(map[shapeKey]bool),
-		byCell:    make(map[model.CellID][]*queue),
+		accelerators: newAcceleratorIndex(),
+		slots:        newSlotIndex(),
+		self:         self,
+		policy:       p,
+		conf:         defaultSettings(),
+		cells:        make(map[model.CellID]*cell),
+		workers:      make(map[model.WorkerID]*worker),
+		accounts:     make(map[model.Account]*account),
+		kinds:        make(map[kindKey]*runStats),
+		jobs:         make(map[model.Key]*job),
+		tasks:        make(map[model.LeaseID]*task),
+		queues:       make(map[demand]*queue),
+		fitsEmpty:    make(map[shapeKey]bool),
+		byCell:       make(map[model.CellID][]*queue),
 	}
 }
 
--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -43,7 +43,7 @@
 	if j.queue.head() != j {
 		return
 	}
-	if c.policy.Preempt && c.reclaimIn(j, c.candidates(j), c.evictRoom) {
+	if c.policy.Preempt && c.reclaimIn(j, c.evictCells(j), c.evictRoom) {
 		return
 	}
 	if len(j.drains) == 0 {
@@ -53,13 +53,7 @@
 
 // drain keeps firm work out of the cells that should be free the soonest.
 func (c *Core) drain(j *job) {
-	draining := 0
-	for _, cl := range c.order {
-		if cl.drainFor != nil {
-			draining++
-		}
-	}
-	room := max(1, len(c.order)/drainShare) - draining
+	room := max(1, len(c.order)/drainShare) - c.draining
 	if room <= 0 {
 		return
 	}
@@ -68,6 +62,7 @@
 			break
 		}
 		cl.drainFor = j
+		c.draining++
 		j.drains = append(j.drains, cl)
 		if local(j) {
 			break
@@ -83,7 +78,7 @@
 		at time.Duration
 	}
 	var cands []candidate
-	for _, cl := range c.candidates(j) {
+	for _, cl := range c.evictCells(j) {
 		if cl.drainFor != nil || !c.couldHold(j, cl) {
 			continue
 		}
@@ -141,6 +136,7 @@
 	for _, cl := range j.drains {
 		if cl.drainFor == j {
 			cl.drainFor = nil
+			c.draining--
 			c.free(cl)
 		}
 	}
--- a/internal/core/placement/try.go
+++ b/internal/core/placement/try.go
@@ -6,11 +6,7 @@
 // has a right to that. A queue that was found blocked is only tried where room
 // came free.
 func (c *Core) try(q *queue, j *job, freed []*cell) bool {
-	cells := c.candidates(j)
-	if q.blocked && local(j) {
-		cells = among(cells, freed)
-	}
-	if ws := c.place(j, cells, c.directRoom); ws != nil {
+	if ws := c.place(j, c.startCells(q, j, freed), c.directRoom); ws != nil {
 		c.assign(j, ws, nil)
 		return true
 	}
@@ -29,7 +25,7 @@
 	if j.class != urgentClass && !c.overdue(j) {
 		return false
 	}
-	return c.reclaimIn(j, c.candidates(j), c.evictRoom)
+	return c.reclaimIn(j, c.evictCells(j), c.evictRoom)
 }
 
 func (c *Core) reclaimIn(j *job, cells []*cell, room roomFunc) bool {
@@ -51,41 +47,3 @@
 		j.work.Adjacency == model.AdjacentRack ||
 		j.work.Adjacency == model.AdjacentWorker
 }
-
-func among(cells, freed []*cell) []*cell {
-	var out []*cell
-	for _, f := range freed {
-		for _, cl := range cells {
-			if cl == f {
-				out = append(out, f)
-				break
-			}
-		}
-	}
-	return out
-}
-
-// candidates gives the owned cells that a job may run in.
-func (c *Core) candidates(j *job) []*cell {
-	if len(j.cells) == 0 && len(c.conf.accounts[j.work.Account].DataCentres) == 0 {
-		return c.order
-	}
-	var out []*cell
-	if len(j.cells) == 0 {
-		for _, cl := range c.order {
-			if c.conf.allows(j.work.Account, cl.dc) {
-				out = append(out, cl)
-			}
-		}
-		return out
-	}
-	for _, id := range j.cells {
-		if cl, ok := c.cells[id]; ok && c.conf.allows(j.work.Account, cl.dc) {
-			out = append(out, cl)
-		}
-	}
-	return out
-}
-
-// ownCells gives the candidates in which the job's account is entitled to room.
-func (c *Core) ownCells(j *job) []*cell { return among(c.candidates(j), j.acc.cells) }
