--- a/internal/core/placement/candidates.go
+++ b/internal/core/placement/candidates.go
@@ -112,3 +112,14 @@
 func (cl *cell) holdsFor(a *account) bool {
 	return slices.ContainsFunc(cl.units, func(u *unit) bool { return u.acc == a })
 }
+
+// among gives those of the cells that came free.
+func among(cells, freed []*cell) []*cell {
+	var out []*cell
+	for _, cl := range cells {
+		if slices.Contains(freed, cl) {
+			out = append(out, cl)
+		}
+	}
+	return out
+}
--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -67,7 +67,6 @@
 	for _, w := range cl.workers {
 		delete(c.workers, w.id)
 	}
-	c.rearm()
 }
 
 // jobsIn gives the jobs with a task in a cell, each once.
@@ -112,23 +111,3 @@
 		c.forget(j)
 	}
 }
-
-// rearm lets large work whose drained cell went away ask for another.
-func (c *Core) rearm() {
-	for _, q := range c.open {
-		c.rearmQueue(q)
-	}
-	for _, id := range c.sortedLimits() {
-		for _, q := range c.byCell[id] {
-			c.rearmQueue(q)
-		}
-	}
-}
-
-func (c *Core) rearmQueue(q *queue) {
-	for _, j := range q.heap {
-		if j.state == jobWaiting && j.queue == q && c.overdue(j) && len(j.drains) == 0 {
-			c.after(0, timer{kind: timerLarge, key: j.work.Key, round: j.round})
-		}
-	}
-}
--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -32,17 +32,37 @@
 	return c.policy.Reserve && c.large(&j.work) && c.now.Sub(j.queuedAt) >= c.largeBound()
 }
 
+// watch sets a timer for when the head of a queue of large work is overdue.
+func (c *Core) watch(q *queue) {
+	j := q.head()
+	if j == nil || q.watched || !c.policy.Reserve {
+		return
+	}
+	q.watched = true
+	due := j.queuedAt.Add(c.largeBound())
+	if !due.After(c.now) {
+		due = c.now.Add(drainRetry)
+	}
+	c.at(due, timer{kind: timerLarge, queue: q})
+}
+
 // largeDue makes room for large work that waited its bound: by eviction if that
 // suffices, else by draining a cell.
 func (c *Core) largeDue(t timer) {
-	j, ok := c.jobs[t.key]
-	if !ok || j.round != t.round || j.state != jobWaiting || !c.policy.Reserve {
+	q := t.queue
+	q.watched = false
+	if !q.listed {
 		return
 	}
-	c.after(drainRetry, t)
-	if j.queue.head() != j {
-		return
+	if j := q.head(); j != nil && c.overdue(j) {
+		c.makeRoom(j)
+	}
+	if q.listed {
+		c.watch(q)
 	}
+}
+
+func (c *Core) makeRoom(j *job) {
 	if c.policy.Preempt && c.reclaimIn(j, c.evictCells(j), c.evictRoom) {
 		return
 	}
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -33,6 +33,8 @@
 	blocked bool
 	// listed says that the queue is in the list of active queues.
 	listed bool
+	// watched says that a timer will look after its head's bound as large work.
+	watched bool
 	// mark tells in which pass the queue was collected.
 	mark  uint64
 	score score
--- a/internal/core/placement/timers.go
+++ b/internal/core/placement/timers.go
@@ -33,6 +33,7 @@
 	worker model.WorkerID
 	lease  model.LeaseID
 	round  int
+	queue  *queue
 }
 
 type timerHeap []timer
--- a/internal/core/placement/try.go
+++ b/internal/core/placement/try.go
@@ -13,18 +13,28 @@
 	if !c.policy.Preempt {
 		return false
 	}
-	return c.tryReclaim(q, j)
+	return c.tryReclaim(q, j, freed)
 }
 
 // tryReclaim evicts borrowers for work inside its account's entitlement, for
 // urgent work, and for large work past its bound.
-func (c *Core) tryReclaim(q *queue, j *job) bool {
-	if !q.acc.entitled.IsZero() && c.reclaimIn(j, c.ownCells(j), c.ownRoom) {
-		return true
+func (c *Core) tryReclaim(q *queue, j *job, freed []*cell) bool {
+	again := q.blocked && local(j)
+	if !q.acc.entitled.IsZero() {
+		own := c.ownCells(j)
+		if again {
+			own = among(own, freed)
+		}
+		if c.reclaimIn(j, own, c.ownRoom) {
+			return true
+		}
 	}
 	if j.class != urgentClass && !c.overdue(j) {
 		return false
 	}
+	if again {
+		return c.reclaimIn(j, c.freedFor(j, freed), c.evictRoom)
+	}
 	return c.reclaimIn(j, c.evictCells(j), c.evictRoom)
 }
 
--- a/internal/core/placement/wait.go
+++ b/internal/core/placement/wait.go
@@ -18,7 +18,7 @@
 	}
 	c.at(until, timer{kind: timerWait, key: key, round: j.round})
 	if c.large(&j.work) {
-		c.at(j.queuedAt.Add(c.largeBound()), timer{kind: timerLarge, key: key, round: j.round})
+		c.watch(j.queue)
 	}
 }
 
