Never regain an epoch that was used, nor repeat an old not_run

Both found by the model check (two restarts; second claim and a tick more). A fence of the same epoch does not stop starts under it that are still under way, so an owner whose majority of witnesses restarted needs a fresh claim. A not_run that one owner recorded is no longer true once another may own the key: it is repeated only while held, and not adopted from the log. Work in placement is dispatched anew when the epoch is raised; it waited for its deadline before.

--- a/internal/core/ledger/attempt.go
+++ b/internal/core/ledger/attempt.go
@@ -114,7 +114,7 @@
 }
 
 func (c *Core) attemptsLeft(e *entry) bool {
-	return e.hasWork && e.attempt < c.defaults().MaxAttempts
+	return e.hasWork && e.attempt-e.redone < c.defaults().MaxAttempts
 }
 
 func (c *Core) timeLeft(now time.Time, e *entry) bool {
--- a/internal/core/ledger/entry.go
+++ b/internal/core/ledger/entry.go
@@ -43,6 +43,8 @@
 
 	state   state
 	attempt int
+	// redone counts the attempts of which nothing was sent.
+	redone int
 	// notBefore holds back a retry.
 	notBefore time.Time
 	deadline  time.Time
--- a/internal/core/ledger/group.go
+++ b/internal/core/ledger/group.go
@@ -12,6 +12,7 @@
 // has been taken in.
 func (c *Core) groupGained(now time.Time, ev GroupGained) {
 	g := c.group(ev.Group)
+	raised := g.epoch != ev.Epoch
 	g.owned, g.held, g.epoch, g.gap = true, true, ev.Epoch, ev.Gap
 	if !ev.Unbroken {
 		c.dropLive(g)
@@ -22,13 +23,20 @@
 	c.adoptFound(now, g, ev.Found)
 	for _, e := range slices.Clone(c.live) {
 		if e.group == g.id && e.unsent() {
-			c.resume(now, e)
+			c.resume(now, e, raised)
 		}
 	}
 }
 
-// resume goes on with work that was not sent before the holds lapsed.
-func (c *Core) resume(now time.Time, e *entry) {
+// resume goes on with work that was not sent before the holds lapsed. Starts
+// must carry the group's epoch, so that what placement has is handed to it anew
+// when the epoch was raised.
+func (c *Core) resume(now time.Time, e *entry, raised bool) {
+	if raised && e.state == dispatched {
+		c.withdraw(e)
+		e.state = waiting
+		e.redone++
+	}
 	if e.verdict != nil {
 		c.finish(now, e, *e.verdict)
 		return
@@ -36,9 +44,9 @@
 	c.dispatch(now, e)
 }
 
-// dropLive forgets the group's work that has not ended. Another owner may have
-// run it in between, so that traces of an earlier tenure prove nothing: what runs
-// is found again by the scan, and callers offer the rest again.
+// dropLive forgets the group's work that is not done. Another owner may have run
+// it in between, so that traces and verdicts of an earlier tenure prove nothing:
+// what runs is found again by the scan, and callers offer the rest again.
 func (c *Core) dropLive(g *group) {
 	for _, e := range c.live {
 		if e.group == g.id && e.live() {
@@ -46,6 +54,11 @@
 			c.drop(e)
 		}
 	}
+	for _, e := range c.ended {
+		if e.group == g.id && e.state == ended && e.result.Outcome != model.OutcomeDone {
+			c.drop(e)
+		}
+	}
 }
 
 func (c *Core) drop(e *entry) {
@@ -55,11 +68,15 @@
 	delete(c.keys, e.key)
 }
 
-// adoptOutcome takes in an outcome that the log kept.
+// adoptOutcome takes in an outcome that the log kept. Only done is for good: a
+// key that one owner called not_run may have been run by the next.
 func (c *Core) adoptOutcome(now time.Time, g *group, o Recorded) {
+	if o.Result.Outcome != model.OutcomeDone {
+		return
+	}
 	old := c.keys[o.Result.Key]
 	if old != nil {
-		if old.live() && o.Result.Outcome == model.OutcomeDone {
+		if old.live() {
 			c.withdraw(old)
 			c.finish(now, old, o.Result)
 		}
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -265,6 +265,34 @@
 			b.step(NotRun{Key: old, Attempt: 1, Reason: model.ReasonQueueFull})
 			b.replies(t, "unknown")
 		},
+		"work in placement is dispatched anew when the group's epoch is raised": func(t *testing.T, b *bench) {
+			b.submit(k, 1, false)
+			b.step(HoldsLapsed{})
+			b.step(GroupGained{Epoch: 48, Gap: start.Add(-time.Minute), Unbroken: true})
+			ds := of[Dispatch](b.did)
+			if len(ds) != 2 || ds[1].GroupEpoch != 48 || ds[1].Attempt != 2 || len(of[Withdraw](b.did)) != 1 {
+				t.Errorf("did %+v", b.did)
+			}
+			b.step(NotRun{Key: k, Attempt: 1, Reason: model.ReasonQueueFull})
+			b.replies(t)
+		},
+		"a not_run told by the log is not repeated": func(t *testing.T, b *bench) {
+			o := Recorded{Result: model.Result{Key: k, Outcome: model.OutcomeNotRun}, Account: "a", Sum: 7, At: b.now}
+			f := Found{Worker: "w", Lease: "l", Started: true, Label: platform.Label{Key: k, Account: "a", Members: 1, Attempt: 1}}
+			b.step(GroupGained{Epoch: 17, Outcomes: []Recorded{o}, Found: []Found{f}, Gap: start.Add(-time.Minute)})
+			b.submit(k, 1, false)
+			b.replies(t)
+		},
+		"a recorded not_run is repeated only while the group is held": func(t *testing.T, b *bench) {
+			b.submit(k, 1, false)
+			b.step(NotRun{Key: k, Attempt: 1, Reason: model.ReasonQueueFull})
+			b.step(HoldsLapsed{})
+			b.submit(k, 2, false)
+			b.replies(t, "not_run")
+			if len(of[Moved](b.did)) != 1 {
+				t.Error("not sent on")
+			}
+		},
 		"an offer made under another epoch of the group is sent on": func(t *testing.T, b *bench) {
 			b.step(Submitted{Waiter: 1, Epoch: 15, Work: model.Work{Key: k, Account: "a"}})
 			if len(of[Moved](b.did)) != 1 {
--- a/internal/core/ledger/submit.go
+++ b/internal/core/ledger/submit.go
@@ -104,7 +104,7 @@
 		e.sum, e.hasSum = s.Sum, true
 	}
 	if e.state == ended {
-		c.do(Reply{s.Waiter, e.result})
+		c.repeat(now, e, s.Waiter)
 		return
 	}
 	if !slices.Contains(e.waiters, s.Waiter) {
@@ -119,6 +119,16 @@
 	c.dispatch(now, e)
 }
 
+// repeat tells a recorded outcome. A not_run is ours to repeat while the group is
+// held: another owner may have run the key since.
+func (c *Core) repeat(now time.Time, e *entry, w Waiter) {
+	if e.result.Outcome == model.OutcomeNotRun && !c.held(now, c.group(e.group)) {
+		c.do(Moved{w})
+		return
+	}
+	c.do(Reply{w, e.result})
+}
+
 // dispatch hands waiting work to placement once its group's holds allow it.
 func (c *Core) dispatch(now time.Time, e *entry) {
 	g := c.group(e.group)
--- a/internal/core/ledger/tick.go
+++ b/internal/core/ledger/tick.go
@@ -63,11 +63,13 @@
 		if early && len(c.ended)-n <= c.keepKeys && c.bytes <= c.keepBytes {
 			break
 		}
-		if early {
+		if early && e.state == ended {
 			c.widen(e)
 		}
 		c.bytes -= e.size()
-		delete(c.keys, e.key)
+		if c.keys[e.key] == e {
+			delete(c.keys, e.key)
+		}
 		n++
 	}
 	c.ended = slices.Delete(c.ended, 0, n)
--- a/internal/core/ledger/views.go
+++ b/internal/core/ledger/views.go
@@ -36,7 +36,7 @@
 			if len(out) >= limit {
 				return out
 			}
-			if e.account == account {
+			if e.account == account && e.state != dropped {
 				out = append(out, e.status())
 			}
 		}
--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -12,11 +12,19 @@
 	t := s.term
 	switch t.phase {
 	case fencing:
+		if t.used && s.broken() {
+			c.retire(now, s)
+			return
+		}
 		if s.majority(func(g *guard) bool { return g.fenced }) {
 			t.phase = waiting
 			c.advanceGroup(now, s)
 		}
 	case waiting:
+		if t.used && s.broken() {
+			c.retire(now, s)
+			return
+		}
 		if s.waited(now, c.set.holdWait()) {
 			t.phase, t.began = scanning, now
 			c.scanAll(now, s)
@@ -47,6 +55,9 @@
 }
 
 func (s *scope) waited(now time.Time, wait time.Duration) bool {
+	if s.term.used {
+		return s.follows()
+	}
 	return s.majority(func(g *guard) bool { return g.safe(now, wait) })
 }
 
@@ -58,6 +69,20 @@
 	})
 }
 
+// broken says that a majority of witnesses can't vouch any more that nobody came
+// in between.
+func (s *scope) broken() bool {
+	n := s.term.count(func(g *guard) bool { return g.fenced && !g.same })
+	return len(s.target.Witnesses)-n <= len(s.target.Witnesses)/2
+}
+
+// retire gives an epoch up that was used and can't be gained again. A claim of
+// its own may follow at once, and hands out a new one.
+func (c *Core) retire(now time.Time, s *scope) {
+	c.yield(now, s)
+	s.heard = now.Add(-c.set.ReclaimAfter)
+}
+
 // heldBy says that a majority of the witnesses' holds is unexpired.
 func (s *scope) heldBy(now time.Time) bool {
 	return s.majority(func(g *guard) bool { return g.until.After(now) })
--- a/internal/core/ownership/scope.go
+++ b/internal/core/ownership/scope.go
@@ -67,7 +67,11 @@
 	// need no wait when a majority of witnesses saw nothing later.
 	follows model.Epoch
 	// own says that the epoch followed was this process's.
-	own    bool
+	own bool
+	// used says that keyed work was started under this very epoch before a
+	// Suspend. Its starts may still be under way, and no fence of the same epoch
+	// stops them.
+	used   bool
 	guards []*guard
 	gained bool
 }
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -45,7 +45,9 @@
 
 // restart begins the term's epoch anew.
 func (c *Core) restart(now time.Time, s *scope) {
-	s.term = newTerm(now, s.target, s.term.epoch, s.term)
+	old := s.term
+	s.term = newTerm(now, s.target, old.epoch, old)
+	s.term.used = old.used || old.phase == owned
 	c.fenceAll(now, s)
 }
 
--- /dev/null
+++ b/internal/faultrun/work.go
@@ -0,0 +1,229 @@
+package faultrun
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/core/ledger"
+	"coltsfootmux/internal/core/ownership"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
+)
+
+const (
+	pollEvery = 100 * time.Millisecond
+	// pollTries is how many polls in a row may go unanswered.
+	pollTries = 3
+	// startTries is how many workers may refuse one attempt.
+	startTries = 6
+)
+
+// attempt is work that the ledger dispatched. Placement is trivial: the group's
+// workers in turn.
+type attempt struct {
+	d      ledger.Dispatch
+	tries  int
+	misses int
+	trace  ledger.Trace
+	gone   bool
+}
+
+// doLed carries an action of the ledger out.
+func (h *host) doLed(a ledger.Action) {
+	switch a := a.(type) {
+	case ledger.Dispatch:
+		h.waiting = append(h.waiting, &attempt{d: a})
+		h.place1()
+	case ledger.Reply:
+		h.reply(a.Waiter, answer{result: a.Result})
+	case ledger.Moved:
+		h.reply(a.Waiter, answer{moved: true})
+	case ledger.AnswerCancel:
+		if f := h.cancels[a.Waiter]; f != nil {
+			delete(h.cancels, a.Waiter)
+			f(a)
+		}
+	case ledger.Ask:
+		h.ask(a)
+	case ledger.Record:
+		h.sim.appendOutcome(h, a.Recorded)
+	case ledger.Withdraw:
+		h.withdraw(a.Key)
+	}
+}
+
+// place1 starts what waits, where the holds allow it.
+func (h *host) place1() {
+	waiting := h.waiting
+	h.waiting = nil
+	for _, at := range waiting {
+		if !at.gone && !h.begin(at) {
+			h.waiting = append(h.waiting, at)
+		}
+	}
+}
+
+func (h *host) begin(at *attempt) bool {
+	d := &at.d
+	e, ok := h.own.MayStart(h.sim.now, d.Group)
+	if !ok || e != d.GroupEpoch || !h.led.MayBegin(h.sim.now, d.Work.Key, d.Attempt) {
+		return false
+	}
+	w, inc := h.pick(at)
+	if w == nil {
+		return false
+	}
+	at.tries++
+	h.leases++
+	lease := model.LeaseID(fmt.Sprintf("%s/%d/%s.%d.%d", d.Work.Key, d.Attempt, h.id, h.boot, h.leases))
+	at.trace = ledger.Trace{Worker: w.id, Cell: cellOf(d.Group), Lease: lease}
+	h.sent[d.Work.Key] = at
+	h.stepLed(ledger.Begun{Key: d.Work.Key, Attempt: d.Attempt, Parts: []ledger.Trace{at.trace}})
+	h.start1(at, w, inc)
+	return true
+}
+
+// cellOf stands for a cell: key groups start work under their own epoch.
+func cellOf(g model.GroupID) model.CellID { return model.CellID(fmt.Sprintf("q%d", g)) }
+
+func (h *host) pick(at *attempt) (*machine, string) {
+	scope := model.GroupScope(at.d.Group)
+	ws := h.sim.groupTarget(at.d.Group).Workers
+	first := int(xxhash.Sum64String(string(at.d.Work.Key))%uint64(len(ws))) + at.tries
+	for i := range ws {
+		id := ws[(first+i)%len(ws)].ID
+		if inc, ok := h.own.Incarnation(scope, id); ok {
+			return h.sim.byWorker[id], inc
+		}
+	}
+	return nil, ""
+}
+
+func (h *host) start1(at *attempt, w *machine, inc string) {
+	d, t := &at.d, at.trace
+	start := platform.Start{
+		Lease: t.Lease, Cell: t.Cell, Epoch: d.GroupEpoch, Incarnation: inc,
+		Keyed: !d.Work.Idempotent, Group: d.Group, GroupEpoch: d.GroupEpoch,
+		Grant: &platform.Grant{
+			Lease: t.Lease, Cell: t.Cell, Epoch: d.GroupEpoch, TTL: leaseTTL, Shape: model.Shape{Slots: 1},
+			Label: platform.Label{
+				Key: d.Work.Key, Group: d.Group, Account: d.Work.Account, Members: 1,
+				Idempotent: d.Work.Idempotent, Attempt: d.Attempt,
+			},
+		},
+	}
+	ask := func(m *machine) (struct{}, error) { return struct{}{}, m.w.Start(background, start) }
+	call(h, "start", w, ask, func(_ struct{}, err error) { h.started(at, err) })
+}
+
+func (h *host) started(at *attempt, err error) {
+	d := &at.d
+	switch {
+	case err == nil:
+		h.poll(at)
+	case eris.Is(err, platform.ErrStaleEpoch):
+		h.stepOwn(ownership.Refused{Scope: model.GroupScope(d.Group), Epoch: d.GroupEpoch})
+		h.again(at)
+	case eris.Is(err, errNoAnswer):
+		delete(h.sent, d.Work.Key)
+		h.stepLed(ledger.Unclear{Key: d.Work.Key, Attempt: d.Attempt, Reason: model.ReasonLinkLost})
+	default:
+		h.again(at)
+	}
+}
+
+// again tries another worker: this one provably did not start it.
+func (h *host) again(at *attempt) {
+	if at.tries < startTries {
+		h.waiting = append(h.waiting, at)
+		return
+	}
+	delete(h.sent, at.d.Work.Key)
+	h.stepLed(ledger.NotRun{Key: at.d.Work.Key, Attempt: at.d.Attempt, Reason: model.ReasonRefused})
+}
+
+// poll asks for the task's ending until it is there.
+func (h *host) poll(at *attempt) {
+	boot := h.boot
+	h.sim.after(pollEvery, func() {
+		h.post(boot, func() {
+			h.release(at.d.Group, at.d.GroupEpoch, at.trace, true, func(r platform.Released, err error) { h.polled(at, r, err) })
+		})
+	})
+}
+
+func (h *host) polled(at *attempt, r platform.Released, err error) {
+	d := &at.d
+	switch {
+	case err == nil && r.Ending != nil:
+		delete(h.sent, d.Work.Key)
+		h.stepLed(ledger.Answered{Key: d.Work.Key, Attempt: d.Attempt, Result: resultOf(r.Ending)})
+	case err == nil && r.Running:
+		at.misses = 0
+		h.poll(at)
+	default:
+		if at.misses++; at.misses < pollTries {
+			h.poll(at)
+			return
+		}
+		delete(h.sent, d.Work.Key)
+		h.stepLed(ledger.Unclear{Key: d.Work.Key, Attempt: d.Attempt, Reason: model.ReasonWorkerLost})
+	}
+}
+
+func resultOf(e *platform.Ending) model.Result {
+	r := model.Result{Outcome: model.OutcomeDone, Reason: model.ReasonOK, Answer: e.Answer}
+	if e.State != platform.EndDone {
+		r.Failed, r.Reason = true, model.ReasonTaskFailed
+	}
+	return r
+}
+
+func (h *host) release(g model.GroupID, e model.Epoch, t ledger.Trace, only bool, done func(platform.Released, error)) {
+	ask := func(m *machine) (platform.Released, error) {
+		return m.w.Release(background, platform.Release{
+			Lease: t.Lease, Scope: model.GroupScope(g), Epoch: e, OnlyUnstarted: only,
+		})
+	}
+	call(h, "release", h.sim.byWorker[t.Worker], ask, func(r platform.Released, err error) {
+		if eris.Is(err, platform.ErrStaleEpoch) {
+			h.stepOwn(ownership.Refused{Scope: model.GroupScope(g), Epoch: e})
+		}
+		done(r, err)
+	})
+}
+
+func (h *host) ask(a ledger.Ask) {
+	h.release(a.Group, a.Epoch, a.Trace, true, func(r platform.Released, err error) {
+		h.stepLed(ledger.Settled{
+			Key: a.Key, Attempt: a.Attempt, Trace: a.Trace,
+			Clear: err == nil, Barred: err == nil && !r.Started, Running: r.Running, Ending: r.Ending, Since: r.Since,
+		})
+	})
+}
+
+// withdraw takes back what waits, and stops what runs.
+func (h *host) withdraw(k model.Key) {
+	for _, at := range h.waiting {
+		if at.d.Work.Key == k {
+			at.gone = true
+		}
+	}
+	h.waiting = slices.DeleteFunc(h.waiting, func(at *attempt) bool { return at.gone })
+	at := h.sent[k]
+	if at == nil || at.gone {
+		return
+	}
+	at.gone = true
+	h.release(at.d.Group, at.d.GroupEpoch, at.trace, false, func(r platform.Released, err error) {
+		if err == nil && r.Ending != nil {
+			h.stepLed(ledger.Answered{Key: k, Attempt: at.d.Attempt, Result: resultOf(r.Ending)})
+			return
+		}
+		h.stepLed(ledger.Unclear{Key: k, Attempt: at.d.Attempt, Reason: model.ReasonCancelled})
+	})
+}
--- a/internal/modelcheck/keyledger.go
+++ b/internal/modelcheck/keyledger.go
@@ -21,6 +21,8 @@
 		s.tell(a.Host, Unknown)
 	case h.fate == Unheard:
 		h.fate = Queued
+	case h.fate == NotRun && !h.mayStart() && !k.Faulty.OldVerdict:
+		// Another owner may have run it since.
 	case h.fate.final():
 		s.tell(a.Host, h.fate)
 	}
--- a/internal/modelcheck/keyspec.go
+++ b/internal/modelcheck/keyspec.go
@@ -19,6 +19,11 @@
 	KeepTraces bool
 	// StaleListing lets an owner go by a listing from before its last fence.
 	StaleListing bool
+	// SameEpoch lets an owner regain the epoch that it used, although another may
+	// have come in between.
+	SameEpoch bool
+	// OldVerdict repeats a not_run without holds.
+	OldVerdict bool
 	// TrustBar takes a bar from a restarted worker as proof.
 	TrustBar bool
 	// AnyEpoch lets an owner take an offer made under an earlier epoch of its own.
--- a/internal/modelcheck/keysteps.go
+++ b/internal/modelcheck/keysteps.go
@@ -190,6 +190,10 @@
 
 // advance moves a term on as far as its answers and the time allow.
 func (k KeySpec) advance(s *KeyState, h *host) {
+	if h.usedUp() && !k.Faulty.SameEpoch && !k.Faulty.NoFence {
+		h.lose(s, true)
+		return
+	}
 	switch h.stage {
 	case fencing:
 		if h.fencedCount() >= majority {
@@ -197,7 +201,8 @@
 			k.advance(s, h)
 		}
 	case waiting:
-		if h.count(k.safe) >= majority {
+		used := h.gained && h.term == h.epoch && !k.Faulty.SameEpoch && !k.Faulty.NoFence
+		if h.count(k.safe) >= majority && (!used || h.sameCount() >= majority) {
 			h.stage, h.scanned = scanning, false
 		}
 	case scanning:
@@ -213,6 +218,20 @@
 	}
 }
 
+func (h *host) sameCount() int {
+	return h.count(func(g *guard) bool { return g.fenced > 0 && g.same })
+}
+
+// usedUp says that the epoch can't be gained again: work was started under it,
+// and a majority can't vouch that nobody came in between.
+func (h *host) usedUp() bool {
+	if !h.gained || h.term != h.epoch || h.stage != fencing && h.stage != waiting {
+		return false
+	}
+	changed := h.count(func(g *guard) bool { return g.fenced > 0 && !g.same })
+	return workers-changed < majority
+}
+
 // safe says that no old owner can start keyed work by this witness's leave.
 func (k KeySpec) safe(g *guard) bool {
 	return g.fenced > 0 && (g.same || g.fenced > k.Wait || k.Faulty.NoWait)
@@ -226,7 +245,7 @@
 }
 
 func (k KeySpec) gain(s *KeyState, h *host) {
-	follows := h.count(func(g *guard) bool { return g.fenced > 0 && g.same }) >= majority
+	follows := h.sameCount() >= majority
 	for i := range h.guard {
 		g := &h.guard[i]
 		if !follows {
@@ -235,7 +254,7 @@
 	}
 	h.stage, h.gained, h.held, h.term = owned, true, true, h.epoch
 	at := s.index(h)
-	if !follows && !h.fate.final() && !k.Faulty.KeepTraces {
+	if !follows && h.fate != Done && !k.Faulty.KeepTraces {
 		h.drop(s)
 	}
 	k.adopt(s, h)
--- a/internal/modelcheck/replay_test.go
+++ b/internal/modelcheck/replay_test.go
@@ -40,6 +40,8 @@
 	led  [hosts]*ledger.Core
 	// asked holds what each core has asked for, as call, epoch and worker.
 	asked [hosts]map[string]bool
+	// attempt is the number of each ledger's latest attempt.
+	attempt [hosts]int
 	// scans are the hosts that asked for a listing or hold in this step.
 	scans []int
 	// before holds the hosts' stages before this step.
@@ -165,7 +167,11 @@
 // its latest offer; its waiter there is the host's number plus 1.
 func (r *replay) ledger(h int, ev ledger.Event) {
 	for _, a := range r.led[h].Step(r.now, ev) {
+		if d, ok := a.(ledger.Dispatch); ok {
+			r.attempt[h] = d.Attempt
+		}
 		if q, ok := a.(ledger.Ask); ok {
+			r.attempt[h] = q.Attempt
 			r.noteAsk(h, "ask", at(1), q.Trace.Worker)
 		}
 		rep, ok := a.(ledger.Reply)
--- a/internal/modelcheck/replayfeed_test.go
+++ b/internal/modelcheck/replayfeed_test.go
@@ -52,13 +52,13 @@
 		}
 		r.hold(h, a.Worker)
 	case Doubt:
-		r.ledger(h, ledger.Unclear{Key: r.key, Attempt: 1, Reason: model.ReasonLinkLost})
+		r.ledger(h, ledger.Unclear{Key: r.key, Attempt: r.attempt[h], Reason: model.ReasonLinkLost})
 	case Ask:
 		r.ask(h, a.Worker)
 	case Answer:
-		r.ledger(h, ledger.Answered{Key: r.key, Attempt: 1, Result: model.Result{Outcome: model.OutcomeDone}})
+		r.ledger(h, ledger.Answered{Key: r.key, Attempt: r.attempt[h], Result: model.Result{Outcome: model.OutcomeDone}})
 	case GiveUp:
-		r.ledger(h, ledger.NotRun{Key: r.key, Attempt: 1, Reason: model.ReasonQueueFull})
+		r.ledger(h, ledger.NotRun{Key: r.key, Attempt: r.attempt[h], Reason: model.ReasonQueueFull})
 	case Suspect:
 		r.now = r.now.Add(replayStep)
 		r.step(h, ownership.Tick{})
@@ -85,10 +85,10 @@
 }
 
 func (r *replay) begin(h int, i uint8) {
-	if _, ok := r.own[h].MayStart(r.now, 0); !ok || !r.led[h].MayBegin(r.now, r.key, 1) {
+	if _, ok := r.own[h].MayStart(r.now, 0); !ok || !r.led[h].MayBegin(r.now, r.key, r.attempt[h]) {
 		r.t.Fatalf("the cores don't allow the start\n%v", r.done)
 	}
-	r.ledger(h, ledger.Begun{Key: r.key, Attempt: 1, Parts: []ledger.Trace{
+	r.ledger(h, ledger.Begun{Key: r.key, Attempt: r.attempt[h], Parts: []ledger.Trace{
 		{Worker: r.workerID(i), Lease: lease(r.s.host[h].epoch)},
 	}})
 }
@@ -101,7 +101,7 @@
 	}
 	r.need(h, "ask", 1, r.workerID(i))
 	ev := ledger.Settled{
-		Key: r.key, Attempt: 1, Clear: true,
+		Key: r.key, Attempt: r.attempt[h], Clear: true,
 		Trace: ledger.Trace{Worker: r.workerID(i), Lease: lease(hs.lease)},
 		Since: r.now.Sub(r.born[r.raw[i]]),
 	}
