--- a/internal/core/ledger/action.go
+++ b/internal/core/ledger/action.go
@@ -5,7 +5,8 @@
 // Action is what a Core asks its shell to do.
 type Action interface{ action() }
 
-// Dispatch hands an attempt to placement.
+// Dispatch hands an attempt to placement. GroupEpoch is the epoch at that moment;
+// starts carry the one that the ownership core's MayStart gives right before them.
 type Dispatch struct {
 	Work       model.Work
 	Group      model.GroupID
--- a/internal/core/ledger/attempt.go
+++ b/internal/core/ledger/attempt.go
@@ -83,13 +83,15 @@
 	c.ask(now, e)
 }
 
-// hold keeps work that found no owner for its cells. Nothing of the attempt was
-// sent, so it does not count, not even for non-idempotent work.
+// hold keeps work that found no owner for its cells, or whose epochs the workers
+// refused. Nothing of the attempt started, so it does not count, not even for
+// non-idempotent work.
 func (c *Core) hold(now time.Time, e *entry, why model.Reason) bool {
-	if why != model.ReasonNoOwner || e.state != dispatched || e.cancelled || !c.timeLeft(now, e) {
+	noOwner := why == model.ReasonNoOwner && e.state == dispatched
+	if !noOwner && why != model.ReasonOwnerLost || e.cancelled || !c.timeLeft(now, e) {
 		return false
 	}
-	e.attempt--
+	e.redone++
 	c.again(now, e)
 	return true
 }
--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -103,7 +103,8 @@
 	Result  model.Result
 }
 
-// NotRun says that an attempt provably did not run.
+// NotRun says that an attempt provably did not run. With ReasonOwnerLost, which
+// says that workers refused its epochs, it is dispatched anew.
 type NotRun struct {
 	Key        model.Key
 	Attempt    int
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -293,6 +293,13 @@
 				t.Error("not sent on")
 			}
 		},
+		"non-idempotent work whose epoch was refused is dispatched anew": func(t *testing.T, b *bench) {
+			b.sendOne(k, false)
+			b.step(NotRun{Key: k, Attempt: 1, Reason: model.ReasonOwnerLost})
+			b.wait(time.Second)
+			b.dispatches(t, 2)
+			b.replies(t)
+		},
 		"an offer made under another epoch of the group is sent on": func(t *testing.T, b *bench) {
 			b.step(Submitted{Waiter: 1, Epoch: 15, Work: model.Work{Key: k, Account: "a"}})
 			if len(of[Moved](b.did)) != 1 {
--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -27,10 +27,16 @@
 		}
 		if s.waited(now, c.set.holdWait()) {
 			t.phase, t.began = scanning, now
-			c.scanAll(now, s)
+			t.unbroken = t.own && s.follows()
+			c.rescan(now, s)
 		}
 	case scanning:
 		c.renew(now, s)
+		if t.unbroken && !s.follows() {
+			t.unbroken, t.began = false, now
+			c.rescan(now, s)
+			return
+		}
 		if s.ready(now, c.set.holdWait()) && s.scanned(now, c.set.AnswerWithin) {
 			c.gain(now, s)
 		}
@@ -94,8 +100,13 @@
 	c.restart(now, s)
 }
 
-func (c *Core) scanAll(now time.Time, s *scope) {
+// rescan lists and holds every fenced worker. Only an unbroken term goes by the
+// listings of the term before.
+func (c *Core) rescan(now time.Time, s *scope) {
 	for _, g := range s.term.guards {
+		if !s.term.unbroken {
+			g.listed, g.knew, g.told = false, false, false
+		}
 		if g.fenced {
 			c.contact(now, s, g)
 		}
--- a/internal/core/ownership/scope.go
+++ b/internal/core/ownership/scope.go
@@ -68,6 +68,9 @@
 	follows model.Epoch
 	// own says that the epoch followed was this process's.
 	own bool
+	// unbroken says that nobody came between the epoch followed and this term, so
+	// that what its listings told still stands.
+	unbroken bool
 	// used says that keyed work was started under this very epoch before a
 	// Suspend. Its starts may still be under way, and no fence of the same epoch
 	// stops them.
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -269,7 +269,7 @@
 	t := s.term
 	t.phase, t.began, t.gained = owned, now, true
 	g := Gain{Target: s.target, Epoch: t.epoch}
-	follows := t.own && s.follows()
+	follows := t.unbroken
 	for _, x := range t.guards {
 		x.closeGap(now, follows)
 		if x.listed && !x.told {
--- a/internal/faultrun/work.go
+++ b/internal/faultrun/work.go
@@ -70,13 +70,14 @@
 func (h *host) begin(at *attempt) bool {
 	d := &at.d
 	e, ok := h.own.MayStart(h.sim.now, d.Group)
-	if !ok || e != d.GroupEpoch || !h.led.MayBegin(h.sim.now, d.Work.Key, d.Attempt) {
+	if !ok || !h.led.MayBegin(h.sim.now, d.Work.Key, d.Attempt) {
 		return false
 	}
 	w, inc := h.pick(at)
 	if w == nil {
 		return false
 	}
+	d.GroupEpoch = e
 	at.tries++
 	h.leases++
 	lease := model.LeaseID(fmt.Sprintf("%s/%d/%s.%d.%d", d.Work.Key, d.Attempt, h.id, h.boot, h.leases))
--- a/internal/modelcheck/keysteps.go
+++ b/internal/modelcheck/keysteps.go
@@ -74,6 +74,7 @@
 		}
 	}
 	h.stage, h.epoch, h.scanned, h.held = fencing, epoch, false, false
+	h.unbroken = false
 }
 
 // lose ends the term. What was not sent is dropped, and its caller sent on.
@@ -81,6 +82,7 @@
 	h.beaten = h.beaten || beaten
 	s.sendOn(h)
 	h.stage, h.gained, h.held, h.follows, h.scanned = idle, false, false, 0, false
+	h.unbroken = false
 	h.term = 0
 	if h.fate == Queued || h.fate == Proven {
 		h.drop(s)
@@ -204,8 +206,15 @@
 		used := h.gained && h.term == h.epoch && !k.Faulty.SameEpoch && !k.Faulty.NoFence
 		if h.count(k.safe) >= majority && (!used || h.sameCount() >= majority) {
 			h.stage, h.scanned = scanning, false
+			h.unbroken = h.sameCount() >= majority
+			h.rescan(k)
 		}
 	case scanning:
+		if h.unbroken && h.sameCount() < majority {
+			h.unbroken, h.scanned = false, false
+			h.rescan(k)
+			return
+		}
 		ready := h.count(func(g *guard) bool { return k.safe(g) && g.listed && g.until > 0 })
 		listed := h.count(func(g *guard) bool { return g.listed })
 		if ready >= majority && (listed == workers || h.scanned) {
@@ -232,6 +241,17 @@
 	return workers-changed < majority
 }
 
+// rescan forgets the listings of the term before, unless they still stand.
+func (h *host) rescan(k KeySpec) {
+	if h.unbroken || k.Faulty.ListFirst || k.Faulty.ListEarly {
+		return
+	}
+	for i := range h.guard {
+		g := &h.guard[i]
+		g.listed, g.knew, g.seen, g.late = false, false, false, false
+	}
+}
+
 // safe says that no old owner can start keyed work by this witness's leave.
 func (k KeySpec) safe(g *guard) bool {
 	return g.fenced > 0 && (g.same || g.fenced > k.Wait || k.Faulty.NoWait)
@@ -245,7 +265,7 @@
 }
 
 func (k KeySpec) gain(s *KeyState, h *host) {
-	follows := h.sameCount() >= majority
+	follows := h.unbroken
 	for i := range h.guard {
 		g := &h.guard[i]
 		if !follows {
