--- a/internal/core/placement/seen.go
+++ b/internal/core/placement/seen.go
@@ -32,18 +32,14 @@
 // replan sends jobs that waited for room on a lost worker back to the queue.
 func (c *Core) replan(w *worker) {
 	for _, j := range append([]*job(nil), w.planned...) {
+		if j.state != jobReclaiming {
+			continue
+		}
 		c.dropPlan(j)
-		c.enqueueAgain(j)
+		c.enqueueSince(j, j.queuedAt)
 	}
 }
 
-// enqueueAgain puts a job back among the waiting with its wait unbroken.
-func (c *Core) enqueueAgain(j *job) {
-	since := j.queuedAt
-	c.enqueue(j)
-	j.queuedAt = since
-}
-
 // workerLost ends the tasks of a worker whose leases have all lapsed.
 func (c *Core) workerLost(t timer) {
 	w, ok := c.workers[t.worker]
