--- a/internal/core/ledger/attempt.go
+++ b/internal/core/ledger/attempt.go
@@ -73,6 +73,12 @@
 	if e == nil || e.state == asking {
 		return
 	}
+	if e.state == dispatched && !e.cancelled && c.timeLeft(now, e) {
+		// Nothing was begun, and MayBegin refuses this attempt from now on.
+		e.redone++
+		c.again(now, e)
+		return
+	}
 	e.doubt = u.Reason
 	if e.idempotent && !e.cancelled && c.attemptsLeft(e) && c.timeLeft(now, e) {
 		e.mayHaveRun = true
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -300,6 +300,15 @@
 			b.dispatches(t, 2)
 			b.replies(t)
 		},
+		"doubt about an attempt that never began has it dispatched anew": func(t *testing.T, b *bench) {
+			b.submit(k, 1, false)
+			b.step(Unclear{Key: k, Attempt: 1, Reason: model.ReasonLinkLost})
+			if b.c.MayBegin(b.now, k, 1) {
+				t.Error("the first attempt may still begin")
+			}
+			b.wait(time.Second)
+			b.dispatches(t, 2)
+		},
 		"an offer made under another epoch of the group is sent on": func(t *testing.T, b *bench) {
 			b.step(Submitted{Waiter: 1, Epoch: 15, Work: model.Work{Key: k, Account: "a"}})
 			if len(of[Moved](b.did)) != 1 {
--- a/internal/faultrun/entry.go
+++ b/internal/faultrun/entry.go
@@ -38,18 +38,16 @@
 
 // request is one caller's request, as its entry host sees it.
 type request struct {
-	work    model.Work
-	sum     uint64
-	entry   *entry
-	made    time.Time
-	ended   time.Time
-	result  *model.Result
-	offer   *offer
-	offers  int
-	cancel  bool
-	quiet   time.Time
-	repeat  bool
-	skipped bool
+	work   model.Work
+	sum    uint64
+	entry  *entry
+	made   time.Time
+	ended  time.Time
+	result *model.Result
+	offer  *offer
+	offers int
+	quiet  time.Time
+	repeat bool
 }
 
 // offer is a request under way to one host.
--- a/internal/faultrun/host.go
+++ b/internal/faultrun/host.go
@@ -29,8 +29,8 @@
 	led  *ledger.Core
 	read int
 	seen map[string]bool
-	// gained holds the epoch of each group whose history is being read.
-	gained  map[model.GroupID]ownership.Gain
+	// gained holds what was found of each group until its ledger has heard of it.
+	gained  map[model.GroupID]*gained
 	waiting []*attempt
 	sent    map[model.Key]*attempt
 	// waiters are the offers that wait for a reply.
@@ -61,7 +61,7 @@
 	h.led = ledger.New(h.id)
 	h.led.Watch(h.own)
 	h.read, h.seen, h.lastList = 0, make(map[string]bool), time.Time{}
-	h.gained = make(map[model.GroupID]ownership.Gain)
+	h.gained = make(map[model.GroupID]*gained)
 	h.waiting, h.sent = nil, make(map[model.Key]*attempt)
 	h.waiters = make(map[ledger.Waiter]*offer)
 	h.cancels = make(map[ledger.Waiter]func(ledger.AnswerCancel))
--- a/internal/faultrun/own.go
+++ b/internal/faultrun/own.go
@@ -31,7 +31,9 @@
 			h.stepLed(ledger.WorkerJoined{Group: groupOf(a.Scope), Found: foundIn(a.Found), Gap: a.Gap})
 		}
 	case ownership.Suspend:
-		delete(h.gained, groupOf(a.Scope))
+		if g := h.gained[groupOf(a.Scope)]; g != nil {
+			g.suspended = true
+		}
 		h.stepLed(ledger.HoldsLapsed{Group: groupOf(a.Scope)})
 	case ownership.Lose:
 		if a.Scope.Kind == model.ScopeGroup {
@@ -82,19 +84,32 @@
 		return
 	}
 	g := groupOf(a.Target.Scope)
-	h.gained[g] = a
+	now := &gained{event: ledger.GroupGained{Group: g, Epoch: a.Epoch, Gap: a.Gap, Unbroken: a.Unbroken}}
+	if old := h.gained[g]; old != nil && a.Unbroken {
+		// The ledger has not heard yet what was found before.
+		now.event.Found, now.event.Unbroken = old.event.Found, old.event.Unbroken
+	}
+	for _, f := range a.Found {
+		now.event.Found = append(now.event.Found, foundIn(f)...)
+	}
+	h.gained[g] = now
 	h.sim.readOutcomes(h, g, func(outcomes []ledger.Recorded) {
-		if now, ok := h.gained[g]; !ok || now.Epoch != a.Epoch {
+		if h.gained[g] != now || now.suspended {
 			return
 		}
-		ev := ledger.GroupGained{Group: g, Epoch: a.Epoch, Outcomes: outcomes, Gap: a.Gap, Unbroken: a.Unbroken}
-		for _, f := range a.Found {
-			ev.Found = append(ev.Found, foundIn(f)...)
-		}
-		h.stepLed(ev)
+		delete(h.gained, g)
+		now.event.Outcomes = outcomes
+		h.stepLed(now.event)
 	})
 }
 
+// gained is a group whose history is being read.
+type gained struct {
+	event ledger.GroupGained
+	// suspended says that its holds lapsed before the history was there.
+	suspended bool
+}
+
 func foundIn(s ownership.Scanned) (out []ledger.Found) {
 	for _, l := range s.Listing.Leases {
 		out = append(out, ledger.Found{
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -22,6 +22,8 @@
 	// is reached at from. Otherwise the ledger here does.
 	remote chan wire.PlaceReply
 	from   model.Member
+	// refused is why from does not let the attempt start.
+	refused model.Reason
 	// tried are the owners that the attempt was handed to.
 	tried []model.HostID
 	// cancel ends the waits for the attempt's tasks.
--- a/internal/scheduler/begin.go
+++ b/internal/scheduler/begin.go
@@ -24,13 +24,17 @@
 	beginSome
 	// beginUnclear: a member may run.
 	beginUnclear
+	// beginRefused: the key group's owner does not let it start.
+	beginRefused
 )
 
 // starter carries one two-phase start out, in a goroutine of its own.
 type starter struct {
-	s        *Scheduler
-	b        placement.Begin
-	epochs   map[model.CellID]model.Epoch
+	s      *Scheduler
+	b      placement.Begin
+	epochs map[model.CellID]model.Epoch
+	// incs are the workers' incarnations that the cells' fences are for.
+	incs     map[model.WorkerID]string
 	ttl      platformTTL
 	announce *wire.Begun
 	to       model.Member
@@ -49,26 +53,44 @@
 	at.ended = make(map[model.LeaseID]platform.Ending, len(b.Parts))
 	st := &starter{s: l.s, b: b, epochs: l.epochsOf(b.Parts), ttl: l.leaseTTL()}
 	st.b.Attempt = at.number
+	st.incs = l.incarnations(b.Parts)
 	if at.remote != nil {
 		st.to = at.from
 		st.announce = &wire.Begun{Key: b.Work.Key, Group: b.Group, Attempt: at.number, Traces: at.traces()}
-	} else {
-		l.stepLedger(ledger.Begun{Key: b.Work.Key, Attempt: at.number, Parts: ledgerTraces(at.traces())})
-	}
-	if at.remote == nil && !l.mayStart(b) {
-		go l.s.post(beginDoneMsg{key: b.Work.Key, attempt: at.number, outcome: beginNothing})
+	} else if !l.beginHere(st, at) {
 		return
 	}
 	go st.run(ctx)
 }
 
-// mayStart asks the ownership core whether keyed work may be started now.
-func (l *loop) mayStart(b placement.Begin) bool {
-	if b.Work.Idempotent {
+// beginHere tells the ledger of the leases and gives the start its group's epoch.
+// It starts nothing without holds, and gives an attempt up that the ledger no
+// longer lets start.
+func (l *loop) beginHere(st *starter, at *attempt) bool {
+	key := at.work.Key
+	e, held := l.own.MayStart(now(), at.group)
+	if held && l.led.MayBegin(now(), key, at.number) {
+		st.b.GroupEpoch = e
+		l.stepLedger(ledger.Begun{Key: key, Attempt: at.number, Parts: ledgerTraces(at.traces())})
 		return true
 	}
-	e, ok := l.own.MayStart(now(), b.Group)
-	return ok && e == b.GroupEpoch
+	m := beginDoneMsg{key: key, attempt: at.number, outcome: beginNothing}
+	if held {
+		m.outcome, m.refused = beginRefused, model.ReasonOwnerLost
+	}
+	go l.s.post(m)
+	return false
+}
+
+// incarnations gives those that the cells' fences hold for.
+func (l *loop) incarnations(parts []placement.Part) map[model.WorkerID]string {
+	out := make(map[model.WorkerID]string, len(parts))
+	for _, p := range parts {
+		if inc, ok := l.own.Incarnation(model.CellScope(p.Cell), p.Worker); ok {
+			out[p.Worker] = inc
+		}
+	}
+	return out
 }
 
 func (l *loop) epochsOf(parts []placement.Part) map[model.CellID]model.Epoch {
@@ -91,6 +113,10 @@
 	case beginNothing:
 		evBeginFailed.Log(l.ctx, l.s.o.Logger, slog.String("key", string(m.key)), slog.String("worker", string(m.worker)))
 		l.stepPlace(placement.BeginFailed{Key: m.key, Worker: m.worker, Fault: m.fault})
+	case beginRefused:
+		at.refused = m.refused
+		l.stepPlace(placement.Cancelled{Key: m.key})
+		l.stepPlace(placement.BeginFailed{Key: m.key})
 	case beginAll, beginSome:
 		l.stepPlace(placement.Started{Key: m.key})
 	case beginUnclear:
@@ -111,14 +137,14 @@
 
 // announced reports whether the key group's owner knows of the leases and lets
 // the start go on.
-func (st *starter) announced(ctx context.Context) bool {
+func (st *starter) announced(ctx context.Context) (refused model.Reason, ok bool) {
 	if st.announce == nil {
-		return true
+		return "", true
 	}
 	ctx, cancel := context.WithTimeout(ctx, st.s.o.Timing.CallTimeout)
 	defer cancel()
 	ack, err := link.Call[wire.Begun, wire.Ack](ctx, st.s.o.Pool, st.to.Addr, wire.KindBegun, *st.announce)
-	return err == nil && ack.Refused == ""
+	return ack.Refused, err == nil && ack.Refused == ""
 }
 
 func (st *starter) done(o beginOutcome, w model.WorkerID, fault bool) {
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -148,7 +148,8 @@
 		m.reply <- wire.Ack{Refused: model.ReasonCancelled}
 		return
 	}
-	if _, ok := l.own.MayStart(now(), at.group); !ok && !at.work.Idempotent {
+	e, held := l.own.MayStart(now(), at.group)
+	if !held || e != at.groupEpoch || !l.led.MayBegin(now(), m.begun.Key, m.begun.Attempt) {
 		m.reply <- wire.Ack{Refused: model.ReasonOwnerLost}
 		return
 	}
--- a/internal/scheduler/gain.go
+++ b/internal/scheduler/gain.go
@@ -59,14 +59,20 @@
 // gainGroup keeps what the workers told and has the log's part read.
 func (l *loop) gainGroup(a ownership.Gain) {
 	g := groupOf(a.Target.Scope)
-	l.groups[g] = &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap}
+	og := &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap, unbroken: a.Unbroken}
+	if old, ok := l.groups[g]; ok && a.Unbroken && !old.ready {
+		// The ledger has not heard yet what was found before.
+		og.found = append(old.found, og.found...)
+		og.unbroken = old.unbroken
+	}
+	l.groups[g] = og
 	go l.s.readHistory(l.ctx, g, a.Epoch)
 }
 
 // history completes a gained group with what the log knows.
 func (l *loop) history(m historyMsg) {
 	og, ok := l.groups[m.group]
-	if !ok || og.epoch != m.epoch {
+	if !ok || og.epoch != m.epoch || og.suspended {
 		return
 	}
 	og.ready = true
@@ -76,6 +82,7 @@
 		Outcomes: m.hist.outcomes,
 		Found:    og.found,
 		Gap:      og.gap,
+		Unbroken: og.unbroken,
 	})
 	for _, w := range m.hist.open {
 		l.resume(w)
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -46,12 +46,16 @@
 	epoch model.Epoch
 	found []ledger.Found
 	gap   time.Time
-	ready bool
+	// unbroken says that the ledger still knows what it knew before.
+	unbroken bool
+	// suspended says that the holds lapsed before the history was read.
+	suspended bool
+	ready     bool
 }
 
 func newLoop(s *Scheduler) *loop {
 	t := s.o.Timing
-	return &loop{
+	l := &loop{
 		s: s,
 		own: ownership.New(ownership.Settings{
 			Self:         s.member(),
@@ -69,6 +73,8 @@
 		byReply:  make(map[chan wire.SubmitReply]ledger.Waiter),
 		cancels:  make(map[ledger.Waiter]chan wire.CancelReply),
 	}
+	l.led.Watch(l.own)
+	return l
 }
 
 func (l *loop) run(ctx context.Context) error {
--- a/internal/scheduler/message.go
+++ b/internal/scheduler/message.go
@@ -79,6 +79,8 @@
 	outcome beginOutcome
 	worker  model.WorkerID
 	fault   bool
+	// refused is why a beginRefused was.
+	refused model.Reason
 }
 
 // placedMsg is the answer to a Place that we sent.
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -146,7 +146,11 @@
 
 func (l *loop) suspend(a ownership.Suspend) {
 	evSuspended.Log(l.ctx, l.s.o.Logger, slog.String("scope", a.Scope.String()))
-	l.stepLedger(ledger.HoldsLapsed{Group: groupOf(a.Scope)})
+	g := groupOf(a.Scope)
+	if og, ok := l.groups[g]; ok {
+		og.suspended = true
+	}
+	l.stepLedger(ledger.HoldsLapsed{Group: g})
 }
 
 // groupOf gives the number of a key group's scope.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -63,6 +63,9 @@
 		return
 	}
 	at.cancel()
+	if at.refused != "" {
+		a.Reason = at.refused
+	}
 	if at.remote == nil && elsewhere(a.Reason) {
 		l.offer(at, a.Reason, a.RetryAfter)
 		return
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -23,7 +23,12 @@
 // run carries the start out and tells the loop. ctx ends when the start is
 // aborted; what was granted is then released.
 func (st *starter) run(ctx context.Context) {
-	if !st.announced(ctx) {
+	refused, ok := st.announced(ctx)
+	if refused != "" {
+		st.s.post(beginDoneMsg{key: st.b.Work.Key, attempt: st.b.Attempt, outcome: beginRefused, refused: refused})
+		return
+	}
+	if !ok {
 		st.done(beginNothing, "", false)
 		return
 	}
@@ -154,6 +159,6 @@
 	return platform.Start{
 		Lease: p.Lease, Cell: p.Cell, Epoch: st.epochs[p.Cell],
 		Keyed: !st.b.Work.Idempotent, Group: st.b.Group, GroupEpoch: st.b.GroupEpoch,
-		Within: st.s.o.Timing.CallTimeout, Body: st.b.Work.Body,
+		Within: st.s.o.Timing.CallTimeout, Body: st.b.Work.Body, Incarnation: st.incs[p.Worker],
 	}
 }
