--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -45,7 +45,9 @@
 
 // restart begins the term's epoch anew.
 func (c *Core) restart(now time.Time, s *scope) {
-	s.term = newTerm(now, s.target, s.term.epoch, s.term)
+	old := s.term
+	s.term = newTerm(now, s.target, old.epoch, old)
+	s.term.used = old.used || old.phase == owned
 	c.fenceAll(now, s)
 }
 
@@ -267,7 +269,7 @@
 	t := s.term
 	t.phase, t.began, t.gained = owned, now, true
 	g := Gain{Target: s.target, Epoch: t.epoch}
-	follows := t.own && s.follows()
+	follows := t.unbroken
 	for _, x := range t.guards {
 		x.closeGap(now, follows)
 		if x.listed && !x.told {
