Keep an audit trail of every attempted change on the log

Each ruling on the configuration stream is entered under an id made of its offset, so any process can write it and copies count once.

--- /dev/null
+++ b/internal/audit/entry.go
@@ -0,0 +1,74 @@
+package audit
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"coltsfootmux/internal/config"
+)
+
+// TypeEntry is the type of records on the audit stream.
+const TypeEntry = "audit.entry"
+
+// MaxChanges bounds the changes that one entry lists.
+const MaxChanges = 200
+
+// Ruling is what became of a change.
+type Ruling string
+
+// The rulings.
+const (
+	Accepted Ruling = "accepted"
+	Conflict Ruling = "conflict"
+	Refused  Ruling = "refused"
+)
+
+// Entry is one attempted change.
+type Entry struct {
+	// ID is the same for all copies of one entry.
+	ID string    `json:"id" cbor:"1,keyasint"`
+	At time.Time `json:"at" cbor:"2,keyasint"`
+	// Record is the id of the change's record; empty when it was never appended.
+	Record string `json:"record,omitempty" cbor:"3,keyasint,omitempty"`
+	Author string `json:"author" cbor:"4,keyasint"`
+	// Reason is the author's own.
+	Reason string `json:"reason" cbor:"5,keyasint"`
+	Ruling Ruling `json:"ruling" cbor:"6,keyasint"`
+	// Why says why a change was not accepted.
+	Why  string         `json:"why,omitempty" cbor:"7,keyasint,omitempty"`
+	Base config.Version `json:"base" cbor:"8,keyasint"`
+	// Version is in force after the attempt.
+	Version config.Version  `json:"version" cbor:"9,keyasint"`
+	Changes []config.Change `json:"changes,omitempty" cbor:"10,keyasint,omitempty"`
+	// More is how many changes beyond those listed there were.
+	More int `json:"more_changes,omitempty" cbor:"11,keyasint,omitempty"`
+}
+
+// SetChanges lists the first changes and counts the others.
+func (e *Entry) SetChanges(cs []config.Change) {
+	e.Changes = cs[:min(len(cs), MaxChanges)]
+	e.More = len(cs) - len(e.Changes)
+}
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+var encMode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+func decode(b []byte) (Entry, error) {
+	var e Entry
+	err := decMode.Unmarshal(b, &e)
+	return e, err
+}
--- /dev/null
+++ b/internal/audit/trail.go
@@ -0,0 +1,194 @@
+package audit
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootmux/internal/logclient"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
+)
+
+// Options are a trail's settings. Zero numbers take the defaults.
+type Options struct {
+	Log *logclient.Client
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	// Pending is the most entries that may wait for the log.
+	Pending int
+	// Keep is the most entries held in memory and kept on the log; older ones go.
+	Keep   int
+	Logger *slog.Logger
+}
+
+// The defaults.
+const (
+	DefaultRetention = time.Hour
+	DefaultPending   = 1000
+	DefaultKeep      = 20_000
+)
+
+// Trail is one process's copy of the audit stream. It is safe for concurrent use.
+type Trail struct {
+	o      Options
+	keeper *logclient.Keeper
+
+	mu sync.Mutex
+	// entries are in the order of time; records holds what each was read from.
+	entries []Entry
+	records map[string]platform.Record
+	// pending holds entries that were added here and not yet read back.
+	pending  map[string]bool
+	caughtUp bool
+}
+
+// New makes an empty trail; Run fills it.
+func New(o Options) *Trail {
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.Pending = cmp.Or(o.Pending, DefaultPending)
+	o.Keep = cmp.Or(o.Keep, DefaultKeep)
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	t := &Trail{o: o, records: make(map[string]platform.Record), pending: make(map[string]bool)}
+	t.keeper = logclient.NewKeeper(o.Log, platform.StreamAudit, o.Retention, t.live)
+	return t
+}
+
+// Run follows the stream, and writes entries again before they expire, until
+// ctx ends; it gives ctx's error.
+func (t *Trail) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		return t.o.Log.Follow(ctx, platform.StreamAudit, 0, func(e platform.Entry) { t.read(ctx, e) },
+			logclient.WithKeeper(t.keeper), logclient.OnCaughtUp(func(model.Offset) { t.setCaughtUp() }))
+	})
+	g.Go(func() error { return t.keeper.Run(ctx) })
+	return g.Wait()
+}
+
+// Add writes an entry to the log, behind the caller's back while the log is
+// down. Adding an id that the trail has does nothing. The error wraps ErrFull.
+func (t *Trail) Add(ctx context.Context, e Entry) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.records[e.ID]; ok || t.pending[e.ID] {
+		return nil
+	}
+	if len(t.pending) >= t.o.Pending {
+		return ErrFull
+	}
+	data, err := encMode.Marshal(&e)
+	if err != nil {
+		return err
+	}
+	rec := platform.Record{ID: e.ID, Type: TypeEntry, Data: data}
+	if err := t.o.Log.Enqueue(platform.StreamAudit, rec); err != nil {
+		return ErrFull
+	}
+	if len(t.pending) == 0 {
+		evWaiting.Log(ctx, t.o.Logger)
+	}
+	t.pending[e.ID] = true
+	mEntries.With(string(e.Ruling)).Inc()
+	return nil
+}
+
+// Room reports whether an entry can be added now.
+func (t *Trail) Room() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending) < t.o.Pending
+}
+
+// Has reports whether the trail holds an entry or has it on its way.
+func (t *Trail) Has(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.records[id]
+	return ok || t.pending[id]
+}
+
+// Pending gives how many entries wait for the log.
+func (t *Trail) Pending() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending)
+}
+
+// CaughtUp reports whether everything on the stream was read once.
+func (t *Trail) CaughtUp() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.caughtUp
+}
+
+// Find gives the entries that a filter selects, the newest first.
+func (t *Trail) Find(f Filter) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []Entry{}
+	for i := len(t.entries) - 1; i >= 0; i-- {
+		if f.Limit > 0 && len(out) >= f.Limit {
+			break
+		}
+		if f.matches(&t.entries[i]) {
+			out = append(out, t.entries[i])
+		}
+	}
+	return out
+}
+
+func (t *Trail) setCaughtUp() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.caughtUp = true
+}
+
+// read takes one record of the stream in; copies of an entry are one.
+func (t *Trail) read(ctx context.Context, pe platform.Entry) {
+	e, err := decode(pe.Record.Data)
+	if err != nil || pe.Record.Type != TypeEntry || e.ID != pe.Record.ID {
+		evBadEntry.Log(ctx, t.o.Logger, slog.Uint64("offset", uint64(pe.Offset)))
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pending[e.ID] {
+		delete(t.pending, e.ID)
+		if len(t.pending) == 0 {
+			evWritten.Log(ctx, t.o.Logger)
+		}
+	}
+	if _, ok := t.records[e.ID]; ok {
+		return
+	}
+	t.records[e.ID] = pe.Record
+	at, _ := slices.BinarySearchFunc(t.entries, e, compare)
+	t.entries = slices.Insert(t.entries, at, e)
+	if len(t.entries) > t.o.Keep {
+		delete(t.records, t.entries[0].ID)
+		t.entries = slices.Delete(t.entries, 0, 1)
+	}
+}
+
+func compare(a, b Entry) int {
+	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID))
+}
+
+// live gives the records that must stay on the log.
+func (t *Trail) live() []platform.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]platform.Record, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, t.records[e.ID])
+	}
+	return out
+}
--- a/internal/confsync/gossip.go
+++ b/internal/confsync/gossip.go
@@ -26,7 +26,9 @@
 	for {
 		s.list(ctx)
 		s.askSome(ctx)
-		s.step(ctx, settings.Tick{Rank: s.ownRank()})
+		if !s.o.ReadOnly {
+			s.step(ctx, settings.Tick{Rank: s.ownRank()})
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/confsync/options.go
+++ b/internal/confsync/options.go
@@ -35,6 +35,8 @@
 	Poll time.Duration
 	// Clock gives the time; nil for time.Now.
 	Clock func() time.Time
+	// ReadOnly keeps the store from writing snapshots.
+	ReadOnly bool
 	// OnVerdict is told of each ruling in order, if set.
 	OnVerdict func(settings.Verdict)
 }
--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -49,7 +49,7 @@
 	})
 }
 
-func TestChangeComesWithAsksAloneWhenPushesAreLost(t *testing.T) {
+func TestHostThatStartsCutOffLearnsByAsking(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 9)
 		defer g.endAll()
