Serve the administration API and its command line

Operators change defaults, exceptions and drains; no call steers a job but its owner's cancellation. Refusals that never reach the stream are entered in the audit trail by the server, rulings by the recorder.

--- /dev/null
+++ b/internal/admin/audit.go
@@ -0,0 +1,45 @@
+package admin
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"coltsfootmux/internal/audit"
+	"coltsfootmux/internal/problem"
+)
+
+func (s *Server) showAudit(w http.ResponseWriter, r *http.Request) {
+	limit, p := limitOf(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	f, p := filterOf(r.URL.Query())
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	f.Limit = limit
+	s.write(w, r, http.StatusOK, AuditBody{Entries: s.o.Trail.Find(f)})
+}
+
+func filterOf(q url.Values) (audit.Filter, *problem.Problem) {
+	f := audit.Filter{Author: q.Get("author"), Ruling: audit.Ruling(q.Get("ruling")), Path: q.Get("path")}
+	switch f.Ruling {
+	case "", audit.Accepted, audit.Conflict, audit.Refused:
+	default:
+		return f, problem.New(http.StatusBadRequest, codeInvalidQuery, "The ruling is one of accepted, conflict and refused.")
+	}
+	for name, field := range map[string]*time.Time{"since": &f.Since, "until": &f.Until} {
+		if q.Get(name) == "" {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339, q.Get(name))
+		if err != nil {
+			return f, problem.New(http.StatusBadRequest, codeInvalidQuery, "Times of since and until are written as 2006-01-02T15:04:05Z.")
+		}
+		*field = at
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/admin/config.go
@@ -0,0 +1,127 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/problem"
+)
+
+// waitPoll is the time between two questions to all hosts.
+const waitPoll = 250 * time.Millisecond
+
+// maxWait bounds how long one call waits for all hosts.
+const maxWait = 2 * time.Minute
+
+func (s *Server) showConfig(w http.ResponseWriter, r *http.Request) {
+	cur := s.current(w)
+	if cur == nil {
+		return
+	}
+	text, err := config.Encode(&cur.Document)
+	if err != nil {
+		problem.New(http.StatusInternalServerError, codeInvalidConfig, err.Error()).Write(w)
+		return
+	}
+	s.write(w, r, http.StatusOK, ConfigBody{Version: cur.Version, Document: string(text)})
+}
+
+// current gives the version in force, or answers that there is none.
+func (s *Server) current(w http.ResponseWriter) *config.Versioned {
+	cur := s.o.Configs.Current()
+	if cur == nil {
+		problem.New(http.StatusNotFound, codeUnconfigured, "No configuration is in force here yet.").Write(w)
+	}
+	return cur
+}
+
+func (s *Server) validateConfig(w http.ResponseWriter, r *http.Request) {
+	doc := s.readDocument(w, r)
+	if doc == nil {
+		return
+	}
+	s.write(w, r, http.StatusOK, struct{}{})
+}
+
+// readDocument reads and checks a document, or answers what is wrong with it.
+func (s *Server) readDocument(w http.ResponseWriter, r *http.Request) *config.Document {
+	body, p := readBody[TextBody](w, r, maxDocumentBody)
+	if p != nil {
+		p.Write(w)
+		return nil
+	}
+	doc, err := config.Parse([]byte(body.Document))
+	if err != nil {
+		writeInvalid(w, err)
+		return nil
+	}
+	return doc
+}
+
+func (s *Server) diffConfig(w http.ResponseWriter, r *http.Request) {
+	doc := s.readDocument(w, r)
+	if doc == nil {
+		return
+	}
+	out := DiffBody{Changes: []config.Change{}}
+	var old *config.Document
+	if cur := s.o.Configs.Current(); cur != nil {
+		out.Base, old = cur.Version, &cur.Document
+	}
+	out.Changes = append(out.Changes, config.Diff(old, doc)...)
+	s.write(w, r, http.StatusOK, out)
+}
+
+func (s *Server) publishConfig(w http.ResponseWriter, r *http.Request) {
+	body, p := readBody[PublishBody](w, r, maxDocumentBody)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	s.apply(w, r, &change{
+		who: identity(r), reason: body.Reason, base: body.Base, whole: true,
+		build: func(*config.Document) (*config.Document, error) { return config.Parse([]byte(body.Document)) },
+	}, body.WaitSeconds)
+}
+
+func (s *Server) showHosts(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, http.StatusOK, struct {
+		Hosts []HostBody `json:"hosts"`
+	}{s.hosts(r.Context())})
+}
+
+func (s *Server) hosts(ctx context.Context) []HostBody {
+	out := []HostBody{}
+	for _, h := range s.o.Configs.Versions(ctx) {
+		out = append(out, HostBody{Host: h.Host, Version: h.Version, Answered: h.Answered})
+	}
+	return out
+}
+
+// waitInForce asks all hosts until each has a version in force or the time is up.
+func (s *Server) waitInForce(ctx context.Context, v config.Version, seconds int) []HostBody {
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(seconds)*time.Second, maxWait))
+	defer cancel()
+	for {
+		hosts := s.hosts(ctx)
+		if allHave(hosts, v) {
+			return hosts
+		}
+		select {
+		case <-ctx.Done():
+			return hosts
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+func allHave(hosts []HostBody, v config.Version) bool {
+	for _, h := range hosts {
+		if h.Version < v {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/admin/drain.go
@@ -0,0 +1,61 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/problem"
+)
+
+// drain adds the exception that keeps new work off a place.
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	body, p := readBody[DrainBody](w, r, maxSmallBody)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	on := true
+	e := config.Exception{
+		ID: body.id(), Reason: body.Reason, Expires: body.Expires,
+		Worker: body.Worker, Cell: body.Cell, DataCentre: body.DataCentre, Drain: &on,
+	}
+	s.apply(w, r, &change{who: identity(r), reason: body.Reason, build: checked(body, withException(e))}, body.WaitSeconds)
+}
+
+// undrain removes the exception that drain added.
+func (s *Server) undrain(w http.ResponseWriter, r *http.Request) {
+	body, p := readBody[DrainBody](w, r, maxSmallBody)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	s.apply(w, r, &change{who: identity(r), reason: body.Reason, build: checked(body, withoutException(body.id()))}, body.WaitSeconds)
+}
+
+// id gives the id of a place's drain; there is at most one.
+func (b *DrainBody) id() string {
+	switch {
+	case b.Worker != "":
+		return fmt.Sprintf("drain-worker-%s", b.Worker)
+	case b.Cell != "":
+		return fmt.Sprintf("drain-cell-%s", b.Cell)
+	}
+	return fmt.Sprintf("drain-data-centre-%s", b.DataCentre)
+}
+
+// checked refuses a body that does not name exactly one place.
+func checked(b *DrainBody, build func(*config.Document) (*config.Document, error)) func(*config.Document) (*config.Document, error) {
+	n := 0
+	for _, name := range []string{string(b.Worker), string(b.Cell), string(b.DataCentre)} {
+		if name != "" {
+			n++
+		}
+	}
+	if n == 1 {
+		return build
+	}
+	return func(*config.Document) (*config.Document, error) {
+		return nil, problem.New(http.StatusUnprocessableEntity, codeInvalidBody, "Name exactly one of worker, cell and data_centre.")
+	}
+}
--- /dev/null
+++ b/internal/admin/jobs.go
@@ -0,0 +1,123 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/problem"
+	"coltsfootmux/internal/wire"
+)
+
+const (
+	defaultLimit = 100
+	maxLimit     = 1000
+	// maxHops bounds how often a cancellation is sent on to another owner.
+	maxHops = 4
+)
+
+// showJobs lists an account's work; an account's token shows its own alone.
+func (s *Server) showJobs(w http.ResponseWriter, r *http.Request) {
+	account, p := accountOf(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	limit, p := limitOf(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	replies, missing := gather(r.Context(), s, func(ctx context.Context, addr string) (wire.StatusReply, error) {
+		return s.o.Schedulers.Status(ctx, addr, wire.StatusQuery{Account: account, Limit: limit})
+	})
+	s.write(w, r, http.StatusOK, JobsBody{Jobs: mergeJobs(replies, limit), Unanswered: missing})
+}
+
+func mergeJobs(replies []wire.StatusReply, limit int) []wire.Status {
+	out := []wire.Status{}
+	for _, rep := range replies {
+		out = append(out, rep.Items...)
+	}
+	slices.SortFunc(out, func(a, b wire.Status) int { return cmp.Compare(a.Key, b.Key) })
+	out = slices.CompactFunc(out, func(a, b wire.Status) bool { return a.Key == b.Key })
+	return out[:min(limit, len(out))]
+}
+
+// accountOf gives the account that is asked for and that the caller may see.
+func accountOf(r *http.Request) (model.Account, *problem.Problem) {
+	who := identity(r)
+	account := model.Account(r.URL.Query().Get("account"))
+	if account == "" {
+		account = who.Account
+	}
+	if account == "" {
+		return "", problem.New(http.StatusBadRequest, codeInvalidQuery, "Name the account.")
+	}
+	if !who.MaySee(account) {
+		return "", problem.New(http.StatusForbidden, codeForbidden, "The token does not belong to this account.")
+	}
+	return account, nil
+}
+
+func limitOf(r *http.Request) (int, *problem.Problem) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return defaultLimit, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxLimit {
+		return 0, problem.New(http.StatusBadRequest, codeInvalidQuery, "The limit is a number from 1 to 1000.")
+	}
+	return n, nil
+}
+
+// cancelJob withdraws work for its owner.
+func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request) {
+	who := identity(r)
+	account := model.Account(cmp.Or(r.URL.Query().Get("account"), string(who.Account)))
+	if account == "" || !who.Owns(account) {
+		problem.New(http.StatusForbidden, codeForbidden, "Only the account that sent the work can cancel it.").Write(w)
+		return
+	}
+	rep, ok := s.cancel(r.Context(), wire.Cancel{Key: model.Key(r.PathValue("key")), Account: account})
+	if !ok {
+		problem.New(http.StatusServiceUnavailable, codeNoScheduler, "No scheduler that answers for the key was reached; ask again.").Write(w)
+		return
+	}
+	s.write(w, r, http.StatusOK, CancelBody{Done: rep.Done, Reason: rep.Reason})
+}
+
+// cancel asks schedulers in turn and follows the owner that they point to.
+func (s *Server) cancel(ctx context.Context, c wire.Cancel) (wire.CancelReply, bool) {
+	hosts, err := s.schedulers(ctx)
+	if err != nil {
+		return wire.CancelReply{}, false
+	}
+	for _, h := range hosts {
+		addr := h.Addr
+		for range maxHops {
+			rep, err := s.cancelAt(ctx, addr, c)
+			if err != nil {
+				break
+			}
+			if !rep.Moved {
+				return rep, true
+			}
+			if rep.Owner.Addr == "" || rep.Owner.Addr == addr {
+				break
+			}
+			addr = rep.Owner.Addr
+		}
+	}
+	return wire.CancelReply{}, false
+}
+
+func (s *Server) cancelAt(ctx context.Context, addr string, c wire.Cancel) (wire.CancelReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return s.o.Schedulers.Cancel(ctx, addr, c)
+}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,49 @@
+package admin
+
+import (
+	"net/http"
+
+	"coltsfootmux/internal/auth"
+)
+
+// Server answers the administration API.
+type Server struct {
+	o   Options
+	mux *http.ServeMux
+}
+
+// New makes a server.
+func New(o Options) *Server {
+	s := &Server{o: o.withDefaults(), mux: http.NewServeMux()}
+	s.routes()
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// routes sets who may call what. Calls that change something check the role
+// themselves, because a refusal goes into the audit trail.
+func (s *Server) routes() {
+	view := auth.Identity.MayView
+	s.handle("GET /v1/config", view, s.showConfig)
+	s.handle("POST /v1/config/validate", view, s.validateConfig)
+	s.handle("POST /v1/config/diff", view, s.diffConfig)
+	s.handle("GET /v1/config/hosts", view, s.showHosts)
+	s.handle("POST /v1/config", nil, s.publishConfig)
+	s.handle("GET /v1/exceptions", view, s.listExceptions)
+	s.handle("POST /v1/exceptions", nil, s.addException)
+	s.handle("DELETE /v1/exceptions/{id}", nil, s.removeException)
+	s.handle("POST /v1/drain", nil, s.drain)
+	s.handle("POST /v1/undrain", nil, s.undrain)
+	s.handle("GET /v1/status/accounts", view, s.showAccounts)
+	s.handle("GET /v1/status/cells", view, s.showCells)
+	s.handle("GET /v1/status/workers", view, s.showWorkers)
+	s.handle("GET /v1/status/jobs", nil, s.showJobs)
+	s.handle("POST /v1/jobs/{key}/cancel", nil, s.cancelJob)
+	s.handle("GET /v1/audit", view, s.showAudit)
+}
+
+func (s *Server) handle(pattern string, allowed func(auth.Identity) bool, f http.HandlerFunc) {
+	s.mux.Handle(pattern, auth.Middleware(s.o.Auth, s.o.Logger, allowed, f))
+}
--- a/internal/confsync/publish.go
+++ b/internal/confsync/publish.go
@@ -9,9 +9,7 @@
 
 	"coltsfootmux/internal/core/settings"
 	"coltsfootmux/internal/logclient"
-	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/platform"
-	"coltsfootmux/internal/wire"
 )
 
 // Publish appends a change and waits for the ruling on it. The error wraps
@@ -46,6 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting[id] = append(s.waiting[id], ch)
+	s.settle()
 	return ch
 }
 
@@ -65,24 +64,6 @@
 	s.waiting[id] = left
 }
 
-// Versions asks each live own host which version it has in force; a host that
-// does not answer is left out.
-func (s *Store) Versions(ctx context.Context) map[model.HostID]uint64 {
-	s.mu.Lock()
-	peers := s.peers
-	s.mu.Unlock()
-	out := make(map[model.HostID]uint64, len(peers)+1)
-	if v := s.Current(); v != nil {
-		out[s.o.Self.ID] = uint64(v.Version)
-	}
-	for _, p := range peers {
-		if have, ok := s.exchange(ctx, p, wire.ConfigPush{Version: s.wanted()}); ok {
-			out[p.ID] = have.Version
-		}
-	}
-	return out
-}
-
 // save writes snapshots.
 func (s *Store) save(ctx context.Context) error {
 	for {
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -118,6 +118,22 @@
 			// The reading loop asks the core where to read.
 		}
 	}
+	s.settle()
+}
+
+// settle answers those whose record came into force by way of another host's
+// snapshot, for which there is no ruling.
+func (s *Store) settle() {
+	for id, chs := range s.waiting {
+		v, ok := s.core.Accepted(id)
+		if !ok {
+			continue
+		}
+		for _, ch := range chs {
+			ch <- settings.Verdict{Ruling: settings.RulingAccepted, Version: v}
+		}
+		delete(s.waiting, id)
+	}
 }
 
 func (s *Store) installed(ctx context.Context, v *config.Versioned) {
--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -205,3 +205,20 @@
 		}
 	})
 }
+
+func TestPublisherOvertakenByAnotherHostHearsItsRuling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.endAll()
+		time.Sleep(time.Second)
+		// The publisher does not read its own record: it comes in a snapshot
+		// first, and as a record from another host after that.
+		h := g.all()[0]
+		h.cutLog.Store(true)
+		for want := range 3 {
+			if v := g.mustPublish(h, fmt.Sprint("r", want)); int(v) != want+1 {
+				t.Fatalf("version %d, want %d", v, want+1)
+			}
+		}
+	})
+}
--- a/internal/core/settings/change.go
+++ b/internal/core/settings/change.go
@@ -27,8 +27,7 @@
 	case !c.known:
 		return nil
 	case c.through >= e.Offset:
-		// Decided by an update from another host, and not among the accepted.
-		return c.reject(v, RulingConflict, "another change went first")
+		return c.rejectDecided(v)
 	case rec.Base != c.version:
 		why := fmt.Sprintf("based on version %d while version %d was in force", rec.Base, c.version)
 		return c.reject(v, RulingConflict, why)
@@ -48,6 +47,16 @@
 	return c.accept(v, rec, rec.Base+1)
 }
 
+// rejectDecided rules on a record that an update from another host took in
+// already, and that is not among the last accepted ones. One whose version would
+// be older than those may have been accepted; there is no ruling on it here.
+func (c *Core) rejectDecided(v Verdict) []Action {
+	if v.Record.Base+config.Version(len(c.recent)) < c.version {
+		return nil
+	}
+	return c.reject(v, RulingConflict, "another change went first")
+}
+
 func decodeChange(r platform.Record) (*Record, error) {
 	if r.Type != TypeChange {
 		return nil, fmt.Errorf("%w: unknown record type %q", ErrDecode, r.Type)
--- a/internal/core/settings/core_test.go
+++ b/internal/core/settings/core_test.go
@@ -302,3 +302,20 @@
 		})
 	}
 }
+
+func TestRecordsBehindASnapshotFromAnotherHostAreStillRuledOn(t *testing.T) {
+	s := newStream()
+	r, other := newReader(Options{}), newReader(Options{})
+	r.follow(s, -1)
+	s.change(t, record("a", 0))
+	s.change(t, record("b", 0))
+	other.follow(s, -1)
+	r.step(Offered{other.core.Since(0)})
+	if v, ok := r.core.Accepted("a"); !ok || v != 1 {
+		t.Errorf("accepted %v as version %d", ok, v)
+	}
+	r.follow(s, -1)
+	if len(r.verdicts) != 1 || r.verdicts[0].Ruling != RulingConflict || r.verdicts[0].Record.ID != "b" {
+		t.Errorf("verdicts %v", r.verdicts)
+	}
+}
--- a/internal/core/settings/start.go
+++ b/internal/core/settings/start.go
@@ -8,6 +8,10 @@
 	"coltsfootmux/internal/platform"
 )
 
+// maxReread is how many records are read again for their rulings after a
+// snapshot went beyond them.
+const maxReread = 1024
+
 // readSnapshot starts from a snapshot, or notes that the stream has a newer one.
 func (c *Core) readSnapshot(e platform.Entry) []Action {
 	s, err := DecodeSnapshot(e.Record.Data)
@@ -78,9 +82,23 @@
 	if risen {
 		out = append(out, Install{c.current})
 	}
+	if c.oldest > 0 && c.read < c.through && c.through-c.read <= maxReread {
+		// Read on from here, so that rulings on the records between come about.
+		return out
+	}
 	return append(out, c.readFrom(c.through)...)
 }
 
+// Accepted tells whether a record is among the last accepted ones, and which
+// version it became.
+func (c *Core) Accepted(id string) (config.Version, bool) {
+	i := slices.Index(c.recent, id)
+	if i < 0 {
+		return 0, false
+	}
+	return c.version - config.Version(len(c.recent)-1-i), true
+}
+
 // readFrom goes on reading behind an offset.
 func (c *Core) readFrom(o model.Offset) []Action {
 	if c.read == o {
--- /dev/null
+++ b/internal/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl is the operators' command line over the administration API.
+package ctl
--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,61 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"coltsfootmux/internal/admin"
+	"coltsfootmux/internal/model"
+)
+
+const (
+	flagWorker     = "worker"
+	flagCell       = "cell"
+	flagDataCentre = "data-centre"
+)
+
+func placeFlags() []cli.Flag {
+	return append(changeFlags(),
+		&cli.StringFlag{Name: flagWorker, Usage: "worker id"},
+		&cli.StringFlag{Name: flagCell, Usage: "cell id"},
+		&cli.StringFlag{Name: flagDataCentre, Usage: "data centre name"},
+	)
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "keep new work off a worker, cell or data centre",
+		Flags: append(placeFlags(), &cli.StringFlag{Name: flagExpires, Usage: "when it ends, or in how long"}),
+		Action: action(func(ctx context.Context, cmd *cli.Command, c *Client, p *printer) error {
+			return changeDrain(ctx, cmd, c, p, "v1/drain")
+		}),
+	}
+}
+
+func undrainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "undrain", Usage: "take back a drain",
+		Flags: placeFlags(),
+		Action: action(func(ctx context.Context, cmd *cli.Command, c *Client, p *printer) error {
+			return changeDrain(ctx, cmd, c, p, "v1/undrain")
+		}),
+	}
+}
+
+// changeDrain sends the place that the flags name.
+func changeDrain(ctx context.Context, cmd *cli.Command, c *Client, p *printer, path string) error {
+	body := admin.DrainBody{
+		Worker: model.WorkerID(cmd.String(flagWorker)), Cell: model.CellID(cmd.String(flagCell)),
+		DataCentre: model.DataCentre(cmd.String(flagDataCentre)), Reason: cmd.String(flagReason), WaitSeconds: wait(cmd),
+	}
+	var err error
+	if body.Expires, err = expiry(cmd); err != nil {
+		return err
+	}
+	out, err := post[admin.ChangedBody](ctx, c, path, body)
+	if err != nil {
+		return err
+	}
+	return printChanged(p, out)
+}
--- /dev/null
+++ b/internal/ctl/exception.go
@@ -0,0 +1,151 @@
+package ctl
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/urfave/cli/v3"
+
+	"coltsfootmux/internal/admin"
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/model"
+)
+
+const (
+	flagAccount     = "account"
+	flagKind        = "kind"
+	flagExpires     = "expires"
+	flagLongestWait = "longest-wait"
+	flagRate        = "rate-per-second"
+	flagConcurrency = "concurrency"
+	flagQueueBound  = "queue-bound"
+	flagClass       = "class"
+)
+
+func exceptionCommand() *cli.Command {
+	add := []cli.Flag{
+		&cli.StringFlag{Name: flagAccount, Usage: "client account that it is for; all when left out"},
+		&cli.StringFlag{Name: flagKind, Usage: "kind of work that it is for; all when left out"},
+		&cli.StringFlag{Name: flagExpires, Usage: "when it ends, such as 2026-12-31T00:00:00Z, or in how long, such as 36h"},
+		&cli.DurationFlag{Name: flagLongestWait, Usage: "longest wait for a start"},
+		&cli.FloatFlag{Name: flagRate, Usage: "requests a second that one entry host takes"},
+		&cli.IntFlag{Name: flagConcurrency, Usage: "requests that one entry host holds at once"},
+		&cli.IntFlag{Name: flagQueueBound, Usage: "pieces of work that may wait at one scheduler"},
+		&cli.StringFlag{Name: flagClass, Usage: "class of the work: batch, normal or urgent"},
+	}
+	return &cli.Command{
+		Name: "exception", Usage: "add, list and remove exceptions",
+		Commands: []*cli.Command{
+			{Name: "add", Usage: "add an exception, or replace the one of the same id", ArgsUsage: "ID", Flags: append(changeFlags(), add...), Action: action(addException)},
+			{Name: "list", Usage: "list the exceptions", Action: action(listExceptions)},
+			{Name: "remove", Usage: "remove an exception", ArgsUsage: "ID", Flags: changeFlags()[:1], Action: action(removeException)},
+		},
+	}
+}
+
+func addException(ctx context.Context, cmd *cli.Command, c *Client, p *printer) error {
+	id, err := oneArg(cmd, "the exception's id")
+	if err != nil {
+		return err
+	}
+	e := config.Exception{
+		ID: id, Reason: cmd.String(flagReason),
+		Account: model.Account(cmd.String(flagAccount)), Kind: model.Kind(cmd.String(flagKind)),
+	}
+	if e.Expires, err = expiry(cmd); err != nil {
+		return err
+	}
+	setLimits(cmd, &e)
+	out, err := post[admin.ChangedBody](ctx, c, "v1/exceptions", admin.ExceptionBody{Exception: e, WaitSeconds: wait(cmd)})
+	if err != nil {
+		return err
+	}
+	return printChanged(p, out)
+}
+
+// setLimits sets the overrides whose flags were given.
+func setLimits(cmd *cli.Command, e *config.Exception) {
+	if cmd.IsSet(flagLongestWait) {
+		d := config.Duration(cmd.Duration(flagLongestWait))
+		e.LongestWait = &d
+	}
+	if cmd.IsSet(flagRate) {
+		r := cmd.Float(flagRate)
+		e.RatePerSecond = &r
+	}
+	if cmd.IsSet(flagConcurrency) {
+		n := cmd.Int(flagConcurrency)
+		e.Concurrency = &n
+	}
+	if cmd.IsSet(flagQueueBound) {
+		n := cmd.Int(flagQueueBound)
+		e.QueueBound = &n
+	}
+	if cmd.IsSet(flagClass) {
+		s := cmd.String(flagClass)
+		e.Class = &s
+	}
+}
+
+// expiry reads a time, or a duration from now; the zero time when there is none.
+func expiry(cmd *cli.Command) (time.Time, error) {
+	text := cmd.String(flagExpires)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if d, err := time.ParseDuration(text); err == nil {
+		return time.Now().Add(d).UTC().Truncate(time.Second), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return at, usage("--expires: want a time such as 2026-12-31T00:00:00Z or a duration such as 36h")
+	}
+	return at, nil
+}
+
+func listExceptions(ctx context.Context, _ *cli.Command, c *Client, p *printer) error {
+	out, err := get[admin.ExceptionsBody](ctx, c, "v1/exceptions", nil)
+	if err != nil {
+		return err
+	}
+	return p.print(out, table.Row{"id", "account", "kind", "place", "drain", "expires", "reason"}, func(t table.Writer) {
+		for _, e := range out.Exceptions {
+			t.AppendRow(table.Row{e.ID, e.Account, e.Kind, place(&e), e.Drain != nil && *e.Drain, expiresText(e.Expires), e.Reason})
+		}
+	})
+}
+
+func place(e *config.Exception) string {
+	switch {
+	case e.Worker != "":
+		return "worker " + string(e.Worker)
+	case e.Cell != "":
+		return "cell " + string(e.Cell)
+	case e.DataCentre != "":
+		return "data centre " + string(e.DataCentre)
+	}
+	return ""
+}
+
+func expiresText(at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return at.UTC().Format(time.RFC3339)
+}
+
+func removeException(ctx context.Context, cmd *cli.Command, c *Client, p *printer) error {
+	id, err := oneArg(cmd, "the exception's id")
+	if err != nil {
+		return err
+	}
+	query := url.Values{"reason": {cmd.String(flagReason)}}
+	s := c.base.New().Delete("v1/exceptions/" + url.PathEscape(id) + "?" + query.Encode())
+	out, err := call[admin.ChangedBody](ctx, s)
+	if err != nil {
+		return err
+	}
+	return printChanged(p, out)
+}
