--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -10,9 +10,21 @@
 		FirstCome(),
 		BestFit(),
 		resumeFirst(),
+		looseRacks(),
+		blindEviction(),
+		scattered(),
 	}
 }
 
+// looseRacks is the standard policy as it was before the fullness of a rack
+// decided before the fit on a worker.
+func looseRacks() placement.Policy {
+	p := placement.Standard()
+	p.Name = "loose-racks"
+	p.LooseRacks = true
+	return p
+}
+
 // resumeFirst is the standard policy as it was before preempted work went
 // behind work that never ran.
 func resumeFirst() placement.Policy {
@@ -36,3 +48,21 @@
 		Name: "best-fit", Order: placement.OrderBackfill, Packing: placement.PackBestFit,
 	}
 }
+
+// blindEviction is the standard policy as it was before room to reclaim was
+// chosen by what has to leave it.
+func blindEviction() placement.Policy {
+	p := placement.Standard()
+	p.Name = "blind-eviction"
+	p.BlindEviction = true
+	return p
+}
+
+// scattered is the standard policy as it was before borrowed work was moved
+// together.
+func scattered() placement.Policy {
+	p := placement.Standard()
+	p.Name = "scattered"
+	p.Consolidate = false
+	return p
+}
