--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -7,10 +7,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"coltsfootmux/internal/core/settings"
-	"coltsfootmux/internal/logclient"
-	"coltsfootmux/internal/platform"
 )
 
 const (
@@ -35,7 +31,7 @@
 		return nil, err
 	}
 	c := &Cluster{Size: s, Platform: p, logger: logger}
-	if err := c.publish(ctx); err != nil {
+	if err := p.publish(ctx, s); err != nil {
 		c.Stop()
 		return nil, err
 	}
@@ -50,24 +46,6 @@
 	return c, nil
 }
 
-// publish puts the first configuration on the log.
-func (c *Cluster) publish(ctx context.Context) error {
-	first := settings.Record{
-		ID: logclient.NewID(), Author: "coltsfootmux-dev", Reason: "first configuration", At: time.Now(),
-		Change: settings.Change{Document: document(c.Size, c.Platform.Cells)},
-	}
-	data, err := settings.EncodeRecord(&first)
-	if err != nil {
-		return eris.Wrap(ErrStart, err.Error())
-	}
-	home := c.Platform.Log.Client(c.Size.Places[0].Region)
-	rec := platform.Record{ID: first.ID, Type: settings.TypeChange, Data: data}
-	if _, err := home.Append(ctx, platform.StreamConfig, []platform.Record{rec}); err != nil {
-		return eris.Wrap(ErrStart, err.Error())
-	}
-	return nil
-}
-
 // WaitOwned waits until every cell and key group has an owner or ctx ends.
 func (c *Cluster) WaitOwned(ctx context.Context) error {
 	want := len(c.Platform.Cells) + keyGroups
--- a/internal/dev/command.go
+++ b/internal/dev/command.go
@@ -20,7 +20,7 @@
 	return &cli.Command{
 		Name:     "coltsfootmux-dev",
 		Usage:    "run a whole small deployment in one process on loopback",
-		Commands: []*cli.Command{demoCommand(), serveCommand()},
+		Commands: []*cli.Command{demoCommand(), serveCommand(), platformCommand()},
 	}
 }
 
--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -52,16 +52,29 @@
 		return err
 	}
 	d.say("every cell and key group has an owner after %v", time.Since(began).Round(time.Millisecond))
+	var sampler Sampler
+	sampling, stop := context.WithCancel(ctx)
+	go sampler.Run(sampling, c)
 	tally := d.load(ctx, c)
+	stop()
 	tally.Check(c.Platform.Truth())
+	d.report(c, tally, &sampler)
+	if n := tally.Total().Broken(); n > 0 {
+		return eris.Wrapf(ErrPromise, "%d answers", n)
+	}
+	return nil
+}
+
+// report prints what came of the run.
+func (d *Demo) report(c *Cluster, tally *load.Tally, s *Sampler) {
 	load.WriteTable(d.Out, tally)
 	for _, r := range tally.Reasons() {
 		d.say("%s for %s: %d", r.Outcome, r.Reason, r.Count)
 	}
-	if n := tally.Total().Broken(); n > 0 {
-		return eris.Wrapf(ErrPromise, "%d answers", n)
+	d.say("fragmentation, mean over time: %.1f%%", 100*s.Fragmentation())
+	for _, t := range c.Traffic() {
+		d.say("bytes between own processes, %s: %d, of them between regions %d", t.Kind, t.Bytes, t.CrossRegion)
 	}
-	return nil
 }
 
 func (d *Demo) load(ctx context.Context, c *Cluster) *load.Tally {
--- a/internal/dev/ownhost.go
+++ b/internal/dev/ownhost.go
@@ -71,6 +71,11 @@
 	}()
 }
 
+// nodes gives what the host's programs have in common.
+func (h *OwnHost) nodes() []*node.Node {
+	return []*node.Node{h.Scheduler.Node, h.Entry.Node}
+}
+
 // URL gives the base URL of the host's callers' API.
 func (h *OwnHost) URL() string { return "http://" + h.Entry.APIAddr() }
 
@@ -82,7 +87,8 @@
 
 // Kill ends the host's programs at once, as when the machine is lost.
 func (h *OwnHost) Kill() {
-	h.Scheduler.Node.Kill()
-	h.Entry.Node.Kill()
+	for _, n := range h.nodes() {
+		n.Kill()
+	}
 	<-h.done
 }
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -38,20 +38,27 @@
 	logger  *slog.Logger
 }
 
+// anyPort is a free port on loopback.
+const anyPort = "127.0.0.1:0"
+
 // StartPlatform starts stand-ins on free loopback ports. The error wraps ErrStart.
 func StartPlatform(s Size, logger *slog.Logger) (*Platform, error) {
+	return startPlatform(s, anyPort, anyPort, logger)
+}
+
+func startPlatform(s Size, logAddr, hostsAddr string, logger *slog.Logger) (*Platform, error) {
 	p := &Platform{
 		Log:     logstore.New(logstore.Options{Latency: latencies(s)}),
 		Hosts:   hostlist.New(hostlist.Options{Lag: hostListLag}),
 		Workers: make(map[model.WorkerID]*worker.Worker),
 		logger:  logger,
 	}
-	addr, err := p.serve(p.Log.Handler())
+	addr, err := p.serve(logAddr, p.Log.Handler())
 	if err != nil {
 		return nil, err
 	}
 	p.LogURL = "http://" + addr
-	if addr, err = p.serve(p.Hosts.Handler()); err != nil {
+	if addr, err = p.serve(hostsAddr, p.Hosts.Handler()); err != nil {
 		return nil, err
 	}
 	p.HostsURL = "http://" + addr
@@ -82,7 +89,7 @@
 		cell := model.Cell{ID: rackName(place.DataCentre, r), DataCentre: place.DataCentre}
 		for i := range s.WorkersPerRack {
 			w := worker.New(worker.Options{ID: workerName(cell.ID, i), Capacity: s.Capacity})
-			addr, err := p.serve(w.Handler())
+			addr, err := p.serve(anyPort, w.Handler())
 			if err != nil {
 				return err
 			}
@@ -95,9 +102,9 @@
 	return nil
 }
 
-// serve serves a handler on a free loopback port and gives its address.
-func (p *Platform) serve(h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// serve serves a handler and gives the address that it is served at.
+func (p *Platform) serve(at string, h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", at)
 	if err != nil {
 		return "", eris.Wrap(ErrStart, err.Error())
 	}
