--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -140,6 +140,7 @@
 		l.history(m)
 	case drainMsg:
 		l.stepOwn(ownership.Drain{})
+		m.reply <- struct{}{}
 	}
 }
 
--- a/internal/scheduler/message.go
+++ b/internal/scheduler/message.go
@@ -104,8 +104,8 @@
 	hist  history
 }
 
-// drainMsg asks to hand everything over.
-type drainMsg struct{}
+// drainMsg asks to hand everything over; reply hears when that is under way.
+type drainMsg struct{ reply chan struct{} }
 
 func (ownMsg) message()       {}
 func (ledgerMsg) message()    {}
--- a/internal/scheduler/own.go
+++ b/internal/scheduler/own.go
@@ -27,7 +27,7 @@
 		case ownership.Beat:
 			go l.s.beat(l.ctx, a, l.version())
 		case ownership.TellHandOver:
-			go l.s.tellHandOver(l.ctx, a)
+			l.s.telling.Go(func() { l.s.tellHandOver(l.ctx, a) })
 		case ownership.Fence:
 			go l.s.fence(l.ctx, a)
 		case ownership.List:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 	dial  *dialer
 	// boot names this start of the process.
 	boot string
+	// telling counts the successors that are being told of a hand-over.
+	telling sync.WaitGroup
 }
 
 // New builds a scheduler and registers its calls with the link server. The error
@@ -64,22 +66,24 @@
 	return err
 }
 
-// Drain hands every scope over and waits until none is owned or ctx ends.
+// Drain hands every scope that has a successor over, and waits until the
+// successors have been told or ctx ends. The error is ErrStopped or that of ctx.
 func (s *Scheduler) Drain(ctx context.Context) error {
 	evDraining.Log(ctx, s.o.Logger, slog.String("host", string(s.o.Self.ID)))
-	s.post(drainMsg{})
-	t := time.NewTicker(s.o.Timing.Tick)
-	defer t.Stop()
-	for {
-		v, err := s.Overview(ctx)
-		if err != nil || len(v.Cells)+len(v.Groups) == 0 {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
+	reply := make(chan struct{}, 1)
+	if _, err := await(ctx, s, drainMsg{reply: reply}, reply); err != nil {
+		return err
+	}
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		s.telling.Wait()
+	}()
+	select {
+	case <-told:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -79,3 +79,40 @@
 		}
 	}
 }
+
+func TestDrainHandsOverWithoutAGap(t *testing.T) {
+	r := newRig(t, 2)
+	r.warm()
+	var wg sync.WaitGroup
+	var works []model.Work
+	for i := range 40 {
+		works = append(works, work(40*time.Millisecond, i%2 == 0))
+	}
+	for i, w := range works {
+		if i == 10 {
+			if err := r.members[0].sched.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		wg.Go(func() {
+			if got := r.submit(w); got.Outcome != model.OutcomeDone {
+				t.Errorf("%s: %s %s", w.Key, got.Outcome, got.Reason)
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Wait()
+	for _, w := range works {
+		if n := r.runs(w.Key); n != 1 && !w.Idempotent {
+			t.Errorf("%s ran %d times:%s", w.Key, n, r.story(w.Key))
+		}
+	}
+}
+
+func TestDrainWithoutASuccessorEndsAtOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.warm()
+	if err := r.members[0].sched.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
