--- a/internal/platform/httpworker/worker_test.go
+++ b/internal/platform/httpworker/worker_test.go
@@ -197,6 +197,34 @@
 	}
 }
 
+func TestOneTimeoutCondemnsAllSilentConnections(t *testing.T) {
+	w, c := serve(t, httpworker.Options{Timeout: 200 * time.Millisecond, Poll: 100 * time.Millisecond})
+	ctx := context.Background()
+	if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 50})); err != nil {
+		t.Fatal(err)
+	}
+	// Waits that overlap leave several idle connections behind.
+	errs := make(chan error, 8)
+	for range cap(errs) {
+		go func() {
+			_, err := c.Wait(ctx, "l1")
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		if err := <-errs; err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.SilenceConnections()
+	if _, err := c.List(ctx, model.CellScope("c1")); !errors.Is(err, platform.ErrUnclear) {
+		t.Fatalf("on a silent connection: %v", err)
+	}
+	if _, err := c.List(ctx, model.CellScope("c1")); err != nil {
+		t.Fatalf("after the first timeout: %v", err)
+	}
+}
+
 func TestWaitOutlivesASilentConnection(t *testing.T) {
 	w, c := serve(t, httpworker.Options{Timeout: 200 * time.Millisecond, Poll: 100 * time.Millisecond})
 	ctx := context.Background()
