Keep an outage from piling up copies of live records

A keeper asked for its live records again every sixteenth of the retention while the log was down, and all copies were appended afterwards: 2740 entries for 20 live records on 3 hosts after an outage of three retentions. A keeper now waits until what it asked for is on the log, and gives it time to show up from then: at most one copy a host, 60, which a test holds. Waiting alone left 80, as the tick that had come due meanwhile asked again at once.

--- a/internal/core/journal/keeper.go
+++ b/internal/core/journal/keeper.go
@@ -64,6 +64,16 @@
 	return due
 }
 
+// Wrote notes that writing records has ended, which in an outage takes long:
+// from now on they have again some time to show up in the stream.
+func (k *Keeper) Wrote(now time.Time, recs []platform.Record) {
+	for _, r := range recs {
+		if _, waits := k.asked[r.ID]; waits {
+			k.asked[r.ID] = now
+		}
+	}
+}
+
 // prune forgets records that the log has forgotten too.
 func (k *Keeper) prune(now time.Time) {
 	for id, at := range k.seen {
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -62,15 +62,40 @@
 	if err != nil {
 		return 0, err
 	}
+	a := c.await(ctx, ticket, answered)
+	return a.Offset, resultError(a.Result)
+}
+
+// await waits for a record's answer, or withdraws it when ctx ends.
+func (c *Client) await(ctx context.Context, ticket journal.Ticket, answered <-chan journal.Answer) journal.Answer {
 	select {
 	case a := <-answered:
-		return a.Offset, resultError(a.Result)
+		return a
 	case <-ctx.Done():
 	}
 	// If the answer came meanwhile, it stands; else the withdrawal brings one.
 	c.step(journal.Withdrawn{Ticket: ticket})
-	a := <-answered
-	return a.Offset, resultError(a.Result)
+	return <-answered
+}
+
+// appendAll writes records together and returns once each has its answer, or
+// ctx has ended.
+func (c *Client) appendAll(ctx context.Context, s platform.Stream, recs []platform.Record) {
+	type pending struct {
+		ticket   journal.Ticket
+		answered <-chan journal.Answer
+	}
+	var all []pending
+	for _, r := range recs {
+		ticket, answered, err := c.submit(s, r)
+		if err != nil {
+			return
+		}
+		all = append(all, pending{ticket, answered})
+	}
+	for _, p := range all {
+		c.await(ctx, p.ticket, p.answered)
+	}
 }
 
 // Enqueue writes a record behind the caller's back, in company of others. The
--- a/internal/logclient/keeper.go
+++ b/internal/logclient/keeper.go
@@ -44,22 +44,24 @@
 	for {
 		select {
 		case <-ticker.C:
-			k.check()
+			k.check(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (k *Keeper) check() {
+// check writes what is due and waits until it is on the log, so that an outage
+// does not pile up copies. What finds no room comes due again.
+func (k *Keeper) check(ctx context.Context) {
 	live := k.live()
 	k.mu.Lock()
 	due := k.core.Due(k.client.opts.Clock(), live)
 	k.mu.Unlock()
-	for _, r := range due {
-		// A record that finds no room comes due again.
-		_ = k.client.Enqueue(k.stream, r)
-	}
+	k.client.appendAll(ctx, k.stream, due)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.core.Wrote(k.client.opts.Clock(), due)
 }
 
 func (k *Keeper) saw(e platform.Entry) {
--- a/internal/logclient/keeper_test.go
+++ b/internal/logclient/keeper_test.go
@@ -102,6 +102,10 @@
 		if n := len(readFromOldest(store)); n != liveCount {
 			t.Fatalf("%d live records are back, want %d", n, liveCount)
 		}
+		// Each host may have had each record on its way when the log came back.
+		if n := len(store.Entries(stream)); n > liveCount*hosts {
+			t.Errorf("%d entries: copies piled up during the outage", n)
+		}
 		closeAll(cs)
 	})
 }
