Probe a log that is down with small appends

Each try during an outage sent a whole batch, across the paid link for hosts of the other region: 68,700 bytes a second in vain for a full queue of 500-byte records. After a failure an append is now held to 16 KiB until one succeeds, 4,360 bytes a second; the batch after that is whole again. One record a probe was ruled out: when it is the cap on appends that refuses, small appends would waste the few that get through.

--- a/internal/core/journal/config.go
+++ b/internal/core/journal/config.go
@@ -13,6 +13,9 @@
 	// BatchRecords and BatchBytes bound one append.
 	BatchRecords int
 	BatchBytes   int
+	// ProbeBytes bounds an append after one that failed, so that an outage costs
+	// little of the link.
+	ProbeBytes int
 	// QueueRecords and QueueBytes bound what waits for one stream.
 	QueueRecords int
 	QueueBytes   int
@@ -28,6 +31,7 @@
 		Linger:       250 * time.Millisecond,
 		BatchRecords: 512,
 		BatchBytes:   1 << 20,
+		ProbeBytes:   16 << 10,
 		QueueRecords: 8192,
 		QueueBytes:   4 << 20,
 		Backoff:      DefaultBackoff(),
--- a/internal/core/journal/queue.go
+++ b/internal/core/journal/queue.go
@@ -74,15 +74,18 @@
 
 // batch moves as many items as go into one append from pending to flight.
 func (q *queue) batch(cfg Config) []platform.Record {
-	limit := cfg.BatchRecords
+	limit, most := cfg.BatchRecords, cfg.BatchBytes
 	if q.single > 0 {
 		q.single--
 		limit = 1
 	}
+	if q.failures > 0 {
+		most = min(most, cfg.ProbeBytes)
+	}
 	var recs []platform.Record
 	n, size := 0, 0
 	for _, it := range q.pending {
-		full := len(recs) >= limit || len(recs) > 0 && size+it.size() > cfg.BatchBytes
+		full := len(recs) >= limit || len(recs) > 0 && size+it.size() > most
 		if !it.gone && full {
 			break
 		}
