--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -45,7 +45,9 @@
 
 // restart begins the term's epoch anew.
 func (c *Core) restart(now time.Time, s *scope) {
-	s.term = newTerm(now, s.target, s.term.epoch, s.term)
+	old := s.term
+	s.term = newTerm(now, s.target, old.epoch, old)
+	s.term.used = old.used || old.phase == owned
 	c.fenceAll(now, s)
 }
 
@@ -88,7 +90,7 @@
 func keepListings(t, old *term) {
 	for _, g := range t.guards {
 		if o := old.guard(g.worker.ID); o != nil {
-			g.listed, g.told, g.listing, g.past = o.listed, o.told, o.listing, o.past
+			g.knew, g.told, g.listing, g.past = o.listed || o.knew, o.told, o.listing, o.past
 			g.incarnation, g.history, g.ended = o.incarnation, o.history, o.ended
 		}
 	}
@@ -135,8 +137,9 @@
 	same := c.unbroken(now, s.term, g, f)
 	g.fenced, g.fencedAt, g.same = true, now, same
 	g.incarnation, g.history = f.Incarnation, c.historySince(now, f.Since)
-	if !same || !s.term.own {
-		g.listed, g.told = false, false
+	g.listed, g.knew = same && s.term.own && g.knew, false
+	if !g.listed {
+		g.told = false
 	}
 	c.contact(now, s, g)
 }
@@ -266,7 +269,7 @@
 	t := s.term
 	t.phase, t.began, t.gained = owned, now, true
 	g := Gain{Target: s.target, Epoch: t.epoch}
-	follows := t.own && s.follows()
+	follows := t.unbroken
 	for _, x := range t.guards {
 		x.closeGap(now, follows)
 		if x.listed && !x.told {
--- a/internal/scenario/command_test.go
+++ b/internal/scenario/command_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -38,6 +39,8 @@
 				ts.Fatalf("%s can't be negated; check what it prints", c.name)
 			}
 			a := &args{words: words, out: ts.Stdout()}
+			// What earlier commands set off comes to rest first, so that each run goes alike.
+			synctest.Wait()
 			err := c.run(ts.Value(worldKey{}).(*world), a)
 			if err == nil {
 				err = a.finish()
