--- a/internal/platform/httpcall/caller.go
+++ b/internal/platform/httpcall/caller.go
@@ -72,11 +72,18 @@
 	if err != nil {
 		return c.failed(&t, err)
 	}
+	count(req, len(body))
+	return decode(res.StatusCode, body, out)
+}
+
+// decode reads an answer. The error wraps ErrUnclear unless the answer is a
+// problem document that says more.
+func decode(status int, body []byte, out any) error {
 	if len(body) > protocol.MaxResponse {
 		return eris.Wrap(platform.ErrUnclear, "answer over the size limit")
 	}
-	if res.StatusCode != http.StatusOK {
-		return protocol.ParseProblem(res.StatusCode, body)
+	if status != http.StatusOK {
+		return protocol.ParseProblem(status, body)
 	}
 	if err := json.Unmarshal(body, out); err != nil {
 		return eris.Wrapf(platform.ErrUnclear, "answer not understood: %v", err)
--- a/internal/platform/httpworker/wait.go
+++ b/internal/platform/httpworker/wait.go
@@ -40,7 +40,7 @@
 func (w *Worker) pollEnding(ctx context.Context, id model.LeaseID) (*platform.Ending, error) {
 	var out protocol.WaitAnswer
 	in := protocol.WaitRequest{Lease: id, Poll: w.poll}
-	if err := w.call.Post(ctx, protocol.PathWait, w.poll, in, &out); err != nil {
+	if err := w.waits.Post(ctx, protocol.PathWait, w.poll, in, &out); err != nil {
 		return nil, err
 	}
 	if out.Ending == nil {
--- a/internal/platform/httpworker/worker.go
+++ b/internal/platform/httpworker/worker.go
@@ -12,15 +12,35 @@
 	"coltsfootmux/internal/platform/protocol"
 )
 
-// Worker is the client of one worker.
+// Worker is the client of one worker. Waiting for endings has connections of
+// its own, so that many waits never hold up a fence or a renewal.
 type Worker struct {
-	addr string
-	poll time.Duration
-	call *httpcall.Caller
+	addr  string
+	poll  time.Duration
+	call  *httpcall.Caller
+	waits *httpcall.Caller
 }
 
 var _ platform.Worker = (*Worker)(nil)
 
+func newWorker(addr string, opts Options) *Worker {
+	return &Worker{
+		addr:  addr,
+		poll:  opts.Poll,
+		call:  httpcall.New("http://"+addr, opts.call(callConns(opts.MaxConns))),
+		waits: httpcall.New("http://"+addr, opts.call(opts.MaxConns-callConns(opts.MaxConns))),
+	}
+}
+
+// callConns gives the share of the connections that is kept for calls which
+// are answered at once.
+func callConns(all int) int { return max(all/callShare, 1) }
+
+func (w *Worker) close() {
+	w.call.Close()
+	w.waits.Close()
+}
+
 // Fence raises the scope's epoch and says what the worker knows of it.
 func (w *Worker) Fence(ctx context.Context, f platform.Fence) (platform.Fenced, error) {
 	var out platform.Fenced
--- a/internal/platform/httpworker/worker_test.go
+++ b/internal/platform/httpworker/worker_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -237,3 +240,48 @@
 		t.Fatalf("got %+v, %v", ending, err)
 	}
 }
+
+func TestWaitsDoNotHoldUpOtherCalls(t *testing.T) {
+	_, c := serve(t, httpworker.Options{Timeout: time.Second, MaxConns: 4})
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 60_000})); err != nil {
+		t.Fatal(err)
+	}
+	var waits sync.WaitGroup
+	for range 20 {
+		waits.Go(func() { _, _ = c.Wait(ctx, "l1") })
+	}
+	for epoch := range model.Epoch(20) {
+		if _, err := c.Fence(ctx, platform.Fence{Scope: model.GroupScope(1), Epoch: epoch}); err != nil {
+			t.Errorf("fence %d: %v", epoch, err)
+		}
+	}
+	cancel()
+	waits.Wait()
+}
+
+// BenchmarkStartAndWait gives the cost of a task that ends at once, over
+// loopback HTTP, with callers as -cpu says.
+func BenchmarkStartAndWait(b *testing.B) {
+	w := worker.New(worker.Options{ID: "w1", Capacity: capacity, HistoryFor: time.Second, BarFor: time.Second})
+	srv := httptest.NewServer(w.Handler())
+	defer srv.Close()
+	ws := httpworker.New(httpworker.Options{})
+	defer ws.Close()
+	c := ws.Dial(model.Worker{ID: "w1", Addr: strings.TrimPrefix(srv.URL, "http://")})
+	var lease atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := model.LeaseID(strconv.FormatInt(lease.Add(1), 10))
+			if err := c.Start(b.Context(), startOf(id, worker.Spec{AnswerBytes: 100})); err != nil {
+				b.Error(err)
+				return
+			}
+			if _, err := c.Wait(b.Context(), id); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
--- a/internal/platform/httpworker/workers.go
+++ b/internal/platform/httpworker/workers.go
@@ -5,7 +5,6 @@
 
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/platform"
-	"coltsfootmux/internal/platform/httpcall"
 )
 
 // Workers reaches workers by their configured addresses.
@@ -19,10 +18,7 @@
 
 // New makes the clients' common part.
 func New(opts Options) *Workers {
-	if opts.Poll <= 0 {
-		opts.Poll = defaultPoll
-	}
-	return &Workers{opts: opts, byID: make(map[model.WorkerID]*Worker)}
+	return &Workers{opts: opts.withDefaults(), byID: make(map[model.WorkerID]*Worker)}
 }
 
 // Dial gives the client of a worker; it does no I/O. Clients of the same worker
@@ -35,13 +31,9 @@
 		return old
 	}
 	if ok {
-		old.call.Close()
-	}
-	c := &Worker{
-		addr: w.Addr,
-		poll: ws.opts.Poll,
-		call: httpcall.New("http://"+w.Addr, ws.opts.call()),
+		old.close()
 	}
+	c := newWorker(w.Addr, ws.opts)
 	ws.byID[w.ID] = c
 	return c
 }
@@ -51,6 +43,6 @@
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	for _, c := range ws.byID {
-		c.call.Close()
+		c.close()
 	}
 }
