--- /dev/null
+++ b/internal/entry/docs_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestDocumentedStatusesAreThoseOfTheCode holds docs/API.md to the code.
+func TestDocumentedStatusesAreThoseOfTheCode(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(raw)
+	for reason, c := range notRun {
+		later := "no"
+		if c.retry {
+			later = "yes"
+		}
+		if row := fmt.Sprintf("| `%s` | %d | %s |", reason, c.status, later); !strings.Contains(text, row) {
+			t.Errorf("docs/API.md lacks %s", row)
+		}
+	}
+	rows := regexp.MustCompile("(?m)^\\| `[a-z_]+` \\| \\d+ \\| (yes|no) \\|$").FindAllString(text, -1)
+	if len(rows) != len(notRun) {
+		t.Errorf("docs/API.md lists %d reasons, the code has %d", len(rows), len(notRun))
+	}
+	for _, code := range []string{
+		codeMalformed, codeTooLarge, codeSlow, codeMediaType, codeKeyMissing, codeKeyInvalid, codeInvalid, codeForbidden,
+	} {
+		if !strings.Contains(text, "`"+code+"`") {
+			t.Errorf("docs/API.md lacks the code %s", code)
+		}
+	}
+}
