Say what became of cancelled work and of keys too old to tell

Cause: curl lines of docs/API.md against a running deployment. A cancellation that stopped running work was answered 409 'cancelled', one of ended work 409 'ok', and a key past its retention 504 with the advice to ask again. Now 200 with started, 409 already_ended, and 410 without Retry-After. Tests: go test -race ./internal/entry passes.

--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+func TestCancellationSaysWhatBecameOfTheWork(t *testing.T) {
+	f := newScheduler(t)
+	s := newSystem(t, nil, document(), f)
+	for name, c := range map[string]struct {
+		reply  wire.CancelReply
+		status int
+		body   string
+	}{
+		"nothing had run":         {wire.CancelReply{Done: true, Reason: model.ReasonCancelled}, 200, `"cancelled":true}`},
+		"some of it had run":      {wire.CancelReply{Reason: model.ReasonCancelled}, 200, `"cancelled":true,"started":true}`},
+		"it had ended":            {wire.CancelReply{Reason: model.ReasonOK}, 409, `"code":"already_ended"`},
+		"it had failed":           {wire.CancelReply{Reason: model.ReasonTaskFailed}, 409, `"code":"already_ended"`},
+		"it can't be told":        {wire.CancelReply{Reason: model.ReasonHistoryGap}, 409, `"code":"history_gap"`},
+		"it is another account's": {wire.CancelReply{Reason: model.ReasonUnknownAccount}, 404, `"code":"not_found"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.mu.Lock()
+			f.cancel = c.reply
+			f.mu.Unlock()
+			got := s.do(t, "DELETE", "/v1/requests/k?account=farms", "")
+			if got.status != c.status || !strings.Contains(got.body, c.body) {
+				t.Errorf("got %d %s", got.status, got.body)
+			}
+		})
+	}
+}
+
 func TestListPutsTheAnswersOfAllSchedulersTogether(t *testing.T) {
 	a, b, dead := newScheduler(t), newScheduler(t), newScheduler(t)
 	result := &model.Result{Outcome: model.OutcomeDone, Reason: model.ReasonOK, Answer: []byte(`5`)}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -15,6 +15,8 @@
 	Key model.Key `json:"key"`
 	// Cancelled says that nothing of the work starts from now on.
 	Cancelled bool `json:"cancelled"`
+	// Started says that some of it had run before it was stopped.
+	Started bool `json:"started,omitempty"`
 }
 
 // handleCancel answers DELETE /v1/requests/{key}.
@@ -35,13 +37,26 @@
 	switch {
 	case none != nil:
 		notAnswered(none).Write(w)
-	case rep.Done:
-		writeJSON(w, http.StatusOK, CancelBody{Key: key, Cancelled: true})
+	case rep.Done, rep.Reason == model.ReasonCancelled:
+		writeJSON(w, http.StatusOK, CancelBody{Key: key, Cancelled: true, Started: !rep.Done})
 	default:
-		p := problem.New(http.StatusConflict, string(rep.Reason), "The work could not be cancelled; ask for its state.")
-		p.Key = string(key)
-		p.Write(w)
+		notCancelled(key, rep.Reason).Write(w)
+	}
+}
+
+// notCancelled says why work goes on, or has ended, despite a cancellation.
+func notCancelled(key model.Key, why model.Reason) *problem.Problem {
+	var p *problem.Problem
+	switch why {
+	case model.ReasonUnknownAccount:
+		p = notFound()
+	case model.ReasonOK, model.ReasonTaskFailed:
+		p = problem.New(http.StatusConflict, codeEnded, "The work has ended already; ask for its outcome.")
+	default:
+		p = problem.New(http.StatusConflict, string(why), "The work could not be cancelled; ask for its state.")
 	}
+	p.Key = string(key)
+	return p
 }
 
 // accountOf gives the account that a call is about: the one asked for, or the
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -29,6 +29,7 @@
 	codeInvalid    = "invalid_field"
 	codeForbidden  = "forbidden"
 	codeNotFound   = "not_found"
+	codeEnded      = "already_ended"
 )
 
 // readJSON decodes a request's body into v. Unknown fields, a second value and
--- a/internal/entry/docs_test.go
+++ b/internal/entry/docs_test.go
@@ -29,7 +29,7 @@
 		t.Errorf("docs/API.md lists %d reasons, the code has %d", len(rows), len(notRun))
 	}
 	for _, code := range []string{
-		codeMalformed, codeTooLarge, codeSlow, codeMediaType, codeKeyMissing, codeKeyInvalid, codeInvalid, codeForbidden,
+		codeMalformed, codeTooLarge, codeSlow, codeMediaType, codeKeyMissing, codeKeyInvalid, codeInvalid, codeForbidden, codeNotFound, codeEnded,
 	} {
 		if !strings.Contains(text, "`"+code+"`") {
 			t.Errorf("docs/API.md lacks the code %s", code)
--- a/internal/entry/setup_test.go
+++ b/internal/entry/setup_test.go
@@ -97,6 +97,8 @@
 	// submit answers; nil echoes the body.
 	submit func(context.Context, wire.Submit) (wire.SubmitReply, error)
 	status func(wire.StatusQuery) wire.StatusReply
+	// cancel answers; the zero value is taken for a cancellation that took hold.
+	cancel wire.CancelReply
 }
 
 func newScheduler(t *testing.T) *scheduler {
@@ -140,7 +142,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancels = append(f.cancels, q)
-	return wire.CancelReply{Done: true}, nil
+	if f.cancel == (wire.CancelReply{}) {
+		return wire.CancelReply{Done: true}, nil
+	}
+	return f.cancel, nil
 }
 
 func (f *scheduler) onStatus(_ context.Context, _ link.Peer, q wire.StatusQuery) (wire.StatusReply, error) {
--- a/internal/entry/statuscode.go
+++ b/internal/entry/statuscode.go
@@ -39,15 +39,29 @@
 // otherNotRun is for reasons that the caller can only wait out.
 var otherNotRun = answerClass{http.StatusServiceUnavailable, true, "The system could not start it now."}
 
-// resultProblem gives the error answer for an outcome that is not done.
-func resultProblem(r *model.Result) *problem.Problem {
-	c, ok := notRun[r.Reason]
-	if !ok {
-		c = otherNotRun
-	}
+// unknown gives the HTTP side of reasons for which asking again is of no use.
+var unknown = map[model.Reason]answerClass{
+	model.ReasonKeyExpired: {http.StatusGone, false, "The key is older than outcomes are kept, so whether it ran can't be told."},
+}
+
+// otherUnknown is for requests whose fate may yet be proved.
+var otherUnknown = answerClass{http.StatusGatewayTimeout, true, "Whether it ran could not be proved in time; ask again under the same key."}
+
+// classOf gives the HTTP side of an outcome that is not done.
+func classOf(r *model.Result) answerClass {
+	classes, other := notRun, otherNotRun
 	if r.Outcome == model.OutcomeUnknown {
-		c = answerClass{http.StatusGatewayTimeout, true, "It was sent, and whether it ran could not be proved in time; ask again under the same key."}
+		classes, other = unknown, otherUnknown
 	}
+	if c, ok := classes[r.Reason]; ok {
+		return c
+	}
+	return other
+}
+
+// resultProblem gives the error answer for an outcome that is not done.
+func resultProblem(r *model.Result) *problem.Problem {
+	c := classOf(r)
 	p := problem.New(c.status, string(r.Reason), c.detail)
 	p.Key, p.Outcome = string(r.Key), string(r.Outcome)
 	if c.retry {
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -221,6 +221,7 @@
 		retry  string
 	}{
 		"unknown":             {model.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonWorkerLost}, 504, "1"},
+		"key too old to tell": {model.Result{Outcome: model.OutcomeUnknown, Reason: model.ReasonKeyExpired}, 410, ""},
 		"cancelled":           {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonCancelled}, 409, ""},
 		"key reused":          {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonKeyReused}, 422, ""},
 		"can't make deadline": {model.Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonTooLate, RetryAfter: 7 * time.Second}, 503, "7"},
