--- a/internal/modelcheck/keysteps.go
+++ b/internal/modelcheck/keysteps.go
@@ -74,6 +74,7 @@
 		}
 	}
 	h.stage, h.epoch, h.scanned, h.held = fencing, epoch, false, false
+	h.unbroken = false
 }
 
 // lose ends the term. What was not sent is dropped, and its caller sent on.
@@ -81,6 +82,7 @@
 	h.beaten = h.beaten || beaten
 	s.sendOn(h)
 	h.stage, h.gained, h.held, h.follows, h.scanned = idle, false, false, 0, false
+	h.unbroken = false
 	h.term = 0
 	if h.fate == Queued || h.fate == Proven {
 		h.drop(s)
@@ -190,6 +192,10 @@
 
 // advance moves a term on as far as its answers and the time allow.
 func (k KeySpec) advance(s *KeyState, h *host) {
+	if h.usedUp() && !k.Faulty.SameEpoch && !k.Faulty.NoFence {
+		h.lose(s, true)
+		return
+	}
 	switch h.stage {
 	case fencing:
 		if h.fencedCount() >= majority {
@@ -197,10 +203,18 @@
 			k.advance(s, h)
 		}
 	case waiting:
-		if h.count(k.safe) >= majority {
+		used := h.gained && h.term == h.epoch && !k.Faulty.SameEpoch && !k.Faulty.NoFence
+		if h.count(k.safe) >= majority && (!used || h.sameCount() >= majority) {
 			h.stage, h.scanned = scanning, false
+			h.unbroken = h.sameCount() >= majority
+			h.rescan(k)
 		}
 	case scanning:
+		if h.unbroken && h.sameCount() < majority {
+			h.unbroken, h.scanned = false, false
+			h.rescan(k)
+			return
+		}
 		ready := h.count(func(g *guard) bool { return k.safe(g) && g.listed && g.until > 0 })
 		listed := h.count(func(g *guard) bool { return g.listed })
 		if ready >= majority && (listed == workers || h.scanned) {
@@ -213,6 +227,31 @@
 	}
 }
 
+func (h *host) sameCount() int {
+	return h.count(func(g *guard) bool { return g.fenced > 0 && g.same })
+}
+
+// usedUp says that the epoch can't be gained again: work was started under it,
+// and a majority can't vouch that nobody came in between.
+func (h *host) usedUp() bool {
+	if !h.gained || h.term != h.epoch || h.stage != fencing && h.stage != waiting {
+		return false
+	}
+	changed := h.count(func(g *guard) bool { return g.fenced > 0 && !g.same })
+	return workers-changed < majority
+}
+
+// rescan forgets the listings of the term before, unless they still stand.
+func (h *host) rescan(k KeySpec) {
+	if h.unbroken || k.Faulty.ListFirst || k.Faulty.ListEarly {
+		return
+	}
+	for i := range h.guard {
+		g := &h.guard[i]
+		g.listed, g.knew, g.seen, g.late = false, false, false, false
+	}
+}
+
 // safe says that no old owner can start keyed work by this witness's leave.
 func (k KeySpec) safe(g *guard) bool {
 	return g.fenced > 0 && (g.same || g.fenced > k.Wait || k.Faulty.NoWait)
@@ -226,7 +265,7 @@
 }
 
 func (k KeySpec) gain(s *KeyState, h *host) {
-	follows := h.count(func(g *guard) bool { return g.fenced > 0 && g.same }) >= majority
+	follows := h.unbroken
 	for i := range h.guard {
 		g := &h.guard[i]
 		if !follows {
@@ -235,7 +274,7 @@
 	}
 	h.stage, h.gained, h.held, h.term = owned, true, true, h.epoch
 	at := s.index(h)
-	if !follows && !h.fate.final() && !k.Faulty.KeepTraces {
+	if !follows && h.fate != Done && !k.Faulty.KeepTraces {
 		h.drop(s)
 	}
 	k.adopt(s, h)
