Offer work under the key group's epoch

Cause: the model check of ownership found that an offer delayed past another owner's not_run can still run; wire.Submit and SubmitReply carry epochs for it, and the entry sent none. The router keeps the highest epoch heard of for each group, offers under it, and asks an owner that names a higher one again at once. A scheduler that names no epoch is offered work under 0, as before. Tests: go test -race ./internal/entry/... passes.

--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -14,11 +14,21 @@
 
 // answer is what a reply says of its sender: whether it did nothing because the
 // key's group is another's, and whose.
-type answer interface{ moved() (bool, model.Member) }
+type answer interface {
+	moved() (bool, model.Member)
+	// epoch is the group's epoch at the sender; 0 when it doesn't say.
+	epoch() model.Epoch
+}
+
+// under gives a request as it is asked under an epoch of the key's group.
+type under[Req any] func(model.Epoch) Req
+
+// asIs is for requests that are the same under each epoch.
+func asIs[Req any](req Req) under[Req] { return func(model.Epoch) Req { return req } }
 
 // ask offers a request about a key to schedulers until one answers for it. A nil
 // GiveUp means that rep is that answer. ctx ends when the caller stops waiting.
-func ask[Req any, Rep answer](ctx context.Context, s *Server, key model.Key, k wire.Kind, req Req) (rep Rep, none *route.GiveUp) {
+func ask[Req any, Rep answer](ctx context.Context, s *Server, key model.Key, k wire.Kind, req under[Req]) (rep Rep, none *route.GiveUp) {
 	t := route.Ticket(s.tickets.Add(1))
 	until, _ := ctx.Deadline()
 	act := s.step(route.Begin{Ticket: t, Key: key, Until: until})
@@ -26,7 +36,7 @@
 		var ev route.Event
 		switch a := act.(type) {
 		case route.Ask:
-			rep, ev = askOne[Req, Rep](ctx, s, t, a.Addr, k, req)
+			rep, ev = askOne[Req, Rep](ctx, s, t, a.Addr, k, req(a.Epoch))
 		case route.Sleep:
 			ev = s.sleep(ctx, t, a.For)
 		case route.GiveUp:
@@ -48,10 +58,10 @@
 	case err == nil:
 		if moved, owner := rep.moved(); moved {
 			asks.With("moved").Inc()
-			return rep, route.Moved{Ticket: t, Owner: owner}
+			return rep, route.Moved{Ticket: t, Owner: owner, Epoch: rep.epoch()}
 		}
 		asks.With("answered").Inc()
-		return rep, route.Settled{Ticket: t}
+		return rep, route.Settled{Ticket: t, Epoch: rep.epoch()}
 	case errors.Is(err, link.ErrNotSent):
 		asks.With("not_sent").Inc()
 		return rep, route.NotTaken{Ticket: t}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -33,7 +33,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), queryTimeout)
 	defer cancel()
-	rep, none := ask[wire.Cancel, cancelReply](ctx, s, key, wire.KindCancel, wire.Cancel{Key: key, Account: account})
+	rep, none := ask[wire.Cancel, cancelReply](ctx, s, key, wire.KindCancel, asIs(wire.Cancel{Key: key, Account: account}))
 	switch {
 	case none != nil:
 		notAnswered(none).Write(w)
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -56,6 +57,31 @@
 	}
 }
 
+func TestOfferCarriesTheGroupsEpoch(t *testing.T) {
+	f := newScheduler(t)
+	f.submit = func(_ context.Context, q wire.Submit) (wire.SubmitReply, error) {
+		if q.Epoch != 17 {
+			return wire.SubmitReply{Moved: true, Epoch: 17}, nil
+		}
+		r := done(nil)
+		r.Epoch = 17
+		return r, nil
+	}
+	s := newSystem(t, nil, document(), f)
+	for range 2 {
+		if got := s.do(t, "POST", "/v1/requests", `{"key":"k","account":"farms","kind":"x"}`); got.status != http.StatusOK {
+			t.Fatalf("got %d %s", got.status, got.body)
+		}
+	}
+	var epochs []model.Epoch
+	for _, q := range f.taken() {
+		epochs = append(epochs, q.Epoch)
+	}
+	if !slices.Equal(epochs, []model.Epoch{0, 17, 17}) {
+		t.Fatalf("offered under %v", epochs)
+	}
+}
+
 func TestDrainingOwnerIsLeftForAnother(t *testing.T) {
 	leaving, next := newScheduler(t), newScheduler(t)
 	leaving.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
--- a/internal/entry/replies.go
+++ b/internal/entry/replies.go
@@ -28,6 +28,10 @@
 
 func (r statusReply) moved() (bool, model.Member) { return r.Moved, r.Owner }
 
+func (r submitReply) epoch() model.Epoch { return r.Epoch }
+func (r cancelReply) epoch() model.Epoch { return 0 }
+func (r statusReply) epoch() model.Epoch { return 0 }
+
 // passing reports whether the reason lies with the scheduler that was asked.
 func passing(r model.Reason) bool {
 	return r == model.ReasonDraining || r == model.ReasonNoOwner
--- a/internal/entry/route/action.go
+++ b/internal/entry/route/action.go
@@ -10,8 +10,12 @@
 type Action interface{ action() }
 
 type (
-	// Ask sends the call to the scheduler at an address.
-	Ask struct{ Addr string }
+	// Ask sends the call to the scheduler at an address, under the group's epoch
+	// that was last heard of; 0 when none was.
+	Ask struct {
+		Addr  string
+		Epoch model.Epoch
+	}
 	// Sleep waits before the next event, which is Woke or Expired.
 	Sleep struct{ For time.Duration }
 	// GiveUp ends the call without a scheduler's word.
--- a/internal/entry/route/call.go
+++ b/internal/entry/route/call.go
@@ -12,6 +12,8 @@
 	until time.Time
 	// asked is the address asked last; tried holds those asked in this round.
 	asked string
+	// epoch is the one that it was asked under.
+	epoch model.Epoch
 	tried map[string]bool
 	// hint is who the last asked scheduler named.
 	hint string
--- a/internal/entry/route/event.go
+++ b/internal/entry/route/event.go
@@ -28,13 +28,20 @@
 		Key    model.Key
 		Until  time.Time
 	}
-	// Settled says that the asked scheduler answered for the key.
-	Settled struct{ Ticket Ticket }
+	// Settled says that the asked scheduler answered for the key. Epoch is the
+	// group's epoch there; 0 when it wasn't told.
+	Settled struct {
+		Ticket Ticket
+		Epoch  model.Epoch
+	}
 	// Moved says that the asked scheduler did nothing. Owner is who it thinks
-	// owns the key's group; its address is empty when it doesn't know.
+	// owns the key's group; its address is empty when it doesn't know. Epoch is
+	// set when the asked one owns the group itself, under another epoch than the
+	// one that it was asked under.
 	Moved struct {
 		Ticket Ticket
 		Owner  model.Member
+		Epoch  model.Epoch
 	}
 	// NotTaken says that the call provably did nothing at the asked scheduler.
 	NotTaken struct {
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -221,6 +221,30 @@
 	})
 }
 
+func TestWorkIsOfferedUnderTheHighestEpochHeardOf(t *testing.T) {
+	r := newRouter(2)
+	until := begin.Add(time.Hour)
+	if a := r.Step(begin, route.Begin{Ticket: 1, Key: "k", Until: until}).(route.Ask); a.Epoch != 0 {
+		t.Fatalf("first offer: %+v", a)
+	}
+	again, ok := r.Step(begin, route.Moved{Ticket: 1, Epoch: 17}).(route.Ask)
+	if !ok || again.Addr != addr(0) || again.Epoch != 17 {
+		t.Fatalf("owner under another epoch: %+v", again)
+	}
+	if a := r.Step(begin, route.Moved{Ticket: 1, Epoch: 17}).(route.Ask); a.Addr != addr(1) || a.Epoch != 17 {
+		t.Fatalf("owner that does not take its own epoch: %+v", a)
+	}
+	r.Step(begin, route.Settled{Ticket: 1, Epoch: 33})
+	if a := r.Step(begin, route.Begin{Ticket: 2, Key: "k", Until: until}).(route.Ask); a.Addr != addr(1) || a.Epoch != 33 {
+		t.Fatalf("next call: %+v", a)
+	}
+	r.Step(begin, route.Doubtful{Ticket: 2})
+	r.Step(begin, route.Settled{Ticket: 2, Epoch: 20}) // an old owner's word
+	if a := r.Step(begin, route.Begin{Ticket: 3, Key: "k", Until: until}).(route.Ask); a.Epoch != 33 {
+		t.Fatalf("the epoch fell: %+v", a)
+	}
+}
+
 func TestLearnedOwnerIsAskedFirstAndForgottenWhenItFails(t *testing.T) {
 	r := newRouter(4)
 	until := begin.Add(time.Hour)
--- a/internal/entry/route/router.go
+++ b/internal/entry/route/router.go
@@ -15,7 +15,7 @@
 	mapping *mapping.Mapping
 	// near holds the schedulers' addresses, the nearest first.
 	near   []string
-	owners map[model.GroupID]string
+	owners map[model.GroupID]owner
 	calls  map[Ticket]*call
 	budget *limits.RetryBudget
 }
@@ -23,7 +23,7 @@
 // New makes a router that knows no configuration and no hosts.
 func New(o Options) *Router {
 	return &Router{
-		opts: o, owners: make(map[model.GroupID]string), calls: make(map[Ticket]*call),
+		opts: o, owners: make(map[model.GroupID]owner), calls: make(map[Ticket]*call),
 		budget: limits.NewRetryBudget(0, retryReserve),
 	}
 }
@@ -42,7 +42,7 @@
 	case Begin:
 		return r.onBegin(now, ev)
 	case Settled:
-		r.onSettled(ev.Ticket)
+		r.onSettled(ev)
 	case Moved:
 		return r.onMoved(now, ev)
 	case NotTaken:
@@ -76,13 +76,18 @@
 }
 
 // onSettled notes who answered for the group.
-func (r *Router) onSettled(t Ticket) {
-	c := r.calls[t]
+func (r *Router) onSettled(s Settled) {
+	c := r.calls[s.Ticket]
 	if c == nil {
 		return
 	}
-	r.owners[c.group] = c.asked
-	delete(r.calls, t)
+	r.learn(c.group, c.asked, s.Epoch)
+	delete(r.calls, s.Ticket)
+}
+
+// learn notes a group's owner. Epochs only rise.
+func (r *Router) learn(g model.GroupID, addr string, e model.Epoch) {
+	r.owners[g] = owner{addr: addr, epoch: max(e, r.owners[g].epoch)}
 }
 
 func (r *Router) onMoved(now time.Time, m Moved) Action {
@@ -90,6 +95,10 @@
 	if c == nil {
 		return Nothing{}
 	}
+	if m.Epoch > c.epoch {
+		r.learn(c.group, c.asked, m.Epoch)
+		return r.ask(c, c.asked)
+	}
 	r.disown(c)
 	c.hint = m.Owner.Addr
 	return r.next(now, c)
@@ -147,8 +156,9 @@
 
 // disown forgets the learned owner when it is the one that was asked in vain.
 func (r *Router) disown(c *call) {
-	if r.owners[c.group] == c.asked {
-		delete(r.owners, c.group)
+	if o := r.owners[c.group]; o.addr == c.asked {
+		o.addr = ""
+		r.owners[c.group] = o
 	}
 }
 
@@ -156,20 +166,24 @@
 func (r *Router) next(now time.Time, c *call) Action {
 	if len(c.tried) < asksPerRound {
 		if addr := r.candidate(c); addr != "" {
-			c.asked = addr
-			c.tried[addr] = true
-			c.hint = ""
-			return Ask{Addr: addr}
+			return r.ask(c, addr)
 		}
 	}
 	return r.sleep(now, c)
 }
 
+func (r *Router) ask(c *call, addr string) Action {
+	c.asked, c.epoch = addr, r.owners[c.group].epoch
+	c.tried[addr] = true
+	c.hint = ""
+	return Ask{Addr: addr, Epoch: c.epoch}
+}
+
 func (r *Router) candidate(c *call) string {
 	if c.hint != "" && !c.tried[c.hint] {
 		return c.hint
 	}
-	if o := r.owners[c.group]; o != "" && !c.tried[o] {
+	if o := r.owners[c.group].addr; o != "" && !c.tried[o] {
 		return o
 	}
 	return r.untried(c)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -25,7 +25,7 @@
 	who, _ := auth.FromContext(r.Context())
 	ctx, cancel := context.WithTimeout(r.Context(), queryTimeout)
 	defer cancel()
-	rep, none := ask[wire.StatusQuery, statusReply](ctx, s, key, wire.KindStatus, wire.StatusQuery{Key: key, Limit: 1})
+	rep, none := ask[wire.StatusQuery, statusReply](ctx, s, key, wire.KindStatus, asIs(wire.StatusQuery{Key: key, Limit: 1}))
 	if none != nil {
 		notAnswered(none).Write(w)
 		return
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -90,7 +90,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	rep, none := ask[wire.Submit, submitReply](ctx, s, w.Key, wire.KindSubmit, wire.Submit{Work: *w, Sum: sum(w)})
+	checksum := sum(w)
+	rep, none := ask[wire.Submit, submitReply](ctx, s, w.Key, wire.KindSubmit, func(e model.Epoch) wire.Submit {
+		return wire.Submit{Work: *w, Sum: checksum, Epoch: e}
+	})
 	if none != nil {
 		return model.Result{Key: w.Key, Outcome: none.Outcome, Reason: none.Reason, RetryAfter: none.RetryAfter}
 	}
