--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -10,14 +10,21 @@
 	"coltsfootmux/internal/platform"
 )
 
+// How many client accounts there are today and at the target size.
+const (
+	todayAccounts  = 4
+	targetAccounts = 110
+)
+
 // benchFleet is a core that owns cells of eight workers with tasks on them.
 type benchFleet struct {
-	core   *Core
-	now    time.Time
-	n      int
-	leases []Part
-	keys   []model.Key
-	waits  int
+	core *Core
+	now  time.Time
+	n    int
+	// accounts take turns.
+	accounts int
+	leases   []Part
+	keys     []model.Key
 }
 
 // workerOf gives the sizes of the target fleet: 13,000 workers with 16,000
@@ -34,6 +41,10 @@
 }
 
 func newBenchFleet(cells int, today bool) *benchFleet {
+	accounts := targetAccounts
+	if today {
+		accounts = todayAccounts
+	}
 	d := testDoc()
 	for i := range cells {
 		cl := testCell(fmt.Sprintf("r%04d", i), 8)
@@ -45,14 +56,14 @@
 	d.Defaults.QueueBound = 1 << 20
 	d.Defaults.LongestWait = config.Duration(1000 * time.Hour)
 	d.Accounts = nil
-	for i := range 110 {
+	for i := range accounts {
 		a := config.Account{Name: model.Account(fmt.Sprint("a", i))}
 		if i < cells {
 			a.Guarantees = []config.Guarantee{{Shape: model.Shape{Slots: 8, Accelerators: 1}, Count: 2, Adjacency: model.AdjacentRack}}
 		}
 		d.Accounts = append(d.Accounts, a)
 	}
-	f := &benchFleet{core: New("self"), now: epoch0}
+	f := &benchFleet{accounts: accounts, core: New("self"), now: epoch0}
 	f.step(Configured{Config: &config.Versioned{Version: 1, Document: *d}})
 	for _, cl := range d.Fleet.Cells {
 		f.step(CellGained{Cell: cl, Epoch: 16})
@@ -73,7 +84,7 @@
 func (f *benchFleet) submit(s model.Shape) {
 	f.n++
 	f.step(Submitted{Attempt: 1, Work: model.Work{
-		Key: model.Key(fmt.Sprint("k", f.n)), Account: model.Account(fmt.Sprint("a", f.n%110)),
+		Key: model.Key(fmt.Sprint("k", f.n)), Account: model.Account(fmt.Sprint("a", f.n%f.accounts)),
 		Kind: "task", Class: model.ClassNormal, Members: 1, Shape: s, Idempotent: true, Preemptible: true,
 	}})
 	for _, k := range f.keys {
@@ -127,12 +138,23 @@
 	}
 }
 
-// BenchmarkDecisionInAFullFleet measures the same while more work waits than runs.
+// BenchmarkDecisionInAFullFleet measures the same while a tenth more work waits
+// than runs.
 func BenchmarkDecisionInAFullFleet(b *testing.B) {
-	for _, cells := range []int{7, 60, 1600} {
-		b.Run(fmt.Sprintf("cells=%d", cells), func(b *testing.B) {
-			f := newBenchFleet(cells, false)
-			for range cells * 8 * 20 * 11 / 10 {
+	for _, c := range []struct {
+		name  string
+		cells int
+		today bool
+		slots int
+	}{
+		{"today cells=7 accounts=4", 7, true, 8},
+		{"cells=6 accounts=110", 6, false, 20},
+		{"cells=60 accounts=110", 60, false, 20},
+		{"cells=1600 accounts=110", 1600, false, 20},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			f := newBenchFleet(c.cells, c.today)
+			for range c.cells * 8 * c.slots * 11 / 10 {
 				f.submit(taskShape)
 			}
 			if f.core.Waiting() == 0 {
--- a/internal/core/placement/schedule.go
+++ b/internal/core/placement/schedule.go
@@ -60,6 +60,10 @@
 			heap.Pop(&due)
 			continue
 		}
+		if q.blocked && local(j) && c.hopeless(q, j, freed) {
+			heap.Pop(&due)
+			continue
+		}
 		if c.try(q, j, freed) {
 			c.advance(&due, q)
 			continue
@@ -76,6 +80,22 @@
 	c.postpone(due)
 }
 
+// hopeless reports whether none of the freed cells has room for one member, so
+// that a queue that was blocked before stays so. Work that may reclaim room is
+// never hopeless.
+func (c *Core) hopeless(q *queue, j *job, freed []*cell) bool {
+	if c.policy.Order == OrderArrival || j.class == urgentClass || c.overdue(j) {
+		return false
+	}
+	entitled := !q.acc.entitled.IsZero()
+	for _, cl := range freed {
+		if j.work.Shape.Fits(cl.free) || (entitled && cl.holdsFor(q.acc)) {
+			return false
+		}
+	}
+	return true
+}
+
 // advance puts a queue whose head left back into its place.
 func (c *Core) advance(due *queueHeap, q *queue) {
 	next := q.head()
