--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/core/settings"
 	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/platform"
 )
@@ -52,12 +53,20 @@
 
 // publish puts the first configuration on the log.
 func (c *Cluster) publish(ctx context.Context) error {
-	data, err := config.Encode(document(c.Size, c.Platform.Cells))
+	doc := document(c.Size, c.Platform.Cells).WithDefaults().Canonical()
+	if err := config.Validate(doc); err != nil {
+		return eris.Wrap(ErrStart, err.Error())
+	}
+	id := logclient.NewID()
+	data, err := settings.EncodeRecord(&settings.Record{
+		ID: id, Author: "coltsfootmux-dev", Reason: "first configuration", At: time.Now(),
+		Change: settings.Change{Document: doc},
+	})
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
 	home := c.Platform.Log.Client(c.Size.Places[0].Region)
-	rec := platform.Record{ID: logclient.NewID(), Type: "document", Data: data}
+	rec := platform.Record{ID: id, Type: settings.TypeChange, Data: data}
 	if _, err := home.Append(ctx, platform.StreamConfig, []platform.Record{rec}); err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/confsync"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/metric"
@@ -32,7 +33,7 @@
 	Hosts   platform.HostList
 	Pool    *link.Pool
 	Server  *link.Server
-	Configs *follower
+	Configs *confsync.Store
 
 	listener *Listener
 	draining atomic.Bool
@@ -66,7 +67,10 @@
 	budget := link.NewBudget(0)
 	n.Pool = link.NewPool(link.PoolOptions{Self: s.HostID, Region: s.Region, Logger: logger, Budget: budget})
 	n.Server = link.NewServer(link.ServerOptions{Self: s.HostID, Region: s.Region, Logger: logger, Budget: budget})
-	n.Configs = &follower{log: n.Log}
+	n.Configs = confsync.New(confsync.Options{
+		Log: n.RawLog, Writer: n.Log, Pool: n.Pool, Hosts: n.Hosts, Self: n.Self, Logger: logger,
+	})
+	n.Configs.Handle(n.Server)
 	n.Configs.OnChange(func(v *config.Versioned) {
 		budget.SetRate(v.Document.Defaults.CrossRegionBytesPerSecond)
 	})
