--- a/internal/core/ledger/attempt.go
+++ b/internal/core/ledger/attempt.go
@@ -73,6 +73,12 @@
 	if e == nil || e.state == asking {
 		return
 	}
+	if e.state == dispatched && !e.cancelled && c.timeLeft(now, e) {
+		// Nothing was begun, and MayBegin refuses this attempt from now on.
+		e.redone++
+		c.again(now, e)
+		return
+	}
 	e.doubt = u.Reason
 	if e.idempotent && !e.cancelled && c.attemptsLeft(e) && c.timeLeft(now, e) {
 		e.mayHaveRun = true
@@ -83,13 +89,15 @@
 	c.ask(now, e)
 }
 
-// hold keeps work that found no owner for its cells. Nothing of the attempt was
-// sent, so it does not count, not even for non-idempotent work.
+// hold keeps work that found no owner for its cells, or whose epochs the workers
+// refused. Nothing of the attempt started, so it does not count, not even for
+// non-idempotent work.
 func (c *Core) hold(now time.Time, e *entry, why model.Reason) bool {
-	if why != model.ReasonNoOwner || e.state != dispatched || e.cancelled || !c.timeLeft(now, e) {
+	noOwner := why == model.ReasonNoOwner && e.state == dispatched
+	if !noOwner && why != model.ReasonOwnerLost || e.cancelled || !c.timeLeft(now, e) {
 		return false
 	}
-	e.attempt--
+	e.redone++
 	c.again(now, e)
 	return true
 }
@@ -114,7 +122,7 @@
 }
 
 func (c *Core) attemptsLeft(e *entry) bool {
-	return e.hasWork && e.attempt < c.defaults().MaxAttempts
+	return e.hasWork && e.attempt-e.redone < c.defaults().MaxAttempts
 }
 
 func (c *Core) timeLeft(now time.Time, e *entry) bool {
--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -32,18 +32,38 @@
 	return c.policy.Reserve && c.large(&j.work) && c.now.Sub(j.queuedAt) >= c.largeBound()
 }
 
+// watch sets a timer for when the head of a queue of large work is overdue.
+func (c *Core) watch(q *queue) {
+	j := q.head()
+	if j == nil || q.watched || !c.policy.Reserve {
+		return
+	}
+	q.watched = true
+	due := j.queuedAt.Add(c.largeBound())
+	if !due.After(c.now) {
+		due = c.now.Add(drainRetry)
+	}
+	c.at(due, timer{kind: timerLarge, queue: q})
+}
+
 // largeDue makes room for large work that waited its bound: by eviction if that
 // suffices, else by draining a cell.
 func (c *Core) largeDue(t timer) {
-	j, ok := c.jobs[t.key]
-	if !ok || j.round != t.round || j.state != jobWaiting || !c.policy.Reserve {
+	q := t.queue
+	q.watched = false
+	if !q.listed {
 		return
 	}
-	c.after(drainRetry, t)
-	if j.queue.head() != j {
-		return
+	if j := q.head(); j != nil && c.overdue(j) {
+		c.makeRoom(j)
 	}
-	if c.policy.Preempt && c.reclaimIn(j, c.candidates(j), c.evictRoom) {
+	if q.listed {
+		c.watch(q)
+	}
+}
+
+func (c *Core) makeRoom(j *job) {
+	if c.policy.Preempt && c.reclaimIn(j, c.evictCells(j), c.evictRoom) {
 		return
 	}
 	if len(j.drains) == 0 {
@@ -53,13 +73,7 @@
 
 // drain keeps firm work out of the cells that should be free the soonest.
 func (c *Core) drain(j *job) {
-	draining := 0
-	for _, cl := range c.order {
-		if cl.drainFor != nil {
-			draining++
-		}
-	}
-	room := max(1, len(c.order)/drainShare) - draining
+	room := max(1, len(c.order)/drainShare) - c.draining
 	if room <= 0 {
 		return
 	}
@@ -68,6 +82,7 @@
 			break
 		}
 		cl.drainFor = j
+		c.draining++
 		j.drains = append(j.drains, cl)
 		if local(j) {
 			break
@@ -83,7 +98,7 @@
 		at time.Duration
 	}
 	var cands []candidate
-	for _, cl := range c.candidates(j) {
+	for _, cl := range c.evictCells(j) {
 		if cl.drainFor != nil || !c.couldHold(j, cl) {
 			continue
 		}
@@ -141,6 +156,7 @@
 	for _, cl := range j.drains {
 		if cl.drainFor == j {
 			cl.drainFor = nil
+			c.draining--
 			c.free(cl)
 		}
 	}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -8,7 +8,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/settings"
 	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/platform"
@@ -53,20 +52,16 @@
 
 // publish puts the first configuration on the log.
 func (c *Cluster) publish(ctx context.Context) error {
-	doc := document(c.Size, c.Platform.Cells).WithDefaults().Canonical()
-	if err := config.Validate(doc); err != nil {
-		return eris.Wrap(ErrStart, err.Error())
+	first := settings.Record{
+		ID: logclient.NewID(), Author: "coltsfootmux-dev", Reason: "first configuration", At: time.Now(),
+		Change: settings.Change{Document: document(c.Size, c.Platform.Cells)},
 	}
-	id := logclient.NewID()
-	data, err := settings.EncodeRecord(&settings.Record{
-		ID: id, Author: "coltsfootmux-dev", Reason: "first configuration", At: time.Now(),
-		Change: settings.Change{Document: doc},
-	})
+	data, err := settings.EncodeRecord(&first)
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
 	home := c.Platform.Log.Client(c.Size.Places[0].Region)
-	rec := platform.Record{ID: id, Type: settings.TypeChange, Data: data}
+	rec := platform.Record{ID: first.ID, Type: settings.TypeChange, Data: data}
 	if _, err := home.Append(ctx, platform.StreamConfig, []platform.Record{rec}); err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
--- a/internal/scheduler/gain.go
+++ b/internal/scheduler/gain.go
@@ -61,12 +61,16 @@
 func (l *loop) gainGroup(a ownership.Gain) {
 	g := groupOf(a.Target.Scope)
 	old, had := l.groups[g]
-	og := &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap}
+	og := &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap, unbroken: a.Unbroken}
 	l.groups[g] = og
-	if a.Unbroken && had && old.ready {
-		og.ready = true
-		l.stepLedger(ledger.GroupGained{Group: g, Epoch: a.Epoch, Found: og.found, Gap: a.Gap, Unbroken: true})
+	switch {
+	case a.Unbroken && had && old.ready:
+		l.groupReady(g, og, history{})
 		return
+	case a.Unbroken && had:
+		// The ledger has not heard yet what was found before.
+		og.found = append(old.found, og.found...)
+		og.unbroken = old.unbroken
 	}
 	go l.s.readHistory(l.ctx, g, a.Epoch)
 }
@@ -74,19 +78,21 @@
 // history completes a gained group with what the log knows.
 func (l *loop) history(m historyMsg) {
 	og, ok := l.groups[m.group]
-	if !ok || og.epoch != m.epoch {
+	if !ok || og.epoch != m.epoch || og.suspended {
 		return
 	}
+	l.groupReady(m.group, og, m.hist)
+}
+
+// groupReady lets the ledger answer for a group's keys, and goes on with the jobs
+// that were accepted and have no outcome.
+func (l *loop) groupReady(g model.GroupID, og *ownedGroup, h history) {
 	og.ready = true
 	l.stepLedger(ledger.GroupGained{
-		Group:    m.group,
-		Epoch:    m.epoch,
-		Outcomes: m.hist.outcomes,
-		Found:    og.found,
-		Gap:      og.gap,
+		Group: g, Epoch: og.epoch, Outcomes: h.outcomes, Found: og.found, Gap: og.gap, Unbroken: og.unbroken,
 	})
-	for _, w := range m.hist.open {
-		l.resume(w)
+	for _, j := range h.open {
+		l.resume(j)
 	}
 }
 
