--- /dev/null
+++ b/internal/docs/doc.go
@@ -0,0 +1,17 @@
+// Package docs writes the tables of events and metrics in docs/ from what the
+// programs declare. Its tests hold the tables, and the list of packages below,
+// to the code.
+package docs
+
+// Each package that declares events or metrics is imported for its declarations.
+import (
+	_ "coltsfootmux/internal/admin"
+	_ "coltsfootmux/internal/audit"
+	_ "coltsfootmux/internal/auth"
+	_ "coltsfootmux/internal/confsync"
+	_ "coltsfootmux/internal/entry"
+	_ "coltsfootmux/internal/link"
+	_ "coltsfootmux/internal/logclient"
+	_ "coltsfootmux/internal/node"
+	_ "coltsfootmux/internal/scheduler"
+)
--- /dev/null
+++ b/internal/docs/tables.go
@@ -0,0 +1,68 @@
+package docs
+
+import (
+	"cmp"
+	"fmt"
+	"strings"
+
+	"coltsfootmux/internal/logevent"
+	"coltsfootmux/internal/metric"
+)
+
+const eventsHead = `# Events
+
+Every log line carries the number of its event in the attribute ` + "`event`" + `. Numbers
+are never used again for something else. ` + "`go test ./internal/docs -update`" + ` writes
+this table from the code; the same test fails when the two differ.
+
+| range | package |
+|---|---|
+| 1000-1099 | links between processes |
+| 1100-1199 | entry |
+| 1200-1249 | tokens and certificates |
+| 2000-2199 | scheduler |
+| 3000-3099 | administration API |
+| 3100-3199 | configuration in force |
+| 3200-3249 | audit trail |
+| 4000-4099 | log client |
+| 4100-4199 | platform clients |
+| 5000-5199 | stand-ins |
+| 6000-6099 | process |
+| 7000-7099 | load and experiments |
+| 8000-8099 | local deployment |
+
+| event | level | text |
+|---|---|---|
+`
+
+const metricsHead = `# Metrics
+
+Every program serves these at ` + "`/metrics`" + ` in Prometheus text format, besides the Go
+runtime's and the process's own. Label values come from bounded sets.
+` + "`go test ./internal/docs -update`" + ` writes this table from the code; the same test
+fails when the two differ.
+
+| metric | type | unit | label | meaning |
+|---|---|---|---|---|
+`
+
+// Events gives the page of all declared events.
+func Events() string {
+	var b strings.Builder
+	b.WriteString(eventsHead)
+	for _, e := range logevent.All() {
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", e.Code, strings.ToLower(e.Level.String()), e.Text)
+	}
+	return b.String()
+}
+
+// Metrics gives the page of all declared metrics.
+func Metrics() string {
+	var b strings.Builder
+	b.WriteString(metricsHead)
+	for _, m := range metric.All() {
+		label := cmp.Or(m.Label, "-")
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Name, m.Type, m.Unit, label, m.Help)
+	}
+	return b.String()
+}
