--- a/internal/docs/doc.go
+++ b/internal/docs/doc.go
@@ -13,5 +13,6 @@
 	_ "coltsfootmux/internal/link"
 	_ "coltsfootmux/internal/logclient"
 	_ "coltsfootmux/internal/node"
+	_ "coltsfootmux/internal/platform/httpcall"
 	_ "coltsfootmux/internal/scheduler"
 )
