--- a/internal/dev/command.go
+++ b/internal/dev/command.go
@@ -32,6 +32,7 @@
 			&cli.DurationFlag{Name: "for", Value: demoFor, Usage: "how long requests are sent, such as 15s"},
 			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "factor on the rates of arrivals"},
 			&cli.Uint64Flag{Name: "seed", Value: demoSeed, Usage: "seed of the arrivals"},
+			&cli.StringFlag{Name: "record", Usage: "file to write a recording to, for coltsfootmux-load report"},
 			&cli.BoolFlag{Name: "kill", Value: true, Usage: "kill one own host half way through"},
 		},
 		Action: runDemo,
@@ -51,7 +52,7 @@
 	}
 	d := &Demo{
 		Size: DefaultSize(), For: cmd.Duration("for"), Scale: cmd.Float("scale"), Seed: cmd.Uint64("seed"),
-		Kill: cmd.Bool("kill"), Out: cmd.Root().Writer, Logger: logger,
+		Kill: cmd.Bool("kill"), Record: cmd.String("record"), Out: cmd.Root().Writer, Logger: logger,
 	}
 	return d.Run(ctx)
 }
--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"coltsfootmux/internal/load"
+	"coltsfootmux/internal/report"
 	"coltsfootmux/internal/standin/worker"
 )
 
@@ -26,9 +28,15 @@
 	Scale float64
 	Seed  uint64
 	// Kill ends one own host in the middle of the run.
-	Kill   bool
+	Kill bool
+	// Record, when set, is the file that a recording of the run is written to.
+	Record string
 	Out    io.Writer
 	Logger *slog.Logger
+
+	began time.Time
+	mu    sync.Mutex
+	marks []report.Mark
 }
 
 const (
@@ -55,16 +63,40 @@
 	var sampler Sampler
 	sampling, stop := context.WithCancel(ctx)
 	go sampler.Run(sampling, c)
+	d.began = time.Now()
 	tally := d.load(ctx, c)
 	stop()
 	tally.Check(c.Platform.Truth())
 	d.report(c, tally, &sampler)
+	if err := d.record(c, tally, &sampler); err != nil {
+		return err
+	}
 	if n := tally.Total().Broken(); n > 0 {
 		return eris.Wrapf(ErrPromise, "%d answers", n)
 	}
 	return nil
 }
 
+// mark notes a moment of the run.
+func (d *Demo) mark(text string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.marks = append(d.marks, report.Mark{At: time.Since(d.began), Text: text})
+}
+
+// record writes a recording of the run if that was asked for.
+func (d *Demo) record(c *Cluster, tally *load.Tally, s *Sampler) error {
+	if d.Record == "" {
+		return nil
+	}
+	r := tally.Record("coltsfootmux demonstration", d.began, d.Seed)
+	r.Samples, r.Traffic = s.Samples(), c.Traffic()
+	d.mu.Lock()
+	r.Marks = d.marks
+	d.mu.Unlock()
+	return r.Write(d.Record)
+}
+
 // report prints what came of the run.
 func (d *Demo) report(c *Cluster, tally *load.Tally, s *Sampler) {
 	load.WriteTable(d.Out, tally)
@@ -103,6 +135,7 @@
 	victim := c.Hosts[len(c.Hosts)-1]
 	victim.Kill()
 	d.say("killed %s with its entry and scheduler", victim.Name)
+	d.mark("killed " + victim.Name)
 }
 
 func (d *Demo) progress(ctx context.Context, t *load.Tally, planned int) {
--- a/internal/dev/document.go
+++ b/internal/dev/document.go
@@ -27,7 +27,7 @@
 		Fleet: config.Fleet{
 			Cells: cells, KeyGroups: keyGroups, CellsPerGroup: cellsPerGroup, Witnesses: witnesses,
 		},
-		Defaults: defaults(),
+		Defaults: defaults(s),
 		Accounts: accounts(),
 	}
 	for _, p := range s.Places {
@@ -36,7 +36,7 @@
 	return doc
 }
 
-func defaults() config.Defaults {
+func defaults(s Size) config.Defaults {
 	return config.Defaults{
 		LongestWait:               config.Duration(30 * time.Second),
 		LargeWait:                 config.Duration(5 * time.Second),
@@ -48,8 +48,8 @@
 		KeyRetention:              config.Duration(10 * time.Minute),
 		CallerSkew:                config.Duration(2 * time.Second),
 		QueueBound:                2000,
-		RatePerSecond:             1000,
-		Concurrency:               500,
+		RatePerSecond:             s.RatePerSecond,
+		Concurrency:               s.Concurrency,
 		RetryShare:                0.2,
 		MaxAttempts:               3,
 		BodyLimitBytes:            1 << 20,
--- a/internal/dev/sampler.go
+++ b/internal/dev/sampler.go
@@ -2,32 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"coltsfootmux/internal/report"
 	"coltsfootmux/internal/wire"
 )
 
 // sampleEvery is how often the state of all cells is looked at.
 const sampleEvery = 250 * time.Millisecond
 
-// Sample is the state of all owned cells at one moment.
-type Sample struct {
-	// At is the time from the start of the sampling.
-	At time.Duration
-	// Fragmentation is the share of free accelerators that can't serve the
-	// reference shape.
-	Fragmentation float64
-	// Used is the share of accelerators in use.
-	Used float64
-	// Owned is the number of cells that have an owner.
-	Owned int
-}
-
 // Sampler looks at all schedulers again and again.
 type Sampler struct {
 	mu      sync.Mutex
-	samples []Sample
+	samples []report.Sample
 }
 
 // Run samples until ctx ends.
@@ -40,22 +29,22 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			s.add(summarize(time.Since(start), c.cells(ctx)))
+			s.add(summarize(time.Since(start), c.views(ctx)))
 		}
 	}
 }
 
-func (s *Sampler) add(x Sample) {
+func (s *Sampler) add(x report.Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.samples = append(s.samples, x)
 }
 
 // Samples gives what was seen so far.
-func (s *Sampler) Samples() []Sample {
+func (s *Sampler) Samples() []report.Sample {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Sample(nil), s.samples...)
+	return append([]report.Sample(nil), s.samples...)
 }
 
 // Fragmentation is the mean over time.
@@ -71,27 +60,31 @@
 	return sum / float64(len(all))
 }
 
-// cells gives the view of every owned cell of every own host.
-func (c *Cluster) cells(ctx context.Context) []wire.CellView {
+// views gives what every own host's scheduler owns and sees.
+func (c *Cluster) views(ctx context.Context) []wire.Overview {
 	ctx, cancel := context.WithTimeout(ctx, sampleEvery)
 	defer cancel()
-	var out []wire.CellView
+	var out []wire.Overview
 	for _, h := range c.Hosts {
 		v, err := h.Scheduler.Scheduler.Overview(ctx)
 		if err == nil {
-			out = append(out, v.Cells...)
+			out = append(out, v)
 		}
 	}
 	return out
 }
 
-func summarize(at time.Duration, cells []wire.CellView) Sample {
-	x := Sample{At: at, Owned: len(cells)}
+func summarize(at time.Duration, views []wire.Overview) report.Sample {
+	x := report.Sample{At: at}
 	free, total, broken := 0, 0, 0.0
-	for _, c := range cells {
-		free += c.Free.Accelerators
-		total += c.Total.Accelerators
-		broken += c.Fragmentation * float64(c.Free.Accelerators)
+	for _, v := range views {
+		for _, c := range v.Cells {
+			free += c.Free.Accelerators
+			total += c.Total.Accelerators
+			broken += c.Fragmentation * float64(c.Free.Accelerators)
+		}
+		x.OwnedCells += len(v.Cells)
+		addAccounts(&x, v.Accounts)
 	}
 	if free > 0 {
 		x.Fragmentation = broken / float64(free)
@@ -101,3 +94,18 @@
 	}
 	return x
 }
+
+// addAccounts adds one scheduler's accounts to a sample's.
+func addAccounts(x *report.Sample, views []wire.AccountView) {
+	for _, v := range views {
+		i := slices.IndexFunc(x.Accounts, func(a report.Account) bool { return a.ID == v.ID })
+		if i < 0 {
+			x.Accounts = append(x.Accounts, report.Account{ID: v.ID})
+			i = len(x.Accounts) - 1
+		}
+		x.Accounts[i].Guaranteed += v.Guaranteed.Accelerators
+		x.Accounts[i].Used += v.Used.Accelerators
+		x.Accounts[i].Lent += v.Lent.Accelerators
+		x.Accounts[i].Waiting += v.Waiting
+	}
+}
--- a/internal/dev/size.go
+++ b/internal/dev/size.go
@@ -16,6 +16,9 @@
 	Capacity model.Shape
 	// OwnHosts is the number of hosts that run entry, scheduler and admin.
 	OwnHosts int
+	// RatePerSecond and Concurrency bound one account at one entry host.
+	RatePerSecond float64
+	Concurrency   int
 }
 
 // Place is a data centre.
@@ -36,6 +39,8 @@
 		WorkersPerRack: 8,
 		Capacity:       model.Shape{Slots: 8, Accelerators: 8, CPUMilli: 32_000, MemoryMB: 128 << 10},
 		OwnHosts:       3,
+		RatePerSecond:  1000,
+		Concurrency:    500,
 	}
 }
 
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -5,19 +5,11 @@
 	"slices"
 
 	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/report"
 )
 
-// Traffic is the number of bytes that one kind of call sent between the system's
-// own processes.
-type Traffic struct {
-	Kind string
-	// Bytes counts all, CrossRegion those between regions.
-	Bytes       uint64
-	CrossRegion uint64
-}
-
 // Traffic sums up what all own hosts have sent, by kind.
-func (c *Cluster) Traffic() []Traffic {
+func (c *Cluster) Traffic() []report.Traffic {
 	var all []link.Count
 	for _, h := range c.Hosts {
 		for _, n := range h.nodes() {
@@ -28,12 +20,12 @@
 	return sumTraffic(all)
 }
 
-func sumTraffic(counts []link.Count) []Traffic {
-	var out []Traffic
+func sumTraffic(counts []link.Count) []report.Traffic {
+	var out []report.Traffic
 	for _, n := range counts {
-		i := slices.IndexFunc(out, func(t Traffic) bool { return t.Kind == n.Kind })
+		i := slices.IndexFunc(out, func(t report.Traffic) bool { return t.Kind == n.Kind })
 		if i < 0 {
-			out = append(out, Traffic{Kind: n.Kind})
+			out = append(out, report.Traffic{Kind: n.Kind})
 			i = len(out) - 1
 		}
 		out[i].Bytes += n.SentBytes
@@ -41,6 +33,6 @@
 			out[i].CrossRegion += n.SentBytes
 		}
 	}
-	slices.SortFunc(out, func(a, b Traffic) int { return cmp.Compare(a.Kind, b.Kind) })
+	slices.SortFunc(out, func(a, b report.Traffic) int { return cmp.Compare(a.Kind, b.Kind) })
 	return out
 }
--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -17,6 +17,8 @@
 	// Idempotent and Members are those of the request.
 	Idempotent bool
 	Members    int
+	// At is when it was to be sent, from the start of the run.
+	At time.Duration
 	// Took is the time from the planned sending to the answer.
 	Took time.Duration
 }
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -57,7 +57,7 @@
 // one is one caller's whole story. Its time counts from the planned sending.
 func (d *Driver) one(planned time.Time, a *Arrival) {
 	call := Call{
-		Key:      newKey(),
+		Key:      NewKey(),
 		Spec:     a.Spec,
 		Deadline: time.Now().Add(a.Spec.Deadline),
 		Body:     d.Body(a.Run, a.Spec.AnswerBytes),
@@ -68,7 +68,7 @@
 	told, ok := d.untilAnswered(ctx, call)
 	d.Tally.Add(Answer{
 		Key: call.Key, Kind: a.Spec.Kind, Outcome: told.Outcome, Reason: told.Reason, Lost: !ok,
-		Idempotent: a.Spec.Idempotent, Members: a.Spec.Members, Took: time.Since(planned),
+		Idempotent: a.Spec.Idempotent, Members: a.Spec.Members, At: a.At, Took: time.Since(planned),
 	})
 }
 
@@ -109,8 +109,8 @@
 	}
 }
 
-// newKey makes an idempotency key that carries the time of its making.
-func newKey() model.Key {
+// NewKey makes an idempotency key that carries the time of its making.
+func NewKey() model.Key {
 	id, err := uuid.NewV7()
 	if err != nil {
 		id = uuid.New()
--- /dev/null
+++ b/internal/load/program/command.go
@@ -0,0 +1,13 @@
+// Package program is the command line of the load and experiment tool.
+package program
+
+import "github.com/urfave/cli/v3"
+
+// Command gives the command line of coltsfootmux-load.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:     "coltsfootmux-load",
+		Usage:    "send load, compare placement policies, measure the path, write reports",
+		Commands: []*cli.Command{runCommand(), policyCommand(), pathCommand(), reportCommand()},
+	}
+}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -77,6 +77,13 @@
 	return r
 }
 
+// Answers gives every answer so far.
+func (t *Tally) Answers() []Answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.answers)
+}
+
 // Answered gives how many requests have an outcome or are lost.
 func (t *Tally) Answered() int {
 	t.mu.Lock()
