--- a/internal/scenario/callcommands_test.go
+++ b/internal/scenario/callcommands_test.go
@@ -15,7 +15,7 @@
 const answerBytes = 1000
 
 var callCommands = []command{
-	{"start", "start HOST WORKER LEASE KEY [run=1s] [epoch=16] [ttl=10s] [group=N] [groupepoch=16] [within=0]", "starts a task with its grant", start},
+	{"start", "start HOST WORKER LEASE KEY [run=1s] [epoch=16] [ttl=10s] [group=N] [groupepoch=16] [within=0] [bound=false]", "starts a task with its grant; bound to the incarnation that the host fenced", start},
 	{"ending", "ending HOST WORKER LEASE [within=1h]", "waits for a task's ending and checks its answer", ending},
 	{"renew", "renew HOST WORKER [epoch=16] [ttl=10s]", "renews the leases of the cell", renew},
 	{"release", "release HOST WORKER LEASE [epoch=16] [only=false]", "releases a lease; with only=true if it is unstarted", release},
@@ -55,7 +55,8 @@
 func offsetOf(n uint64) model.Offset { return model.Offset(n) }
 
 func start(w *world, a *args) error {
-	c := w.worker(a.word("host"), a.word("worker"))
+	hostName, workerName := a.word("host"), a.word("worker")
+	c := w.worker(hostName, workerName)
 	lease, key := model.LeaseID(a.word("lease")), model.Key(a.word("key"))
 	epoch := model.Epoch(a.optNumber("epoch", 16))
 	group := a.option("group", "")
@@ -71,6 +72,9 @@
 		Within:     a.optDuration("within", 0),
 		Body:       worker.Spec{RunMS: a.optDuration("run", time.Second).Milliseconds(), AnswerBytes: answerBytes}.Encode(),
 	}
+	if a.option("bound", "false") == "true" {
+		s.Incarnation = w.fenced[hostName+workerName]
+	}
 	if group != "" {
 		_, err := fmt.Sscan(group, &s.Group)
 		a.check(err)
@@ -118,12 +122,14 @@
 }
 
 func fence(w *world, a *args) error {
-	c, scope := w.worker(a.word("host"), a.word("worker")), a.word("scope")
+	hostName, workerName := a.word("host"), a.word("worker")
+	c, scope := w.worker(hostName, workerName), a.word("scope")
 	f := platform.Fence{Scope: model.CellScope(cellName), Epoch: model.Epoch(a.number("epoch"))}
 	if scope != "cell" {
 		f.Scope = model.Scope{Kind: model.ScopeGroup, Name: scope}
 	}
-	_, err := c.Fence(w.ctx, f)
+	fenced, err := c.Fence(w.ctx, f)
+	w.fenced[hostName+workerName] = fenced.Incarnation
 	return result(a, err, "fenced")
 }
 
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -32,6 +32,7 @@
 	hosts   map[string]*host
 	workers map[string]*worker.Worker
 	echoes  map[string][]uint64
+	fenced  map[string]string
 }
 
 // host is one of the system's own: a client of the log and of the workers.
@@ -61,6 +62,7 @@
 		hosts:   make(map[string]*host),
 		workers: make(map[string]*worker.Worker),
 		echoes:  make(map[string][]uint64),
+		fenced:  make(map[string]string),
 	}
 }
 
