--- a/internal/core/journal/bench_test.go
+++ b/internal/core/journal/bench_test.go
@@ -1,6 +1,7 @@
 package journal_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -71,7 +72,26 @@
 	next    model.Offset
 	sent    map[journal.Ticket]time.Time
 	appends int
+	refused int
 	waited  []time.Duration
+	// cap limits the appends of all writers together.
+	cap *tokens
+}
+
+// tokens is the log's own limit on appends, in tokens a second.
+type tokens struct {
+	rate, burst, left float64
+	at                time.Time
+}
+
+func (c *tokens) take(now time.Time) bool {
+	c.left = min(c.burst, c.left+c.rate*now.Sub(c.at).Seconds())
+	c.at = now
+	if c.left < 1 {
+		return false
+	}
+	c.left--
+	return true
 }
 
 // answerAt is an answer of the log on its way to a Writer.
@@ -90,6 +110,12 @@
 		case journal.Locate:
 			f.answer(to, journal.Located{Stream: a.Stream, Bounds: platform.Bounds{Oldest: 1, Next: 1}})
 		case journal.Append:
+			if !f.cap.take(f.now) {
+				f.refused++
+				jitter := float64(f.refused%97) / 97
+				f.answer(to, journal.Appended{Stream: a.Stream, Failure: journal.FailNothing, Jitter: jitter})
+				continue
+			}
 			f.appends++
 			f.answer(to, journal.Appended{Stream: a.Stream, First: f.next})
 			f.next += model.Offset(len(a.Records))
@@ -126,24 +152,49 @@
 			b.Run(strconv.Itoa(n)+"writers/"+strconv.Itoa(perSecond)+"records", func(b *testing.B) {
 				var f *fleet
 				for b.Loop() {
-					f = runFleet(n, perSecond)
-				}
-				var sum time.Duration
-				for _, w := range f.waited {
-					sum += w
+					f = runFleet(n, perSecond, 270/float64(n))
 				}
-				b.ReportMetric(float64(f.appends)/60, "appends/s")
-				b.ReportMetric(float64(len(f.waited))/float64(f.appends), "records/append")
-				b.ReportMetric(float64(sum.Milliseconds())/float64(len(f.waited)), "ms-mean-wait")
+				f.report(b)
 			})
 		}
 	}
 }
 
-func runFleet(n, perSecond int) *fleet {
-	f := &fleet{now: t0, next: 1, sent: make(map[journal.Ticket]time.Time)}
+// BenchmarkOverbooked is the same for writers whose budgets add up to far more
+// than the log takes: the default of 30 a second in each of n processes.
+func BenchmarkOverbooked(b *testing.B) {
+	for _, n := range []int{9, 27, 90} {
+		b.Run(strconv.Itoa(n)+"writers/1000records", func(b *testing.B) {
+			var f *fleet
+			for b.Loop() {
+				f = runFleet(n, 1000, journal.DefaultConfig().PerSecond)
+			}
+			f.report(b)
+		})
+	}
+}
+
+func (f *fleet) report(b *testing.B) {
+	var sum time.Duration
+	for _, w := range f.waited {
+		sum += w
+	}
+	slices.Sort(f.waited)
+	b.ReportMetric(float64(f.appends)/60, "appends/s")
+	b.ReportMetric(float64(f.refused)/60, "refused/s")
+	b.ReportMetric(float64(len(f.waited))/float64(f.appends), "records/append")
+	b.ReportMetric(float64(sum.Milliseconds())/float64(len(f.waited)), "ms-mean-wait")
+	b.ReportMetric(float64(f.waited[len(f.waited)*99/100].Milliseconds()), "ms-p99-wait")
+}
+
+// runFleet lets a virtual minute pass with a budget for each of n writers.
+func runFleet(n, perSecond int, budget float64) *fleet {
+	f := &fleet{
+		now: t0, next: 1, sent: make(map[journal.Ticket]time.Time),
+		cap: &tokens{rate: 300, burst: 60, left: 60, at: t0},
+	}
 	cfg := journal.DefaultConfig()
-	cfg.PerSecond = 270 / float64(n)
+	cfg.PerSecond = budget
 	cfg.Burst = max(1, cfg.PerSecond/3)
 	for range n {
 		f.writers = append(f.writers, journal.NewWriter(cfg))
