Tell a log that is busy from one that is down

A refusal for the cap on appends looked like an outage: pauses grew by bad luck, and with the adapting rate an outage would also have left the rate at its floor.

--- a/internal/core/journal/answers.go
+++ b/internal/core/journal/answers.go
@@ -47,8 +47,11 @@
 		q.check = true
 	case FailRefused:
 		w.single(q)
-	default:
+	case FailThrottled:
 		w.budget.slow()
+		q.requeue()
+		q.notBefore = now.Add(w.cfg.Backoff.After(1, ev.Jitter))
+	default:
 		q.requeue()
 		w.failed(now, q, ev.Jitter)
 	}
--- a/internal/core/journal/bench_test.go
+++ b/internal/core/journal/bench_test.go
@@ -113,7 +113,7 @@
 			if !f.cap.take(f.now) {
 				f.refused++
 				jitter := float64(f.refused%97) / 97
-				f.answer(to, journal.Appended{Stream: a.Stream, Failure: journal.FailNothing, Jitter: jitter})
+				f.answer(to, journal.Appended{Stream: a.Stream, Failure: journal.FailThrottled, Jitter: jitter})
 				continue
 			}
 			f.appends++
--- a/internal/core/journal/failure.go
+++ b/internal/core/journal/failure.go
@@ -8,6 +8,9 @@
 	FailNone Failure = iota
 	// FailNothing means that the call had no effect and may be made again.
 	FailNothing
+	// FailThrottled means that the call had no effect, as the log takes no more
+	// calls just now.
+	FailThrottled
 	// FailUnclear means that the call may have taken effect.
 	FailUnclear
 	// FailRefused means that the log will not take these records.
--- a/internal/core/journal/property_test.go
+++ b/internal/core/journal/property_test.go
@@ -93,7 +93,7 @@
 		return
 	}
 	delete(m.open, stream)
-	f := rapid.SampledFrom([]journal.Failure{journal.FailNone, journal.FailNone, journal.FailNothing, journal.FailUnclear}).Draw(t, "failure")
+	f := rapid.SampledFrom([]journal.Failure{journal.FailNone, journal.FailNone, journal.FailNothing, journal.FailThrottled, journal.FailUnclear}).Draw(t, "failure")
 	jitter := rapid.Float64Range(0, 0.99).Draw(t, "jitter")
 	switch a := a.(type) {
 	case journal.Locate:
--- a/internal/core/journal/writer_test.go
+++ b/internal/core/journal/writer_test.go
@@ -327,7 +327,7 @@
 func TestBudgetShrinksWhenTurnedAwayAndComesBack(t *testing.T) {
 	s := newScript(t, func(c *journal.Config) {
 		c.PerSecond, c.Burst, c.Linger = 10, 1, time.Nanosecond
-		c.Backoff = journal.Backoff{First: time.Nanosecond, Most: time.Nanosecond}
+		c.Backoff.First = time.Nanosecond
 	})
 	// gap gives how long the writer waits from one append to the next.
 	gap := func(f journal.Failure) time.Duration {
@@ -345,7 +345,7 @@
 	s.submit("a", 1)
 	s.locate()
 	s.want("append a")
-	if before, after := gap(journal.FailNothing), gap(journal.FailNothing); after < 3*before/2 {
+	if before, after := gap(journal.FailThrottled), gap(journal.FailThrottled); after < 3*before/2 {
 		t.Fatalf("turned away twice: %v, then %v", before, after)
 	}
 	for range 200 {
@@ -355,3 +355,18 @@
 		t.Fatalf("after many successes still %v, want %v", got, want)
 	}
 }
+
+func TestPausesDoNotGrowWhenTheLogIsOnlyBusy(t *testing.T) {
+	s := newScript(t, nil)
+	s.submit("a", 1)
+	s.locate()
+	for range 10 {
+		s.want("append a")
+		s.appended(0, journal.FailThrottled)
+		at, _ := s.w.Due()
+		if pause := at.Sub(s.now); pause > time.Second {
+			t.Fatalf("pause of %v", pause)
+		}
+		s.wait()
+	}
+}
--- a/internal/logclient/failure.go
+++ b/internal/logclient/failure.go
@@ -12,6 +12,8 @@
 	switch {
 	case err == nil:
 		return journal.FailNone
+	case errors.Is(err, platform.ErrThrottled):
+		return journal.FailThrottled
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotSent):
 		return journal.FailNothing
 	case errors.Is(err, platform.ErrRefused):
@@ -29,6 +31,8 @@
 		return "ok"
 	case journal.FailNothing:
 		return "nothing"
+	case journal.FailThrottled:
+		return "throttled"
 	case journal.FailRefused:
 		return "refused"
 	}
--- a/internal/logclient/metrics.go
+++ b/internal/logclient/metrics.go
@@ -4,7 +4,7 @@
 
 var (
 	mAppends = metric.NewCounterVec("coltsfootmux_logclient_appends_total", "appends", "result",
-		"appends sent to the log service, by result: ok, nothing, unclear, refused")
+		"appends sent to the log service, by result: ok, nothing, throttled, unclear, refused")
 	mRecords = metric.NewCounter("coltsfootmux_logclient_records_total", "records",
 		"records that the log service took")
 	mAppendSeconds = metric.NewHistogram("coltsfootmux_logclient_append_seconds", "seconds",
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -14,6 +14,9 @@
 	ErrUnclear = eris.New("outcome unclear")
 	// ErrUnavailable means that the service said it can't serve now and did nothing.
 	ErrUnavailable = eris.New("unavailable")
+	// ErrThrottled is an ErrUnavailable for a cap on the rate of calls: the
+	// service is well, and the caller should call less often.
+	ErrThrottled = eris.Wrap(ErrUnavailable, "over the cap on calls")
 	// ErrNotFound means that the far side knows of no such lease or record.
 	ErrNotFound = eris.New("not found")
 	// ErrExpired means that the offset asked for is older than what is retained.
--- a/internal/platform/protocol/code.go
+++ b/internal/platform/protocol/code.go
@@ -17,6 +17,7 @@
 	CodeNotFound    Code = "not_found"
 	CodeExpired     Code = "expired"
 	CodeUnavailable Code = "unavailable"
+	CodeThrottled   Code = "throttled"
 	CodeUnclear     Code = "unclear"
 	CodeBadRequest  Code = "bad_request"
 	CodeTooLarge    Code = "too_large"
@@ -35,6 +36,7 @@
 	{CodeRefused, http.StatusUnprocessableEntity, platform.ErrRefused},
 	{CodeNotFound, http.StatusNotFound, platform.ErrNotFound},
 	{CodeExpired, http.StatusGone, platform.ErrExpired},
+	{CodeThrottled, http.StatusTooManyRequests, platform.ErrThrottled},
 	{CodeUnavailable, http.StatusServiceUnavailable, platform.ErrUnavailable},
 	{CodeUnclear, http.StatusInternalServerError, platform.ErrUnclear},
 	{CodeBadRequest, http.StatusBadRequest, platform.ErrRefused},
--- a/internal/platform/protocol/fuzz_test.go
+++ b/internal/platform/protocol/fuzz_test.go
@@ -12,7 +12,7 @@
 
 var errs = []error{
 	platform.ErrStaleEpoch, platform.ErrRefused, platform.ErrNotFound,
-	platform.ErrExpired, platform.ErrUnavailable, platform.ErrUnclear,
+	platform.ErrExpired, platform.ErrUnavailable, platform.ErrThrottled, platform.ErrUnclear,
 }
 
 func TestErrorsSurviveTheProblemDocument(t *testing.T) {
@@ -66,3 +66,23 @@
 		}
 	})
 }
+
+func TestBusyIsUnavailableButNotTheOtherWayRound(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err  error
+		busy bool
+	}{
+		"over the cap": {platform.ErrThrottled, true},
+		"down":         {platform.ErrUnavailable, false},
+	} {
+		p := protocol.ProblemOf(tc.err)
+		body, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := protocol.ParseProblem(p.Status, body)
+		if !errors.Is(got, platform.ErrUnavailable) || errors.Is(got, platform.ErrThrottled) != tc.busy {
+			t.Errorf("%s became %v", name, got)
+		}
+	}
+}
--- a/internal/standin/logstore/store.go
+++ b/internal/standin/logstore/store.go
@@ -76,7 +76,7 @@
 	now := s.opts.Clock()
 	if !s.bucket.take(now) {
 		s.capped++
-		return 0, eris.Wrap(platform.ErrUnavailable, "too many appends")
+		return 0, eris.Wrap(platform.ErrThrottled, "too many appends")
 	}
 	st := s.stream(name, now)
 	if st == nil {
