Keep the cost of a write apart from the streams ever used

The scheduler uses a stream for each key group, of which there may be 4096. A step of the writer looked at every stream ever used: 291 us a record after 8192 of them. The stand-in log takes 16,384 streams in place of 64, which 32 groups would have used up.

--- a/internal/core/journal/bench_test.go
+++ b/internal/core/journal/bench_test.go
@@ -189,6 +189,11 @@
 
 // runFleet lets a virtual minute pass with a budget for each of n writers.
 func runFleet(n, perSecond int, budget float64) *fleet {
+	return runStreams(n, perSecond, budget, 1)
+}
+
+// runStreams is the same with the records spread over streams.
+func runStreams(n, perSecond int, budget float64, streams int) *fleet {
 	f := &fleet{
 		now: t0, next: 1, sent: make(map[journal.Ticket]time.Time),
 		cap: &tokens{rate: 300, burst: 60, left: 60, at: t0},
@@ -208,8 +213,51 @@
 			f.sent[ticket] = f.now
 			// A multiplicative hash spreads the records over the writers.
 			to := int(uint32(ticket)*2654435761>>8) % n
-			f.step(to, journal.Submitted{Stream: stream, Record: platform.Record{ID: strconv.Itoa(int(ticket))}, Ticket: ticket})
+			on := platform.Stream(strconv.Itoa(int(uint32(ticket)*2246822519>>8) % streams))
+			f.step(to, journal.Submitted{Stream: on, Record: platform.Record{ID: strconv.Itoa(int(ticket))}, Ticket: ticket})
 		}
 	}
 	return f
 }
+
+// BenchmarkIdleStreams gives the cost of one record, alone, in a process that
+// has used n other streams before.
+func BenchmarkIdleStreams(b *testing.B) {
+	for _, n := range []int{1, 100, 8192} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			cfg := journal.DefaultConfig()
+			cfg.PerSecond, cfg.Burst = 1e9, 1e9
+			w := journal.NewWriter(cfg)
+			write := func(s platform.Stream, ticket journal.Ticket) {
+				for _, a := range w.Step(t0, journal.Submitted{Stream: s, Record: platform.Record{ID: "r"}, Ticket: ticket}) {
+					if _, ok := a.(journal.Locate); ok {
+						w.Step(t0, journal.Located{Stream: s, Bounds: platform.Bounds{Oldest: 1, Next: 1}})
+					}
+				}
+				w.Step(t0, journal.Appended{Stream: s, First: 1})
+				w.Due()
+			}
+			for i := range n {
+				write(platform.Stream(strconv.Itoa(i)), 1)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				write("0", 1)
+			}
+		})
+	}
+}
+
+// BenchmarkStreams gives what it costs to spread 1000 records a second of 9
+// writers over n streams, as each append is for one stream.
+func BenchmarkStreams(b *testing.B) {
+	for _, n := range []int{1, 12, 64} {
+		b.Run(strconv.Itoa(n)+"streams", func(b *testing.B) {
+			var f *fleet
+			for b.Loop() {
+				f = runStreams(9, 1000, 30, n)
+			}
+			f.report(b)
+		})
+	}
+}
--- a/internal/core/journal/dispatch.go
+++ b/internal/core/journal/dispatch.go
@@ -29,7 +29,7 @@
 func (w *Writer) first(now time.Time) *queue {
 	var best *queue
 	var bestAt time.Time
-	for _, q := range w.queues {
+	for _, q := range w.active {
 		at, ok := q.ready()
 		if !ok || at.After(now) || q.costs() && w.budget.tokens < 1 {
 			continue
--- a/internal/core/journal/queue.go
+++ b/internal/core/journal/queue.go
@@ -12,6 +12,8 @@
 // records keep their order.
 type queue struct {
 	stream platform.Stream
+	// active says that it is among the Writer's active queues.
+	active bool
 	// pending holds what is still to be sent, and the places of dead items.
 	pending []*item
 	dead    int
--- a/internal/core/journal/writer.go
+++ b/internal/core/journal/writer.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootmux/internal/platform"
@@ -10,8 +11,8 @@
 type Writer struct {
 	cfg     Config
 	budget  *budget
-	queues  []*queue // in the order of their first use
 	byName  map[platform.Stream]*queue
+	active  []*queue // those with anything to do, in the order in which they got it
 	tickets map[Ticket]*ticketed
 	refused uint64
 	out     []Action
@@ -51,12 +52,22 @@
 	case Tick:
 	}
 	w.dispatch(now)
+	w.retire()
 	return w.out
 }
 
+// retire takes queues that have nothing left to do off the active ones, so that
+// the cost of a step does not grow with the streams ever used.
+func (w *Writer) retire() {
+	w.active = slices.DeleteFunc(w.active, func(q *queue) bool {
+		q.active = q.phase != idle || q.check || q.waiting() > 0
+		return !q.active
+	})
+}
+
 // Due gives when a Tick has something to do; ok is false for never.
 func (w *Writer) Due() (at time.Time, ok bool) {
-	for _, q := range w.queues {
+	for _, q := range w.active {
 		t, has := q.ready()
 		if !has {
 			continue
@@ -74,7 +85,7 @@
 // Queued gives how many records wait or are in flight.
 func (w *Writer) Queued() int {
 	n := 0
-	for _, q := range w.queues {
+	for _, q := range w.active {
 		n += q.waiting() + len(q.flight)
 	}
 	return n
@@ -99,7 +110,10 @@
 	if !ok {
 		q = &queue{stream: s}
 		w.byName[s] = q
-		w.queues = append(w.queues, q)
+	}
+	if !q.active {
+		q.active = true
+		w.active = append(w.active, q)
 	}
 	return q
 }
--- a/internal/standin/logstore/store.go
+++ b/internal/standin/logstore/store.go
@@ -13,7 +13,7 @@
 )
 
 // maxStreams bounds the streams of a Store.
-const maxStreams = 64
+const maxStreams = 16_384
 
 // Store is a stand-in log service. It is safe for concurrent use. Client
 // reaches it directly, Handler over HTTP; the same faults apply to both.
