--- a/internal/core/journal/answers.go
+++ b/internal/core/journal/answers.go
@@ -34,6 +34,7 @@
 	q.phase = idle
 	switch ev.Failure {
 	case FailNone:
+		w.budget.regain()
 		if anySent(q.flight) {
 			// An earlier append of these records may have arrived late and come first.
 			q.check = true
@@ -46,6 +47,10 @@
 		q.check = true
 	case FailRefused:
 		w.single(q)
+	case FailThrottled:
+		w.budget.slow()
+		q.requeue()
+		q.notBefore = now.Add(w.cfg.Backoff.After(1, ev.Jitter))
 	default:
 		q.requeue()
 		w.failed(now, q, ev.Jitter)
