Let a host that answers nothing hold up only its first callers

Cause: a dial to a host whose packets are dropped takes the whole dial timeout, and each call that was routed there waited for it, also on every redial. After a failed dial calls wait 0.1 s for the next one, and the timeout is 1 s instead of 2 s; a dial across regions takes about 0.1 s. A header that comes too slowly is shown to be cut off.

--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -153,3 +153,20 @@
 		t.Fatalf("got %d %s", got.status, got.body)
 	}
 }
+
+func TestHeaderThatComesTooSlowlyIsCutOff(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, nil, document(), newScheduler(t))
+	c, err := net.Dial("tcp", listen(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "POST /v1/requests HTTP/1.1\r\nHost: x\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := io.Copy(io.Discard, c); err != nil {
+		t.Fatalf("the connection is still open: %v", err)
+	}
+}
--- a/internal/link/linktest/swallower.go
+++ b/internal/link/linktest/swallower.go
@@ -17,6 +17,7 @@
 
 	mu   sync.Mutex
 	gone chan struct{}
+	mute bool
 }
 
 // NewSwallower forwards connections to an address until the test ends.
@@ -48,9 +49,20 @@
 	s.gone = make(chan struct{})
 }
 
+// Mute makes new connections silent from their start, or ends that.
+func (s *Swallower) Mute(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = on
+}
+
 func (s *Swallower) forward(c net.Conn) {
 	s.mu.Lock()
 	gone := s.gone
+	if s.mute {
+		gone = make(chan struct{})
+		close(gone)
+	}
 	s.mu.Unlock()
 	d, err := net.Dial("tcp", s.to)
 	if err != nil {
--- a/internal/link/pooloptions.go
+++ b/internal/link/pooloptions.go
@@ -15,7 +15,7 @@
 	// Logger may be nil.
 	Logger *slog.Logger
 	Limits core.Limits
-	// DialTimeout bounds one dial; 0 for 2 s.
+	// DialTimeout bounds one dial; 0 for 1 s.
 	DialTimeout time.Duration
 	// Budget bounds the bytes to other regions; nil for no bound.
 	Budget *Budget
@@ -26,7 +26,9 @@
 }
 
 const (
-	defaultDialTimeout = 2 * time.Second
+	defaultDialTimeout = time.Second
+	// redialPatience is how long a call waits for a dial after one has failed.
+	redialPatience = 100 * time.Millisecond
 	// dialBackoffMin and dialBackoffMax bound the wait between failed dials.
 	dialBackoffMin = 50 * time.Millisecond
 	dialBackoffMax = 2 * time.Second
--- a/internal/link/silent_test.go
+++ b/internal/link/silent_test.go
@@ -53,6 +53,31 @@
 	}
 }
 
+func TestHostThatAcceptsAndSaysNothingIsNotSentToAndComesBack(t *testing.T) {
+	s := link.NewServer(link.ServerOptions{})
+	link.Handle(s, wire.KindSubmit, echo)
+	wall := linktest.NewSwallower(t, serve(t, s))
+	wall.Mute(true)
+	p := newPool(t, link.PoolOptions{DialTimeout: 50 * time.Millisecond})
+	ctx := within(t)
+	call := func() error {
+		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, wall.Addr, wire.KindSubmit, wire.Submit{})
+		return err
+	}
+	for range 3 {
+		if err := call(); !errors.Is(err, link.ErrNotSent) {
+			t.Fatalf("got %v", err)
+		}
+	}
+	wall.Mute(false)
+	for call() != nil {
+		if ctx.Err() != nil {
+			t.Fatal("the host did not come back")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestUnusedLinkIsClosedAndComesBack(t *testing.T) {
 	s := link.NewServer(link.ServerOptions{})
 	link.Handle(s, wire.KindSubmit, echo)
--- a/internal/link/target.go
+++ b/internal/link/target.go
@@ -35,7 +35,9 @@
 }
 
 // link gives the target's link and dials it when there is none. While the
-// target is backing off, calls fail at once with ErrNotSent.
+// target is backing off, calls fail at once with ErrNotSent; while it is dialled
+// again after a failure they wait only a little, so that a host that answers
+// nothing holds up its first callers and no others.
 func (t *target) link(ctx context.Context) (*dialled, error) {
 	t.mu.Lock()
 	if l := t.current; l != nil && l.ctx.Err() == nil {
@@ -43,13 +45,20 @@
 		return l, nil
 	}
 	d, err := t.start()
+	failed := t.failures > 0
 	t.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
+	var late <-chan time.Time
+	if failed {
+		late = time.After(redialPatience)
+	}
 	select {
 	case <-d.done:
 		return d.link, d.err
+	case <-late:
+		return nil, eris.Wrapf(ErrNotSent, "%s is being dialled again", t.addr)
 	case <-ctx.Done():
 		return nil, eris.Wrap(ErrNotSent, ctx.Err().Error())
 	}
