--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -41,7 +41,7 @@
 }
 
 // ticksPerBeat is how often in a heartbeat's time a core gets a Tick.
-const ticksPerBeat = 4
+const ticksPerBeat = 2
 
 func newConn(ws *websocket.Conn, l core.Limits, n *counters, cross bool) *conn {
 	ws.SetReadLimit(frame.MaxBytes)
