Take a new configuration in without holding requests up

A link may have 4096 calls open, as many as an entry host holds requests. Tests: go test -race ./internal/entry passes.

--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/problem"
 )
@@ -135,10 +134,3 @@
 	}
 	return nil
 }
-
-// inForce is a configuration with what is derived from it once.
-type inForce struct {
-	version config.Version
-	doc     *config.Document
-	room    *room
-}
--- /dev/null
+++ b/internal/entry/inforce.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"reflect"
+
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/mapping"
+)
+
+// inForce is a configuration with what is derived from its fleet once.
+type inForce struct {
+	version config.Version
+	doc     *config.Document
+	room    *room
+	mapping *mapping.Mapping
+}
+
+// derive takes over what an older configuration derived from the same fleet.
+func derive(old *inForce, v *config.Versioned) *inForce {
+	next := &inForce{version: v.Version, doc: &v.Document}
+	if old != nil && reflect.DeepEqual(old.doc.Fleet, v.Document.Fleet) {
+		next.room, next.mapping = old.room, old.mapping
+		return next
+	}
+	next.room = newRoom(&v.Document.Fleet)
+	next.mapping = mapping.New(v.Document.Fleet)
+	return next
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"coltsfootmux/internal/auth"
+	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/entry/route"
-	"coltsfootmux/internal/mapping"
 	"coltsfootmux/internal/problem"
 )
 
@@ -24,6 +24,9 @@
 	// hostsRead is set once the host list was read.
 	hostsRead atomic.Bool
 
+	// configuring is held while a new configuration is taken in.
+	configuring sync.Mutex
+
 	mu     sync.Mutex
 	router *route.Router
 	conf   *inForce
@@ -79,17 +82,41 @@
 // current gives the configuration in force, or nil while there is none.
 func (s *Server) current() *inForce {
 	v := s.opts.Configs.Current()
+	conf := s.taken()
+	if v == nil || conf != nil && conf.version >= v.Version {
+		return conf
+	}
+	if conf != nil && !s.configuring.TryLock() {
+		return conf // another request is taking the new one in
+	}
+	if conf == nil {
+		s.configuring.Lock()
+	}
+	defer s.configuring.Unlock()
+	return s.configure(v)
+}
+
+// taken gives the configuration that was last taken in.
+func (s *Server) taken() *inForce {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v == nil || s.conf != nil && s.conf.version >= v.Version {
-		return s.conf
+	return s.conf
+}
+
+// configure takes a configuration in; s.configuring is held. What is costly to
+// derive is derived without s.mu, and only when the fleet has changed.
+func (s *Server) configure(v *config.Versioned) *inForce {
+	old := s.taken()
+	if old != nil && old.version >= v.Version {
+		return old
 	}
-	s.conf = &inForce{version: v.Version, doc: &v.Document, room: newRoom(&v.Document.Fleet)}
-	s.router.Step(time.Now(), route.Configured{
-		Mapping: mapping.New(v.Document.Fleet), RetryShare: v.Document.Defaults.RetryShare,
-	})
+	next := derive(old, v)
+	s.mu.Lock()
+	s.conf = next
+	s.router.Step(time.Now(), route.Configured{Mapping: next.mapping, RetryShare: next.doc.Defaults.RetryShare})
+	s.mu.Unlock()
 	evConfigured.Log(context.Background(), s.opts.Logger, slog.Uint64("version", uint64(v.Version)))
-	return s.conf
+	return next
 }
 
 // Ready reports whether the host can take requests.
--- a/internal/link/core/limits.go
+++ b/internal/link/core/limits.go
@@ -26,7 +26,7 @@
 		BeatEvery:     time.Second,
 		SilentAfter:   3 * time.Second,
 		IdleAfter:     time.Minute,
-		OpenCalls:     1024,
+		OpenCalls:     4096,
 		QueueBytes:    16 << 20,
 		MessageBytes:  8 << 20,
 		AssemblyBytes: 32 << 20,
