--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -33,10 +33,12 @@
 	// serve the reference shape.
 	freeTime     float64
 	unservedTime float64
-	lost         time.Duration
-	alarms       map[placement.AlarmCode]int
-	refusals     map[model.Reason]int
-	failures     map[model.Reason]int
+	// restTime is what would be left over if all free accelerators were together.
+	restTime float64
+	lost     time.Duration
+	alarms   map[placement.AlarmCode]int
+	refusals map[model.Reason]int
+	failures map[model.Reason]int
 
 	waitingLarge []*live
 	largeWait    time.Duration
@@ -90,6 +92,9 @@
 	share, free := c.Fragmentation()
 	m.freeTime += float64(free) * d.Seconds()
 	m.unservedTime += share * float64(free) * d.Seconds()
+	if ref := m.trace.Doc.Defaults.Reference.Accelerators; ref > 0 {
+		m.restTime += float64(free%ref) * d.Seconds()
+	}
 }
 
 func (m *measure) begun(l *live, b placement.Begin, now time.Time) {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -34,6 +34,9 @@
 	// Fragmentation is the share of free accelerator time, while work came in,
 	// that could not serve the reference shape.
 	Fragmentation float64
+	// Rest is the part of it that would be left if all free accelerators lay
+	// together, which no placement can better.
+	Rest float64
 	// LostHours is work that was done and thrown away, in accelerator hours
 	// (slot hours for work without accelerators).
 	LostHours float64
@@ -68,6 +71,7 @@
 	}
 	if m.freeTime > 0 {
 		r.Fragmentation = m.unservedTime / m.freeTime
+		r.Rest = m.restTime / m.freeTime
 	}
 	for name, g := range m.groups {
 		r.Groups = append(r.Groups, g.figures(name))
--- a/internal/experiment/targets.go
+++ b/internal/experiment/targets.go
@@ -14,14 +14,14 @@
 	out := table.NewWriter()
 	out.SetOutputMirror(w)
 	out.AppendHeader(table.Row{
-		"trace", "policy", "mean s", "mean/best", "frag", "frag/best-fit",
+		"trace", "policy", "mean s", "mean/best", "frag", "rest", "frag/best-fit",
 		"reclaim p99", "urgent max", "large late", "lost h", "unmet",
 	})
 	for _, r := range rs {
 		best, fit := baselines(rs, r.Trace)
 		out.AppendRow(table.Row{
 			r.Trace, r.Policy, number(r.All.Mean.Seconds()), quotient(r.All.Mean.Seconds(), best.Seconds()),
-			percent(r.Fragmentation), quotient(r.Fragmentation, fit),
+			percent(r.Fragmentation), percent(r.Rest), quotient(r.Fragmentation, fit),
 			short(r.ReclaimP99), short(r.UrgentMax), r.LargeLate, number(r.LostHours), percent(r.Unmet),
 		})
 	}
