--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -13,6 +13,9 @@
 	drainRetry = time.Second
 	// drainShare is the part of the owned cells that may drain at once.
 	drainShare = 3
+	// ranBoundTimes is how many times LargeWait preempted large work waits before
+	// room is made for it.
+	ranBoundTimes = 4
 )
 
 // large reports whether work is large: a gang, or at least the reference shape.
@@ -22,14 +25,18 @@
 }
 
 // largeBound is the wait after which room is made for large work, early enough
-// for victims to leave before LargeWait is over.
-func (c *Core) largeBound() time.Duration {
+// for victims to leave before LargeWait is over. Work that ran before waits
+// longer, so that overdue work does not take turns evicting each other.
+func (c *Core) largeBound(j *job) time.Duration {
 	large := c.conf.def.LargeWait.D()
+	if j.ran && !c.policy.TakeTurns {
+		return ranBoundTimes * large
+	}
 	return max(large/2, large-c.conf.def.ReclaimWithin.D())
 }
 
 func (c *Core) overdue(j *job) bool {
-	return c.policy.Reserve && c.large(&j.work) && c.now.Sub(j.queuedAt) >= c.largeBound()
+	return c.policy.Reserve && c.large(&j.work) && c.now.Sub(j.queuedAt) >= c.largeBound(j)
 }
 
 // watch sets a timer for when the head of a queue of large work is overdue.
@@ -39,7 +46,7 @@
 		return
 	}
 	q.watched = true
-	due := j.queuedAt.Add(c.largeBound())
+	due := j.queuedAt.Add(c.largeBound(j))
 	if !due.After(c.now) {
 		due = c.now.Add(drainRetry)
 	}
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -49,6 +49,8 @@
 	Consolidate bool
 	// ShortFirst orders by expected run time alone, whatever the size.
 	ShortFirst bool
+	// TakeTurns makes room for preempted large work as soon as for new.
+	TakeTurns bool
 }
 
 // Standard is the policy that schedulers run.
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -20,6 +20,8 @@
 	adjacency model.Adjacency
 	firm      bool
 	cells     string
+	// ran is set for preempted work, which has a queue of its own.
+	ran bool
 }
 
 // queue holds the waiting jobs of one demand, the earliest first. A cancelled
@@ -81,6 +83,7 @@
 		account: j.work.Account, kind: j.work.Kind, class: j.class,
 		members: j.work.Members, shape: j.work.Shape, adjacency: j.work.Adjacency,
 		firm: c.firm(j), cells: joinCells(j.cells),
+		ran: j.ran && !c.policy.TakeTurns,
 	}
 }
 
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -14,6 +14,7 @@
 		blindEviction(),
 		scattered(),
 		shortFirst(),
+		takeTurns(),
 	}
 }
 
@@ -76,3 +77,12 @@
 	p.ShortFirst = true
 	return p
 }
+
+// takeTurns is the standard policy as it was before preempted large work had to
+// wait longer than new before room was made for it.
+func takeTurns() placement.Policy {
+	p := placement.Standard()
+	p.Name = "take-turns"
+	p.TakeTurns = true
+	return p
+}
