--- a/internal/modelcheck/keyspec_test.go
+++ b/internal/modelcheck/keyspec_test.go
@@ -148,6 +148,18 @@
 				act(Offer, 1, 0, 0), act(GiveUp, 1, 0, 0),
 			},
 		},
+		"an offer made before another owner's not_run is taken under a later epoch": {
+			spec:  KeySpec{Wait: 1, Ticks: 2, Claims: true},
+			fault: Faulty{AnyEpoch: true},
+			want:  "a key that ran was told not_run",
+			trace: []Action{
+				act(Make, 0, 0, 0), act(Offer, 0, 0, 0), act(GiveUp, 0, 0, 0), act(Suspect, 1, 0, 0),
+				act(Fence, 1, 0, 0), act(Hold, 0, 2, 0), act(Append, 0, 0, 0), act(Land, 0, 0, 0),
+				act(Read, 0, 0, 0), act(Fence, 0, 0, 0), act(Fence, 0, 0, 0), act(Tick, 0, 0, 0),
+				act(Hold, 0, 0, 0), act(Hold, 0, 0, 0), act(Fence, 0, 2, 0), act(Hold, 0, 2, 0),
+				act(LateOffer, 0, 0, 0), act(Begin, 0, 0, 0), act(Deliver, 0, 1, 3),
+			},
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
