--- a/internal/faultrun/entry.go
+++ b/internal/faultrun/entry.go
@@ -38,16 +38,18 @@
 
 // request is one caller's request, as its entry host sees it.
 type request struct {
-	work   model.Work
-	sum    uint64
-	entry  *entry
-	made   time.Time
-	ended  time.Time
-	result *model.Result
-	offer  *offer
-	offers int
-	quiet  time.Time
-	repeat bool
+	work        model.Work
+	sum         uint64
+	entry       *entry
+	made        time.Time
+	ended       time.Time
+	result      *model.Result
+	offer       *offer
+	offers      int
+	quiet       time.Time
+	repeat      bool
+	cancelled   bool
+	cancelledAt time.Time
 }
 
 // offer is a request under way to one host.
@@ -204,6 +206,7 @@
 				r.quiet = now
 			}
 			if now.Sub(r.quiet) >= linkSilence || r.offer.boot != r.offer.host.boot {
+				e.sim.redial(e.place, r.offer.host.place)
 				e.offer(r)
 			}
 		} else {
--- a/internal/faultrun/host.go
+++ b/internal/faultrun/host.go
@@ -39,6 +39,8 @@
 	waiter   ledger.Waiter
 	leases   int
 	lastList time.Time
+	// avoid holds until when a worker that did not answer is passed over.
+	avoid map[model.WorkerID]time.Time
 }
 
 func (s *Sim) addHost(name string, r model.Region) *host {
@@ -62,6 +64,7 @@
 	h.led.Watch(h.own)
 	h.read, h.seen, h.lastList = 0, make(map[string]bool), time.Time{}
 	h.gained = make(map[model.GroupID]*gained)
+	h.avoid = make(map[model.WorkerID]time.Time)
 	h.waiting, h.sent = nil, make(map[model.Key]*attempt)
 	h.waiters = make(map[ledger.Waiter]*offer)
 	h.cancels = make(map[ledger.Waiter]func(ledger.AnswerCancel))
@@ -139,3 +142,9 @@
 	boot := p.boot
 	h.sim.send(kind, h.place, p.place, func() { p.post(boot, func() { do(p) }) })
 }
+
+// drain hands everything over; the process ends a little later.
+func (h *host) drain() {
+	h.leaving = true
+	h.stepOwn(ownership.Drain{})
+}
--- a/internal/faultrun/network.go
+++ b/internal/faultrun/network.go
@@ -26,8 +26,9 @@
 	faults Faults
 	// cut holds until when a region is cut off from the others.
 	cut map[model.Region]time.Time
-	// silent holds until when the connection between two names carries nothing.
-	silent map[[2]string]time.Time
+	// silent holds the connections, by the names of their ends, that carry nothing
+	// until they are dialled anew.
+	silent map[[2]string]bool
 	// sent counts the messages by kind.
 	sent map[string]int
 }
@@ -42,8 +43,13 @@
 	if a.region != b.region && (s.now.Before(s.net.cut[a.region]) || s.now.Before(s.net.cut[b.region])) {
 		return false
 	}
-	return !s.now.Before(s.net.silent[[2]string{a.name, b.name}]) &&
-		!s.now.Before(s.net.silent[[2]string{b.name, a.name}])
+	return !s.net.silent[[2]string{a.name, b.name}] && !s.net.silent[[2]string{b.name, a.name}]
+}
+
+// redial replaces a connection after too long a silence.
+func (s *Sim) redial(a, b place) {
+	delete(s.net.silent, [2]string{a.name, b.name})
+	delete(s.net.silent, [2]string{b.name, a.name})
 }
 
 // send delivers a message, or not, or twice.
@@ -90,6 +96,9 @@
 		s.send(kind+" answer", w.place, h.place, func() { reply(v, err) })
 	})
 	s.after(callTimeout, func() {
+		if !answered {
+			s.redial(h.place, w.place)
+		}
 		var none T
 		reply(none, errNoAnswer)
 	})
--- a/internal/faultrun/sim.go
+++ b/internal/faultrun/sim.go
@@ -41,22 +41,23 @@
 
 // Sim is one run.
 type Sim struct {
-	now      time.Time
-	rng      *rand.Rand
-	queue    queue
-	net      network
-	log      logService
-	cfg      *config.Versioned
-	routes   *mapping.Mapping
-	targets  []ownership.Target
-	hosts    []*host
-	machines []*machine
-	byWorker map[model.WorkerID]*machine
-	entries  []*entry
-	requests []*request
-	planned  int
-	keys     int
-	gains    []gainNote
+	now         time.Time
+	rng         *rand.Rand
+	queue       queue
+	net         network
+	log         logService
+	cfg         *config.Versioned
+	routes      *mapping.Mapping
+	targets     []ownership.Target
+	hosts       []*host
+	machines    []*machine
+	byWorker    map[model.WorkerID]*machine
+	entries     []*entry
+	requests    []*request
+	planned     int
+	keys        int
+	cancelsOpen int
+	gains       []gainNote
 }
 
 // gainNote notes that a host gained a scope.
@@ -75,7 +76,7 @@
 	}
 	s.net = network{
 		cut:    make(map[model.Region]time.Time),
-		silent: make(map[[2]string]time.Time),
+		silent: make(map[[2]string]bool),
 		sent:   make(map[string]int),
 	}
 	s.log.place = place{"log", region(0)}
--- a/internal/faultrun/work.go
+++ b/internal/faultrun/work.go
@@ -18,6 +18,8 @@
 	pollEvery = 100 * time.Millisecond
 	// pollTries is how many polls in a row may go unanswered.
 	pollTries = 3
+	// avoidFor is how long a worker that did not answer is passed over.
+	avoidFor = 10 * time.Second
 	// startTries is how many workers may refuse one attempt.
 	startTries = 6
 )
@@ -97,7 +99,7 @@
 	first := int(xxhash.Sum64String(string(at.d.Work.Key))%uint64(len(ws))) + at.tries
 	for i := range ws {
 		id := ws[(first+i)%len(ws)].ID
-		if inc, ok := h.own.Incarnation(scope, id); ok {
+		if inc, ok := h.own.Incarnation(scope, id); ok && !h.sim.now.Before(h.avoid[id]) {
 			return h.sim.byWorker[id], inc
 		}
 	}
@@ -130,6 +132,7 @@
 		h.stepOwn(ownership.Refused{Scope: model.GroupScope(d.Group), Epoch: d.GroupEpoch})
 		h.again(at)
 	case eris.Is(err, errNoAnswer):
+		h.avoid[at.trace.Worker] = h.sim.now.Add(avoidFor)
 		delete(h.sent, d.Work.Key)
 		h.stepLed(ledger.Unclear{Key: d.Work.Key, Attempt: d.Attempt, Reason: model.ReasonLinkLost})
 	default:
