Bar a refused start before another worker is tried

Random schedules found a key run twice: a start was refused for want of a hold, the next worker was tried, and a second copy of the first came when the hold was there. They also found a done key called key_reused: an owner that had only found the work running recorded no sum.

--- a/internal/core/ledger/group.go
+++ b/internal/core/ledger/group.go
@@ -87,7 +87,8 @@
 		group:   g.id,
 		account: o.Account,
 		sum:     o.Sum,
-		hasSum:  true,
+		// An owner that only found the work running did not know its sum.
+		hasSum:  o.Sum != 0,
 		state:   ended,
 		result:  o.Result,
 		endedAt: o.At,
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -309,6 +309,12 @@
 			b.wait(time.Second)
 			b.dispatches(t, 2)
 		},
+		"an outcome recorded by an owner that never saw the body fits any body": func(t *testing.T, b *bench) {
+			o := Recorded{Result: model.Result{Key: k, Outcome: model.OutcomeDone}, Account: "a", At: b.now}
+			b.step(GroupGained{Epoch: 17, Outcomes: []Recorded{o}, Gap: start.Add(-time.Minute)})
+			b.submit(k, 1, false)
+			b.replies(t, "done")
+		},
 		"an offer made under another epoch of the group is sent on": func(t *testing.T, b *bench) {
 			b.step(Submitted{Waiter: 1, Epoch: 15, Work: model.Work{Key: k, Account: "a"}})
 			if len(of[Moved](b.did)) != 1 {
--- a/internal/faultrun/work.go
+++ b/internal/faultrun/work.go
@@ -136,10 +136,27 @@
 		delete(h.sent, d.Work.Key)
 		h.stepLed(ledger.Unclear{Key: d.Work.Key, Attempt: d.Attempt, Reason: model.ReasonLinkLost})
 	default:
-		h.again(at)
+		h.bar(at)
 	}
 }
 
+// bar makes sure that a refused start is refused for good before another worker
+// is tried: a second copy of it may come when the hold is there.
+func (h *host) bar(at *attempt) {
+	d := &at.d
+	h.release(d.Group, d.GroupEpoch, at.trace, true, func(r platform.Released, err error) {
+		switch {
+		case err == nil && !r.Started:
+			h.again(at)
+		case err == nil:
+			h.poll(at)
+		default:
+			delete(h.sent, d.Work.Key)
+			h.stepLed(ledger.Unclear{Key: d.Work.Key, Attempt: d.Attempt, Reason: model.ReasonRefused})
+		}
+	})
+}
+
 // again tries another worker: this one provably did not start it.
 func (h *host) again(at *attempt) {
 	if at.tries < startTries {
--- a/internal/scheduler/part.go
+++ b/internal/scheduler/part.go
@@ -47,7 +47,13 @@
 	switch {
 	case err == nil:
 		return partStarted
-	case errors.Is(err, platform.ErrRefused), errors.Is(err, platform.ErrStaleEpoch):
+	case errors.Is(err, platform.ErrStaleEpoch):
+		return partNot
+	case errors.Is(err, platform.ErrRefused):
+		// A second copy may come when the reason is gone: the lease is barred.
+		if became := st.settle(c, p, sent); became != partNotFault {
+			return became
+		}
 		return partNot
 	case errors.Is(err, platform.ErrNotSent), errors.Is(err, platform.ErrUnavailable):
 		return partNotFault
