--- a/internal/core/settings/core_test.go
+++ b/internal/core/settings/core_test.go
@@ -319,3 +319,28 @@
 		t.Errorf("verdicts %v", r.verdicts)
 	}
 }
+
+func TestOlderSnapshotNeverReplacesANewerVersion(t *testing.T) {
+	s := newStream()
+	s.change(t, record("a", 0))
+	ahead, behind := newReader(Options{}), newReader(Options{})
+	behind.follow(s, -1)
+	s.change(t, record("b", 1, exception("e", "b")))
+	ahead.follow(s, -1)
+	s.append(platform.Record{ID: "x", Type: "other"})
+	s.append(platform.Record{ID: "y", Type: "other"})
+	s.expire(3)
+	ahead.follow(s, -1)
+	if ahead.core.Known() {
+		t.Fatal("the reader missed no record")
+	}
+	old := behind.core.Snapshot()
+	for name, through := range map[string]model.Offset{"as it is": old.Through, "with a later offset": 9} {
+		snap := *old
+		snap.Through = through
+		ahead.step(Offered{&Update{Snapshot: &snap}})
+		if ahead.version() != 2 {
+			t.Errorf("%s: version %d, want 2", name, ahead.version())
+		}
+	}
+}
