--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -48,7 +48,7 @@
 
 // WaitOwned waits until every cell and key group has an owner or ctx ends.
 func (c *Cluster) WaitOwned(ctx context.Context) error {
-	want := len(c.Platform.Cells) + keyGroups
+	want := len(c.Platform.Cells) + c.Size.KeyGroups
 	for {
 		if c.owned(ctx) >= want {
 			return nil
--- a/internal/dev/document.go
+++ b/internal/dev/document.go
@@ -16,7 +16,6 @@
 )
 
 const (
-	keyGroups     = 12
 	cellsPerGroup = 3
 	witnesses     = 5
 )
@@ -25,7 +24,7 @@
 func document(s Size, cells []model.Cell) *config.Document {
 	doc := &config.Document{
 		Fleet: config.Fleet{
-			Cells: cells, KeyGroups: keyGroups, CellsPerGroup: cellsPerGroup, Witnesses: witnesses,
+			Cells: cells, KeyGroups: s.KeyGroups, CellsPerGroup: cellsPerGroup, Witnesses: witnesses,
 		},
 		Defaults: defaults(s),
 		Accounts: accounts(),
--- a/internal/dev/platformcommand.go
+++ b/internal/dev/platformcommand.go
@@ -13,6 +13,10 @@
 const (
 	flagLogListen   = "log-listen"
 	flagHostsListen = "hosts-listen"
+	flagRacks       = "racks"
+	flagKeyGroups   = "key-groups"
+	// maxRacks bounds the listeners that one process opens.
+	maxRacks = 64
 )
 
 func platformCommand() *cli.Command {
@@ -22,6 +26,8 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagLogListen, Value: anyPort, Usage: "IP address and port of the log service"},
 			&cli.StringFlag{Name: flagHostsListen, Value: anyPort, Usage: "IP address and port of the host list"},
+			&cli.IntFlag{Name: flagRacks, Value: defaultRacks, Usage: "racks of eight workers in each of the three data centres"},
+			&cli.IntFlag{Name: flagKeyGroups, Value: defaultKeyGroups, Usage: "key groups that the key space is cut into"},
 		},
 		Action: runPlatform,
 	}
@@ -39,6 +45,16 @@
 		}
 	}
 	s := DefaultSize()
+	if s.KeyGroups = cmd.Int(flagKeyGroups); s.KeyGroups < 1 {
+		return &process.SettingError{Flag: flagKeyGroups, Value: s.KeyGroups, Allowed: "a number above 0"}
+	}
+	racks := cmd.Int(flagRacks)
+	if racks < 1 || racks > maxRacks {
+		return &process.SettingError{Flag: flagRacks, Value: racks, Allowed: fmt.Sprintf("a number from 1 to %d", maxRacks)}
+	}
+	for i := range s.Places {
+		s.Places[i].Racks = racks
+	}
 	p, err := startPlatform(s, cmd.String(flagLogListen), cmd.String(flagHostsListen), logger)
 	if err != nil {
 		return err
--- a/internal/dev/size.go
+++ b/internal/dev/size.go
@@ -16,6 +16,8 @@
 	Capacity model.Shape
 	// OwnHosts is the number of hosts that run entry, scheduler and admin.
 	OwnHosts int
+	// KeyGroups is the number of groups that the key space is cut into.
+	KeyGroups int
 	// RatePerSecond and Concurrency bound one account at one entry host.
 	RatePerSecond float64
 	Concurrency   int
@@ -28,17 +30,23 @@
 	Racks      int
 }
 
+const (
+	defaultRacks     = 2
+	defaultKeyGroups = 12
+)
+
 // DefaultSize gives two regions with three data centres and six racks.
 func DefaultSize() Size {
 	return Size{
 		Places: []Place{
-			{DataCentre: "riga-1", Region: "home", Racks: 2},
-			{DataCentre: "riga-2", Region: "home", Racks: 2},
-			{DataCentre: "almaty-1", Region: "east", Racks: 2},
+			{DataCentre: "riga-1", Region: "home", Racks: defaultRacks},
+			{DataCentre: "riga-2", Region: "home", Racks: defaultRacks},
+			{DataCentre: "almaty-1", Region: "east", Racks: defaultRacks},
 		},
 		WorkersPerRack: 8,
 		Capacity:       model.Shape{Slots: 8, Accelerators: 8, CPUMilli: 32_000, MemoryMB: 128 << 10},
 		OwnHosts:       3,
+		KeyGroups:      defaultKeyGroups,
 		RatePerSecond:  1000,
 		Concurrency:    500,
 	}
