--- a/internal/logclient/step.go
+++ b/internal/logclient/step.go
@@ -110,7 +110,7 @@
 	if f == journal.FailNone {
 		mRecords.Add(len(a.Records))
 	}
-	if f == journal.FailUnclear {
+	if f == journal.FailUnclear && c.ctx.Err() == nil {
 		evUnclear.Log(c.ctx, c.opts.Logger, slog.String("stream", string(a.Stream)), slog.String("error", err.Error()))
 	}
 	if f == journal.FailRefused && len(a.Records) == 1 {
