Let a large answer over a slow link arrive whole

A call had one timeout for all of it. An answer that takes longer on the link between regions would have been cut at each repeat and never arrived, nor a large listing that a takeover needs. A call now ends when nothing has arrived for its timeout, or after 15 timeouts; a test has an answer that takes five. A longer fixed timeout was ruled out: it would notice silent connections that much later.

--- a/internal/platform/httpcall/caller.go
+++ b/internal/platform/httpcall/caller.go
@@ -38,8 +38,9 @@
 // Close gives the idle connections up.
 func (c *Caller) Close() { c.transport.CloseIdleConnections() }
 
-// Post sends in to path and reads the answer into out. The call is given up
-// Timeout after hold, which is how long the far side was asked to wait. Errors
+// Post sends in to path and reads the answer into out. The call is given up when
+// no answer has begun Timeout after hold, which is how long the far side was
+// asked to wait, or when a begun answer stops arriving for Timeout. Errors
 // wrap those of package platform; ErrUnclear unless the answer, or the lack of
 // any connection, proves more.
 func (c *Caller) Post(ctx context.Context, path string, hold time.Duration, in, out any) error {
@@ -60,15 +61,15 @@
 }
 
 func (c *Caller) do(ctx context.Context, req *http.Request, hold time.Duration, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, hold+c.opts.Timeout)
-	defer cancel()
+	ctx, patience, done := newPatience(ctx, hold, c.opts.Timeout)
+	defer done()
 	var t trace
 	res, err := c.transport.RoundTrip(req.WithContext(t.attach(ctx)))
 	if err != nil {
 		return c.failed(&t, err)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, protocol.MaxResponse+1))
+	body, err := io.ReadAll(io.LimitReader(reader{res.Body, patience}, protocol.MaxResponse+1))
 	if err != nil {
 		return c.failed(&t, err)
 	}
--- a/internal/platform/httpcall/caller_test.go
+++ b/internal/platform/httpcall/caller_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+func TestLargeAnswerOverASlowLinkArrivesWhole(t *testing.T) {
+	// The answer takes five timeouts in all, a quarter of one between its parts.
+	c := callerOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 20 {
+			_, _ = w.Write([]byte(" "))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = w.Write([]byte(`{"n":7}`))
+	})
+	var out body
+	if err := c.Post(context.Background(), "/x", 0, body{}, &out); err != nil || out.N != 7 {
+		t.Fatalf("got %+v, %v", out, err)
+	}
+}
+
 func TestNothingIsSentWithoutAConnection(t *testing.T) {
 	never := func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
--- a/internal/platform/httpcall/options.go
+++ b/internal/platform/httpcall/options.go
@@ -23,7 +23,9 @@
 type Options struct {
 	// Region is the caller's own, told to the far side.
 	Region model.Region
-	// Timeout bounds one call, beyond the time that the far side is asked to wait. Default 2 s.
+	// Timeout is how long nothing may arrive during a call, beyond the time that
+	// the far side is asked to wait. A whole call may take 15 times as long.
+	// Default 2 s.
 	Timeout time.Duration
 	// MaxConns bounds the open connections to the service. Default 60.
 	MaxConns int
--- a/internal/platform/httpworker/options.go
+++ b/internal/platform/httpworker/options.go
@@ -18,7 +18,7 @@
 type Options struct {
 	// Region is the caller's own.
 	Region model.Region
-	// Timeout bounds each call. Default 2 s.
+	// Timeout is how long nothing may arrive during a call. Default 2 s.
 	Timeout time.Duration
 	// Poll is how long one request of Wait is held at the worker. Default 5 s.
 	Poll time.Duration
