Count what calls to the platform cost between regions

Only links between own processes counted what crosses. Services now tell their region in each answer, and clients of another region count the bodies by call, without a setting for where each worker stands.

--- a/internal/platform/httpcall/caller.go
+++ b/internal/platform/httpcall/caller.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return c.failed(&t, err)
 	}
-	count(req, len(body))
+	count(c.opts.Region, req, res, len(body))
 	return decode(res.StatusCode, body, out)
 }
 
--- a/internal/platform/protocol/limit.go
+++ b/internal/platform/protocol/limit.go
@@ -17,5 +17,6 @@
 	MaxPoll = 20 * time.Second
 )
 
-// HeaderRegion names the header that carries the caller's region.
+// HeaderRegion names the header that carries the caller's region in a request
+// and the service's region in an answer.
 const HeaderRegion = "Coltsfootmux-Region"
--- a/internal/standin/hostlist/list.go
+++ b/internal/standin/hostlist/list.go
@@ -20,6 +20,8 @@
 type Options struct {
 	// Clock gives the time; default time.Now.
 	Clock func() time.Time
+	// Region is told in answers, so that callers can count what crosses.
+	Region model.Region
 	// Lag is how long a change takes to show.
 	Lag time.Duration
 }
@@ -28,6 +30,7 @@
 // platform.HostList reaches it directly, Handler serves it over HTTP.
 type List struct {
 	clock  func() time.Time
+	region model.Region
 	faults *fault.Set
 
 	mu      sync.Mutex
@@ -52,6 +55,7 @@
 	}
 	return &List{
 		clock:  opts.Clock,
+		region: opts.Region,
 		faults: fault.NewSet(opts.Clock),
 		lag:    opts.Lag,
 		shown:  make(map[model.HostID]model.Host),
--- a/internal/standin/logstore/options.go
+++ b/internal/standin/logstore/options.go
@@ -15,6 +15,8 @@
 type Options struct {
 	// Clock gives the time; default time.Now.
 	Clock func() time.Time
+	// Region is told in answers, so that callers can count what crosses.
+	Region model.Region
 	// Retention is how long records are kept. Default 1 h.
 	Retention time.Duration
 	// AppendsPerSecond is the cap on appends of all callers together; each may
--- a/internal/standin/serve/server.go
+++ b/internal/standin/serve/server.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"time"
+
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform/protocol"
 )
 
 const (
@@ -11,6 +14,16 @@
 	maxHeaderBytes = 16 << 10
 )
 
+// InRegion says in every answer in which region the service is.
+func InRegion(region model.Region, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if region != "" {
+			w.Header().Set(protocol.HeaderRegion, string(region))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Server gives a server with bounds on what a caller can make it keep.
 func Server(h http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/standin/worker/options.go
+++ b/internal/standin/worker/options.go
@@ -25,7 +25,9 @@
 
 // Options are the settings of a stand-in worker.
 type Options struct {
-	ID       model.WorkerID
+	ID model.WorkerID
+	// Region is told in answers, so that callers can count what crosses.
+	Region   model.Region
 	Capacity model.Shape
 	// Clock gives the time; default time.Now.
 	Clock func() time.Time
