Run the clients' tests in virtual time

TestLargeAnswerOverASlowLinkArrivesWhole failed once in a run of all tests: its parts came 50 ms apart, and a busy machine let 200 ms pass. Every test of the clients that expects an answer within a short timeout had that fault.

--- a/internal/platform/httpcall/caller_test.go
+++ b/internal/platform/httpcall/caller_test.go
@@ -11,25 +11,33 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"coltsfootmux/internal/platform"
 	"coltsfootmux/internal/platform/httpcall"
 	"coltsfootmux/internal/platform/protocol"
+	"coltsfootmux/internal/scenario/memnet"
 )
 
 type body struct {
 	N int `json:"n"`
 }
 
+// callerOf gives a caller of a server in memory. It is to be called in a
+// synctest bubble.
 func callerOf(t *testing.T, h http.HandlerFunc) *httpcall.Caller {
 	t.Helper()
-	srv := httptest.NewServer(h)
-	c := httpcall.New(srv.URL, httpcall.Options{Timeout: 200 * time.Millisecond})
+	network := memnet.New()
+	srv := &http.Server{Handler: h}
+	l := network.Listen("far:80")
+	go func() { _ = srv.Serve(l) }()
+	c := httpcall.New("http://far", httpcall.Options{Dial: network.Dial})
 	t.Cleanup(func() {
 		c.Close()
-		srv.CloseClientConnections()
-		srv.Close()
+		_ = srv.Close()
+		// Handlers notice that their caller has gone before the bubble ends.
+		time.Sleep(time.Second)
 	})
 	return c
 }
@@ -47,11 +55,17 @@
 		"a proxy's error":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := callerOf(t, h)
-			err := c.Post(context.Background(), "/x", 0, body{}, &body{})
-			if !errors.Is(err, platform.ErrUnclear) {
-				t.Fatalf("got %v", err)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				c := callerOf(t, h)
+				begun := time.Now()
+				err := c.Post(context.Background(), "/x", 0, body{}, &body{})
+				if !errors.Is(err, platform.ErrUnclear) {
+					t.Fatalf("got %v", err)
+				}
+				if took := time.Since(begun); took > time.Minute {
+					t.Fatalf("given up after %v", took)
+				}
+			})
 		})
 	}
 }
@@ -87,19 +101,21 @@
 }
 
 func TestLargeAnswerOverASlowLinkArrivesWhole(t *testing.T) {
-	// The answer takes five timeouts in all, a quarter of one between its parts.
-	c := callerOf(t, func(w http.ResponseWriter, _ *http.Request) {
-		for range 20 {
-			_, _ = w.Write([]byte(" "))
-			_ = http.NewResponseController(w).Flush()
-			time.Sleep(50 * time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		// The answer takes five timeouts in all, a quarter of one between its parts.
+		c := callerOf(t, func(w http.ResponseWriter, _ *http.Request) {
+			for range 20 {
+				_, _ = w.Write([]byte(" "))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(500 * time.Millisecond)
+			}
+			_, _ = w.Write([]byte(`{"n":7}`))
+		})
+		var out body
+		if err := c.Post(context.Background(), "/x", 0, body{}, &out); err != nil || out.N != 7 {
+			t.Fatalf("got %+v, %v", out, err)
 		}
-		_, _ = w.Write([]byte(`{"n":7}`))
 	})
-	var out body
-	if err := c.Post(context.Background(), "/x", 0, body{}, &out); err != nil || out.N != 7 {
-		t.Fatalf("got %+v, %v", out, err)
-	}
 }
 
 func TestNothingIsSentWithoutAConnection(t *testing.T) {
@@ -121,12 +137,14 @@
 }
 
 func TestCallWithAnEndedContextIsNotSent(t *testing.T) {
-	c := callerOf(t, func(http.ResponseWriter, *http.Request) {})
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	if err := c.Post(ctx, "/x", 0, body{}, &body{}); !errors.Is(err, platform.ErrNotSent) {
-		t.Fatalf("got %v", err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := callerOf(t, func(http.ResponseWriter, *http.Request) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := c.Post(ctx, "/x", 0, body{}, &body{}); !errors.Is(err, platform.ErrNotSent) {
+			t.Fatalf("got %v", err)
+		}
+	})
 }
 
 func TestOpenConnectionsAreBounded(t *testing.T) {
@@ -162,15 +180,17 @@
 }
 
 func TestBaseURLKeepsPathsAbsolute(t *testing.T) {
-	var path atomic.Value
-	c := callerOf(t, func(w http.ResponseWriter, r *http.Request) {
-		path.Store(r.URL.Path + r.Header.Get(protocol.HeaderRegion))
-		_, _ = w.Write([]byte("{}"))
+	synctest.Test(t, func(t *testing.T) {
+		var path atomic.Value
+		c := callerOf(t, func(w http.ResponseWriter, r *http.Request) {
+			path.Store(r.URL.Path + r.Header.Get(protocol.HeaderRegion))
+			_, _ = w.Write([]byte("{}"))
+		})
+		if err := c.Post(context.Background(), "/v1/start", 0, body{}, &body{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := path.Load().(string); !strings.HasPrefix(got, "/v1/start") {
+			t.Fatal(got)
+		}
 	})
-	if err := c.Post(context.Background(), "/v1/start", 0, body{}, &body{}); err != nil {
-		t.Fatal(err)
-	}
-	if got := path.Load().(string); !strings.HasPrefix(got, "/v1/start") {
-		t.Fatal(got)
-	}
 }
--- a/internal/platform/httpworker/worker_test.go
+++ b/internal/platform/httpworker/worker_test.go
@@ -9,30 +9,37 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/platform"
 	"coltsfootmux/internal/platform/httpworker"
+	"coltsfootmux/internal/scenario/memnet"
 	"coltsfootmux/internal/standin/fault"
+	"coltsfootmux/internal/standin/serve"
 	"coltsfootmux/internal/standin/worker"
 )
 
 var capacity = model.Shape{Slots: 8, Accelerators: 8, CPUMilli: 32_000, MemoryMB: 128_000}
 
-// serve runs a stand-in worker behind HTTP and gives a client of it.
-func serve(t *testing.T, opts httpworker.Options) (*worker.Worker, platform.Worker) {
+// serveWorker runs a stand-in worker behind HTTP in memory and gives a client of it.
+// It is to be called in a synctest bubble.
+func serveWorker(t *testing.T, opts httpworker.Options) (*worker.Worker, platform.Worker) {
 	t.Helper()
 	w := worker.New(worker.Options{ID: "w1", Capacity: capacity})
-	srv := httptest.NewServer(w.Handler())
+	network := memnet.New()
+	srv := serve.Server(w.Handler())
+	l := network.Listen("w1:80")
+	go func() { _ = srv.Serve(l) }()
+	opts.Dial = network.Dial
 	ws := httpworker.New(opts)
 	t.Cleanup(func() {
 		w.SetFault(worker.Fault{})
 		ws.Close()
-		srv.CloseClientConnections()
-		srv.Close()
+		_ = srv.Close()
 	})
-	return w, ws.Dial(model.Worker{ID: "w1", Addr: strings.TrimPrefix(srv.URL, "http://")})
+	return w, ws.Dial(model.Worker{ID: "w1", Addr: "w1:80"})
 }
 
 func startOf(lease model.LeaseID, spec worker.Spec) platform.Start {
@@ -50,59 +57,63 @@
 }
 
 func TestTaskRunsAndItsWholeAnswerComesBack(t *testing.T) {
-	_, c := serve(t, httpworker.Options{})
-	ctx := context.Background()
-	if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 5, AnswerBytes: 100_000})); err != nil {
-		t.Fatal(err)
-	}
-	ending, err := c.Wait(ctx, "l1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if ending.State != platform.EndDone || string(ending.Answer) != string(worker.Answer("k1", 0, 100_000)) {
-		t.Fatalf("got %s with %d bytes", ending.State, len(ending.Answer))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		_, c := serveWorker(t, httpworker.Options{})
+		ctx := context.Background()
+		if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 5, AnswerBytes: 100_000})); err != nil {
+			t.Fatal(err)
+		}
+		ending, err := c.Wait(ctx, "l1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ending.State != platform.EndDone || string(ending.Answer) != string(worker.Answer("k1", 0, 100_000)) {
+			t.Fatalf("got %s with %d bytes", ending.State, len(ending.Answer))
+		}
+	})
 }
 
 func TestEveryCallCrossesTheWire(t *testing.T) {
-	_, c := serve(t, httpworker.Options{})
-	ctx := context.Background()
-	check := func(err error) {
-		t.Helper()
-		if err != nil {
-			t.Fatal(err)
+	synctest.Test(t, func(t *testing.T) {
+		_, c := serveWorker(t, httpworker.Options{})
+		ctx := context.Background()
+		check := func(err error) {
+			t.Helper()
+			if err != nil {
+				t.Fatal(err)
+			}
 		}
-	}
-	scope := model.CellScope("c1")
-	fenced, err := c.Fence(ctx, platform.Fence{Scope: scope, Epoch: 16})
-	check(err)
-	if fenced.Previous != 0 || fenced.Incarnation == "" {
-		t.Errorf("fenced: %+v", fenced)
-	}
-	held, err := c.Hold(ctx, []platform.Hold{{Group: 1, Epoch: 16, TTL: time.Second}, {Group: 2, Epoch: 16, TTL: time.Second}})
-	check(err)
-	if held[0].Refused || held[1].Refused || held[0].Echo == held[1].Echo {
-		t.Errorf("held: %+v", held)
-	}
-	start := startOf("l1", worker.Spec{RunMS: 60_000})
-	check(c.Grant(ctx, *start.Grant))
-	check(c.Start(ctx, start))
-	listing, err := c.List(ctx, scope)
-	check(err)
-	if len(listing.Leases) != 1 || !listing.Leases[0].Started || listing.Leases[0].Label.Key != "k1" {
-		t.Errorf("listing: %+v", listing)
-	}
-	report, err := c.Renew(ctx, platform.Renew{Cell: "c1", Epoch: 16, TTL: time.Minute})
-	check(err)
-	if len(report.Leases) != 1 || report.Last != 0 {
-		t.Errorf("report: %+v", report)
-	}
-	check(c.Control(ctx, platform.Control{Lease: "l1", Cell: "c1", Epoch: 16, Verb: platform.VerbThrottle}))
-	released, err := c.Release(ctx, platform.Release{Lease: "l1", Scope: scope, Epoch: 16})
-	check(err)
-	if !released.Started || released.Ending == nil || released.Ending.State != platform.EndStopped {
-		t.Errorf("released: %+v", released)
-	}
+		scope := model.CellScope("c1")
+		fenced, err := c.Fence(ctx, platform.Fence{Scope: scope, Epoch: 16})
+		check(err)
+		if fenced.Previous != 0 || fenced.Incarnation == "" {
+			t.Errorf("fenced: %+v", fenced)
+		}
+		held, err := c.Hold(ctx, []platform.Hold{{Group: 1, Epoch: 16, TTL: time.Second}, {Group: 2, Epoch: 16, TTL: time.Second}})
+		check(err)
+		if held[0].Refused || held[1].Refused || held[0].Echo == held[1].Echo {
+			t.Errorf("held: %+v", held)
+		}
+		start := startOf("l1", worker.Spec{RunMS: 60_000})
+		check(c.Grant(ctx, *start.Grant))
+		check(c.Start(ctx, start))
+		listing, err := c.List(ctx, scope)
+		check(err)
+		if len(listing.Leases) != 1 || !listing.Leases[0].Started || listing.Leases[0].Label.Key != "k1" {
+			t.Errorf("listing: %+v", listing)
+		}
+		report, err := c.Renew(ctx, platform.Renew{Cell: "c1", Epoch: 16, TTL: time.Minute})
+		check(err)
+		if len(report.Leases) != 1 || report.Last != 0 {
+			t.Errorf("report: %+v", report)
+		}
+		check(c.Control(ctx, platform.Control{Lease: "l1", Cell: "c1", Epoch: 16, Verb: platform.VerbThrottle}))
+		released, err := c.Release(ctx, platform.Release{Lease: "l1", Scope: scope, Epoch: 16})
+		check(err)
+		if !released.Started || released.Ending == nil || released.Ending.State != platform.EndStopped {
+			t.Errorf("released: %+v", released)
+		}
+	})
 }
 
 func TestErrorsKeepTheirMeaningOverTheWire(t *testing.T) {
@@ -133,10 +144,12 @@
 		}, platform.ErrRefused},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, c := serve(t, httpworker.Options{})
-			if err := tc.call(c); !errors.Is(err, tc.want) {
-				t.Fatalf("got %v, want %v", err, tc.want)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				_, c := serveWorker(t, httpworker.Options{})
+				if err := tc.call(c); !errors.Is(err, tc.want) {
+					t.Fatalf("got %v, want %v", err, tc.want)
+				}
+			})
 		})
 	}
 }
@@ -154,15 +167,17 @@
 		"a paused worker's answer is unclear at first": {fault.Fault{Paused: true}, platform.ErrUnclear, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w, c := serve(t, short)
-			w.SetFault(worker.Fault{Fault: tc.fault})
-			err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 60_000}))
-			if !errors.Is(err, tc.want) {
-				t.Fatalf("got %v, want %v", err, tc.want)
-			}
-			if got := len(w.Runs()); got != tc.ran {
-				t.Fatalf("%d runs, want %d", got, tc.ran)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				w, c := serveWorker(t, short)
+				w.SetFault(worker.Fault{Fault: tc.fault})
+				err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 60_000}))
+				if !errors.Is(err, tc.want) {
+					t.Fatalf("got %v, want %v", err, tc.want)
+				}
+				if got := len(w.Runs()); got != tc.ran {
+					t.Fatalf("%d runs, want %d", got, tc.ran)
+				}
+			})
 		})
 	}
 }
@@ -179,85 +194,93 @@
 }
 
 func TestSilentConnectionIsGivenUpAndReplaced(t *testing.T) {
-	w, c := serve(t, httpworker.Options{Timeout: 200 * time.Millisecond})
-	ctx := context.Background()
-	if err := c.Grant(ctx, *startOf("l1", worker.Spec{}).Grant); err != nil {
-		t.Fatal(err)
-	}
-	w.SilenceConnections()
-	if err := c.Grant(ctx, *startOf("l2", worker.Spec{}).Grant); !errors.Is(err, platform.ErrUnclear) {
-		t.Fatalf("on the silent connection: %v", err)
-	}
-	if err := c.Grant(ctx, *startOf("l3", worker.Spec{}).Grant); err != nil {
-		t.Fatalf("on a new connection: %v", err)
-	}
-	listing, err := c.List(ctx, model.CellScope("c1"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(listing.Leases) != 2 {
-		t.Fatalf("%d leases, want l1 and l3: what went into the silence must not arrive", len(listing.Leases))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w, c := serveWorker(t, httpworker.Options{Timeout: 200 * time.Millisecond})
+		ctx := context.Background()
+		if err := c.Grant(ctx, *startOf("l1", worker.Spec{}).Grant); err != nil {
+			t.Fatal(err)
+		}
+		w.SilenceConnections()
+		if err := c.Grant(ctx, *startOf("l2", worker.Spec{}).Grant); !errors.Is(err, platform.ErrUnclear) {
+			t.Fatalf("on the silent connection: %v", err)
+		}
+		if err := c.Grant(ctx, *startOf("l3", worker.Spec{}).Grant); err != nil {
+			t.Fatalf("on a new connection: %v", err)
+		}
+		listing, err := c.List(ctx, model.CellScope("c1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(listing.Leases) != 2 {
+			t.Fatalf("%d leases, want l1 and l3: what went into the silence must not arrive", len(listing.Leases))
+		}
+	})
 }
 
 func TestOneTimeoutCondemnsAllSilentConnections(t *testing.T) {
-	w, c := serve(t, httpworker.Options{Timeout: 200 * time.Millisecond, Poll: 100 * time.Millisecond})
-	ctx := context.Background()
-	if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 50})); err != nil {
-		t.Fatal(err)
-	}
-	// Waits that overlap leave several idle connections behind.
-	errs := make(chan error, 8)
-	for range cap(errs) {
-		go func() {
-			_, err := c.Wait(ctx, "l1")
-			errs <- err
-		}()
-	}
-	for range cap(errs) {
-		if err := <-errs; err != nil {
+	synctest.Test(t, func(t *testing.T) {
+		w, c := serveWorker(t, httpworker.Options{Timeout: 200 * time.Millisecond, Poll: 100 * time.Millisecond})
+		ctx := context.Background()
+		if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 50})); err != nil {
 			t.Fatal(err)
 		}
-	}
-	w.SilenceConnections()
-	if _, err := c.List(ctx, model.CellScope("c1")); !errors.Is(err, platform.ErrUnclear) {
-		t.Fatalf("on a silent connection: %v", err)
-	}
-	if _, err := c.List(ctx, model.CellScope("c1")); err != nil {
-		t.Fatalf("after the first timeout: %v", err)
-	}
+		// Waits that overlap leave several idle connections behind.
+		errs := make(chan error, 8)
+		for range cap(errs) {
+			go func() {
+				_, err := c.Wait(ctx, "l1")
+				errs <- err
+			}()
+		}
+		for range cap(errs) {
+			if err := <-errs; err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.SilenceConnections()
+		if _, err := c.List(ctx, model.CellScope("c1")); !errors.Is(err, platform.ErrUnclear) {
+			t.Fatalf("on a silent connection: %v", err)
+		}
+		if _, err := c.List(ctx, model.CellScope("c1")); err != nil {
+			t.Fatalf("after the first timeout: %v", err)
+		}
+	})
 }
 
 func TestWaitOutlivesASilentConnection(t *testing.T) {
-	w, c := serve(t, httpworker.Options{Timeout: 200 * time.Millisecond, Poll: 100 * time.Millisecond})
-	ctx := context.Background()
-	if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 700})); err != nil {
-		t.Fatal(err)
-	}
-	time.AfterFunc(150*time.Millisecond, w.SilenceConnections)
-	ending, err := c.Wait(ctx, "l1")
-	if err != nil || ending.State != platform.EndDone {
-		t.Fatalf("got %+v, %v", ending, err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w, c := serveWorker(t, httpworker.Options{Timeout: 200 * time.Millisecond, Poll: 100 * time.Millisecond})
+		ctx := context.Background()
+		if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 700})); err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(150*time.Millisecond, w.SilenceConnections)
+		ending, err := c.Wait(ctx, "l1")
+		if err != nil || ending.State != platform.EndDone {
+			t.Fatalf("got %+v, %v", ending, err)
+		}
+	})
 }
 
 func TestWaitsDoNotHoldUpOtherCalls(t *testing.T) {
-	_, c := serve(t, httpworker.Options{Timeout: time.Second, MaxConns: 4})
-	ctx, cancel := context.WithCancel(context.Background())
-	if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 60_000})); err != nil {
-		t.Fatal(err)
-	}
-	var waits sync.WaitGroup
-	for range 20 {
-		waits.Go(func() { _, _ = c.Wait(ctx, "l1") })
-	}
-	for epoch := range model.Epoch(20) {
-		if _, err := c.Fence(ctx, platform.Fence{Scope: model.GroupScope(1), Epoch: epoch}); err != nil {
-			t.Errorf("fence %d: %v", epoch, err)
+	synctest.Test(t, func(t *testing.T) {
+		_, c := serveWorker(t, httpworker.Options{Timeout: time.Second, MaxConns: 4})
+		ctx, cancel := context.WithCancel(context.Background())
+		if err := c.Start(ctx, startOf("l1", worker.Spec{RunMS: 60_000})); err != nil {
+			t.Fatal(err)
 		}
-	}
-	cancel()
-	waits.Wait()
+		var waits sync.WaitGroup
+		for range 20 {
+			waits.Go(func() { _, _ = c.Wait(ctx, "l1") })
+		}
+		for epoch := range model.Epoch(20) {
+			if _, err := c.Fence(ctx, platform.Fence{Scope: model.GroupScope(1), Epoch: epoch}); err != nil {
+				t.Errorf("fence %d: %v", epoch, err)
+			}
+		}
+		cancel()
+		waits.Wait()
+	})
 }
 
 // BenchmarkStartAndWait gives the cost of a task that ends at once, over
