--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -189,6 +189,9 @@
 		t.Errorf("readyz says %d", r.status)
 	}
 	r := s.do(t, "POST", "/v1/requests", `{"key":"late","account":"farms","kind":"x"}`)
+	if !r.closes {
+		t.Error("the connection stays open behind a refusal")
+	}
 	if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" || !strings.Contains(r.body, "draining") {
 		t.Errorf("new request: %d %s", r.status, r.body)
 	}
@@ -201,6 +204,8 @@
 	for range open {
 		if r := <-got; r.status != http.StatusOK || !strings.Contains(r.body, `"answer":1`) {
 			t.Errorf("open request: %d %s", r.status, r.body)
+		} else if !r.closes {
+			t.Error("the connection stays open behind the last answer")
 		}
 	}
 	if err := <-drained; err != nil {
--- a/internal/entry/setup_test.go
+++ b/internal/entry/setup_test.go
@@ -230,6 +230,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes says that the server closes the connection behind the answer.
+	closes bool
 }
 
 func (s *system) do(t *testing.T, method, path, body string, headers ...string) reply {
@@ -250,7 +252,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(b)}
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), closes: resp.Close}
 }
 
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
