Close gaps that mutations found in the tests of limits, summaries and roles

Mutations that no test found: an unbounded reserve of the retry budget, a limit that grows unused, a viewer's account taken for its own, a summary sender that forgets its memory's end or keeps a cell that came back among the gone ones. Each has a test now. A reset in the circuit that changed nothing is gone.

--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -83,6 +83,7 @@
 		"an account does not view everything": {account.MayView(), false},
 		"a viewer sees each account":          {viewer.MaySee("labs"), true},
 		"a viewer owns no work":               {viewer.Owns("labs"), false},
+		"a viewer with an account owns none":  {Identity{Role: RoleViewer, Account: "labs"}.Owns("labs"), false},
 		"a viewer does not operate":           {viewer.MayOperate(), false},
 		"an operator operates":                {operator.MayOperate(), true},
 		"an operator cancels no one's work":   {operator.Owns("labs"), false},
--- a/internal/core/limits/circuit.go
+++ b/internal/core/limits/circuit.go
@@ -95,7 +95,6 @@
 
 func (c *Circuit) trip(now time.Time, r *rand.Rand) {
 	c.trips++
-	c.failures = 0
 	c.state = Broken
 	c.probeAt = now.Add(c.opts.Probe.Wait(c.trips, r))
 }
--- a/internal/core/limits/limits_test.go
+++ b/internal/core/limits/limits_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+func TestQuietTimeSavesUpNoMoreThanTheReserve(t *testing.T) {
+	b := limits.NewRetryBudget(0.5, 4)
+	for range 1000 {
+		b.First()
+	}
+	retries := 0
+	for b.Retry() {
+		retries++
+	}
+	if retries != 4 {
+		t.Fatalf("%d retries at once, reserve 4", retries)
+	}
+}
+
 func options() limits.AdaptiveOptions {
 	return limits.AdaptiveOptions{Min: 2, Max: 64, Start: 8, Slow: time.Second, Shrink: 0.7, Pause: time.Second}
 }
@@ -147,6 +161,17 @@
 	}
 }
 
+func TestAdaptiveLimitThatIsNotUsedDoesNotGrow(t *testing.T) {
+	a := limits.NewAdaptive(options())
+	for range 1000 {
+		a.Acquire()
+		a.Release(start, time.Millisecond, false)
+	}
+	if a.Limit() != 8 {
+		t.Fatalf("limit %d after one call at a time, started at 8", a.Limit())
+	}
+}
+
 func TestBackoffGrowsWithinItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := limits.Backoff{Min: 10 * time.Millisecond, Max: time.Second}
--- a/internal/summary/summary_test.go
+++ b/internal/summary/summary_test.go
@@ -134,6 +134,50 @@
 	}
 }
 
+// follow brings a peer up to date and fails when that takes the full state.
+func follow(t *testing.T, s *summary.Sender, r *summary.Receiver) {
+	t.Helper()
+	m := s.Message(r.Ack())
+	if m.Base == 0 {
+		t.Fatal("the full state was needed")
+	}
+	if ack := r.Apply(&m); ack.State != s.State() {
+		t.Fatalf("the peer is at %+v, want %d", ack, s.State())
+	}
+}
+
+func TestCellThatGoesAndComesBackNeedsNoFullState(t *testing.T) {
+	now := cells(rand.New(rand.NewPCG(1, 1)), 5)
+	s, r := summary.NewSender(1), summary.NewReceiver()
+	s.Update(now)
+	m := s.Message(summary.Ack{})
+	r.Apply(&m)
+	s.Update(now[1:])
+	s.Update(now) // both before the peer hears of it
+	follow(t, s, r)
+	s.Update(now[1:])
+	follow(t, s, r)
+	s.Update(now)
+	follow(t, s, r)
+	if !equal(r.Cells(), now) {
+		t.Fatalf("got %+v", r.Cells())
+	}
+}
+
+func TestPeerThatMissedTooManyGoneCellsGetsTheFullState(t *testing.T) {
+	now := cells(rand.New(rand.NewPCG(1, 1)), 3000)
+	s, r := summary.NewSender(1), summary.NewReceiver()
+	s.Update(now)
+	m := s.Message(summary.Ack{})
+	r.Apply(&m)
+	s.Update(now[:1500])
+	s.Update(now[:10])
+	m = s.Message(r.Ack())
+	if ack := r.Apply(&m); m.Base != 0 || ack.State != s.State() || len(r.Cells()) != 10 {
+		t.Fatalf("base %d, %d cells, state %d", m.Base, len(r.Cells()), ack.State)
+	}
+}
+
 func TestNothingIsSentWhenNothingChanged(t *testing.T) {
 	now := cells(rand.New(rand.NewPCG(1, 1)), 5)
 	s, r := summary.NewSender(1), summary.NewReceiver()
