--- a/internal/core/journal/writer_test.go
+++ b/internal/core/journal/writer_test.go
@@ -323,3 +323,50 @@
 		s.now = s.now.Add(time.Second)
 	}
 }
+
+func TestBudgetShrinksWhenTurnedAwayAndComesBack(t *testing.T) {
+	s := newScript(t, func(c *journal.Config) {
+		c.PerSecond, c.Burst, c.Linger = 10, 1, time.Nanosecond
+		c.Backoff.First = time.Nanosecond
+	})
+	// gap gives how long the writer waits from one append to the next.
+	gap := func(f journal.Failure) time.Duration {
+		s.t.Helper()
+		s.appended(10, f)
+		if f == journal.FailNone {
+			s.submit("a", 0)
+		}
+		from := s.now
+		for s.take() != "append a" {
+			s.wait()
+		}
+		return s.now.Sub(from)
+	}
+	s.submit("a", 1)
+	s.locate()
+	s.want("append a")
+	if before, after := gap(journal.FailThrottled), gap(journal.FailThrottled); after < 3*before/2 {
+		t.Fatalf("turned away twice: %v, then %v", before, after)
+	}
+	for range 200 {
+		gap(journal.FailNone)
+	}
+	if got, want := gap(journal.FailNone), 100*time.Millisecond+time.Microsecond; got > want {
+		t.Fatalf("after many successes still %v, want %v", got, want)
+	}
+}
+
+func TestPausesDoNotGrowWhenTheLogIsOnlyBusy(t *testing.T) {
+	s := newScript(t, nil)
+	s.submit("a", 1)
+	s.locate()
+	for range 10 {
+		s.want("append a")
+		s.appended(0, journal.FailThrottled)
+		at, _ := s.w.Due()
+		if pause := at.Sub(s.now); pause > time.Second {
+			t.Fatalf("pause of %v", pause)
+		}
+		s.wait()
+	}
+}
