--- /dev/null
+++ b/internal/link/core/budget_test.go
@@ -0,0 +1,61 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/link/core"
+	"coltsfootmux/internal/wire"
+)
+
+// writes gives the kinds of the frames that a dialer writes until it has none
+// that may go now, and how long it then waits.
+func writes(d *core.Dialer, now time.Time) (kinds []wire.Kind, wait time.Duration) {
+	for {
+		wrote := false
+		for _, a := range d.Step(now, core.Writable{}) {
+			switch a := a.(type) {
+			case core.Write:
+				wrote = true
+				if a.Frame.Kind != 0 {
+					kinds = append(kinds, a.Frame.Kind)
+				}
+			case core.Later:
+				wait = a.After
+			}
+		}
+		if !wrote {
+			return kinds, wait
+		}
+	}
+}
+
+func TestOverTheBudgetSummariesWaitThenCallsAndHeartbeatsGo(t *testing.T) {
+	const rate = 100_000
+	b := core.NewBucket(rate)
+	d := core.NewDialer(begin, 1, limits(), b)
+	b.Take(begin, core.LaneNormal, rate*6/10)
+	open := func(tk core.Ticket, k wire.Kind) {
+		d.Step(begin, core.Open{Ticket: tk, Kind: k, Body: make([]byte, 50_000)})
+	}
+	open(1, wire.KindSummary)
+	open(2, wire.KindSubmit)
+	open(3, wire.KindSubmit)
+	open(4, wire.KindHeartbeat)
+	kinds, wait := writes(d, begin)
+	if len(kinds) != 1 || kinds[0] != wire.KindHeartbeat || wait == 0 {
+		t.Fatalf("with the budget spent by a heartbeat: wrote %v, waits %v", kinds, wait)
+	}
+	now := begin.Add(wait + time.Millisecond)
+	kinds, wait = writes(d, now)
+	if len(kinds) != 1 || kinds[0] != wire.KindSubmit || wait == 0 {
+		t.Fatalf("with a little of the budget back: wrote %v, waits %v", kinds, wait)
+	}
+	now = now.Add(wait + time.Millisecond)
+	if kinds, _ = writes(d, now); len(kinds) != 1 || kinds[0] != wire.KindSubmit {
+		t.Fatalf("with a little more: wrote %v", kinds)
+	}
+	if kinds, _ = writes(d, now.Add(2*time.Second)); len(kinds) != 1 || kinds[0] != wire.KindSummary {
+		t.Fatalf("with the budget whole again: wrote %v", kinds)
+	}
+}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -98,14 +99,27 @@
 	if p.closed {
 		return nil, eris.Wrap(ErrNotSent, errClosed.Error())
 	}
+	now := time.Now()
 	t := p.peers[addr]
 	if t == nil {
+		p.prune(now)
 		t = &target{pool: p, addr: addr}
 		p.peers[addr] = t
 	}
+	t.used = now
 	return t, nil
 }
 
+// prune forgets addresses that were not called for long and have no link; p.mu
+// is held. Hosts are replaced all day, and each has an address of its own.
+func (p *Pool) prune(now time.Time) {
+	for addr, t := range p.peers {
+		if now.Sub(t.used) > forgetAfter && t.unlinked() {
+			delete(p.peers, addr)
+		}
+	}
+}
+
 // Close ends all links and their open calls, and waits until they are down.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/internal/link/pooloptions.go
+++ b/internal/link/pooloptions.go
@@ -27,6 +27,8 @@
 
 const (
 	defaultDialTimeout = time.Second
+	// forgetAfter is how long an address without calls and link is remembered.
+	forgetAfter = 5 * time.Minute
 	// redialPatience is how long a call waits for a dial after one has failed.
 	redialPatience = 100 * time.Millisecond
 	// dialBackoffMin and dialBackoffMax bound the wait between failed dials.
--- /dev/null
+++ b/internal/link/prune_test.go
@@ -0,0 +1,31 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/wire"
+)
+
+func TestAddressesOfHostsThatAreGoneAreForgotten(t *testing.T) {
+	p := NewPool(PoolOptions{Seed: 1})
+	defer p.Close()
+	for port := range 5 {
+		addr := fmt.Sprintf("127.0.0.1:%d", port+1)
+		if _, err := Call[wire.Submit, wire.SubmitReply](context.Background(), p, addr, wire.KindSubmit, wire.Submit{}); err == nil {
+			t.Fatal("somebody answered")
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prune(time.Now())
+	if len(p.peers) != 5 {
+		t.Errorf("%d addresses right after their calls", len(p.peers))
+	}
+	p.prune(time.Now().Add(2 * forgetAfter))
+	if len(p.peers) != 0 {
+		t.Errorf("%d addresses long after their calls", len(p.peers))
+	}
+}
--- a/internal/link/target.go
+++ b/internal/link/target.go
@@ -15,6 +15,8 @@
 type target struct {
 	pool *Pool
 	addr string
+	// used is when it was last called; guarded by the pool's mutex.
+	used time.Time
 
 	mu      sync.Mutex
 	current *dialled
@@ -27,6 +29,13 @@
 	until    time.Time
 }
 
+// unlinked reports whether there is neither a link nor a dial under way.
+func (t *target) unlinked() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.dial == nil && (t.current == nil || t.current.ctx.Err() != nil)
+}
+
 // dial is a dial under way.
 type dial struct {
 	done chan struct{}
