Prove that a caller who reads nothing is given up

Also shown: a kept connection takes a body with Expect: 100-continue long after the write deadline of its last answer; net/http clears the deadline itself, so a reset of ours was tried and left out. Tests: go test -race ./internal/entry passes.

--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"coltsfootmux/internal/entry"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/node"
+	"coltsfootmux/internal/wire"
 )
 
 // listen serves a system on the listener that the program uses.
@@ -170,3 +172,58 @@
 		t.Fatalf("the connection is still open: %v", err)
 	}
 }
+
+func TestCallerThatReadsNothingIsGivenUp(t *testing.T) {
+	f := newScheduler(t)
+	f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) {
+		return done(make([]byte, 6<<20)), nil
+	}
+	s := start(t, entry.Options{WriteTimeout: 200 * time.Millisecond}, document(), link.PoolOptions{}, f.addr)
+	c, err := net.Dial("tcp", listen(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	body := `{"key":"k","account":"farms","kind":"x"}`
+	if _, err := fmt.Fprintf(c, "POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); len(f.taken()) == 0 || s.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests still held", s.Open())
+		}
+	}
+}
+
+func TestKeptConnectionTakesALargeBodyLongAfterItsLastAnswer(t *testing.T) {
+	f := newScheduler(t)
+	const write = 50 * time.Millisecond
+	s := start(t, entry.Options{WriteTimeout: write}, document(), link.PoolOptions{}, f.addr)
+	c, err := net.Dial("tcp", listen(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	r := bufio.NewReader(c)
+	body := `{"key":"k","account":"farms","kind":"x"}`
+	for range 2 {
+		head := fmt.Sprintf("POST /v1/requests HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))
+		if _, err := io.WriteString(c, head); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []int{http.StatusContinue, http.StatusOK} {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode != want {
+				t.Fatalf("got %+v, %v, want %d", resp, err, want)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			if want == http.StatusContinue {
+				if _, err := io.WriteString(c, body); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		time.Sleep(2 * write)
+	}
+}
