--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -81,7 +81,7 @@
 		}
 		body = buf.Bytes()
 	}
-	if len(body) > c.conf.doc.Defaults.BodyLimitBytes {
+	if len(body) > c.conf.bodyLimit() {
 		return nil, problem.New(http.StatusRequestEntityTooLarge, codeTooLarge, "The body is over the size limit.")
 	}
 	return body, nil
--- a/internal/entry/inforce.go
+++ b/internal/entry/inforce.go
@@ -15,6 +15,13 @@
 	mapping *mapping.Mapping
 }
 
+// maxBodyBytes is the longest body whatever the configuration says: with the
+// rest of its request it fits into one message on a link.
+const maxBodyBytes = 7 << 20
+
+// bodyLimit is the longest body of a request in bytes.
+func (c *inForce) bodyLimit() int { return min(c.doc.Defaults.BodyLimitBytes, maxBodyBytes) }
+
 // derive takes over what an older configuration derived from the same fleet.
 func derive(old *inForce, v *config.Versioned) *inForce {
 	next := &inForce{version: v.Version, doc: &v.Document}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -159,7 +159,7 @@
 func (s *Server) bodyBytes(r *http.Request) int64 {
 	most := int64(envelopeBytes)
 	if c := s.current(); c != nil {
-		most = contentLimit(c.doc.Defaults.BodyLimitBytes)
+		most = contentLimit(c.bodyLimit())
 	}
 	if r.ContentLength >= 0 {
 		return min(r.ContentLength, most)
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -49,7 +49,7 @@
 	if conf == nil {
 		return nil, unavailable(model.ReasonNotConfigured, "No configuration is in force yet.")
 	}
-	if err := readJSON(w, r, conf.doc.Defaults.BodyLimitBytes, s.opts.BodyTimeout, form); err != nil {
+	if err := readJSON(w, r, conf.bodyLimit(), s.opts.BodyTimeout, form); err != nil {
 		return nil, asProblem(err)
 	}
 	key, p := keyOf(r.Header.Get(headerKey), b.Key)
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+func TestLargestBodyReachesTheSchedulerAndALargerOneIsRefused(t *testing.T) {
+	f := newScheduler(t)
+	f.submit = func(context.Context, wire.Submit) (wire.SubmitReply, error) { return done(nil), nil }
+	doc := document()
+	doc.Defaults.BodyLimitBytes = 1 << 30
+	s := newSystem(t, nil, doc, f)
+	const largest = 7 << 20
+	for size, status := range map[int]int{largest: http.StatusOK, largest + 1: http.StatusRequestEntityTooLarge} {
+		body := fmt.Sprintf(`{"key":"k","account":"farms","kind":"x","body":"%s"}`, strings.Repeat("x", size-2))
+		if got := s.do(t, "POST", "/v1/requests", body); got.status != status {
+			t.Errorf("%d bytes: %d %.200s", size, got.status, got.body)
+		}
+	}
+	if taken := f.taken(); len(taken) != 1 || len(taken[0].Work.Body) != largest {
+		t.Errorf("%d requests taken", len(taken))
+	}
+}
+
 func TestKeysInHeaderAndBodyMustAgree(t *testing.T) {
 	s := newSystem(t, nil, document(), newScheduler(t))
 	got := s.do(t, "POST", "/v1/requests", `{"key":"a","account":"farms","kind":"x"}`, "Idempotency-Key", "b")
