--- a/internal/mapping/mapping.go
+++ b/internal/mapping/mapping.go
@@ -26,8 +26,7 @@
 	m := &Mapping{groups: f.KeyGroups, byCell: make(map[model.CellID][]model.GroupID)}
 	for g := range f.KeyGroups {
 		id := model.GroupID(g)
-		cells := rankCells(f.Cells, id)
-		cells = cells[:min(f.CellsPerGroup, len(cells))]
+		cells := rankCells(f.Cells, id, f.CellsPerGroup)
 		m.cells = append(m.cells, cells)
 		m.wits = append(m.wits, witnesses(cells, id, f.Witnesses))
 		for _, c := range cells {
@@ -64,18 +63,40 @@
 // GroupsOf gives the groups that a cell serves.
 func (m *Mapping) GroupsOf(c model.CellID) []model.GroupID { return m.byCell[c] }
 
-func rankCells(cells []model.Cell, g model.GroupID) []model.Cell {
-	out := slices.Clone(cells)
+// ranked is a cell with its weight for a group.
+type ranked struct {
+	weight uint64
+	cell   *model.Cell
+}
+
+// rankCells gives the n cells of the highest weights for a group.
+func rankCells(cells []model.Cell, g model.GroupID, n int) []model.Cell {
 	scope := model.GroupScope(g)
-	slices.SortFunc(out, func(a, b model.Cell) int {
-		return cmp.Or(
-			cmp.Compare(Weight(scope, string(b.ID)), Weight(scope, string(a.ID))),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
+	top := make([]ranked, 0, n+1)
+	for i := range cells {
+		r := ranked{weight: Weight(scope, string(cells[i].ID)), cell: &cells[i]}
+		if len(top) == n && (n == 0 || r.compare(top[n-1]) > 0) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, r, ranked.compare)
+		top = slices.Insert(top, at, r)
+		top = top[:min(n, len(top))]
+	}
+	out := make([]model.Cell, len(top))
+	for i := range out {
+		out[i] = *top[i].cell
+	}
 	return out
 }
 
+// compare puts the heavier cell first.
+func (r ranked) compare(o ranked) int {
+	if r.weight != o.weight {
+		return cmp.Compare(o.weight, r.weight)
+	}
+	return cmp.Compare(r.cell.ID, o.cell.ID)
+}
+
 // witnesses takes one worker of each cell in turn until there are n.
 func witnesses(cells []model.Cell, g model.GroupID, n int) []model.Worker {
 	scope := model.GroupScope(g)
@@ -106,8 +127,11 @@
 
 // Weight is the rendezvous weight of a member for a scope.
 func Weight(s model.Scope, member string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(s.String())
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(s.Kind))
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(s.Name)
 	_, _ = d.WriteString("\x00")
 	_, _ = d.WriteString(member)
 	return d.Sum64()
--- a/internal/mapping/mapping_test.go
+++ b/internal/mapping/mapping_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
+
 	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/model"
 )
@@ -35,6 +37,46 @@
 	}
 }
 
+// TestCellsOfAGroupAreThoseOfTheHighestWeights states the ranking anew, so that
+// no change of the code moves work.
+func TestCellsOfAGroupAreThoseOfTheHighestWeights(t *testing.T) {
+	f := fleet(40)
+	m := New(f)
+	for g := range model.GroupID(32) {
+		weight := func(c model.Cell) uint64 {
+			return xxhash.Sum64String(fmt.Sprintf("group/%d\x00%s", g, c.ID))
+		}
+		got := m.Cells(g)
+		least := weight(got[len(got)-1])
+		for i, c := range got[1:] {
+			if weight(c) > weight(got[i]) {
+				t.Errorf("group %d: cell %s is ranked behind a lighter one", g, c.ID)
+			}
+		}
+		heavier := 0
+		for _, c := range f.Cells {
+			if weight(c) >= least {
+				heavier++
+			}
+		}
+		if len(got) != f.CellsPerGroup || heavier != len(got) {
+			t.Errorf("group %d: %d cells of which %d are the heaviest", g, len(got), heavier)
+		}
+	}
+}
+
+func BenchmarkNew(b *testing.B) {
+	f := fleet(1625)
+	for _, groups := range []int{64, 512} {
+		f.KeyGroups = groups
+		b.Run(fmt.Sprintf("cells=1625/groups=%d", groups), func(b *testing.B) {
+			for b.Loop() {
+				New(f)
+			}
+		})
+	}
+}
+
 func TestLosingOneCellLeavesAMajorityOfWitnesses(t *testing.T) {
 	m := New(fleet(12))
 	for g := range model.GroupID(32) {
