Let urgent work begin in the first room that falls vacant

A plan now begins when its own room is vacant, the urgent ones first; urgent work counts on room that others are leaving and shortens their bound.

--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"coltsfootmux/internal/model"
@@ -17,8 +19,8 @@
 	refusedRetryAfter = 5 * time.Second
 )
 
-// assign holds room for a job on ws and begins it once its victims have left.
-func (c *Core) assign(j *job, ws []*worker, victims []*job) {
+// assign holds room for a job on ws.
+func (c *Core) assign(j *job, ws []*worker) {
 	c.dequeue(j)
 	c.endDrain(j)
 	firm := c.firm(j)
@@ -30,21 +32,30 @@
 		c.reindex(w.cell)
 		w.health.admitted(j.work.Key)
 	}
-	if len(victims) == 0 {
-		c.begin(j)
-		return
-	}
+}
+
+// reclaim has the victims leave; the job begins once its room is vacant.
+func (c *Core) reclaim(j *job, ws []*worker, victims []*job) {
 	j.state = jobReclaiming
 	j.asked = c.now
 	c.waiting++
+	within := c.checkpointBound(j)
 	for _, w := range ws {
 		w.dropPlanned(j)
 		w.planned = append(w.planned, j)
+		if j.class == urgentClass {
+			c.hasten(w, within)
+		}
 	}
 	for _, v := range victims {
-		c.evict(v, c.checkpointBound(j))
+		c.evict(v, within)
 	}
 	c.after(c.conf.def.ReclaimWithin.D(), timer{kind: timerReclaim, key: j.work.Key, round: j.round})
+	if c.ready(j) {
+		c.unplan(j)
+		c.waiting--
+		c.begin(j)
+	}
 }
 
 // begin asks the shell to lease and start every member.
@@ -72,9 +83,12 @@
 	c.emit(b)
 }
 
-// roomCame begins the planned jobs of a worker whose victims have all left.
+// roomCame begins the planned jobs of a worker that now have their room, the
+// urgent ones first.
 func (c *Core) roomCame(w *worker) {
-	for _, j := range append([]*job(nil), w.planned...) {
+	planned := slices.Clone(w.planned)
+	slices.SortStableFunc(planned, func(a, b *job) int { return cmp.Compare(b.class, a.class) })
+	for _, j := range planned {
 		if !c.ready(j) {
 			continue
 		}
@@ -84,13 +98,24 @@
 	}
 }
 
-// ready reports whether all victims have left the workers chosen for j.
+// ready reports whether the workers chosen for j have room for it now, whatever
+// is still held there for other plans.
 func (c *Core) ready(j *job) bool {
 	if j.state != jobReclaiming {
 		return false
 	}
-	for _, t := range j.tasks {
-		if t.worker.free.Negative() || t.worker.down || t.worker.cell.lost {
+	for i, t := range j.tasks {
+		w := t.worker
+		if w.down || w.cell.lost {
+			return false
+		}
+		n := 1
+		for _, o := range j.tasks[:i] {
+			if o.worker == w {
+				n++
+			}
+		}
+		if !t.shape.Times(n).Fits(w.vacant()) {
 			return false
 		}
 	}
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -80,7 +80,10 @@
 // evictionCost ranks workers by what has to leave them for a member of j: the
 // least room first, then the least work at stake. It is zero where there is room.
 func (c *Core) evictionCost(j *job, w *worker) float64 {
-	short := floorShape(j.work.Shape.Sub(w.free))
+	if j.work.Shape.Fits(w.free) {
+		return 0
+	}
+	short := floorShape(j.work.Shape.Sub(w.reach(j)))
 	if short.IsZero() {
 		return 0
 	}
--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -48,7 +48,7 @@
 				n++
 			}
 		}
-		short := floorShape(j.work.Shape.Times(n).Sub(w.free))
+		short := floorShape(j.work.Shape.Times(n).Sub(w.reach(j)))
 		if !short.IsZero() {
 			out = append(out, need{w: w, short: short})
 		}
@@ -151,6 +151,15 @@
 // victims may take over their checkpoints; the rest is for the stop.
 const urgentCheckpointPercent = 60
 
+// hasten bounds the checkpoints of those that were leaving a worker already.
+func (c *Core) hasten(w *worker, within time.Duration) {
+	for _, t := range w.tasks {
+		if v := t.job; v.evicted && v.state == jobRunning {
+			c.after(within, timer{kind: timerCheckpoint, key: v.work.Key, round: v.round})
+		}
+	}
+}
+
 // checkpointLate stops a job whose checkpoint did not come in time.
 func (c *Core) checkpointLate(t timer) {
 	j, ok := c.jobs[t.key]
--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -91,3 +91,8 @@
 func (j *job) elsewhere() bool {
 	return j.moved || (j.found > 0 && j.found < j.work.Members)
 }
+
+// leaving reports whether the job was told to give up the room that it holds.
+func (j *job) leaving() bool {
+	return (j.evicted || j.stopping) && (j.state == jobRunning || j.state == jobBeginning)
+}
--- a/internal/core/placement/policy_test.go
+++ b/internal/core/placement/policy_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+func TestUrgentWorkSharesRoomThatOthersAreLeaving(t *testing.T) {
+	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	slow := r.run(borrower("slow", "b", 8))
+	w := work("mine", "a")
+	w.Shape = one.Times(4)
+	first[Control](r, r.submit(w))
+	now := work("now", "a")
+	now.Class = model.ClassUrgent
+	r.submit(now)
+	// Its victim was asked with a longer bound; now the urgent one holds.
+	if c := first[Control](r, r.later(3*time.Second)); c.Verb != platform.VerbStop {
+		t.Fatalf("got %+v", c)
+	}
+	began := all[Begin](r.end(slow, 0, platform.EndStopped))
+	if len(began) != 2 || began[0].Work.Key != "now" {
+		t.Fatalf("got %+v", began)
+	}
+}
+
 func TestVictimsAreThoseThatLoseLeastAndWholeGangs(t *testing.T) {
 	r := newRig(t, guaranteed(testDoc(testCell("r1", 2)), "a", 1))
 	gang := borrower("old-gang", "b", 4)
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -25,7 +25,7 @@
 	if own.IsZero() {
 		return own
 	}
-	room := minShape(own, w.free.Add(c.evictable(j, w)))
+	room := minShape(own, w.reach(j).Add(c.evictable(j, w)))
 	if c.firm(j) {
 		room = minShape(room, w.firmRoom(j.acc))
 	}
@@ -37,7 +37,7 @@
 	if c.barred(j, w) {
 		return model.Shape{}
 	}
-	room := w.free.Add(c.evictable(j, w))
+	room := w.reach(j).Add(c.evictable(j, w))
 	if c.firm(j) {
 		room = minShape(room, w.firmRoom(j.acc))
 	}
--- a/internal/core/placement/try.go
+++ b/internal/core/placement/try.go
@@ -7,7 +7,8 @@
 // came free.
 func (c *Core) try(q *queue, j *job, freed []*cell) bool {
 	if ws := c.place(j, c.startCells(q, j, freed), c.directRoom); ws != nil {
-		c.assign(j, ws, nil)
+		c.assign(j, ws)
+		c.begin(j)
 		return true
 	}
 	if !c.policy.Preempt {
@@ -47,7 +48,8 @@
 	if !ok {
 		return false
 	}
-	c.assign(j, ws, victims)
+	c.assign(j, ws)
+	c.reclaim(j, ws, victims)
 	return true
 }
 
--- a/internal/core/placement/worker.go
+++ b/internal/core/placement/worker.go
@@ -103,6 +103,33 @@
 	return floorShape(s.ent.Sub(s.all))
 }
 
+// vacant is the room that no begun task holds.
+func (w *worker) vacant() model.Shape {
+	room := w.capacity
+	for _, t := range w.tasks {
+		if t.job.state != jobReclaiming {
+			room = room.Sub(t.shape)
+		}
+	}
+	return room
+}
+
+// reach is the room that will be free, and is not spoken for, once all that were
+// told to leave have left. Only urgent work counts on that: it can shorten what
+// others were given to leave.
+func (w *worker) reach(j *job) model.Shape {
+	room := w.free
+	if j.class != urgentClass {
+		return room
+	}
+	for _, t := range w.tasks {
+		if t.job.leaving() {
+			room = room.Add(t.shape)
+		}
+	}
+	return room
+}
+
 func (w *worker) addTask(t *task) {
 	w.tasks = append(w.tasks, t)
 	w.hold(t, t.shape)
--- a/internal/experiment/sweep_test.go
+++ b/internal/experiment/sweep_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -32,12 +33,15 @@
 	_ = g.Wait()
 	for m := range makers {
 		var mean, frag, lost, late float64
+		var urgent, reclaim time.Duration
 		for _, r := range rs[m*seeds : (m+1)*seeds] {
 			mean += r.std.All.Mean.Seconds() / r.fit.All.Mean.Seconds() / seeds
 			frag += r.std.Fragmentation / r.fit.Fragmentation / seeds
 			lost += r.std.LostHours / r.fit.LostHours / seeds
 			late += float64(r.std.LargeLate)
+			urgent = max(urgent, r.std.UrgentMax)
+			reclaim = max(reclaim, r.std.ReclaimP99)
 		}
-		fmt.Printf("%-16s mean %.3f frag %.3f lost %.2f late %.0f\n", rs[m*seeds].std.Trace, mean, frag, lost, late)
+		fmt.Printf("%-16s mean %.3f frag %.3f lost %.2f late %.0f urgent max %v reclaim p99 %v\n", rs[m*seeds].std.Trace, mean, frag, lost, late, urgent, reclaim)
 	}
 }
