--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -28,6 +28,10 @@
 	// Gap is the time before which a key may have run without trace. Keys that
 	// were provably made later are new. Zero when the history is whole.
 	Gap time.Time
+	// Unbroken says that nobody else can have owned the group since HoldsLapsed.
+	// Otherwise work that was not sent is sent on: an owner in between may have
+	// told its caller not_run.
+	Unbroken bool
 }
 
 // Recorded is an outcome as kept on the log.
@@ -49,6 +53,14 @@
 	Ending *platform.Ending
 }
 
+// WorkerJoined brings what a worker knew that could not be reached when its
+// group was gained, and what is left of the gap.
+type WorkerJoined struct {
+	Group model.GroupID
+	Found []Found
+	Gap   time.Time
+}
+
 // GroupLost says that another scheduler owns the group now.
 type GroupLost struct{ Group model.GroupID }
 
@@ -61,6 +73,10 @@
 	Work   model.Work
 	Sum    uint64
 	Waiter Waiter
+	// Epoch is the group's epoch that the offer was made under; 0 when not told.
+	// One made under another epoch is sent on: its caller may have been told
+	// not_run by an owner in between.
+	Epoch model.Epoch
 }
 
 // WaiterGone says that a caller's connection is closed.
@@ -87,7 +103,8 @@
 	Result  model.Result
 }
 
-// NotRun says that an attempt provably did not run.
+// NotRun says that an attempt provably did not run. With ReasonOwnerLost, which
+// says that workers refused its epochs, it is dispatched anew.
 type NotRun struct {
 	Key        model.Key
 	Attempt    int
@@ -114,27 +131,32 @@
 	// Running says that the task still runs.
 	Running bool
 	Ending  *platform.Ending
+	// Since is how long ago the worker's incarnation began, as it answered.
+	Since time.Duration
 }
 
 // Cancelled is a caller's wish to end its own work.
 type Cancelled struct {
 	Key     model.Key
 	Account model.Account
+	// Waiter gets the AnswerCancel.
+	Waiter Waiter
 }
 
 // Tick lets time-bound decisions happen.
 type Tick struct{}
 
-func (Configured) event()  {}
-func (GroupGained) event() {}
-func (GroupLost) event()   {}
-func (HoldsLapsed) event() {}
-func (Submitted) event()   {}
-func (WaiterGone) event()  {}
-func (Begun) event()       {}
-func (Answered) event()    {}
-func (NotRun) event()      {}
-func (Unclear) event()     {}
-func (Settled) event()     {}
-func (Cancelled) event()   {}
-func (Tick) event()        {}
+func (Configured) event()   {}
+func (GroupGained) event()  {}
+func (WorkerJoined) event() {}
+func (GroupLost) event()    {}
+func (HoldsLapsed) event()  {}
+func (Submitted) event()    {}
+func (WaiterGone) event()   {}
+func (Begun) event()        {}
+func (Answered) event()     {}
+func (NotRun) event()       {}
+func (Unclear) event()      {}
+func (Settled) event()      {}
+func (Cancelled) event()    {}
+func (Tick) event()         {}
--- /dev/null
+++ b/internal/dev/ownhost.go
@@ -0,0 +1,94 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	entryprogram "coltsfootmux/internal/entry/program"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/node"
+	"coltsfootmux/internal/scheduler"
+	schedulerprogram "coltsfootmux/internal/scheduler/program"
+)
+
+// OwnHost is one of the system's own hosts with its programs.
+type OwnHost struct {
+	Name      string
+	Place     Place
+	Scheduler *schedulerprogram.Program
+	Entry     *entryprogram.Program
+
+	stop context.CancelFunc
+	done chan struct{}
+	err  error
+}
+
+// settings gives the settings of one program of a host.
+func (c *Cluster) settings(name string, role model.HostRole, place Place) node.Settings {
+	return node.Settings{
+		HostID:       model.HostID(fmt.Sprintf("%s-%s", name, role)),
+		DataCentre:   place.DataCentre,
+		Region:       place.Region,
+		Listen:       "127.0.0.1:0",
+		LogURL:       c.Platform.LogURL,
+		HostsURL:     c.Platform.HostsURL,
+		DrainTimeout: drainTimeout,
+	}
+}
+
+// startHost starts the programs of one own host and puts them on the host list.
+func (c *Cluster) startHost(name string, place Place) (*OwnHost, error) {
+	h := &OwnHost{Name: name, Place: place, done: make(chan struct{})}
+	logger := c.logger.With(slog.String("on", name))
+	var err error
+	sched := c.settings(name, model.RoleScheduler, place)
+	if h.Scheduler, err = schedulerprogram.New(sched, scheduler.DefaultTiming(), logger); err != nil {
+		return nil, eris.Wrap(ErrStart, err.Error())
+	}
+	entry := entryprogram.Settings{Node: c.settings(name, model.RoleEntry, place)}
+	if h.Entry, err = entryprogram.New(entry, logger); err != nil {
+		return nil, eris.Wrap(ErrStart, err.Error())
+	}
+	c.Platform.Hosts.Register(h.Scheduler.Node.Self)
+	c.Platform.Hosts.Register(h.Entry.Node.Self)
+	h.run()
+	return h, nil
+}
+
+func (h *OwnHost) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	var g errgroup.Group
+	g.Go(func() error { return h.Scheduler.Run(ctx) })
+	g.Go(func() error { return h.Entry.Run(ctx) })
+	go func() {
+		defer close(h.done)
+		h.err = g.Wait()
+	}()
+}
+
+// nodes gives what the host's programs have in common.
+func (h *OwnHost) nodes() []*node.Node {
+	return []*node.Node{h.Scheduler.Node, h.Entry.Node}
+}
+
+// URL gives the base URL of the host's callers' API.
+func (h *OwnHost) URL() string { return "http://" + h.Entry.APIAddr() }
+
+// Stop drains the host's programs and waits for their end.
+func (h *OwnHost) Stop() {
+	h.stop()
+	<-h.done
+}
+
+// Kill ends the host's programs at once, as when the machine is lost.
+func (h *OwnHost) Kill() {
+	for _, n := range h.nodes() {
+		n.Kill()
+	}
+	<-h.done
+}
