Never use a lease id again, and leave nothing behind when a cell is lost mid-begin

Cause: a preempted job began its second attempt under the ids that the ledger's own second attempt would use later, and a gang whose Begin was under way when one of its cells was lost was held as beginning for ever, since the shell gives such attempts up without an answer. Run: go test ./internal/core/placement -rapid.checks=2500 -rapid.steps=80

--- a/internal/core/placement/adopt.go
+++ b/internal/core/placement/adopt.go
@@ -67,6 +67,7 @@
 		c.jobs[l.Key] = j
 	}
 	j.attempt = max(1, l.Attempt)
+	j.first = j.attempt
 	j.found = 0
 	j.state = jobRunning
 	j.ran = true
--- a/internal/core/placement/begin.go
+++ b/internal/core/placement/begin.go
@@ -62,9 +62,10 @@
 func (c *Core) begin(j *job) {
 	j.state = jobBeginning
 	j.try++
+	j.begins++
 	parts := make([]Part, len(j.tasks))
 	for i, t := range j.tasks {
-		t.lease = model.LeaseID(fmt.Sprintf("%s/%d.%d/%d", j.work.Key, j.attempt, j.try, t.member))
+		t.lease = model.LeaseID(fmt.Sprintf("%s/%d.%d/%d", j.work.Key, j.first, j.begins, t.member))
 		c.tasks[t.lease] = t
 		parts[i] = Part{
 			Member: t.member, Lease: t.lease, Cell: t.worker.cell.id,
--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -84,7 +84,8 @@
 	return out
 }
 
-// leaveCell takes a job's tasks in a lost cell off the books.
+// leaveCell takes a job's tasks in a lost cell off the books. The rest of a
+// gang whose Begin was under way is stopped.
 func (c *Core) leaveCell(j *job, cl *cell) {
 	if j.state == jobReclaiming {
 		c.dropPlan(j)
@@ -106,8 +107,23 @@
 	}
 	j.tasks = kept
 	j.moved = true
-	if j.live == 0 && j.state == jobRunning {
+	switch {
+	case j.live == 0:
 		c.running--
 		c.forget(j)
+	case j.state == jobBeginning:
+		j.state = jobRunning
+		j.failed = true
+		c.stop(j, model.ReasonGangIncomplete)
+		c.after(c.wholeBound(), timer{kind: timerGone, key: j.work.Key, round: j.round})
+	}
+}
+
+// goneDue frees the room of members that were stopped when their gang lost a
+// cell and whose leases have lapsed since.
+func (c *Core) goneDue(t timer) {
+	j, ok := c.jobs[t.key]
+	if ok && j.round == t.round && j.state == jobRunning && j.elsewhere() {
+		c.abandon(j)
 	}
 }
--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -28,7 +28,11 @@
 	cells   []model.CellID
 	attempt int
 	try     int
-	seq     uint64
+	// first is the attempt that was submitted, begins counts the Begins since; the
+	// two make lease ids that no other attempt of the key uses.
+	first  int
+	begins int
+	seq    uint64
 
 	state    jobState
 	queue    *queue
--- a/internal/core/placement/policy_test.go
+++ b/internal/core/placement/policy_test.go
@@ -428,3 +428,45 @@
 		t.Fatalf("guaranteed %+v after the worker came back", g)
 	}
 }
+
+func TestLeaseIDsAreNotUsedAgainByALaterAttempt(t *testing.T) {
+	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	seen := make(map[model.LeaseID]bool)
+	note := func(b Begin) Begin {
+		if seen[b.Parts[0].Lease] {
+			t.Fatalf("%s is used again", b.Parts[0].Lease)
+		}
+		seen[b.Parts[0].Lease] = true
+		return b
+	}
+	w := borrower("b1", "b", 8)
+	b := note(r.run(w))
+	mine := work("mine", "a")
+	mine.Shape = size
+	r.submit(mine)
+	m := first[Begin](r, r.end(b, 0, platform.EndCheckpointed))
+	r.step(Started{Key: "mine"})
+	b = note(first[Begin](r, r.end(m, 0, platform.EndDone)))
+	r.step(Started{Key: "b1"})
+	first[Complete](r, r.end(b, 0, platform.EndLapsed))
+	// The ledger counts its own attempts and hands in the second one.
+	note(first[Begin](r, r.step(Submitted{Work: w, Attempt: 2})))
+}
+
+func TestALostCellLeavesNothingOfABeginBehind(t *testing.T) {
+	r := newRig(t, testDoc(testCell("r1", 1), testCell("r2", 1)))
+	w := work("g", "a")
+	w.Members, w.Shape = 2, size
+	b := first[Begin](r, r.submit(w))
+	stop := first[Control](r, r.step(CellLost{Cell: b.Parts[0].Cell}))
+	if stop.Lease != b.Parts[1].Lease || stop.Verb != platform.VerbStop {
+		t.Fatalf("got %+v", stop)
+	}
+	r.later(time.Minute)
+	if r.core.Running() != 0 {
+		t.Fatal("still counted as running")
+	}
+	if free := r.core.Cells()[0].Free; free != size {
+		t.Fatalf("free %+v", free)
+	}
+}
--- a/internal/core/placement/submit.go
+++ b/internal/core/placement/submit.go
@@ -5,13 +5,17 @@
 	"time"
 
 	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/platform"
 )
 
 // submitted admits work to the queue or refuses it at once.
 func (c *Core) submitted(e Submitted) {
 	if j, ok := c.jobs[e.Work.Key]; ok {
-		c.joined(j, e)
-		return
+		if !j.elsewhere() || e.Attempt <= j.first {
+			c.joined(j, e)
+			return
+		}
+		c.abandon(j)
 	}
 	if why, after := c.admit(&e); why != model.ReasonOK {
 		c.emit(Refuse{Key: e.Work.Key, Reason: why, RetryAfter: after})
@@ -21,12 +25,20 @@
 	j := &job{
 		work: e.Work, acc: c.account(e.Work.Account), class: c.conf.class(&e.Work),
 		group: e.Group, epoch: e.GroupEpoch, cells: e.Cells,
-		attempt: max(1, e.Attempt), seq: c.seq,
+		attempt: max(1, e.Attempt), first: max(1, e.Attempt), seq: c.seq,
 	}
 	c.jobs[j.work.Key] = j
 	c.enqueue(j)
 }
 
+// abandon stops what is left here of a gang whose other members are elsewhere.
+func (c *Core) abandon(j *job) {
+	c.controlAll(j, platform.VerbStop)
+	c.running--
+	c.dropTasks(j)
+	c.forget(j)
+}
+
 // joined takes the body of work that was found running.
 func (c *Core) joined(j *job, e Submitted) {
 	if !j.adopted {
@@ -38,6 +50,7 @@
 		j.work.Shape = shape
 	}
 	j.cells = e.Cells
+	j.first = max(j.first, e.Attempt)
 	j.group = e.Group
 	j.epoch = e.GroupEpoch
 	j.adopted = false
--- a/internal/core/placement/timers.go
+++ b/internal/core/placement/timers.go
@@ -21,6 +21,7 @@
 	timerOveruse
 	timerRetry
 	timerExpire
+	timerGone
 )
 
 // timer is a decision that is due at a time. Timers are never taken back: one
@@ -96,5 +97,7 @@
 		c.retryDue(t)
 	case timerExpire:
 		c.expireDue(t)
+	case timerGone:
+		c.goneDue(t)
 	}
 }
