--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -9,6 +9,12 @@
 // shareSteps is how finely accounts' shares are told apart; closer ones tie.
 const shareSteps = 16
 
+// ageWorth is how many steps of share the wait agedAfter is worth.
+const ageWorth = 4
+
+// batchSteps is how many steps of share batch work stands behind other work.
+const batchSteps = shareSteps
+
 // score is a queue's place in the order of a pass; the lowest goes first.
 type score struct {
 	rank  int
@@ -17,7 +23,8 @@
 	seq   uint64
 }
 
-// The ranks of OrderFair, first to last.
+// The ranks of OrderFair, first to last. Aged and batch work has ranks of its own
+// only under AgeRank.
 const (
 	rankUrgent = iota
 	rankEntitled
@@ -44,6 +51,12 @@
 		return s
 	}
 	s.share = int(c.share(q.acc) * shareSteps)
+	if !c.policy.AgeRank {
+		s.share -= c.ageSteps(j)
+		if q.demand.class == batchClass {
+			s.share += batchSteps
+		}
+	}
 	s.run = c.runStep(j)
 	return s
 }
@@ -54,6 +67,8 @@
 		return rankUrgent
 	case c.withinEntitlement(q):
 		return rankEntitled
+	case !c.policy.AgeRank:
+		return rankNormal
 	case c.now.Sub(j.queuedAt) >= c.agedAfter(j):
 		return rankAged
 	case q.demand.class == batchClass:
@@ -62,7 +77,12 @@
 	return rankNormal
 }
 
-// agedAfter is the wait after which a job goes by age alone.
+// ageSteps is how many steps of its account's share the job's wait makes up for.
+func (c *Core) ageSteps(j *job) int {
+	return int(ageWorth * float64(c.now.Sub(j.queuedAt)) / float64(max(1, c.agedAfter(j))))
+}
+
+// agedAfter is the wait that makes up for ageWorth steps of share.
 func (c *Core) agedAfter(j *job) time.Duration {
 	longest := c.conf.longestWait(j.work.Account, j.work.Kind)
 	return min(c.conf.def.LargeWait.D(), longest/2)
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -34,7 +34,7 @@
 func (c *Core) placeInOne(j *job, cells []*cell, room roomFunc, in fitFunc) []*worker {
 	best := fit{}
 	for _, cl := range cells {
-		if !mightFit(j, cl, room == nil) {
+		if !j.work.Total().Fits(cl.total) {
 			continue
 		}
 		f := in(j, cl, room)
@@ -51,10 +51,6 @@
 	return best.workers
 }
 
-func mightFit(j *job, cl *cell, _ bool) bool {
-	return j.work.Total().Fits(cl.total)
-}
-
 func (c *Core) placeInCentre(j *job, cells []*cell, room roomFunc) []*worker {
 	var centres []model.DataCentre
 	in := make(map[model.DataCentre][]*cell)
--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -5,8 +5,8 @@
 
 // The orders.
 const (
-	// OrderFair is the standard order: urgent work, guaranteed work, aged work,
-	// then fair share among accounts and short work first.
+	// OrderFair is the standard order: urgent work, guaranteed work, then fair
+	// share among accounts, in which waiting counts, and small work first.
 	OrderFair Order = iota
 	// OrderArrival starts work in the order of arrival and lets none overtake.
 	OrderArrival
@@ -51,6 +51,9 @@
 	ShortFirst bool
 	// TakeTurns makes room for preempted large work as soon as for new.
 	TakeTurns bool
+	// AgeRank puts aged work before, and batch work behind, all other work instead
+	// of weighing age and class against the accounts' shares.
+	AgeRank bool
 }
 
 // Standard is the policy that schedulers run.
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -15,6 +15,7 @@
 		scattered(),
 		shortFirst(),
 		takeTurns(),
+		ageRank(),
 	}
 }
 
@@ -86,3 +87,12 @@
 	p.TakeTurns = true
 	return p
 }
+
+// ageRank is the standard policy as it was before age and class were weighed
+// against the accounts' shares.
+func ageRank() placement.Policy {
+	p := placement.Standard()
+	p.Name = "age-rank"
+	p.AgeRank = true
+	return p
+}
