--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -28,7 +28,11 @@
 	cells   []model.CellID
 	attempt int
 	try     int
-	seq     uint64
+	// first is the attempt that was submitted, begins counts the Begins since; the
+	// two make lease ids that no other attempt of the key uses.
+	first  int
+	begins int
+	seq    uint64
 
 	state    jobState
 	queue    *queue
@@ -91,3 +95,8 @@
 func (j *job) elsewhere() bool {
 	return j.moved || (j.found > 0 && j.found < j.work.Members)
 }
+
+// leaving reports whether the job was told to give up the room that it holds.
+func (j *job) leaving() bool {
+	return (j.evicted || j.stopping) && (j.state == jobRunning || j.state == jobBeginning)
+}
