--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -159,6 +159,19 @@
 	c.advance(now, s)
 }
 
+// MayStartAt reports whether a worker would take a keyed start of a group now, as
+// far as this scheduler knows, and in which incarnation.
+func (c *Core) MayStartAt(now time.Time, group model.GroupID, w model.WorkerID) (string, bool) {
+	if _, ok := c.MayStart(now, group); !ok {
+		return "", false
+	}
+	g := c.byScope[model.GroupScope(group)].term.guard(w)
+	if g == nil || !g.fenced || !g.until.After(now) {
+		return "", false
+	}
+	return g.incarnation, true
+}
+
 // MayStart reports whether keyed work of a group may be started now, and under
 // which epoch. Callers ask right before each start.
 func (c *Core) MayStart(now time.Time, group model.GroupID) (model.Epoch, bool) {
--- a/internal/faultrun/work.go
+++ b/internal/faultrun/work.go
@@ -20,8 +20,6 @@
 	pollTries = 3
 	// avoidFor is how long a worker that did not answer is passed over.
 	avoidFor = 10 * time.Second
-	// startTries is how many workers may refuse one attempt.
-	startTries = 6
 )
 
 // attempt is work that the ledger dispatched. Placement is trivial: the group's
@@ -94,12 +92,11 @@
 func cellOf(g model.GroupID) model.CellID { return model.CellID(fmt.Sprintf("q%d", g)) }
 
 func (h *host) pick(at *attempt) (*machine, string) {
-	scope := model.GroupScope(at.d.Group)
 	ws := h.sim.groupTarget(at.d.Group).Workers
 	first := int(xxhash.Sum64String(string(at.d.Work.Key))%uint64(len(ws))) + at.tries
 	for i := range ws {
 		id := ws[(first+i)%len(ws)].ID
-		if inc, ok := h.own.Incarnation(scope, id); ok && !h.sim.now.Before(h.avoid[id]) {
+		if inc, ok := h.own.MayStartAt(h.sim.now, at.d.Group, id); ok && !h.sim.now.Before(h.avoid[id]) {
 			return h.sim.byWorker[id], inc
 		}
 	}
@@ -144,7 +141,11 @@
 // is tried: a second copy of it may come when the hold is there.
 func (h *host) bar(at *attempt) {
 	d := &at.d
-	h.release(d.Group, d.GroupEpoch, at.trace, true, func(r platform.Released, err error) {
+	epoch := d.GroupEpoch
+	if e, ok := h.own.Owned(model.GroupScope(d.Group)); ok {
+		epoch = e
+	}
+	h.release(d.Group, epoch, at.trace, true, func(r platform.Released, err error) {
 		switch {
 		case err == nil && !r.Started:
 			h.again(at)
@@ -157,14 +158,12 @@
 	})
 }
 
-// again tries another worker: this one provably did not start it.
+// again tries another worker with the next tick: this one provably did not start
+// it. Work that finds no room waits for its deadline.
 func (h *host) again(at *attempt) {
-	if at.tries < startTries {
+	if !at.gone {
 		h.waiting = append(h.waiting, at)
-		return
 	}
-	delete(h.sent, at.d.Work.Key)
-	h.stepLed(ledger.NotRun{Key: at.d.Work.Key, Attempt: at.d.Attempt, Reason: model.ReasonRefused})
 }
 
 // poll asks for the task's ending until it is there.
