--- a/internal/core/journal/writer_test.go
+++ b/internal/core/journal/writer_test.go
@@ -309,3 +309,64 @@
 	s.step(journal.Located{Stream: platform.StreamClaims, Bounds: platform.Bounds{Oldest: 1, Next: 1}})
 	s.want("append claim")
 }
+
+func TestRoomInTheQueueComesBack(t *testing.T) {
+	s := newScript(t, func(c *journal.Config) { c.QueueBytes = 4 })
+	s.submit("x", 1)
+	s.locate()
+	s.want("append x")
+	for i := range 10 {
+		first := model.Offset(10 + i)
+		s.submit("y", journal.Ticket(i+2))
+		s.appended(first, journal.FailNone)
+		s.want(fmt.Sprintf("answer %d: recorded at %d; append y", i+1, first))
+		s.now = s.now.Add(time.Second)
+	}
+}
+
+func TestBudgetShrinksWhenTurnedAwayAndComesBack(t *testing.T) {
+	s := newScript(t, func(c *journal.Config) {
+		c.PerSecond, c.Burst, c.Linger = 10, 1, time.Nanosecond
+		c.Backoff.First = time.Nanosecond
+	})
+	// gap gives how long the writer waits from one append to the next.
+	gap := func(f journal.Failure) time.Duration {
+		s.t.Helper()
+		s.appended(10, f)
+		if f == journal.FailNone {
+			s.submit("a", 0)
+		}
+		from := s.now
+		for s.take() != "append a" {
+			s.wait()
+		}
+		return s.now.Sub(from)
+	}
+	s.submit("a", 1)
+	s.locate()
+	s.want("append a")
+	if before, after := gap(journal.FailThrottled), gap(journal.FailThrottled); after < 3*before/2 {
+		t.Fatalf("turned away twice: %v, then %v", before, after)
+	}
+	for range 200 {
+		gap(journal.FailNone)
+	}
+	if got, want := gap(journal.FailNone), 100*time.Millisecond+time.Microsecond; got > want {
+		t.Fatalf("after many successes still %v, want %v", got, want)
+	}
+}
+
+func TestPausesDoNotGrowWhenTheLogIsOnlyBusy(t *testing.T) {
+	s := newScript(t, nil)
+	s.submit("a", 1)
+	s.locate()
+	for range 10 {
+		s.want("append a")
+		s.appended(0, journal.FailThrottled)
+		at, _ := s.w.Due()
+		if pause := at.Sub(s.now); pause > time.Second {
+			t.Fatalf("pause of %v", pause)
+		}
+		s.wait()
+	}
+}
--- a/internal/core/placement/cells.go
+++ b/internal/core/placement/cells.go
@@ -21,6 +21,7 @@
 	at, _ := slices.BinarySearchFunc(c.order, cl, func(a, b *cell) int { return cmp.Compare(a.id, b.id) })
 	c.order = slices.Insert(c.order, at, cl)
 	c.total = c.total.Add(cl.total)
+	c.reindex(cl)
 	for _, r := range e.Running {
 		c.adopt(r)
 	}
@@ -53,16 +54,19 @@
 	c.disentitle(cl)
 	if cl.drainFor != nil {
 		j := cl.drainFor
+		cl.drainFor = nil
+		c.draining--
 		j.drains = slices.DeleteFunc(j.drains, func(o *cell) bool { return o == cl })
 	}
 	delete(c.cells, cl.id)
+	c.accelerators.remove(cl)
+	c.slots.remove(cl)
 	c.order = slices.DeleteFunc(c.order, func(o *cell) bool { return o == cl })
 	c.freed = slices.DeleteFunc(c.freed, func(o *cell) bool { return o == cl })
 	c.total = c.total.Sub(cl.total)
 	for _, w := range cl.workers {
 		delete(c.workers, w.id)
 	}
-	c.rearm()
 }
 
 // jobsIn gives the jobs with a task in a cell, each once.
@@ -96,6 +100,7 @@
 		if _, live := c.tasks[t.lease]; live {
 			delete(c.tasks, t.lease)
 			t.worker.dropTask(t)
+			c.reindex(cl)
 			j.live--
 		}
 	}
@@ -106,23 +111,3 @@
 		c.forget(j)
 	}
 }
-
-// rearm lets large work whose drained cell went away ask for another.
-func (c *Core) rearm() {
-	for _, q := range c.open {
-		c.rearmQueue(q)
-	}
-	for _, id := range c.sortedLimits() {
-		for _, q := range c.byCell[id] {
-			c.rearmQueue(q)
-		}
-	}
-}
-
-func (c *Core) rearmQueue(q *queue) {
-	for _, j := range q.heap {
-		if j.state == jobWaiting && j.queue == q && c.overdue(j) && len(j.drains) == 0 {
-			c.after(0, timer{kind: timerLarge, key: j.work.Key, round: j.round})
-		}
-	}
-}
--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -13,6 +13,9 @@
 	drainRetry = time.Second
 	// drainShare is the part of the owned cells that may drain at once.
 	drainShare = 3
+	// ranBoundTimes is how many times LargeWait preempted large work waits before
+	// room is made for it.
+	ranBoundTimes = 4
 )
 
 // large reports whether work is large: a gang, or at least the reference shape.
@@ -22,28 +25,52 @@
 }
 
 // largeBound is the wait after which room is made for large work, early enough
-// for victims to leave before LargeWait is over.
-func (c *Core) largeBound() time.Duration {
+// for victims to leave before LargeWait is over. Work that ran before waits
+// longer, so that overdue work does not take turns evicting each other.
+func (c *Core) largeBound(j *job) time.Duration {
 	large := c.conf.def.LargeWait.D()
+	if j.ran && !c.policy.TakeTurns {
+		return ranBoundTimes * large
+	}
 	return max(large/2, large-c.conf.def.ReclaimWithin.D())
 }
 
 func (c *Core) overdue(j *job) bool {
-	return c.policy.Reserve && c.large(&j.work) && c.now.Sub(j.queuedAt) >= c.largeBound()
+	return c.policy.Reserve && c.large(&j.work) && c.now.Sub(j.queuedAt) >= c.largeBound(j)
+}
+
+// watch sets a timer for when the head of a queue of large work is overdue.
+func (c *Core) watch(q *queue) {
+	j := q.head()
+	if j == nil || q.watched || !c.policy.Reserve {
+		return
+	}
+	q.watched = true
+	due := j.queuedAt.Add(c.largeBound(j))
+	if !due.After(c.now) {
+		due = c.now.Add(drainRetry)
+	}
+	c.at(due, timer{kind: timerLarge, queue: q})
 }
 
 // largeDue makes room for large work that waited its bound: by eviction if that
 // suffices, else by draining a cell.
 func (c *Core) largeDue(t timer) {
-	j, ok := c.jobs[t.key]
-	if !ok || j.round != t.round || j.state != jobWaiting || !c.policy.Reserve {
+	q := t.queue
+	q.watched = false
+	if !q.listed {
 		return
 	}
-	c.after(drainRetry, t)
-	if j.queue.head() != j {
-		return
+	if j := q.head(); j != nil && c.overdue(j) {
+		c.makeRoom(j)
+	}
+	if q.listed {
+		c.watch(q)
 	}
-	if c.policy.Preempt && c.reclaimIn(j, c.candidates(j), c.evictRoom) {
+}
+
+func (c *Core) makeRoom(j *job) {
+	if c.policy.Preempt && c.reclaimIn(j, c.evictCells(j), c.evictRoom) {
 		return
 	}
 	if len(j.drains) == 0 {
@@ -53,13 +80,7 @@
 
 // drain keeps firm work out of the cells that should be free the soonest.
 func (c *Core) drain(j *job) {
-	draining := 0
-	for _, cl := range c.order {
-		if cl.drainFor != nil {
-			draining++
-		}
-	}
-	room := max(1, len(c.order)/drainShare) - draining
+	room := max(1, len(c.order)/drainShare) - c.draining
 	if room <= 0 {
 		return
 	}
@@ -68,6 +89,7 @@
 			break
 		}
 		cl.drainFor = j
+		c.draining++
 		j.drains = append(j.drains, cl)
 		if local(j) {
 			break
@@ -83,7 +105,7 @@
 		at time.Duration
 	}
 	var cands []candidate
-	for _, cl := range c.candidates(j) {
+	for _, cl := range c.evictCells(j) {
 		if cl.drainFor != nil || !c.couldHold(j, cl) {
 			continue
 		}
@@ -141,6 +163,7 @@
 	for _, cl := range j.drains {
 		if cl.drainFor == j {
 			cl.drainFor = nil
+			c.draining--
 			c.free(cl)
 		}
 	}
--- /dev/null
+++ b/internal/dev/traffic.go
@@ -0,0 +1,38 @@
+package dev
+
+import (
+	"cmp"
+	"slices"
+
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/report"
+)
+
+// Traffic sums up what all own hosts have sent, by kind.
+func (c *Cluster) Traffic() []report.Traffic {
+	var all []link.Count
+	for _, h := range c.Hosts {
+		for _, n := range h.nodes() {
+			all = append(all, n.Pool.Counts()...)
+			all = append(all, n.Server.Counts()...)
+		}
+	}
+	return sumTraffic(all)
+}
+
+func sumTraffic(counts []link.Count) []report.Traffic {
+	var out []report.Traffic
+	for _, n := range counts {
+		i := slices.IndexFunc(out, func(t report.Traffic) bool { return t.Kind == n.Kind })
+		if i < 0 {
+			out = append(out, report.Traffic{Kind: n.Kind})
+			i = len(out) - 1
+		}
+		out[i].Bytes += n.SentBytes
+		if n.CrossRegion {
+			out[i].CrossRegion += n.SentBytes
+		}
+	}
+	slices.SortFunc(out, func(a, b report.Traffic) int { return cmp.Compare(a.Kind, b.Kind) })
+	return out
+}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -73,8 +73,8 @@
 }
 
 func (s *Server) admit(conf *inForce, w *model.Work) *problem.Problem {
-	l, _ := limitsOf(conf.doc, w.Account)
-	reason, after := s.admission.admit(time.Now(), w.Account, l)
+	now := time.Now()
+	reason, after := s.admission.admit(now, w.Account, conf.doc.Effective(now, w.Account, w.Kind))
 	if reason == "" {
 		return nil
 	}
@@ -90,7 +90,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	rep, none := ask[wire.Submit, submitReply](ctx, s, w.Key, wire.KindSubmit, wire.Submit{Work: *w, Sum: sum(w)})
+	checksum := sum(w)
+	rep, none := ask[wire.Submit, submitReply](ctx, s, w.Key, wire.KindSubmit, func(e model.Epoch) wire.Submit {
+		return wire.Submit{Work: *w, Sum: checksum, Epoch: e}
+	})
 	if none != nil {
 		return model.Result{Key: w.Key, Outcome: none.Outcome, Reason: none.Reason, RetryAfter: none.RetryAfter}
 	}
@@ -101,6 +104,11 @@
 func (s *Server) answer(w http.ResponseWriter, work *model.Work, res *model.Result) {
 	res.Key = work.Key
 	switch {
+	case work.Detached && res.Reason == model.ReasonNotRecorded:
+		p := unavailable(res.Reason, "The job is not recorded yet and not promised; send it again under the same key.")
+		p.Key, p.Outcome = string(work.Key), ""
+		p.RetryAfter = max(res.RetryAfter, usualRetryAfter)
+		p.Write(w)
 	case res.Outcome == model.OutcomeUnknown:
 		evUnknown.Log(context.Background(), s.opts.Logger, keyAttr(work.Key), reasonAttr(res.Reason))
 		resultProblem(res).Write(w)
--- a/internal/link/target.go
+++ b/internal/link/target.go
@@ -35,7 +35,9 @@
 }
 
 // link gives the target's link and dials it when there is none. While the
-// target is backing off, calls fail at once with ErrNotSent.
+// target is backing off, calls fail at once with ErrNotSent; while it is dialled
+// again after a failure they wait only a little, so that a host that answers
+// nothing holds up its first callers and no others.
 func (t *target) link(ctx context.Context) (*dialled, error) {
 	t.mu.Lock()
 	if l := t.current; l != nil && l.ctx.Err() == nil {
@@ -43,13 +45,20 @@
 		return l, nil
 	}
 	d, err := t.start()
+	failed := t.failures > 0
 	t.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
+	var late <-chan time.Time
+	if failed {
+		late = time.After(redialPatience)
+	}
 	select {
 	case <-d.done:
 		return d.link, d.err
+	case <-late:
+		return nil, eris.Wrapf(ErrNotSent, "%s is being dialled again", t.addr)
 	case <-ctx.Done():
 		return nil, eris.Wrap(ErrNotSent, ctx.Err().Error())
 	}
@@ -87,12 +96,11 @@
 		t.current = l
 		d.link = l
 	}
-	closed := t.closed
+	closed, failures := t.closed, t.failures
 	t.mu.Unlock()
 	close(d.done)
 	if err != nil {
-		dialFailures.Inc()
-		evDial.Log(context.Background(), t.pool.opts.Logger, slog.String("addr", t.addr), slog.String("error", err.Error()))
+		t.logFailure(err, failures)
 		return
 	}
 	if closed {
@@ -101,6 +109,16 @@
 	l.run()
 }
 
+// logFailure logs the first failed dial of a row where operators see it.
+func (t *target) logFailure(err error, inRow int) {
+	dialFailures.Inc()
+	ev := evDial
+	if inRow > 1 {
+		ev = evDialAgain
+	}
+	ev.Log(context.Background(), t.pool.opts.Logger, slog.String("addr", t.addr), slog.String("error", err.Error()))
+}
+
 func (t *target) connect(attempt uint32) (*dialled, error) {
 	o := &t.pool.opts
 	ctx, cancel := context.WithTimeout(context.Background(), o.DialTimeout)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -10,6 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/confsync"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/logclient"
 	"coltsfootmux/internal/metric"
@@ -30,7 +33,7 @@
 	Hosts   platform.HostList
 	Pool    *link.Pool
 	Server  *link.Server
-	Configs *follower
+	Configs *confsync.Store
 
 	listener *Listener
 	draining atomic.Bool
@@ -61,9 +64,16 @@
 	n.RawLog = httplog.New(s.LogURL, httplog.Options{Region: s.Region})
 	n.Log = logclient.New(n.RawLog, logclient.Options{Seed: xxhash.Sum64String(string(s.HostID)), Logger: logger})
 	n.Hosts = httphost.New(s.HostsURL, httphost.Options{Region: s.Region})
-	n.Pool = link.NewPool(link.PoolOptions{Self: s.HostID, Region: s.Region, Logger: logger})
-	n.Server = link.NewServer(link.ServerOptions{Self: s.HostID, Region: s.Region, Logger: logger})
-	n.Configs = &follower{log: n.Log}
+	budget := link.NewBudget(0)
+	n.Pool = link.NewPool(link.PoolOptions{Self: s.HostID, Region: s.Region, Logger: logger, Budget: budget})
+	n.Server = link.NewServer(link.ServerOptions{Self: s.HostID, Region: s.Region, Logger: logger, Budget: budget})
+	n.Configs = confsync.New(confsync.Options{
+		Log: n.RawLog, Writer: n.Log, Pool: n.Pool, Hosts: n.Hosts, Self: n.Self, Logger: logger,
+	})
+	n.Configs.Handle(n.Server)
+	n.Configs.OnChange(func(v *config.Versioned) {
+		budget.SetRate(v.Document.Defaults.CrossRegionBytesPerSecond)
+	})
 	return n, nil
 }
 
@@ -105,6 +115,9 @@
 	err := g.Wait()
 	_ = n.Pool.Close()
 	n.Log.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil // the parts ended because they were told to
+	}
 	return err
 }
 
--- a/internal/scheduler/gain.go
+++ b/internal/scheduler/gain.go
@@ -56,16 +56,22 @@
 	return out
 }
 
-// gainGroup keeps what the workers told and has the log's part read.
+// gainGroup keeps what the workers told and has the log's part read. A group that
+// was ours all the while needs no reading.
 func (l *loop) gainGroup(a ownership.Gain) {
 	g := groupOf(a.Target.Scope)
+	old, had := l.groups[g]
 	og := &ownedGroup{epoch: a.Epoch, found: l.traces(a.Found), gap: a.Gap, unbroken: a.Unbroken}
-	if old, ok := l.groups[g]; ok && a.Unbroken && !old.ready {
+	l.groups[g] = og
+	switch {
+	case a.Unbroken && had && old.ready:
+		l.groupReady(g, og, history{})
+		return
+	case a.Unbroken && had:
 		// The ledger has not heard yet what was found before.
 		og.found = append(old.found, og.found...)
 		og.unbroken = old.unbroken
 	}
-	l.groups[g] = og
 	go l.s.readHistory(l.ctx, g, a.Epoch)
 }
 
@@ -75,17 +81,18 @@
 	if !ok || og.epoch != m.epoch || og.suspended {
 		return
 	}
+	l.groupReady(m.group, og, m.hist)
+}
+
+// groupReady lets the ledger answer for a group's keys, and goes on with the jobs
+// that were accepted and have no outcome.
+func (l *loop) groupReady(g model.GroupID, og *ownedGroup, h history) {
 	og.ready = true
 	l.stepLedger(ledger.GroupGained{
-		Group:    m.group,
-		Epoch:    m.epoch,
-		Outcomes: m.hist.outcomes,
-		Found:    og.found,
-		Gap:      og.gap,
-		Unbroken: og.unbroken,
+		Group: g, Epoch: og.epoch, Outcomes: h.outcomes, Found: og.found, Gap: og.gap, Unbroken: og.unbroken,
 	})
-	for _, w := range m.hist.open {
-		l.resume(w)
+	for _, j := range h.open {
+		l.resume(j)
 	}
 }
 
