Keep new work off workers that either source calls leaving

A membership core joins the host list and the workers' own answers; the scheduler passes its verdicts to placement. Before, the list's word on workers was not read.

--- a/internal/scheduler/gain.go
+++ b/internal/scheduler/gain.go
@@ -34,6 +34,7 @@
 	c := &ownedCell{cell: cell, epoch: a.Epoch}
 	l.cells[id] = c
 	l.stepPlace(placement.CellGained{Cell: cell, Epoch: a.Epoch, Running: running(a.Found)})
+	l.unusable(cell)
 	l.renewCell(c)
 }
 
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -6,6 +6,7 @@
 
 	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/ledger"
+	"coltsfootmux/internal/core/membership"
 	"coltsfootmux/internal/core/ownership"
 	"coltsfootmux/internal/core/placement"
 	"coltsfootmux/internal/mapping"
@@ -16,13 +17,14 @@
 // loop owns the cores and everything that changes with them. Only its own
 // goroutine touches its fields.
 type loop struct {
-	s    *Scheduler
-	ctx  context.Context
-	own  *ownership.Core
-	led  *ledger.Core
-	pl   *placement.Core
-	conf *config.Versioned
-	maps *mapping.Mapping
+	s       *Scheduler
+	ctx     context.Context
+	own     *ownership.Core
+	members *membership.Core
+	led     *ledger.Core
+	pl      *placement.Core
+	conf    *config.Versioned
+	maps    *mapping.Mapping
 
 	cells    map[model.CellID]*ownedCell
 	groups   map[model.GroupID]*ownedGroup
@@ -64,6 +66,7 @@
 			BeatEvery:    t.BeatEvery,
 			SuspectAfter: t.SuspectAfter,
 		}),
+		members:  membership.New(membership.Settings{}),
 		led:      ledger.New(s.o.Self.ID),
 		pl:       placement.New(s.o.Self.ID),
 		cells:    make(map[model.CellID]*ownedCell),
@@ -110,6 +113,8 @@
 		l.stepLedger(m.ev)
 	case placeMsg:
 		l.stepPlace(m.ev)
+	case memberMsg:
+		l.member(m)
 	case configMsg:
 		l.configure(m.conf)
 	case submitMsg:
--- a/internal/scheduler/renew.go
+++ b/internal/scheduler/renew.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"coltsfootmux/internal/core/membership"
 	"coltsfootmux/internal/core/ownership"
 	"coltsfootmux/internal/core/placement"
 	"coltsfootmux/internal/model"
@@ -56,7 +57,7 @@
 		return false
 	case err != nil:
 		evRenewFailed.Log(ctx, r.s.o.Logger, slog.String("worker", string(r.worker)), slog.Any("error", err))
-		r.s.post(placeMsg{ev: placement.WorkerSeen{Worker: r.worker}})
+		r.s.post(memberMsg{ev: membership.Silent{Worker: r.worker}})
 		return true
 	}
 	r.report(rep)
@@ -68,7 +69,7 @@
 		r.ack = 0
 	}
 	r.incarnation = rep.Incarnation
-	r.s.post(placeMsg{ev: placement.WorkerSeen{Worker: r.worker, Up: true, Leaving: rep.Leaving}})
+	r.s.post(memberMsg{ev: membership.Answered{Worker: r.worker, Leaving: rep.Leaving}})
 	for _, e := range rep.Ended {
 		r.s.post(endedMsg{worker: r.worker, ending: e})
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"coltsfootmux/internal/config"
+	"coltsfootmux/internal/core/membership"
 	"coltsfootmux/internal/core/ownership"
 	"coltsfootmux/internal/model"
 )
@@ -130,4 +131,5 @@
 		}
 	}
 	s.post(ownMsg{ev: ownership.HostsSeen{Hosts: own}})
+	s.post(memberMsg{ev: membership.HostsSeen{Hosts: hosts}})
 }
