--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -377,3 +377,13 @@
 		t.Errorf("listed %+v", l)
 	}
 }
+
+// keyN makes the nth UUIDv7 of a time.
+func keyN(at time.Time, n int) model.Key {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[8:], uint64(n))
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16)
+	id[6] = 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return model.Key(id.String())
+}
--- a/internal/core/ownership/claims.go
+++ b/internal/core/ownership/claims.go
@@ -152,6 +152,9 @@
 	return s.rank >= 0 && now.Sub(s.heard) >= c.set.ReclaimAfter
 }
 
+// lineEvery is the time between two looks at whether a claim's successors are there.
+const lineEvery = time.Second
+
 // stale says that an owned claim nears the log's retention, or that too few of
 // its successors are there.
 func (c *Core) stale(now time.Time, s *scope) bool {
@@ -165,6 +168,10 @@
 	if age < c.set.RelineAfter {
 		return false
 	}
+	if now.Sub(s.lineSeen) < lineEvery {
+		return false
+	}
+	s.lineSeen = now
 	alive := 0
 	for _, m := range s.claim.Line[1:] {
 		if c.hosts.present(now, m) {
--- a/internal/core/ownership/scope.go
+++ b/internal/core/ownership/scope.go
@@ -22,6 +22,8 @@
 	heard time.Time
 	// vacant is since when nobody seems to own the scope.
 	vacant time.Time
+	// lineSeen is when the claim's successors were last looked at.
+	lineSeen time.Time
 	// asked is when a claim that replaces the current one was last appended.
 	asked time.Time
 	// handed is set once this scheduler has given the claim's scope away.
