--- a/internal/core/ledger/action.go
+++ b/internal/core/ledger/action.go
@@ -22,7 +22,11 @@
 
 // Moved tells one waiter that nothing was decided here: the key's group belongs
 // to another scheduler, which is to be asked.
-type Moved struct{ Waiter Waiter }
+type Moved struct {
+	Waiter Waiter
+	// Epoch is set when the group is ours, under another epoch than the offer's.
+	Epoch model.Epoch
+}
 
 // AnswerCancel answers a Cancelled. Done says that nothing of the work starts
 // from now on and that it did not run.
--- a/internal/core/ledger/group.go
+++ b/internal/core/ledger/group.go
@@ -190,7 +190,7 @@
 
 func (c *Core) moveWaiters(e *entry) {
 	for _, w := range e.waiters {
-		c.do(Moved{w})
+		c.do(Moved{Waiter: w})
 	}
 	for _, w := range e.cancels {
 		c.do(AnswerCancel{Waiter: w, Moved: true})
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -317,7 +317,7 @@
 		},
 		"an offer made under another epoch of the group is sent on": func(t *testing.T, b *bench) {
 			b.step(Submitted{Waiter: 1, Epoch: 15, Work: model.Work{Key: k, Account: "a"}})
-			if len(of[Moved](b.did)) != 1 {
+			if m := of[Moved](b.did); len(m) != 1 || m[0].Epoch != 16 {
 				t.Errorf("did %+v", b.did)
 			}
 		},
--- a/internal/core/ledger/submit.go
+++ b/internal/core/ledger/submit.go
@@ -11,12 +11,16 @@
 // new one is handed to placement when it provably has not run.
 func (c *Core) submitted(now time.Time, s Submitted) {
 	if c.cfg == nil {
-		c.do(Moved{s.Waiter})
+		c.do(Moved{Waiter: s.Waiter})
 		return
 	}
 	g := c.group(c.routes.Group(s.Work.Key))
-	if !g.owned || (s.Epoch != 0 && s.Epoch != g.epoch) {
-		c.do(Moved{s.Waiter})
+	if !g.owned {
+		c.do(Moved{Waiter: s.Waiter})
+		return
+	}
+	if s.Epoch != 0 && s.Epoch != g.epoch {
+		c.do(Moved{Waiter: s.Waiter, Epoch: g.epoch})
 		return
 	}
 	if e := c.keys[s.Work.Key]; e != nil {
@@ -123,7 +127,7 @@
 // held: another owner may have run the key since.
 func (c *Core) repeat(now time.Time, e *entry, w Waiter) {
 	if e.result.Outcome == model.OutcomeNotRun && !c.held(now, c.group(e.group)) {
-		c.do(Moved{w})
+		c.do(Moved{Waiter: w})
 		return
 	}
 	c.do(Reply{w, e.result})
--- a/internal/scheduler/led.go
+++ b/internal/scheduler/led.go
@@ -40,7 +40,18 @@
 	delete(l.waiters, a.Waiter)
 	delete(l.byReply, ch)
 	mOutcomes.With(string(a.Result.Outcome)).Inc()
-	ch <- wire.SubmitReply{Result: a.Result}
+	ch <- wire.SubmitReply{Result: a.Result, Epoch: l.groupEpoch(a.Result.Key)}
+}
+
+// groupEpoch gives the epoch under which the ledger answers for a key; 0 for none.
+func (l *loop) groupEpoch(k model.Key) model.Epoch {
+	if l.maps == nil {
+		return 0
+	}
+	if og, ok := l.groups[l.maps.Group(k)]; ok && og.ready {
+		return og.epoch
+	}
+	return 0
 }
 
 // moved sends a caller that waits here on to the key's owner.
@@ -51,7 +62,7 @@
 	}
 	delete(l.waiters, a.Waiter)
 	delete(l.byReply, ch)
-	ch <- wire.SubmitReply{Moved: true}
+	ch <- wire.SubmitReply{Moved: true, Epoch: a.Epoch}
 }
 
 // answerCancel answers a caller that waits for its cancel.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -43,7 +43,7 @@
 	w := l.lastWait
 	l.waiters[w] = reply
 	l.byReply[reply] = w
-	l.stepLedger(ledger.Submitted{Work: sub.Work, Sum: sub.Sum, Waiter: w})
+	l.stepLedger(ledger.Submitted{Work: sub.Work, Sum: sub.Sum, Waiter: w, Epoch: sub.Epoch})
 }
 
 // gone forgets a caller that no longer waits.
