--- a/internal/faultrun/measure_test.go
+++ b/internal/faultrun/measure_test.go
@@ -89,3 +89,37 @@
 		}
 	}
 }
+
+// handOverBound is the stated bound from a drain to the successor's gain.
+const handOverBound = time.Second
+
+func TestHandOverWithinItsBound(t *testing.T) {
+	var cells, groups []time.Duration
+	for seed := range uint64(10) {
+		s := New(Fleet{Hosts: 6, Workers: 24, Groups: 12, Regions: 2, Seed: seed})
+		s.Run(10 * time.Second)
+		h := s.hosts[int(seed)%len(s.hosts)]
+		owned := h.owned()
+		from := s.now
+		h.drain()
+		s.Run(5 * time.Second)
+		for _, sc := range owned {
+			d := s.takeovers([]model.Scope{sc}, from)
+			if len(d) == 0 {
+				t.Fatalf("seed %d: %s was not handed over", seed, sc)
+			}
+			if sc.Kind == model.ScopeCell {
+				cells = append(cells, d[0])
+			} else {
+				groups = append(groups, d[0])
+			}
+		}
+	}
+	slices.Sort(cells)
+	slices.Sort(groups)
+	t.Logf("cells:  %d, median %s, longest %s", len(cells), cells[len(cells)/2], cells[len(cells)-1])
+	t.Logf("groups: %d, median %s, longest %s", len(groups), groups[len(groups)/2], groups[len(groups)-1])
+	if longest := max(cells[len(cells)-1], groups[len(groups)-1]); longest > handOverBound {
+		t.Errorf("handed over after %s", longest)
+	}
+}
--- a/internal/faultrun/work.go
+++ b/internal/faultrun/work.go
@@ -151,6 +151,9 @@
 			h.again(at)
 		case err == nil:
 			h.poll(at)
+		case h.raising(d.Group) && !at.gone:
+			boot := h.boot
+			h.sim.after(pollEvery, func() { h.post(boot, func() { h.bar(at) }) })
 		default:
 			delete(h.sent, d.Work.Key)
 			h.stepLed(ledger.Unclear{Key: d.Work.Key, Attempt: d.Attempt, Reason: model.ReasonRefused})
@@ -166,6 +169,13 @@
 	}
 }
 
+// raising says that the group is this host's, between two epochs of its own.
+func (h *host) raising(g model.GroupID) bool {
+	owner, ok := h.own.Owner(model.GroupScope(g))
+	_, owned := h.own.Owned(model.GroupScope(g))
+	return ok && owner.Host == h.id && !owned
+}
+
 // poll asks for the task's ending until it is there.
 func (h *host) poll(at *attempt) {
 	boot := h.boot
