--- a/internal/faultrun/entry.go
+++ b/internal/faultrun/entry.go
@@ -29,6 +29,8 @@
 	// hints are where each group's owner was last, and under which epoch.
 	hints map[model.GroupID]hint
 	next  int
+	// links numbers the connection to each host, by name; a redial counts it up.
+	links map[string]int
 }
 
 type hint struct {
@@ -57,6 +59,8 @@
 	r    *request
 	host *host
 	boot int
+	// link numbers the connection that it was sent on.
+	link int
 }
 
 // answer is a host's reply to an offer.
@@ -72,6 +76,7 @@
 		place: place{"entry-" + string(r), r},
 		sim:   s,
 		hints: make(map[model.GroupID]hint),
+		links: make(map[string]int),
 	}
 }
 
@@ -109,7 +114,7 @@
 		return
 	}
 	r.offers++
-	o := &offer{r: r, host: h, boot: h.boot}
+	o := &offer{r: r, host: h, boot: h.boot, link: e.links[h.name]}
 	r.offer, r.quiet = o, time.Time{}
 	work, sum := r.work, r.sum
 	s.send("submit", e.place, h.place, func() {
@@ -206,9 +211,12 @@
 				r.quiet = now
 			}
 			if now.Sub(r.quiet) >= linkSilence || r.offer.boot != r.offer.host.boot {
+				e.links[r.offer.host.name]++
 				e.sim.redial(e.place, r.offer.host.place)
 				e.offer(r)
 			}
+		} else if r.offer != nil && r.offer.link != e.links[r.offer.host.name] {
+			e.offer(r)
 		} else {
 			r.quiet = time.Time{}
 			e.reoffer(r)
--- a/internal/faultrun/log.go
+++ b/internal/faultrun/log.go
@@ -9,7 +9,8 @@
 
 const (
 	logDelay = 5 * time.Millisecond
-	pollLog  = 100 * time.Millisecond
+	// readWithin is how long a new owner waits for the log's outcomes.
+	readWithin = time.Second
 )
 
 // claimEntry is a claim in its place; its offset is its index plus 1.
@@ -72,8 +73,8 @@
 
 // readOutcomes gives the outcomes of a group, or none when the log can't be read.
 func (s *Sim) readOutcomes(h *host, g model.GroupID, done func([]ledger.Recorded)) {
-	boot, up := h.boot, s.logUp(h.place)
-	s.after(s.logTime(), func() {
+	boot, up := h.boot, s.logUp(h.place) && s.logTime() < readWithin
+	s.after(min(s.logTime(), readWithin), func() {
 		h.post(boot, func() {
 			if !up {
 				done(nil)
--- a/internal/faultrun/own.go
+++ b/internal/faultrun/own.go
@@ -92,6 +92,12 @@
 	for _, f := range a.Found {
 		now.event.Found = append(now.event.Found, foundIn(f)...)
 	}
+	if now.event.Unbroken {
+		// The ledger has the outcomes, and the log may be slow.
+		delete(h.gained, g)
+		h.stepLed(now.event)
+		return
+	}
 	h.gained[g] = now
 	h.sim.readOutcomes(h, g, func(outcomes []ledger.Recorded) {
 		if h.gained[g] != now || now.suspended {
