Force a document after the log lost its records; bound audit entries

A fleet whose log forgot the configuration while no host was left had no way back: hosts never became ready and every publish stayed pending (TestForcedDocumentStartsHostsOnALogThatLostItsRecords holds both).

--- a/internal/admin/bodies.go
+++ b/internal/admin/bodies.go
@@ -32,6 +32,9 @@
 	Base     config.Version `json:"base"`
 	Reason   string         `json:"reason"`
 	Document string         `json:"document"`
+	// Force puts the document into force over whatever hosts have, also when the
+	// log has lost the configuration.
+	Force bool `json:"force"`
 	// WaitSeconds is how long to wait until every host has it in force; 0 for not at all.
 	WaitSeconds int `json:"wait_seconds"`
 }
--- a/internal/admin/body.go
+++ b/internal/admin/body.go
@@ -15,6 +15,7 @@
 const (
 	maxDocumentBody = 2 * config.MaxTextBytes
 	maxSmallBody    = 64 << 10
+	maxReasonBytes  = 1000
 )
 
 // The codes of problems.
@@ -26,6 +27,7 @@
 	codeConflict      = "conflict"
 	codeNotFound      = "not_found"
 	codeNoReason      = "reason_required"
+	codeLongReason    = "reason_too_long"
 	codeNothing       = "changes_nothing"
 	codeUnavailable   = "log_unavailable"
 	codeAuditFull     = "audit_full"
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -35,6 +35,8 @@
 	base config.Version
 	// whole says that base counts also when it is 0.
 	whole bool
+	// force puts the document into force over whatever hosts have.
+	force bool
 	// build makes the new document; it must not write to the old one.
 	build func(old *config.Document) (*config.Document, error)
 }
@@ -54,7 +56,7 @@
 // apply makes a change, enters a refusal in the audit trail, and answers.
 func (s *Server) apply(w http.ResponseWriter, r *http.Request, c *change, waitSeconds int) {
 	if !s.o.Trail.Room() {
-		problem.New(http.StatusServiceUnavailable, codeAuditFull, "The audit trail can't take entries now; nothing was done.").Write(w)
+		auditFull().Write(w)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.o.PublishTimeout)
@@ -83,6 +85,13 @@
 	if strings.TrimSpace(c.reason) == "" {
 		return nil, refuse(http.StatusUnprocessableEntity, codeNoReason, "Each change needs a reason.")
 	}
+	if len(c.reason) > maxReasonBytes {
+		c.reason = ""
+		return nil, refuse(http.StatusUnprocessableEntity, codeLongReason, "A reason has at most 1000 bytes.")
+	}
+	if c.force {
+		return s.attemptForce(ctx, c)
+	}
 	for range maxRebases {
 		body, no := s.attemptOnce(ctx, c)
 		if no == nil || no.ruling != audit.Conflict || c.whole || c.base != 0 {
@@ -163,8 +172,9 @@
 // stream is entered by whoever records its ruling.
 func (s *Server) refused(w http.ResponseWriter, r *http.Request, c *change, no *refusal) {
 	mChanges.With(string(no.ruling)).Inc()
-	if no.problem.Key == "" {
-		s.enter(r.Context(), c, no)
+	if no.problem.Key == "" && !s.enter(r.Context(), c, no) {
+		auditFull().Write(w)
+		return
 	}
 	if no.invalid != nil {
 		writeInvalid(w, no.invalid)
@@ -173,17 +183,24 @@
 	no.problem.Write(w)
 }
 
-func (s *Server) enter(ctx context.Context, c *change, no *refusal) {
+func auditFull() *problem.Problem {
+	return problem.New(http.StatusServiceUnavailable, codeAuditFull, "The audit trail can't take entries now; nothing was done.")
+}
+
+// enter reports whether the trail took the entry of a refusal.
+func (s *Server) enter(ctx context.Context, c *change, no *refusal) bool {
 	e := audit.Entry{
 		ID: logclient.NewID(), At: s.o.Clock(), Author: c.who.Name, Reason: c.reason,
-		Ruling: no.ruling, Why: no.problem.Code + ": " + no.problem.Detail, Base: c.base,
+		Ruling: no.ruling, Why: audit.Cut(no.problem.Code + ": " + no.problem.Detail), Base: c.base,
 	}
 	if cur := s.o.Configs.Current(); cur != nil {
 		e.Version = cur.Version
 	}
 	if err := s.o.Trail.Add(ctx, e); err != nil {
 		evNoAudit.Log(ctx, s.o.Logger, slog.String("author", e.Author), slog.String("why", e.Why), slog.Any("error", err))
+		return false
 	}
+	return true
 }
 
 // identity gives the caller, which the middleware found.
--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -81,7 +81,7 @@
 		return
 	}
 	s.apply(w, r, &change{
-		who: identity(r), reason: body.Reason, base: body.Base, whole: true,
+		who: identity(r), reason: body.Reason, base: body.Base, whole: true, force: body.Force,
 		build: func(*config.Document) (*config.Document, error) { return config.Parse([]byte(body.Document)) },
 	}, body.WaitSeconds)
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,6 +50,8 @@
 type fakeTrail struct {
 	entries []audit.Entry
 	full    bool
+	// fails makes Add fail although there was room.
+	fails bool
 }
 
 func (f *fakeTrail) Room() bool { return !f.full }
@@ -56,6 +59,9 @@
 func (f *fakeTrail) Find(audit.Filter) []audit.Entry { return f.entries }
 
 func (f *fakeTrail) Add(_ context.Context, e audit.Entry) error {
+	if f.fails {
+		return audit.ErrFull
+	}
 	f.entries = append(f.entries, e)
 	return nil
 }
@@ -113,6 +119,29 @@
 	}
 }
 
+func TestRefusalThatCannotBeEnteredIsSaid(t *testing.T) {
+	s, _, trail := newServer()
+	trail.fails = true
+	if w := send(s, "POST", "/v1/drain", `{"reason":"x"}`); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("%d: %s", w.Code, w.Body)
+	}
+}
+
+func TestForcedDocumentGoesBeyondEveryVersion(t *testing.T) {
+	s, configs, _ := newServer()
+	text, err := config.Encode(&configs.cur.Document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := json.Marshal(PublishBody{Reason: "the log was lost", Document: string(text), Force: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := send(s, "POST", "/v1/config", string(body)); w.Code != http.StatusOK || configs.cur.Version != 4+forceMargin+1 {
+		t.Errorf("%d at version %d: %s", w.Code, configs.cur.Version, w.Body)
+	}
+}
+
 func TestRefusedChangesAreEntered(t *testing.T) {
 	s, configs, trail := newServer()
 	configs.err = confsync.ErrNotRecorded
@@ -145,6 +174,7 @@
 		"too much":               {"/v1/drain", `{"reason":"` + strings.Repeat("x", maxSmallBody) + `"}`, http.StatusRequestEntityTooLarge},
 		"no reason":              {"/v1/drain", `{"worker":"w1"}`, http.StatusUnprocessableEntity},
 		"a blank reason":         {"/v1/drain", `{"worker":"w1","reason":" "}`, http.StatusUnprocessableEntity},
+		"a very long reason":     {"/v1/drain", `{"worker":"w1","reason":"` + strings.Repeat("x", maxReasonBytes+1) + `"}`, http.StatusUnprocessableEntity},
 		"no place":               {"/v1/drain", `{"reason":"x"}`, http.StatusUnprocessableEntity},
 		"an unknown place":       {"/v1/drain", `{"cell":"r9","reason":"x"}`, http.StatusUnprocessableEntity},
 		"a bad duration":         {"/v1/exceptions", `{"exception":{"id":"a","reason":"x","longest_wait":"soon"}}`, http.StatusBadRequest},
--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,8 +12,13 @@
 // TypeEntry is the type of records on the audit stream.
 const TypeEntry = "audit.entry"
 
-// MaxChanges bounds the changes that one entry lists.
-const MaxChanges = 200
+// The bounds of one entry.
+const (
+	// MaxChanges is the most changes that an entry lists.
+	MaxChanges = 200
+	// MaxTextBytes is the most bytes of a value before or after, and of why.
+	MaxTextBytes = 2000
+)
 
 // Ruling is what became of a change.
 type Ruling string
@@ -45,10 +51,23 @@
 	More int `json:"more_changes,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
-// SetChanges lists the first changes and counts the others.
+// SetChanges lists the first changes and counts the others. Long values are cut.
 func (e *Entry) SetChanges(cs []config.Change) {
-	e.Changes = cs[:min(len(cs), MaxChanges)]
-	e.More = len(cs) - len(e.Changes)
+	n := min(len(cs), MaxChanges)
+	e.Changes = make([]config.Change, n)
+	for i, c := range cs[:n] {
+		e.Changes[i] = config.Change{Path: c.Path, Before: Cut(c.Before), After: Cut(c.After)}
+	}
+	e.More = len(cs) - n
+}
+
+// Cut shortens a text to MaxTextBytes and marks it so.
+func Cut(s string) string {
+	if len(s) <= MaxTextBytes {
+		return s
+	}
+	const mark = "..."
+	return strings.ToValidUTF8(s[:MaxTextBytes-len(mark)], "") + mark
 }
 
 var decMode = func() cbor.DecMode {
--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/settings"
 	"coltsfootmux/internal/standin/fault"
 )
@@ -222,3 +224,32 @@
 		}
 	})
 }
+
+func TestForcedDocumentStartsHostsOnALogThatLostItsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		v := g.mustPublish(g.all()[0], "first")
+		g.endAll()
+		time.Sleep(3 * time.Hour)
+		for range 3 {
+			g.start()
+		}
+		defer g.endAll()
+		time.Sleep(inForceBound)
+		for _, h := range g.all() {
+			if h.version() != 0 || h.store.Ready() {
+				t.Fatalf("version %d, ready %v from a log without records", h.version(), h.store.Ready())
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), inForceBound)
+		defer cancel()
+		rec := &settings.Record{ID: "forced", Base: v + 1000, Author: "ada", Reason: "log lost", At: time.Now(), Force: true}
+		rec.Change.Document = &config.Document{Accounts: []config.Account{{Name: "lab"}}}
+		got, err := g.all()[0].store.Publish(ctx, rec)
+		if err != nil || got.Version != v+1001 {
+			t.Fatalf("%v %v", got, err)
+		}
+		g.inForce(got.Version)
+		g.inForce(g.mustPublish(g.all()[0], "next"))
+	})
+}
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -16,6 +16,7 @@
 const (
 	flagReason = "reason"
 	flagBase   = "base"
+	flagForce  = "force"
 	flagWait   = "wait"
 )
 
@@ -31,9 +32,11 @@
 			{Name: "validate", Usage: "check a file", ArgsUsage: "FILE", Action: action(validateConfig)},
 			{
 				Name: "publish", Usage: "put a file into force", ArgsUsage: "FILE", Action: action(publishConfig),
-				Flags: append(changeFlags(), &cli.Uint64Flag{
-					Name: flagBase, Required: true, Usage: "version that the file is based on; 0 for the first",
-				}),
+				Flags: append(
+					changeFlags(),
+					&cli.Uint64Flag{Name: flagBase, Required: true, Usage: "version that the file is based on; 0 for the first"},
+					&cli.BoolFlag{Name: flagForce, Usage: "put it into force over every version; only after the log has lost the configuration"},
+				),
 			},
 		},
 	}
@@ -113,6 +116,7 @@
 	}
 	out, err := post[admin.ChangedBody](ctx, c, "v1/config", admin.PublishBody{
 		Base: config.Version(cmd.Uint64(flagBase)), Reason: cmd.String(flagReason), Document: text, WaitSeconds: wait(cmd),
+		Force: cmd.Bool(flagForce),
 	})
 	if err != nil {
 		return err
