--- a/internal/admin/audit.go
+++ b/internal/admin/audit.go
@@ -27,9 +27,9 @@
 func filterOf(q url.Values) (audit.Filter, *problem.Problem) {
 	f := audit.Filter{Author: q.Get("author"), Ruling: audit.Ruling(q.Get("ruling")), Path: q.Get("path")}
 	switch f.Ruling {
-	case "", audit.Accepted, audit.Conflict, audit.Refused:
+	case "", audit.Accepted, audit.Conflict, audit.Refused, audit.Pending:
 	default:
-		return f, problem.New(http.StatusBadRequest, codeInvalidQuery, "The ruling is one of accepted, conflict and refused.")
+		return f, problem.New(http.StatusBadRequest, codeInvalidQuery, "The ruling is one of accepted, conflict, refused and pending.")
 	}
 	for name, field := range map[string]*time.Time{"since": &f.Since, "until": &f.Until} {
 		if q.Get(name) == "" {
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -151,6 +151,7 @@
 	switch {
 	case errors.Is(err, confsync.ErrPending):
 		body.State, body.Version = statePending, rec.Base
+		s.enterPending(ctx, rec, changes)
 		return body, nil
 	case err != nil:
 		return nil, refuse(http.StatusServiceUnavailable, codeUnavailable, "The log did not take the change; it was not made. "+err.Error())
@@ -183,6 +184,18 @@
 	no.problem.Write(w)
 }
 
+// enterPending enters a change whose fate is open.
+func (s *Server) enterPending(ctx context.Context, rec *settings.Record, changes []config.Change) {
+	e := audit.Entry{
+		ID: "pending-" + rec.ID, At: rec.At, Record: rec.ID, Author: rec.Author, Reason: rec.Reason,
+		Ruling: audit.Pending, Base: rec.Base, Version: rec.Base,
+	}
+	e.SetChanges(changes)
+	if err := s.o.Trail.Add(ctx, e); err != nil {
+		evNoAudit.Log(ctx, s.o.Logger, slog.String("author", e.Author), slog.String("record", rec.ID), slog.Any("error", err))
+	}
+}
+
 func auditFull() *problem.Problem {
 	return problem.New(http.StatusServiceUnavailable, codeAuditFull, "The audit trail can't take entries now; nothing was done.")
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -154,11 +154,14 @@
 }
 
 func TestPendingChangeIsSaidToBePending(t *testing.T) {
-	s, configs, _ := newServer()
+	s, configs, trail := newServer()
 	configs.err = confsync.ErrPending
 	if w := send(s, "POST", "/v1/exceptions", addBusy); w.Code != http.StatusAccepted || !strings.Contains(w.Body.String(), `"state":"pending"`) {
 		t.Errorf("%d: %s", w.Code, w.Body)
 	}
+	if len(trail.entries) != 1 || trail.entries[0].Ruling != audit.Pending || len(trail.entries[0].Changes) != 1 {
+		t.Errorf("entries %+v", trail.entries)
+	}
 }
 
 func TestBadBodiesAreRefused(t *testing.T) {
--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -28,6 +28,9 @@
 	Accepted Ruling = "accepted"
 	Conflict Ruling = "conflict"
 	Refused  Ruling = "refused"
+	// Pending changes had no ruling when their publisher was answered. Another
+	// entry follows if they come to be on the log.
+	Pending Ruling = "pending"
 )
 
 // Entry is one attempted change.
--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -25,7 +25,7 @@
 		Name: "audit", Usage: "list attempted changes, the newest first",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagAuthor, Usage: "who made the change"},
-			&cli.StringFlag{Name: flagRuling, Usage: "accepted, conflict or refused"},
+			&cli.StringFlag{Name: flagRuling, Usage: "accepted, conflict, refused or pending"},
 			&cli.StringFlag{Name: flagPath, Usage: "part of a changed path, such as an account's name"},
 			&cli.StringFlag{Name: flagSince, Usage: "from this time on, such as 2026-12-31T00:00:00Z"},
 			&cli.StringFlag{Name: flagUntil, Usage: "before this time"},
