--- a/internal/core/journal/bench_test.go
+++ b/internal/core/journal/bench_test.go
@@ -1,6 +1,7 @@
 package journal_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -71,7 +72,26 @@
 	next    model.Offset
 	sent    map[journal.Ticket]time.Time
 	appends int
+	refused int
 	waited  []time.Duration
+	// cap limits the appends of all writers together.
+	cap *tokens
+}
+
+// tokens is the log's own limit on appends, in tokens a second.
+type tokens struct {
+	rate, burst, left float64
+	at                time.Time
+}
+
+func (c *tokens) take(now time.Time) bool {
+	c.left = min(c.burst, c.left+c.rate*now.Sub(c.at).Seconds())
+	c.at = now
+	if c.left < 1 {
+		return false
+	}
+	c.left--
+	return true
 }
 
 // answerAt is an answer of the log on its way to a Writer.
@@ -90,6 +110,12 @@
 		case journal.Locate:
 			f.answer(to, journal.Located{Stream: a.Stream, Bounds: platform.Bounds{Oldest: 1, Next: 1}})
 		case journal.Append:
+			if !f.cap.take(f.now) {
+				f.refused++
+				jitter := float64(f.refused%97) / 97
+				f.answer(to, journal.Appended{Stream: a.Stream, Failure: journal.FailThrottled, Jitter: jitter})
+				continue
+			}
 			f.appends++
 			f.answer(to, journal.Appended{Stream: a.Stream, First: f.next})
 			f.next += model.Offset(len(a.Records))
@@ -126,24 +152,54 @@
 			b.Run(strconv.Itoa(n)+"writers/"+strconv.Itoa(perSecond)+"records", func(b *testing.B) {
 				var f *fleet
 				for b.Loop() {
-					f = runFleet(n, perSecond)
-				}
-				var sum time.Duration
-				for _, w := range f.waited {
-					sum += w
+					f = runFleet(n, perSecond, 270/float64(n))
 				}
-				b.ReportMetric(float64(f.appends)/60, "appends/s")
-				b.ReportMetric(float64(len(f.waited))/float64(f.appends), "records/append")
-				b.ReportMetric(float64(sum.Milliseconds())/float64(len(f.waited)), "ms-mean-wait")
+				f.report(b)
 			})
 		}
 	}
 }
 
-func runFleet(n, perSecond int) *fleet {
-	f := &fleet{now: t0, next: 1, sent: make(map[journal.Ticket]time.Time)}
+// BenchmarkOverbooked is the same for writers whose budgets add up to far more
+// than the log takes: the default of 30 a second in each of n processes.
+func BenchmarkOverbooked(b *testing.B) {
+	for _, n := range []int{9, 27, 90} {
+		b.Run(strconv.Itoa(n)+"writers/1000records", func(b *testing.B) {
+			var f *fleet
+			for b.Loop() {
+				f = runFleet(n, 1000, journal.DefaultConfig().PerSecond)
+			}
+			f.report(b)
+		})
+	}
+}
+
+func (f *fleet) report(b *testing.B) {
+	var sum time.Duration
+	for _, w := range f.waited {
+		sum += w
+	}
+	slices.Sort(f.waited)
+	b.ReportMetric(float64(f.appends)/60, "appends/s")
+	b.ReportMetric(float64(f.refused)/60, "refused/s")
+	b.ReportMetric(float64(len(f.waited))/float64(f.appends), "records/append")
+	b.ReportMetric(float64(sum.Milliseconds())/float64(len(f.waited)), "ms-mean-wait")
+	b.ReportMetric(float64(f.waited[len(f.waited)*99/100].Milliseconds()), "ms-p99-wait")
+}
+
+// runFleet lets a virtual minute pass with a budget for each of n writers.
+func runFleet(n, perSecond int, budget float64) *fleet {
+	return runStreams(n, perSecond, budget, 1)
+}
+
+// runStreams is the same with the records spread over streams.
+func runStreams(n, perSecond int, budget float64, streams int) *fleet {
+	f := &fleet{
+		now: t0, next: 1, sent: make(map[journal.Ticket]time.Time),
+		cap: &tokens{rate: 300, burst: 60, left: 60, at: t0},
+	}
 	cfg := journal.DefaultConfig()
-	cfg.PerSecond = 270 / float64(n)
+	cfg.PerSecond = budget
 	cfg.Burst = max(1, cfg.PerSecond/3)
 	for range n {
 		f.writers = append(f.writers, journal.NewWriter(cfg))
@@ -157,8 +213,51 @@
 			f.sent[ticket] = f.now
 			// A multiplicative hash spreads the records over the writers.
 			to := int(uint32(ticket)*2654435761>>8) % n
-			f.step(to, journal.Submitted{Stream: stream, Record: platform.Record{ID: strconv.Itoa(int(ticket))}, Ticket: ticket})
+			on := platform.Stream(strconv.Itoa(int(uint32(ticket)*2246822519>>8) % streams))
+			f.step(to, journal.Submitted{Stream: on, Record: platform.Record{ID: strconv.Itoa(int(ticket))}, Ticket: ticket})
 		}
 	}
 	return f
 }
+
+// BenchmarkIdleStreams gives the cost of one record, alone, in a process that
+// has used n other streams before.
+func BenchmarkIdleStreams(b *testing.B) {
+	for _, n := range []int{1, 100, 8192} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			cfg := journal.DefaultConfig()
+			cfg.PerSecond, cfg.Burst = 1e9, 1e9
+			w := journal.NewWriter(cfg)
+			write := func(s platform.Stream, ticket journal.Ticket) {
+				for _, a := range w.Step(t0, journal.Submitted{Stream: s, Record: platform.Record{ID: "r"}, Ticket: ticket}) {
+					if _, ok := a.(journal.Locate); ok {
+						w.Step(t0, journal.Located{Stream: s, Bounds: platform.Bounds{Oldest: 1, Next: 1}})
+					}
+				}
+				w.Step(t0, journal.Appended{Stream: s, First: 1})
+				w.Due()
+			}
+			for i := range n {
+				write(platform.Stream(strconv.Itoa(i)), 1)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				write("0", 1)
+			}
+		})
+	}
+}
+
+// BenchmarkStreams gives what it costs to spread 1000 records a second of 9
+// writers over n streams, as each append is for one stream.
+func BenchmarkStreams(b *testing.B) {
+	for _, n := range []int{1, 12, 64} {
+		b.Run(strconv.Itoa(n)+"streams", func(b *testing.B) {
+			var f *fleet
+			for b.Loop() {
+				f = runStreams(9, 1000, 30, n)
+			}
+			f.report(b)
+		})
+	}
+}
--- a/internal/standin/logstore/store.go
+++ b/internal/standin/logstore/store.go
@@ -13,7 +13,7 @@
 )
 
 // maxStreams bounds the streams of a Store.
-const maxStreams = 64
+const maxStreams = 16_384
 
 // Store is a stand-in log service. It is safe for concurrent use. Client
 // reaches it directly, Handler over HTTP; the same faults apply to both.
@@ -76,7 +76,7 @@
 	now := s.opts.Clock()
 	if !s.bucket.take(now) {
 		s.capped++
-		return 0, eris.Wrap(platform.ErrUnavailable, "too many appends")
+		return 0, eris.Wrap(platform.ErrThrottled, "too many appends")
 	}
 	st := s.stream(name, now)
 	if st == nil {
