Pass over silent hosts, and start reading near the end of the log

With half of a lagging host list silent and four of nine hosts cut off from the log, a version took longer than the 13 s allowed: asks went to hosts that were gone, one after another, each until its timeout.

It now looks for a start near the end first and goes back as needed.

--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -15,25 +15,28 @@
 	pageEntries = 64
 	minBackoff  = 100 * time.Millisecond
 	maxBackoff  = 3 * time.Second
+
+	// firstWindow is how many of the last records a reader without a start reads
+	// first; each further window is windowGrowth times as large.
+	firstWindow  = 16
+	windowGrowth = 8
 )
 
 // follow reads the stream, through outages, until ctx ends.
 func (s *Store) follow(ctx context.Context) error {
 	backoff := minBackoff
-	down := false
 	for ctx.Err() == nil {
 		err := s.readOnce(ctx)
 		if err == nil {
-			if down {
+			if s.logDown.Swap(false) {
 				evLogBack.Log(ctx, s.o.Logger)
 			}
-			down, backoff = false, minBackoff
+			backoff = minBackoff
 			continue
 		}
-		if !down && ctx.Err() == nil {
+		if ctx.Err() == nil && !s.logDown.Swap(true) {
 			evLogDown.Log(ctx, s.o.Logger, slog.Any("error", err))
 		}
-		down = true
 		pause(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -78,12 +81,13 @@
 		s.stepLocked(ctx, settings.Read{Entry: e})
 		from = e.Offset + 1
 	}
-	if s.core.Next() == from && len(entries) < pageEntries {
+	if s.core.Next() == from && len(entries) == 0 && !s.widen(ctx, from) {
 		s.stepLocked(ctx, settings.Head{Next: from})
 	}
 }
 
-// open tells the core which records are kept.
+// open tells the core where reading starts. A reader that lacks a start looks
+// for a snapshot near the end of the stream, and then further and further back.
 func (s *Store) open(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, s.o.CallTimeout)
 	defer cancel()
@@ -91,10 +95,38 @@
 	if err != nil {
 		return err
 	}
-	s.step(ctx, settings.Opened{Oldest: max(b.Oldest, 1)})
+	oldest := max(b.Oldest, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stepLocked(ctx, settings.Opened{Oldest: oldest})
+	if s.core.Known() && s.core.Current() != nil || s.o.ReadOnly {
+		return nil
+	}
+	s.window = firstWindow
+	s.openWindow(ctx, oldest, b.Next)
 	return nil
 }
 
+// openWindow starts reading a window before the end.
+func (s *Store) openWindow(ctx context.Context, oldest, next model.Offset) {
+	s.opened = oldest
+	if next > oldest+s.window {
+		s.opened = next - s.window
+	}
+	s.stepLocked(ctx, settings.Opened{Oldest: s.opened})
+	s.oldest = oldest
+}
+
+// widen starts further back when the end is reached without a start.
+func (s *Store) widen(ctx context.Context, next model.Offset) bool {
+	if s.core.Known() || s.opened <= s.oldest {
+		return false
+	}
+	s.window *= windowGrowth
+	s.openWindow(ctx, s.oldest, next)
+	return true
+}
+
 // pause waits for a time or for the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/confsync/options.go
+++ b/internal/confsync/options.go
@@ -29,13 +29,16 @@
 	FanOut int
 	// AskEvery is the time between two calls that ask another host for its version.
 	AskEvery time.Duration
-	// CallTimeout bounds a call to another host or to the log.
+	// CallTimeout bounds a call to the log or the host list.
 	CallTimeout time.Duration
+	// PeerTimeout bounds a call to another host.
+	PeerTimeout time.Duration
 	// Poll is how long one read waits at the log for news.
 	Poll time.Duration
 	// Clock gives the time; nil for time.Now.
 	Clock func() time.Time
-	// ReadOnly keeps the store from writing snapshots.
+	// ReadOnly keeps the store from writing snapshots, and makes it read the
+	// whole stream from the oldest start there is.
 	ReadOnly bool
 	// OnVerdict is told of each ruling in order, if set.
 	OnVerdict func(settings.Verdict)
@@ -51,6 +54,7 @@
 	DefaultFanOut      = 2
 	DefaultAskEvery    = 2 * time.Second
 	DefaultCallTimeout = 5 * time.Second
+	DefaultPeerTimeout = 2 * time.Second
 	DefaultPoll        = 5 * time.Second
 )
 
@@ -64,6 +68,9 @@
 	if o.CallTimeout <= 0 {
 		o.CallTimeout = DefaultCallTimeout
 	}
+	if o.PeerTimeout <= 0 {
+		o.PeerTimeout = DefaultPeerTimeout
+	}
 	if o.Poll <= 0 {
 		o.Poll = DefaultPoll
 	}
--- a/internal/confsync/peers.go
+++ b/internal/confsync/peers.go
@@ -31,6 +31,7 @@
 // Offer takes in what another host has, and tells it what this one has. A push
 // of version 0 comes from a host that lacks a start and asks for a snapshot.
 func (s *Store) Offer(ctx context.Context, from model.HostID, push wire.ConfigPush) wire.ConfigHave {
+	s.noteAnswer(from, true)
 	s.take(ctx, from, push.Version, push.Record)
 	return s.have(ctx, push.Version)
 }
--- a/internal/confsync/setup_test.go
+++ b/internal/confsync/setup_test.go
@@ -37,6 +37,10 @@
 	made  int
 	calls atomic.Int64
 	bytes atomic.Int64
+	// reads counts the entries that hosts read off the log.
+	reads atomic.Int64
+	// silent is how many hosts the list shows that never answer.
+	silent int
 }
 
 // host is one store with what it runs on.
@@ -68,12 +72,17 @@
 	for _, h := range g.hosts {
 		out = append(out, h.self)
 	}
+	for i := range g.silent {
+		id := fmt.Sprintf("gone-%03d", i)
+		out = append(out, model.Host{ID: model.HostID(id), Addr: id, Role: model.RoleScheduler, State: model.HostLive})
+	}
 	return out, nil
 }
 
 // cutLog is a log that one host can be cut off from.
 type cutLog struct {
 	platform.Log
+	g *group
 	h *host
 }
 
@@ -81,7 +90,9 @@
 	if l.h.cutLog.Load() {
 		return nil, errCut
 	}
-	return l.Log.Read(ctx, s, from, n, wait)
+	es, err := l.Log.Read(ctx, s, from, n, wait)
+	l.g.reads.Add(int64(len(es)))
+	return es, err
 }
 
 func (l cutLog) Bounds(ctx context.Context, s platform.Stream) (platform.Bounds, error) {
@@ -92,12 +103,13 @@
 }
 
 // Exchange carries a call to another host of the group.
-func (g *group) exchange(from model.HostID, addr string, push wire.ConfigPush) (wire.ConfigHave, error) {
+func (g *group) exchange(ctx context.Context, from model.HostID, addr string, push wire.ConfigPush) (wire.ConfigHave, error) {
 	g.mu.Lock()
 	h := g.hosts[addr]
 	g.mu.Unlock()
 	if h == nil {
-		return wire.ConfigHave{}, errCut
+		<-ctx.Done()
+		return wire.ConfigHave{}, ctx.Err()
 	}
 	time.Sleep(linkDelay)
 	have := h.store.Offer(context.Background(), from, push)
@@ -112,8 +124,8 @@
 	from model.HostID
 }
 
-func (p groupPeers) Exchange(_ context.Context, addr string, push wire.ConfigPush) (wire.ConfigHave, error) {
-	return p.g.exchange(p.from, addr, push)
+func (p groupPeers) Exchange(ctx context.Context, addr string, push wire.ConfigPush) (wire.ConfigHave, error) {
+	return p.g.exchange(ctx, p.from, addr, push)
 }
 
 func (g *group) start() *host {
@@ -124,7 +136,7 @@
 	log := g.log.Client("home")
 	h.client = logclient.New(log, logclient.Options{Seed: uint64(g.made)})
 	h.store = New(Options{
-		Log: cutLog{log, h}, Writer: h.client, Peers: groupPeers{g, h.self.ID}, Hosts: g, Self: h.self,
+		Log: cutLog{log, g, h}, Writer: h.client, Peers: groupPeers{g, h.self.ID}, Hosts: g, Self: h.self,
 	})
 	var last atomic.Uint64
 	h.store.OnChange(func(v *config.Versioned) {
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -32,6 +34,14 @@
 	judged   chan struct{}
 	saves    chan *settings.Snapshot
 	askedFor int
+	// quiet tells when hosts last failed to answer.
+	quiet map[model.HostID]time.Time
+	// logDown says that the last read of the log failed.
+	logDown atomic.Bool
+
+	// window, opened and oldest say where the search for a start is: the size of
+	// the window, its first record, and the oldest record kept.
+	window, opened, oldest model.Offset
 }
 
 // New makes a store that knows no version. Run makes it learn.
@@ -41,6 +51,7 @@
 		o:       o,
 		core:    settings.New(o.Core),
 		waiting: make(map[string][]chan settings.Verdict),
+		quiet:   make(map[model.HostID]time.Time),
 		changed: make(chan struct{}, 1),
 		pushNow: make(chan struct{}, 1),
 		judged:  make(chan struct{}, 1),
@@ -85,6 +96,7 @@
 func (s *Store) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
+	g.Go(func() error { return s.watchHosts(ctx) })
 	g.Go(func() error { return s.gossip(ctx) })
 	g.Go(func() error { return s.save(ctx) })
 	g.Go(func() error { return s.tell(ctx) })
--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -253,3 +253,63 @@
 		g.inForce(g.mustPublish(g.all()[0], "next"))
 	})
 }
+
+func TestSilentHostsOnTheListDoNotHoldAVersionUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 9)
+		defer g.endAll()
+		g.silent = 9
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		time.Sleep(10 * time.Second)
+		hosts := g.all()
+		for _, h := range hosts[1:5] {
+			h.cutLog.Store(true)
+		}
+		for i := range 10 {
+			g.inForce(g.mustPublish(hosts[0], fmt.Sprint("r", i)))
+		}
+		late := g.start()
+		late.cutLog.Store(true)
+		g.inForce(g.mustPublish(hosts[0], "last"))
+	})
+}
+
+func TestNewHostReadsTheEndOfTheLogAndNotAllOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		h := g.all()[0]
+		const changes = 1500
+		for i := range changes {
+			g.mustPublish(h, fmt.Sprint("r", i))
+		}
+		time.Sleep(20 * time.Minute)
+		v := h.version()
+		g.endAll()
+		before := g.reads.Load()
+		h = g.start()
+		defer g.endAll()
+		if !g.ready(h, inForceBound) || h.version() != v {
+			t.Fatalf("version %d, want %d", h.version(), v)
+		}
+		if n := g.reads.Load() - before; n > changes/10 {
+			t.Errorf("read %d of more than %d entries", n, changes)
+		}
+	})
+}
+
+func TestNewHostFindsTheOnlyStartAtTheOldestRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		h := g.all()[0]
+		for i := range 300 {
+			g.mustPublish(h, fmt.Sprint("r", i))
+		}
+		g.endAll()
+		// No snapshot was due yet: the whole history is the only start.
+		h = g.start()
+		defer g.endAll()
+		if !g.ready(h, 2*inForceBound) || h.version() != 300 {
+			t.Fatalf("version %d, want 300", h.version())
+		}
+	})
+}
