--- /dev/null
+++ b/internal/admin/program/settings_test.go
@@ -0,0 +1,43 @@
+package program
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/process"
+)
+
+func TestEachWrongSettingIsNamed(t *testing.T) {
+	cases := map[string]struct {
+		edit func(*Settings)
+		flag string
+	}{
+		"nothing is wrong":                  {func(*Settings) {}, ""},
+		"an address without a port":         {func(s *Settings) { s.APIListen = "127.0.0.1" }, flagAPIListen},
+		"an address by name":                {func(s *Settings) { s.APIListen = "localhost:1" }, flagAPIListen},
+		"a certificate without its key":     {func(s *Settings) { s.TLSCert = "a" }, flagTLSKey},
+		"a key without its certificate":     {func(s *Settings) { s.TLSKey = "a" }, flagTLSCert},
+		"TLS on the listener of the links":  {func(s *Settings) { s.TLSCert, s.TLSKey = "a", "b" }, flagAPIListen},
+		"a log that forgets within seconds": {func(s *Settings) { s.Retention = time.Second }, flagRetention},
+		"a trail that keeps nothing":        {func(s *Settings) { s.Keep = 0 }, flagKeep},
+		"a trail that keeps too much":       {func(s *Settings) { s.Keep = maxKeep + 1 }, flagKeep},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := Settings{Retention: time.Hour, Keep: 10}
+			c.edit(&s)
+			err := s.check()
+			if c.flag == "" {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			if !errors.Is(err, process.ErrSetting) || !strings.HasPrefix(err.Error(), "--"+c.flag+":") {
+				t.Errorf("got %v, want it about --%s", err, c.flag)
+			}
+		})
+	}
+}
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -78,3 +79,17 @@
 	runtime.KeepAlive(doc)
 	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
 }
+
+func BenchmarkEffectiveWithManyExceptions(b *testing.B) {
+	const exceptions = 300
+	doc := fleetOf(64, fleetAccounts)
+	for i := range exceptions {
+		doc.Exceptions = append(doc.Exceptions, Exception{
+			ID: fmt.Sprint("e", i), Account: doc.Accounts[i%fleetAccounts].Name, Concurrency: ptr(i),
+		})
+	}
+	now := time.Now()
+	for b.Loop() {
+		doc.Effective(now, "team-100", "check")
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -26,10 +26,16 @@
 	if a := d.Account(account); a != nil {
 		l.account(a)
 	}
+	var found []*Exception
+	for i := range d.Exceptions {
+		e := &d.Exceptions[i]
+		if e.selects(account, kind) && e.ActiveAt(now) {
+			found = append(found, e)
+		}
+	}
 	for rank := range specificRanks {
-		for i := range d.Exceptions {
-			e := &d.Exceptions[i]
-			if e.rank() == rank && e.selects(account, kind) && e.ActiveAt(now) {
+		for _, e := range found {
+			if e.rank() == rank {
 				l.exception(e)
 			}
 		}
--- a/internal/config/select.go
+++ b/internal/config/select.go
@@ -23,10 +23,10 @@
 
 // selects reports whether an exception on limits applies to an account's work of a kind.
 func (e *Exception) selects(account model.Account, kind model.Kind) bool {
-	if !e.overridesLimits() || e.placeSelectors() > 0 {
+	if e.Account != "" && e.Account != account || e.Kind != "" && e.Kind != kind {
 		return false
 	}
-	return (e.Account == "" || e.Account == account) && (e.Kind == "" || e.Kind == kind)
+	return e.overridesLimits() && e.placeSelectors() == 0
 }
 
 // ActiveAt reports whether the exception has not expired at a time.
