Refuse deep nesting before the YAML parser sees it

The parser calls itself for each level and keeps every path: 400 KB of nested brackets took more than 8 GB and ended the process (TestDeepNestingIsRefused under ulimit -v 8000000). Nesting, anchors, aliases and tags are now found in the tokens.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -6,6 +6,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -39,43 +40,21 @@
 	return filled.Canonical(), nil
 }
 
-// parseTree reads the text as one YAML value without aliases. Keys written twice
-// are left for checkSchema, which names them.
+// parseTree reads the text as one YAML value. Keys written twice are left for
+// checkSchema, which names them.
 func parseTree(text []byte) (ast.Node, error) {
-	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	tokens := lexer.Tokenize(string(text))
+	if f := checkTokens(tokens); f != nil {
+		return nil, asError([]*FieldError{f})
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, asError([]*FieldError{positions{}.fromYAML(err)})
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return nil, asError([]*FieldError{{Line: 1, Field: "document", Problem: "want one YAML document"}})
 	}
-	root := file.Docs[0].Body
-	if n := findAlias(root); n != nil {
-		line := n.GetToken().Position.Line
-		return nil, asError([]*FieldError{{Line: line, Field: "document", Problem: "anchors and aliases are not allowed"}})
-	}
-	return root, nil
-}
-
-// aliasFinder stops at the first anchor, alias or merge key.
-type aliasFinder struct{ found ast.Node }
-
-// Visit is called by ast.Walk for each node.
-func (f *aliasFinder) Visit(n ast.Node) ast.Visitor {
-	switch n.Type() {
-	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
-		f.found = n
-	}
-	if f.found != nil {
-		return nil
-	}
-	return f
-}
-
-func findAlias(n ast.Node) ast.Node {
-	f := &aliasFinder{}
-	ast.Walk(f, n)
-	return f.found
+	return file.Docs[0].Body, nil
 }
 
 // yamlProblem gives the message of a YAML error without its source excerpt.
--- a/internal/core/settings/codec.go
+++ b/internal/core/settings/codec.go
@@ -10,7 +10,7 @@
 )
 
 // maxDecodedBytes bounds what a compressed snapshot may grow to.
-const maxDecodedBytes = 64 << 20
+const maxDecodedBytes = 16 << 20
 
 var (
 	encMode = must(cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode())
