Read one document at a time, and not from a caller that never ends

Parsing the text of a fleet of 13,000 workers takes the process to 207 MB, so two at once must not be.

--- a/internal/admin/body.go
+++ b/internal/admin/body.go
@@ -31,6 +31,7 @@
 	codeNothing       = "changes_nothing"
 	codeUnavailable   = "log_unavailable"
 	codeAuditFull     = "audit_full"
+	codeBusy          = "busy"
 	codeUnconfigured  = "not_configured"
 	codeNoScheduler   = "no_scheduler"
 )
--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -47,6 +47,11 @@
 
 // readDocument reads and checks a document, or answers what is wrong with it.
 func (s *Server) readDocument(w http.ResponseWriter, r *http.Request) *config.Document {
+	end := s.turn(w, r)
+	if end == nil {
+		return nil
+	}
+	defer end()
 	body, p := readBody[TextBody](w, r, maxDocumentBody)
 	if p != nil {
 		p.Write(w)
@@ -75,14 +80,21 @@
 }
 
 func (s *Server) publishConfig(w http.ResponseWriter, r *http.Request) {
+	end := s.turn(w, r)
+	if end == nil {
+		return
+	}
 	body, p := readBody[PublishBody](w, r, maxDocumentBody)
 	if p != nil {
+		end()
 		p.Write(w)
 		return
 	}
+	doc, err := config.Parse([]byte(body.Document))
+	end()
 	s.apply(w, r, &change{
 		who: identity(r), reason: body.Reason, base: body.Base, whole: true, force: body.Force,
-		build: func(*config.Document) (*config.Document, error) { return config.Parse([]byte(body.Document)) },
+		build: func(*config.Document) (*config.Document, error) { return doc, err },
 	}, body.WaitSeconds)
 }
 
--- a/internal/admin/options.go
+++ b/internal/admin/options.go
@@ -24,6 +24,8 @@
 	Logger *slog.Logger
 	// PublishTimeout bounds how long a change waits for its ruling.
 	PublishTimeout time.Duration
+	// DocumentTimeout bounds the time that a document's body takes to arrive.
+	DocumentTimeout time.Duration
 	// Clock gives the time; nil for time.Now.
 	Clock func() time.Time
 }
@@ -42,13 +44,19 @@
 	Find(f audit.Filter) []audit.Entry
 }
 
-// DefaultPublishTimeout bounds how long a change waits for its ruling.
-const DefaultPublishTimeout = 10 * time.Second
+// The defaults.
+const (
+	DefaultPublishTimeout  = 10 * time.Second
+	DefaultDocumentTimeout = 10 * time.Second
+)
 
 func (o Options) withDefaults() Options {
 	if o.PublishTimeout <= 0 {
 		o.PublishTimeout = DefaultPublishTimeout
 	}
+	if o.DocumentTimeout <= 0 {
+		o.DocumentTimeout = DefaultDocumentTimeout
+	}
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -10,11 +10,13 @@
 type Server struct {
 	o   Options
 	mux *http.ServeMux
+	// parsing holds one place: reading a large document takes much memory.
+	parsing chan struct{}
 }
 
 // New makes a server.
 func New(o Options) *Server {
-	s := &Server{o: o.withDefaults(), mux: http.NewServeMux()}
+	s := &Server{o: o.withDefaults(), mux: http.NewServeMux(), parsing: make(chan struct{}, 1)}
 	s.routes()
 	return s
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"coltsfootmux/internal/audit"
 	"coltsfootmux/internal/auth"
@@ -215,3 +218,52 @@
 		}
 	})
 }
+
+func TestBodyThatNeverEndsGivesItsTurnUp(t *testing.T) {
+	s, _, _ := newServer()
+	s.o.DocumentTimeout = 200 * time.Millisecond
+	srv := httptest.NewServer(s)
+	defer srv.Close()
+	body, stuck := io.Pipe()
+	defer func() { _ = stuck.Close() }()
+	go func() { _, _ = stuck.Write([]byte(`{"document":"`)) }()
+	res, err := http.Post(srv.URL+"/v1/config/diff", "application/json", body)
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	if w := send(s, "POST", "/v1/config/diff", `{}`); w.Code == http.StatusServiceUnavailable {
+		t.Error("the turn is still taken")
+	}
+}
+
+// slowBody is a body that does not end until it is told to.
+type slowBody struct{ end chan struct{} }
+
+func (b slowBody) Read([]byte) (int, error) {
+	<-b.end
+	return 0, io.EOF
+}
+
+func TestOneDocumentIsReadAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newServer()
+		slow := slowBody{end: make(chan struct{})}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/v1/config/diff", slow))
+		}()
+		synctest.Wait()
+		if w := send(s, "POST", "/v1/config/diff", `{}`); w.Code != http.StatusServiceUnavailable {
+			t.Errorf("%d beside a document that is being read", w.Code)
+		}
+		if w := send(s, "POST", "/v1/drain", `{"worker":"w1","reason":"x"}`); w.Code != http.StatusOK {
+			t.Errorf("%d: a drain waits for documents", w.Code)
+		}
+		close(slow.end)
+		<-done
+		if w := send(s, "POST", "/v1/config/diff", `{}`); w.Code == http.StatusServiceUnavailable {
+			t.Error("still busy")
+		}
+	})
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -11,7 +11,7 @@
 )
 
 // MaxTextBytes bounds the text of a document.
-const MaxTextBytes = 16 << 20
+const MaxTextBytes = 8 << 20
 
 // Parse reads a document from YAML, fills omitted fields with their defaults,
 // puts it in canonical order and validates it. The error is an *InvalidError
