--- a/internal/admin/bodies.go
+++ b/internal/admin/bodies.go
@@ -57,6 +57,14 @@
 	WaitSeconds int              `json:"wait_seconds"`
 }
 
+// WorkerPutBody asks for a worker to be added to a cell or replaced there.
+type WorkerPutBody struct {
+	Addr        string      `json:"addr"`
+	Capacity    model.Shape `json:"capacity"`
+	Reason      string      `json:"reason"`
+	WaitSeconds int         `json:"wait_seconds"`
+}
+
 // ChangedBody answers a change.
 type ChangedBody struct {
 	// ID is the change's record; the audit trail names it too.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -38,6 +38,8 @@
 	s.handle("DELETE /v1/exceptions/{id}", nil, s.removeException)
 	s.handle("POST /v1/drain", nil, s.drain)
 	s.handle("POST /v1/undrain", nil, s.undrain)
+	s.handle("PUT /v1/cells/{cell}/workers/{worker}", nil, s.putWorker)
+	s.handle("DELETE /v1/cells/{cell}/workers/{worker}", nil, s.removeWorker)
 	s.handle("GET /v1/status/accounts", view, s.showAccounts)
 	s.handle("GET /v1/status/cells", view, s.showCells)
 	s.handle("GET /v1/status/workers", view, s.showWorkers)
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -18,7 +18,7 @@
 			Name: flagOutput, Value: outputTable, Sources: process.Env(flagOutput), Usage: "form of the output: table or json",
 		}),
 		Commands: []*cli.Command{
-			configCommand(), exceptionCommand(), drainCommand(), undrainCommand(),
+			configCommand(), exceptionCommand(), drainCommand(), undrainCommand(), workerCommand(),
 			statusCommand(), auditCommand(), cancelCommand(),
 		},
 		// The program's end is left to process.Main.
