--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/settings"
 	"coltsfootmux/internal/standin/fault"
 )
@@ -222,3 +224,92 @@
 		}
 	})
 }
+
+func TestForcedDocumentStartsHostsOnALogThatLostItsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		v := g.mustPublish(g.all()[0], "first")
+		g.endAll()
+		time.Sleep(3 * time.Hour)
+		for range 3 {
+			g.start()
+		}
+		defer g.endAll()
+		time.Sleep(inForceBound)
+		for _, h := range g.all() {
+			if h.version() != 0 || h.store.Ready() {
+				t.Fatalf("version %d, ready %v from a log without records", h.version(), h.store.Ready())
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), inForceBound)
+		defer cancel()
+		rec := &settings.Record{ID: "forced", Base: v + 1000, Author: "ada", Reason: "log lost", At: time.Now(), Force: true}
+		rec.Change.Document = &config.Document{Accounts: []config.Account{{Name: "lab"}}}
+		got, err := g.all()[0].store.Publish(ctx, rec)
+		if err != nil || got.Version != v+1001 {
+			t.Fatalf("%v %v", got, err)
+		}
+		g.inForce(got.Version)
+		g.inForce(g.mustPublish(g.all()[0], "next"))
+	})
+}
+
+func TestSilentHostsOnTheListDoNotHoldAVersionUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 9)
+		defer g.endAll()
+		g.silent = 9
+		g.inForce(g.mustPublish(g.all()[0], "first"))
+		time.Sleep(10 * time.Second)
+		hosts := g.all()
+		for _, h := range hosts[1:5] {
+			h.cutLog.Store(true)
+		}
+		for i := range 10 {
+			g.inForce(g.mustPublish(hosts[0], fmt.Sprint("r", i)))
+		}
+		late := g.start()
+		late.cutLog.Store(true)
+		g.inForce(g.mustPublish(hosts[0], "last"))
+	})
+}
+
+func TestNewHostReadsTheEndOfTheLogAndNotAllOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		h := g.all()[0]
+		const changes = 1500
+		for i := range changes {
+			g.mustPublish(h, fmt.Sprint("r", i))
+		}
+		time.Sleep(20 * time.Minute)
+		v := h.version()
+		g.endAll()
+		before := g.reads.Load()
+		h = g.start()
+		defer g.endAll()
+		if !g.ready(h, inForceBound) || h.version() != v {
+			t.Fatalf("version %d, want %d", h.version(), v)
+		}
+		if n := g.reads.Load() - before; n > changes/10 {
+			t.Errorf("read %d of more than %d entries", n, changes)
+		}
+	})
+}
+
+func TestNewHostFindsTheOnlyStartAtTheOldestRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		h := g.all()[0]
+		for i := range 300 {
+			g.mustPublish(h, fmt.Sprint("r", i))
+		}
+		g.endAll()
+		// No snapshot was due yet: the whole history is the only start.
+		h = g.start()
+		defer g.endAll()
+		if !g.ready(h, 2*inForceBound) || h.version() != 300 {
+			t.Fatalf("version %d, want 300", h.version())
+		}
+	})
+}
