--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -40,11 +40,14 @@
 	return model.Shape{Slots: 20, Accelerators: accelerators, CPUMilli: 64000, MemoryMB: 256 << 10}
 }
 
-func newBenchFleet(cells int, today bool) *benchFleet {
-	accounts := targetAccounts
+func accountsOf(today bool) int {
 	if today {
-		accounts = todayAccounts
+		return todayAccounts
 	}
+	return targetAccounts
+}
+
+func benchDoc(cells int, today bool) *config.Document {
 	d := testDoc()
 	for i := range cells {
 		cl := testCell(fmt.Sprintf("r%04d", i), 8)
@@ -56,14 +59,19 @@
 	d.Defaults.QueueBound = 1 << 20
 	d.Defaults.LongestWait = config.Duration(1000 * time.Hour)
 	d.Accounts = nil
-	for i := range accounts {
+	for i := range accountsOf(today) {
 		a := config.Account{Name: model.Account(fmt.Sprint("a", i))}
 		if i < cells {
 			a.Guarantees = []config.Guarantee{{Shape: model.Shape{Slots: 8, Accelerators: 1}, Count: 2, Adjacency: model.AdjacentRack}}
 		}
 		d.Accounts = append(d.Accounts, a)
 	}
-	f := &benchFleet{accounts: accounts, core: New("self"), now: epoch0}
+	return d
+}
+
+func newBenchFleet(cells int, today bool) *benchFleet {
+	d := benchDoc(cells, today)
+	f := &benchFleet{accounts: accountsOf(today), core: New("self"), now: epoch0}
 	f.step(Configured{Config: &config.Versioned{Version: 1, Document: *d}})
 	for _, cl := range d.Fleet.Cells {
 		f.step(CellGained{Cell: cl, Epoch: 16})
@@ -189,3 +197,19 @@
 		})
 	}
 }
+
+// BenchmarkConfigured measures a configuration that leaves the plan as it is.
+func BenchmarkConfigured(b *testing.B) {
+	for _, cells := range []int{6, 60, 1600} {
+		b.Run(fmt.Sprintf("cells=%d", cells), func(b *testing.B) {
+			f := newBenchFleet(cells, false)
+			docs := []*config.Document{benchDoc(cells, false), benchDoc(cells, false)}
+			version := config.Version(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				version++
+				f.step(Configured{Config: &config.Versioned{Version: version, Document: *docs[version%2]}})
+			}
+		})
+	}
+}
--- a/internal/core/placement/configured.go
+++ b/internal/core/placement/configured.go
@@ -16,7 +16,7 @@
 
 // enforce works out the settings of the configuration as of now.
 func (c *Core) enforce() {
-	c.conf = newSettings(&c.doc.Document, c.now)
+	c.conf = newSettings(&c.doc.Document, c.now, &c.conf)
 	clear(c.fitsEmpty)
 	for _, a := range c.accounts {
 		a.weight = c.weightOf(a.name)
--- a/internal/core/placement/core_test.go
+++ b/internal/core/placement/core_test.go
@@ -129,7 +129,7 @@
 	}
 }
 
-func guaranteed(d *config.Document, account model.Account, shapes int) *config.Document {
+func withGuarantee(d *config.Document, account model.Account, shapes int) *config.Document {
 	for i := range d.Accounts {
 		if d.Accounts[i].Name == account {
 			d.Accounts[i].Guarantees = []config.Guarantee{{Shape: size, Count: shapes, Adjacency: model.AdjacentRack}}
@@ -139,7 +139,7 @@
 }
 
 func TestGuaranteedRoomIsReclaimedFromBorrowers(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 2)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 2)), "a", 1))
 	b1 := r.run(borrower("b1", "b", 8))
 	b2 := r.run(borrower("b2", "b", 8))
 	w := work("mine", "a")
@@ -167,7 +167,7 @@
 }
 
 func TestFirmWorkKeepsOutOfGuaranteedRoom(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 2)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 2)), "a", 1))
 	w := work("f1", "b")
 	w.Shape = size
 	r.run(w)
@@ -178,7 +178,7 @@
 }
 
 func TestPreemptedWorkBeginsAgainUnderNewLeases(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 1)), "a", 1))
 	b1 := r.run(borrower("b1", "b", 8))
 	w := work("mine", "a")
 	w.Shape = size
--- a/internal/core/placement/reclaim_test.go
+++ b/internal/core/placement/reclaim_test.go
@@ -27,7 +27,7 @@
 }
 
 func TestUrgentWorkSharesRoomThatOthersAreLeaving(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 1)), "a", 1))
 	slow := r.run(borrower("slow", "b", 8))
 	w := work("mine", "a")
 	w.Shape = one.Times(4)
@@ -46,7 +46,7 @@
 }
 
 func TestVictimsAreThoseThatLoseLeastAndWholeGangs(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 2)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 2)), "a", 1))
 	gang := borrower("old-gang", "b", 4)
 	gang.Members, gang.Adjacency = 2, model.AdjacentRack
 	r.run(gang)
@@ -124,7 +124,7 @@
 }
 
 func TestAnUnmetGuaranteeAlarmsOnce(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 2)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 2)), "a", 1))
 	var at model.WorkerID
 	for _, u := range r.core.cells["r1"].units {
 		at = u.at.id
--- a/internal/core/placement/settings.go
+++ b/internal/core/placement/settings.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"reflect"
 	"time"
 
 	"coltsfootmux/internal/config"
@@ -27,6 +28,7 @@
 	cells      map[model.CellID]model.Cell
 	cellOrder  []model.CellID
 	plan       *entitlement.Plan
+	basis      planBasis
 	known      bool
 }
 
@@ -45,7 +47,9 @@
 	}
 }
 
-func newSettings(d *config.Document, now time.Time) settings {
+// newSettings works out the values in force. The plan of before is kept when
+// nothing that it depends on has changed.
+func newSettings(d *config.Document, now time.Time, before *settings) settings {
 	s := settings{
 		def:      d.Defaults,
 		accounts: make(map[model.Account]config.Account, len(d.Accounts)),
@@ -68,6 +72,11 @@
 			s.exceptions = append(s.exceptions, x)
 		}
 	}
+	s.basis = basisOf(d, s.exceptions)
+	if before.known && reflect.DeepEqual(s.basis, before.basis) {
+		s.plan = before.plan
+		return s
+	}
 	s.plan = entitlement.Make(d, func(cell model.CellID, w model.WorkerID) bool {
 		return !s.drained(cell, w)
 	})
--- a/internal/core/placement/settings_test.go
+++ b/internal/core/placement/settings_test.go
@@ -20,7 +20,7 @@
 		{ID: "class", Reason: "audit week", Kind: "audit", Class: &urgent},
 		{ID: "old", Reason: "over", Account: "a", LongestWait: &wait, Expires: epoch0.Add(-time.Second)},
 	}
-	s := newSettings(d, epoch0)
+	s := newSettings(d, epoch0, &settings{})
 	for name, c := range map[string]struct{ got, want any }{
 		"an exception for an account's kind holds for it":       {s.longestWait("a", "call"), 5 * time.Second},
 		"it does not hold for another kind, nor an expired one": {s.longestWait("a", "other"), 60 * time.Second},
@@ -67,3 +67,31 @@
 		t.Fatalf("got %+v", got)
 	}
 }
+
+func TestThePlanIsWorkedOutAnewOnlyWhenItsBasisChanges(t *testing.T) {
+	yes := true
+	for name, c := range map[string]struct {
+		change func(d *config.Document)
+		same   bool
+	}{
+		"a longer wait keeps it":       {func(d *config.Document) { d.Defaults.LongestWait *= 2 }, true},
+		"an account's share keeps it":  {func(d *config.Document) { d.Accounts[1].Share = 3 }, true},
+		"another guarantee changes it": {func(d *config.Document) { d.Accounts[0].Guarantees = nil }, false},
+		"a drain changes it": {func(d *config.Document) {
+			d.Exceptions = []config.Exception{{ID: "x", Reason: "r", Cell: "r1", Drain: &yes}}
+		}, false},
+		"another worker changes it": {func(d *config.Document) { d.Fleet.Cells = []model.Cell{testCell("r1", 3)} }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := newSettings(guaranteed1(), epoch0, &settings{})
+			d := guaranteed1()
+			c.change(d)
+			after := newSettings(d, epoch0, &before)
+			if same := after.plan == before.plan; same != c.same {
+				t.Fatalf("same plan: %v", same)
+			}
+		})
+	}
+}
+
+func guaranteed1() *config.Document { return withGuarantee(testDoc(testCell("r1", 2)), "a", 1) }
--- a/internal/core/placement/worker_test.go
+++ b/internal/core/placement/worker_test.go
@@ -73,7 +73,7 @@
 }
 
 func TestLeaseIDsAreNotUsedAgainByALaterAttempt(t *testing.T) {
-	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	r := newRig(t, withGuarantee(testDoc(testCell("r1", 1)), "a", 1))
 	seen := make(map[model.LeaseID]bool)
 	note := func(b Begin) Begin {
 		if seen[b.Parts[0].Lease] {
