--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"coltsfootmux/internal/audit"
 	"coltsfootmux/internal/auth"
@@ -49,6 +53,8 @@
 type fakeTrail struct {
 	entries []audit.Entry
 	full    bool
+	// fails makes Add fail although there was room.
+	fails bool
 }
 
 func (f *fakeTrail) Room() bool { return !f.full }
@@ -56,6 +62,9 @@
 func (f *fakeTrail) Find(audit.Filter) []audit.Entry { return f.entries }
 
 func (f *fakeTrail) Add(_ context.Context, e audit.Entry) error {
+	if f.fails {
+		return audit.ErrFull
+	}
 	f.entries = append(f.entries, e)
 	return nil
 }
@@ -113,6 +122,29 @@
 	}
 }
 
+func TestRefusalThatCannotBeEnteredIsSaid(t *testing.T) {
+	s, _, trail := newServer()
+	trail.fails = true
+	if w := send(s, "POST", "/v1/drain", `{"reason":"x"}`); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("%d: %s", w.Code, w.Body)
+	}
+}
+
+func TestForcedDocumentGoesBeyondEveryVersion(t *testing.T) {
+	s, configs, _ := newServer()
+	text, err := config.Encode(&configs.cur.Document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := json.Marshal(PublishBody{Reason: "the log was lost", Document: string(text), Force: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := send(s, "POST", "/v1/config", string(body)); w.Code != http.StatusOK || configs.cur.Version != 4+forceMargin+1 {
+		t.Errorf("%d at version %d: %s", w.Code, configs.cur.Version, w.Body)
+	}
+}
+
 func TestRefusedChangesAreEntered(t *testing.T) {
 	s, configs, trail := newServer()
 	configs.err = confsync.ErrNotRecorded
@@ -125,11 +157,14 @@
 }
 
 func TestPendingChangeIsSaidToBePending(t *testing.T) {
-	s, configs, _ := newServer()
+	s, configs, trail := newServer()
 	configs.err = confsync.ErrPending
 	if w := send(s, "POST", "/v1/exceptions", addBusy); w.Code != http.StatusAccepted || !strings.Contains(w.Body.String(), `"state":"pending"`) {
 		t.Errorf("%d: %s", w.Code, w.Body)
 	}
+	if len(trail.entries) != 1 || trail.entries[0].Ruling != audit.Pending || len(trail.entries[0].Changes) != 1 {
+		t.Errorf("entries %+v", trail.entries)
+	}
 }
 
 func TestBadBodiesAreRefused(t *testing.T) {
@@ -145,6 +180,7 @@
 		"too much":               {"/v1/drain", `{"reason":"` + strings.Repeat("x", maxSmallBody) + `"}`, http.StatusRequestEntityTooLarge},
 		"no reason":              {"/v1/drain", `{"worker":"w1"}`, http.StatusUnprocessableEntity},
 		"a blank reason":         {"/v1/drain", `{"worker":"w1","reason":" "}`, http.StatusUnprocessableEntity},
+		"a very long reason":     {"/v1/drain", `{"worker":"w1","reason":"` + strings.Repeat("x", maxReasonBytes+1) + `"}`, http.StatusUnprocessableEntity},
 		"no place":               {"/v1/drain", `{"reason":"x"}`, http.StatusUnprocessableEntity},
 		"an unknown place":       {"/v1/drain", `{"cell":"r9","reason":"x"}`, http.StatusUnprocessableEntity},
 		"a bad duration":         {"/v1/exceptions", `{"exception":{"id":"a","reason":"x","longest_wait":"soon"}}`, http.StatusBadRequest},
@@ -182,3 +218,52 @@
 		}
 	})
 }
+
+func TestBodyThatNeverEndsGivesItsTurnUp(t *testing.T) {
+	s, _, _ := newServer()
+	s.o.DocumentTimeout = 200 * time.Millisecond
+	srv := httptest.NewServer(s)
+	defer srv.Close()
+	body, stuck := io.Pipe()
+	defer func() { _ = stuck.Close() }()
+	go func() { _, _ = stuck.Write([]byte(`{"document":"`)) }()
+	res, err := http.Post(srv.URL+"/v1/config/diff", "application/json", body)
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	if w := send(s, "POST", "/v1/config/diff", `{}`); w.Code == http.StatusServiceUnavailable {
+		t.Error("the turn is still taken")
+	}
+}
+
+// slowBody is a body that does not end until it is told to.
+type slowBody struct{ end chan struct{} }
+
+func (b slowBody) Read([]byte) (int, error) {
+	<-b.end
+	return 0, io.EOF
+}
+
+func TestOneDocumentIsReadAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newServer()
+		slow := slowBody{end: make(chan struct{})}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/v1/config/diff", slow))
+		}()
+		synctest.Wait()
+		if w := send(s, "POST", "/v1/config/diff", `{}`); w.Code != http.StatusServiceUnavailable {
+			t.Errorf("%d beside a document that is being read", w.Code)
+		}
+		if w := send(s, "POST", "/v1/drain", `{"worker":"w1","reason":"x"}`); w.Code != http.StatusOK {
+			t.Errorf("%d: a drain waits for documents", w.Code)
+		}
+		close(slow.end)
+		<-done
+		if w := send(s, "POST", "/v1/config/diff", `{}`); w.Code == http.StatusServiceUnavailable {
+			t.Error("still busy")
+		}
+	})
+}
