--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -34,6 +34,9 @@
 	DefaultKeep      = 20_000
 )
 
+// warnShare is the part of the bound on waiting entries at which a warning is logged.
+const warnShare = 20
+
 // Trail is one process's copy of the audit stream. It is safe for concurrent use.
 type Trail struct {
 	o      Options
@@ -46,6 +49,8 @@
 	// pending holds entries that were added here and not yet read back.
 	pending  map[string]bool
 	caughtUp bool
+	// warned says that many entries wait.
+	warned bool
 }
 
 // New makes an empty trail; Run fills it.
@@ -92,10 +97,11 @@
 	if err := t.o.Log.Enqueue(platform.StreamAudit, rec); err != nil {
 		return ErrFull
 	}
-	if len(t.pending) == 0 {
-		evWaiting.Log(ctx, t.o.Logger)
-	}
 	t.pending[e.ID] = true
+	if !t.warned && len(t.pending) >= max(t.o.Pending/warnShare, 1) {
+		t.warned = true
+		evWaiting.Log(ctx, t.o.Logger, slog.Int("entries", len(t.pending)))
+	}
 	mEntries.With(string(e.Ruling)).Inc()
 	return nil
 }
@@ -162,7 +168,8 @@
 	defer t.mu.Unlock()
 	if t.pending[e.ID] {
 		delete(t.pending, e.ID)
-		if len(t.pending) == 0 {
+		if len(t.pending) == 0 && t.warned {
+			t.warned = false
 			evWritten.Log(ctx, t.o.Logger)
 		}
 	}
--- a/internal/confsync/options.go
+++ b/internal/confsync/options.go
@@ -37,8 +37,9 @@
 	Poll time.Duration
 	// Clock gives the time; nil for time.Now.
 	Clock func() time.Time
-	// ReadOnly keeps the store from writing snapshots, and makes it read the
-	// whole stream from the oldest start there is.
+	// ReadOnly makes a store beside the one in force: it writes no snapshots,
+	// reads the whole stream from the oldest start there is, and neither logs nor
+	// counts what the other one does.
 	ReadOnly bool
 	// OnVerdict is told of each ruling in order, if set.
 	OnVerdict func(settings.Verdict)
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -149,9 +149,11 @@
 }
 
 func (s *Store) installed(ctx context.Context, v *config.Versioned) {
-	evInstalled.Log(ctx, s.o.Logger, slog.Uint64("version", uint64(v.Version)))
-	mInstalls.Inc()
-	raise(uint64(v.Version))
+	if !s.o.ReadOnly {
+		evInstalled.Log(ctx, s.o.Logger, slog.Uint64("version", uint64(v.Version)))
+		mInstalls.Inc()
+		raise(uint64(v.Version))
+	}
 	for _, ch := range s.signals {
 		signal(ch)
 	}
@@ -168,7 +170,7 @@
 }
 
 func (s *Store) ruled(ctx context.Context, v settings.Verdict) {
-	if v.Ruling != settings.RulingAccepted {
+	if v.Ruling != settings.RulingAccepted && !s.o.ReadOnly {
 		evRejected.Log(ctx, s.o.Logger, slog.Uint64("offset", uint64(v.Offset)),
 			slog.String("ruling", string(v.Ruling)), slog.String("why", v.Why))
 	}
