--- a/internal/core/placement/policy_test.go
+++ b/internal/core/placement/policy_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+func TestUrgentWorkSharesRoomThatOthersAreLeaving(t *testing.T) {
+	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	slow := r.run(borrower("slow", "b", 8))
+	w := work("mine", "a")
+	w.Shape = one.Times(4)
+	first[Control](r, r.submit(w))
+	now := work("now", "a")
+	now.Class = model.ClassUrgent
+	r.submit(now)
+	// Its victim was asked with a longer bound; now the urgent one holds.
+	if c := first[Control](r, r.later(3*time.Second)); c.Verb != platform.VerbStop {
+		t.Fatalf("got %+v", c)
+	}
+	began := all[Begin](r.end(slow, 0, platform.EndStopped))
+	if len(began) != 2 || began[0].Work.Key != "now" {
+		t.Fatalf("got %+v", began)
+	}
+}
+
 func TestVictimsAreThoseThatLoseLeastAndWholeGangs(t *testing.T) {
 	r := newRig(t, guaranteed(testDoc(testCell("r1", 2)), "a", 1))
 	gang := borrower("old-gang", "b", 4)
@@ -409,3 +428,87 @@
 		t.Fatalf("guaranteed %+v after the worker came back", g)
 	}
 }
+
+func TestLeaseIDsAreNotUsedAgainByALaterAttempt(t *testing.T) {
+	r := newRig(t, guaranteed(testDoc(testCell("r1", 1)), "a", 1))
+	seen := make(map[model.LeaseID]bool)
+	note := func(b Begin) Begin {
+		if seen[b.Parts[0].Lease] {
+			t.Fatalf("%s is used again", b.Parts[0].Lease)
+		}
+		seen[b.Parts[0].Lease] = true
+		return b
+	}
+	w := borrower("b1", "b", 8)
+	b := note(r.run(w))
+	mine := work("mine", "a")
+	mine.Shape = size
+	r.submit(mine)
+	m := first[Begin](r, r.end(b, 0, platform.EndCheckpointed))
+	r.step(Started{Key: "mine"})
+	b = note(first[Begin](r, r.end(m, 0, platform.EndDone)))
+	r.step(Started{Key: "b1"})
+	first[Complete](r, r.end(b, 0, platform.EndLapsed))
+	// The ledger counts its own attempts and hands in the second one.
+	note(first[Begin](r, r.step(Submitted{Work: w, Attempt: 2})))
+}
+
+func TestALostCellLeavesNothingOfABeginBehind(t *testing.T) {
+	r := newRig(t, testDoc(testCell("r1", 1), testCell("r2", 1)))
+	w := work("g", "a")
+	w.Members, w.Shape = 2, size
+	b := first[Begin](r, r.submit(w))
+	stop := first[Control](r, r.step(CellLost{Cell: b.Parts[0].Cell}))
+	if stop.Lease != b.Parts[1].Lease || stop.Verb != platform.VerbStop {
+		t.Fatalf("got %+v", stop)
+	}
+	r.later(time.Minute)
+	if r.core.Running() != 0 {
+		t.Fatal("still counted as running")
+	}
+	if free := r.core.Cells()[0].Free; free != size {
+		t.Fatalf("free %+v", free)
+	}
+}
+
+func TestAFloodOfOldWorkDoesNotHoldUpAnotherAccount(t *testing.T) {
+	d := testDoc(testCell("r1", 1))
+	d.Defaults.LongestWait = config.Duration(time.Hour)
+	r := newRig(t, d)
+	var held []Begin
+	for i := range 8 {
+		held = append(held, r.run(work(fmt.Sprint("run", i), "a")))
+	}
+	for i := range 100 {
+		r.submit(work(fmt.Sprint("flood", i), "a"))
+	}
+	r.later(40 * time.Second)
+	r.submit(work("late-comer", "b"))
+	if got := first[Begin](r, r.end(held[0], 0, platform.EndDone)); got.Work.Key != "late-comer" {
+		t.Fatalf("began %s", got.Work.Key)
+	}
+}
+
+func TestBatchWorkIsNotHeldUpForEver(t *testing.T) {
+	d := testDoc(testCell("r1", 1))
+	d.Defaults.LongestWait = config.Duration(time.Hour)
+	r := newRig(t, d)
+	w := work("run", "a")
+	w.Shape = size
+	running := r.run(w)
+	w.Class = model.ClassBatch
+	w.Key = "batch"
+	r.submit(w)
+	w.Class = model.ClassNormal
+	for i := range 200 {
+		w.Key = model.Key(fmt.Sprint("normal", i))
+		r.submit(w)
+		r.later(2 * time.Second)
+		running = first[Begin](r, r.end(running, 0, platform.EndDone))
+		r.step(Started{Key: running.Work.Key})
+		if running.Work.Key == "batch" {
+			return
+		}
+	}
+	t.Fatal("batch work never started")
+}
