Run the administration program in the deployment; append open jobs anew

Claims were appended anew only at the age at which the stand-in's log forgets them, and accepted jobs never. Claims are now repeated at a quarter of the log's retention, open jobs at half, and the retention is a setting.

--- a/internal/admin/program/program_test.go
+++ b/internal/admin/program/program_test.go
@@ -1,4 +1,4 @@
-package program
+package program_test
 
 import (
 	"bytes"
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootmux/internal/admin"
+	"coltsfootmux/internal/admin/program"
 	"coltsfootmux/internal/dev"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/node"
@@ -57,7 +58,7 @@
 	if err := c.WaitOwned(ctx); err != nil {
 		t.Fatal(err)
 	}
-	p, err := New(Settings{Retention: time.Hour, Keep: 100, Node: node.Settings{
+	p, err := program.New(program.Settings{Retention: time.Hour, Keep: 100, Node: node.Settings{
 		HostID: "admin1", DataCentre: "riga-1", Region: "home", Listen: "127.0.0.1:0",
 		LogURL: c.Platform.LogURL, HostsURL: c.Platform.HostsURL, DrainTimeout: time.Second,
 	}}, logger)
--- a/internal/dev/command.go
+++ b/internal/dev/command.go
@@ -78,7 +78,8 @@
 	out := cmd.Root().Writer
 	_, _ = fmt.Fprintf(out, "log service  %s\nhost list    %s\n", c.Platform.LogURL, c.Platform.HostsURL)
 	for _, h := range c.Hosts {
-		_, _ = fmt.Fprintf(out, "%s  callers' API %s  scheduler %s\n", h.Name, h.URL(), h.Scheduler.Node.Addr())
+		_, _ = fmt.Fprintf(out, "%s  callers' API %s  admin API http://%s  scheduler %s\n",
+			h.Name, h.URL(), h.Admin.APIAddr(), h.Scheduler.Node.Addr())
 	}
 	<-ctx.Done()
 	for _, h := range c.Hosts {
--- a/internal/dev/ownhost.go
+++ b/internal/dev/ownhost.go
@@ -8,6 +8,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	adminprogram "coltsfootmux/internal/admin/program"
+	"coltsfootmux/internal/audit"
 	entryprogram "coltsfootmux/internal/entry/program"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/node"
@@ -21,6 +23,7 @@
 	Place     Place
 	Scheduler *schedulerprogram.Program
 	Entry     *entryprogram.Program
+	Admin     *adminprogram.Program
 
 	stop context.CancelFunc
 	done chan struct{}
@@ -53,8 +56,15 @@
 	if h.Entry, err = entryprogram.New(entry, logger); err != nil {
 		return nil, eris.Wrap(ErrStart, err.Error())
 	}
-	c.Platform.Hosts.Register(h.Scheduler.Node.Self)
-	c.Platform.Hosts.Register(h.Entry.Node.Self)
+	admin := adminprogram.Settings{
+		Node: c.settings(name, model.RoleAdmin, place), Retention: audit.DefaultRetention, Keep: audit.DefaultKeep,
+	}
+	if h.Admin, err = adminprogram.New(admin, logger); err != nil {
+		return nil, eris.Wrap(ErrStart, err.Error())
+	}
+	for _, n := range h.nodes() {
+		c.Platform.Hosts.Register(n.Self)
+	}
 	h.run()
 	return h, nil
 }
@@ -65,6 +75,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return h.Scheduler.Run(ctx) })
 	g.Go(func() error { return h.Entry.Run(ctx) })
+	g.Go(func() error { return h.Admin.Run(ctx) })
 	go func() {
 		defer close(h.done)
 		h.err = g.Wait()
@@ -73,7 +84,7 @@
 
 // nodes gives what the host's programs have in common.
 func (h *OwnHost) nodes() []*node.Node {
-	return []*node.Node{h.Scheduler.Node, h.Entry.Node}
+	return []*node.Node{h.Scheduler.Node, h.Entry.Node, h.Admin.Node}
 }
 
 // URL gives the base URL of the host's callers' API.
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -47,9 +47,10 @@
 }
 
 func startPlatform(s Size, logAddr, hostsAddr string, logger *slog.Logger) (*Platform, error) {
+	home := s.Places[0].Region
 	p := &Platform{
-		Log:     logstore.New(logstore.Options{Latency: latencies(s)}),
-		Hosts:   hostlist.New(hostlist.Options{Lag: hostListLag}),
+		Log:     logstore.New(logstore.Options{Latency: latencies(s), Region: home}),
+		Hosts:   hostlist.New(hostlist.Options{Lag: hostListLag, Region: home}),
 		Workers: make(map[model.WorkerID]*worker.Worker),
 		logger:  logger,
 	}
@@ -88,7 +89,7 @@
 	for r := range place.Racks {
 		cell := model.Cell{ID: rackName(place.DataCentre, r), DataCentre: place.DataCentre}
 		for i := range s.WorkersPerRack {
-			w := worker.New(worker.Options{ID: workerName(cell.ID, i), Capacity: s.Capacity})
+			w := worker.New(worker.Options{ID: workerName(cell.ID, i), Capacity: s.Capacity, Region: place.Region})
 			addr, err := p.serve(anyPort, w.Handler())
 			if err != nil {
 				return err
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 
 	"coltsfootmux/internal/core/ledger"
 	"coltsfootmux/internal/model"
@@ -34,10 +35,24 @@
 
 // resume hands an accepted job to the ledger with nobody waiting.
 func (l *loop) resume(j jobRecord) {
+	l.jobs.add(now(), j)
 	l.lastWait++
 	l.stepLedger(ledger.Submitted{Work: j.Work, Sum: j.Sum, Waiter: l.lastWait})
 }
 
+// refreshJobs appends open jobs anew that the log would forget.
+func (l *loop) refreshJobs() {
+	for _, j := range l.jobs.due(now()) {
+		rec, err := encode("", recordJob, j)
+		if err == nil {
+			err = l.s.o.Log.Enqueue(shard(platform.StreamJobs, l.maps.Group(j.Work.Key)), rec)
+		}
+		if err != nil {
+			evRecordFailed.Log(l.ctx, l.s.o.Logger, slog.Any("error", err))
+		}
+	}
+}
+
 // jobRecord is a job as accepted, on the log.
 type jobRecord struct {
 	Work model.Work `cbor:"1,keyasint"`
--- a/internal/scheduler/led.go
+++ b/internal/scheduler/led.go
@@ -77,6 +77,7 @@
 
 // record puts an outcome on its way to the log, behind the answer.
 func (l *loop) record(a ledger.Record) {
+	l.jobs.remove(a.Recorded.Result.Key)
 	rec, err := encode("", recordOutcome, a.Recorded)
 	if err == nil {
 		g := l.maps.Group(a.Recorded.Result.Key)
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -14,6 +14,10 @@
 	"coltsfootmux/internal/wire"
 )
 
+// refreshesPerRetention is how often within the log's retention a claim is
+// appended anew.
+const refreshesPerRetention = 4
+
 // loop owns the cores and everything that changes with them. Only its own
 // goroutine touches its fields.
 type loop struct {
@@ -33,6 +37,7 @@
 	byReply  map[chan wire.SubmitReply]ledger.Waiter
 	cancels  map[ledger.Waiter]chan wire.CancelReply
 	lastWait ledger.Waiter
+	jobs     openJobs
 }
 
 // ownedCell is a cell that this scheduler owns.
@@ -65,6 +70,7 @@
 			Region:       s.o.Self.Region,
 			BeatEvery:    t.BeatEvery,
 			SuspectAfter: t.SuspectAfter,
+			RefreshEvery: t.LogRetention / refreshesPerRetention,
 		}),
 		members:  membership.New(membership.Settings{}),
 		led:      ledger.New(s.o.Self.ID),
@@ -74,6 +80,7 @@
 		attempts: make(map[model.Key]*attempt),
 		waiters:  make(map[ledger.Waiter]chan wire.SubmitReply),
 		byReply:  make(map[chan wire.SubmitReply]ledger.Waiter),
+		jobs:     newOpenJobs(t.LogRetention),
 		cancels:  make(map[ledger.Waiter]chan wire.CancelReply),
 	}
 	l.led.Watch(l.own)
@@ -103,6 +110,7 @@
 	l.stepOwn(ownership.Tick{})
 	l.stepLedger(ledger.Tick{})
 	l.stepPlace(placement.Tick{})
+	l.refreshJobs()
 }
 
 func (l *loop) handle(m message) {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -40,6 +40,9 @@
 	HostsEvery time.Duration
 	// CallTimeout bounds one call to a worker or to another process.
 	CallTimeout time.Duration
+	// LogRetention is how long the log service keeps records. Claims are appended
+	// anew well before it ends, and so are accepted jobs that are still open.
+	LogRetention time.Duration
 	// RecordTimeout bounds the wait for a job's record on the log.
 	RecordTimeout time.Duration
 }
@@ -53,6 +56,7 @@
 		HostsEvery:    time.Second,
 		CallTimeout:   2 * time.Second,
 		RecordTimeout: 3 * time.Second,
+		LogRetention:  time.Hour,
 	}
 }
 
--- a/internal/scheduler/program/program.go
+++ b/internal/scheduler/program/program.go
@@ -21,7 +21,7 @@
 	return &cli.Command{
 		Name:  "coltsfootmux-scheduler",
 		Usage: "own cells and key groups, place work, and drive workers under leases",
-		Flags: node.Flags(),
+		Flags: append(node.Flags(), retentionFlag()),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			s, err := node.FromCommand(cmd)
 			if err != nil {
@@ -31,7 +31,11 @@
 			if err != nil {
 				return err
 			}
-			p, err := New(s, scheduler.DefaultTiming(), logger)
+			timing := scheduler.DefaultTiming()
+			if timing.LogRetention, err = retention(cmd); err != nil {
+				return err
+			}
+			p, err := New(s, timing, logger)
 			if err != nil {
 				return err
 			}
