--- a/internal/admin/program/program.go
+++ b/internal/admin/program/program.go
@@ -14,7 +14,6 @@
 
 	"coltsfootmux/internal/admin"
 	"coltsfootmux/internal/audit"
-	"coltsfootmux/internal/auth"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/node"
 	"coltsfootmux/internal/process"
@@ -61,11 +60,11 @@
 // New builds the program and opens its listeners. A file that can't be used is a
 // *process.SettingError; other errors are of package node.
 func New(s Settings, logger *slog.Logger) (*Program, error) {
-	who, err := authenticator(&s, logger)
+	who, err := s.API.Authenticator(logger)
 	if err != nil {
 		return nil, err
 	}
-	api, err := apiListener(&s, logger)
+	own, err := s.API.Open(logger)
 	if err != nil {
 		return nil, err
 	}
@@ -75,7 +74,7 @@
 	}
 	trail := audit.New(audit.Options{Log: n.Log, Retention: s.Retention, Keep: s.Keep, Logger: logger})
 	return &Program{
-		Node: n, trail: trail, api: api,
+		Node: n, trail: trail, api: own,
 		recorder: audit.NewRecorder(n.RawLog, trail, recordDelay(n.Self.ID), logger),
 		Admin: admin.New(admin.Options{
 			Configs: n.Configs, Trail: trail, Hosts: n.Hosts, Schedulers: admin.OverLinks(n.Pool),
@@ -89,39 +88,6 @@
 	return time.Duration(xxhash.Sum64String(string(id)) % uint64(maxRecordDelay))
 }
 
-func authenticator(s *Settings, logger *slog.Logger) (auth.Authenticator, error) {
-	if s.Tokens == "" {
-		return auth.Open{}, nil
-	}
-	t, err := auth.NewTokens(s.Tokens, logger)
-	if err != nil {
-		return nil, wrong(flagTokens, s.Tokens, "a tokens file: "+err.Error())
-	}
-	return t, nil
-}
-
-// apiListener opens the operators' listener, if they have one of their own.
-func apiListener(s *Settings, logger *slog.Logger) (*node.Listener, error) {
-	if s.APIListen == "" {
-		return nil, nil
-	}
-	var cert *auth.Certificate
-	if s.TLSCert != "" {
-		var err error
-		if cert, err = auth.NewCertificate(s.TLSCert, s.TLSKey, logger); err != nil {
-			return nil, wrong(flagTLSCert, s.TLSCert, "a certificate that fits --tls-key: "+err.Error())
-		}
-	}
-	ln, err := node.Listen(s.APIListen)
-	if err != nil {
-		return nil, err
-	}
-	if cert != nil {
-		ln.Secure(cert.Config())
-	}
-	return ln, nil
-}
-
 // APIAddr gives the address that operators connect to.
 func (p *Program) APIAddr() string {
 	if p.api == nil {
--- a/internal/admin/program/settings.go
+++ b/internal/admin/program/settings.go
@@ -1,21 +1,17 @@
 package program
 
 import (
-	"net"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"coltsfootmux/internal/audit"
 	"coltsfootmux/internal/node"
+	"coltsfootmux/internal/node/api"
 	"coltsfootmux/internal/process"
 )
 
 const (
-	flagAPIListen = "api-listen"
-	flagTLSCert   = "tls-cert"
-	flagTLSKey    = "tls-key"
-	flagTokens    = "tokens"
 	flagRetention = "log-retention"
 	flagKeep      = "audit-keep"
 )
@@ -26,13 +22,8 @@
 // Settings are the administration program's own settings, from flags and environment.
 type Settings struct {
 	Node node.Settings
-	// APIListen is where operators' calls are taken; empty for the node's listener.
-	APIListen string
-	// TLSCert and TLSKey are PEM files; empty for plain HTTP.
-	TLSCert string
-	TLSKey  string
-	// Tokens is the tokens file; empty to trust every caller.
-	Tokens string
+	// API says where and to whom the API is open.
+	API api.Settings
 	// Retention is how long the platform's log keeps records.
 	Retention time.Duration
 	// Keep is the most audit entries held.
@@ -41,15 +32,8 @@
 
 // Flags gives the flags of Settings.
 func Flags() []cli.Flag {
-	text := func(name, usage string) cli.Flag {
-		return &cli.StringFlag{Name: name, Usage: usage, Sources: process.Env(name)}
-	}
 	return append(
-		node.Flags(),
-		text(flagAPIListen, "IP address and port for operators; needed with TLS (default: that of --listen)"),
-		text(flagTLSCert, "PEM file of the certificate that operators are shown; read again when it changes"),
-		text(flagTLSKey, "PEM file of the certificate's key"),
-		text(flagTokens, "YAML file of bearer tokens; read again when it changes (default: every caller is trusted)"),
+		append(node.Flags(), api.Flags("operators")...),
 		&cli.DurationFlag{
 			Name: flagRetention, Value: audit.DefaultRetention, Sources: process.Env(flagRetention),
 			Usage: "how long the platform's log keeps records",
@@ -66,8 +50,7 @@
 func FromCommand(cmd *cli.Command) (Settings, error) {
 	n, err := node.FromCommand(cmd)
 	s := Settings{
-		Node: n, APIListen: cmd.String(flagAPIListen),
-		TLSCert: cmd.String(flagTLSCert), TLSKey: cmd.String(flagTLSKey), Tokens: cmd.String(flagTokens),
+		Node: n, API: api.FromCommand(cmd),
 		Retention: cmd.Duration(flagRetention), Keep: cmd.Int(flagKeep),
 	}
 	if err != nil {
@@ -78,15 +61,10 @@
 
 // check finds the first wrong setting.
 func (s *Settings) check() error {
+	if err := s.API.Check(); err != nil {
+		return err
+	}
 	switch {
-	case s.APIListen != "" && !isAddr(s.APIListen):
-		return wrong(flagAPIListen, s.APIListen, "an IP address and a port, such as 127.0.0.1:7444")
-	case s.TLSCert != "" && s.TLSKey == "":
-		return wrong(flagTLSKey, s.TLSKey, "the key file of --tls-cert")
-	case s.TLSKey != "" && s.TLSCert == "":
-		return wrong(flagTLSCert, s.TLSCert, "the certificate file of --tls-key")
-	case s.TLSCert != "" && s.APIListen == "":
-		return wrong(flagAPIListen, s.APIListen, "an address of its own for operators with --tls-cert")
 	case s.Retention < time.Minute:
 		return wrong(flagRetention, s.Retention, "a time of at least 1m")
 	case s.Keep < 1 || s.Keep > maxKeep:
@@ -95,11 +73,6 @@
 	return nil
 }
 
-func isAddr(addr string) bool {
-	host, _, err := net.SplitHostPort(addr)
-	return err == nil && net.ParseIP(host) != nil
-}
-
 func wrong(flag string, value any, allowed string) error {
 	return &process.SettingError{Flag: flag, Value: value, Allowed: allowed}
 }
--- a/internal/admin/program/settings_test.go
+++ b/internal/admin/program/settings_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"coltsfootmux/internal/node/api"
 	"coltsfootmux/internal/process"
 )
 
@@ -15,11 +16,11 @@
 		flag string
 	}{
 		"nothing is wrong":                  {func(*Settings) {}, ""},
-		"an address without a port":         {func(s *Settings) { s.APIListen = "127.0.0.1" }, flagAPIListen},
-		"an address by name":                {func(s *Settings) { s.APIListen = "localhost:1" }, flagAPIListen},
-		"a certificate without its key":     {func(s *Settings) { s.TLSCert = "a" }, flagTLSKey},
-		"a key without its certificate":     {func(s *Settings) { s.TLSKey = "a" }, flagTLSCert},
-		"TLS on the listener of the links":  {func(s *Settings) { s.TLSCert, s.TLSKey = "a", "b" }, flagAPIListen},
+		"an address without a port":         {func(s *Settings) { s.API.Listen = "127.0.0.1" }, api.FlagListen},
+		"an address by name":                {func(s *Settings) { s.API.Listen = "localhost:1" }, api.FlagListen},
+		"a certificate without its key":     {func(s *Settings) { s.API.TLSCert = "a" }, api.FlagTLSKey},
+		"a key without its certificate":     {func(s *Settings) { s.API.TLSKey = "a" }, api.FlagTLSCert},
+		"TLS on the listener of the links":  {func(s *Settings) { s.API.TLSCert, s.API.TLSKey = "a", "b" }, api.FlagListen},
 		"a log that forgets within seconds": {func(s *Settings) { s.Retention = time.Second }, flagRetention},
 		"a trail that keeps nothing":        {func(s *Settings) { s.Keep = 0 }, flagKeep},
 		"a trail that keeps too much":       {func(s *Settings) { s.Keep = maxKeep + 1 }, flagKeep},
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -10,7 +10,6 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
-	"coltsfootmux/internal/auth"
 	"coltsfootmux/internal/entry"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/node"
@@ -52,11 +51,11 @@
 // New builds the program and opens its listeners. A file that can't be used is a
 // *process.SettingError; other errors are of package node or entry.
 func New(s Settings, logger *slog.Logger) (*Program, error) {
-	who, err := authenticator(&s, logger)
+	who, err := s.API.Authenticator(logger)
 	if err != nil {
 		return nil, err
 	}
-	api, err := apiListener(&s, logger)
+	own, err := s.API.Open(logger)
 	if err != nil {
 		return nil, err
 	}
@@ -72,40 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Program{Node: n, Entry: e, api: api}, nil
-}
-
-func authenticator(s *Settings, logger *slog.Logger) (auth.Authenticator, error) {
-	if s.Tokens == "" {
-		return auth.Open{}, nil
-	}
-	t, err := auth.NewTokens(s.Tokens, logger)
-	if err != nil {
-		return nil, wrong(flagTokens, s.Tokens, "a tokens file: "+err.Error())
-	}
-	return t, nil
-}
-
-// apiListener opens the callers' listener, if they have one of their own.
-func apiListener(s *Settings, logger *slog.Logger) (*node.Listener, error) {
-	if s.APIListen == "" {
-		return nil, nil
-	}
-	var cert *auth.Certificate
-	if s.TLSCert != "" {
-		var err error
-		if cert, err = auth.NewCertificate(s.TLSCert, s.TLSKey, logger); err != nil {
-			return nil, wrong(flagTLSCert, s.TLSCert, "a certificate that fits --tls-key: "+err.Error())
-		}
-	}
-	ln, err := node.Listen(s.APIListen)
-	if err != nil {
-		return nil, err
-	}
-	if cert != nil {
-		ln.Secure(cert.Config())
-	}
-	return ln, nil
+	return &Program{Node: n, Entry: e, api: own}, nil
 }
 
 // APIAddr gives the address that callers connect to.
--- a/internal/entry/program/program_test.go
+++ b/internal/entry/program/program_test.go
@@ -25,6 +25,7 @@
 	"coltsfootmux/internal/entry/program"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/node"
+	"coltsfootmux/internal/node/api"
 )
 
 // patience bounds waits on real sockets.
@@ -90,7 +91,7 @@
 			HostID: "e1", DataCentre: "riga-1", Region: "home", Listen: "127.0.0.1:0",
 			LogURL: c.Platform.LogURL, HostsURL: c.Platform.HostsURL, DrainTimeout: patience,
 		},
-		APIListen: "127.0.0.1:0", TLSCert: cert, TLSKey: key, Tokens: tokens, Open: 100, HeldMB: 16,
+		API: api.Settings{Listen: "127.0.0.1:0", TLSCert: cert, TLSKey: key, Tokens: tokens}, Open: 100, HeldMB: 16,
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/program/settings.go
+++ b/internal/entry/program/settings.go
@@ -1,21 +1,16 @@
 package program
 
 import (
-	"net"
-
 	"github.com/urfave/cli/v3"
 
 	"coltsfootmux/internal/node"
+	"coltsfootmux/internal/node/api"
 	"coltsfootmux/internal/process"
 )
 
 const (
-	flagAPIListen = "api-listen"
-	flagTLSCert   = "tls-cert"
-	flagTLSKey    = "tls-key"
-	flagTokens    = "tokens"
-	flagOpen      = "open-requests"
-	flagHeldMB    = "held-mb"
+	flagOpen   = "open-requests"
+	flagHeldMB = "held-mb"
 )
 
 const (
@@ -29,13 +24,8 @@
 // Settings are the entry program's own settings, from flags and environment.
 type Settings struct {
 	Node node.Settings
-	// APIListen is where callers' requests are taken; empty for the node's listener.
-	APIListen string
-	// TLSCert and TLSKey are PEM files; empty for plain HTTP.
-	TLSCert string
-	TLSKey  string
-	// Tokens is the tokens file; empty to trust every caller.
-	Tokens string
+	// API says where and to whom the API is open.
+	API api.Settings
 	// Open is the most requests held at once, HeldMB the most MiB of their bodies.
 	Open   int
 	HeldMB int
@@ -43,18 +33,11 @@
 
 // Flags gives the flags of Settings.
 func Flags() []cli.Flag {
-	text := func(name, usage string) cli.Flag {
-		return &cli.StringFlag{Name: name, Usage: usage, Sources: process.Env(name)}
-	}
 	number := func(name string, value int, usage string) cli.Flag {
 		return &cli.IntFlag{Name: name, Value: value, Usage: usage, Sources: process.Env(name)}
 	}
 	return append(
-		node.Flags(),
-		text(flagAPIListen, "IP address and port for callers; needed with TLS (default: that of --listen)"),
-		text(flagTLSCert, "PEM file of the certificate that callers are shown; read again when it changes"),
-		text(flagTLSKey, "PEM file of the certificate's key"),
-		text(flagTokens, "YAML file of bearer tokens; read again when it changes (default: every caller is trusted)"),
+		append(node.Flags(), api.Flags("callers")...),
 		number(flagOpen, defaultOpen, "most requests held at once"),
 		number(flagHeldMB, defaultHeldMB, "most MiB of request bodies held at once"),
 	)
@@ -65,8 +48,7 @@
 func FromCommand(cmd *cli.Command) (Settings, error) {
 	n, err := node.FromCommand(cmd)
 	s := Settings{
-		Node: n, APIListen: cmd.String(flagAPIListen),
-		TLSCert: cmd.String(flagTLSCert), TLSKey: cmd.String(flagTLSKey), Tokens: cmd.String(flagTokens),
+		Node: n, API: api.FromCommand(cmd),
 		Open: cmd.Int(flagOpen), HeldMB: cmd.Int(flagHeldMB),
 	}
 	if err != nil {
@@ -77,17 +59,8 @@
 
 // check finds the first wrong setting.
 func (s *Settings) check() error {
-	if s.APIListen != "" && !isAddr(s.APIListen) {
-		return wrong(flagAPIListen, s.APIListen, "an IP address and a port, such as 127.0.0.1:7443")
-	}
-	if s.TLSCert != "" && s.TLSKey == "" {
-		return wrong(flagTLSKey, s.TLSKey, "the key file of --tls-cert")
-	}
-	if s.TLSKey != "" && s.TLSCert == "" {
-		return wrong(flagTLSCert, s.TLSCert, "the certificate file of --tls-key")
-	}
-	if s.TLSCert != "" && s.APIListen == "" {
-		return wrong(flagAPIListen, s.APIListen, "an address of its own for callers with --tls-cert")
+	if err := s.API.Check(); err != nil {
+		return err
 	}
 	if s.Open < 1 || s.Open > maxOpen {
 		return wrong(flagOpen, s.Open, "a number from 1 to 1048576")
@@ -98,11 +71,6 @@
 	return nil
 }
 
-func isAddr(addr string) bool {
-	host, _, err := net.SplitHostPort(addr)
-	return err == nil && net.ParseIP(host) != nil
-}
-
 func wrong(flag string, value any, allowed string) error {
 	return &process.SettingError{Flag: flag, Value: value, Allowed: allowed}
 }
