--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -251,12 +251,12 @@
 func TestLinkThatGoesSilentIsReplaced(t *testing.T) {
 	limits := core.Limits{BeatEvery: 50 * time.Millisecond, SilentAfter: 300 * time.Millisecond}
 	f := newScheduler(t)
-	wall := linktest.NewSwallower(t, f.addr)
-	s := newSystemWithLimits(t, document(), link.PoolOptions{Limits: limits}, wall.Addr)
+	hole := linktest.NewBlackhole(t, f.addr)
+	s := newSystemWithLimits(t, document(), link.PoolOptions{Limits: limits}, hole.Addr)
 	if got := s.do(t, "POST", "/v1/requests", `{"key":"a","account":"farms","kind":"x"}`); got.status != http.StatusOK {
 		t.Fatalf("before: %d %s", got.status, got.body)
 	}
-	wall.Swallow()
+	hole.DropOpen()
 	if got := s.do(t, "POST", "/v1/requests", `{"key":"b","account":"farms","kind":"x","timeout":"9s"}`); got.status != http.StatusOK {
 		t.Fatalf("after the old connection went silent: %d %s", got.status, got.body)
 	}
--- a/internal/link/chaos_test.go
+++ b/internal/link/chaos_test.go
@@ -47,7 +47,7 @@
 		}
 		return wire.SubmitReply{Result: model.Result{Key: q.Work.Key, Answer: q.Work.Body}}, nil
 	})
-	wall := linktest.NewSwallower(t, serve(t, s))
+	hole := linktest.NewBlackhole(t, serve(t, s))
 	p := newPool(t, link.PoolOptions{Limits: fast(), Seed: 3})
 	ctx := within(t)
 	var answered, lost atomic.Int64
@@ -59,7 +59,7 @@
 				sum := caller*1000 + n
 				body := fmt.Appendf(nil, "%0*d", 1+rnd.IntN(100_000), sum)
 				key := model.Key(fmt.Sprint("k", sum))
-				rep, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, wall.Addr, wire.KindSubmit,
+				rep, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, hole.Addr, wire.KindSubmit,
 					wire.Submit{Sum: sum, Work: model.Work{Key: key, Body: body}})
 				switch {
 				case err == nil:
@@ -86,7 +86,7 @@
 	}()
 	for range 6 {
 		time.Sleep(60 * time.Millisecond)
-		wall.Swallow()
+		hole.DropOpen()
 	}
 	<-done
 	if answered.Load() == 0 || lost.Load() == 0 {
--- a/internal/link/linktest/swallower.go
+++ b/internal/link/linktest/blackhole.go
@@ -7,27 +7,27 @@
 	"testing"
 )
 
-// Swallower forwards connections to an address. Told to swallow, it drops all
+// Blackhole forwards connections to an address. Told to, it drops all the
 // bytes of the connections that are open and forwards new ones, as a middlebox
 // does that has lost track of them.
-type Swallower struct {
+type Blackhole struct {
 	// Addr is the address to connect to instead.
 	Addr string
 	to   string
 
-	mu   sync.Mutex
-	gone chan struct{}
-	mute bool
+	mu      sync.Mutex
+	gone    chan struct{}
+	dropNew bool
 }
 
-// NewSwallower forwards connections to an address until the test ends.
-func NewSwallower(t *testing.T, to string) *Swallower {
+// NewBlackhole forwards connections to an address until the test ends.
+func NewBlackhole(t *testing.T, to string) *Blackhole {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Swallower{Addr: ln.Addr().String(), to: to, gone: make(chan struct{})}
+	s := &Blackhole{Addr: ln.Addr().String(), to: to, gone: make(chan struct{})}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
@@ -41,25 +41,25 @@
 	return s
 }
 
-// Swallow makes the open connections silent.
-func (s *Swallower) Swallow() {
+// DropOpen makes the open connections silent.
+func (s *Blackhole) DropOpen() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.gone)
 	s.gone = make(chan struct{})
 }
 
-// Mute makes new connections silent from their start, or ends that.
-func (s *Swallower) Mute(on bool) {
+// DropNew makes new connections silent from their start, or ends that.
+func (s *Blackhole) DropNew(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mute = on
+	s.dropNew = on
 }
 
-func (s *Swallower) forward(c net.Conn) {
+func (s *Blackhole) forward(c net.Conn) {
 	s.mu.Lock()
 	gone := s.gone
-	if s.mute {
+	if s.dropNew {
 		gone = make(chan struct{})
 		close(gone)
 	}
--- a/internal/link/silent_test.go
+++ b/internal/link/silent_test.go
@@ -30,17 +30,17 @@
 		stopped <- struct{}{}
 		return wire.SubmitReply{}, ctx.Err()
 	})
-	wall := linktest.NewSwallower(t, serve(t, s))
+	hole := linktest.NewBlackhole(t, serve(t, s))
 	p := newPool(t, link.PoolOptions{Limits: limits})
 	ctx := within(t)
 	call := func(sum uint64) error {
-		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, wall.Addr, wire.KindSubmit, wire.Submit{Sum: sum})
+		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, hole.Addr, wire.KindSubmit, wire.Submit{Sum: sum})
 		return err
 	}
 	lost := make(chan error, 1)
 	go func() { lost <- call(1) }()
 	<-started
-	wall.Swallow()
+	hole.DropOpen()
 	if err := <-lost; !errors.Is(err, link.ErrLost) {
 		t.Errorf("open call: %v", err)
 	}
@@ -57,12 +57,12 @@
 func TestHostThatAcceptsAndSaysNothingIsNotSentToAndComesBack(t *testing.T) {
 	s := link.NewServer(link.ServerOptions{})
 	link.Handle(s, wire.KindSubmit, echo)
-	wall := linktest.NewSwallower(t, serve(t, s))
-	wall.Mute(true)
+	hole := linktest.NewBlackhole(t, serve(t, s))
+	hole.DropNew(true)
 	p := newPool(t, link.PoolOptions{DialTimeout: 50 * time.Millisecond})
 	ctx := within(t)
 	call := func() error {
-		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, wall.Addr, wire.KindSubmit, wire.Submit{})
+		_, err := link.Call[wire.Submit, wire.SubmitReply](ctx, p, hole.Addr, wire.KindSubmit, wire.Submit{})
 		return err
 	}
 	for range 3 {
@@ -70,7 +70,7 @@
 			t.Fatalf("got %v", err)
 		}
 	}
-	wall.Mute(false)
+	hole.DropNew(false)
 	for call() != nil {
 		if ctx.Err() != nil {
 			t.Fatal("the host did not come back")
