--- a/internal/admin/bodies.go
+++ b/internal/admin/bodies.go
@@ -32,6 +32,9 @@
 	Base     config.Version `json:"base"`
 	Reason   string         `json:"reason"`
 	Document string         `json:"document"`
+	// Force puts the document into force over whatever hosts have, also when the
+	// log has lost the configuration.
+	Force bool `json:"force"`
 	// WaitSeconds is how long to wait until every host has it in force; 0 for not at all.
 	WaitSeconds int `json:"wait_seconds"`
 }
@@ -54,6 +57,14 @@
 	WaitSeconds int              `json:"wait_seconds"`
 }
 
+// WorkerPutBody asks for a worker to be added to a cell or replaced there.
+type WorkerPutBody struct {
+	Addr        string      `json:"addr"`
+	Capacity    model.Shape `json:"capacity"`
+	Reason      string      `json:"reason"`
+	WaitSeconds int         `json:"wait_seconds"`
+}
+
 // ChangedBody answers a change.
 type ChangedBody struct {
 	// ID is the change's record; the audit trail names it too.
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -32,6 +34,14 @@
 	judged   chan struct{}
 	saves    chan *settings.Snapshot
 	askedFor int
+	// quiet tells when hosts last failed to answer.
+	quiet map[model.HostID]time.Time
+	// logDown says that the last read of the log failed.
+	logDown atomic.Bool
+
+	// window, opened and oldest say where the search for a start is: the size of
+	// the window, its first record, and the oldest record kept.
+	window, opened, oldest model.Offset
 }
 
 // New makes a store that knows no version. Run makes it learn.
@@ -41,6 +51,7 @@
 		o:       o,
 		core:    settings.New(o.Core),
 		waiting: make(map[string][]chan settings.Verdict),
+		quiet:   make(map[model.HostID]time.Time),
 		changed: make(chan struct{}, 1),
 		pushNow: make(chan struct{}, 1),
 		judged:  make(chan struct{}, 1),
@@ -85,6 +96,7 @@
 func (s *Store) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
+	g.Go(func() error { return s.watchHosts(ctx) })
 	g.Go(func() error { return s.gossip(ctx) })
 	g.Go(func() error { return s.save(ctx) })
 	g.Go(func() error { return s.tell(ctx) })
@@ -137,9 +149,11 @@
 }
 
 func (s *Store) installed(ctx context.Context, v *config.Versioned) {
-	evInstalled.Log(ctx, s.o.Logger, slog.Uint64("version", uint64(v.Version)))
-	mInstalls.Inc()
-	raise(uint64(v.Version))
+	if !s.o.ReadOnly {
+		evInstalled.Log(ctx, s.o.Logger, slog.Uint64("version", uint64(v.Version)))
+		mInstalls.Inc()
+		raise(uint64(v.Version))
+	}
 	for _, ch := range s.signals {
 		signal(ch)
 	}
@@ -156,7 +170,7 @@
 }
 
 func (s *Store) ruled(ctx context.Context, v settings.Verdict) {
-	if v.Ruling != settings.RulingAccepted {
+	if v.Ruling != settings.RulingAccepted && !s.o.ReadOnly {
 		evRejected.Log(ctx, s.o.Logger, slog.Uint64("offset", uint64(v.Offset)),
 			slog.String("ruling", string(v.Ruling)), slog.String("why", v.Why))
 	}
