Bound what placement keeps of cancelled work and of callers' kinds

Cause: the wait timer of a cancelled job stayed until its bound, up to hours, and each kind that a caller names kept its own statistics for ever. Dead timers are dropped when they outnumber the live ones; beyond 4,096 kinds the rest is learned under one name for each account. Run: go test ./internal/core/placement -rapid.checks=3000 -rapid.steps=100.

--- a/internal/core/placement/core.go
+++ b/internal/core/placement/core.go
@@ -48,8 +48,10 @@
 	nextLook time.Time
 	seq      uint64
 	timers   timerHeap
-	waiting  int
-	running  int
+	// timersMost is how many timers there may be before dead ones are dropped.
+	timersMost int
+	waiting    int
+	running    int
 }
 
 // New gives a core with the standard policy.
@@ -58,6 +60,7 @@
 // NewWithPolicy gives a core that decides by p.
 func NewWithPolicy(self model.HostID, p Policy) *Core {
 	return &Core{
+		timersMost:   timersLeast,
 		accelerators: newAcceleratorIndex(),
 		slots:        newSlotIndex(),
 		self:         self,
--- a/internal/core/placement/learn.go
+++ b/internal/core/placement/learn.go
@@ -13,6 +13,8 @@
 	learnWeight = 0.2
 	// learnLeast is how many runs must be seen before the least run time is trusted.
 	learnLeast = 8
+	// kindsMost bounds the kinds of work that are learned apart.
+	kindsMost = 4096
 	// guessRun is the run time assumed when nothing is known.
 	guessRun = 10 * time.Second
 )
@@ -35,7 +37,7 @@
 }
 
 func (c *Core) stats(w *model.Work) *runStats {
-	k := kindKey{account: w.Account, kind: w.Kind}
+	k := c.kindOf(w)
 	s, ok := c.kinds[k]
 	if !ok {
 		s = &runStats{good: 1}
@@ -44,6 +46,16 @@
 	return s
 }
 
+// kindOf names what a piece of work is learned under. Kinds are named by callers,
+// so those that come when many are known share one name for each account.
+func (c *Core) kindOf(w *model.Work) kindKey {
+	k := kindKey{account: w.Account, kind: w.Kind}
+	if _, known := c.kinds[k]; known || len(c.kinds) < kindsMost {
+		return k
+	}
+	return kindKey{account: w.Account}
+}
+
 // observe learns from the ending of a task.
 func (c *Core) observe(t *task, end platform.Ending) {
 	s := c.stats(&t.job.work)
@@ -72,7 +84,7 @@
 
 // expected is the likely run time of a job.
 func (c *Core) expected(j *job) time.Duration {
-	s, seen := c.kinds[kindKey{account: j.work.Account, kind: j.work.Kind}]
+	s, seen := c.kinds[c.kindOf(&j.work)]
 	if !seen || s.n == 0 {
 		if j.work.DeclaredRun > 0 {
 			return j.work.DeclaredRun
@@ -89,7 +101,7 @@
 // leastRun is a run time that the work is unlikely to beat; zero while too
 // little is known.
 func (c *Core) leastRun(w *model.Work) time.Duration {
-	s, seen := c.kinds[kindKey{account: w.Account, kind: w.Kind}]
+	s, seen := c.kinds[c.kindOf(w)]
 	if !seen || s.n < learnLeast {
 		return 0
 	}
--- a/internal/core/placement/timers.go
+++ b/internal/core/placement/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"coltsfootmux/internal/model"
@@ -67,6 +68,31 @@
 	t.seq = c.seq
 	t.at = when
 	heap.Push(&c.timers, t)
+	if len(c.timers) > c.timersMost {
+		c.compactTimers()
+	}
+}
+
+// timersLeast is how many timers may be kept before dead ones are dropped.
+const timersLeast = 1024
+
+// compactTimers drops the timers of jobs and queues that are gone.
+func (c *Core) compactTimers() {
+	c.timers = slices.DeleteFunc(c.timers, func(t timer) bool { return !c.alive(t) })
+	heap.Init(&c.timers)
+	c.timersMost = max(timersLeast, 2*len(c.timers))
+}
+
+// alive reports whether what a timer is about is still known.
+func (c *Core) alive(t timer) bool {
+	switch {
+	case t.queue != nil:
+		return t.queue.listed
+	case t.key != "":
+		j, ok := c.jobs[t.key]
+		return ok && j.round == t.round
+	}
+	return true
 }
 
 func (c *Core) fireTimers() {
