--- a/internal/core/ledger/core.go
+++ b/internal/core/ledger/core.go
@@ -33,10 +33,12 @@
 	// live holds the entries without a final outcome in the order they came.
 	live []*entry
 	// ended holds the others, oldest first; bytes is their answers' size.
-	ended      []*entry
-	bytes      int
-	keepKeys   int
-	keepBytes  int
+	ended     []*entry
+	bytes     int
+	keepKeys  int
+	keepBytes int
+	// last holds the latest attempt's number of keys that were forgotten.
+	last       map[model.Key]int
 	out        []Action
 	liveChange bool
 }
@@ -76,6 +78,7 @@
 		self:      self,
 		groups:    make(map[model.GroupID]*group),
 		keys:      make(map[model.Key]*entry),
+		last:      make(map[model.Key]int),
 		keepKeys:  maxEndedKeys,
 		keepBytes: maxEndedBytes,
 	}
--- a/internal/core/ledger/group.go
+++ b/internal/core/ledger/group.go
@@ -66,6 +66,11 @@
 	e.state = dropped
 	c.liveChange = true
 	delete(c.keys, e.key)
+	if e.attempt > 0 {
+		// An attempt that is forgotten here may still ask elsewhere whether it may
+		// begin; it must not be taken for the next one of its key.
+		c.last[e.key] = max(c.last[e.key], e.attempt)
+	}
 }
 
 // adoptOutcome takes in an outcome that the log kept. Only done is for good: a
@@ -150,7 +155,7 @@
 		c.keys[e.key] = e
 		c.live = append(c.live, e)
 	}
-	if !e.live() || f.Label.Attempt < e.attempt {
+	if !e.live() || e.idempotent && f.Label.Attempt < e.attempt {
 		return nil
 	}
 	if e.unsent() {
@@ -160,7 +165,7 @@
 		e.mayHaveRun = e.mayHaveRun || len(e.traces) > 0
 		e.traces = nil
 	}
-	e.attempt, e.state, e.verdict = f.Label.Attempt, asking, nil
+	e.attempt, e.state, e.verdict = max(e.attempt, f.Label.Attempt), asking, nil
 	if e.doubt == "" {
 		e.doubt = model.ReasonOwnerLost
 	}
--- a/internal/core/ledger/submit.go
+++ b/internal/core/ledger/submit.go
@@ -144,7 +144,7 @@
 		return
 	}
 	e.state = dispatched
-	e.attempt++
+	e.attempt = max(e.attempt, c.last[e.key]) + 1
 	e.traces = nil
 	c.do(Dispatch{Work: e.work, Group: e.group, GroupEpoch: g.epoch, Attempt: e.attempt})
 }
--- a/internal/core/ledger/tick.go
+++ b/internal/core/ledger/tick.go
@@ -56,6 +56,9 @@
 // unknown and never run again.
 func (c *Core) forget(now time.Time) {
 	keep := c.defaults().KeyRetention.D() + c.defaults().CallerSkew.D()
+	if len(c.last) > c.keepKeys {
+		clear(c.last)
+	}
 	n := 0
 	for n < len(c.ended) {
 		e := c.ended[n]
--- a/internal/faultrun/random_test.go
+++ b/internal/faultrun/random_test.go
@@ -50,6 +50,14 @@
 	{"restart worker", func(s *Sim, t *rapid.T) {
 		s.machines[rapid.IntRange(0, len(s.machines)-1).Draw(t, "worker")].w.Restart()
 	}},
+	{"restart half", func(s *Sim, t *rapid.T) {
+		odd := rapid.IntRange(0, 1).Draw(t, "odd")
+		for i, m := range s.machines {
+			if i%2 == odd {
+				m.w.Restart()
+			}
+		}
+	}},
 	{"kill worker", func(s *Sim, t *rapid.T) {
 		m := s.machines[rapid.IntRange(0, len(s.machines)-1).Draw(t, "worker")]
 		m.w.Restart()
