End every accepted job with an outcome, and refuse bad keys before recording

Cause: a job whose key the ledger refuses was recorded and answered 202, and then had no status and no outcome. The key is now checked before the record, and a recorded job that can't be run again after a gap ends as unknown.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -41,8 +41,13 @@
 }
 
 // parseTree reads the text as one YAML value. Keys written twice are left for
-// checkSchema, which names them.
-func parseTree(text []byte) (ast.Node, error) {
+// checkSchema, which names them. The library panics on some malformed text.
+func parseTree(text []byte) (root ast.Node, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			root, err = nil, asError([]*FieldError{{Line: 1, Field: "document", Problem: fmt.Sprintf("malformed YAML: %v", p)}})
+		}
+	}()
 	tokens := lexer.Tokenize(string(text))
 	if f := checkTokens(tokens); f != nil {
 		return nil, asError([]*FieldError{f})
--- a/internal/core/ledger/core.go
+++ b/internal/core/ledger/core.go
@@ -98,6 +98,8 @@
 		c.groupLost(e)
 	case HoldsLapsed:
 		c.group(e.Group).held = false
+	case Accepted:
+		c.accepted(now, e)
 	case Submitted:
 		c.submitted(now, e)
 	case WaiterGone:
--- a/internal/core/ledger/event.go
+++ b/internal/core/ledger/event.go
@@ -79,6 +79,13 @@
 	Epoch model.Epoch
 }
 
+// Accepted is a job whose record is on the log. Nobody waits for it, and its
+// outcome is recorded in every case.
+type Accepted struct {
+	Work model.Work
+	Sum  uint64
+}
+
 // WaiterGone says that a caller's connection is closed.
 type WaiterGone struct{ Waiter Waiter }
 
@@ -152,6 +159,7 @@
 func (GroupLost) event()    {}
 func (HoldsLapsed) event()  {}
 func (Submitted) event()    {}
+func (Accepted) event()     {}
 func (WaiterGone) event()   {}
 func (Begun) event()        {}
 func (Answered) event()     {}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -36,8 +36,7 @@
 // resume hands an accepted job to the ledger with nobody waiting.
 func (l *loop) resume(j jobRecord) {
 	l.jobs.add(now(), j)
-	l.lastWait++
-	l.stepLedger(ledger.Submitted{Work: j.Work, Sum: j.Sum, Waiter: l.lastWait})
+	l.stepLedger(ledger.Accepted{Work: j.Work, Sum: j.Sum})
 }
 
 // refreshJobs appends open jobs anew that the log would forget.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -15,6 +15,10 @@
 		return
 	}
 	if m.submit.Work.Detached {
+		if r, refused := l.led.Refusal(now(), &m.submit.Work); refused {
+			m.reply <- wire.SubmitReply{Result: r}
+			return
+		}
 		if _, known := l.led.Status(m.submit.Work.Key); !known {
 			go l.s.recordJob(l.ctx, g, m.submit, m.reply)
 			return
