Never let two pieces of urgent work evict each other in turn

Cause: a property that has an account ask for its guaranteed shape from any state found that two preemptible urgent jobs of different accounts aborted each other's Begin without end, at no passing of time. Urgent work now evicts lower classes only, overdue work no higher one; inside its entitlement an account evicts borrowers of any class, also when it holds more than its guarantee elsewhere. Ruled out: a pause between evictions, which hides the loop.

--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -48,6 +48,9 @@
 	// asked is when its reclaim began.
 	asked time.Time
 
+	// claims is set while room is sought inside its account's entitlement.
+	claims bool
+
 	cancelled bool
 	// evicted says that it was told to leave so that others may start.
 	evicted bool
--- a/internal/core/placement/reclaim_test.go
+++ b/internal/core/placement/reclaim_test.go
@@ -144,3 +144,15 @@
 		t.Fatalf("guaranteed %+v after the worker came back", g)
 	}
 }
+
+func TestUrgentWorkDoesNotEvictUrgentWork(t *testing.T) {
+	r := newRig(t, testDoc(testCell("r1", 1)))
+	w := borrower("first", "a", 8)
+	w.Class = model.ClassUrgent
+	first[Begin](r, r.submit(w))
+	w = borrower("second", "b", 4)
+	w.Class = model.ClassUrgent
+	if got := r.submit(w); len(got) > 0 {
+		t.Fatalf("got %+v", got)
+	}
+}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -87,14 +87,19 @@
 	if v.acc == j.acc {
 		return v.class < j.class
 	}
-	if v.class == urgentClass && j.class != urgentClass && !c.withinOwn(j) {
+	if !j.claims && !outranks(j, v) {
 		return false
 	}
 	s, _ := t.worker.find(v.acc)
 	return s.borrows()
 }
 
-// withinOwn reports whether the job fits into what its account is entitled to.
-func (c *Core) withinOwn(j *job) bool {
-	return j.work.Total().Fits(j.acc.entitled.Sub(j.acc.used))
+// outranks reports whether j may evict v for its class or its age: urgent work
+// what is not urgent, overdue work what is not of a higher class. Two pieces of
+// urgent work never evict each other in turn.
+func outranks(j, v *job) bool {
+	if j.class == urgentClass {
+		return v.class < urgentClass
+	}
+	return v.class <= j.class
 }
--- a/internal/core/placement/try.go
+++ b/internal/core/placement/try.go
@@ -26,7 +26,7 @@
 		if again {
 			own = among(own, freed)
 		}
-		if c.reclaimIn(j, own, c.ownRoom) {
+		if c.claim(j, own) {
 			return true
 		}
 	}
@@ -39,6 +39,15 @@
 	return c.reclaimIn(j, c.evictCells(j), c.evictRoom)
 }
 
+// claim reclaims room inside the entitlement of the job's account, from borrowers
+// of any class.
+func (c *Core) claim(j *job, own []*cell) bool {
+	j.claims = true
+	ok := c.reclaimIn(j, own, c.ownRoom)
+	j.claims = false
+	return ok
+}
+
 func (c *Core) reclaimIn(j *job, cells []*cell, room roomFunc) bool {
 	ws := c.place(j, cells, room)
 	if ws == nil {
