--- a/internal/scheduler/begin.go
+++ b/internal/scheduler/begin.go
@@ -56,7 +56,7 @@
 	st.incs = l.incarnations(b.Parts)
 	if at.remote != nil {
 		st.to = at.from
-		st.announce = &wire.Begun{Key: b.Work.Key, Group: b.Group, Attempt: at.number, Traces: at.traces()}
+		st.announce = &wire.Begun{Key: b.Work.Key, Group: b.Group, Attempt: at.number, Traces: at.traces(), Boot: at.from.Boot}
 	} else if !l.beginHere(st, at) {
 		return
 	}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -144,7 +144,7 @@
 // refused when the attempt is no longer open here.
 func (l *loop) begunElsewhere(m begunMsg) {
 	at, ok := l.attempts[m.begun.Key]
-	if !ok || at.number != m.begun.Attempt || at.remote != nil {
+	if !ok || at.number != m.begun.Attempt || at.remote != nil || m.begun.Boot != l.s.member().Boot {
 		m.reply <- wire.Ack{Refused: model.ReasonCancelled}
 		return
 	}
--- a/internal/wire/begun.go
+++ b/internal/wire/begun.go
@@ -9,6 +9,9 @@
 	Group   model.GroupID `cbor:"2,keyasint"`
 	Attempt int           `cbor:"3,keyasint"`
 	Traces  []Trace       `cbor:"4,keyasint"`
+	// Boot is the start of the owner's process that asked for the attempt. A later
+	// start refuses: it may use the attempt's number for another.
+	Boot string `cbor:"5,keyasint,omitempty"`
 }
 
 // Trace is where one member of an attempt may be found.
