Keep holds at witnesses and where keyed work starts, not at every worker

Cause: a key group's owner renewed a hold at each of the 24 workers of its cells three times a second, used or not; that alone was over the 19 KB/s that a host may spend. Ruled out: joining the holds of one worker in one message, which is done already and does not help when groups are few. A worker that is no witness now gets its hold when keyed work is to start there, and loses it ten times to live after the last start. Safety does not rest on these holds: a worker that the fence did not reach widens the gap, and one that it did reach refuses.

--- a/internal/core/ownership/core.go
+++ b/internal/core/ownership/core.go
@@ -57,6 +57,8 @@
 		c.fenceAnswered(now, e)
 	case ListAnswered:
 		c.listAnswered(now, e)
+	case HoldWanted:
+		c.holdWanted(now, e)
 	case HoldAnswered:
 		c.holdAnswered(now, e)
 	case Refused:
--- a/internal/core/ownership/event.go
+++ b/internal/core/ownership/event.go
@@ -81,6 +81,14 @@
 	Err    error
 }
 
+// HoldWanted asks for a hold at a worker that keyed work is to start on. Holds at
+// workers that are no witnesses are taken when they are wanted, and given up
+// when they have not been for a while.
+type HoldWanted struct {
+	Group  model.GroupID
+	Worker model.WorkerID
+}
+
 // Refused says that a worker refused a call of ours under Epoch, because it has
 // seen a higher one for the scope.
 type Refused struct {
@@ -103,6 +111,7 @@
 func (FenceAnswered) event() {}
 func (ListAnswered) event()  {}
 func (HoldAnswered) event()  {}
+func (HoldWanted) event()    {}
 func (Refused) event()       {}
 func (Drain) event()         {}
 func (Tick) event()          {}
--- a/internal/core/ownership/holds.go
+++ b/internal/core/ownership/holds.go
@@ -117,12 +117,34 @@
 func (c *Core) renew(now time.Time, s *scope) {
 	every := c.set.HoldTTL / renewalsPerTTL
 	for _, g := range s.term.guards {
-		if g.fenced && now.Sub(g.holdSent) >= every {
+		if g.fenced && c.holds(now, g) && now.Sub(g.holdSent) >= every {
 			c.hold(now, s, g)
 		}
 	}
 }
 
+// holds says that a hold is kept at a worker: always at witnesses, elsewhere
+// while keyed work starts there.
+func (c *Core) holds(now time.Time, g *guard) bool {
+	return g.witness || now.Sub(g.wanted) < unwantedHolds*c.set.HoldTTL
+}
+
+// holdWanted keeps a hold at a worker from now on, and asks for it at once.
+func (c *Core) holdWanted(now time.Time, e HoldWanted) {
+	s := c.byScope[model.GroupScope(e.Group)]
+	if s == nil || s.term == nil || s.term.phase != owned {
+		return
+	}
+	g := s.term.guard(e.Worker)
+	if g == nil || !g.fenced {
+		return
+	}
+	g.wanted = now
+	if !g.until.After(now) && now.Sub(g.holdSent) >= c.set.HoldTTL/renewalsPerTTL {
+		c.hold(now, s, g)
+	}
+}
+
 func (c *Core) hold(now time.Time, s *scope, g *guard) {
 	g.holdSent = now
 	c.do(Hold{
--- a/internal/core/ownership/scope.go
+++ b/internal/core/ownership/scope.go
@@ -110,6 +110,8 @@
 	echo     uint64
 	until    time.Time
 	holdSent time.Time
+	// wanted is when keyed work was last to start here.
+	wanted time.Time
 }
 
 func (t *term) guard(id model.WorkerID) *guard {
--- a/internal/core/ownership/settings.go
+++ b/internal/core/ownership/settings.go
@@ -49,6 +49,10 @@
 // renewal stretches a hold once.
 const holdWaits = 3
 
+// unwantedHolds is for how many times to live a hold at a worker that is no
+// witness is renewed after it was last wanted.
+const unwantedHolds = 10
+
 // renewalsPerTTL is how often a hold is renewed within its time to live.
 const renewalsPerTTL = 3
 
--- a/internal/core/ownership/takeover.go
+++ b/internal/core/ownership/takeover.go
@@ -92,6 +92,7 @@
 		if o := old.guard(g.worker.ID); o != nil {
 			g.knew, g.told, g.listing, g.past = o.listed || o.knew, o.told, o.listing, o.past
 			g.incarnation, g.history, g.ended = o.incarnation, o.history, o.ended
+			g.wanted = o.wanted
 		}
 	}
 }
@@ -154,7 +155,7 @@
 	if !g.listed {
 		c.list(now, s, g)
 	}
-	if s.isGroup() {
+	if s.isGroup() && c.holds(now, g) {
 		c.hold(now, s, g)
 	}
 }
--- a/internal/faultrun/work.go
+++ b/internal/faultrun/work.go
@@ -30,8 +30,14 @@
 	misses int
 	trace  ledger.Trace
 	gone   bool
+	// asked is when a hold was wanted at each worker for this attempt.
+	asked map[model.WorkerID]time.Time
 }
 
+// holdPatience is how long an attempt waits for a hold before it goes on to the
+// next worker.
+const holdPatience = 300 * time.Millisecond
+
 // doLed carries an action of the ledger out.
 func (h *host) doLed(a ledger.Action) {
 	switch a := a.(type) {
@@ -96,13 +102,38 @@
 	first := int(xxhash.Sum64String(string(at.d.Work.Key))%uint64(len(ws))) + at.tries
 	for i := range ws {
 		id := ws[(first+i)%len(ws)].ID
-		if inc, ok := h.own.MayStartAt(h.sim.now, at.d.Group, id); ok && !h.sim.now.Before(h.avoid[id]) {
+		if h.sim.now.Before(h.avoid[id]) {
+			continue
+		}
+		if inc, ok := h.own.MayStartAt(h.sim.now, at.d.Group, id); ok {
 			return h.sim.byWorker[id], inc
 		}
+		if h.wantHold(at, id) {
+			return nil, ""
+		}
 	}
 	return nil, ""
 }
 
+// wantHold asks for a hold at a worker, and reports whether to wait for it.
+func (h *host) wantHold(at *attempt, id model.WorkerID) bool {
+	if _, fenced := h.own.Incarnation(model.GroupScope(at.d.Group), id); !fenced {
+		return false
+	}
+	since, again := at.asked[id]
+	if again && h.sim.now.Sub(since) >= holdPatience {
+		return false
+	}
+	if !again {
+		if at.asked == nil {
+			at.asked = make(map[model.WorkerID]time.Time)
+		}
+		at.asked[id] = h.sim.now
+	}
+	h.stepOwn(ownership.HoldWanted{Group: at.d.Group, Worker: id})
+	return true
+}
+
 func (h *host) start1(at *attempt, w *machine, inc string) {
 	d, t := &at.d, at.trace
 	start := platform.Start{
--- a/internal/scheduler/begin.go
+++ b/internal/scheduler/begin.go
@@ -57,10 +57,31 @@
 	if at.remote != nil {
 		st.to = at.from
 		st.announce = &wire.Begun{Key: b.Work.Key, Group: b.Group, Attempt: at.number, Traces: at.traces(), Boot: at.from.Boot}
-	} else if !l.beginHere(st, at) {
+		go st.run(ctx)
 		return
 	}
-	go st.run(ctx)
+	l.beginHeld(st, at, func() { go st.run(ctx) })
+}
+
+// beginHeld goes on with a start once keyed work has its holds.
+func (l *loop) beginHeld(st *starter, at *attempt, run func()) {
+	if at.work.Idempotent {
+		if l.beginHere(st, at) {
+			run()
+		}
+		return
+	}
+	workers := at.workersOf()
+	l.withHolds(at.group, workers, func(held bool) {
+		if !held {
+			go l.s.post(beginDoneMsg{key: at.work.Key, attempt: at.number, outcome: beginNothing, worker: workers[0]})
+			return
+		}
+		l.touch(at.group, workers)
+		if l.beginHere(st, at) {
+			run()
+		}
+	})
 }
 
 // beginHere tells the ledger of the leases and gives the start its group's epoch.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -148,8 +148,25 @@
 		m.reply <- wire.Ack{Refused: model.ReasonCancelled}
 		return
 	}
+	if at.work.Idempotent {
+		l.ackBegun(m, at)
+		return
+	}
+	workers := tracedWorkers(m.begun.Traces)
+	l.withHolds(at.group, workers, func(held bool) {
+		if !held {
+			m.reply <- wire.Ack{Refused: model.ReasonOwnerLost}
+			return
+		}
+		l.touch(at.group, workers)
+		l.ackBegun(m, at)
+	})
+}
+
+// ackBegun notes where a forwarded attempt starts, and lets it start.
+func (l *loop) ackBegun(m begunMsg, at *attempt) {
 	e, held := l.own.MayStart(now(), at.group)
-	if !held || e != at.groupEpoch || !l.led.MayBegin(now(), m.begun.Key, m.begun.Attempt) {
+	if !held || l.attempts[m.begun.Key] != at || e != at.groupEpoch || !l.led.MayBegin(now(), m.begun.Key, m.begun.Attempt) {
 		m.reply <- wire.Ack{Refused: model.ReasonOwnerLost}
 		return
 	}
@@ -157,6 +174,16 @@
 	m.reply <- wire.Ack{}
 }
 
+// tracedWorkers gives the workers of traces, each once.
+func tracedWorkers(ts []wire.Trace) []model.WorkerID {
+	out := make([]model.WorkerID, len(ts))
+	for i, t := range ts {
+		out[i] = t.Worker
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 func ledgerTraces(ts []wire.Trace) []ledger.Trace {
 	out := make([]ledger.Trace, len(ts))
 	for i, t := range ts {
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -37,6 +37,7 @@
 	byReply  map[chan wire.SubmitReply]ledger.Waiter
 	cancels  map[ledger.Waiter]chan wire.CancelReply
 	lastWait ledger.Waiter
+	awaiting []*awaited
 	jobs     openJobs
 }
 
@@ -111,12 +112,16 @@
 	l.stepLedger(ledger.Tick{})
 	l.stepPlace(placement.Tick{})
 	l.refreshJobs()
+	l.holdsChanged()
 }
 
 func (l *loop) handle(m message) {
 	switch m := m.(type) {
 	case ownMsg:
 		l.stepOwn(m.ev)
+		if _, ok := m.ev.(ownership.HoldAnswered); ok {
+			l.holdsChanged()
+		}
 	case ledgerMsg:
 		l.stepLedger(m.ev)
 	case placeMsg:
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -23,6 +23,10 @@
 // run carries the start out and tells the loop. ctx ends when the start is
 // aborted; what was granted is then released.
 func (st *starter) run(ctx context.Context) {
+	if ctx.Err() != nil {
+		st.done(beginNothing, "", false)
+		return
+	}
 	refused, ok := st.announced(ctx)
 	if refused != "" {
 		st.s.post(beginDoneMsg{key: st.b.Work.Key, attempt: st.b.Attempt, outcome: beginRefused, refused: refused})
