Take the holds' time to live out of the configuration

It had no effect: a takeover waits three times to live of the old owner's holds, so that two hosts with different values would not be safe. It stays a constant of the ownership core until a change can be made safely.

--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -16,8 +16,6 @@
 	CheckpointWithin Duration `yaml:"checkpointWithin" json:"checkpoint_within" validate:"gt=0"`
 	// LeaseTTL is the time to live of worker leases.
 	LeaseTTL Duration `yaml:"leaseTTL" json:"lease_ttl" validate:"gt=0"`
-	// HoldTTL is the time to live of key group holds.
-	HoldTTL Duration `yaml:"holdTTL" json:"hold_ttl" validate:"gt=0"`
 	// KeyRetention is how long outcomes are kept for repeats.
 	KeyRetention Duration `yaml:"keyRetention" json:"key_retention" validate:"gt=0"`
 	// CallerSkew bounds how far callers' clocks are off.
--- a/internal/config/withdefaults.go
+++ b/internal/config/withdefaults.go
@@ -14,7 +14,6 @@
 	DefaultReclaimWithin    = Duration(4 * time.Second)
 	DefaultCheckpointWithin = Duration(2 * time.Second)
 	DefaultLeaseTTL         = Duration(10 * time.Second)
-	DefaultHoldTTL          = Duration(time.Second)
 	DefaultKeyRetention     = Duration(time.Hour)
 	DefaultCallerSkew       = Duration(30 * time.Second)
 	DefaultQueueBound       = 1000
@@ -76,7 +75,6 @@
 	setZero(&d.ReclaimWithin, DefaultReclaimWithin)
 	setZero(&d.CheckpointWithin, DefaultCheckpointWithin)
 	setZero(&d.LeaseTTL, DefaultLeaseTTL)
-	setZero(&d.HoldTTL, DefaultHoldTTL)
 	setZero(&d.KeyRetention, DefaultKeyRetention)
 	setZero(&d.CallerSkew, DefaultCallerSkew)
 	setZero(&d.QueueBound, DefaultQueueBound)
--- a/internal/dev/document.go
+++ b/internal/dev/document.go
@@ -43,7 +43,6 @@
 		ReclaimWithin:             config.Duration(5 * time.Second),
 		CheckpointWithin:          config.Duration(2 * time.Second),
 		LeaseTTL:                  config.Duration(4 * time.Second),
-		HoldTTL:                   config.Duration(time.Second),
 		KeyRetention:              config.Duration(10 * time.Minute),
 		CallerSkew:                config.Duration(2 * time.Second),
 		QueueBound:                2000,
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -92,7 +92,7 @@
 	second := config.Duration(time.Second)
 	doc.Defaults = config.Defaults{
 		LongestWait: 20 * second, LargeWait: 5 * second, UrgentWait: 5 * second, ReclaimWithin: 5 * second,
-		CheckpointWithin: second, LeaseTTL: 2 * second, HoldTTL: second / 2, KeyRetention: 600 * second,
+		CheckpointWithin: second, LeaseTTL: 2 * second, KeyRetention: 600 * second,
 		CallerSkew: second / 10, QueueBound: 1000, RatePerSecond: 1000, Concurrency: 100, RetryShare: 0.2,
 		MaxAttempts: 3, BodyLimitBytes: 1 << 20, Weights: config.Weights{Completion: 1, Fragmentation: 1},
 		Reference: model.Shape{Accelerators: 8},
