Give all scopes of an owner the same few successors

Cause: successors were chosen by each scope's own weights, so that an owner of 60 cells among 41 hosts sent its heartbeats, two a second, to 40 of them. Ruled out: longer intervals, which would slow every takeover.

--- a/internal/core/ownership/hosts.go
+++ b/internal/core/ownership/hosts.go
@@ -108,19 +108,40 @@
 	return out
 }
 
-// line gives a claim's line: self, then announced successors in order.
+// line gives a claim's line: self, then announced successors. All scopes of an
+// owner share a few successors, so that heartbeats do not grow with its scopes;
+// which of them comes first differs by scope, so that they share the load when
+// the owner dies.
 func (c *Core) line(now time.Time, t Target) []model.Member {
-	out := []model.Member{c.set.Self}
+	var heirs []model.Member
 	for _, m := range c.order(now, t) {
-		if len(out) == c.set.LineLength {
-			break
-		}
-		if m.Host == c.set.Self.Host {
-			continue
-		}
-		if _, ok := c.hosts.started[m.Host]; ok {
-			out = append(out, m)
+		if _, ok := c.hosts.started[m.Host]; ok && m.Host != c.set.Self.Host {
+			heirs = append(heirs, m)
 		}
 	}
-	return out
+	chosen := slices.Clone(heirs)
+	slices.SortFunc(chosen, func(a, b model.Member) int {
+		return cmp.Or(
+			cmp.Compare(c.distance(t, a), c.distance(t, b)),
+			cmp.Compare(c.kinship(b), c.kinship(a)),
+			cmp.Compare(a.Host, b.Host),
+		)
+	})
+	chosen = chosen[:min(len(chosen), c.set.LineLength-1)]
+	heirs = slices.DeleteFunc(heirs, func(m model.Member) bool { return !slices.Contains(chosen, m) })
+	return append([]model.Member{c.set.Self}, heirs...)
+}
+
+// distance is 0 for a host in the data centre that a target should be owned from.
+func (c *Core) distance(t Target, m model.Member) int {
+	if t.Near != "" && c.hosts.listed[m.Host].DataCentre == t.Near {
+		return 0
+	}
+	return 1
+}
+
+// kinship is the weight of a host as a successor of this one.
+func (c *Core) kinship(m model.Member) uint64 {
+	self := model.Scope{Kind: model.ScopeHost, Name: string(c.set.Self.Host)}
+	return mapping.Weight(self, string(m.Host))
 }
