--- a/internal/process/logger.go
+++ b/internal/process/logger.go
@@ -26,6 +26,14 @@
 	}
 }
 
+// plainErrors writes errors as their message, without the stack that eris keeps.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // Logger makes the logger that the command's flags ask for.
 // The error is a *SettingError.
 func Logger(cmd *cli.Command, w io.Writer) (*slog.Logger, error) {
@@ -33,7 +41,7 @@
 	if err := level.UnmarshalText([]byte(cmd.String(flagLogLevel))); err != nil {
 		return nil, &SettingError{Flag: flagLogLevel, Value: cmd.String(flagLogLevel), Allowed: "debug, info, warn or error"}
 	}
-	opts := &slog.HandlerOptions{Level: level}
+	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}
 	switch cmd.String(flagLogFormat) {
 	case "text":
 		return slog.New(slog.NewTextHandler(w, opts)), nil
