Measure the path without the budget between regions

Cause: the path stood at 5,700 requests a second from 25 to 400 in flight, with p99 growing to 0.37 s, while the processors were not busy. Ruled out: placing all tasks on few workers (64 or 16 slots, no change).

--- a/internal/dev/size.go
+++ b/internal/dev/size.go
@@ -21,6 +21,8 @@
 	// RatePerSecond and Concurrency bound one account at one entry host.
 	RatePerSecond float64
 	Concurrency   int
+	// CrossRegionBytes is what one host may send to other regions in a second.
+	CrossRegionBytes int
 }
 
 // Place is a data centre.
@@ -49,6 +51,8 @@
 		KeyGroups:      defaultKeyGroups,
 		RatePerSecond:  1000,
 		Concurrency:    500,
+
+		CrossRegionBytes: 1_000_000,
 	}
 }
 
