Let hosts near a cell claim it first

Cause: at start the host list shows nobody yet, so that whoever reads the log fastest claims everything; both cells of the far data centre fell to the home region. A host of another data centre now waits 0.5 s longer for a scope that nobody holds. Ruled out: the order of candidates, which is right once known.

--- a/internal/core/ownership/claims.go
+++ b/internal/core/ownership/claims.go
@@ -139,7 +139,12 @@
 		return false
 	}
 	turn := slices.IndexFunc(c.order(now, s.target), func(m model.Member) bool { return m.Host == c.set.Self.Host })
-	return now.Sub(s.vacant) >= time.Duration(turn)*c.set.StaggerPerRank
+	wait := time.Duration(turn) * c.set.StaggerPerRank
+	if t := s.target; t.Near != "" && c.set.DataCentre != t.Near {
+		// A host that is near may not be known yet; its claim is let go first.
+		wait += c.set.NearGrace
+	}
+	return now.Sub(s.vacant) >= wait
 }
 
 // abandoned says that nobody of the claim's line seems to be there, or that this
--- a/internal/core/ownership/line_test.go
+++ b/internal/core/ownership/line_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"coltsfootmux/internal/model"
 )
@@ -39,3 +40,30 @@
 		t.Errorf("only %d of them ever come first", len(first))
 	}
 }
+
+func TestAHostOfAnotherDataCentreLetsThoseNearClaimFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		near model.DataCentre
+		want time.Duration
+	}{
+		"its own data centre":     {"here", 0},
+		"another data centre":     {"there", 500 * time.Millisecond},
+		"no data centre is named": {"", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench("b")
+			b.c.set.DataCentre = "here"
+			b.hostList("b")
+			target := cellTarget()
+			target.Near = c.near
+			b.configure(target)
+			begun := b.now
+			for len(of[Gain](b.did)) == 0 && b.now.Sub(begun) < 5*time.Second {
+				b.wait(50 * time.Millisecond)
+			}
+			if waited := b.now.Sub(begun); waited < c.want || waited > c.want+time.Second {
+				t.Fatalf("gained after %v, want %v to a second more", waited, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/ownership/settings.go
+++ b/internal/core/ownership/settings.go
@@ -19,6 +19,9 @@
 	SuspectAfter time.Duration
 	// StaggerPerRank delays each further candidate or successor.
 	StaggerPerRank time.Duration
+	// NearGrace is how much longer a host waits before it claims a scope that should
+	// be owned from another data centre.
+	NearGrace time.Duration
 	// HoldTTL is the time to live of a key group's holds.
 	HoldTTL time.Duration
 	// ClockRateBound is by what share two clocks' rates may differ.
@@ -60,6 +63,7 @@
 	s.BeatEvery = orDuration(s.BeatEvery, 250*time.Millisecond)
 	s.SuspectAfter = orDuration(s.SuspectAfter, 1500*time.Millisecond)
 	s.StaggerPerRank = orDuration(s.StaggerPerRank, 300*time.Millisecond)
+	s.NearGrace = orDuration(s.NearGrace, 500*time.Millisecond)
 	s.HoldTTL = orDuration(s.HoldTTL, time.Second)
 	s.RetryEvery = orDuration(s.RetryEvery, 200*time.Millisecond)
 	s.AnswerWithin = orDuration(s.AnswerWithin, 500*time.Millisecond)
