--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -52,7 +52,7 @@
 	return Timing{
 		Tick:          50 * time.Millisecond,
 		BeatEvery:     500 * time.Millisecond,
-		SuspectAfter:  2 * time.Second,
+		SuspectAfter:  1500 * time.Millisecond,
 		HostsEvery:    time.Second,
 		CallTimeout:   2 * time.Second,
 		RecordTimeout: 3 * time.Second,
