Date a key group's change of workers

The ownership core widens a group's gap by the time of its last change of workers; the shell left it empty, so that a key could count as new although it may have run on a worker that is no longer listed.

--- a/internal/scheduler/configure.go
+++ b/internal/scheduler/configure.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"time"
 
 	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/ledger"
@@ -21,10 +23,31 @@
 	l.s.dial.configure(&c.Document)
 	l.stepPlace(placement.Configured{Config: c})
 	l.stepLedger(ledger.Configured{Config: c})
-	l.stepOwn(ownership.Configured{Targets: targets(c, l.maps)})
+	l.targets = dated(targets(c, l.maps), l.targets, now())
+	l.stepOwn(ownership.Configured{Targets: l.targets})
 	evConfigured.Log(l.ctx, l.s.o.Logger, slog.Uint64("version", uint64(c.Version)))
 }
 
+// dated notes at which targets the workers differ from those before: older keys
+// may have run on workers that are no longer listed.
+func dated(next, before []ownership.Target, at time.Time) []ownership.Target {
+	old := make(map[model.Scope]ownership.Target, len(before))
+	for _, t := range before {
+		old[t.Scope] = t
+	}
+	for i := range next {
+		o, known := old[next[i].Scope]
+		switch {
+		case !known:
+		case slices.Equal(o.Workers, next[i].Workers):
+			next[i].Since = o.Since
+		default:
+			next[i].Since = at
+		}
+	}
+	return next
+}
+
 // targets lists the scopes of a configuration: its cells, then its key groups.
 func targets(c *config.Versioned, m *mapping.Mapping) []ownership.Target {
 	var out []ownership.Target
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -38,6 +38,7 @@
 	cancels  map[ledger.Waiter]chan wire.CancelReply
 	lastWait ledger.Waiter
 	awaiting []*awaited
+	targets  []ownership.Target
 	jobs     openJobs
 }
 
