--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -73,11 +74,25 @@
 	if c.policy.Preempt && c.reclaimIn(j, c.evictCells(j), c.evictRoom) {
 		return
 	}
+	c.alarmLarge(j)
 	if len(j.drains) == 0 {
 		c.drain(j)
 	}
 }
 
+// alarmLarge tells operators once of large work that no eviction makes room for.
+func (c *Core) alarmLarge(j *job) {
+	if j.largeAlarmed {
+		return
+	}
+	j.largeAlarmed = true
+	c.emit(Alarm{
+		Code: AlarmLargeWait, Account: j.work.Account,
+		Text: fmt.Sprintf("%s has waited past its bound for %d x %+v, and what runs can't be evicted",
+			j.work.Key, j.work.Members, j.work.Shape),
+	})
+}
+
 // drain keeps firm work out of the cells that should be free the soonest.
 func (c *Core) drain(j *job) {
 	room := max(1, len(c.order)/drainShare) - c.draining
--- a/internal/core/placement/job.go
+++ b/internal/core/placement/job.go
@@ -73,6 +73,8 @@
 	badOn  []model.WorkerID
 	avoid  model.WorkerID
 	drains []*cell
+	// largeAlarmed says that operators were told that it is past its bound.
+	largeAlarmed bool
 }
 
 // firm reports whether the job, once started, can't be taken off again.
--- a/internal/core/placement/reclaim_test.go
+++ b/internal/core/placement/reclaim_test.go
@@ -95,6 +95,9 @@
 	} else if why != "cell r1 is being emptied for it" {
 		t.Fatalf("why: %s", why)
 	}
+	if n := countAlarms(r.log, AlarmLargeWait); n != 1 {
+		t.Fatalf("operators were told %d times, want once", n)
+	}
 	// Firm work stays out of the drained rack; work that can leave may fill it.
 	var last Begin
 	for _, b := range begins {
@@ -156,3 +159,13 @@
 		t.Fatalf("got %+v", got)
 	}
 }
+
+func countAlarms(log []Action, code AlarmCode) int {
+	n := 0
+	for _, a := range all[Alarm](log) {
+		if a.Code == code {
+			n++
+		}
+	}
+	return n
+}
