--- a/internal/load/httpcaller.go
+++ b/internal/load/httpcaller.go
@@ -6,8 +6,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -29,16 +30,43 @@
 // balancer would.
 type HTTPCaller struct {
 	client *http.Client
-	bases  []string
-	next   atomic.Uint64
 	token  string
+
+	mu    sync.Mutex
+	bases []string
+	next  int
 }
 
 // NewHTTPCaller makes a caller for the base URLs of entry hosts. Token, when set,
 // is sent as a bearer token.
 func NewHTTPCaller(bases []string, token string) *HTTPCaller {
 	t := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: time.Minute}
-	return &HTTPCaller{client: &http.Client{Transport: t}, bases: bases, token: token}
+	return &HTTPCaller{client: &http.Client{Transport: t}, bases: slices.Clone(bases), token: token}
+}
+
+// Add takes one more entry host in.
+func (h *HTTPCaller) Add(base string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bases = append(h.bases, base)
+}
+
+// Remove takes an entry host out, as a balancer does with one that is not ready.
+func (h *HTTPCaller) Remove(base string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bases = slices.DeleteFunc(h.bases, func(b string) bool { return b == base })
+}
+
+// base gives the next entry host.
+func (h *HTTPCaller) base() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.bases) == 0 {
+		return ""
+	}
+	h.next++
+	return h.bases[h.next%len(h.bases)]
 }
 
 // Close closes the connections that are not in use.
@@ -93,8 +121,7 @@
 }
 
 func (h *HTTPCaller) sling() *sling.Sling {
-	base := h.bases[h.next.Add(1)%uint64(len(h.bases))]
-	s := sling.New().Base(base)
+	s := sling.New().Base(h.base())
 	if h.token != "" {
 		s = s.Set("Authorization", "Bearer "+h.token)
 	}
