--- a/internal/scheduler/begin.go
+++ b/internal/scheduler/begin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"coltsfootmux/internal/core/ledger"
 	"coltsfootmux/internal/core/placement"
@@ -35,7 +36,7 @@
 	epochs map[model.CellID]model.Epoch
 	// incs are the workers' incarnations that the cells' fences are for.
 	incs     map[model.WorkerID]string
-	ttl      platformTTL
+	ttl      time.Duration
 	announce *wire.Begun
 	to       model.Member
 }
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -39,7 +39,7 @@
 
 func (s *Scheduler) onSubmit(ctx context.Context, _ link.Peer, sub wire.Submit) (wire.SubmitReply, error) {
 	reply := make(chan wire.SubmitReply, 1)
-	r, err := await(ctx, s, submitMsg{submit: sub, reply: reply, ctx: ctx}, reply)
+	r, err := await(ctx, s, submitMsg{submit: sub, reply: reply}, reply)
 	if err != nil {
 		s.post(goneMsg{reply: reply})
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"time"
 
 	"coltsfootmux/internal/core/ledger"
 	"coltsfootmux/internal/model"
@@ -60,7 +61,7 @@
 
 // notRecorded says that a job is not accepted. It is proved not to run only when
 // the log did not take the record for certain.
-func notRecorded(k model.Key, err error, after platformTTL) model.Result {
+func notRecorded(k model.Key, err error, after time.Duration) model.Result {
 	r := model.Result{Key: k, Outcome: model.OutcomeUnknown, Reason: model.ReasonNotRecorded, RetryAfter: after}
 	if errors.Is(err, platform.ErrNotSent) || errors.Is(err, platform.ErrUnavailable) {
 		r.Outcome = model.OutcomeNotRun
--- a/internal/scheduler/message.go
+++ b/internal/scheduler/message.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"context"
-
 	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/core/ledger"
 	"coltsfootmux/internal/core/ownership"
@@ -29,7 +27,6 @@
 type submitMsg struct {
 	submit wire.Submit
 	reply  chan wire.SubmitReply
-	ctx    context.Context
 }
 
 // goneMsg says that the caller behind a reply channel no longer waits.
--- a/internal/scheduler/starter.go
+++ b/internal/scheduler/starter.go
@@ -15,9 +15,6 @@
 // gangParallel bounds the calls that one gang's start has open at a time.
 const gangParallel = 64
 
-// platformTTL is the time to live that leases are asked for with.
-type platformTTL = time.Duration
-
 func (l *loop) leaseTTL() time.Duration { return l.conf.Document.Defaults.LeaseTTL.D() }
 
 // run carries the start out and tells the loop. ctx ends when the start is
