Look at the whole fleet only when no near cell takes an attempt

Read-through of the change. Each attempt built the list of all the fleet's cells and looked up their owners, though a near cell takes nearly all; a takeover searched the fleet for the cell of each worker. The further cells are now asked for only when wanted, and the table of workers knows their cells. Holds are wanted in one place, and one function names the workers of an attempt. Behaviour and assertions are as before; the cases of dispatch give the further cells as a function.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -28,8 +28,9 @@
 	Work *model.Work
 	// Near are the cells that serve the work's key group, the preferred one first.
 	Near []model.CellID
-	// Far are further cells, which only idempotent work may run in.
-	Far  []model.CellID
+	// Far gives further cells, which only idempotent work may run in. It is asked
+	// only when no owner of a near cell takes the work; nil for none.
+	Far  func() []model.CellID
 	Self model.HostID
 	// Tried are the owners that have refused the attempt.
 	Tried []model.HostID
@@ -54,22 +55,18 @@
 // the cells of the key group before further ones.
 func Choose(v View, q Question) (Offer, Verdict) {
 	near, gaps := offers(v, q.Near)
-	far := []Offer(nil)
-	if q.Work.Idempotent {
-		var more bool
-		far, more = offers(v, q.Far)
-		gaps = gaps || more
-	}
 	selfFirst(near, q.Self)
-	fits := false
-	for _, o := range slices.Concat(near, far) {
-		if !v.Possible(q.Work, o.Cells) {
-			continue
-		}
-		fits = true
-		if !slices.Contains(q.Tried, o.Owner.Host) {
+	o, found, fits := first(v, q, near)
+	if found {
+		return o, Send
+	}
+	if q.Work.Idempotent && q.Far != nil {
+		far, more := offers(v, q.Far())
+		o, found, some := first(v, q, far)
+		if found {
 			return o, Send
 		}
+		gaps, fits = gaps || more, fits || some
 	}
 	switch {
 	case gaps:
@@ -80,6 +77,21 @@
 	return Offer{}, Impossible
 }
 
+// first gives the first offer that could hold the work and has not refused it.
+// fits says that some offer could hold it.
+func first(v View, q Question, os []Offer) (o Offer, found, fits bool) {
+	for _, o := range os {
+		if !v.Possible(q.Work, o.Cells) {
+			continue
+		}
+		fits = true
+		if !slices.Contains(q.Tried, o.Owner.Host) {
+			return o, true, true
+		}
+	}
+	return Offer{}, false, fits
+}
+
 // offers groups cells by their owners, in the order of the cells. gaps says that
 // some cell has no known owner.
 func offers(v View, cells []model.CellID) (out []Offer, gaps bool) {
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -53,11 +53,11 @@
 		},
 		"non-idempotent work stays in its group's cells": {
 			v: view{owners, []model.CellID{"c"}},
-			q: Question{Near: []model.CellID{"a"}, Far: []model.CellID{"c"}}, want: Impossible,
+			q: Question{Near: []model.CellID{"a"}, Far: func() []model.CellID { return []model.CellID{"c"} }}, want: Impossible,
 		},
 		"idempotent work may go further": {
 			v: view{owners, []model.CellID{"c"}},
-			q: Question{Work: &model.Work{Idempotent: true}, Near: []model.CellID{"a"}, Far: []model.CellID{"c"}}, host: "h3", want: Send,
+			q: Question{Work: &model.Work{Idempotent: true}, Near: []model.CellID{"a"}, Far: func() []model.CellID { return []model.CellID{"c"} }}, host: "h3", want: Send,
 		},
 	}
 	for name, c := range cases {
--- a/internal/scheduler/begin.go
+++ b/internal/scheduler/begin.go
@@ -72,13 +72,12 @@
 		}
 		return
 	}
-	workers := at.workersOf()
+	workers := tracedWorkers(at.traces())
 	l.withHolds(at.group, workers, func(held bool) {
 		if !held {
 			go l.s.post(beginDoneMsg{key: at.work.Key, attempt: at.number, outcome: beginNothing, worker: workers[0]})
 			return
 		}
-		l.touch(at.group, workers)
 		if l.beginHere(st, at) {
 			run()
 		}
--- a/internal/scheduler/dialer.go
+++ b/internal/scheduler/dialer.go
@@ -18,6 +18,7 @@
 
 type dialed struct {
 	worker model.Worker
+	cell   model.CellID
 	client platform.Worker
 }
 
@@ -36,6 +37,7 @@
 			if !ok || old.worker.Addr != w.Addr {
 				old = dialed{worker: w, client: d.workers.Dial(w)}
 			}
+			old.cell = c.ID
 			next[w.ID] = old
 		}
 	}
@@ -51,3 +53,10 @@
 	}
 	return nil
 }
+
+// cellOf gives a worker's cell; empty when the configuration has no such worker.
+func (d *dialer) cellOf(id model.WorkerID) model.CellID {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.known[id].cell
+}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -24,9 +24,10 @@
 // offer hands an attempt to the owner that the dispatch core chooses. When none
 // is left, the ledger hears why the last one refused.
 func (l *loop) offer(at *attempt, last model.Reason, after time.Duration) {
-	near, far := l.cellsFor(at.group)
+	near := l.nearCells(at.group)
 	o, verdict := dispatch.Choose(l, dispatch.Question{
-		Work: &at.work, Near: near, Far: far, Self: l.s.o.Self.ID, Tried: at.tried,
+		Work: &at.work, Near: near, Far: func() []model.CellID { return l.cellsBut(near) },
+		Self: l.s.o.Self.ID, Tried: at.tried,
 	})
 	switch verdict {
 	case dispatch.Send:
@@ -58,17 +59,25 @@
 	})
 }
 
-// cellsFor gives the cells of a key group and all others, by id.
-func (l *loop) cellsFor(g model.GroupID) (near, far []model.CellID) {
-	for _, c := range l.maps.Cells(g) {
-		near = append(near, c.ID)
+// nearCells gives the cells that serve a key group, the preferred one first.
+func (l *loop) nearCells(g model.GroupID) []model.CellID {
+	cells := l.maps.Cells(g)
+	out := make([]model.CellID, len(cells))
+	for i, c := range cells {
+		out[i] = c.ID
 	}
+	return out
+}
+
+// cellsBut gives all other cells of the fleet.
+func (l *loop) cellsBut(near []model.CellID) []model.CellID {
+	var out []model.CellID
 	for _, c := range l.conf.Document.Fleet.Cells {
 		if !slices.Contains(near, c.ID) {
-			far = append(far, c.ID)
+			out = append(out, c.ID)
 		}
 	}
-	return near, far
+	return out
 }
 
 // Owner gives who owns a cell; for the dispatch core. A cell that this scheduler
@@ -158,7 +167,6 @@
 			m.reply <- wire.Ack{Refused: model.ReasonOwnerLost}
 			return
 		}
-		l.touch(at.group, workers)
 		l.ackBegun(m, at)
 	})
 }
--- a/internal/scheduler/gain.go
+++ b/internal/scheduler/gain.go
@@ -135,7 +135,7 @@
 func (l *loop) traces(found []ownership.Scanned) []ledger.Found {
 	var out []ledger.Found
 	for _, f := range found {
-		cell := l.cellOf(f.Worker.ID)
+		cell := l.s.dial.cellOf(f.Worker.ID)
 		for _, h := range f.Listing.Leases {
 			out = append(out, ledger.Found{
 				Worker: f.Worker.ID, Cell: cell, Lease: h.Lease, Label: h.Label, Started: h.Started,
@@ -150,14 +150,3 @@
 	}
 	return out
 }
-
-func (l *loop) cellOf(id model.WorkerID) model.CellID {
-	for _, c := range l.conf.Document.Fleet.Cells {
-		for _, w := range c.Workers {
-			if w.ID == id {
-				return c.ID
-			}
-		}
-	}
-	return ""
-}
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"coltsfootmux/internal/core/ownership"
@@ -21,15 +20,15 @@
 // when they have not come within half of the bound on calls, so that whoever
 // waits for the answer still gets it.
 func (l *loop) withHolds(g model.GroupID, workers []model.WorkerID, then func(held bool)) {
+	for _, w := range workers {
+		l.stepOwn(ownership.HoldWanted{Group: g, Worker: w})
+	}
 	a := &awaited{group: g, workers: workers, until: now().Add(l.s.o.Timing.CallTimeout / 2), then: then}
 	if l.allHeld(a) {
 		then(true)
 		return
 	}
 	l.awaiting = append(l.awaiting, a)
-	for _, w := range workers {
-		l.stepOwn(ownership.HoldWanted{Group: g, Worker: w})
-	}
 }
 
 // allHeld reports whether every worker would take a keyed start now.
@@ -58,20 +57,3 @@
 		}
 	}
 }
-
-// touch keeps the holds at workers where keyed work starts now.
-func (l *loop) touch(g model.GroupID, workers []model.WorkerID) {
-	for _, w := range workers {
-		l.stepOwn(ownership.HoldWanted{Group: g, Worker: w})
-	}
-}
-
-// workersOf gives the workers of an attempt's members, each once.
-func (a *attempt) workersOf() []model.WorkerID {
-	out := make([]model.WorkerID, len(a.parts))
-	for i, p := range a.parts {
-		out[i] = p.Worker
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
