--- a/internal/core/ledger/core.go
+++ b/internal/core/ledger/core.go
@@ -127,7 +127,7 @@
 
 func (c *Core) configured(e Configured) {
 	c.cfg = e.Config
-	c.routes = mapping.New(e.Config.Document.Fleet)
+	c.routes = c.routes.For(e.Config.Document.Fleet)
 }
 
 func (c *Core) defaults() config.Defaults { return c.cfg.Document.Defaults }
--- a/internal/entry/inforce.go
+++ b/internal/entry/inforce.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"reflect"
-
 	"coltsfootmux/internal/config"
 	"coltsfootmux/internal/mapping"
 )
@@ -25,11 +23,13 @@
 // derive takes over what an older configuration derived from the same fleet.
 func derive(old *inForce, v *config.Versioned) *inForce {
 	next := &inForce{version: v.Version, doc: &v.Document}
-	if old != nil && reflect.DeepEqual(old.doc.Fleet, v.Document.Fleet) {
-		next.room, next.mapping = old.room, old.mapping
+	if old == nil {
+		next.room, next.mapping = newRoom(&v.Document.Fleet), mapping.New(v.Document.Fleet)
 		return next
 	}
-	next.room = newRoom(&v.Document.Fleet)
-	next.mapping = mapping.New(v.Document.Fleet)
+	next.room, next.mapping = old.room, old.mapping.For(v.Document.Fleet)
+	if next.mapping != old.mapping {
+		next.room = newRoom(&v.Document.Fleet)
+	}
 	return next
 }
--- a/internal/mapping/mapping.go
+++ b/internal/mapping/mapping.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 
 // Mapping is the routing table of one configuration.
 type Mapping struct {
+	fleet  config.Fleet
 	groups int
 	cells  [][]model.Cell
 	wits   [][]model.Worker
@@ -23,7 +25,7 @@
 
 // New computes the mapping of a fleet.
 func New(f config.Fleet) *Mapping {
-	m := &Mapping{groups: f.KeyGroups, byCell: make(map[model.CellID][]model.GroupID)}
+	m := &Mapping{fleet: f, groups: f.KeyGroups, byCell: make(map[model.CellID][]model.GroupID)}
 	for g := range f.KeyGroups {
 		id := model.GroupID(g)
 		cells := rankCells(f.Cells, id, f.CellsPerGroup)
@@ -36,6 +38,15 @@
 	return m
 }
 
+// For gives the mapping of a fleet: m itself when it was computed from an equal
+// one, as most changes of configuration leave the fleet alone. m may be nil.
+func (m *Mapping) For(f config.Fleet) *Mapping {
+	if m != nil && reflect.DeepEqual(m.fleet, f) {
+		return m
+	}
+	return New(f)
+}
+
 // Groups gives how many key groups there are.
 func (m *Mapping) Groups() int { return m.groups }
 
--- a/internal/mapping/mapping_test.go
+++ b/internal/mapping/mapping_test.go
@@ -106,3 +106,15 @@
 		}
 	}
 }
+
+func TestOnlyAChangeOfTheFleetIsComputedAnew(t *testing.T) {
+	var none *Mapping
+	first := none.For(fleet(12))
+	if same := first.For(fleet(12)); same != first {
+		t.Error("an equal fleet was computed anew")
+	}
+	other := first.For(fleet(13))
+	if other == first || len(other.GroupsOf("cell-12")) == 0 {
+		t.Error("another fleet was not computed anew")
+	}
+}
--- a/internal/scheduler/configure.go
+++ b/internal/scheduler/configure.go
@@ -19,7 +19,7 @@
 		return
 	}
 	l.conf = c
-	l.maps = mapping.New(c.Document.Fleet)
+	l.maps = l.maps.For(c.Document.Fleet)
 	l.s.dial.configure(&c.Document)
 	l.stepPlace(placement.Configured{Config: c})
 	l.stepLedger(ledger.Configured{Config: c})
