Start the three serving programs by one action

Read-through of the change. Entry, scheduler and admin each read settings, made the logger, built and ran in the same words; process.Action does it for all, and the scheduler program has its settings as a struct like the others. Flags, messages and checks are as before.

--- a/internal/admin/program/program.go
+++ b/internal/admin/program/program.go
@@ -25,24 +25,10 @@
 // Command gives the program's command line.
 func Command() *cli.Command {
 	return &cli.Command{
-		Name:  "coltsfootmux-admin",
-		Usage: "serve the administration API and keep the audit trail",
-		Flags: Flags(),
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := FromCommand(cmd)
-			if err != nil {
-				return err
-			}
-			logger, err := process.Logger(cmd, cmd.Root().ErrWriter)
-			if err != nil {
-				return err
-			}
-			p, err := New(s, logger)
-			if err != nil {
-				return err
-			}
-			return p.Run(ctx)
-		},
+		Name:   "coltsfootmux-admin",
+		Usage:  "serve the administration API and keep the audit trail",
+		Flags:  Flags(),
+		Action: process.Action(FromCommand, New),
 	}
 }
 
--- a/internal/dev/ownhost.go
+++ b/internal/dev/ownhost.go
@@ -48,8 +48,8 @@
 	h := &OwnHost{Name: name, Place: place, done: make(chan struct{})}
 	logger := c.logger.With(slog.String("on", name))
 	var err error
-	sched := c.settings(name, model.RoleScheduler, place)
-	if h.Scheduler, err = schedulerprogram.New(sched, scheduler.DefaultTiming(), logger); err != nil {
+	sched := schedulerprogram.Settings{Node: c.settings(name, model.RoleScheduler, place), Timing: scheduler.DefaultTiming()}
+	if h.Scheduler, err = schedulerprogram.New(sched, logger); err != nil {
 		return nil, eris.Wrap(ErrStart, err.Error())
 	}
 	entry := entryprogram.Settings{Node: c.settings(name, model.RoleEntry, place)}
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -19,24 +19,10 @@
 // Command gives the program's command line.
 func Command() *cli.Command {
 	return &cli.Command{
-		Name:  "coltsfootmux-entry",
-		Usage: "take callers' requests and jobs, find the owner of their keys, and hold each caller until its answer is whole",
-		Flags: Flags(),
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := FromCommand(cmd)
-			if err != nil {
-				return err
-			}
-			logger, err := process.Logger(cmd, cmd.Root().ErrWriter)
-			if err != nil {
-				return err
-			}
-			p, err := New(s, logger)
-			if err != nil {
-				return err
-			}
-			return p.Run(ctx)
-		},
+		Name:   "coltsfootmux-entry",
+		Usage:  "take callers' requests and jobs, find the owner of their keys, and hold each caller until its answer is whole",
+		Flags:  Flags(),
+		Action: process.Action(FromCommand, New),
 	}
 }
 
--- /dev/null
+++ b/internal/process/action.go
@@ -0,0 +1,33 @@
+package process
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Runner is a program that works until its context ends.
+type Runner interface {
+	Run(ctx context.Context) error
+}
+
+// Action makes a command's action: read and check the settings, make the logger,
+// build the program, run it. The error is the first of any.
+func Action[S any, P Runner](settings func(*cli.Command) (S, error), build func(S, *slog.Logger) (P, error)) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		s, err := settings(cmd)
+		if err != nil {
+			return err
+		}
+		logger, err := Logger(cmd, cmd.Root().ErrWriter)
+		if err != nil {
+			return err
+		}
+		p, err := build(s, logger)
+		if err != nil {
+			return err
+		}
+		return p.Run(ctx)
+	}
+}
--- a/internal/scheduler/program/program.go
+++ b/internal/scheduler/program/program.go
@@ -19,28 +19,10 @@
 // Command gives the program's command line.
 func Command() *cli.Command {
 	return &cli.Command{
-		Name:  "coltsfootmux-scheduler",
-		Usage: "own cells and key groups, place work, and drive workers under leases",
-		Flags: append(node.Flags(), retentionFlag()),
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := node.FromCommand(cmd)
-			if err != nil {
-				return err
-			}
-			logger, err := process.Logger(cmd, cmd.Root().ErrWriter)
-			if err != nil {
-				return err
-			}
-			timing := scheduler.DefaultTiming()
-			if timing.LogRetention, err = retention(cmd); err != nil {
-				return err
-			}
-			p, err := New(s, timing, logger)
-			if err != nil {
-				return err
-			}
-			return p.Run(ctx)
-		},
+		Name:   "coltsfootmux-scheduler",
+		Usage:  "own cells and key groups, place work, and drive workers under leases",
+		Flags:  Flags(),
+		Action: process.Action(FromCommand, New),
 	}
 }
 
@@ -52,15 +34,15 @@
 
 // New builds the program and opens its listener. The error is of package node or
 // scheduler.
-func New(s node.Settings, t scheduler.Timing, logger *slog.Logger) (*Program, error) {
-	n, err := node.New(s, model.RoleScheduler, logger)
+func New(s Settings, logger *slog.Logger) (*Program, error) {
+	n, err := node.New(s.Node, model.RoleScheduler, logger)
 	if err != nil {
 		return nil, err
 	}
 	sch, err := scheduler.New(scheduler.Options{
 		Self: n.Self, Log: n.Log, RawLog: n.RawLog, Hosts: n.Hosts,
-		Workers: httpworker.New(httpworker.Options{Region: s.Region}),
-		Configs: n.Configs, Pool: n.Pool, Server: n.Server, Logger: logger, Timing: t,
+		Workers: httpworker.New(httpworker.Options{Region: s.Node.Region}),
+		Configs: n.Configs, Pool: n.Pool, Server: n.Server, Logger: logger, Timing: s.Timing,
 	})
 	if err != nil {
 		return nil, err
