--- /dev/null
+++ b/internal/core/cell/core.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// Core is the state of a cell under one term.
+type Core struct {
+	settings Settings
+	term     int64
+	now      Instant
+	started  time.Duration
+	policy   *job.Policy
+	jobs     map[job.ID]*entry
+	// open holds the jobs that have not ended, in the order of their arrival.
+	open    []*entry
+	workers map[external.WorkerID]*worker
+	// fleet holds the workers in the order of their names.
+	fleet   []*worker
+	actions []Action
+	// issued numbers holds.
+	issued int64
+	// batch is the number of the Persist under way, 0 for none.
+	batch     int64
+	batches   int64
+	batchJobs []*entry
+	batchAcks map[*worker]int64
+	dirty     []*entry
+	ended     []*entry
+	// cancels holds cancellations of jobs that have not been seen yet.
+	cancels map[job.ID]bool
+	// silentUntil is when a worker that has not answered since the take-over
+	// can't run anything of the term before.
+	silentUntil time.Duration
+	// changed says that placement may find something new to do.
+	changed bool
+	// nextTick bounds how often time alone causes a pass of placement.
+	nextPass time.Duration
+}
+
+// New makes a cell for a term.
+func New(s Settings, term int64, p *job.Policy, now Instant) *Core {
+	c := &Core{
+		settings: s, term: term, policy: p, now: now, started: now.Mono,
+		jobs:    make(map[job.ID]*entry),
+		workers: make(map[external.WorkerID]*worker),
+		cancels: make(map[job.ID]bool),
+	}
+	c.silentUntil = now.Mono + s.OwnerGrace + time.Duration(float64(s.LeaseMax)*clockSlack) + leaseMargin
+	return c
+}
+
+// Step takes an event in and gives what is to be done.
+func (c *Core) Step(now Instant, ev Event) []Action {
+	c.now = now
+	c.actions = nil
+	c.handle(ev)
+	c.openDue()
+	c.place()
+	c.hold()
+	c.persist()
+	return c.actions
+}
+
+func (c *Core) handle(ev Event) {
+	switch e := ev.(type) {
+	case Loaded:
+		c.load(e)
+	case Submitted:
+		c.submit(&e.Job)
+	case CancelRequested:
+		c.cancel(e.ID)
+	case WorkerChanged:
+		c.workerChanged(e.Worker)
+	case WorkerUnlisted:
+		c.workerUnlisted(e.ID)
+	case PolicyChanged:
+		c.policy = e.Policy
+		c.changed = true
+	case Started:
+		c.startAnswered(e)
+	case Stopped:
+		c.stopAnswered(e)
+	case Listed:
+		c.listed(e)
+	case Committed:
+		c.committed(e)
+	case Tick:
+		c.tick()
+	}
+}
+
+func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
+
+// addWorker makes a worker known, in the order of names.
+func (c *Core) addWorker(w external.Worker) *worker {
+	n := newWorker(w)
+	c.workers[w.ID] = n
+	at, _ := slices.BinarySearchFunc(c.fleet, w.ID, func(o *worker, id external.WorkerID) int {
+		return strings.Compare(string(o.ID), string(id))
+	})
+	c.fleet = slices.Insert(c.fleet, at, n)
+	return n
+}
+
+// dropWorker forgets a worker without runs.
+func (c *Core) dropWorker(w *worker) {
+	delete(c.workers, w.ID)
+	c.fleet = slices.DeleteFunc(c.fleet, func(o *worker) bool { return o == w })
+}
--- /dev/null
+++ b/internal/core/cell/fleet.go
@@ -0,0 +1,53 @@
+package cell
+
+import "coltsfootmux/internal/external"
+
+// workerChanged takes in a worker's entry of the store's list.
+func (c *Core) workerChanged(n external.Worker) {
+	w := c.workers[n.ID]
+	if w == nil {
+		w = c.addWorker(n)
+		w.born = n.BornMS
+		c.changed = true
+		return
+	}
+	wasDraining := w.Draining
+	w.Worker = n
+	if !w.listed {
+		w.listed = true
+		c.changed = true
+	}
+	if n.BornMS != 0 && w.born != 0 && n.BornMS > w.born {
+		c.reborn(w)
+		w.born = n.BornMS
+	}
+	if n.Draining && !wasDraining {
+		w.drainSince = c.now.Mono
+		c.act(WorkerNoted{Worker: w.ID, Note: "drains", Runs: len(w.runs)})
+	}
+	if n.Draining != wasDraining {
+		c.changed = true
+	}
+}
+
+// workerUnlisted takes in that the list names the worker no more. What runs
+// there keeps its lease until it is known to be over.
+func (c *Core) workerUnlisted(id external.WorkerID) {
+	w := c.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	c.act(WorkerNoted{Worker: w.ID, Note: "left the list", Runs: len(w.runs)})
+}
+
+// Listed gives the workers that the list is believed to name, in order.
+func (c *Core) Listed() []external.WorkerID {
+	var out []external.WorkerID
+	for _, w := range c.fleet {
+		if w.listed {
+			out = append(out, w.ID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/cell/gang.go
@@ -0,0 +1,132 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+// findGang gives a worker for each member of a gang, or nil. One rack is
+// preferred to several, and its data's rack to others.
+func (c *Core) findGang(p *pass, g *ranked, u *unit) []*worker {
+	patient := c.now.Mono-u.waiting <= time.Duration(farWait*float64(g.step.Estimate()))
+	if on := c.findRack(p, g, u, patient); on != nil {
+		return on
+	}
+	if g.step.SameRack && patient && c.someRackHolds(p, g, u) {
+		return nil
+	}
+	if g.step.DataRack != "" && patient && !c.mayRunFar(p, g, u) {
+		return nil
+	}
+	on := c.fill(p.pool(g.pool), g.group, u)
+	return on
+}
+
+// findRack gives the rack that holds the whole gang with the least room left.
+func (c *Core) findRack(p *pass, g *ranked, u *unit, patient bool) []*worker {
+	var best []*worker
+	bestLeft := 0
+	for _, k := range p.order {
+		if k.pool != g.pool {
+			continue
+		}
+		if far := g.step.DataRack != "" && k.rack != g.step.DataRack; far && patient && !c.mayRunFar(p, g, u) {
+			continue
+		}
+		on := c.fill(p.racks[k], g.group, u)
+		if on == nil {
+			continue
+		}
+		if k.rack == g.step.DataRack && k.rack != "" {
+			return on
+		}
+		left := 0
+		for _, w := range p.racks[k] {
+			left += w.free().GPU
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = on, left
+		}
+	}
+	return best
+}
+
+// someRackHolds says whether an empty rack could hold the gang.
+func (c *Core) someRackHolds(p *pass, g *ranked, u *unit) bool {
+	for _, k := range p.order {
+		if k.pool != g.pool {
+			continue
+		}
+		n := 0
+		for _, w := range p.racks[k] {
+			if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+				n += copies(w.Capacity, g.step)
+			}
+		}
+		if n >= u.size {
+			return true
+		}
+	}
+	return false
+}
+
+// copies gives how many tasks of the step fit into an amount.
+func copies(r job.Resources, s *job.Step) int {
+	need := s.Resources()
+	n := 1 << 30
+	if need.CPU > 0 {
+		n = min(n, r.CPU/need.CPU)
+	}
+	if need.MemMB > 0 {
+		n = min(n, r.MemMB/need.MemMB)
+	}
+	if need.GPU > 0 {
+		n = min(n, r.GPU/need.GPU)
+	}
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker)
+	}
+	return max(n, 0)
+}
+
+// fill packs a gang's members onto as few of the workers as possible, or gives nil.
+func (c *Core) fill(workers []*worker, g *group, u *unit) []*worker {
+	type space struct {
+		w *worker
+		n int
+	}
+	var spaces []space
+	total := 0
+	for _, w := range workers {
+		if !c.fits(w, g) {
+			continue
+		}
+		n := copies(w.free(), g.step)
+		if g.step.MaxPerWorker > 0 {
+			n = min(n, g.step.MaxPerWorker-w.countOf(g))
+		}
+		if n > 0 {
+			spaces = append(spaces, space{w, n})
+			total += n
+		}
+	}
+	if total < u.size {
+		return nil
+	}
+	slices.SortStableFunc(spaces, func(a, b space) int {
+		return cmp.Or(compareBool(a.w.suspicion > 0, b.w.suspicion > 0), cmp.Compare(b.n, a.n))
+	})
+	var on []*worker
+	for _, s := range spaces {
+		for range s.n {
+			if len(on) == u.size {
+				return on
+			}
+			on = append(on, s.w)
+		}
+	}
+	return on
+}
--- /dev/null
+++ b/internal/core/cell/holds.go
@@ -0,0 +1,304 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// hold asks each worker that needs it for its lists.
+func (c *Core) hold() {
+	now := c.now.Mono
+	for _, w := range c.fleet {
+		if w.probe && !w.probing {
+			w.probe = false
+			w.probing = true
+			c.sendHold(w, 0)
+			continue
+		}
+		if w.holding || now < w.holdNext || !c.needsHold(w) {
+			continue
+		}
+		if c.ackPending(w) {
+			continue
+		}
+		w.holding = true
+		wait := holdWait
+		if !w.fenced || w.holdFails > 0 || len(w.runs) == 0 {
+			wait = 0
+		}
+		c.sendHold(w, wait)
+	}
+}
+
+// ackPending says whether a hold would do better to wait for a commit: the
+// worker would list the same ends again.
+func (c *Core) ackPending(w *worker) bool {
+	if w.ack == w.processed || !w.fenced || w.holdFails > 0 {
+		return false
+	}
+	return c.now.Mono < w.holdNext+ackPause
+}
+
+// needsHold says whether a worker has to be asked: it has not answered yet,
+// something runs there, or ends can be acknowledged.
+func (c *Core) needsHold(w *worker) bool {
+	if len(w.runs) > 0 {
+		return true
+	}
+	if !w.fenced || w.holdFails > 0 {
+		return w.listed
+	}
+	return w.listed && w.ack > w.ackSent
+}
+
+func (c *Core) sendHold(w *worker, wait time.Duration) {
+	c.issued++
+	o := external.HoldOrder{Call: c.call(w), Acknowledge: w.ack, Wait: wait}
+	if w.fenced && len(w.runs) > 0 {
+		o.Until = c.lease(w)
+	}
+	w.ackSent = w.ack
+	c.act(Hold{Order: o, Issue: c.issued})
+}
+
+func (c *Core) call(w *worker) external.Call {
+	return external.Call{Worker: w.ID, Addr: w.Addr, Fence: c.term}
+}
+
+// lease gives the end of a lease that begins now, on the worker's clock, and
+// remembers when it has certainly lapsed.
+func (c *Core) lease(w *worker) time.Duration {
+	now := c.now.Mono
+	until := w.clockNow(now) + c.settings.LeaseMax - leaseCut
+	w.leaseEnd = max(w.leaseEnd, w.lapseAt(now, until))
+	return until.Truncate(time.Millisecond)
+}
+
+// listed takes a worker's lists in.
+func (c *Core) listed(ev Listed) {
+	w := c.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	now := c.now.Mono
+	if w.probing {
+		w.probing = false
+	} else {
+		w.holding = false
+	}
+	w.holdNext = now
+	switch {
+	case ev.Failure == FailureFenced:
+		c.act(Deposed{Worker: w.ID})
+		w.holdNext = now + holdRetry
+		return
+	case ev.Failure != FailureNone || ev.Lists.Refusal != external.RefusedNone:
+		c.holdFailed(w, ev)
+		return
+	}
+	c.answered(w, ev.Lists)
+	c.takeEnds(w, ev.Lists.Ended)
+	c.takeRunning(w, ev.Issue, ev.Lists.Running)
+	c.takeMissing(w, ev.Issue, ev.Lists)
+}
+
+func (c *Core) holdFailed(w *worker, ev Listed) {
+	now := c.now.Mono
+	if w.holdFails == 0 {
+		w.firstFail = now
+		c.act(WorkerNoted{Worker: w.ID, Note: "no answer", Runs: len(w.runs)})
+	}
+	w.holdFails++
+	w.ackSent = 0 // what the hold acknowledged may not have arrived
+	w.holdNext = now + holdRetry
+	c.changed = true
+}
+
+// answered notes a sign of life and what it says about the worker's life.
+func (c *Core) answered(w *worker, l external.Lists) {
+	if w.holdFails > 0 {
+		w.holdFails = 0
+		c.changed = true
+		c.act(WorkerNoted{Worker: w.ID, Note: "answers again", Runs: len(w.runs)})
+	}
+	if l.BornMS != 0 && w.born != 0 && l.BornMS != w.born {
+		c.reborn(w)
+	}
+	if l.BornMS != 0 {
+		w.born = l.BornMS
+	}
+	c.setClock(w, l.Clock)
+	if !w.fenced {
+		w.fenced = true
+		c.changed = true
+	}
+}
+
+// setClock keeps the worker's clock; an older reading never sets it back.
+func (c *Core) setClock(w *worker, clock time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	if w.clock == 0 || clock > w.clockNow(c.now.Mono) || c.now.Mono-w.clockAt > time.Second {
+		w.clock, w.clockAt = clock, c.now.Mono
+	}
+}
+
+// reborn ends everything of a worker's earlier life.
+func (c *Core) reborn(w *worker) {
+	c.act(WorkerNoted{Worker: w.ID, Note: "started anew", Runs: len(w.runs)})
+	w.fenced = false
+	w.clock, w.processed, w.ack, w.ackSent, w.leaseEnd = 0, 0, 0, 0, 0
+	w.born = 0
+	for _, r := range slices.Clone(w.runs) {
+		c.endRun(r, EndedLost, "")
+	}
+	w.holdNext = c.now.Mono
+}
+
+// takeEnds takes in each end once, in the order of their numbers.
+func (c *Core) takeEnds(w *worker, ends []external.End) {
+	for _, e := range ends {
+		if e.Number <= w.processed {
+			continue
+		}
+		w.processed = e.Number
+		r := w.find(e.Task, e.Run)
+		if r == nil {
+			c.strayEnd(w, e)
+			continue
+		}
+		c.endRun(r, e.How, e.Saved)
+	}
+}
+
+// strayEnd takes in the end of a run that this owner did not know to be there.
+func (c *Core) strayEnd(w *worker, e external.End) {
+	u := c.unitOf(e.Task)
+	if u == nil || u.state == unitDone {
+		return
+	}
+	if e.Saved != "" && u.saved == "" {
+		u.saved = e.Saved
+		c.markDirty(u.entry())
+	}
+	switch e.How {
+	case external.EndedDone:
+		if u.group.step.LongRunning {
+			return
+		}
+		c.unitDone(u)
+		for _, r := range slices.Clone(u.runs) {
+			c.stop(r, ReasonDone)
+		}
+	case external.EndedFailed:
+		c.unitFailed(u, e.Run)
+	}
+}
+
+// takeRunning takes in what runs on a worker.
+func (c *Core) takeRunning(w *worker, issue int64, rows []external.Running) {
+	now := c.now.Mono
+	for _, row := range rows {
+		r := w.find(row.Task, row.Run)
+		if r == nil {
+			r = c.adopt(w, row)
+		}
+		r.missing = 0
+		if row.Percent != r.percent || r.moved == 0 {
+			r.percent, r.moved = row.Percent, now
+		}
+		if row.Saved != "" {
+			r.saved = row.Saved
+		}
+		if r.state == runStarting || r.state == runDoubt {
+			r.state = runRunning
+			r.mark = c.issued
+			r.began = now
+		}
+		c.checkRun(r, issue)
+	}
+}
+
+// adopt takes over a run that an earlier owner ordered, or stops it when its
+// task needs no run.
+func (c *Core) adopt(w *worker, row external.Running) *run {
+	u := c.unitOf(row.Task)
+	r := &run{
+		task: row.Task, number: row.Run, worker: w, state: runRunning,
+		since: c.now.Mono, began: c.now.Mono, mark: c.issued, moved: c.now.Mono, percent: row.Percent,
+	}
+	if u != nil {
+		r.takes = u.group.step.Resources()
+	}
+	w.leaseEnd = max(w.leaseEnd, c.now.Mono+time.Duration(float64(c.settings.LeaseMax)*clockSlack)+leaseMargin)
+	switch {
+	case u == nil:
+		r.attach()
+		c.stop(r, ReasonOrphan)
+	case u.state == unitDone || u.entry().outcome != 0 || c.isOlder(u, row.Run):
+		r.attach()
+		c.stop(r, ReasonDone)
+	default:
+		r.unit = u
+		u.entry().begun = true
+		u.lastRun = max(u.lastRun, row.Run)
+		c.dropPlan(u)
+		r.attach()
+		c.changed = true
+	}
+	return r
+}
+
+// isOlder says whether a later run of the unit is known, so that this one is a remnant.
+func (c *Core) isOlder(u *unit, number int64) bool {
+	for _, r := range u.runs {
+		if r.number > number || (r.number == number && u.size == 1) {
+			return true
+		}
+	}
+	return number < u.lastRun
+}
+
+// takeMissing decides on runs that a list should show and does not.
+func (c *Core) takeMissing(w *worker, issue int64, l external.Lists) {
+	shown := make(map[*run]bool, len(l.Running))
+	for _, row := range l.Running {
+		shown[w.find(row.Task, row.Run)] = true
+	}
+	for _, r := range slices.Clone(w.runs) {
+		if shown[r] || !r.settled(issue) {
+			continue
+		}
+		switch r.state {
+		case runDoubt:
+			c.stop(r, ReasonDoubt)
+		case runRunning:
+			r.missing++
+			if r.missing >= missingLists {
+				c.endRun(r, EndedLost, r.saved)
+			}
+		case runStopping:
+			if r.stopAcked != 0 {
+				c.endRun(r, EndedBarred, "")
+			}
+		}
+	}
+}
+
+// unitOf gives the unit of a task of a known job, or nil.
+func (c *Core) unitOf(t job.TaskID) *unit {
+	e := c.jobs[t.Job]
+	if e == nil {
+		return nil
+	}
+	for _, o := range e.occs {
+		if o.index == t.Occurrence {
+			return o.unit(t.Step, t.Index)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/cell/orders.go
@@ -0,0 +1,192 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/external"
+)
+
+// start orders a unit's runs, one on each of the workers given.
+func (c *Core) start(u *unit, on []*worker) {
+	now := c.now.Mono
+	number := max(u.lastRun+1, c.term*runsPerTerm)
+	u.lastRun = number
+	u.entry().begun = true
+	waited := now - u.waiting
+	for i, w := range on {
+		r := &run{
+			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
+			takes: u.group.step.Resources(), since: now, mark: c.issued, moved: now,
+		}
+		r.attach()
+		c.act(Start{
+			Order: external.StartOrder{
+				Call: c.call(w), Task: r.task, Run: number, Spec: u.entry().job.Spec,
+				Until: c.lease(w), Checkpoint: u.saved,
+			},
+			Waited: waited,
+		})
+		if !w.holding {
+			w.holdNext = max(w.holdNext, now)
+		}
+	}
+}
+
+// startAnswered takes in what became of a start.
+func (c *Core) startAnswered(ev Started) {
+	w := c.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	c.setClock(w, ev.Clock)
+	r := w.find(ev.Task, ev.Run)
+	if r == nil {
+		return
+	}
+	now := c.now.Mono
+	switch {
+	case ev.Failure == FailureFenced:
+		c.act(Deposed{Worker: w.ID})
+		c.endRun(r, EndedRefused, "")
+	case ev.Failure == FailureNotReached:
+		w.pauseUntil = max(w.pauseUntil, now+refusedPause)
+		c.endRun(r, EndedRefused, "")
+	case ev.Failure == FailureUnclear:
+		c.doubt(r)
+	case ev.Refusal == external.RefusedNone:
+		if r.state == runStarting {
+			r.state = runRunning
+			r.began = now
+		}
+		r.mark = max(r.mark, c.issued)
+	default:
+		c.refused(r, ev.Refusal)
+	}
+}
+
+// doubt asks the worker whether an unanswered start has begun.
+func (c *Core) doubt(r *run) {
+	if r.state != runStarting {
+		return
+	}
+	r.state = runDoubt
+	r.mark = c.issued
+	r.worker.probe = true
+	c.act(WorkerNoted{Worker: r.worker.ID, Note: "start without an answer", Runs: len(r.worker.runs)})
+}
+
+// refused takes in a start that the worker did not carry out.
+func (c *Core) refused(r *run, why external.Refusal) {
+	now := c.now.Mono
+	w := r.worker
+	w.pauseUntil = max(w.pauseUntil, now+refusedPause)
+	w.probe = true
+	c.act(WorkerNoted{Worker: w.ID, Note: "refused a start: " + string(why), Runs: len(w.runs)})
+	if why == external.RefusedUnhealthy {
+		w.suspect(now)
+	}
+	if why == external.RefusedInvalid {
+		r.unit.notBefore = now + suspectPause
+	}
+	c.endRun(r, EndedRefused, "")
+}
+
+// stop orders a run to stop; it keeps its room until it is over.
+func (c *Core) stop(r *run, why Reason) {
+	if r.state == runStopping {
+		return
+	}
+	r.state = runStopping
+	r.reason = why
+	r.stopAcked = 0
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.stopSent = c.now.Mono
+	c.act(Stop{Order: external.StopOrder{Call: c.call(r.worker), Task: r.task, Run: r.number}, Reason: r.reason})
+}
+
+// stopAnswered takes in what became of a stop.
+func (c *Core) stopAnswered(ev Stopped) {
+	w := c.workers[ev.Worker]
+	if w == nil {
+		return
+	}
+	r := w.find(ev.Task, ev.Run)
+	if r == nil || r.state != runStopping {
+		return
+	}
+	switch {
+	case ev.Failure == FailureFenced:
+		c.act(Deposed{Worker: w.ID})
+	case ev.Failure == FailureNone && ev.Refusal == external.RefusedNone:
+		r.stopAcked = c.now.Mono
+		r.mark = c.issued
+	case ev.Failure == FailureNone:
+		w.probe = true
+	}
+}
+
+// tick passes time: lapsed leases, repeated stops, stalled runs.
+func (c *Core) tick() {
+	now := c.now.Mono
+	for _, w := range slices.Clone(c.fleet) {
+		c.tickWorker(w)
+		for _, r := range slices.Clone(w.runs) {
+			if r.state == runStopping {
+				c.tickStop(r)
+			}
+		}
+		if !w.listed && len(w.runs) == 0 && !w.holding && !w.probing && now > w.leaseEnd {
+			c.dropWorker(w)
+		}
+	}
+	if now >= c.nextPass {
+		c.changed = true
+		c.nextPass = now + 250*time.Millisecond
+	}
+}
+
+// tickWorker ends everything on a silent worker whose lease has certainly lapsed.
+func (c *Core) tickWorker(w *worker) {
+	now := c.now.Mono
+	if w.holdFails == 0 || now < w.leaseEnd || len(w.runs) == 0 {
+		return
+	}
+	c.act(WorkerNoted{Worker: w.ID, Note: "lease has lapsed", Runs: len(w.runs)})
+	for _, r := range slices.Clone(w.runs) {
+		c.endRun(r, EndedLost, r.saved)
+	}
+}
+
+// tickStop repeats a stop that has no answer, and asks for the lists after one
+// that has.
+func (c *Core) tickStop(r *run) {
+	now := c.now.Mono
+	switch {
+	case r.stopAcked == 0 && now-r.stopSent > stopRetry:
+		c.sendStop(r)
+	case r.stopAcked != 0 && now-r.stopAcked > barCheck && r.mark == c.issued:
+		r.worker.probe = true
+	case r.stopAcked != 0 && now-r.stopAcked > stopRetry:
+		r.worker.probe = true
+		r.stopAcked = now
+	}
+}
+
+// checkRun looks at a run that a list shows: stalled ones are moved.
+func (c *Core) checkRun(r *run, _ int64) {
+	now := c.now.Mono
+	if r.state != runRunning || r.unit == nil || r.unit.group.step.LongRunning {
+		return
+	}
+	if now-r.moved < stallTime || r.percent >= 100 {
+		return
+	}
+	r.worker.suspect(now)
+	r.unit.avoid = r.worker.ID
+	c.act(WorkerNoted{Worker: r.worker.ID, Note: "suspect: a run makes no progress", Runs: len(r.worker.runs)})
+	c.stop(r, ReasonStalled)
+}
--- /dev/null
+++ b/internal/core/cell/pass.go
@@ -0,0 +1,153 @@
+package cell
+
+import (
+	"slices"
+)
+
+// lateFactor is how many times its objective a job may take before its
+// completion is of no more use to its caller.
+const lateFactor = 3
+
+type rackKey struct {
+	pool string
+	rack string
+}
+
+// pass is one look at all that waits and all that is free.
+type pass struct {
+	ready  []*ranked
+	pools  map[string][]*worker
+	racks  map[rackKey][]*worker
+	order  []rackKey
+	starts int
+	// need is what each account's jobs of priority 0 ask for.
+	entitled map[*entry]bool
+}
+
+// ranked is a group with what its place in the order depends on.
+type ranked struct {
+	*group
+	pool       string
+	priority   int
+	entitled   bool
+	stale      bool
+	deadlineMS int64
+	order      int
+}
+
+func (p *pass) pool(name string) []*worker { return p.pools[name] }
+
+// newPass gathers the groups that may start, most urgent first, and the workers.
+func (c *Core) newPass() *pass {
+	p := &pass{pools: make(map[string][]*worker), racks: make(map[rackKey][]*worker)}
+	for _, w := range c.fleet {
+		if !w.listed {
+			continue
+		}
+		p.pools[w.Pool] = append(p.pools[w.Pool], w)
+		k := rackKey{w.Pool, w.Rack}
+		if p.racks[k] == nil {
+			p.order = append(p.order, k)
+		}
+		p.racks[k] = append(p.racks[k], w)
+	}
+	p.entitled = c.entitlements()
+	swept := c.swept()
+	for i, e := range c.open {
+		if e.inherited && !swept {
+			continue
+		}
+		c.gather(p, e, i)
+	}
+	slices.SortStableFunc(p.ready, byUrgency)
+	return p
+}
+
+// gather adds the groups of a job that may start.
+func (c *Core) gather(p *pass, e *entry, order int) {
+	for _, o := range e.occs {
+		if o.left == 0 {
+			continue
+		}
+		for _, g := range o.groups {
+			if g.left == 0 || !g.hasWaiting() {
+				continue
+			}
+			if !g.isReady() {
+				continue
+			}
+			c.markReady(g)
+			deadline := o.dueMS + e.objective.Milliseconds()
+			p.ready = append(p.ready, &ranked{
+				group: g, pool: e.job.Queue.Pool, priority: e.job.Queue.Priority,
+				entitled: p.entitled[e], order: order, deadlineMS: deadline,
+				stale: c.now.UnixMS > o.dueMS+lateFactor*e.objective.Milliseconds(),
+			})
+		}
+	}
+}
+
+func (c *Core) markReady(g *group) {
+	if g.ready {
+		return
+	}
+	g.ready = true
+	g.readySince = c.now.Mono
+	for _, u := range g.units {
+		u.waiting = c.now.Mono
+	}
+}
+
+func (g *group) hasWaiting() bool {
+	for _, u := range g.units {
+		if u.state == unitWaiting {
+			return true
+		}
+	}
+	return false
+}
+
+// swept says whether nothing of the term before can run unseen: every listed
+// worker has answered, or its leases have lapsed.
+func (c *Core) swept() bool {
+	if c.now.Mono >= c.silentUntil {
+		return true
+	}
+	for _, w := range c.fleet {
+		if w.listed && !w.fenced {
+			return false
+		}
+	}
+	return true
+}
+
+// entitlements gives the jobs of priority 0 that fit into their account's
+// guarantee, in the order of their arrival.
+func (c *Core) entitlements() map[*entry]bool {
+	out := make(map[*entry]bool)
+	used := make(map[string]int)
+	for _, e := range c.open {
+		if e.job.Queue.Priority != 0 {
+			continue
+		}
+		need := e.gpus()
+		have := c.policy.Guarantee(e.job.Account)
+		if used[e.job.Account]+need > have {
+			continue
+		}
+		used[e.job.Account] += need
+		out[e] = true
+	}
+	return out
+}
+
+// gpus gives the accelerators that a job's open steps take at most at once.
+func (e *entry) gpus() int {
+	n := 0
+	for _, o := range e.occs {
+		for _, g := range o.groups {
+			n += g.left * g.total.GPU
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/cell/persist.go
@@ -0,0 +1,139 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+// markDirty notes that a job's progress has to be made durable.
+func (c *Core) markDirty(e *entry) {
+	if e.dirty {
+		return
+	}
+	e.dirty = true
+	c.dirty = append(c.dirty, e)
+}
+
+// persist sends the progress that has changed, one batch at a time. A batch
+// also covers every end taken in so far, so that they may be acknowledged.
+func (c *Core) persist() {
+	if c.batch != 0 {
+		return
+	}
+	forget := c.forgettable()
+	if len(c.dirty) == 0 && len(forget) == 0 {
+		c.ackAll()
+		return
+	}
+	c.batches++
+	c.batch = c.batches
+	p := Persist{Batch: c.batch, Forget: forget}
+	for _, e := range c.dirty {
+		e.dirty = false
+		p.Progress = append(p.Progress, JobProgress{ID: e.job.ID, Progress: e.progress()})
+	}
+	c.batchJobs, c.dirty = c.dirty, nil
+	c.batchAcks = make(map[*worker]int64)
+	for _, w := range c.fleet {
+		if w.processed > w.ack {
+			c.batchAcks[w] = w.processed
+		}
+	}
+	c.act(p)
+}
+
+// ackAll acknowledges ends that changed nothing durable.
+func (c *Core) ackAll() {
+	for _, w := range c.fleet {
+		w.ack = max(w.ack, w.processed)
+	}
+}
+
+// committed releases what waited for a batch to be durable.
+func (c *Core) committed(ev Committed) {
+	if ev.Batch != c.batch {
+		return
+	}
+	c.batch = 0
+	for _, e := range c.batchJobs {
+		// A job that ended after the batch was made is dirty again.
+		if !e.dirty {
+			e.shown = e.outcome
+		}
+	}
+	for w, n := range c.batchAcks {
+		// Another life of the worker counts anew.
+		if w.processed >= n {
+			w.ack = max(w.ack, n)
+		}
+	}
+	c.batchJobs, c.batchAcks = nil, nil
+}
+
+// forgettable drops jobs that ended long enough ago from memory and gives
+// their names, so that their records are dropped too.
+func (c *Core) forgettable() []job.ID {
+	keep := c.settings.Retention + timedRetention
+	var out []job.ID
+	c.ended = slices.DeleteFunc(c.ended, func(e *entry) bool {
+		age := time.Duration(c.now.UnixMS-e.endedMS) * time.Millisecond
+		if age < keep || e.dirty || e.shown == job.Open {
+			return false
+		}
+		delete(c.jobs, e.job.ID)
+		out = append(out, e.job.ID)
+		return true
+	})
+	return out
+}
+
+// progress gives a job's durable state.
+func (e *entry) progress() job.Progress {
+	p := job.Progress{Outcome: e.outcome, EndedMS: e.endedMS}
+	if e.outcome != job.Open {
+		return p
+	}
+	for _, o := range e.occs {
+		if e.doneOccs[o.index] {
+			p.Occurrences = append(p.Occurrences, job.Occurrence{Index: o.index, Done: true})
+			continue
+		}
+		p.Occurrences = append(p.Occurrences, job.Occurrence{Index: o.index, Steps: o.progress()})
+	}
+	return p
+}
+
+func (o *occurrence) progress() []job.StepProgress {
+	var out []job.StepProgress
+	for _, g := range o.groups {
+		s := job.StepProgress{Step: g.index}
+		changed := false
+		for _, u := range g.units {
+			if u.state == unitDone {
+				s.MarkDone(u.index)
+				changed = true
+				continue
+			}
+			if u.failures > 0 {
+				if s.Failures == nil {
+					s.Failures = make(map[int]int)
+				}
+				s.Failures[u.index] = u.failures
+				changed = true
+			}
+			if u.saved != "" {
+				if s.Saved == nil {
+					s.Saved = make(map[int]string)
+				}
+				s.Saved[u.index] = u.saved
+				changed = true
+			}
+		}
+		if changed {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/cell/place.go
@@ -0,0 +1,187 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// place starts what can be started, the most urgent work first.
+func (c *Core) place() {
+	if !c.changed {
+		return
+	}
+	c.changed = false
+	c.drainWorkers()
+	p := c.newPass()
+	for _, g := range p.ready {
+		if p.starts >= startRate {
+			c.changed = true
+			return
+		}
+		c.placeGroup(p, g)
+	}
+}
+
+// placeGroup places the waiting units of one group; they are alike, so the
+// first that finds no place ends it.
+func (c *Core) placeGroup(p *pass, g *ranked) {
+	for _, u := range g.units {
+		if u.state != unitWaiting || c.now.Mono < u.notBefore {
+			continue
+		}
+		on := c.find(p, g, u)
+		if on == nil {
+			c.makeRoom(p, g, u)
+			if u.plan == nil {
+				return
+			}
+			continue
+		}
+		c.dropPlan(u)
+		c.start(u, on)
+		p.starts += len(on)
+	}
+}
+
+// find gives a worker for each member of a unit, or nil when there is no place now.
+func (c *Core) find(p *pass, g *ranked, u *unit) []*worker {
+	if u.plan != nil {
+		return c.planned(u)
+	}
+	if u.size > 1 || g.step.Gang {
+		return c.findGang(p, g, u)
+	}
+	w := c.findOne(p, g, u)
+	if w == nil {
+		return nil
+	}
+	return []*worker{w}
+}
+
+// findOne gives the best worker for a single task, or nil.
+func (c *Core) findOne(p *pass, g *ranked, u *unit) *worker {
+	mayFar := c.mayRunFar(p, g, u)
+	var best *worker
+	var bestScore score
+	for _, w := range p.pool(g.pool) {
+		if !c.fits(w, g.group) {
+			continue
+		}
+		far := g.step.DataRack != "" && w.Rack != g.step.DataRack
+		if far && !mayFar {
+			continue
+		}
+		s := c.scoreOf(w, g, u, far)
+		if best == nil || s.less(bestScore) {
+			best, bestScore = w, s
+		}
+	}
+	return best
+}
+
+// fits says whether one more task of the group may start on the worker.
+func (c *Core) fits(w *worker, g *group) bool {
+	if !w.usable(c.now.Mono) || !w.free().Covers(g.step.Resources()) {
+		return false
+	}
+	if g.step.Label != "" && !w.hasLabel(g.step.Label) {
+		return false
+	}
+	return g.step.MaxPerWorker == 0 || w.countOf(g) < g.step.MaxPerWorker
+}
+
+// mayRunFar says whether the unit has waited long enough for its data's rack,
+// or the rack has no worker that could ever take it.
+func (c *Core) mayRunFar(p *pass, g *ranked, u *unit) bool {
+	if g.step.DataRack == "" {
+		return true
+	}
+	if c.now.Mono-u.waiting > time.Duration(farWait*float64(g.step.Estimate())) {
+		return true
+	}
+	for _, w := range p.racks[rackKey{g.pool, g.step.DataRack}] {
+		if w.usable(c.now.Mono) && w.Capacity.Covers(g.step.Resources()) {
+			return false
+		}
+	}
+	return true
+}
+
+// score orders workers for a task; lower is better.
+type score struct {
+	far   bool
+	avoid bool
+	// leftGPU and leftCPU are what would remain free: tight packing keeps
+	// whole workers for large tasks.
+	leftGPU int
+	leftCPU int
+}
+
+func (s score) less(o score) bool {
+	if s.far != o.far {
+		return !s.far
+	}
+	if s.avoid != o.avoid {
+		return !s.avoid
+	}
+	if s.leftGPU != o.leftGPU {
+		return s.leftGPU < o.leftGPU
+	}
+	return s.leftCPU < o.leftCPU
+}
+
+func (c *Core) scoreOf(w *worker, g *ranked, u *unit, far bool) score {
+	left := w.free().Minus(g.step.Resources())
+	return score{far: far, avoid: w.ID == u.avoid || w.suspicion > 0, leftGPU: left.GPU, leftCPU: left.CPU}
+}
+
+// drainWorkers moves what would not end before its worker leaves.
+func (c *Core) drainWorkers() {
+	for _, w := range c.fleet {
+		if !w.Draining {
+			continue
+		}
+		left := w.drainSince + w.LeavesIn - c.now.Mono
+		for _, r := range slices.Clone(w.runs) {
+			if r.state != runRunning || r.unit == nil || r.unit.state == unitDone {
+				continue
+			}
+			if r.remaining() > left {
+				c.stop(r, ReasonDrain)
+			}
+		}
+	}
+}
+
+// remaining estimates the work that a run has left.
+func (r *run) remaining() time.Duration {
+	if r.unit.group.step.LongRunning {
+		return time.Hour
+	}
+	est := r.unit.group.step.Estimate()
+	return est * time.Duration(100-min(r.percent, 100)) / 100
+}
+
+// byUrgency orders groups: guaranteed work, then by priority, then what can
+// still be of use, then by deadline.
+func byUrgency(a, b *ranked) int {
+	return cmp.Or(
+		compareBool(b.entitled, a.entitled),
+		cmp.Compare(a.priority, b.priority),
+		compareBool(a.stale, b.stale),
+		cmp.Compare(a.deadlineMS, b.deadlineMS),
+		cmp.Compare(a.order, b.order),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/core/cell/preempt.go
@@ -0,0 +1,195 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+// plan holds room on workers for a unit while others leave it.
+type plan struct {
+	on    []*worker
+	takes job.Resources
+	until time.Duration
+}
+
+// makeRoom stops less urgent work for a unit that may preempt it.
+func (c *Core) makeRoom(p *pass, g *ranked, u *unit) {
+	if g.priority != 0 || g.stale || u.plan != nil {
+		return
+	}
+	best := eviction{}
+	for _, set := range c.evictionSets(p, g) {
+		e := c.evict(set, g, u)
+		if e.on != nil && (best.on == nil || e.cost < best.cost) {
+			best = e
+		}
+	}
+	if best.on == nil {
+		return
+	}
+	c.setPlan(u, best.on)
+	for _, r := range best.victims {
+		for _, m := range slices.Clone(r.unit.runs) {
+			c.stop(m, ReasonPreempted)
+		}
+	}
+}
+
+// evictionSets gives the sets of workers that a unit may be placed on.
+func (c *Core) evictionSets(p *pass, g *ranked) [][]*worker {
+	var out [][]*worker
+	for _, k := range p.order {
+		if k.pool != g.pool {
+			continue
+		}
+		if g.step.DataRack == "" || k.rack == g.step.DataRack {
+			out = append(out, p.racks[k])
+		}
+	}
+	if !g.step.SameRack && g.step.DataRack == "" || len(out) == 0 {
+		out = append(out, p.pool(g.pool))
+	}
+	return out
+}
+
+// eviction is a way to make room.
+type eviction struct {
+	on      []*worker
+	victims []*run
+	// cost is the work that is lost, in core-seconds.
+	cost float64
+}
+
+// space is a worker's room as it would be after evictions.
+type space struct {
+	w       *worker
+	free    job.Resources
+	victims []*run
+	placed  int
+}
+
+// evict finds the cheapest runs of lower priority whose room a unit could have.
+func (c *Core) evict(workers []*worker, g *ranked, u *unit) eviction {
+	var spaces []*space
+	for _, w := range workers {
+		if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+			spaces = append(spaces, &space{w: w, free: w.free(), victims: c.victims(w, g)})
+		}
+	}
+	out := eviction{}
+	for range u.size {
+		s, n, cost := c.cheapest(spaces, g)
+		if s == nil {
+			return eviction{}
+		}
+		for _, r := range s.victims[:n] {
+			s.free = s.free.Plus(r.takes)
+		}
+		out.victims = append(out.victims, s.victims[:n]...)
+		s.victims = s.victims[n:]
+		s.free = s.free.Minus(g.step.Resources())
+		s.placed++
+		out.on = append(out.on, s.w)
+		out.cost += cost
+	}
+	return out
+}
+
+// cheapest gives the worker on which one more task costs the least, with the
+// number of its victims.
+func (c *Core) cheapest(spaces []*space, g *ranked) (best *space, n int, cost float64) {
+	need := g.step.Resources()
+	for _, s := range spaces {
+		if g.step.MaxPerWorker > 0 && s.placed+s.w.countOf(g.group) >= g.step.MaxPerWorker {
+			continue
+		}
+		free, k, lost := s.free, 0, 0.0
+		for !free.Covers(need) && k < len(s.victims) {
+			lost += c.lossOf(s.victims[k])
+			free = free.Plus(s.victims[k].takes)
+			k++
+		}
+		if free.Covers(need) && (best == nil || lost < cost) {
+			best, n, cost = s, k, lost
+		}
+	}
+	return best, n, cost
+}
+
+// victims gives the runs on a worker that the group may preempt, cheapest first.
+func (c *Core) victims(w *worker, g *ranked) []*run {
+	var out []*run
+	for _, r := range w.runs {
+		if r.unit == nil || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
+			continue
+		}
+		if r.unit.entry().job.Queue.Priority > g.priority {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *run) int { return cmp.Compare(c.lossOf(a), c.lossOf(b)) })
+	return out
+}
+
+// lossOf gives the work in core-seconds that is lost with a run; a gang's
+// members are lost together.
+func (c *Core) lossOf(r *run) float64 {
+	lost := 0.0
+	for _, m := range r.unit.runs {
+		lost += m.unsaved(c.now.Mono)
+	}
+	return lost
+}
+
+func (c *Core) setPlan(u *unit, on []*worker) {
+	takes := u.group.step.Resources()
+	for _, w := range on {
+		w.held = w.held.Plus(takes)
+	}
+	u.plan = &plan{on: on, takes: takes, until: c.now.Mono + planTime}
+}
+
+// dropPlan gives held room back.
+func (c *Core) dropPlan(u *unit) {
+	if u.plan == nil {
+		return
+	}
+	for _, w := range u.plan.on {
+		w.held = w.held.Minus(u.plan.takes)
+	}
+	u.plan = nil
+}
+
+// planned gives the plan's workers once all of them have the room; a plan that
+// takes too long, or has lost a worker, is dropped.
+func (c *Core) planned(u *unit) []*worker {
+	pl := u.plan
+	if c.now.Mono > pl.until {
+		c.dropPlan(u)
+		return nil
+	}
+	for _, w := range pl.on {
+		if !w.usable(c.now.Mono) {
+			c.dropPlan(u)
+			return nil
+		}
+		if !w.Capacity.Minus(w.used).Covers(pl.needOn(w)) {
+			return nil
+		}
+	}
+	return pl.on
+}
+
+// needOn gives what the plan takes of a worker.
+func (p *plan) needOn(w *worker) job.Resources {
+	n := 0
+	for _, o := range p.on {
+		if o == w {
+			n++
+		}
+	}
+	return p.takes.Times(n)
+}
--- /dev/null
+++ b/internal/core/cell/run.go
@@ -0,0 +1,98 @@
+package cell
+
+import (
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+type runState int
+
+const (
+	// runStarting waits for the answer to its start.
+	runStarting runState = iota
+	// runDoubt was ordered and not answered; it may be running or start late.
+	runDoubt
+	runRunning
+	// runStopping has been ordered to stop.
+	runStopping
+)
+
+// run is one run of a task on a worker. It takes room until it is over.
+type run struct {
+	task   job.TaskID
+	number int64
+	// unit is nil for a run of no known task.
+	unit   *unit
+	worker *worker
+	state  runState
+	takes  job.Resources
+	// since is when the run was ordered or found.
+	since time.Duration
+	// mark is the number of the last hold issued before the state was entered:
+	// only lists of later holds speak about it.
+	mark int64
+	// stopSent is when the last stop was sent, stopAcked when one was answered.
+	stopSent  time.Duration
+	stopAcked time.Duration
+	reason    Reason
+	saved     string
+	percent   int
+	// moved is when percent last changed, and since when it has been running.
+	moved   time.Duration
+	began   time.Duration
+	missing int
+}
+
+// attach puts the run on its worker and unit.
+func (r *run) attach() {
+	r.worker.runs = append(r.worker.runs, r)
+	r.worker.used = r.worker.used.Plus(r.takes)
+	if r.unit != nil {
+		r.unit.runs = append(r.unit.runs, r)
+		r.unit.state = unitActive
+	}
+}
+
+// detach gives the run's room back.
+func (r *run) detach() {
+	r.worker.runs = without(r.worker.runs, r)
+	r.worker.used = r.worker.used.Minus(r.takes)
+	if r.unit != nil {
+		r.unit.runs = without(r.unit.runs, r)
+	}
+}
+
+func without(runs []*run, r *run) []*run {
+	for i, o := range runs {
+		if o == r {
+			return append(runs[:i:i], runs[i+1:]...)
+		}
+	}
+	return runs
+}
+
+// find gives the worker's run of a task, or nil.
+func (w *worker) find(t job.TaskID, number int64) *run {
+	for _, r := range w.runs {
+		if r.number == number && r.task == t {
+			return r
+		}
+	}
+	return nil
+}
+
+// unsaved gives the work in core-seconds that is lost when the run ends now.
+func (r *run) unsaved(now time.Duration) float64 {
+	if r.unit == nil {
+		return 0
+	}
+	age := now - r.since
+	if r.unit.group.step.Checkpoints {
+		age = min(age, time.Second)
+	}
+	return r.takes.Cores() * age.Seconds()
+}
+
+// settled says whether a list of a hold numbered issue speaks about the run's state.
+func (r *run) settled(issue int64) bool { return issue > r.mark }
--- /dev/null
+++ b/internal/core/cell/settings.go
@@ -0,0 +1,72 @@
+package cell
+
+import "time"
+
+// Settings are the bounds that a cell's decisions keep.
+type Settings struct {
+	// LeaseMax is the longest lease that workers grant.
+	LeaseMax time.Duration
+	// OwnerGrace is how long an owner may go on renewing leases after its last
+	// confirmed renewal of the term.
+	OwnerGrace time.Duration
+	// GangWait is how long a worker keeps a gang's member waiting for the others.
+	GangWait time.Duration
+	// StopTime is how long a worker may take to stop a run.
+	StopTime time.Duration
+	// FarFactor is how much longer tasks run away from their data.
+	FarFactor float64
+	// Early is how much before its due time an occurrence may start.
+	Early time.Duration
+	// Retention is how long ended jobs can be asked for.
+	Retention time.Duration
+}
+
+// Figures of the machine itself, that no operator has a reason to change.
+const (
+	// clockSlack covers a worker's clock that runs up to 2 % slow.
+	clockSlack = 1.03
+	// leaseMargin is added before a lease counts as lapsed, for timers that
+	// fire late.
+	leaseMargin = 100 * time.Millisecond
+	// leaseCut keeps a lease below the longest that workers grant, so that
+	// none is shortened.
+	leaseCut = 50 * time.Millisecond
+	// holdWait is the longest wait of a hold's answer for an end; a lease is
+	// renewed at least this often.
+	holdWait = 1800 * time.Millisecond
+	// holdRetry lies between two holds of a worker that does not answer.
+	holdRetry = 400 * time.Millisecond
+	// ackPause is how long a hold waits for the progress of the worker's last
+	// ends to be durable, so that it can acknowledge them.
+	ackPause = 500 * time.Millisecond
+	// stopRetry lies between two orders to stop the same run.
+	stopRetry = 700 * time.Millisecond
+	// barCheck is how long after an acknowledged stop the worker is asked for
+	// its lists if no end has been listed.
+	barCheck = 250 * time.Millisecond
+	// refusedPause keeps new runs off a worker after it refused one.
+	refusedPause = 500 * time.Millisecond
+	// suspectPause keeps new runs off a worker that failed or stalled runs; it
+	// doubles with each further one up to suspectMax.
+	suspectPause = 2 * time.Second
+	suspectMax   = 16 * time.Second
+	// suspectFailures is how many failed runs of different jobs in a row make a
+	// worker suspect; one alone may be the task's own fault.
+	suspectFailures = 2
+	// stallTime is how long a run may show no progress before it is moved.
+	stallTime = 4 * time.Second
+	// missingLists is how many lists may lack a running task before it counts as over.
+	missingLists = 2
+	// runsPerTerm is the number of run numbers that one term may give a task.
+	runsPerTerm = 1000
+	// planTime bounds how long room is held for a unit while others leave it.
+	planTime = 2 * time.Second
+	// farWait is the wait, as a share of the estimate, after which a task may
+	// run away from its data.
+	farWait = 1.0
+	// startRate bounds the starts that one pass of placement orders; the rest
+	// follow in the next pass.
+	startRate = 200
+	// timedRetention is added to Retention before a job is forgotten.
+	timedRetention = 30 * time.Second
+)
--- /dev/null
+++ b/internal/core/cell/status.go
@@ -0,0 +1,62 @@
+package cell
+
+import "coltsfootmux/internal/job"
+
+// Status gives what callers may be told of a job.
+func (c *Core) Status(id job.ID) job.Status {
+	e := c.jobs[id]
+	switch {
+	case e == nil:
+		return job.Unknown
+	case e.cancelled:
+		return job.StatusCancelled
+	case e.shown != job.Open:
+		return e.shown.Status()
+	case e.begun:
+		return job.Running
+	default:
+		return job.Queued
+	}
+}
+
+// Pending gives the number of a queue's jobs of which no task has started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, e := range c.open {
+		if e.job.Queue.Name == queue && !e.begun {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready says whether the workers of the term before have been heard of.
+func (c *Core) Ready() bool { return c.swept() }
+
+// Load is a summary of the cell, for metrics and operators.
+type Load struct {
+	OpenJobs int
+	Waiting  int
+	Runs     int
+	Workers  int
+	Usable   int
+}
+
+// Load gives the summary.
+func (c *Core) Load() Load {
+	l := Load{OpenJobs: len(c.open), Workers: len(c.fleet)}
+	for _, e := range c.open {
+		for _, u := range e.units() {
+			if u.state == unitWaiting {
+				l.Waiting++
+			}
+		}
+	}
+	for _, w := range c.fleet {
+		l.Runs += len(w.runs)
+		if w.usable(c.now.Mono) {
+			l.Usable++
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/core/cell/worker.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// worker is what the cell believes of a worker.
+type worker struct {
+	external.Worker
+	// listed says that the store's list names the worker.
+	listed bool
+	// fenced says that this life of the worker has answered a hold of this term.
+	fenced bool
+	born   int64
+	// clock is the worker's clock at clockAt of ours.
+	clock   time.Duration
+	clockAt time.Duration
+	// leaseEnd is when every lease that was asked for has certainly lapsed.
+	leaseEnd time.Duration
+	runs     []*run
+	used     job.Resources
+	held     job.Resources
+	// holds in flight: the long one, and a probe that asks at once.
+	holding  bool
+	probing  bool
+	probe    bool
+	holdNext time.Duration
+	// holdFails counts holds in a row without an answer.
+	holdFails int
+	firstFail time.Duration
+	// processed is the last end that was taken in, ack the last that is durable,
+	// ackSent the last that was acknowledged.
+	processed int64
+	ack       int64
+	ackSent   int64
+	// pauseUntil keeps new runs off; suspicion counts reasons in a row.
+	pauseUntil time.Duration
+	suspicion  int
+	failedJobs map[job.ID]bool
+	drainSince time.Duration
+}
+
+func newWorker(w external.Worker) *worker {
+	return &worker{Worker: w, listed: true, failedJobs: make(map[job.ID]bool)}
+}
+
+// free gives the room that is neither taken nor held for a plan.
+func (w *worker) free() job.Resources { return w.Capacity.Minus(w.used).Minus(w.held) }
+
+// usable says whether new runs may be placed on the worker.
+func (w *worker) usable(now time.Duration) bool {
+	return w.listed && w.fenced && !w.Draining && w.holdFails == 0 && now >= w.pauseUntil
+}
+
+// clockNow estimates the worker's clock; it is never ahead of it by more than
+// the worker's clock is slow.
+func (w *worker) clockNow(now time.Duration) time.Duration { return w.clock + (now - w.clockAt) }
+
+// lapseAt gives when a lease that ends at until on the worker's clock has certainly lapsed.
+func (w *worker) lapseAt(now, until time.Duration) time.Duration {
+	left := until - w.clockNow(now)
+	return now + time.Duration(float64(left)*clockSlack) + leaseMargin
+}
+
+// suspect keeps new runs off the worker, longer each time.
+func (w *worker) suspect(now time.Duration) {
+	pause := min(suspectPause<<min(w.suspicion, 8), suspectMax)
+	w.suspicion++
+	w.pauseUntil = max(w.pauseUntil, now+pause)
+}
+
+// trust takes note of a run that ended well.
+func (w *worker) trust() {
+	w.suspicion = 0
+	clear(w.failedJobs)
+}
+
+func (w *worker) hasLabel(l string) bool {
+	for _, have := range w.Labels {
+		if have == l {
+			return true
+		}
+	}
+	return false
+}
+
+// countOf gives how many runs of a step's occurrence are on the worker.
+func (w *worker) countOf(g *group) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.unit != nil && r.unit.group == g {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/term/action.go
@@ -0,0 +1,37 @@
+package term
+
+// Action is what is to be done.
+type Action interface{ action() }
+
+// Write appends a record on the condition that the end is At.
+type Write struct {
+	Record Record
+	At     int64
+}
+
+// Gained says that this life owns the term from now on.
+type Gained struct{ Term int64 }
+
+// Lost says that this life owns the term no more.
+type Lost struct {
+	Term   int64
+	Reason Reason
+}
+
+// AskPeers asks whether peers can reach the store.
+type AskPeers struct{}
+
+func (Write) action()    {}
+func (Gained) action()   {}
+func (Lost) action()     {}
+func (AskPeers) action() {}
+
+// Reason says why a term was lost.
+type Reason string
+
+// The reasons for which a term is lost.
+const (
+	ReasonOther    Reason = "a higher term exists"
+	ReasonUnproven Reason = "no renewal was confirmed in time"
+	ReasonReleased Reason = "given up on leaving"
+)
--- /dev/null
+++ b/internal/core/term/core.go
@@ -0,0 +1,181 @@
+package term
+
+import "time"
+
+// Core is the state of one instance towards a cell's term.
+type Core struct {
+	settings Settings
+	self     string
+	addr     string
+	// known says that the record's state has been read.
+	known bool
+	rec   Record
+	end   int64
+	// changedAt is when the record was last seen to change, okSince since when
+	// every read has succeeded.
+	changedAt time.Duration
+	okSince   time.Duration
+	ok        bool
+	// owns is the term that this life owns, 0 for none.
+	owns int64
+	// provenAt is when the latest confirmed renewal was sent, or when peers last
+	// agreed that nobody can claim.
+	provenAt  time.Duration
+	writing   bool
+	nextWrite time.Duration
+	nextAsk   time.Duration
+	leaving   bool
+	now       time.Duration
+	actions   []Action
+}
+
+// New makes the state of a life that others reach at addr.
+func New(s Settings, self, addr string) *Core { return &Core{settings: s, self: self, addr: addr} }
+
+// Owner gives the newest record that is known; ok is false when there is none.
+func (c *Core) Owner() (rec Record, ok bool) {
+	return c.rec, c.known && c.rec.Term > 0 && !c.rec.Released
+}
+
+// Step takes an event in and gives what is to be done.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.now, c.actions = now, nil
+	switch e := ev.(type) {
+	case Observed:
+		c.observed(e)
+	case StoreFailed:
+		c.ok = false
+	case Written:
+		c.written(e)
+	case PeersAgree:
+		c.provenAt = max(c.provenAt, now)
+	case Deposed:
+		c.deposed()
+	case Leaving:
+		c.leave()
+	}
+	c.advance()
+	return c.actions
+}
+
+func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) observed(e Observed) {
+	if !c.ok {
+		c.ok, c.okSince = true, c.now
+	}
+	c.known = true
+	c.end = max(c.end, e.End)
+	if e.Record != nil {
+		c.take(*e.Record)
+	}
+}
+
+// take compares a record with what is known; records of lower terms are late
+// and mean nothing.
+func (c *Core) take(r Record) {
+	if r.Term < c.rec.Term || (r.Term == c.rec.Term && r == c.rec) {
+		return
+	}
+	if r.Term == c.rec.Term && r.Renewal < c.rec.Renewal {
+		return
+	}
+	c.rec, c.changedAt = r, c.now
+	switch {
+	case r.Owner == c.self && !r.Released && c.owns < r.Term:
+		c.gain(r.Term)
+	case c.owns != 0 && r.Term > c.owns:
+		c.lose(ReasonOther)
+	}
+}
+
+// gain makes this life the owner; a claim without an answer that has been
+// carried out counts as one with an answer.
+func (c *Core) gain(t int64) {
+	if c.leaving {
+		return
+	}
+	c.owns, c.provenAt = t, c.now
+	c.nextWrite = c.now + c.settings.Renew
+	c.act(Gained{Term: t})
+}
+
+func (c *Core) lose(why Reason) {
+	c.act(Lost{Term: c.owns, Reason: why})
+	c.owns = 0
+}
+
+func (c *Core) written(e Written) {
+	c.writing = false
+	c.nextWrite = c.now + c.settings.Retry
+	switch e.Result {
+	case WriteDone:
+		c.end = max(c.end, e.End)
+		c.nextWrite = c.now + c.settings.Renew
+		c.take(e.Record)
+		if c.owns == e.Record.Term {
+			c.provenAt = max(c.provenAt, e.Sent)
+		}
+	case WriteMoved:
+		c.end = max(c.end, e.End)
+	}
+}
+
+func (c *Core) deposed() {
+	if c.owns != 0 {
+		c.lose(ReasonOther)
+	}
+	c.nextWrite = c.now + c.settings.Stale
+}
+
+// leave gives the term up, so that another is claimed at once.
+func (c *Core) leave() {
+	c.leaving = true
+	if c.owns == 0 {
+		return
+	}
+	r := Record{Term: c.owns, Owner: c.self, Addr: c.addr, Renewal: c.rec.Renewal + 1, Released: true}
+	c.lose(ReasonReleased)
+	c.act(Write{Record: r, At: c.end})
+}
+
+// advance does what the time asks for.
+func (c *Core) advance() {
+	if c.owns != 0 && c.now-c.provenAt > c.settings.Grace {
+		c.lose(ReasonUnproven)
+	}
+	if c.owns != 0 && c.now-c.provenAt > c.settings.Grace/2 && c.now >= c.nextAsk {
+		c.nextAsk = c.now + c.settings.Retry
+		c.act(AskPeers{})
+	}
+	if c.leaving || c.writing || !c.known || c.now < c.nextWrite {
+		return
+	}
+	switch {
+	case c.owns != 0:
+		c.write(Record{Term: c.owns, Owner: c.self, Addr: c.addr, Renewal: c.rec.Renewal + 1})
+	case c.claimable():
+		c.write(Record{Term: c.rec.Term + 1, Owner: c.self, Addr: c.addr})
+	}
+}
+
+func (c *Core) write(r Record) {
+	c.writing = true
+	c.act(Write{Record: r, At: c.end})
+}
+
+// claimable says whether the term's owner has to be taken as gone.
+func (c *Core) claimable() bool {
+	if !c.ok {
+		return false
+	}
+	wait := c.settings.Stale + c.settings.Delay
+	if c.rec.Term == 0 || c.rec.Released || c.isPredecessor() {
+		wait = c.settings.Delay
+	}
+	return c.now-max(c.changedAt, c.okSince) >= wait
+}
+
+// isPredecessor says whether the owner was an earlier life of this process,
+// which is gone: two can't listen on one address.
+func (c *Core) isPredecessor() bool { return c.rec.Addr == c.addr && c.rec.Owner != c.self }
--- /dev/null
+++ b/internal/core/term/event.go
@@ -0,0 +1,62 @@
+package term
+
+import "time"
+
+// Event is what happened.
+type Event interface{ event() }
+
+// Observed is what a read of the record gave; Record is nil when it has not changed.
+type Observed struct {
+	Record *Record
+	// End is the offset behind the newest record.
+	End int64
+}
+
+// StoreFailed says that a read failed.
+type StoreFailed struct{}
+
+// Written is the answer to a Write.
+type Written struct {
+	Result Result
+	// End is the end after the write, or the end met when it had moved.
+	End int64
+	// Sent is when the write was sent.
+	Sent time.Duration
+	// Record is the one that was to be written.
+	Record Record
+}
+
+// Result says what became of a write.
+type Result int
+
+// The results of a write.
+const (
+	WriteDone Result = iota
+	// WriteMoved means that somebody else has written.
+	WriteMoved
+	// WriteFailed means that nothing was written.
+	WriteFailed
+	// WriteUnclear means that it may have been written, or may be yet.
+	WriteUnclear
+)
+
+// PeersAgree says that every peer that could be asked can't reach the store
+// either, so that none of them can claim.
+type PeersAgree struct{}
+
+// Deposed says that somebody met a higher term.
+type Deposed struct{}
+
+// Leaving says that the process will stop.
+type Leaving struct{}
+
+// Tick passes time.
+type Tick struct{}
+
+func (Observed) event()    {}
+func (StoreFailed) event() {}
+func (Written) event()     {}
+func (PeersAgree) event()  {}
+func (Deposed) event()     {}
+func (Leaving) event()     {}
+func (Tick) event()        {}
--- /dev/null
+++ b/internal/core/term/settings.go
@@ -0,0 +1,32 @@
+package term
+
+import "time"
+
+// Settings are the times of terms.
+type Settings struct {
+	// Renew is the time between two renewals.
+	Renew time.Duration
+	// Stale is how long a record may stay unchanged, while the store answers,
+	// before others claim the next term.
+	Stale time.Duration
+	// Grace is how long an owner goes on without a confirmed renewal, unless its
+	// peers can't reach the store either.
+	Grace time.Duration
+	// Delay is added to Stale at this instance, so that claims of several do not
+	// meet, and instances near the store come first.
+	Delay time.Duration
+	// Retry lies between two attempts to write.
+	Retry time.Duration
+}
+
+// DefaultSettings gives the times used on the platform: a claim follows the
+// loss of an owner within about two seconds, which leaves most of the shortest
+// lease (6 s) for taking over what runs.
+func DefaultSettings() Settings {
+	return Settings{
+		Renew: 800 * time.Millisecond,
+		Stale: 2 * time.Second,
+		Grace: 3 * time.Second,
+		Retry: 250 * time.Millisecond,
+	}
+}
--- a/internal/docs/doc.go
+++ b/internal/docs/doc.go
@@ -10,9 +10,11 @@
 	_ "coltsfootmux/internal/auth"
 	_ "coltsfootmux/internal/confsync"
 	_ "coltsfootmux/internal/entry"
+	_ "coltsfootmux/internal/instance"
 	_ "coltsfootmux/internal/link"
 	_ "coltsfootmux/internal/logclient"
 	_ "coltsfootmux/internal/node"
 	_ "coltsfootmux/internal/platform/httpcall"
 	_ "coltsfootmux/internal/scheduler"
+	_ "coltsfootmux/platform"
 )
--- a/internal/docs/tables.go
+++ b/internal/docs/tables.go
@@ -21,11 +21,13 @@
 | 1100-1199 | entry |
 | 1200-1249 | tokens and certificates |
 | 2000-2199 | scheduler |
+| 2200-2299 | instance |
 | 3000-3099 | administration API |
 | 3100-3199 | configuration in force |
 | 3200-3249 | audit trail |
 | 4000-4099 | log client |
 | 4100-4199 | platform clients |
+| 4200-4299 | adapter to the users' platform |
 | 5000-5199 | stand-ins |
 | 6000-6099 | process |
 | 7000-7099 | load and experiments |
--- /dev/null
+++ b/internal/external/errors.go
@@ -0,0 +1,48 @@
+package external
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrNotDone means that the far side provably did nothing; the call may be repeated.
+	ErrNotDone = eris.New("call refused, nothing was done")
+	// ErrUnclear means that no answer came: the call may have been carried out,
+	// and it may still be carried out later.
+	ErrUnclear = eris.New("call without an answer")
+	// ErrFenced means that a holder with a higher token exists.
+	ErrFenced = eris.New("fenced by a higher token")
+	// ErrInvalid means that the far side can't understand the call; repeats fail alike.
+	ErrInvalid = eris.New("call not understood by the far side")
+	// ErrAnswer means that the far side's answer can't be read.
+	ErrAnswer = eris.New("answer not understood")
+)
+
+// MovedError means that a conditional append met another end than it named.
+type MovedError struct {
+	// End is the partition's end now.
+	End int64
+}
+
+// Error gives the end.
+func (e *MovedError) Error() string { return fmt.Sprintf("partition ends at %d", e.End) }
+
+// SequenceError means that an append's sequence number does not follow the last one.
+type SequenceError struct {
+	// Expected is the number that would follow.
+	Expected int64
+}
+
+// Error gives the expected number.
+func (e *SequenceError) Error() string { return fmt.Sprintf("sequence number %d expected", e.Expected) }
+
+// ExpiredError means that the records asked for have been deleted.
+type ExpiredError struct {
+	// First is the oldest offset that is still held.
+	First int64
+}
+
+// Error gives the first offset.
+func (e *ExpiredError) Error() string { return fmt.Sprintf("records before %d have expired", e.First) }
--- /dev/null
+++ b/internal/instance/actions.go
@@ -0,0 +1,186 @@
+package instance
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+
+	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// sortBySubmission orders jobs by when they were accepted, then by their names.
+func sortBySubmission(jobs []job.Job) {
+	slices.SortFunc(jobs, func(a, b job.Job) int {
+		return cmp.Or(cmp.Compare(a.SubmittedMS, b.SubmittedMS), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// do carries one action of the core out; calls go on in goroutines of their own.
+func (o *owner) do(a cell.Action) {
+	l := o.inst.logger
+	switch a := a.(type) {
+	case cell.Start:
+		evStart.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
+			slog.String("worker", string(a.Order.Worker)), slog.Int64("term", o.term),
+			slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited))
+		o.inst.goRun(func(context.Context) { o.start(a.Order) })
+	case cell.Stop:
+		evStop.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
+			slog.String("worker", string(a.Order.Worker)), slog.String("reason", string(a.Reason)))
+		o.inst.goRun(func(context.Context) { o.stop(a.Order) })
+	case cell.Hold:
+		o.inst.goRun(func(context.Context) { o.hold(a) })
+	case cell.Persist:
+		o.inst.goRun(func(context.Context) { o.persist(a) })
+	case cell.Deposed:
+		o.deposed()
+	default:
+		o.note(a)
+	}
+}
+
+// note logs what the core reports.
+func (o *owner) note(a cell.Action) {
+	l := o.inst.logger
+	switch a := a.(type) {
+	case cell.RunEnded:
+		evRunEnded.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run),
+			slog.String("worker", string(a.Worker)), slog.String("how", string(a.How)), slog.Duration("age", a.Age))
+	case cell.JobEnded:
+		evJobEnded.Log(o.ctx, l, slog.String("job", string(a.ID)), slog.String("outcome", a.Outcome.Status().String()),
+			slog.Duration("age", a.Age))
+	case cell.WorkerNoted:
+		evWorker.Log(o.ctx, l, slog.String("worker", string(a.Worker)), slog.String("note", a.Note), slog.Int("runs", a.Runs))
+	}
+}
+
+func (o *owner) start(order external.StartOrder) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	defer cancel()
+	r, err := o.inst.Workers.Start(ctx, order)
+	if err != nil || r.Refusal != external.RefusedNone {
+		evStartFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
+			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
+	}
+	o.step(cell.Started{
+		Task: order.Task, Run: order.Run, Worker: order.Worker,
+		Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(err),
+	})
+}
+
+func (o *owner) stop(order external.StopOrder) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	defer cancel()
+	r, err := o.inst.Workers.Stop(ctx, order)
+	if err != nil || r.Refusal != external.RefusedNone {
+		evStopFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
+			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
+	}
+	o.step(cell.Stopped{Task: order.Task, Run: order.Run, Worker: order.Worker, Refusal: r.Refusal, Failure: failureOf(err)})
+}
+
+func (o *owner) hold(a cell.Hold) {
+	ctx, cancel := context.WithTimeout(o.ctx, a.Order.Wait+holdTime)
+	defer cancel()
+	l, err := o.inst.Workers.Hold(ctx, a.Order)
+	if err != nil {
+		evHoldFailed.Log(o.ctx, o.inst.logger, slog.String("worker", string(a.Order.Worker)), slog.Any("error", err))
+	}
+	o.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: failureOf(err)})
+}
+
+func failureOf(err error) cell.Failure {
+	switch {
+	case err == nil:
+		return cell.FailureNone
+	case errors.Is(err, external.ErrFenced):
+		return cell.FailureFenced
+	case errors.Is(err, external.ErrNotDone):
+		return cell.FailureNotReached
+	default:
+		return cell.FailureUnclear
+	}
+}
+
+// persist writes progress until the store confirms it or refuses the term.
+func (o *owner) persist(p cell.Persist) {
+	records, err := progressRecords(p)
+	if err != nil {
+		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Any("error", err))
+		o.deposed()
+		return
+	}
+	o.seq++ // one batch is under way at a time
+	began := boottime()
+	for o.ctx.Err() == nil {
+		err := o.append(records)
+		if err == nil {
+			o.forget(p.Forget)
+			evPersisted.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int("jobs", len(p.Progress)),
+				slog.Duration("took", boottime()-began))
+			o.step(cell.Committed{Batch: p.Batch})
+			return
+		}
+		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int64("seq", o.seq), slog.Any("error", err))
+		if errors.Is(err, external.ErrFenced) {
+			o.deposed()
+			return
+		}
+		sleep(o.ctx, persistRetry)
+	}
+}
+
+func (o *owner) append(records []external.Record) error {
+	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
+	defer cancel()
+	_, err := o.inst.Log.Append(ctx, external.Append{
+		Topic: topicProgress, Records: records,
+		Producer: &external.Producer{Name: producerOwner, Epoch: o.term, Seq: o.seq},
+	})
+	var gap *external.SequenceError
+	if !errors.As(err, &gap) {
+		return err
+	}
+	if gap.Expected == o.seq+1 {
+		return nil // this very append has been carried out before
+	}
+	o.seq = gap.Expected
+	return err
+}
+
+func progressRecords(p cell.Persist) ([]external.Record, error) {
+	var out []external.Record
+	for _, j := range p.Progress {
+		v, err := encode(j.Progress)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, external.Record{Key: string(j.ID), Value: v})
+	}
+	for _, id := range p.Forget {
+		out = append(out, external.Record{Key: string(id)})
+	}
+	return out, nil
+}
+
+// forget drops the submissions and cancellations of jobs whose progress has
+// been dropped. A failure leaves them to the next owner, which finds a
+// submission without progress: they are dropped before the progress is.
+func (o *owner) forget(ids []job.ID) {
+	if len(ids) == 0 {
+		return
+	}
+	var records []external.Record
+	for _, id := range ids {
+		records = append(records, external.Record{Key: keySubmission + string(id)}, external.Record{Key: keyCancellation + string(id)})
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
+	defer cancel()
+	if _, err := o.inst.Log.Append(ctx, external.Append{Topic: topicJobs, Records: records}); err != nil {
+		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int("forgotten", len(ids)), slog.Any("error", err))
+	}
+}
--- /dev/null
+++ b/internal/instance/api.go
@@ -0,0 +1,218 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/wire"
+)
+
+// Call is what a caller's call is checked by.
+type Call struct {
+	Host string
+	Path string
+	Key  string
+}
+
+// Access is what a call may do.
+type Access struct {
+	Route   *job.Route
+	Account string
+	// Rest is the path behind the route's prefix.
+	Rest string
+	// Version is that of the policy that allowed the call.
+	Version int64
+}
+
+// Check finds the route of a call and the account of its key. Errors:
+// ErrNoPolicy, ErrNoRoute, ErrNoAccount.
+func (i *Instance) Check(c Call) (Access, error) {
+	p := i.policy.Load()
+	if p == nil {
+		return Access{}, ErrNoPolicy
+	}
+	r := p.policy.Match(c.Host, c.Path)
+	if r == nil {
+		return Access{}, ErrNoRoute
+	}
+	a := Access{Route: r, Rest: c.Path[len(r.Prefix):], Version: p.policy.Version}
+	account := p.policy.AccountOf(c.Key)
+	if account == nil && !r.Public {
+		return Access{}, ErrNoAccount
+	}
+	if account != nil {
+		a.Account = account.Name
+	}
+	return a, nil
+}
+
+// Submit accepts a job: it is durable when Submit returns without an error.
+// Errors: job.ErrInvalid and ErrNotRun say that it never runs, ErrUnclear that
+// it may.
+func (i *Instance) Submit(ctx context.Context, j *job.Job) error {
+	if err := j.Check(); err != nil {
+		i.refused(ctx, j, err)
+		return err
+	}
+	value, err := encode(j)
+	if err != nil {
+		i.refused(ctx, j, err)
+		return eris.Wrap(job.ErrInvalid, err.Error())
+	}
+	began := boottime()
+	err = i.write(ctx, external.Record{Key: keySubmission + string(j.ID), Value: value})
+	took := slog.Duration("took", boottime()-began)
+	switch {
+	case err == nil:
+		evAccepted.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.String("queue", j.Queue.Name),
+			slog.String("account", j.Account), slog.Int("steps", len(j.Steps)), took)
+	case errors.Is(err, ErrNotRun):
+		i.refused(ctx, j, err)
+	default:
+		evUnclear.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.Any("error", err), took)
+	}
+	return err
+}
+
+func (i *Instance) refused(ctx context.Context, j *job.Job, err error) {
+	evRefused.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.String("queue", j.Queue.Name), slog.Any("error", err))
+}
+
+// Cancel ends a job; the cancellation is durable when it returns without an
+// error. Errors: ErrNotRun when nothing was done, ErrUnclear.
+func (i *Instance) Cancel(ctx context.Context, id job.ID) error {
+	err := i.write(ctx, external.Record{Key: keyCancellation + string(id), Value: []byte{1}})
+	if err != nil {
+		evUnclear.Log(ctx, i.logger, slog.String("cancel", string(id)), slog.Any("error", err))
+		return err
+	}
+	evCancelled.Log(ctx, i.logger, slog.String("job", string(id)))
+	return nil
+}
+
+// write appends a record to the jobs topic. It repeats the append while the
+// caller waits; repeats are harmless, as the first record of a key counts.
+func (i *Instance) write(ctx context.Context, r external.Record) error {
+	unclear := false
+	for {
+		err := i.appendOnce(ctx, r)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, external.ErrNotDone) {
+			unclear = true
+		}
+		sleep(ctx, appendRetry)
+		if ctx.Err() == nil {
+			continue
+		}
+		if unclear {
+			return eris.Wrap(ErrUnclear, err.Error())
+		}
+		return eris.Wrap(ErrNotRun, err.Error())
+	}
+}
+
+func (i *Instance) appendOnce(ctx context.Context, r external.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTry)
+	defer cancel()
+	_, err := i.Log.Append(ctx, external.Append{Topic: topicJobs, Records: []external.Record{r}})
+	return err
+}
+
+// Status gives a job's state. Errors: ErrNoJob, ErrUnavailable.
+func (i *Instance) Status(ctx context.Context, id job.ID) (job.Status, error) {
+	r, err := i.askJob(ctx, id)
+	if err != nil || !r.Known {
+		evUnanswered.Log(ctx, i.logger, slog.String("job", string(id)), slog.Any("error", err))
+		return job.Unknown, ErrUnavailable
+	}
+	evAnswered.Log(ctx, i.logger, slog.String("job", string(id)), slog.String("state", r.Status.String()))
+	if r.Status == job.Unknown {
+		return job.Unknown, ErrNoJob
+	}
+	return r.Status, nil
+}
+
+func (i *Instance) askJob(ctx context.Context, id job.ID) (wire.JobReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.job(id), nil
+	}
+	return askOwner[wire.JobQuery, wire.JobReply](ctx, i, wire.KindJob, wire.JobQuery{ID: id})
+}
+
+// Pending gives the number of a queue's jobs that have not begun. Error:
+// ErrUnavailable.
+func (i *Instance) Pending(ctx context.Context, queue string) (int, error) {
+	var r wire.PendingReply
+	var err error
+	if o := i.owner.Load(); o != nil {
+		r = o.pending(queue)
+	} else {
+		r, err = askOwner[wire.PendingQuery, wire.PendingReply](ctx, i, wire.KindPending, wire.PendingQuery{Queue: queue})
+	}
+	if err != nil || !r.Known {
+		evUnanswered.Log(ctx, i.logger, slog.String("queue", queue), slog.Any("error", err))
+		return 0, ErrUnavailable
+	}
+	return r.Jobs, nil
+}
+
+// askOwner calls the cell's owner.
+func askOwner[Req, Rep any](ctx context.Context, i *Instance, k wire.Kind, q Req) (Rep, error) {
+	var none Rep
+	rec, ok := i.currentTerm()
+	if !ok {
+		return none, eris.Wrap(ErrUnavailable, "no owner known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	return link.Call[Req, Rep](ctx, i.pool, rec.Addr, k, q)
+}
+
+func (i *Instance) onJobQuery(_ context.Context, _ link.Peer, q wire.JobQuery) (wire.JobReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.job(q.ID), nil
+	}
+	return wire.JobReply{}, nil
+}
+
+func (i *Instance) onPendingQuery(_ context.Context, _ link.Peer, q wire.PendingQuery) (wire.PendingReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.pending(q.Queue), nil
+	}
+	return wire.PendingReply{}, nil
+}
+
+// job gives a job's state as far as the owner can tell: that a job does not
+// exist only if its submission would have been read.
+func (o *owner) job(id job.ID) wire.JobReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil {
+		return wire.JobReply{}
+	}
+	s := o.core.Status(id)
+	if s == job.Unknown && !o.fresh() {
+		return wire.JobReply{}
+	}
+	return wire.JobReply{Known: true, Status: s}
+}
+
+func (o *owner) pending(queue string) wire.PendingReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil || !o.fresh() {
+		return wire.PendingReply{}
+	}
+	return wire.PendingReply{Known: true, Jobs: o.core.Pending(queue)}
+}
+
+// fresh says whether submissions have been read to their end lately.
+func (o *owner) fresh() bool { return boottime()-o.jobsRead.Mono < freshJobs }
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,130 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/model"
+	"coltsfootmux/internal/wire"
+)
+
+// Options are what an instance is made of.
+type Options struct {
+	Settings Settings
+	Log      external.Log
+	Workers  external.Workers
+	// Policies is the topic and key of the operators' policy, WorkerList the
+	// topic of the workers' entries.
+	Policies   external.Topic
+	PolicyKey  string
+	WorkerList external.Topic
+	// DecodePolicy and DecodeWorker read the records of those topics.
+	DecodePolicy func([]byte) (*job.Policy, error)
+	DecodeWorker func(external.Record) (external.Worker, error)
+	Logger       *slog.Logger
+}
+
+// Instance is one process of the system.
+type Instance struct {
+	Options
+	pool   *link.Pool
+	server *link.Server
+	logger *slog.Logger
+
+	policy     atomic.Pointer[policyInForce]
+	policyRead atomic.Int64 // boot time of the last successful read, in ns
+	policyMu   sync.Mutex
+
+	termMu  sync.Mutex
+	term    *term.Core
+	owner   atomic.Pointer[owner]
+	storeOK atomic.Bool
+	stop    atomic.Bool
+
+	work    context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// policyInForce is a policy with the record that it came in.
+type policyInForce struct {
+	policy *job.Policy
+	record []byte
+}
+
+// New makes an instance; nothing runs yet.
+func New(o Options) *Instance {
+	s := o.Settings
+	i := &Instance{Options: o, logger: o.Logger, term: term.New(s.Term, s.Life, s.LinkAddr)}
+	host, region := model.HostID(s.Name), model.Region(s.Region)
+	i.pool = link.NewPool(link.PoolOptions{Self: host, Region: region, Logger: o.Logger})
+	i.server = link.NewServer(link.ServerOptions{Self: host, Region: region, Logger: o.Logger})
+	link.Handle(i.server, wire.KindJob, i.onJobQuery)
+	link.Handle(i.server, wire.KindPending, i.onPendingQuery)
+	link.Handle(i.server, wire.KindPolicy, i.onPolicyQuery)
+	i.work, i.cancel = context.WithCancel(context.Background())
+	return i
+}
+
+// Links gives the handler that peers' links are mounted with.
+func (i *Instance) Links() *link.Server { return i.server }
+
+// Run works until ctx ends, then gives the term up and returns. Calls of
+// callers go on being answered until Close.
+func (i *Instance) Run(ctx context.Context) {
+	evStarted.Log(ctx, i.logger, slog.String("life", i.Settings.Life), slog.String("zone", i.Settings.Zone))
+	i.goRun(i.followPolicy)
+	i.goRun(i.followTerm)
+	i.goRun(i.tick)
+	i.goRun(i.askPeersForPolicy)
+	<-ctx.Done()
+	evStopping.Log(ctx, i.logger)
+	i.stop.Store(true)
+	i.stepTerm(term.Leaving{})
+}
+
+// Close ends all work.
+func (i *Instance) Close() {
+	i.cancel()
+	_ = i.pool.Close()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = i.server.Shutdown(ended)
+	i.running.Wait()
+	evStopped.Log(context.Background(), i.logger)
+}
+
+func (i *Instance) goRun(f func(context.Context)) {
+	i.running.Add(1)
+	go func() {
+		defer i.running.Done()
+		f(i.work)
+	}()
+}
+
+// Ready says whether callers should be sent here.
+func (i *Instance) Ready() bool { return !i.stop.Load() && i.policy.Load() != nil }
+
+// tick passes time to the cores.
+func (i *Instance) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		i.stepTerm(term.Tick{})
+		if o := i.owner.Load(); o != nil {
+			o.tick()
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/owner.go
@@ -0,0 +1,156 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/external"
+)
+
+// owner owns the cell for one term.
+type owner struct {
+	inst   *Instance
+	term   int64
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu   sync.Mutex
+	core *cell.Core
+	// jobsRead is when submissions were last read to their end.
+	jobsRead cell.Instant
+	seq      int64
+}
+
+func newOwner(i *Instance, t int64) *owner {
+	o := &owner{inst: i, term: t}
+	o.ctx, o.cancel = context.WithCancel(i.work)
+	return o
+}
+
+// end stops everything that the owner does; what runs keeps its leases.
+func (o *owner) end() { o.cancel() }
+
+// run takes the cell over and then follows submissions and workers.
+func (o *owner) run(context.Context) {
+	from, ok := o.takeOver()
+	if !ok {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); o.followJobs(from.jobs) }()
+	go func() { defer wg.Done(); o.followWorkers(from.workers) }()
+	wg.Wait()
+}
+
+// step passes an event to the core and carries its actions out.
+func (o *owner) step(ev cell.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil || o.ctx.Err() != nil {
+		return
+	}
+	for _, a := range o.core.Step(instant(), ev) {
+		o.do(a)
+	}
+}
+
+func (o *owner) tick() { o.step(cell.Tick{}) }
+
+func (o *owner) followJobs(from int64) {
+	f := &follower{
+		log: o.inst.Log, topic: topicJobs,
+		reset: o.jobRecords, page: o.jobRecords, failed: o.inst.storeFailed,
+	}
+	f.run(o.ctx, from)
+}
+
+func (o *owner) jobRecords(p external.Page) {
+	for _, r := range p.Records {
+		o.takeJobRecord(r)
+	}
+	o.mu.Lock()
+	o.jobsRead = instant()
+	o.mu.Unlock()
+}
+
+func (o *owner) takeJobRecord(r external.Record) {
+	rec, err := readJobRecord(r)
+	if err != nil {
+		evRecordBad.Log(o.ctx, o.inst.logger, slog.String("topic", string(topicJobs)), slog.String("key", r.Key), slog.Any("error", err))
+		return
+	}
+	switch {
+	case rec.submitted != nil:
+		evSubmitted.Log(o.ctx, o.inst.logger, slog.String("job", string(rec.submitted.ID)), slog.Int64("offset", r.Offset))
+		o.step(cell.Submitted{Job: *rec.submitted})
+	case rec.cancelled != "":
+		o.step(cell.CancelRequested{ID: rec.cancelled})
+	}
+}
+
+func (o *owner) followWorkers(from int64) {
+	f := &follower{
+		log: o.inst.Log, topic: o.inst.WorkerList, pace: workersPace,
+		reset: o.workersReset, page: o.workerRecords, failed: o.inst.storeFailed,
+	}
+	f.run(o.ctx, from)
+}
+
+// workersReset takes in the whole list anew; who is not on it has left it.
+func (o *owner) workersReset(p external.Page) {
+	listed := make(map[external.WorkerID]bool)
+	for _, r := range p.Records {
+		listed[external.WorkerID(r.Key)] = true
+	}
+	o.workerRecords(p)
+	o.mu.Lock()
+	var gone []external.WorkerID
+	if o.core != nil {
+		for _, id := range o.core.Listed() {
+			if !listed[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	o.mu.Unlock()
+	for _, id := range gone {
+		o.step(cell.WorkerUnlisted{ID: id})
+	}
+}
+
+func (o *owner) workerRecords(p external.Page) {
+	for _, r := range newestByKey(p.Records) {
+		if len(r.Value) == 0 {
+			o.step(cell.WorkerUnlisted{ID: external.WorkerID(r.Key)})
+			continue
+		}
+		w, err := o.inst.DecodeWorker(r)
+		if err != nil {
+			evWorkerBad.Log(o.ctx, o.inst.logger, slog.String("key", r.Key), slog.Any("error", err))
+			continue
+		}
+		o.step(cell.WorkerChanged{Worker: w})
+	}
+}
+
+// newestByKey keeps the last record of each key, in the order of their offsets.
+func newestByKey(rs []external.Record) []external.Record {
+	last := make(map[string]int, len(rs))
+	for n, r := range rs {
+		last[r.Key] = n
+	}
+	var out []external.Record
+	for n, r := range rs {
+		if last[r.Key] == n {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// deposed gives the term up because a worker knows a higher one.
+func (o *owner) deposed() { o.inst.goRun(func(context.Context) { o.inst.stepTerm(term.Deposed{}) }) }
--- /dev/null
+++ b/internal/instance/termshell.go
@@ -0,0 +1,134 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/external"
+)
+
+func (i *Instance) followTerm(ctx context.Context) {
+	f := &follower{
+		log: i.Log, topic: topicTerm,
+		reset: i.termRecords, page: i.termRecords,
+		failed: func(error) { i.stepTerm(term.StoreFailed{}) },
+	}
+	f.run(ctx, -1)
+}
+
+func (i *Instance) termRecords(p external.Page) {
+	ev := term.Observed{End: p.End}
+	for _, r := range p.Records {
+		if r.Key != keyTerm || len(r.Value) == 0 {
+			continue
+		}
+		rec := &term.Record{}
+		if err := decodeRecord(r.Value, rec); err != nil {
+			evRecordBad.Log(i.work, i.logger, slog.String("topic", string(topicTerm)), slog.Any("error", err))
+			continue
+		}
+		ev.Record = rec
+		i.stepTerm(ev)
+	}
+	i.stepTerm(term.Observed{End: p.End})
+}
+
+// currentTerm gives the newest term record that is known.
+func (i *Instance) currentTerm() (term.Record, bool) {
+	i.termMu.Lock()
+	defer i.termMu.Unlock()
+	return i.term.Owner()
+}
+
+// stepTerm passes an event to the term's core and carries its actions out.
+func (i *Instance) stepTerm(ev term.Event) {
+	i.termMu.Lock()
+	before, _ := i.term.Owner()
+	actions := i.term.Step(boottime(), ev)
+	after, _ := i.term.Owner()
+	for _, a := range actions {
+		i.doTerm(a)
+	}
+	i.termMu.Unlock()
+	if before.Term != after.Term || before.Owner != after.Owner {
+		evTermSeen.Log(i.work, i.logger, slog.Int64("term", after.Term), slog.String("owner", after.Owner), slog.String("addr", after.Addr))
+	}
+}
+
+// doTerm carries one action out; gaining and losing happen in the order of the
+// core's actions.
+func (i *Instance) doTerm(a term.Action) {
+	switch a := a.(type) {
+	case term.Write:
+		i.goRun(func(ctx context.Context) { i.writeTerm(ctx, a) })
+	case term.Gained:
+		evTermGained.Log(i.work, i.logger, slog.Int64("term", a.Term))
+		o := newOwner(i, a.Term)
+		i.owner.Store(o)
+		i.goRun(o.run)
+	case term.Lost:
+		evTermLost.Log(i.work, i.logger, slog.Int64("term", a.Term), slog.String("reason", string(a.Reason)))
+		if o := i.owner.Swap(nil); o != nil {
+			o.end()
+		}
+	case term.AskPeers:
+		i.goRun(i.askPeersForStore)
+	}
+}
+
+func (i *Instance) writeTerm(ctx context.Context, a term.Write) {
+	w := term.Written{Record: a.Record, Sent: boottime()}
+	value, err := encode(a.Record)
+	if err != nil {
+		evTermWrite.Log(ctx, i.logger, slog.Any("error", err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTry)
+	defer cancel()
+	at := a.At
+	w.End, err = i.Log.Append(ctx, external.Append{
+		Topic: topicTerm, At: &at, Records: []external.Record{{Key: keyTerm, Value: value}},
+	})
+	w.Result = resultOf(err, &w.End)
+	if err != nil {
+		evTermWrite.Log(ctx, i.logger, slog.Int64("term", a.Record.Term), slog.Int64("renewal", a.Record.Renewal), slog.Any("error", err))
+	}
+	i.stepTerm(w)
+}
+
+// resultOf turns an append's error into a result; end is set to where the
+// partition ends when that has moved.
+func resultOf(err error, end *int64) term.Result {
+	var moved *external.MovedError
+	switch {
+	case err == nil:
+		return term.WriteDone
+	case errors.As(err, &moved):
+		*end = moved.End
+		return term.WriteMoved
+	case errors.Is(err, external.ErrNotDone):
+		return term.WriteFailed
+	default:
+		return term.WriteUnclear
+	}
+}
+
+// askPeersForStore tells the term's core if no peer can reach the store.
+func (i *Instance) askPeersForStore(ctx context.Context) {
+	asked := 0
+	for _, addr := range i.peers() {
+		r, err := i.askPolicy(ctx, addr)
+		if err != nil {
+			continue
+		}
+		if r.StoreAnswers {
+			return
+		}
+		asked++
+	}
+	if asked > 0 {
+		i.stepTerm(term.PeersAgree{})
+	}
+}
--- /dev/null
+++ b/internal/job/progress.go
@@ -0,0 +1,52 @@
+package job
+
+// Outcome is how a job ended.
+type Outcome int
+
+// The outcomes of a job; Open jobs have not ended.
+const (
+	Open Outcome = iota
+	Complete
+	Failed
+	Cancelled
+)
+
+// Progress is the durable state of a job: what has ended, and how often what
+// has not has failed. Tasks that run are not part of it; workers list them.
+type Progress struct {
+	Outcome Outcome `cbor:"1,keyasint,omitempty"`
+	// EndedMS is when the job ended, in Unix milliseconds.
+	EndedMS     int64        `cbor:"2,keyasint,omitempty"`
+	Occurrences []Occurrence `cbor:"3,keyasint,omitempty"`
+}
+
+// Occurrence is the progress of one run through the steps.
+type Occurrence struct {
+	Index int            `cbor:"1,keyasint,omitempty"`
+	Done  bool           `cbor:"2,keyasint,omitempty"`
+	Steps []StepProgress `cbor:"3,keyasint,omitempty"`
+}
+
+// StepProgress is the progress of one step's tasks. A gang is kept as task 0.
+type StepProgress struct {
+	Step int `cbor:"1,keyasint,omitempty"`
+	// Done holds one bit a task, lowest first.
+	Done []byte `cbor:"2,keyasint,omitempty"`
+	// Failures counts failed runs by task.
+	Failures map[int]int `cbor:"3,keyasint,omitempty"`
+	// Saved holds the latest checkpoint by task.
+	Saved map[int]string `cbor:"4,keyasint,omitempty"`
+}
+
+// MarkDone sets the bit of a task.
+func (s *StepProgress) MarkDone(task int) {
+	for len(s.Done) <= task/8 {
+		s.Done = append(s.Done, 0)
+	}
+	s.Done[task/8] |= 1 << (task % 8)
+}
+
+// IsDone reads the bit of a task.
+func (s *StepProgress) IsDone(task int) bool {
+	return task/8 < len(s.Done) && s.Done[task/8]&(1<<(task%8)) != 0
+}
--- /dev/null
+++ b/internal/wire/jobquery.go
@@ -0,0 +1,16 @@
+package wire
+
+import "coltsfootmux/internal/job"
+
+// JobQuery asks a cell's owner for the state of a job.
+type JobQuery struct {
+	ID job.ID `cbor:"1,keyasint"`
+}
+
+// JobReply answers a JobQuery.
+type JobReply struct {
+	// Known is false when the answering instance can't tell: it does not own the
+	// cell, has not read all of its records, or can't reach the store.
+	Known  bool       `cbor:"1,keyasint"`
+	Status job.Status `cbor:"2,keyasint"`
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -16,6 +16,9 @@
 	KindOverview  Kind = 9  // admin to scheduler: OverviewQuery -> Overview
 	KindBegun     Kind = 10 // cell owner to group owner: Begun -> Ack
 	KindWithdraw  Kind = 11 // group owner to cell owner: Withdraw -> Ack
+	KindJob       Kind = 12 // instance to owner: JobQuery -> JobReply
+	KindPending   Kind = 13 // instance to owner: PendingQuery -> PendingReply
+	KindPolicy    Kind = 14 // instance to any: PolicyQuery -> PolicyReply
 )
 
 // String names the kind for metrics and logs.
@@ -43,6 +46,12 @@
 		return "begun"
 	case KindWithdraw:
 		return "withdraw"
+	case KindJob:
+		return "job"
+	case KindPending:
+		return "pending"
+	case KindPolicy:
+		return "policy"
 	}
 	return "other"
 }
--- /dev/null
+++ b/internal/wire/pendingquery.go
@@ -0,0 +1,12 @@
+package wire
+
+// PendingQuery asks a cell's owner how many jobs of a queue have not begun.
+type PendingQuery struct {
+	Queue string `cbor:"1,keyasint"`
+}
+
+// PendingReply answers a PendingQuery. Known is as in JobReply.
+type PendingReply struct {
+	Known bool `cbor:"1,keyasint"`
+	Jobs  int  `cbor:"2,keyasint"`
+}
