Write a term only behind what has been read

Ruled out: the store's conditional append; the losing claim was answered as moved.

Conclusion: a write's condition is the end up to where records were read, nothing else.

--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -148,6 +148,7 @@
 	takes := u.group.step.Resources()
 	for _, w := range on {
 		w.held = w.held.Plus(takes)
+		w.planned[u.group]++
 	}
 	u.plan = &plan{on: on, takes: takes, until: c.now.Mono + planTime}
 }
@@ -159,6 +160,10 @@
 	}
 	for _, w := range u.plan.on {
 		w.held = w.held.Minus(u.plan.takes)
+		w.planned[u.group]--
+		if w.planned[u.group] == 0 {
+			delete(w.planned, u.group)
+		}
 	}
 	u.plan = nil
 }
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -40,11 +40,13 @@
 	pauseUntil time.Duration
 	suspicion  int
 	failedJobs map[job.ID]bool
+	// planned counts the tasks of a group for which room is held.
+	planned    map[*group]int
 	drainSince time.Duration
 }
 
 func newWorker(w external.Worker) *worker {
-	return &worker{Worker: w, listed: true, failedJobs: make(map[job.ID]bool)}
+	return &worker{Worker: w, listed: true, failedJobs: make(map[job.ID]bool), planned: make(map[*group]int)}
 }
 
 // free gives the room that is neither taken nor held for a plan.
@@ -87,9 +89,10 @@
 	return false
 }
 
-// countOf gives how many runs of a step's occurrence are on the worker.
+// countOf gives how many tasks of a step's occurrence run on the worker or have
+// room held for them there.
 func (w *worker) countOf(g *group) int {
-	n := 0
+	n := w.planned[g]
 	for _, r := range w.runs {
 		if r.unit != nil && r.unit.group == g {
 			n++
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -7,7 +7,8 @@
 	settings Settings
 	self     string
 	addr     string
-	// known says that the record's state has been read.
+	// known says that the record's state has been read, end up to where. A write
+	// names end as its condition, so that it fails if there is anything unread.
 	known bool
 	rec   Record
 	end   int64
@@ -66,8 +67,8 @@
 	}
 	c.known = true
 	c.end = max(c.end, e.End)
-	if e.Record != nil {
-		c.take(*e.Record)
+	for _, r := range e.Records {
+		c.take(r)
 	}
 }
 
@@ -108,16 +109,14 @@
 func (c *Core) written(e Written) {
 	c.writing = false
 	c.nextWrite = c.now + c.settings.Retry
-	switch e.Result {
-	case WriteDone:
-		c.end = max(c.end, e.End)
-		c.nextWrite = c.now + c.settings.Renew
-		c.take(e.Record)
-		if c.owns == e.Record.Term {
-			c.provenAt = max(c.provenAt, e.Sent)
-		}
-	case WriteMoved:
-		c.end = max(c.end, e.End)
+	if e.Result != WriteDone {
+		return // what was written instead, or after all, is read next
+	}
+	c.end = max(c.end, e.End)
+	c.nextWrite = c.now + c.settings.Renew
+	c.take(e.Record)
+	if c.owns == e.Record.Term {
+		c.provenAt = max(c.provenAt, e.Sent)
 	}
 }
 
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -5,10 +5,11 @@
 // Event is what happened.
 type Event interface{ event() }
 
-// Observed is what a read of the record gave; Record is nil when it has not changed.
+// Observed is what a read gave.
 type Observed struct {
-	Record *Record
-	// End is the offset behind the newest record.
+	// Records are the records read, oldest first.
+	Records []Record
+	// End is the offset up to which everything has been read.
 	End int64
 }
 
@@ -18,7 +19,7 @@
 // Written is the answer to a Write.
 type Written struct {
 	Result Result
-	// End is the end after the write, or the end met when it had moved.
+	// End is the end after a write that was done.
 	End int64
 	// Sent is when the write was sent.
 	Sent time.Duration
--- /dev/null
+++ b/internal/core/term/term_test.go
@@ -0,0 +1,208 @@
+package term
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fakeStore is a log with conditional appends.
+type fakeStore struct{ records []Record }
+
+func (f *fakeStore) append(w Write) (Result, int64) {
+	if w.At != int64(len(f.records)) {
+		return WriteMoved, 0
+	}
+	f.records = append(f.records, w.Record)
+	return WriteDone, int64(len(f.records))
+}
+
+// contender is one instance with its writes under way.
+type contender struct {
+	core  *Core
+	read  int
+	sent  []Write
+	at    []time.Duration
+	terms []int64
+	owns  int64
+}
+
+func newContender(n int) *contender {
+	s := DefaultSettings()
+	s.Delay = time.Duration(n) * 10 * time.Millisecond
+	return &contender{core: New(s, fmt.Sprintf("node-%d/1", n), fmt.Sprintf("10.0.0.%d:1", n))}
+}
+
+func (c *contender) step(now time.Duration, ev Event) {
+	for _, a := range c.core.Step(now, ev) {
+		switch a := a.(type) {
+		case Write:
+			c.sent, c.at = append(c.sent, a), append(c.at, now)
+		case Gained:
+			c.terms, c.owns = append(c.terms, a.Term), a.Term
+		case Lost:
+			c.owns = 0
+		}
+	}
+}
+
+func (c *contender) readAll(now time.Duration, f *fakeStore) {
+	ev := Observed{Records: f.records[c.read:], End: int64(len(f.records))}
+	c.read = len(f.records)
+	c.step(now, ev)
+}
+
+// answer carries a write out at the store and hands its result back.
+func (c *contender) answer(now time.Duration, f *fakeStore) {
+	w, at := c.sent[0], c.at[0]
+	c.sent, c.at = c.sent[1:], c.at[1:]
+	r, end := f.append(w)
+	c.step(now, Written{Result: r, End: end, Sent: at, Record: w.Record})
+}
+
+func TestClaimThatFindsAnUnreadRecordIsNotRepeatedForTheSameTerm(t *testing.T) {
+	f := &fakeStore{}
+	a, b := newContender(0), newContender(1)
+	a.readAll(0, f)
+	b.readAll(0, f)
+	b.step(20*time.Millisecond, Tick{})
+	a.step(20*time.Millisecond, Tick{})
+	a.answer(30*time.Millisecond, f)
+	b.answer(31*time.Millisecond, f) // meets a's record
+	for now := 32 * time.Millisecond; now < time.Second; now += 50 * time.Millisecond {
+		b.step(now, Tick{})
+		if len(b.sent) > 0 {
+			b.answer(now, f)
+		}
+	}
+	if len(b.terms) > 0 {
+		t.Fatalf("b gained %v beside a's %v", b.terms, a.terms)
+	}
+}
+
+func TestTermHasOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fakeStore{}
+		var late []Write
+		all := []*contender{newContender(0), newContender(1), newContender(2)}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			c := all[rapid.IntRange(0, len(all)-1).Draw(t, "who")]
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0, 1:
+				now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
+				c.step(now, Tick{})
+			case 2, 3:
+				c.readAll(now, f)
+			case 4:
+				if len(c.sent) > 0 {
+					c.answer(now, f)
+				}
+			case 5: // the answer is lost; the write may be carried out later
+				if len(c.sent) > 0 {
+					w, at := c.sent[0], c.at[0]
+					c.sent, c.at = c.sent[1:], c.at[1:]
+					late = append(late, w)
+					c.step(now, Written{Result: WriteUnclear, Sent: at, Record: w.Record})
+				}
+			case 6:
+				if len(late) > 0 {
+					f.append(late[0])
+					late = late[1:]
+				}
+			case 7:
+				c.step(now, StoreFailed{})
+			}
+			owners := make(map[int64]int)
+			for n, c := range all {
+				for _, term := range c.terms {
+					if o, ok := owners[term]; ok && o != n {
+						t.Fatalf("term %d has two owners", term)
+					}
+					owners[term] = n
+				}
+			}
+		}
+	})
+}
+
+func TestOwnerThatStopsRenewingIsReplaced(t *testing.T) {
+	f := &fakeStore{}
+	a, b := newContender(0), newContender(1)
+	a.readAll(0, f)
+	a.step(time.Millisecond, Tick{})
+	a.answer(2*time.Millisecond, f)
+	if a.owns != 1 {
+		t.Fatalf("a owns %d", a.owns)
+	}
+	var gainedAt time.Duration
+	for now := 10 * time.Millisecond; now < 10*time.Second && gainedAt == 0; now += 50 * time.Millisecond {
+		b.readAll(now, f)
+		b.step(now, Tick{})
+		for len(b.sent) > 0 {
+			b.answer(now, f)
+		}
+		if b.owns != 0 {
+			gainedAt = now
+		}
+	}
+	if b.owns != 2 || gainedAt > 3*time.Second {
+		t.Fatalf("b owns %d since %v", b.owns, gainedAt)
+	}
+	a.readAll(11*time.Second, f)
+	if a.owns != 0 {
+		t.Fatal("a still owns the term after it read a higher one")
+	}
+}
+
+func TestOwnerWithoutConfirmedRenewalGivesUpUnlessPeersAgree(t *testing.T) {
+	for _, agree := range []bool{false, true} {
+		f := &fakeStore{}
+		a := newContender(0)
+		a.readAll(0, f)
+		a.step(time.Millisecond, Tick{})
+		a.answer(2*time.Millisecond, f)
+		for now := 50 * time.Millisecond; now < 10*time.Second; now += 50 * time.Millisecond {
+			if agree && now%(time.Second) == 0 {
+				a.step(now, PeersAgree{})
+			}
+			a.step(now, Tick{})
+			for len(a.sent) > 0 {
+				w := a.sent[0]
+				a.sent = a.sent[1:]
+				a.step(now, Written{Result: WriteFailed, Record: w.Record})
+			}
+		}
+		if (a.owns != 0) != agree {
+			t.Errorf("peers agree %v: owns %d", agree, a.owns)
+		}
+	}
+}
+
+func TestRestartedProcessClaimsItsOwnTermAtOnce(t *testing.T) {
+	f := &fakeStore{records: []Record{{Term: 3, Owner: "node-0/0", Addr: "10.0.0.0:1"}}}
+	a := newContender(0)
+	a.readAll(0, f)
+	a.step(10*time.Millisecond, Tick{})
+	if len(a.sent) != 1 || a.sent[0].Record.Term != 4 {
+		t.Fatalf("sent %+v", a.sent)
+	}
+}
+
+func TestReleasedTermIsClaimedAtOnce(t *testing.T) {
+	f := &fakeStore{}
+	a, b := newContender(0), newContender(1)
+	a.readAll(0, f)
+	a.step(time.Millisecond, Tick{})
+	a.answer(2*time.Millisecond, f)
+	a.step(3*time.Millisecond, Leaving{})
+	a.answer(4*time.Millisecond, f)
+	b.readAll(5*time.Millisecond, f)
+	b.step(20*time.Millisecond, Tick{})
+	b.answer(21*time.Millisecond, f)
+	if b.owns != 2 {
+		t.Fatalf("b owns %d", b.owns)
+	}
+}
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -19,20 +19,19 @@
 }
 
 func (i *Instance) termRecords(p external.Page) {
-	ev := term.Observed{End: p.End}
+	ev := term.Observed{End: p.Next}
 	for _, r := range p.Records {
 		if r.Key != keyTerm || len(r.Value) == 0 {
 			continue
 		}
-		rec := &term.Record{}
-		if err := decodeRecord(r.Value, rec); err != nil {
+		var rec term.Record
+		if err := decodeRecord(r.Value, &rec); err != nil {
 			evRecordBad.Log(i.work, i.logger, slog.String("topic", string(topicTerm)), slog.Any("error", err))
 			continue
 		}
-		ev.Record = rec
-		i.stepTerm(ev)
+		ev.Records = append(ev.Records, rec)
 	}
-	i.stepTerm(term.Observed{End: p.End})
+	i.stepTerm(ev)
 }
 
 // currentTerm gives the newest term record that is known.
@@ -91,22 +90,20 @@
 	w.End, err = i.Log.Append(ctx, external.Append{
 		Topic: topicTerm, At: &at, Records: []external.Record{{Key: keyTerm, Value: value}},
 	})
-	w.Result = resultOf(err, &w.End)
+	w.Result = resultOf(err)
 	if err != nil {
 		evTermWrite.Log(ctx, i.logger, slog.Int64("term", a.Record.Term), slog.Int64("renewal", a.Record.Renewal), slog.Any("error", err))
 	}
 	i.stepTerm(w)
 }
 
-// resultOf turns an append's error into a result; end is set to where the
-// partition ends when that has moved.
-func resultOf(err error, end *int64) term.Result {
+// resultOf turns an append's error into a result.
+func resultOf(err error) term.Result {
 	var moved *external.MovedError
 	switch {
 	case err == nil:
 		return term.WriteDone
 	case errors.As(err, &moved):
-		*end = moved.End
 		return term.WriteMoved
 	case errors.Is(err, external.ErrNotDone):
 		return term.WriteFailed
