Bring submissions to the store over peers, and refuse at once while it is lost

Cause: an instance that the store turned away tried its own connection until the caller's deadline; a try cut off by the deadline left a doubt (504), after which callers can't try again.

The loss of the store is believed after two failed calls.

Ruled out: longer tries (they use up the caller's time).

--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -165,7 +165,7 @@
 		a.step(time.Millisecond, Tick{})
 		a.answer(2*time.Millisecond, f)
 		for now := 50 * time.Millisecond; now < 10*time.Second; now += 50 * time.Millisecond {
-			if agree && now%(time.Second) == 0 {
+			if agree && now%time.Second == 0 {
 				a.step(now, PeersAgree{})
 			}
 			a.step(now, Tick{})
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -137,7 +137,7 @@
 func (o *owner) append(records []external.Record) error {
 	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
 	defer cancel()
-	_, err := o.inst.Log.Append(ctx, external.Append{
+	_, err := o.inst.log.Append(ctx, external.Append{
 		Topic: topicProgress, Records: records,
 		Producer: &external.Producer{Name: producerOwner, Epoch: o.term, Seq: o.seq},
 	})
@@ -180,7 +180,7 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
 	defer cancel()
-	if _, err := o.inst.Log.Append(ctx, external.Append{Topic: topicJobs, Records: records}); err != nil {
+	if _, err := o.inst.log.Append(ctx, external.Append{Topic: topicJobs, Records: records}); err != nil {
 		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int("forgotten", len(ids)), slog.Any("error", err))
 	}
 }
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -96,36 +96,6 @@
 	return nil
 }
 
-// write appends a record to the jobs topic. It repeats the append while the
-// caller waits; repeats are harmless, as the first record of a key counts.
-func (i *Instance) write(ctx context.Context, r external.Record) error {
-	unclear := false
-	for {
-		err := i.appendOnce(ctx, r)
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, external.ErrNotDone) {
-			unclear = true
-		}
-		sleep(ctx, appendRetry)
-		if ctx.Err() == nil {
-			continue
-		}
-		if unclear {
-			return eris.Wrap(ErrUnclear, err.Error())
-		}
-		return eris.Wrap(ErrNotRun, err.Error())
-	}
-}
-
-func (i *Instance) appendOnce(ctx context.Context, r external.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTry)
-	defer cancel()
-	_, err := i.Log.Append(ctx, external.Append{Topic: topicJobs, Records: []external.Record{r}})
-	return err
-}
-
 // Status gives a job's state. Errors: ErrNoJob, ErrUnavailable.
 func (i *Instance) Status(ctx context.Context, id job.ID) (job.Status, error) {
 	r, err := i.askJob(ctx, id)
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -23,6 +23,7 @@
 	evRecordBad     = logevent.New(2222, slog.LevelWarn, "record not understood")
 	evPersistFailed = logevent.New(2223, slog.LevelWarn, "progress not written, tried again")
 	evPersisted     = logevent.New(2224, slog.LevelInfo, "progress is durable")
+	evMembers       = logevent.New(2225, slog.LevelInfo, "addresses of instances not exchanged")
 	evAccepted      = logevent.New(2230, slog.LevelInfo, "job accepted")
 	evRefused       = logevent.New(2231, slog.LevelInfo, "job refused")
 	evUnclear       = logevent.New(2232, slog.LevelWarn, "job or cancellation without an answer from the store")
--- a/internal/instance/follower.go
+++ b/internal/instance/follower.go
@@ -93,6 +93,10 @@
 	f.failed(err)
 }
 
+// ignore is for followers whose topic has no say in what is believed of the
+// store; the store's watch logs its loss.
+func ignore(error) {}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,8 +46,10 @@
 	termMu  sync.Mutex
 	term    *term.Core
 	owner   atomic.Pointer[owner]
-	storeOK atomic.Bool
 	stop    atomic.Bool
+	store   *storeWatch
+	log     external.Log
+	members members
 
 	work    context.Context
 	cancel  context.CancelFunc
@@ -63,12 +66,17 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{Options: o, logger: o.Logger, term: term.New(s.Term, s.Life, s.LinkAddr)}
+	i.store = &storeWatch{Log: o.Log, changed: i.storeChanged}
+	i.log = i.store
+	i.members.silent = make(map[string]time.Duration)
+	i.members.set(slices.Clone(s.Peers), s.LinkAddr)
 	host, region := model.HostID(s.Name), model.Region(s.Region)
 	i.pool = link.NewPool(link.PoolOptions{Self: host, Region: region, Logger: o.Logger})
 	i.server = link.NewServer(link.ServerOptions{Self: host, Region: region, Logger: o.Logger})
 	link.Handle(i.server, wire.KindJob, i.onJobQuery)
 	link.Handle(i.server, wire.KindPending, i.onPendingQuery)
 	link.Handle(i.server, wire.KindPolicy, i.onPolicyQuery)
+	link.Handle(i.server, wire.KindRecord, i.onRecordWrite)
 	i.work, i.cancel = context.WithCancel(context.Background())
 	return i
 }
@@ -84,6 +92,7 @@
 	i.goRun(i.followTerm)
 	i.goRun(i.tick)
 	i.goRun(i.askPeersForPolicy)
+	i.goRun(i.followMembers)
 	<-ctx.Done()
 	evStopping.Log(ctx, i.logger)
 	i.stop.Store(true)
--- /dev/null
+++ b/internal/instance/members.go
@@ -0,0 +1,129 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"coltsfootmux/internal/external"
+)
+
+const (
+	// topicMembers holds the address of each instance under its name.
+	topicMembers external.Topic = "keyed.members"
+	// membersEvery is how often the addresses are read; a new instance is not
+	// needed by others at once.
+	membersEvery = 8 * time.Second
+	// memberPause is how long an instance that did not answer is asked last.
+	memberPause = 3 * time.Second
+	// maxRoutes bounds the peers that are tried for one call.
+	maxRoutes = 3
+)
+
+// members are the addresses of other instances, from the settings and the store.
+type members struct {
+	mu sync.Mutex
+	// addrs are all that are known, in a fixed order that differs by instance.
+	addrs []string
+	// silent holds when an instance last gave no answer.
+	silent map[string]time.Duration
+}
+
+// set replaces the addresses; own is left out.
+func (m *members) set(addrs []string, own string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
+	at, _ := slices.BinarySearch(addrs, own)
+	m.addrs = append(slices.Clone(addrs[at:]), addrs[:at]...)
+	m.addrs = slices.DeleteFunc(m.addrs, func(a string) bool { return a == own })
+}
+
+// best gives some addresses to try, first whoever is preferred, last those that
+// did not answer lately.
+func (m *members) best(now time.Duration, preferred string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var good, bad []string
+	for _, a := range m.addrs {
+		switch at, ok := m.silent[a]; {
+		case ok && now-at < memberPause:
+			bad = append(bad, a)
+		case a == preferred:
+			good = slices.Insert(good, 0, a)
+		default:
+			good = append(good, a)
+		}
+	}
+	all := append(good, bad...)
+	return all[:min(len(all), maxRoutes)]
+}
+
+// answered notes whether an instance answered.
+func (m *members) answered(addr string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ok {
+		delete(m.silent, addr)
+		return
+	}
+	m.silent[addr] = boottime()
+}
+
+// followMembers announces this instance and reads where the others are.
+func (i *Instance) followMembers(ctx context.Context) {
+	announced := false
+	for ctx.Err() == nil {
+		if !announced {
+			announced = i.announce(ctx)
+		}
+		i.readMembers(ctx)
+		if !announced {
+			sleep(ctx, readRetry)
+			continue
+		}
+		sleep(ctx, membersEvery)
+	}
+}
+
+func (i *Instance) announce(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, appendTry)
+	defer cancel()
+	_, err := i.log.Append(ctx, external.Append{
+		Topic: topicMembers, Records: []external.Record{{Key: i.Settings.Name, Value: []byte(i.Settings.LinkAddr)}},
+	})
+	if err != nil {
+		evMembers.Log(ctx, i.logger, slog.String("call", "announce"), slog.Any("error", err))
+	}
+	return err == nil
+}
+
+func (i *Instance) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	p, err := i.log.Newest(ctx, topicMembers)
+	if err != nil {
+		evMembers.Log(ctx, i.logger, slog.String("call", "read"), slog.Any("error", err))
+		return
+	}
+	addrs := slices.Clone(i.Settings.Peers)
+	for _, r := range p.Records {
+		if a := string(r.Value); strings.Contains(a, ":") {
+			addrs = append(addrs, a)
+		}
+	}
+	i.members.set(addrs, i.Settings.LinkAddr)
+}
+
+// peers gives the addresses of other instances to try, the cell's owner first.
+func (i *Instance) peers() []string {
+	owner := ""
+	if rec, ok := i.currentTerm(); ok && rec.Addr != i.Settings.LinkAddr {
+		owner = rec.Addr
+	}
+	return i.members.best(boottime(), owner)
+}
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -62,8 +62,8 @@
 
 func (o *owner) followJobs(from int64) {
 	f := &follower{
-		log: o.inst.Log, topic: topicJobs,
-		reset: o.jobRecords, page: o.jobRecords, failed: o.inst.storeFailed,
+		log: o.inst.log, topic: topicJobs,
+		reset: o.jobRecords, page: o.jobRecords, failed: ignore,
 	}
 	f.run(o.ctx, from)
 }
@@ -94,8 +94,8 @@
 
 func (o *owner) followWorkers(from int64) {
 	f := &follower{
-		log: o.inst.Log, topic: o.inst.WorkerList, pace: workersPace,
-		reset: o.workersReset, page: o.workerRecords, failed: o.inst.storeFailed,
+		log: o.inst.log, topic: o.inst.WorkerList, pace: workersPace,
+		reset: o.workersReset, page: o.workerRecords, failed: ignore,
 	}
 	f.run(o.ctx, from)
 }
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -14,16 +14,15 @@
 // followPolicy keeps the policy in force up to date.
 func (i *Instance) followPolicy(ctx context.Context) {
 	f := &follower{
-		log: i.Log, topic: i.Policies,
+		log: i.log, topic: i.Policies,
 		reset:  i.policyRecords,
 		page:   i.policyRecords,
-		failed: i.storeFailed,
+		failed: ignore,
 	}
 	f.run(ctx, -1)
 }
 
 func (i *Instance) policyRecords(p external.Page) {
-	i.storeAnswered()
 	i.policyRead.Store(int64(boottime()))
 	for _, r := range p.Records {
 		if r.Key == i.PolicyKey && len(r.Value) > 0 {
@@ -58,7 +57,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		sleep(ctx, policyAge/2)
 		age := boottime() - time.Duration(i.policyRead.Load())
-		if age < readWait+policyAge && i.storeOK.Load() {
+		if age < readWait+policyAge && i.store.answers() {
 			continue
 		}
 		for _, addr := range i.peers() {
@@ -75,6 +74,7 @@
 		q.Version = p.policy.Version
 	}
 	r, err := link.Call[wire.PolicyQuery, wire.PolicyReply](ctx, i.pool, addr, wire.KindPolicy, q)
+	i.members.answered(addr, err == nil)
 	if err == nil && len(r.Record) > 0 {
 		i.takePolicy(r.Record, addr)
 	}
@@ -82,7 +82,7 @@
 }
 
 func (i *Instance) onPolicyQuery(_ context.Context, _ link.Peer, q wire.PolicyQuery) (wire.PolicyReply, error) {
-	r := wire.PolicyReply{StoreAnswers: i.storeOK.Load()}
+	r := wire.PolicyReply{StoreAnswers: i.store.answers()}
 	if p := i.policy.Load(); p != nil {
 		r.Version = p.policy.Version
 		if p.policy.Version > q.Version {
@@ -92,29 +92,11 @@
 	return r, nil
 }
 
-// peers gives the addresses of other instances that are known: those of the
-// settings and the cell's owner.
-func (i *Instance) peers() []string {
-	var out []string
-	if rec, ok := i.currentTerm(); ok && rec.Addr != i.Settings.LinkAddr {
-		out = append(out, rec.Addr)
-	}
-	for _, a := range i.Settings.Peers {
-		if a != i.Settings.LinkAddr && (len(out) == 0 || a != out[0]) {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
-func (i *Instance) storeAnswered() {
-	if !i.storeOK.Swap(true) {
+// storeChanged notes that the store is lost to this process or answers again.
+func (i *Instance) storeChanged(answers bool, err error) {
+	if answers {
 		evStoreBack.Log(i.work, i.logger)
+		return
 	}
-}
-
-func (i *Instance) storeFailed(err error) {
-	if i.storeOK.Swap(false) {
-		evStoreLost.Log(i.work, i.logger, slog.Any("error", err))
-	}
+	evStoreLost.Log(i.work, i.logger, slog.Any("error", err))
 }
--- /dev/null
+++ b/internal/instance/storewatch.go
@@ -0,0 +1,76 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"coltsfootmux/internal/external"
+)
+
+// storeLostAfter is how many calls in a row must fail before the store counts
+// as lost to this process; a single lost answer says nothing.
+const storeLostAfter = 2
+
+// storeWatch passes calls to the store on and keeps whether it answers.
+type storeWatch struct {
+	external.Log
+	// changed is told when the store is lost or answers again.
+	changed func(answers bool, err error)
+
+	mu       sync.Mutex
+	failures int
+	lost     bool
+	lastOK   time.Duration
+}
+
+// answers says whether the store answers this process.
+func (s *storeWatch) answers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lost && s.lastOK > 0
+}
+
+// Append implements external.Log.
+func (s *storeWatch) Append(ctx context.Context, a external.Append) (int64, error) {
+	end, err := s.Log.Append(ctx, a)
+	s.note(ctx, err)
+	return end, err
+}
+
+// Read implements external.Log.
+func (s *storeWatch) Read(ctx context.Context, t external.Topic, from int64, wait time.Duration) (external.Page, error) {
+	p, err := s.Log.Read(ctx, t, from, wait)
+	s.note(ctx, err)
+	return p, err
+}
+
+// Newest implements external.Log.
+func (s *storeWatch) Newest(ctx context.Context, t external.Topic) (external.Page, error) {
+	p, err := s.Log.Newest(ctx, t)
+	s.note(ctx, err)
+	return p, err
+}
+
+// note counts what a call says about the store. A call that its caller gave up
+// says nothing.
+func (s *storeWatch) note(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	failed := errors.Is(err, external.ErrNotDone) || errors.Is(err, external.ErrUnclear)
+	s.mu.Lock()
+	was := s.lost
+	if failed {
+		s.failures++
+		s.lost = s.lost || s.failures >= storeLostAfter
+	} else {
+		s.failures, s.lost, s.lastOK = 0, false, boottime()
+	}
+	now := s.lost
+	s.mu.Unlock()
+	if was != now {
+		s.changed(!now, err)
+	}
+}
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -55,7 +55,7 @@
 		g.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, readWait+readTime)
 			defer cancel()
-			p, err := o.inst.Log.Newest(ctx, t)
+			p, err := o.inst.log.Newest(ctx, t)
 			*into = p
 			return err
 		})
@@ -74,7 +74,7 @@
 func (o *owner) fence() error {
 	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
 	defer cancel()
-	_, err := o.inst.Log.Append(ctx, external.Append{
+	_, err := o.inst.log.Append(ctx, external.Append{
 		Topic: topicProgress, Producer: &external.Producer{Name: producerOwner, Epoch: o.term},
 	})
 	return err
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -11,7 +11,7 @@
 
 func (i *Instance) followTerm(ctx context.Context) {
 	f := &follower{
-		log: i.Log, topic: topicTerm,
+		log: i.log, topic: topicTerm,
 		reset: i.termRecords, page: i.termRecords,
 		failed: func(error) { i.stepTerm(term.StoreFailed{}) },
 	}
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTry)
 	defer cancel()
 	at := a.At
-	w.End, err = i.Log.Append(ctx, external.Append{
+	w.End, err = i.log.Append(ctx, external.Append{
 		Topic: topicTerm, At: &at, Records: []external.Record{{Key: keyTerm, Value: value}},
 	})
 	w.Result = resultOf(err)
--- /dev/null
+++ b/internal/instance/write.go
@@ -0,0 +1,141 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/core/commit"
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/wire"
+)
+
+// written is the end of one try.
+type written struct {
+	try    int
+	result commit.Result
+	err    error
+}
+
+// write gets a record of topicJobs into the store, over this process's own
+// connection or a peer's. Repeats are harmless: the first record of a key
+// counts. Errors: ErrNotRun, ErrUnclear.
+func (i *Instance) write(ctx context.Context, r external.Record) error {
+	peers := i.peers()
+	core := commit.New(deadlineOf(ctx), i.store.answers(), len(peers))
+	answers := make(chan written, commit.MaxTries)
+	tries, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var last error
+	actions := core.Start(boottime())
+	for {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case commit.Try:
+				go func() { answers <- i.try(tries, a, peers, r) }()
+			case commit.End:
+				return verdict(a.Result, last)
+			}
+		}
+		timer := time.NewTimer(core.Next() - boottime())
+		select {
+		case w := <-answers:
+			if w.err != nil {
+				last = w.err
+			}
+			actions = core.Step(boottime(), commit.Answer{Try: w.try, Result: w.result})
+		case <-timer.C:
+			actions = core.Wake(boottime())
+		}
+		timer.Stop()
+	}
+}
+
+func verdict(r commit.Result, last error) error {
+	text := "no answer"
+	if last != nil {
+		text = last.Error()
+	}
+	switch r {
+	case commit.Done:
+		return nil
+	case commit.Refused:
+		return eris.Wrap(ErrNotRun, text)
+	default:
+		return eris.Wrap(ErrUnclear, text)
+	}
+}
+
+// deadlineOf gives the context's deadline on the boot time clock.
+func deadlineOf(ctx context.Context) time.Duration {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return boottime() + appendTry
+	}
+	return boottime() + time.Until(d)
+}
+
+// try makes one try over a route.
+func (i *Instance) try(ctx context.Context, t commit.Try, peers []string, r external.Record) written {
+	w := written{try: t.Try}
+	if t.Route == commit.Own {
+		w.err = i.appendOnce(ctx, r)
+		w.result = resultOfAppend(w.err)
+		return w
+	}
+	w.result, w.err = i.writeOver(ctx, peers[t.Route-1], r)
+	return w
+}
+
+func (i *Instance) appendOnce(ctx context.Context, r external.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTry)
+	defer cancel()
+	_, err := i.log.Append(ctx, external.Append{Topic: topicJobs, Records: []external.Record{r}})
+	return err
+}
+
+func resultOfAppend(err error) commit.Result {
+	switch {
+	case err == nil:
+		return commit.Done
+	case errors.Is(err, external.ErrNotDone), errors.Is(err, external.ErrInvalid):
+		return commit.Refused
+	default:
+		return commit.Unclear
+	}
+}
+
+// writeOver asks a peer to append the record.
+func (i *Instance) writeOver(ctx context.Context, addr string, r external.Record) (commit.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTry+peerTime)
+	defer cancel()
+	rep, err := link.Call[wire.RecordWrite, wire.RecordWritten](ctx, i.pool, addr, wire.KindRecord, wire.RecordWrite{Key: r.Key, Value: r.Value})
+	i.members.answered(addr, err == nil)
+	switch {
+	case errors.Is(err, link.ErrNotSent):
+		return commit.Refused, err
+	case err != nil:
+		return commit.Unclear, err
+	case rep.Done:
+		return commit.Done, nil
+	case rep.Refused:
+		return commit.Refused, eris.New("peer " + addr + ": " + rep.Reason)
+	default:
+		return commit.Unclear, eris.New("peer " + addr + ": " + rep.Reason)
+	}
+}
+
+// onRecordWrite appends a record for a peer that can't reach the store.
+func (i *Instance) onRecordWrite(ctx context.Context, _ link.Peer, q wire.RecordWrite) (wire.RecordWritten, error) {
+	if !i.store.answers() {
+		return wire.RecordWritten{Refused: true, Reason: "the store does not answer here either"}, nil
+	}
+	err := i.appendOnce(ctx, external.Record{Key: q.Key, Value: q.Value})
+	if err == nil {
+		return wire.RecordWritten{Done: true}, nil
+	}
+	return wire.RecordWritten{Refused: resultOfAppend(err) == commit.Refused, Reason: err.Error()}, nil
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -19,6 +19,7 @@
 	KindJob       Kind = 12 // instance to owner: JobQuery -> JobReply
 	KindPending   Kind = 13 // instance to owner: PendingQuery -> PendingReply
 	KindPolicy    Kind = 14 // instance to any: PolicyQuery -> PolicyReply
+	KindRecord    Kind = 15 // instance to any: RecordWrite -> RecordWritten
 )
 
 // String names the kind for metrics and logs.
@@ -52,6 +53,8 @@
 		return "pending"
 	case KindPolicy:
 		return "policy"
+	case KindRecord:
+		return "record"
 	}
 	return "other"
 }
--- /dev/null
+++ b/internal/wire/recordwrite.go
@@ -0,0 +1,16 @@
+package wire
+
+// RecordWrite asks another instance to append a record of jobs.
+type RecordWrite struct {
+	Key   string `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint"`
+}
+
+// RecordWritten answers a RecordWrite. If it is neither Done nor Refused, the
+// record may have been appended.
+type RecordWritten struct {
+	Done bool `cbor:"1,keyasint"`
+	// Refused means that nothing was appended.
+	Refused bool   `cbor:"2,keyasint"`
+	Reason  string `cbor:"3,keyasint,omitempty"`
+}
