Test the cell against a fleet of workers under random faults, and close what it found

Now: no lease is asked of a worker that does not answer; ends are acknowledged only within 150 ms of the worker's answer; such a start is in doubt; runs start only within 1.8 s of a proof of the term, and on a new life only after a proof made since.

Three times the test's own account was wrong: an order is kept by ends that a worker forgot later, a call does not reach the next life of a process, a bound in time does not hold for an order held up.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -29,11 +29,15 @@
 	batch     int64
 	batches   int64
 	batchJobs []*entry
-	batchAcks map[*worker]int64
+	batchAcks map[*worker]ackMark
 	dirty     []*entry
 	ended     []*entry
 	// cancels holds cancellations of jobs that have not been seen yet.
 	cancels map[job.ID]bool
+	// proven is when no later term existed for certain.
+	proven time.Duration
+	// loaded says that what the store held has been taken in.
+	loaded bool
 	// silentUntil is when a worker that has not answered since the take-over
 	// can't run anything of the term before.
 	silentUntil time.Duration
@@ -50,6 +54,7 @@
 		jobs:    make(map[job.ID]*entry),
 		workers: make(map[external.WorkerID]*worker),
 		cancels: make(map[job.ID]bool),
+		proven:  now.Mono,
 	}
 	c.silentUntil = now.Mono + s.OwnerGrace + time.Duration(float64(s.LeaseMax)*clockSlack) + leaseMargin
 	return c
@@ -90,6 +95,9 @@
 		c.listed(e)
 	case Committed:
 		c.committed(e)
+	case TermProven:
+		c.proven = max(c.proven, e.At)
+		c.changed = true
 	case Tick:
 		c.tick()
 	}
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -65,6 +65,9 @@
 // Committed says that a Persist is durable.
 type Committed struct{ Batch int64 }
 
+// TermProven says that no later term existed at At.
+type TermProven struct{ At time.Duration }
+
 // Tick passes time.
 type Tick struct{}
 
@@ -78,6 +81,7 @@
 func (Stopped) event()         {}
 func (Listed) event()          {}
 func (Committed) event()       {}
+func (TermProven) event()      {}
 func (Tick) event()            {}
 
 // Failure says how a call to a worker failed.
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -8,6 +8,7 @@
 	if w == nil {
 		w = c.addWorker(n)
 		w.born = n.BornMS
+		w.newLife = c.loaded
 		c.changed = true
 		return
 	}
@@ -18,8 +19,7 @@
 		c.changed = true
 	}
 	if n.BornMS != 0 && w.born != 0 && n.BornMS > w.born {
-		c.reborn(w)
-		w.born = n.BornMS
+		w.probe = true // the worker's own lists say what the new life has
 	}
 	if n.Draining && !wasDraining {
 		w.drainSince = c.now.Mono
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -56,11 +56,18 @@
 
 func (c *Core) sendHold(w *worker, wait time.Duration) {
 	c.issued++
-	o := external.HoldOrder{Call: c.call(w), Acknowledge: w.ack, Wait: wait}
-	if w.fenced && len(w.runs) > 0 {
+	o := external.HoldOrder{Call: c.call(w), Wait: wait}
+	// Numbers of ends begin anew with each life of a worker. Only one that was
+	// heard just now is sure to be in the life that they were read in.
+	if w.holdFails == 0 && c.now.Mono-w.heard <= ackFresh {
+		o.Acknowledge = w.ack
+	}
+	// A worker that does not answer is not asked for a new lease: the last one
+	// has to lapse some time.
+	if w.fenced && len(w.runs) > 0 && w.holdFails == 0 {
 		o.Until = c.lease(w)
 	}
-	w.ackSent = w.ack
+	w.ackSent = o.Acknowledge
 	c.act(Hold{Order: o, Issue: c.issued})
 }
 
@@ -99,7 +106,10 @@
 		c.holdFailed(w, ev)
 		return
 	}
-	c.answered(w, ev.Lists)
+	if ev.Lists.BornMS != 0 && ev.Lists.BornMS < w.born {
+		return // from an earlier life
+	}
+	c.answered(w, ev.Issue, ev.Lists)
 	c.takeEnds(w, ev.Lists.Ended)
 	c.takeRunning(w, ev.Issue, ev.Lists.Running)
 	c.takeMissing(w, ev.Issue, ev.Lists)
@@ -118,21 +128,22 @@
 }
 
 // answered notes a sign of life and what it says about the worker's life.
-func (c *Core) answered(w *worker, l external.Lists) {
+func (c *Core) answered(w *worker, issue int64, l external.Lists) {
 	if w.holdFails > 0 {
 		w.holdFails = 0
 		c.changed = true
 		c.act(WorkerNoted{Worker: w.ID, Note: "answers again", Runs: len(w.runs)})
 	}
+	w.heard = c.now.Mono
 	if l.BornMS != 0 && w.born != 0 && l.BornMS != w.born {
-		c.reborn(w)
+		c.reborn(w, issue)
 	}
 	if l.BornMS != 0 {
 		w.born = l.BornMS
 	}
 	c.setClock(w, l.Clock)
 	if !w.fenced {
-		w.fenced = true
+		w.fenced, w.fencedAt = true, c.now.Mono
 		c.changed = true
 	}
 }
@@ -147,14 +158,24 @@
 	}
 }
 
-// reborn ends everything of a worker's earlier life.
-func (c *Core) reborn(w *worker) {
+// reborn ends everything of a worker's earlier life. A start that was under way
+// when the lists of the new life were made may have reached that life; it is in
+// doubt.
+func (c *Core) reborn(w *worker, issue int64) {
 	c.act(WorkerNoted{Worker: w.ID, Note: "started anew", Runs: len(w.runs)})
-	w.fenced = false
+	w.fenced, w.newLife = false, true
+	w.life++
 	w.clock, w.processed, w.ack, w.ackSent, w.leaseEnd = 0, 0, 0, 0, 0
 	w.born = 0
 	for _, r := range slices.Clone(w.runs) {
-		c.endRun(r, EndedLost, "")
+		if r.began != 0 && r.settled(issue) {
+			c.endRun(r, EndedLost, "")
+			continue
+		}
+		r.mark, r.stopAcked, w.probe = c.issued, 0, true
+		if r.state != runStopping {
+			r.state = runDoubt
+		}
 	}
 	w.holdNext = c.now.Mono
 }
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -16,6 +16,12 @@
 	c.dirty = append(c.dirty, e)
 }
 
+// ackMark is the number of an end in one life of a worker.
+type ackMark struct {
+	life   int
+	number int64
+}
+
 // persist sends the progress that has changed, one batch at a time. A batch
 // also covers every end taken in so far, so that they may be acknowledged.
 func (c *Core) persist() {
@@ -35,10 +41,10 @@
 		p.Progress = append(p.Progress, JobProgress{ID: e.job.ID, Progress: e.progress()})
 	}
 	c.batchJobs, c.dirty = c.dirty, nil
-	c.batchAcks = make(map[*worker]int64)
+	c.batchAcks = make(map[*worker]ackMark)
 	for _, w := range c.fleet {
 		if w.processed > w.ack {
-			c.batchAcks[w] = w.processed
+			c.batchAcks[w] = ackMark{life: w.life, number: w.processed}
 		}
 	}
 	c.act(p)
@@ -63,10 +69,10 @@
 			e.shown = e.outcome
 		}
 	}
-	for w, n := range c.batchAcks {
+	for w, m := range c.batchAcks {
 		// Another life of the worker counts anew.
-		if w.processed >= n {
-			w.ack = max(w.ack, n)
+		if w.life == m.life {
+			w.ack = max(w.ack, m.number)
 		}
 	}
 	c.batchJobs, c.batchAcks = nil, nil
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -6,6 +6,10 @@
 type Settings struct {
 	// LeaseMax is the longest lease that workers grant.
 	LeaseMax time.Duration
+	// StartGrace is how long an owner may start runs after the last proof of its
+	// term. It is shorter than the time after which others claim the next one, so
+	// that no start of an earlier owner meets a worker that knows no term yet.
+	StartGrace time.Duration
 	// OwnerGrace is how long an owner may go on renewing leases after its last
 	// confirmed renewal of the term.
 	OwnerGrace time.Duration
@@ -39,6 +43,9 @@
 	// ackPause is how long a hold waits for the progress of the worker's last
 	// ends to be durable, so that it can acknowledge them.
 	ackPause = 500 * time.Millisecond
+	// ackFresh is how long after a worker's answer its ends may be acknowledged;
+	// no worker starts anew, runs a task and ends it in this time.
+	ackFresh = 150 * time.Millisecond
 	// stopRetry lies between two orders to stop the same run.
 	stopRetry = 700 * time.Millisecond
 	// barCheck is how long after an acknowledged stop the worker is asked for
--- /dev/null
+++ b/internal/core/cell/world_test.go
@@ -0,0 +1,356 @@
+package cell
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/standin/fleet"
+)
+
+// world runs cores against the stand-in fleet in virtual time, over a network
+// that delays, loses and carries out late.
+type world struct {
+	t     *testing.T
+	rng   *rand.Rand
+	now   time.Duration
+	fleet *fleet.Fleet
+	queue []delivery
+	order int
+
+	policy *job.Policy
+	owners []*testOwner
+	// what is durable
+	jobs     []job.Job
+	cancels  []job.ID
+	progress map[job.ID]job.Progress
+	fence    int64
+	// faults of the network, as shares of calls
+	lost, late float64
+	cut        map[external.WorkerID]bool
+	storeDown  bool
+	// unproven keeps the owner from proving its term.
+	unproven bool
+	log      []string
+}
+
+type testOwner struct {
+	core *Core
+	term int64
+	dead bool
+}
+
+type delivery struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+func testSettings() Settings {
+	return Settings{
+		LeaseMax: fleet.LeaseMax, StartGrace: 1800 * time.Millisecond, OwnerGrace: 3 * time.Second, GangWait: fleet.GangWait,
+		StopTime: 200 * time.Millisecond, FarFactor: 3, Early: 250 * time.Millisecond, Retention: 2 * time.Minute,
+	}
+}
+
+// durationOf gives each task a run time that depends on its name only.
+func durationOf(seed uint64) fleet.Work {
+	return func(t job.TaskID, run int64) (time.Duration, bool) {
+		r := rand.New(rand.NewPCG(seed, uint64(len(t.Job))*31+uint64(t.Step)*7+uint64(t.Index)))
+		return time.Duration(200+r.IntN(3000)) * time.Millisecond, false
+	}
+}
+
+func newWorld(t *testing.T, seed uint64, machines int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: fleet.New(durationOf(seed)),
+		progress: make(map[job.ID]job.Progress), cut: make(map[external.WorkerID]bool),
+		policy: &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
+	}
+	for n := range machines {
+		w.fleet.Add(machine(n))
+	}
+	return w
+}
+
+func machine(n int) external.Worker {
+	rack := fmt.Sprintf("r%d", n/4)
+	return external.Worker{
+		ID: external.WorkerID(fmt.Sprintf("w%02d", n)), Pool: "p", Addr: fmt.Sprintf("10.0.0.%d:1", n),
+		Capacity: job.Resources{CPU: 32000, MemMB: 64000, GPU: 8}, Labels: []string{"a", rack}, Rack: rack, BornMS: 1,
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	w.queue = append(w.queue, delivery{at: w.now + d, order: w.order, do: do})
+}
+
+func (w *world) instant() Instant { return Instant{Mono: w.now, UnixMS: w.now.Milliseconds()} }
+
+// takeOver makes a new owner from what is durable. The one before may go on for
+// its grace time at most, as core/term has it.
+func (w *world) takeOver() *testOwner {
+	if len(w.owners) > 0 {
+		before := w.current()
+		w.after(testSettings().OwnerGrace, func() { before.dead = true })
+	}
+	o := &testOwner{term: int64(len(w.owners) + 1)}
+	o.core = New(testSettings(), o.term, w.policy, w.instant())
+	w.fence = o.term
+	w.owners = append(w.owners, o)
+	ev := Loaded{Jobs: slices.Clone(w.jobs), Cancels: slices.Clone(w.cancels), Progress: make(map[job.ID]job.Progress)}
+	for id, p := range w.progress {
+		ev.Progress[id] = p
+	}
+	ev.Workers = w.workers()
+	w.step(o, ev)
+	return o
+}
+
+func (w *world) workers() []external.Worker {
+	var out []external.Worker
+	for n := range 64 {
+		if m := w.machine(n); m != nil {
+			out = append(out, m.Worker)
+		}
+	}
+	return out
+}
+
+func (w *world) machine(n int) *fleet.Machine {
+	return w.fleet.Machine(external.WorkerID(fmt.Sprintf("w%02d", n)))
+}
+
+func (w *world) current() *testOwner { return w.owners[len(w.owners)-1] }
+
+func (w *world) step(o *testOwner, ev Event) {
+	if o.dead {
+		return
+	}
+	for _, a := range o.core.Step(w.instant(), ev) {
+		w.do(o, a)
+	}
+}
+
+func (w *world) submit(j job.Job) {
+	j.SubmittedMS = w.now.Milliseconds()
+	w.jobs = append(w.jobs, j)
+	w.fleet.Submit(&j)
+	w.after(5*time.Millisecond, func() { w.step(w.current(), Submitted{Job: j}) })
+}
+
+func (w *world) cancel(id job.ID) {
+	w.cancels = append(w.cancels, id)
+	w.fleet.CancelBy(id, w.now+3*time.Second)
+	w.after(5*time.Millisecond, func() { w.step(w.current(), CancelRequested{ID: id}) })
+}
+
+func (w *world) delay() time.Duration { return time.Duration(1+w.rng.IntN(40)) * time.Millisecond }
+
+// call carries a call to a worker there and back; answer is given a failure
+// when none came.
+func (w *world) call(id external.WorkerID, timeout time.Duration, carry func(), answer func(Failure)) {
+	if w.cut[id] {
+		w.after(timeout, func() { answer(FailureUnclear) })
+		return
+	}
+	switch p := w.rng.Float64(); {
+	case p < w.lost:
+		w.after(w.delay(), carry)
+		w.after(timeout, func() { answer(FailureUnclear) })
+	case p < w.lost+w.late:
+		w.after(time.Duration(1+w.rng.IntN(6))*time.Second, func() {
+			w.fleet.Late = true
+			carry()
+			w.fleet.Late = false
+		})
+		w.after(timeout, func() { answer(FailureUnclear) })
+	default:
+		w.after(w.delay(), func() {
+			carry()
+			w.after(w.delay(), func() { answer(FailureNone) })
+		})
+	}
+}
+
+// toThisLife drops a call whose worker has started anew meanwhile: a connection
+// does not outlive the process that it leads to.
+func (w *world) toThisLife(id external.WorkerID, arrive, dropped func()) func() {
+	m := w.fleet.Machine(id)
+	born := m.BornMS
+	return func() {
+		if m.BornMS != born {
+			dropped()
+			return
+		}
+		arrive()
+	}
+}
+
+// restart crashes a machine; its next life begins some time later, as a process
+// takes time to start.
+func (w *world) restart(m *fleet.Machine) {
+	if m.Down {
+		return
+	}
+	m.Rebirth()
+	m.Down = true
+	w.after(time.Duration(300+w.rng.IntN(1200))*time.Millisecond, func() {
+		m.Rebirth()
+		m.Down = false
+	})
+}
+
+func failureFor(err error) Failure {
+	switch err {
+	case nil:
+		return FailureNone
+	case external.ErrFenced:
+		return FailureFenced
+	default:
+		return FailureUnclear
+	}
+}
+
+func (w *world) do(o *testOwner, a Action) {
+	ctx := context.Background()
+	switch a := a.(type) {
+	case Start:
+		var r external.Report
+		var err error
+		carry := w.toThisLife(a.Order.Worker, func() { r, err = w.fleet.Start(ctx, a.Order) }, func() { err = external.ErrUnclear })
+		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
+			w.step(o, Started{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, failureFor(err))})
+		})
+	case Stop:
+		var r external.Report
+		var err error
+		carry := w.toThisLife(a.Order.Worker, func() { r, err = w.fleet.Stop(ctx, a.Order) }, func() { err = external.ErrUnclear })
+		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
+			w.step(o, Stopped{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, failureFor(err))})
+		})
+	case Hold:
+		w.doHold(o, a)
+	case Persist:
+		w.doPersist(o, a)
+	case Deposed:
+		o.dead = true
+	default:
+		w.log = append(w.log, fmt.Sprintf("%v term %d: %+v", w.now, o.term, a))
+	}
+}
+
+// doHold answers a long hold after part of its wait, as ends come at any time.
+func (w *world) doHold(o *testOwner, a Hold) {
+	var l external.Lists
+	var err error
+	carry := func() { l, err = w.fleet.Hold(context.Background(), a.Order) }
+	wait := time.Duration(0)
+	if a.Order.Wait > 0 {
+		wait = time.Duration(w.rng.Int64N(int64(a.Order.Wait)))
+	}
+	carry = w.toThisLife(a.Order.Worker, carry, func() { err = external.ErrUnclear })
+	w.after(wait, func() {
+		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
+			w.step(o, Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: cmp.Or(f, failureFor(err))})
+		})
+	})
+}
+
+func (w *world) doPersist(o *testOwner, a Persist) {
+	w.after(w.delay(), func() {
+		if w.storeDown {
+			w.doPersist(o, a)
+			return
+		}
+		if w.fence > o.term {
+			o.dead = true
+			return
+		}
+		for _, p := range a.Progress {
+			w.progress[p.ID] = p.Progress
+		}
+		w.after(w.delay(), func() { w.step(o, Committed{Batch: a.Batch}) })
+	})
+}
+
+// run moves time on; every owner that lives is ticked.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for w.now < end {
+		w.now += 10 * time.Millisecond
+		w.fleet.Advance(w.now)
+		w.deliver()
+		if w.now%(50*time.Millisecond) == 0 {
+			for _, o := range w.owners {
+				w.step(o, Tick{})
+			}
+		}
+		if w.now%(800*time.Millisecond) == 0 && !w.storeDown && !w.unproven {
+			w.step(w.current(), TermProven{At: w.now})
+		}
+	}
+}
+
+func (w *world) deliver() {
+	for {
+		slices.SortFunc(w.queue, func(a, b delivery) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) })
+		if len(w.queue) == 0 || w.queue[0].at > w.now {
+			return
+		}
+		d := w.queue[0]
+		w.queue = w.queue[1:]
+		d.do()
+	}
+}
+
+// settle runs until every job has ended, and fails when that takes too long.
+func (w *world) settle(most time.Duration) {
+	w.t.Helper()
+	for end := w.now + most; w.now < end; {
+		w.run(500 * time.Millisecond)
+		open := 0
+		for _, j := range w.jobs {
+			if !w.ended(j.ID) {
+				open++
+			}
+		}
+		if open == 0 {
+			return
+		}
+	}
+	for _, j := range w.jobs {
+		if !w.ended(j.ID) {
+			w.t.Errorf("job %s has not ended: %+v", j.ID, w.current().core.Load())
+		}
+	}
+}
+
+func (w *world) ended(id job.ID) bool { return w.progress[id].Outcome != job.Open }
+
+func (w *world) check() {
+	w.t.Helper()
+	for _, f := range w.fleet.Faults() {
+		w.t.Error(f)
+	}
+	if w.t.Failed() {
+		for _, l := range w.log[max(0, len(w.log)-60):] {
+			w.t.Log(l)
+		}
+	}
+}
+
+func single(id string, count int) job.Job {
+	return job.Job{
+		ID: job.ID(id), Account: "a", Spec: "s-" + id,
+		Queue: job.Queue{Name: "q", Pool: "p", MaxTries: 3, Priority: 1, Stretch: 3, ObjectiveMS: 1000},
+		Steps: []job.Step{{Count: count, CPU: 4000, MemMB: 4000, GPU: 1, EstimateMS: 1500, Checkpoints: true}},
+	}
+}
--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -1,5 +1,7 @@
 package term
 
+import "time"
+
 // Action is what is to be done.
 type Action interface{ action() }
 
@@ -18,6 +20,10 @@
 	Reason Reason
 }
 
+// Proven says that nobody else owned a later term at At: the store confirmed a
+// renewal that was sent then, or no peer could claim.
+type Proven struct{ At time.Duration }
+
 // AskPeers asks whether peers can reach the store.
 type AskPeers struct{}
 
@@ -25,6 +31,7 @@
 func (Gained) action()   {}
 func (Lost) action()     {}
 func (AskPeers) action() {}
+func (Proven) action()   {}
 
 // Reason says why a term was lost.
 type Reason string
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -50,6 +50,7 @@
 		c.written(e)
 	case PeersAgree:
 		c.provenAt = max(c.provenAt, now)
+		c.act(Proven{At: now})
 	case Deposed:
 		c.deposed()
 	case Leaving:
@@ -117,6 +118,7 @@
 	c.take(e.Record)
 	if c.owns == e.Record.Term {
 		c.provenAt = max(c.provenAt, e.Sent)
+		c.act(Proven{At: e.Sent})
 	}
 }
 
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
@@ -22,10 +24,13 @@
 	// jobsRead is when submissions were last read to their end.
 	jobsRead cell.Instant
 	seq      int64
+	// stepped is the boot time of the last step.
+	stepped atomic.Int64
 }
 
 func newOwner(i *Instance, t int64) *owner {
 	o := &owner{inst: i, term: t}
+	o.stepped.Store(int64(boottime()))
 	o.ctx, o.cancel = context.WithCancel(i.work)
 	return o
 }
@@ -46,8 +51,12 @@
 	wg.Wait()
 }
 
-// step passes an event to the core and carries its actions out.
+// step passes an event to the core and carries its actions out. After a pause
+// of the whole process the term is checked first.
 func (o *owner) step(ev cell.Event) {
+	if now := int64(boottime()); time.Duration(now-o.stepped.Swap(now)) > pauseNoticed {
+		o.inst.stepTerm(term.Tick{})
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.core == nil || o.ctx.Err() != nil {
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -40,6 +40,9 @@
 	holdTime = 700 * time.Millisecond
 	// tickEvery is how often time is passed to the cores.
 	tickEvery = 50 * time.Millisecond
+	// pauseNoticed is a time without any step, several ticks long, after which the
+	// process must have been standing still.
+	pauseNoticed = 500 * time.Millisecond
 	// workersPace is the least time between two reads of the workers' list.
 	workersPace = 250 * time.Millisecond
 	// freshJobs is how old the owner's last read of submissions may be for it to
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 
+	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 )
@@ -72,6 +73,10 @@
 		if o := i.owner.Swap(nil); o != nil {
 			o.end()
 		}
+	case term.Proven:
+		if o := i.owner.Load(); o != nil {
+			i.goRun(func(context.Context) { o.step(cell.TermProven{At: a.At}) })
+		}
 	case term.AskPeers:
 		i.goRun(i.askPeersForStore)
 	}
--- /dev/null
+++ b/internal/standin/fleet/orders.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/external"
+)
+
+var _ external.Workers = (*Fleet)(nil)
+
+// maxEnds bounds the ends of one answer.
+const maxEnds = 500
+
+// Start implements external.Workers at the fleet's present time.
+func (f *Fleet) Start(_ context.Context, o external.StartOrder) (external.Report, error) {
+	m, r, err := f.reach(o.Call)
+	if err != nil || m == nil {
+		return r, err
+	}
+	m.extend(o.Until)
+	if l := m.find(o.Task, o.Run); l != nil {
+		return m.report(external.RefusedNone), nil
+	}
+	switch {
+	case m.barred[o.Task] >= o.Run:
+		return m.report(external.RefusedOld), nil
+	case o.Until < m.clock(f.now):
+		return m.report(external.RefusedLate), nil
+	}
+	j := f.jobs[o.Task.Job]
+	if j == nil || o.Task.Step >= len(j.Steps) {
+		f.fault("start of %v, which nobody asked for", o.Task)
+		return m.report(external.RefusedInvalid), nil
+	}
+	step := &j.Steps[o.Task.Step]
+	if !m.free().Covers(step.Resources()) {
+		return m.report(external.RefusedRoom), nil
+	}
+	f.checkStart(m, o)
+	d, _ := f.work(o.Task, o.Run)
+	l := &live{task: o.Task, run: o.Run, step: step, machine: m, total: d, left: d, arrived: f.now}
+	if o.Checkpoint != "" {
+		if at, err := time.ParseDuration(o.Checkpoint); err == nil {
+			l.saved, l.left = at, d-at
+		}
+	}
+	m.live = append(m.live, l)
+	f.Starts++
+	return m.report(external.RefusedNone), nil
+}
+
+// checkStart notes what a start breaks.
+func (f *Fleet) checkStart(m *Machine, o external.StartOrder) {
+	j := f.jobs[o.Task.Job]
+	step := &j.Steps[o.Task.Step]
+	for _, other := range f.order {
+		for _, l := range other.live {
+			if l.task == o.Task && !other.Down {
+				f.fault("two runs of %v at once: %d on %s and %d on %s", o.Task, l.run, other.ID, o.Run, m.ID)
+			}
+		}
+	}
+	if f.done[o.Task] {
+		f.fault("start of %v, which has ended done", o.Task)
+	}
+	if at, ok := f.stopped[o.Task.Job]; ok && f.now > at && !f.Late {
+		f.fault("start of %v of a cancelled job", o.Task)
+	}
+	if o.Spec != j.Spec {
+		f.fault("start of %v with another spec", o.Task)
+	}
+	f.checkPlace(m, o, step.Label, step.MaxPerWorker)
+	for _, a := range step.After {
+		f.checkOrder(o, a)
+	}
+}
+
+func (f *Fleet) checkPlace(m *Machine, o external.StartOrder, label string, most int) {
+	if label != "" && !slices.Contains(m.Labels, label) {
+		f.fault("start of %v on %s without label %s", o.Task, m.ID, label)
+	}
+	beside := 0
+	for _, l := range m.live {
+		if sameGang(l.task, o.Task) {
+			beside++
+		}
+	}
+	if most > 0 && beside >= most {
+		f.fault("start of %v on %s beside %d of its step", o.Task, m.ID, beside)
+	}
+}
+
+// checkOrder notes a start before an earlier step has ended. A gang has ended
+// with any of its members.
+func (f *Fleet) checkOrder(o external.StartOrder, after int) {
+	j := f.jobs[o.Task.Job]
+	t := o.Task
+	t.Step = after
+	ended := 0
+	for n := range j.Steps[after].Count {
+		t.Index = n
+		if f.ever[t] {
+			ended++
+		}
+	}
+	if ended < j.Steps[after].Count && !(j.Steps[after].Gang && ended > 0) {
+		f.fault("start of %v before step %d has ended", o.Task, after)
+	}
+}
+
+// Stop implements external.Workers.
+func (f *Fleet) Stop(_ context.Context, o external.StopOrder) (external.Report, error) {
+	m, r, err := f.reach(o.Call)
+	if err != nil || m == nil {
+		return r, err
+	}
+	if m.barred[o.Task] < o.Run {
+		m.barred[o.Task] = o.Run
+	}
+	if l := m.find(o.Task, o.Run); l != nil {
+		m.end(l, external.EndedStopped)
+		f.breakGang(l)
+	}
+	return m.report(external.RefusedNone), nil
+}
+
+// Hold implements external.Workers; it answers at once.
+func (f *Fleet) Hold(_ context.Context, o external.HoldOrder) (external.Lists, error) {
+	m, r, err := f.reach(o.Call)
+	if err != nil || m == nil {
+		return external.Lists{Refusal: r.Refusal}, err
+	}
+	if o.Until > 0 {
+		m.extend(o.Until)
+	}
+	for _, e := range m.ended {
+		if e.Number <= o.Acknowledge && e.How == external.EndedDone {
+			f.acknowledged(e.Task)
+		}
+	}
+	m.ended = slices.DeleteFunc(m.ended, func(e external.End) bool { return e.Number <= o.Acknowledge })
+	out := external.Lists{Clock: m.clock(f.now), BornMS: m.BornMS}
+	for _, l := range m.live {
+		out.Running = append(out.Running, external.Running{Task: l.task, Run: l.run, Saved: l.checkpoint(), Percent: l.percent()})
+	}
+	out.Ended = append(out.Ended, m.ended[:min(len(m.ended), maxEnds)]...)
+	return out, nil
+}
+
+// reach gives the machine that a call is meant for. A nil machine without an
+// error means that the answer says why nothing was done.
+func (f *Fleet) reach(c external.Call) (*Machine, external.Report, error) {
+	m := f.machines[c.Worker]
+	if m == nil || m.Down {
+		return nil, external.Report{}, external.ErrUnclear
+	}
+	if c.Fence < m.fence {
+		return nil, external.Report{}, external.ErrFenced
+	}
+	m.fence = c.Fence
+	return m, external.Report{}, nil
+}
+
+// extend prolongs the lease, at most up to the longest.
+func (m *Machine) extend(until time.Duration) {
+	m.lease = max(m.lease, min(until, m.clock(m.fleet.now)+LeaseMax))
+}
+
+func (m *Machine) report(r external.Refusal) external.Report {
+	return external.Report{Clock: m.clock(m.fleet.now), Refusal: r}
+}
