Keep the workers in use on a durable roster

Now a worker is used once the roster that names it is durable, and a new owner asks every worker on the list or the roster. A test of the core fails without the roster.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -34,10 +34,18 @@
 type Persist struct {
 	Batch    int64
 	Progress []JobProgress
+	// Roster, if not nil, replaces the durable list of the workers in use.
+	Roster []RosterEntry
 	// Forget lists jobs whose records are dropped.
 	Forget []job.ID
 }
 
+// RosterEntry names a worker that runs may be on.
+type RosterEntry struct {
+	ID   external.WorkerID `cbor:"1,keyasint"`
+	Addr string            `cbor:"2,keyasint"`
+}
+
 // JobProgress is the progress of one job.
 type JobProgress struct {
 	ID       job.ID
--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -164,6 +164,24 @@
 	w.check()
 }
 
+// TestWorkerMissingFromTheListAtATakeOverIsAsked: its tasks were started again
+// beside those that it ran.
+func TestWorkerMissingFromTheListAtATakeOverIsAsked(t *testing.T) {
+	w := newWorld(t, 13, 6)
+	first := w.takeOver()
+	w.run(100 * time.Millisecond)
+	for n := range 6 {
+		w.submit(single(fmt.Sprintf("j%d", n), 6))
+	}
+	w.run(700 * time.Millisecond)
+	first.dead = true
+	w.run(2 * time.Second)
+	w.unlisted = 0.5
+	w.takeOver()
+	w.settle(60 * time.Second)
+	w.check()
+}
+
 func TestHangingAndFailingWorkersAreLeft(t *testing.T) {
 	w := newWorld(t, 10, 8)
 	w.machine(0).Mode = fleet.Hanging
@@ -258,6 +276,7 @@
 func randomDay(t *testing.T, seed uint64) string {
 	w := newWorld(t, seed, 6+int(seed%6))
 	w.lost, w.late = w.rng.Float64()*0.15, w.rng.Float64()*0.1
+	w.unlisted = w.rng.Float64() * 0.3
 	w.takeOver()
 	for range 24 {
 		w.run(time.Duration(100+w.rng.IntN(900)) * time.Millisecond)
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -30,8 +30,11 @@
 	batches   int64
 	batchJobs []*entry
 	batchAcks map[*worker]ackMark
-	dirty     []*entry
-	ended     []*entry
+	// batchRoster are the workers on the roster under way.
+	batchRoster []*worker
+	rosterDirty bool
+	dirty       []*entry
+	ended       []*entry
 	// cancels holds cancellations of jobs that have not been seen yet.
 	cancels map[job.ID]bool
 	// proven is when no later term existed for certain.
@@ -113,11 +116,13 @@
 		return strings.Compare(string(o.ID), string(id))
 	})
 	c.fleet = slices.Insert(c.fleet, at, n)
+	c.rosterDirty = true
 	return n
 }
 
 // dropWorker forgets a worker without runs.
 func (c *Core) dropWorker(w *worker) {
 	delete(c.workers, w.ID)
+	c.rosterDirty = true
 	c.fleet = slices.DeleteFunc(c.fleet, func(o *worker) bool { return o == w })
 }
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -15,7 +15,10 @@
 	Jobs     []job.Job
 	Cancels  []job.ID
 	Progress map[job.ID]job.Progress
-	Workers  []external.Worker
+	// Workers are the entries of the list, Roster those that the owner before
+	// may have used; entries can be missing from the list for a while.
+	Workers []external.Worker
+	Roster  []RosterEntry
 }
 
 // Submitted is a job that has been accepted.
@@ -93,4 +96,6 @@
 	FailureNotReached
 	FailureUnclear
 	FailureFenced
+	// FailureGone means that nobody listens at the worker's address.
+	FailureGone
 )
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -13,6 +13,9 @@
 		return
 	}
 	wasDraining := w.Draining
+	if w.Addr != n.Addr {
+		c.rosterDirty = true
+	}
 	w.Worker = n
 	if !w.listed {
 		w.listed = true
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -49,9 +49,9 @@
 		return true
 	}
 	if !w.fenced || w.holdFails > 0 {
-		return w.listed
+		return w.listed || w.inherited
 	}
-	return w.listed && w.ack > w.ackSent
+	return w.ack > w.ackSent
 }
 
 func (c *Core) sendHold(w *worker, wait time.Duration) {
@@ -102,6 +102,10 @@
 		c.act(Deposed{Worker: w.ID})
 		w.holdNext = now + holdRetry
 		return
+	case ev.Failure == FailureGone && !w.listed && !w.fenced:
+		c.dropWorker(w) // its entry is gone and so is its process
+		c.changed = true
+		return
 	case ev.Failure != FailureNone || ev.Lists.Refusal != external.RefusedNone:
 		c.holdFailed(w, ev)
 		return
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -13,6 +13,7 @@
 	for _, w := range e.Workers {
 		c.workerChanged(w)
 	}
+	c.inherit(e.Roster)
 	for i := range e.Jobs {
 		j := &e.Jobs[i]
 		n := c.add(j)
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -49,7 +49,7 @@
 	case ev.Failure == FailureFenced:
 		c.act(Deposed{Worker: w.ID})
 		c.endRun(r, EndedRefused, "")
-	case ev.Failure == FailureNotReached:
+	case ev.Failure == FailureNotReached || ev.Failure == FailureGone:
 		w.pauseUntil = max(w.pauseUntil, now+refusedPause)
 		c.endRun(r, EndedRefused, "")
 	case ev.Failure == FailureUnclear:
@@ -139,7 +139,7 @@
 				c.tickStop(r)
 			}
 		}
-		if !w.listed && len(w.runs) == 0 && !w.holding && !w.probing && now > w.leaseEnd {
+		if !w.listed && len(w.runs) == 0 && !w.holding && !w.probing && now > w.leaseEnd && (!w.awaited() || now > c.silentUntil) {
 			c.dropWorker(w)
 		}
 	}
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -114,7 +114,7 @@
 		return true
 	}
 	for _, w := range c.fleet {
-		if w.listed && !w.fenced {
+		if w.awaited() {
 			return false
 		}
 	}
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -29,7 +29,7 @@
 		return
 	}
 	forget := c.forgettable()
-	if len(c.dirty) == 0 && len(forget) == 0 {
+	if len(c.dirty) == 0 && len(forget) == 0 && !c.rosterDirty {
 		c.ackAll()
 		return
 	}
@@ -40,6 +40,10 @@
 		e.dirty = false
 		p.Progress = append(p.Progress, JobProgress{ID: e.job.ID, Progress: e.progress()})
 	}
+	if c.rosterDirty {
+		c.rosterDirty = false
+		p.Roster, c.batchRoster = c.rosterNow(), slices.Clone(c.fleet)
+	}
 	c.batchJobs, c.dirty = c.dirty, nil
 	c.batchAcks = make(map[*worker]ackMark)
 	for _, w := range c.fleet {
@@ -75,6 +79,7 @@
 			w.ack = max(w.ack, m.number)
 		}
 	}
+	c.rosterCommitted()
 	c.batchJobs, c.batchAcks = nil, nil
 }
 
--- /dev/null
+++ b/internal/core/cell/roster.go
@@ -0,0 +1,39 @@
+package cell
+
+import "coltsfootmux/internal/external"
+
+// The roster is the durable list of the workers in use. A worker is used only
+// once it is on it, so that a later owner asks every worker that can run
+// something, also one whose entry is missing from the list at that time.
+
+// inherit makes the workers known that the owner before may have used.
+func (c *Core) inherit(roster []RosterEntry) {
+	for _, r := range roster {
+		if c.workers[r.ID] != nil {
+			continue
+		}
+		w := c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr})
+		w.listed, w.inherited = false, true
+	}
+}
+
+// rosterNow gives the workers that are in use or may be used.
+func (c *Core) rosterNow() []RosterEntry {
+	out := []RosterEntry{}
+	for _, w := range c.fleet {
+		out = append(out, RosterEntry{ID: w.ID, Addr: w.Addr})
+	}
+	return out
+}
+
+// rosterCommitted allows the use of the workers that were on a durable roster.
+func (c *Core) rosterCommitted() {
+	for _, w := range c.batchRoster {
+		w.rostered = true
+	}
+	c.batchRoster = nil
+	c.changed = true
+}
+
+// awaited says whether a worker may run something unseen of the term before.
+func (w *worker) awaited() bool { return !w.fenced && (w.listed || w.inherited) }
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -12,6 +12,10 @@
 	external.Worker
 	// listed says that the store's list names the worker.
 	listed bool
+	// rostered says that the durable roster names the worker, inherited that it
+	// is known from the roster of the term before.
+	rostered  bool
+	inherited bool
 	// fenced says that this life of the worker has answered a hold of this term.
 	fenced bool
 	// fencedAt is when that was. A life that began after the take-over may be
@@ -66,7 +70,7 @@
 	if w.newLife && proven <= w.fencedAt {
 		return false
 	}
-	return w.listed && w.fenced && !w.Draining && w.holdFails == 0 && now >= w.pauseUntil
+	return w.listed && w.rostered && w.fenced && !w.Draining && w.holdFails == 0 && now >= w.pauseUntil
 }
 
 // clockNow estimates the worker's clock; it is never ahead of it by more than
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -34,6 +34,8 @@
 	// faults of the network, as shares of calls
 	lost, late float64
 	cut        map[external.WorkerID]bool
+	unlisted   float64
+	roster     []RosterEntry
 	storeDown  bool
 	// unproven keeps the owner from proving its term.
 	unproven bool
@@ -109,7 +111,15 @@
 	for id, p := range w.progress {
 		ev.Progress[id] = p
 	}
-	ev.Workers = w.workers()
+	ev.Roster = slices.Clone(w.roster)
+	for _, m := range w.workers() {
+		// An entry may be missing for a while, as a worker's report was lost.
+		if w.unlisted > 0 && w.rng.Float64() < w.unlisted {
+			w.after(time.Duration(500+w.rng.IntN(2500))*time.Millisecond, func() { w.step(o, WorkerChanged{Worker: m}) })
+			continue
+		}
+		ev.Workers = append(ev.Workers, m)
+	}
 	w.step(o, ev)
 	return o
 }
@@ -277,6 +287,9 @@
 		for _, p := range a.Progress {
 			w.progress[p.ID] = p.Progress
 		}
+		if a.Roster != nil {
+			w.roster = a.Roster
+		}
 		w.after(w.delay(), func() { w.step(o, Committed{Batch: a.Batch}) })
 	})
 }
--- a/internal/external/errors.go
+++ b/internal/external/errors.go
@@ -9,6 +9,8 @@
 var (
 	// ErrNotDone means that the far side provably did nothing; the call may be repeated.
 	ErrNotDone = eris.New("call refused, nothing was done")
+	// ErrGone is an ErrNotDone: nobody listens at the address.
+	ErrGone = eris.Wrap(ErrNotDone, "nobody listens there")
 	// ErrUnclear means that no answer came: the call may have been carried out,
 	// and it may still be carried out later.
 	ErrUnclear = eris.New("call without an answer")
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -99,6 +99,8 @@
 		return cell.FailureNone
 	case errors.Is(err, external.ErrFenced):
 		return cell.FailureFenced
+	case errors.Is(err, external.ErrGone):
+		return cell.FailureGone
 	case errors.Is(err, external.ErrNotDone):
 		return cell.FailureNotReached
 	default:
@@ -164,6 +166,13 @@
 	for _, id := range p.Forget {
 		out = append(out, external.Record{Key: string(id)})
 	}
+	if p.Roster != nil {
+		v, err := encode(p.Roster)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, external.Record{Key: keyRoster, Value: v})
+	}
 	return out, nil
 }
 
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -100,6 +100,12 @@
 		if len(r.Value) == 0 {
 			continue
 		}
+		if r.Key == keyRoster {
+			if err := decodeRecord(r.Value, &ev.Roster); err != nil {
+				bad(topicProgress, r, err)
+			}
+			continue
+		}
 		var p job.Progress
 		if err := decodeRecord(r.Value, &p); err != nil {
 			bad(topicProgress, r, err)
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -22,7 +22,9 @@
 	keySubmission   = "j/"
 	keyCancellation = "c/"
 	keyTerm         = "cell-0"
-	producerOwner   = "owner-0"
+	// keyRoster is the key of the workers in use, beside the names of jobs.
+	keyRoster     = "/roster"
+	producerOwner = "owner-0"
 )
 
 // errRecord means that a record of the product's own can't be read.
