--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -59,7 +59,7 @@
 		cancels: make(map[job.ID]bool),
 		proven:  now.Mono,
 	}
-	c.silentUntil = now.Mono + s.OwnerGrace + time.Duration(float64(s.LeaseMax)*clockSlack) + leaseMargin
+	c.silentUntil = now.Mono + s.Overhang + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
 }
 
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -79,7 +79,7 @@
 // remembers when it has certainly lapsed.
 func (c *Core) lease(w *worker) time.Duration {
 	now := c.now.Mono
-	until := w.clockNow(now) + c.settings.LeaseMax - leaseCut
+	until := w.clockNow(now) + c.settings.Lease
 	w.leaseEnd = max(w.leaseEnd, w.lapseAt(now, until))
 	return until.Truncate(time.Millisecond)
 }
@@ -259,7 +259,7 @@
 	if u != nil {
 		r.takes = u.group.step.Resources()
 	}
-	w.leaseEnd = max(w.leaseEnd, c.now.Mono+time.Duration(float64(c.settings.LeaseMax)*clockSlack)+leaseMargin)
+	w.leaseEnd = max(w.leaseEnd, c.now.Mono+time.Duration(float64(c.settings.Lease)*clockSlack)+leaseMargin)
 	switch {
 	case u == nil:
 		r.attach()
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -4,15 +4,16 @@
 
 // Settings are the bounds that a cell's decisions keep.
 type Settings struct {
-	// LeaseMax is the longest lease that workers grant.
-	LeaseMax time.Duration
+	// Lease is for how long a worker runs on without being heard from; workers
+	// must grant as much.
+	Lease time.Duration
 	// StartGrace is how long an owner may start runs after the last proof of its
 	// term. It is shorter than the time after which others claim the next one, so
 	// that no start of an earlier owner meets a worker that knows no term yet.
 	StartGrace time.Duration
-	// OwnerGrace is how long an owner may go on renewing leases after its last
-	// confirmed renewal of the term.
-	OwnerGrace time.Duration
+	// Overhang is how long after a take-over the owner before may go on renewing
+	// leases.
+	Overhang time.Duration
 	// GangWait is how long a worker keeps a gang's member waiting for the others.
 	GangWait time.Duration
 	// StopTime is how long a worker may take to stop a run.
@@ -32,9 +33,6 @@
 	// leaseMargin is added before a lease counts as lapsed, for timers that
 	// fire late.
 	leaseMargin = 100 * time.Millisecond
-	// leaseCut keeps a lease below the longest that workers grant, so that
-	// none is shortened.
-	leaseCut = 50 * time.Millisecond
 	// holdWait is the longest wait of a hold's answer for an end; a lease is
 	// renewed at least this often.
 	holdWait = 1800 * time.Millisecond
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -56,7 +56,7 @@
 
 func testSettings() Settings {
 	return Settings{
-		LeaseMax: fleet.LeaseMax, StartGrace: 1800 * time.Millisecond, OwnerGrace: 3 * time.Second, GangWait: fleet.GangWait,
+		Lease: fleet.LeaseMax - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, Overhang: 3 * time.Second, GangWait: fleet.GangWait,
 		StopTime: 200 * time.Millisecond, FarFactor: 3, Early: 250 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
@@ -101,7 +101,7 @@
 func (w *world) takeOver() *testOwner {
 	if len(w.owners) > 0 {
 		before := w.current()
-		w.after(testSettings().OwnerGrace, func() { before.dead = true })
+		w.after(testSettings().Overhang, func() { before.dead = true })
 	}
 	o := &testOwner{term: int64(len(w.owners) + 1)}
 	o.core = New(testSettings(), o.term, w.policy, w.instant())
