--- a/internal/docs/doc.go
+++ b/internal/docs/doc.go
@@ -13,6 +13,7 @@
 	_ "coltsfootmux/internal/instance"
 	_ "coltsfootmux/internal/link"
 	_ "coltsfootmux/internal/logclient"
+	_ "coltsfootmux/internal/logsink"
 	_ "coltsfootmux/internal/node"
 	_ "coltsfootmux/internal/platform/httpcall"
 	_ "coltsfootmux/internal/scheduler"
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -24,11 +24,14 @@
 	l := o.inst.logger
 	switch a := a.(type) {
 	case cell.Start:
+		mStarts.Inc()
+		mWaited.Update(a.Waited.Seconds())
 		evStart.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
 			slog.String("worker", string(a.Order.Worker)), slog.Int64("term", o.term),
 			slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited))
 		o.inst.goRun(func(context.Context) { o.start(a.Order) })
 	case cell.Stop:
+		mStops.Inc()
 		evStop.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
 			slog.String("worker", string(a.Order.Worker)), slog.String("reason", string(a.Reason)))
 		o.inst.goRun(func(context.Context) { o.stop(a.Order) })
@@ -48,9 +51,12 @@
 	l := o.inst.logger
 	switch a := a.(type) {
 	case cell.RunEnded:
+		mRunsEnded.With(string(a.How)).Inc()
 		evRunEnded.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run),
 			slog.String("worker", string(a.Worker)), slog.String("how", string(a.How)), slog.Duration("age", a.Age))
 	case cell.JobEnded:
+		mJobsEnded.With(a.Outcome.Status().String()).Inc()
+		mJobAge.Update(a.Age.Seconds())
 		evJobEnded.Log(o.ctx, l, slog.String("job", string(a.ID)), slog.String("outcome", a.Outcome.Status().String()),
 			slog.Duration("age", a.Age))
 	case cell.WorkerNoted:
@@ -63,6 +69,7 @@
 	defer cancel()
 	r, err := o.inst.Workers.Start(ctx, order)
 	if err != nil || r.Refusal != external.RefusedNone {
+		mNotBegun.Inc()
 		evStartFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
 			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
 	}
@@ -88,6 +95,7 @@
 	defer cancel()
 	l, err := o.inst.Workers.Hold(ctx, a.Order)
 	if err != nil {
+		mSilent.Inc()
 		evHoldFailed.Log(o.ctx, o.inst.logger, slog.String("worker", string(a.Order.Worker)), slog.Any("error", err))
 	}
 	o.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: failureOf(err)})
@@ -121,6 +129,7 @@
 	for o.ctx.Err() == nil {
 		err := o.append(records)
 		if err == nil {
+			mCommit.Update((boottime() - began).Seconds())
 			o.forget(p.Forget)
 			evPersisted.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int("jobs", len(p.Progress)),
 				slog.Duration("took", boottime()-began))
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -70,17 +70,21 @@
 	took := slog.Duration("took", boottime()-began)
 	switch {
 	case err == nil:
+		mAccepted.Inc()
+		mAccept.Update((boottime() - began).Seconds())
 		evAccepted.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.String("queue", j.Queue.Name),
 			slog.String("account", j.Account), slog.Int("steps", len(j.Steps)), took)
 	case errors.Is(err, ErrNotRun):
 		i.refused(ctx, j, err)
 	default:
+		mUnclear.Inc()
 		evUnclear.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.Any("error", err), took)
 	}
 	return err
 }
 
 func (i *Instance) refused(ctx context.Context, j *job.Job, err error) {
+	mRefused.Inc()
 	evRefused.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.String("queue", j.Queue.Name), slog.Any("error", err))
 }
 
@@ -89,9 +93,11 @@
 func (i *Instance) Cancel(ctx context.Context, id job.ID) error {
 	err := i.write(ctx, external.Record{Key: keyCancellation + string(id), Value: []byte{1}})
 	if err != nil {
+		mUnclear.Inc()
 		evUnclear.Log(ctx, i.logger, slog.String("cancel", string(id)), slog.Any("error", err))
 		return err
 	}
+	mCancels.Inc()
 	evCancelled.Log(ctx, i.logger, slog.String("job", string(id)))
 	return nil
 }
@@ -100,9 +106,11 @@
 func (i *Instance) Status(ctx context.Context, id job.ID) (job.Status, error) {
 	r, err := i.askJob(ctx, id)
 	if err != nil || !r.Known {
+		mUnknown.Inc()
 		evUnanswered.Log(ctx, i.logger, slog.String("job", string(id)), slog.Any("error", err))
 		return job.Unknown, ErrUnavailable
 	}
+	mAnswered.Inc()
 	evAnswered.Log(ctx, i.logger, slog.String("job", string(id)), slog.String("state", r.Status.String()))
 	if r.Status == job.Unknown {
 		return job.Unknown, ErrNoJob
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -87,6 +87,7 @@
 // Run works until ctx ends, then gives the term up and returns. Calls of
 // callers go on being answered until Close.
 func (i *Instance) Run(ctx context.Context) {
+	watched.Store(i)
 	evStarted.Log(ctx, i.logger, slog.String("life", i.Settings.Life), slog.String("zone", i.Settings.Zone))
 	i.goRun(i.followPolicy)
 	i.goRun(i.followTerm)
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -34,7 +34,9 @@
 
 // Append implements external.Log.
 func (s *storeWatch) Append(ctx context.Context, a external.Append) (int64, error) {
+	began := boottime()
 	end, err := s.Log.Append(ctx, a)
+	mAppend.Update((boottime() - began).Seconds())
 	s.note(ctx, err)
 	return end, err
 }
@@ -53,6 +55,22 @@
 	return p, err
 }
 
+// resultName names what became of a call, for metrics.
+func resultName(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, external.ErrNotDone):
+		return "refused"
+	case errors.Is(err, external.ErrUnclear):
+		return "unclear"
+	case errors.Is(err, external.ErrFenced):
+		return "fenced"
+	default:
+		return "condition"
+	}
+}
+
 // note counts what a call says about the store. A call that its caller gave up
 // says nothing.
 func (s *storeWatch) note(ctx context.Context, err error) {
@@ -60,6 +78,7 @@
 		return
 	}
 	failed := errors.Is(err, external.ErrNotDone) || errors.Is(err, external.ErrUnclear)
+	mStore.With(resultName(err)).Inc()
 	s.mu.Lock()
 	was := s.lost
 	if failed {
--- a/internal/process/action.go
+++ b/internal/process/action.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"os"
 
 	"github.com/urfave/cli/v3"
 )
@@ -20,10 +21,11 @@
 		if err != nil {
 			return err
 		}
-		logger, err := Logger(cmd, cmd.Root().ErrWriter)
+		logger, flush, err := ServerLogger(cmd, os.Stdout)
 		if err != nil {
 			return err
 		}
+		defer flush()
 		p, err := build(s, logger)
 		if err != nil {
 			return err
--- a/internal/process/logger.go
+++ b/internal/process/logger.go
@@ -5,6 +5,8 @@
 	"log/slog"
 
 	"github.com/urfave/cli/v3"
+
+	"coltsfootmux/internal/logsink"
 )
 
 const (
@@ -34,9 +36,28 @@
 	return a
 }
 
-// Logger makes the logger that the command's flags ask for.
-// The error is a *SettingError.
+// Logger makes the logger that the command's flags ask for; it writes to w
+// itself, without bounds, as tools for people do. The error is a *SettingError.
 func Logger(cmd *cli.Command, w io.Writer) (*slog.Logger, error) {
+	h, err := handler(cmd, w)
+	if err != nil {
+		return nil, err
+	}
+	return slog.New(h), nil
+}
+
+// ServerLogger makes the logger of a program that serves: its lines are bounded
+// and never block. flush writes out what is queued. The error is a *SettingError.
+func ServerLogger(cmd *cli.Command, w io.Writer) (logger *slog.Logger, flush func(), err error) {
+	sink := logsink.NewSink(w)
+	h, err := handler(cmd, sink)
+	if err != nil {
+		return nil, nil, err
+	}
+	return slog.New(logsink.NewHandler(h, sink)), sink.Close, nil
+}
+
+func handler(cmd *cli.Command, w io.Writer) (slog.Handler, error) {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(cmd.String(flagLogLevel))); err != nil {
 		return nil, &SettingError{Flag: flagLogLevel, Value: cmd.String(flagLogLevel), Allowed: "debug, info, warn or error"}
@@ -44,9 +65,9 @@
 	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}
 	switch cmd.String(flagLogFormat) {
 	case "text":
-		return slog.New(slog.NewTextHandler(w, opts)), nil
+		return slog.NewTextHandler(w, opts), nil
 	case "json":
-		return slog.New(slog.NewJSONHandler(w, opts)), nil
+		return slog.NewJSONHandler(w, opts), nil
 	}
 	return nil, &SettingError{Flag: flagLogFormat, Value: cmd.String(flagLogFormat), Allowed: "text or json"}
 }
