Find the cell's owner over peers when this instance missed a change of the term

Terms now travel with the policy between instances, and a question goes to other instances when the owner does not answer it.

Also: a stop saves a checkpoint, so such runs are the cheapest to move; work beyond the guarantee preempts no more than its own work; runs on a draining worker that can't be saved are judged once. An append without an answer is given up after 0.7 s.

--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -147,13 +147,24 @@
 			if r.state != runRunning || r.unit == nil || r.unit.state == unitDone {
 				continue
 			}
-			if r.remaining() > left {
+			if c.leaves(w, r, left) {
 				c.stop(r, ReasonDrain)
 			}
 		}
 	}
 }
 
+// leaves says whether a run on a draining worker should go elsewhere. One that
+// can't be saved is moved when the drain is first seen or not at all, as workers
+// often stay longer than they say; one that can is saved before the time is up.
+func (c *Core) leaves(w *worker, r *run, left time.Duration) bool {
+	long := r.remaining() > left
+	if r.unit.group.step.Checkpoints || r.unit.group.step.LongRunning {
+		return long
+	}
+	return long && c.now.Mono-w.drainSince < drainNotice
+}
+
 // remaining estimates the work that a run has left.
 func (r *run) remaining() time.Duration {
 	if r.unit.group.step.LongRunning {
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -27,7 +27,7 @@
 			best = e
 		}
 	}
-	if best.on == nil {
+	if best.on == nil || !g.entitled && best.cost > g.work(u) {
 		return
 	}
 	c.setPlan(u, best.on)
@@ -38,6 +38,11 @@
 	}
 }
 
+// work gives a unit's estimated work in core-seconds.
+func (g *ranked) work(u *unit) float64 {
+	return g.step.Resources().Cores() * g.step.Estimate().Seconds() * float64(u.size)
+}
+
 // evictionSets gives the sets of workers that a unit may be placed on.
 func (c *Core) evictionSets(p *pass, g *ranked) [][]*worker {
 	var out [][]*worker
@@ -139,7 +144,7 @@
 func (c *Core) lossOf(r *run) float64 {
 	lost := 0.0
 	for _, m := range r.unit.runs {
-		lost += m.unsaved(c.now.Mono)
+		lost += m.unsaved(c.now.Mono, c.settings.Restore)
 	}
 	return lost
 }
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -82,14 +82,15 @@
 	return nil
 }
 
-// unsaved gives the work in core-seconds that is lost when the run ends now.
-func (r *run) unsaved(now time.Duration) float64 {
+// unsaved gives the work in core-seconds that is lost when the run is stopped
+// now. A stop makes a checkpoint, so that only the time to restore it is lost.
+func (r *run) unsaved(now, restore time.Duration) float64 {
 	if r.unit == nil {
 		return 0
 	}
 	age := now - r.since
 	if r.unit.group.step.Checkpoints {
-		age = min(age, time.Second)
+		age = min(age, restore)
 	}
 	return r.takes.Cores() * age.Seconds()
 }
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -18,6 +18,8 @@
 	GangWait time.Duration
 	// StopTime is how long a worker may take to stop a run.
 	StopTime time.Duration
+	// Restore is how long a run that resumes from a checkpoint takes to do so.
+	Restore time.Duration
 	// FarFactor is how much longer tasks run away from their data.
 	FarFactor float64
 	// Early is how much before its due time an occurrence may start.
@@ -64,6 +66,8 @@
 	missingLists = 2
 	// runsPerTerm is the number of run numbers that one term may give a task.
 	runsPerTerm = 1000
+	// drainNotice is how long after a worker began to drain its runs are judged.
+	drainNotice = 300 * time.Millisecond
 	// planTime bounds how long room is held for a unit while others leave it.
 	planTime = 2 * time.Second
 	// farWait is the wait, as a share of the estimate, after which a task may
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -35,15 +35,20 @@
 
 // Owner gives the newest record that is known; ok is false when there is none.
 func (c *Core) Owner() (rec Record, ok bool) {
-	return c.rec, c.known && c.rec.Term > 0 && !c.rec.Released
+	return c.rec, c.rec.Term > 0 && !c.rec.Released
 }
 
+// Newest gives the newest record that is known, also one of a term given up.
+func (c *Core) Newest() Record { return c.rec }
+
 // Step takes an event in and gives what is to be done.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
 	c.now, c.actions = now, nil
 	switch e := ev.(type) {
 	case Observed:
 		c.observed(e)
+	case Heard:
+		c.take(e.Record)
 	case StoreFailed:
 		c.ok = false
 	case Written:
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -13,6 +13,9 @@
 	End int64
 }
 
+// Heard is a record that a peer has read.
+type Heard struct{ Record Record }
+
 // StoreFailed says that a read failed.
 type StoreFailed struct{}
 
@@ -55,6 +58,7 @@
 type Tick struct{}
 
 func (Observed) event()    {}
+func (Heard) event()       {}
 func (StoreFailed) event() {}
 func (Written) event()     {}
 func (PeersAgree) event()  {}
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -191,6 +191,18 @@
 	}
 }
 
+func TestOwnerThatHearsOfAHigherTermGivesUp(t *testing.T) {
+	f := &fakeStore{}
+	a := newContender(0)
+	a.readAll(0, f)
+	a.step(time.Millisecond, Tick{})
+	a.answer(2*time.Millisecond, f)
+	a.step(3*time.Millisecond, Heard{Record: Record{Term: 2, Owner: "node-1/1", Addr: "10.0.0.1:1"}})
+	if rec, ok := a.core.Owner(); a.owns != 0 || !ok || rec.Term != 2 {
+		t.Fatalf("owns %d, knows %+v", a.owns, rec)
+	}
+}
+
 func TestReleasedTermIsClaimedAtOnce(t *testing.T) {
 	f := &fakeStore{}
 	a, b := newContender(0), newContender(1)
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -9,7 +9,6 @@
 
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
-	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/wire"
 )
 
@@ -118,23 +117,10 @@
 	return r.Status, nil
 }
 
-func (i *Instance) askJob(ctx context.Context, id job.ID) (wire.JobReply, error) {
-	if o := i.owner.Load(); o != nil {
-		return o.job(id), nil
-	}
-	return askOwner[wire.JobQuery, wire.JobReply](ctx, i, wire.KindJob, wire.JobQuery{ID: id})
-}
-
 // Pending gives the number of a queue's jobs that have not begun. Error:
 // ErrUnavailable.
 func (i *Instance) Pending(ctx context.Context, queue string) (int, error) {
-	var r wire.PendingReply
-	var err error
-	if o := i.owner.Load(); o != nil {
-		r = o.pending(queue)
-	} else {
-		r, err = askOwner[wire.PendingQuery, wire.PendingReply](ctx, i, wire.KindPending, wire.PendingQuery{Queue: queue})
-	}
+	r, err := i.askPending(ctx, queue)
 	if err != nil || !r.Known {
 		evUnanswered.Log(ctx, i.logger, slog.String("queue", queue), slog.Any("error", err))
 		return 0, ErrUnavailable
@@ -142,32 +128,6 @@
 	return r.Jobs, nil
 }
 
-// askOwner calls the cell's owner.
-func askOwner[Req, Rep any](ctx context.Context, i *Instance, k wire.Kind, q Req) (Rep, error) {
-	var none Rep
-	rec, ok := i.currentTerm()
-	if !ok {
-		return none, eris.Wrap(ErrUnavailable, "no owner known")
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTime)
-	defer cancel()
-	return link.Call[Req, Rep](ctx, i.pool, rec.Addr, k, q)
-}
-
-func (i *Instance) onJobQuery(_ context.Context, _ link.Peer, q wire.JobQuery) (wire.JobReply, error) {
-	if o := i.owner.Load(); o != nil {
-		return o.job(q.ID), nil
-	}
-	return wire.JobReply{}, nil
-}
-
-func (i *Instance) onPendingQuery(_ context.Context, _ link.Peer, q wire.PendingQuery) (wire.PendingReply, error) {
-	if o := i.owner.Load(); o != nil {
-		return o.pending(q.Queue), nil
-	}
-	return wire.PendingReply{}, nil
-}
-
 // job gives a job's state as far as the owner can tell: that a job does not
 // exist only if its submission would have been read.
 func (o *owner) job(id job.ID) wire.JobReply {
--- /dev/null
+++ b/internal/instance/ask.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/wire"
+)
+
+// askTime bounds one question to a peer, of several that a call has time for.
+const askTime = 500 * time.Millisecond
+
+func (i *Instance) askJob(ctx context.Context, id job.ID) (wire.JobReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.job(id), nil
+	}
+	known := func(r wire.JobReply) bool { return r.Known }
+	return askCell(ctx, i, wire.KindJob, wire.JobQuery{ID: id}, wire.JobQuery{ID: id, Forward: true}, known)
+}
+
+func (i *Instance) askPending(ctx context.Context, queue string) (wire.PendingReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.pending(queue), nil
+	}
+	known := func(r wire.PendingReply) bool { return r.Known }
+	return askCell(ctx, i, wire.KindPending, wire.PendingQuery{Queue: queue}, wire.PendingQuery{Queue: queue, Forward: true}, known)
+}
+
+// askCell asks the cell's owner. When it does not know, or can't be reached,
+// other instances are asked to ask the owner that they know: this one may have
+// missed a change of the term.
+func askCell[Req, Rep any](ctx context.Context, i *Instance, k wire.Kind, q, forward Req, known func(Rep) bool) (Rep, error) {
+	rep, err := askOwner[Req, Rep](ctx, i, k, q)
+	if err == nil && known(rep) {
+		return rep, nil
+	}
+	for _, addr := range i.peers() {
+		if ctx.Err() != nil {
+			break
+		}
+		r, e := askPeer[Req, Rep](ctx, i, addr, k, forward)
+		if e == nil && known(r) {
+			return r, nil
+		}
+	}
+	return rep, err
+}
+
+// askOwner calls the owner that this instance knows of.
+func askOwner[Req, Rep any](ctx context.Context, i *Instance, k wire.Kind, q Req) (Rep, error) {
+	rec, ok := i.currentTerm()
+	if !ok || rec.Addr == i.Settings.LinkAddr {
+		var none Rep
+		return none, eris.Wrap(ErrUnavailable, "no owner known")
+	}
+	return askPeer[Req, Rep](ctx, i, rec.Addr, k, q)
+}
+
+func askPeer[Req, Rep any](ctx context.Context, i *Instance, addr string, k wire.Kind, q Req) (Rep, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	rep, err := link.Call[Req, Rep](ctx, i.pool, addr, k, q)
+	i.members.answered(addr, err == nil)
+	return rep, err
+}
+
+func (i *Instance) onJobQuery(ctx context.Context, _ link.Peer, q wire.JobQuery) (wire.JobReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.job(q.ID), nil
+	}
+	if !q.Forward {
+		return wire.JobReply{}, nil
+	}
+	return askOwner[wire.JobQuery, wire.JobReply](ctx, i, wire.KindJob, wire.JobQuery{ID: q.ID})
+}
+
+func (i *Instance) onPendingQuery(ctx context.Context, _ link.Peer, q wire.PendingQuery) (wire.PendingReply, error) {
+	if o := i.owner.Load(); o != nil {
+		return o.pending(q.Queue), nil
+	}
+	if !q.Forward {
+		return wire.PendingReply{}, nil
+	}
+	return askOwner[wire.PendingQuery, wire.PendingReply](ctx, i, wire.KindPending, wire.PendingQuery{Queue: q.Queue})
+}
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/wire"
@@ -75,14 +76,20 @@
 	}
 	r, err := link.Call[wire.PolicyQuery, wire.PolicyReply](ctx, i.pool, addr, wire.KindPolicy, q)
 	i.members.answered(addr, err == nil)
-	if err == nil && len(r.Record) > 0 {
+	if err != nil {
+		return r, err
+	}
+	if len(r.Record) > 0 {
 		i.takePolicy(r.Record, addr)
 	}
+	if r.Term.Term > i.newestTerm().Term {
+		i.stepTerm(term.Heard{Record: r.Term})
+	}
 	return r, err
 }
 
 func (i *Instance) onPolicyQuery(_ context.Context, _ link.Peer, q wire.PolicyQuery) (wire.PolicyReply, error) {
-	r := wire.PolicyReply{StoreAnswers: i.store.answers()}
+	r := wire.PolicyReply{StoreAnswers: i.store.answers(), Term: i.newestTerm()}
 	if p := i.policy.Load(); p != nil {
 		r.Version = p.policy.Version
 		if p.policy.Version > q.Version {
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -27,7 +27,7 @@
 const (
 	// appendTry bounds one append; a store under load answers in tens of
 	// milliseconds, another region adds 40.
-	appendTry = 900 * time.Millisecond
+	appendTry = 700 * time.Millisecond
 	// appendRetry lies between two appends of the same record.
 	appendRetry = 100 * time.Millisecond
 	// persistRetry lies between two appends of the same progress.
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -42,6 +42,13 @@
 	return i.term.Owner()
 }
 
+// newestTerm gives the newest term record that is known, also one given up.
+func (i *Instance) newestTerm() term.Record {
+	i.termMu.Lock()
+	defer i.termMu.Unlock()
+	return i.term.Newest()
+}
+
 // stepTerm passes an event to the term's core and carries its actions out.
 func (i *Instance) stepTerm(ev term.Event) {
 	i.termMu.Lock()
--- a/internal/wire/jobquery.go
+++ b/internal/wire/jobquery.go
@@ -5,6 +5,8 @@
 // JobQuery asks a cell's owner for the state of a job.
 type JobQuery struct {
 	ID job.ID `cbor:"1,keyasint"`
+	// Forward asks an instance that does not own the cell to ask the owner.
+	Forward bool `cbor:"2,keyasint,omitempty"`
 }
 
 // JobReply answers a JobQuery.
--- a/internal/wire/pendingquery.go
+++ b/internal/wire/pendingquery.go
@@ -3,6 +3,8 @@
 // PendingQuery asks a cell's owner how many jobs of a queue have not begun.
 type PendingQuery struct {
 	Queue string `cbor:"1,keyasint"`
+	// Forward is as in JobQuery.
+	Forward bool `cbor:"2,keyasint,omitempty"`
 }
 
 // PendingReply answers a PendingQuery. Known is as in JobReply.
