Take workers that left off the roster at once

A worker that drained, left the list and is silent is taken as gone now.

A test of the core fails without the change.

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -182,6 +182,29 @@
 	w.check()
 }
 
+// TestWorkersThatLeftDoNotHoldUpATakeOver: a new owner waited for workers that
+// had left the list before, as they were still on the roster.
+func TestWorkersThatLeftDoNotHoldUpATakeOver(t *testing.T) {
+	w := newWorld(t, 14, 6)
+	first := w.takeOver()
+	w.run(200 * time.Millisecond)
+	w.submit(single("before", 44))
+	w.settle(20 * time.Second)
+	w.machine(5).Down = true
+	w.step(first, WorkerUnlisted{ID: "w05"})
+	w.run(300 * time.Millisecond)
+	first.dead = true
+	w.submit(single("j", 4))
+	w.gone = "w05"
+	o := w.takeOver()
+	w.run(500 * time.Millisecond)
+	if !o.core.Ready() {
+		t.Error("the new owner waits for a worker that has left")
+	}
+	w.settle(20 * time.Second)
+	w.check()
+}
+
 func TestHangingAndFailingWorkersAreLeft(t *testing.T) {
 	w := newWorld(t, 10, 8)
 	w.machine(0).Mode = fleet.Hanging
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -139,7 +139,7 @@
 				c.tickStop(r)
 			}
 		}
-		if !w.listed && len(w.runs) == 0 && !w.holding && !w.probing && now > w.leaseEnd && (!w.awaited() || now > c.silentUntil) {
+		if !w.listed && len(w.runs) == 0 && (!w.awaited() || now > c.silentUntil) {
 			c.dropWorker(w)
 		}
 	}
@@ -152,10 +152,18 @@
 // tickWorker ends everything on a silent worker whose lease has certainly lapsed.
 func (c *Core) tickWorker(w *worker) {
 	now := c.now.Mono
-	if w.holdFails == 0 || now < w.leaseEnd || len(w.runs) == 0 {
+	if w.holdFails == 0 || len(w.runs) == 0 {
 		return
 	}
-	c.act(WorkerNoted{Worker: w.ID, Note: "lease has lapsed", Runs: len(w.runs)})
+	left := w.Draining && !w.listed // it said so, took its entry away and is silent
+	if !left && now < w.leaseEnd {
+		return
+	}
+	note := "lease has lapsed"
+	if left {
+		note = "has left"
+	}
+	c.act(WorkerNoted{Worker: w.ID, Note: note, Runs: len(w.runs)})
 	for _, r := range slices.Clone(w.runs) {
 		c.endRun(r, EndedLost, r.saved)
 	}
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -35,6 +35,7 @@
 	lost, late float64
 	cut        map[external.WorkerID]bool
 	unlisted   float64
+	gone       external.WorkerID
 	roster     []RosterEntry
 	storeDown  bool
 	// unproven keeps the owner from proving its term.
@@ -113,6 +114,9 @@
 	}
 	ev.Roster = slices.Clone(w.roster)
 	for _, m := range w.workers() {
+		if m.ID == w.gone {
+			continue
+		}
 		// An entry may be missing for a while, as a worker's report was lost.
 		if w.unlisted > 0 && w.rng.Float64() < w.unlisted {
 			w.after(time.Duration(500+w.rng.IntN(2500))*time.Millisecond, func() { w.step(o, WorkerChanged{Worker: m}) })
