--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -25,8 +25,8 @@
 	Account string
 	// Rest is the path behind the route's prefix.
 	Rest string
-	// Version is that of the policy that allowed the call.
-	Version int64
+	// MaxBody bounds the call's body in bytes; 0 for no bound.
+	MaxBody int64
 }
 
 // Check finds the route of a call and the account of its key. Errors:
@@ -40,7 +40,7 @@
 	if r == nil {
 		return Access{}, ErrNoRoute
 	}
-	a := Access{Route: r, Rest: c.Path[len(r.Prefix):], Version: p.policy.Version}
+	a := Access{Route: r, Rest: c.Path[len(r.Prefix):], MaxBody: p.policy.MaxBodyBytes}
 	account := p.policy.AccountOf(c.Key)
 	if account == nil && !r.Public {
 		return Access{}, ErrNoAccount
--- /dev/null
+++ b/internal/instance/instance_test.go
@@ -0,0 +1,188 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/standin/store"
+)
+
+func TestJobTakenInAnywhereCompletesAndIsKnownEverywhere(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	for n, nd := range r.nodes {
+		id := fmt.Sprintf("job-%d", n)
+		r.wait("accepted", func() bool { return r.submit(nd, id, 3) == nil })
+		for _, asked := range r.nodes {
+			r.wait("complete", r.complete(asked, id))
+		}
+	}
+	r.checkFleet()
+}
+
+func TestAcceptedJobsOutliveTheirOwner(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	taker := r.other()
+	for n := range 5 {
+		r.wait("accepted", func() bool { return r.submit(taker, fmt.Sprintf("job-%d", n), 4) == nil })
+	}
+	r.owner().kill()
+	for n := range 5 {
+		r.wait("complete under the next owner", r.complete(taker, fmt.Sprintf("job-%d", n)))
+	}
+	r.checkFleet()
+}
+
+func TestOwnerThatLeavesHandsItsTermOver(t *testing.T) {
+	r := newRig(t, 2)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	first := r.owner()
+	before := first.inst.newestTerm().Term
+	first.stop()
+	<-first.done
+	began := time.Now()
+	r.wait("another owner", func() bool { o := r.owner(); return o != nil && o != first && o.inst.newestTerm().Term > before })
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("took %v", took)
+	}
+}
+
+func TestInstanceThatTheStoreTurnsAwayAcceptsOverAPeer(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	cut := r.other()
+	r.wait("peers known", func() bool { return len(cut.inst.peers()) > 0 })
+	close(cut.way.cut)
+	r.wait("the loss noticed", func() bool { return !cut.inst.store.answers() })
+	if err := r.submit(cut, "over", 2); err != nil {
+		t.Fatal(err)
+	}
+	r.wait("complete", r.complete(cut, "over"))
+	r.store.Put(testPolicies, "policy", []byte("2"))
+	r.wait("the policy over a peer", func() bool { return cut.inst.policyVersion() == 2 })
+}
+
+func TestInstanceCutFromTheStoreFindsTheNextOwner(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	cut := r.other()
+	r.wait("accepted", func() bool { return r.submit(cut, "j", 2) == nil })
+	r.wait("peers known", func() bool { return len(cut.inst.peers()) > 1 })
+	close(cut.way.cut)
+	r.owner().kill()
+	r.wait("complete, as told by the instance that was cut off", r.complete(cut, "j"))
+}
+
+func TestLostStoreRefusesAtOnceAndNothingRefusedRuns(t *testing.T) {
+	r := newRig(t, 2)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.store.SetFault(store.Fault{Down: true})
+	for _, n := range r.nodes {
+		r.wait("the loss noticed", func() bool { return !n.inst.store.answers() })
+	}
+	began := time.Now()
+	if err := r.submit(r.nodes[0], "refused", 1); !errors.Is(err, ErrNotRun) {
+		t.Fatalf("error %v, want not run", err)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("refused after %v", took)
+	}
+	r.store.SetFault(store.Fault{})
+	r.wait("the store again", func() bool { return r.submit(r.nodes[0], "next", 1) == nil })
+	r.wait("complete", r.complete(r.nodes[0], "next"))
+	if _, err := r.status(r.nodes[0], "refused"); !errors.Is(err, ErrNoJob) {
+		t.Errorf("state of the refused job: %v", err)
+	}
+}
+
+func TestLostAnswersLeaveOneJob(t *testing.T) {
+	r := newRig(t, 1)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.store.SetFault(store.Fault{LoseAnswers: true})
+	if err := r.submit(r.nodes[0], "j", 2); !errors.Is(err, ErrUnclear) {
+		t.Fatalf("error %v, want unclear", err)
+	}
+	r.store.SetFault(store.Fault{})
+	r.wait("complete", r.complete(r.nodes[0], "j"))
+	r.checkFleet()
+}
+
+func TestCancelledJobIsShownAsSuch(t *testing.T) {
+	r := newRig(t, 2)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.wait("accepted", func() bool { return r.submit(r.other(), "j", 200) == nil })
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if err := r.other().inst.Cancel(ctx, "j"); err != nil {
+		t.Fatal(err)
+	}
+	r.wait("cancelled", func() bool { s, err := r.status(r.other(), "j"); return err == nil && s == job.StatusCancelled })
+}
+
+func TestJunkEntryNamesNoWorkerAndTheOthersHold(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.Put(testWorkers, "junk", []byte{0xff, 0x00})
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.wait("accepted", func() bool { return r.submit(r.nodes[0], "j", 3) == nil })
+	r.wait("complete", r.complete(r.nodes[0], "j"))
+}
+
+func TestPolicyFollowsOverExpiredRecords(t *testing.T) {
+	r := newRig(t, 1)
+	r.wait("a policy", func() bool { return r.nodes[0].inst.policyVersion() == 1 })
+	r.store.SetFault(store.Fault{Down: true})
+	r.store.Put(testPolicies, "policy", []byte("2"))
+	r.store.Expire(testPolicies)
+	r.store.SetFault(store.Fault{})
+	r.wait("the newest policy", func() bool { return r.nodes[0].inst.policyVersion() == 2 })
+}
+
+func TestOlderPolicyNeverComesBack(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.Put(testPolicies, "policy", []byte("7"))
+	i := r.nodes[0].inst
+	r.wait("version 7", func() bool { return i.policyVersion() == 7 })
+	i.takePolicy([]byte("6"), "a peer")
+	i.takePolicy([]byte("junk"), "a peer")
+	if v := i.policyVersion(); v != 7 {
+		t.Errorf("version %v", v)
+	}
+}
+
+func TestCallsAreCheckedAgainstThePolicy(t *testing.T) {
+	r := newRig(t, 1)
+	i := r.nodes[0].inst
+	r.wait("a policy", i.Ready)
+	for name, c := range map[string]struct {
+		call Call
+		want error
+	}{
+		"a known key":            {Call{Host: "h", Path: "/q/x", Key: "key-a"}, nil},
+		"an unknown key":         {Call{Host: "h", Path: "/q/x", Key: "other"}, ErrNoAccount},
+		"no key":                 {Call{Host: "h", Path: "/q/x"}, ErrNoAccount},
+		"another host":           {Call{Host: "g", Path: "/q/x", Key: "key-a"}, ErrNoRoute},
+		"a path without a queue": {Call{Host: "h", Path: "/z/x", Key: "key-a"}, ErrNoRoute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := i.Check(c.call); !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+func TestRecordsOfOthersThatCannotBeReadAreLeftOut(t *testing.T) {
+	if _, err := readJobRecord(external.Record{Key: "j/x", Value: []byte{0xff}}); !errors.Is(err, errRecord) {
+		t.Errorf("error %v", err)
+	}
+	rec, err := readJobRecord(external.Record{Key: "j/x"})
+	if err != nil || rec.submitted != nil || rec.cancelled != "" {
+		t.Errorf("%+v, %v for a dropped key", rec, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,177 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/external"
+)
+
+// Fault says how the store fails. The zero value is healthy.
+type Fault struct {
+	// Down refuses every call.
+	Down bool
+	// Silent answers no call; nothing is done.
+	Silent bool
+	// LoseAnswers carries appends out without an answer.
+	LoseAnswers bool
+	// LateBy carries appends out this much later, without an answer.
+	LateBy time.Duration
+	// Slow delays every answer.
+	Slow time.Duration
+}
+
+// Store is a stand-in store. It is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	topics map[external.Topic]*topic
+	fault  Fault
+	// changed is closed when records were added or faults changed.
+	changed chan struct{}
+	calls   int
+}
+
+// New makes an empty store.
+func New() *Store {
+	return &Store{topics: make(map[external.Topic]*topic), changed: make(chan struct{})}
+}
+
+// SetFault replaces the faults in force.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.signal()
+}
+
+// Calls gives the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Expire drops the records of a topic that are there now; the newest of each
+// key stay readable as such.
+func (s *Store) Expire(t external.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic(t).expire(s.topic(t).end())
+}
+
+// Put appends one record as somebody else would, whatever the faults.
+func (s *Store) Put(t external.Topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// An append without conditions can't fail.
+	_, _ = s.topic(t).append(external.Append{Records: []external.Record{{Key: key, Value: value}}})
+	s.signal()
+}
+
+// Append implements external.Log.
+func (s *Store) Append(ctx context.Context, a external.Append) (int64, error) {
+	f, err := s.begin(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if f.LateBy > 0 {
+		time.AfterFunc(f.LateBy, func() { _, _ = s.append(a) })
+	}
+	if f.LateBy > 0 || f.LoseAnswers {
+		if f.LateBy == 0 {
+			_, _ = s.append(a)
+		}
+		<-ctx.Done()
+		return 0, eris.Wrap(external.ErrUnclear, "answer lost")
+	}
+	return s.append(a)
+}
+
+func (s *Store) append(a external.Append) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end, err := s.topic(a.Topic).append(a)
+	s.signal()
+	return end, err
+}
+
+// Read implements external.Log.
+func (s *Store) Read(ctx context.Context, t external.Topic, from int64, wait time.Duration) (external.Page, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return external.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		p, err := s.topic(t).read(from)
+		changed, down := s.changed, s.fault.Down || s.fault.Silent
+		s.mu.Unlock()
+		if down {
+			return external.Page{}, eris.Wrap(external.ErrUnclear, "connection lost")
+		}
+		if err != nil || len(p.Records) > 0 {
+			return p, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return p, nil
+		case <-ctx.Done():
+			return p, eris.Wrap(external.ErrUnclear, "no answer in time")
+		}
+	}
+}
+
+// Newest implements external.Log.
+func (s *Store) Newest(ctx context.Context, t external.Topic) (external.Page, error) {
+	if _, err := s.begin(ctx); err != nil {
+		return external.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(t).newestPage(), nil
+}
+
+// begin applies the faults that come before a call is carried out.
+func (s *Store) begin(ctx context.Context) (Fault, error) {
+	s.mu.Lock()
+	f := s.fault
+	s.calls++
+	s.mu.Unlock()
+	switch {
+	case f.Down:
+		return f, eris.Wrap(external.ErrNotDone, "down")
+	case f.Silent:
+		<-ctx.Done()
+		return f, eris.Wrap(external.ErrUnclear, "no answer")
+	case f.Slow > 0:
+		t := time.NewTimer(f.Slow)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return f, eris.Wrap(external.ErrUnclear, "too slow")
+		}
+	}
+	return f, nil
+}
+
+func (s *Store) topic(name external.Topic) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = newTopic()
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var _ external.Log = (*Store)(nil)
