--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -39,8 +39,6 @@
 	cancels map[job.ID]bool
 	// proven is when no later term existed for certain.
 	proven time.Duration
-	// loaded says that what the store held has been taken in.
-	loaded bool
 	// silentUntil is when a worker that has not answered since the take-over
 	// can't run anything of the term before.
 	silentUntil time.Duration
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -8,7 +8,6 @@
 	if w == nil {
 		w = c.addWorker(n)
 		w.born = n.BornMS
-		w.newLife = c.loaded
 		c.changed = true
 		return
 	}
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -62,7 +62,7 @@
 		}
 		n := 0
 		for _, w := range p.racks[k] {
-			if w.usable(c.now.Mono, c.proven) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+			if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
 				n += copies(w.Capacity, g.step)
 			}
 		}
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -147,7 +147,7 @@
 	}
 	c.setClock(w, l.Clock)
 	if !w.fenced {
-		w.fenced, w.fencedAt = true, c.now.Mono
+		w.fenced = true
 		c.changed = true
 	}
 }
@@ -167,7 +167,7 @@
 // doubt.
 func (c *Core) reborn(w *worker, issue int64) {
 	c.act(WorkerNoted{Worker: w.ID, Note: "started anew", Runs: len(w.runs)})
-	w.fenced, w.newLife = false, true
+	w.fenced = false
 	w.life++
 	w.clock, w.processed, w.ack, w.ackSent, w.leaseEnd = 0, 0, 0, 0, 0
 	w.born = 0
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -25,7 +25,6 @@
 	for _, id := range e.Cancels {
 		c.cancel(id)
 	}
-	c.loaded = true
 }
 
 // submit takes a new job in; a repeat of a known one changes nothing.
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -82,7 +82,7 @@
 
 // fits says whether one more task of the group may start on the worker.
 func (c *Core) fits(w *worker, g *group) bool {
-	if !w.usable(c.now.Mono, c.proven) || !w.free().Covers(g.step.Resources()) {
+	if !w.usable(c.now.Mono) || !w.free().Covers(g.step.Resources()) {
 		return false
 	}
 	if g.step.Label != "" && !w.hasLabel(g.step.Label) {
@@ -101,7 +101,7 @@
 		return true
 	}
 	for _, w := range p.racks[rackKey{g.pool, g.step.DataRack}] {
-		if w.usable(c.now.Mono, c.proven) && w.Capacity.Covers(g.step.Resources()) {
+		if w.usable(c.now.Mono) && w.Capacity.Covers(g.step.Resources()) {
 			return false
 		}
 	}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -80,7 +80,7 @@
 func (c *Core) evict(workers []*worker, g *ranked, u *unit) eviction {
 	var spaces []*space
 	for _, w := range workers {
-		if w.usable(c.now.Mono, c.proven) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+		if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
 			spaces = append(spaces, &space{w: w, free: w.free(), victims: c.victims(w, g)})
 		}
 	}
@@ -182,7 +182,7 @@
 		return nil
 	}
 	for _, w := range pl.on {
-		if !w.usable(c.now.Mono, c.proven) {
+		if !w.usable(c.now.Mono) {
 			c.dropPlan(u)
 			return nil
 		}
--- a/internal/core/cell/status.go
+++ b/internal/core/cell/status.go
@@ -54,7 +54,7 @@
 	}
 	for _, w := range c.fleet {
 		l.Runs += len(w.runs)
-		if w.usable(c.now.Mono, c.proven) {
+		if w.usable(c.now.Mono) {
 			l.Usable++
 		}
 	}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -18,12 +18,7 @@
 	inherited bool
 	// fenced says that this life of the worker has answered a hold of this term.
 	fenced bool
-	// fencedAt is when that was. A life that began after the take-over may be
-	// used by an earlier owner that does not know of this term yet, until a proof
-	// of the term rules that out.
-	fencedAt time.Duration
-	newLife  bool
-	born     int64
+	born   int64
 	// life counts the lives of the worker that this owner has met.
 	life int
 	// heard is when the worker last answered a hold.
@@ -66,10 +61,7 @@
 func (w *worker) free() job.Resources { return w.Capacity.Minus(w.used).Minus(w.held) }
 
 // usable says whether new runs may be placed on the worker.
-func (w *worker) usable(now, proven time.Duration) bool {
-	if w.newLife && proven <= w.fencedAt {
-		return false
-	}
+func (w *worker) usable(now time.Duration) bool {
 	return w.listed && w.rostered && w.fenced && !w.Draining && w.holdFails == 0 && now >= w.pauseUntil
 }
 
--- a/internal/modelcheck/action.go
+++ b/internal/modelcheck/action.go
@@ -60,8 +60,8 @@
 		return verbNames[v]
 	case v >= ConfigPublish && int(v-ConfigPublish) < len(configVerbNames):
 		return configVerbNames[v-ConfigPublish]
-	case v >= GangGrant && int(v-GangGrant) < len(gangVerbNames):
-		return gangVerbNames[v-GangGrant]
+	case v >= TermTick && int(v-TermTick) < len(termVerbNames):
+		return termVerbNames[v-TermTick]
 	}
 	return "other"
 }
--- a/internal/modelcheck/otherspec_test.go
+++ b/internal/modelcheck/otherspec_test.go
@@ -2,27 +2,41 @@
 
 import "testing"
 
-func TestNoGangMemberRunsOnWithoutItsGang(t *testing.T) {
-	r := Explore(GangSpec{Ticks: 6, Restarts: 1}, 500_000)
+// termSpec is the size that every run of the tests explores whole.
+func termSpec() TermSpec {
+	k := TermSpec{Terms: 2, Restarts: 1, Cuts: 1}
+	if large() {
+		k.Terms, k.Cuts = 3, 2
+	}
+	return k
+}
+
+func TestOneTaskRunsOnceAcrossTerms(t *testing.T) {
+	r := Explore(termSpec(), 60_000_000)
 	t.Log(r)
 	if r.Broken != "" || !r.Whole {
 		t.Errorf("%q, whole %v", r.Broken, r.Whole)
 		logTrace(t, r)
 	}
-	for _, trap := range []string{TrapHalfStarted, TrapUnrecorded} {
+	for _, trap := range []string{TrapTwoOwners, TrapSilentWorker, TrapEarlierStart, TrapAdopted, TrapNewLife} {
 		if r.Traps[trap] == 0 {
 			t.Errorf("not reached: %s", trap)
 		}
 	}
 }
 
-func TestEachGangFaultIsFound(t *testing.T) {
-	for name, k := range map[string]GangSpec{
-		"members started one by one":       {Ticks: 4, OneByOne: true},
-		"tasks outlive their lease":        {Ticks: 4, NoLease: true},
-		"half a gang's leases are renewed": {Ticks: 4, RenewHalf: true},
+func TestEachTermFaultIsFound(t *testing.T) {
+	for name, fault := range map[string]func(*TermSpec){
+		"workers don't fence":                    func(k *TermSpec) { k.NoFence = true },
+		"no wait for silent workers":             func(k *TermSpec) { k.NoWait = true },
+		"ends acknowledged before they are kept": func(k *TermSpec) { k.AckFirst = true },
+		"unanswered starts taken for lost":       func(k *TermSpec) { k.NoDoubt = true },
+		"owner goes on without a proof":          func(k *TermSpec) { k.NoGrace = true },
+		"owner starts tasks without a proof":     func(k *TermSpec) { k.LateStarts = true },
 	} {
-		if r := Explore(k, 500_000); r.Broken == "" {
+		k := termSpec()
+		fault(&k)
+		if r := Explore(k, 20_000_000); r.Broken == "" {
 			t.Errorf("%s: not found in %s", name, r)
 		}
 	}
