Reserve room for work that waits, and keep tasks off workers on which they failed

Now a unit that has waited 2 s reserves the workers that should be free the soonest, a quarter of the pool at most; work of priority 0 does not heed it. A failed task is kept off that worker for 8 s, and a failure within a tenth of the estimated time makes the worker suspect at once.

Ruled out: reserving after 5 s and 15 % of the pool (no better).

--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -74,8 +74,8 @@
 	runs      []*run
 	lastRun   int64
 	failedRun int64
-	// avoid is the worker on which the last run went wrong.
-	avoid     external.WorkerID
+	// shunned holds until when the workers on which runs went wrong are left out.
+	shunned   map[external.WorkerID]time.Duration
 	notBefore time.Duration
 	waiting   time.Duration
 	plan      *plan
@@ -91,6 +91,19 @@
 
 func (u *unit) entry() *entry { return u.group.occ.entry }
 
+// shun keeps the unit off a worker on which a run of it went wrong.
+func (u *unit) shun(w *worker, now time.Duration) {
+	if u.shunned == nil {
+		u.shunned = make(map[external.WorkerID]time.Duration)
+	}
+	u.shunned[w.ID] = now + shunTime
+}
+
+func (u *unit) shuns(w *worker, now time.Duration) bool { return now < u.shunned[w.ID] }
+
+// priority gives the priority of the group's queue; 0 is the most urgent.
+func (g *group) priority() int { return g.occ.entry.job.Queue.Priority }
+
 // newEntry takes a job in; its occurrences are opened when they are due.
 func newEntry(j *job.Job, now time.Duration) *entry {
 	return &entry{job: j, arrived: now, doneOccs: make(map[int]bool), objective: j.Objective()}
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -45,7 +45,7 @@
 		}
 		left := 0
 		for _, w := range p.racks[k] {
-			left += w.free().GPU
+			left += w.room(g.priority).GPU
 		}
 		if best == nil || left < bestLeft {
 			best, bestLeft = on, left
@@ -101,10 +101,10 @@
 	var spaces []space
 	total := 0
 	for _, w := range workers {
-		if !c.fits(w, g) {
+		if !c.fits(w, g, u) {
 			continue
 		}
-		n := copies(w.free(), g.step)
+		n := copies(w.room(g.priority()), g.step)
 		if g.step.MaxPerWorker > 0 {
 			n = min(n, g.step.MaxPerWorker-w.countOf(g))
 		}
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -255,11 +255,12 @@
 
 func (c *Core) endedBadly(r *run) {
 	w := r.worker
-	r.unit.avoid = w.ID
+	r.unit.shun(w, c.now.Mono)
 	w.failedJobs[r.task.Job] = true
-	if len(w.failedJobs) >= suspectFailures {
+	early := c.now.Mono-r.since < time.Duration(earlyFailure*float64(r.unit.group.step.Estimate()))
+	if early || len(w.failedJobs) >= suspectFailures {
 		w.suspect(c.now.Mono)
-		c.act(WorkerNoted{Worker: w.ID, Note: "suspect: runs of several jobs failed", Runs: len(w.runs)})
+		c.act(WorkerNoted{Worker: w.ID, Note: "suspect: runs fail", Runs: len(w.runs)})
 	}
 	c.unitFailed(r.unit, r.number)
 	c.gangBroken(r.unit)
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -194,7 +194,7 @@
 		return
 	}
 	r.worker.suspect(now)
-	r.unit.avoid = r.worker.ID
+	r.unit.shun(r.worker, now)
 	c.act(WorkerNoted{Worker: r.worker.ID, Note: "suspect: a run makes no progress", Runs: len(r.worker.runs)})
 	c.stop(r, ReasonStalled)
 }
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -47,7 +47,9 @@
 // find gives a worker for each member of a unit, or nil when there is no place now.
 func (c *Core) find(p *pass, g *ranked, u *unit) []*worker {
 	if u.plan != nil {
-		return c.planned(u)
+		if on := c.planned(u); on != nil || u.plan != nil && !u.plan.reserves {
+			return on
+		}
 	}
 	if u.size > 1 || g.step.Gang {
 		return c.findGang(p, g, u)
@@ -65,7 +67,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range p.pool(g.pool) {
-		if !c.fits(w, g.group) {
+		if !c.fits(w, g.group, u) {
 			continue
 		}
 		far := g.step.DataRack != "" && w.Rack != g.step.DataRack
@@ -81,8 +83,13 @@
 }
 
 // fits says whether one more task of the group may start on the worker.
-func (c *Core) fits(w *worker, g *group) bool {
-	if !w.usable(c.now.Mono) || !w.free().Covers(g.step.Resources()) {
+func (c *Core) fits(w *worker, g *group, u *unit) bool {
+	return w.usable(c.now.Mono) && c.allowed(w, g, u) && w.room(g.priority()).Covers(g.step.Resources())
+}
+
+// allowed says whether the worker may run a task of the unit at all.
+func (c *Core) allowed(w *worker, g *group, u *unit) bool {
+	if u.shuns(w, c.now.Mono) {
 		return false
 	}
 	if g.step.Label != "" && !w.hasLabel(g.step.Label) {
@@ -132,8 +139,8 @@
 }
 
 func (c *Core) scoreOf(w *worker, g *ranked, u *unit, far bool) score {
-	left := w.free().Minus(g.step.Resources())
-	return score{far: far, avoid: w.ID == u.avoid || w.suspicion > 0, leftGPU: left.GPU, leftCPU: left.CPU}
+	left := w.room(g.priority).Minus(g.step.Resources())
+	return score{far: far, avoid: w.suspicion > 0, leftGPU: left.GPU, leftCPU: left.CPU}
 }
 
 // drainWorkers moves what would not end before its worker leaves.
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -13,11 +13,20 @@
 	on    []*worker
 	takes job.Resources
 	until time.Duration
+	// reserves tells a reservation, for which nothing is stopped.
+	reserves bool
 }
 
 // makeRoom stops less urgent work for a unit that may preempt it.
 func (c *Core) makeRoom(p *pass, g *ranked, u *unit) {
-	if g.priority != 0 || g.stale || u.plan != nil {
+	if u.plan != nil {
+		return
+	}
+	if g.priority != 0 {
+		c.reserve(p, g, u)
+		return
+	}
+	if g.stale {
 		return
 	}
 	best := eviction{}
@@ -30,7 +39,7 @@
 	if best.on == nil || !g.entitled && best.cost > g.work(u) {
 		return
 	}
-	c.setPlan(u, best.on)
+	c.setPlan(u, best.on, false)
 	for _, r := range best.victims {
 		for _, m := range slices.Clone(r.unit.runs) {
 			c.stop(m, ReasonPreempted)
@@ -81,7 +90,7 @@
 	var spaces []*space
 	for _, w := range workers {
 		if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
-			spaces = append(spaces, &space{w: w, free: w.free(), victims: c.victims(w, g)})
+			spaces = append(spaces, &space{w: w, free: w.room(g.priority), victims: c.victims(w, g)})
 		}
 	}
 	out := eviction{}
@@ -149,13 +158,25 @@
 	return lost
 }
 
-func (c *Core) setPlan(u *unit, on []*worker) {
-	takes := u.group.step.Resources()
+func (c *Core) setPlan(u *unit, on []*worker, reserves bool) {
+	pl := &plan{on: on, takes: u.group.step.Resources(), until: c.now.Mono + planTime, reserves: reserves}
+	if reserves {
+		pl.until = c.now.Mono + reserveTime
+	}
 	for _, w := range on {
-		w.held = w.held.Plus(takes)
+		pl.keep(w, pl.takes)
 		w.planned[u.group]++
 	}
-	u.plan = &plan{on: on, takes: takes, until: c.now.Mono + planTime}
+	u.plan = pl
+}
+
+// keep adds to what is kept free on a worker.
+func (p *plan) keep(w *worker, r job.Resources) {
+	if p.reserves {
+		w.reserved = w.reserved.Plus(r)
+		return
+	}
+	w.held = w.held.Plus(r)
 }
 
 // dropPlan gives held room back.
@@ -164,7 +185,7 @@
 		return
 	}
 	for _, w := range u.plan.on {
-		w.held = w.held.Minus(u.plan.takes)
+		u.plan.keep(w, u.plan.takes.Times(-1))
 		w.planned[u.group]--
 		if w.planned[u.group] == 0 {
 			delete(w.planned, u.group)
@@ -186,7 +207,11 @@
 			c.dropPlan(u)
 			return nil
 		}
-		if !w.Capacity.Minus(w.used).Covers(pl.needOn(w)) {
+		free := w.Capacity.Minus(w.used)
+		if pl.reserves {
+			free = free.Minus(w.held)
+		}
+		if !free.Covers(pl.needOn(w)) {
 			return nil
 		}
 	}
--- /dev/null
+++ b/internal/core/cell/reserve.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+// Reservations keep room together for a unit that finds no place because
+// smaller work takes every gap as it comes free.
+const (
+	// reserveAfter is how long a unit waits before room is kept for it.
+	reserveAfter = 2 * time.Second
+	// reserveTime bounds one reservation; run times are rough estimates, so
+	// another place may be better by then.
+	reserveTime = 12 * time.Second
+	// reserveShare is the part of a pool's workers that may be kept at once.
+	reserveShare = 0.25
+)
+
+// reserve keeps the room for a unit that should be free the soonest.
+func (c *Core) reserve(p *pass, g *ranked, u *unit) {
+	if g.stale || c.now.Mono-u.waiting < reserveAfter {
+		return
+	}
+	pool := p.pool(g.pool)
+	room := int(reserveShare * float64(len(pool)))
+	for _, w := range pool {
+		if w.reserved != (job.Resources{}) {
+			room--
+		}
+	}
+	var best []*worker
+	var bestAt time.Duration
+	for _, set := range c.evictionSets(p, g) {
+		on, at := c.soonest(set, g, u)
+		if on != nil && len(distinct(on)) <= room && (best == nil || at < bestAt) {
+			best, bestAt = on, at
+		}
+	}
+	if best == nil {
+		return
+	}
+	c.setPlan(u, best, true)
+}
+
+// opening is when a worker has room for one more task of a group.
+type opening struct {
+	w  *worker
+	at time.Duration
+}
+
+// soonest gives the workers of a set on which a unit could start first, and when.
+func (c *Core) soonest(set []*worker, g *ranked, u *unit) (on []*worker, at time.Duration) {
+	var all []opening
+	for _, w := range set {
+		if w.usable(c.now.Mono) && w.reserved == (job.Resources{}) && c.allowed(w, g.group, u) {
+			all = append(all, c.openings(w, g, u.size)...)
+		}
+	}
+	if len(all) < u.size {
+		return nil, 0
+	}
+	slices.SortStableFunc(all, func(a, b opening) int { return cmp.Compare(a.at, b.at) })
+	for _, o := range all[:u.size] {
+		on = append(on, o.w)
+		at = max(at, o.at)
+	}
+	return on, at
+}
+
+// openings gives when a worker has room for the first, second and so on task of
+// a group, as its runs end.
+func (c *Core) openings(w *worker, g *ranked, most int) []opening {
+	need := g.step.Resources()
+	if g.step.MaxPerWorker > 0 {
+		most = min(most, g.step.MaxPerWorker-w.countOf(g.group))
+	}
+	type end struct {
+		at    time.Duration
+		takes job.Resources
+	}
+	var ends []end
+	for _, r := range w.runs {
+		ends = append(ends, end{c.endsIn(r), r.takes})
+	}
+	slices.SortStableFunc(ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
+	var out []opening
+	free, at := w.Capacity.Minus(w.used).Minus(w.held), time.Duration(0)
+	for len(out) < most {
+		if free.Covers(need) {
+			free = free.Minus(need)
+			out = append(out, opening{w, at})
+			continue
+		}
+		if len(ends) == 0 {
+			break
+		}
+		free, at = free.Plus(ends[0].takes), ends[0].at
+		ends = ends[1:]
+	}
+	return out
+}
+
+// endsIn estimates when a run ends: by its progress once there is some, else by
+// its caller's estimate.
+func (c *Core) endsIn(r *run) time.Duration {
+	if r.unit == nil || r.state == runStopping {
+		return 0
+	}
+	if r.unit.group.step.LongRunning {
+		return time.Hour
+	}
+	const telling = 10 // percent from which on progress says more than the estimate
+	if age := c.now.Mono - r.began; r.began > 0 && r.percent >= telling {
+		return age * time.Duration(100-min(r.percent, 100)) / time.Duration(r.percent)
+	}
+	return max(r.remaining()-(c.now.Mono-r.since), 0)
+}
+
+func distinct(ws []*worker) map[*worker]bool {
+	out := make(map[*worker]bool)
+	for _, w := range ws {
+		out[w] = true
+	}
+	return out
+}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -60,6 +60,11 @@
 	// suspectFailures is how many failed runs of different jobs in a row make a
 	// worker suspect; one alone may be the task's own fault.
 	suspectFailures = 2
+	// earlyFailure is the share of its estimated time before which a failed run
+	// speaks against its worker at once.
+	earlyFailure = 0.1
+	// shunTime is how long a task is kept off a worker on which it went wrong.
+	shunTime = 8 * time.Second
 	// stallTime is how long a run may show no progress before it is moved.
 	stallTime = 4 * time.Second
 	// missingLists is how many lists may lack a running task before it counts as over.
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -31,6 +31,8 @@
 	runs     []*run
 	used     job.Resources
 	held     job.Resources
+	// reserved is kept for units that wait for it to come free.
+	reserved job.Resources
 	// holds in flight: the long one, and a probe that asks at once.
 	holding  bool
 	probing  bool
@@ -57,8 +59,15 @@
 	return &worker{Worker: w, listed: true, failedJobs: make(map[job.ID]bool), planned: make(map[*group]int)}
 }
 
-// free gives the room that is neither taken nor held for a plan.
-func (w *worker) free() job.Resources { return w.Capacity.Minus(w.used).Minus(w.held) }
+// room gives what work of a priority may take: what is neither taken nor held,
+// and for all but the most urgent what is not reserved.
+func (w *worker) room(priority int) job.Resources {
+	free := w.Capacity.Minus(w.used).Minus(w.held)
+	if priority == 0 {
+		return free
+	}
+	return free.Minus(w.reserved)
+}
 
 // usable says whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Duration) bool {
