Report why tasks wait; count a long wait as part of what a preemption costs

On-call engineers could not see why a job was late: a task that finds no place is now reported after 1 s and each doubling of the wait, with the workers that were looked at; so are jobs that a new owner holds back.

The lines showed a gang preempted 87 ms after it had started, 15 s after it could have: having lost nothing yet, it was the cheapest. The wait now counts as its cost in the choice.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -44,8 +44,10 @@
 	silentUntil time.Duration
 	// changed says that placement may find something new to do.
 	changed bool
-	// nextTick bounds how often time alone causes a pass of placement.
+	// nextPass bounds how often time alone causes a pass of placement.
 	nextPass time.Duration
+	// nextHeldNote bounds how often it is reported that inherited jobs wait.
+	nextHeldNote time.Duration
 }
 
 // New makes a cell for a term.
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -79,6 +79,10 @@
 	notBefore time.Duration
 	waiting   time.Duration
 	plan      *plan
+	// waited is how long the unit waited for its present runs.
+	waited time.Duration
+	// noted is the wait from which on it is reported again.
+	noted time.Duration
 }
 
 // taskID names a member of the unit.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -14,6 +14,7 @@
 	u.lastRun = number
 	u.entry().begun = true
 	waited := now - u.waiting
+	u.noted, u.waited = 0, waited
 	for i, w := range on {
 		r := &run{
 			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -52,13 +52,15 @@
 		p.racks[k] = append(p.racks[k], w)
 	}
 	p.entitled = c.entitlements()
-	swept := c.swept()
+	swept, held := c.swept(), 0
 	for i, e := range c.open {
 		if e.inherited && !swept {
+			held++
 			continue
 		}
 		c.gather(p, e, i)
 	}
+	c.noteHeld(held)
 	slices.SortStableFunc(p.ready, byUrgency)
 	return p
 }
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -33,6 +33,7 @@
 		on := c.find(p, g, u)
 		if on == nil {
 			c.makeRoom(p, g, u)
+			c.noteWait(p, g, u)
 			if u.plan == nil {
 				return
 			}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -36,7 +36,7 @@
 			best = e
 		}
 	}
-	if best.on == nil || !g.entitled && best.cost > g.work(u) {
+	if best.on == nil || !g.entitled && c.unsavedWork(best.victims) > g.work(u) {
 		return
 	}
 	c.setPlan(u, best.on, false)
@@ -73,7 +73,7 @@
 type eviction struct {
 	on      []*worker
 	victims []*run
-	// cost is the work that is lost, in core-seconds.
+	// cost is what is lost, in core-seconds; see lossOf.
 	cost float64
 }
 
@@ -148,12 +148,31 @@
 	return out
 }
 
-// lossOf gives the work in core-seconds that is lost with a run; a gang's
-// members are lost together.
+// unsavedWork gives the work in core-seconds that is lost with runs and the
+// gangs that they belong to.
+func (c *Core) unsavedWork(victims []*run) float64 {
+	lost := 0.0
+	seen := make(map[*unit]bool)
+	for _, v := range victims {
+		if seen[v.unit] {
+			continue
+		}
+		seen[v.unit] = true
+		for _, m := range v.unit.runs {
+			lost += m.unsaved(c.now.Mono, c.settings.Restore)
+		}
+	}
+	return lost
+}
+
+// lossOf gives what is lost with a run in core-seconds: the unsaved work, and
+// the room for as long as the unit waited to get it, as it has to wait anew. A
+// gang's members are lost together.
 func (c *Core) lossOf(r *run) float64 {
 	lost := 0.0
 	for _, m := range r.unit.runs {
 		lost += m.unsaved(c.now.Mono, c.settings.Restore)
+		lost += m.takes.Cores() * r.unit.waited.Seconds()
 	}
 	return lost
 }
--- /dev/null
+++ b/internal/core/cell/waits.go
@@ -0,0 +1,79 @@
+package cell
+
+import (
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+// firstWaitNote is the wait after which it is reported why a unit waits; each
+// further report comes after twice the wait.
+const firstWaitNote = time.Second
+
+// Waiting reports a unit that finds no place, with what was looked at, for the log.
+type Waiting struct {
+	Task   job.TaskID
+	Tasks  int
+	Waited time.Duration
+	// Listed counts the pool's workers, Usable those that may be given work,
+	// Allowed those of them on which the task may run, Empty those that would
+	// hold it without any other work.
+	Listed  int
+	Usable  int
+	Allowed int
+	Empty   int
+	// Reserved says that room is kept for the unit.
+	Reserved bool
+}
+
+// Held reports that jobs of the term before wait for workers to be heard of.
+type Held struct {
+	Jobs int
+	// Silent counts the workers that have not answered yet.
+	Silent int
+	// Until is how long the wait lasts at most.
+	Until time.Duration
+}
+
+func (Waiting) action() {}
+func (Held) action()    {}
+
+// noteWait reports why a unit waits, more seldom the longer it does.
+func (c *Core) noteWait(p *pass, g *ranked, u *unit) {
+	waited := c.now.Mono - u.waiting
+	if waited < max(u.noted, firstWaitNote) {
+		return
+	}
+	u.noted = 2 * waited
+	n := Waiting{Task: u.taskID(0), Tasks: u.size, Waited: waited, Reserved: u.plan != nil}
+	for _, w := range p.pool(g.pool) {
+		n.Listed++
+		if !w.usable(c.now.Mono) {
+			continue
+		}
+		n.Usable++
+		if !c.allowed(w, g.group, u) {
+			continue
+		}
+		n.Allowed++
+		if w.Capacity.Covers(g.step.Resources()) {
+			n.Empty++
+		}
+	}
+	c.act(n)
+}
+
+// noteHeld reports that inherited jobs wait, once a second at most.
+func (c *Core) noteHeld(jobs int) {
+	if jobs == 0 || c.now.Mono < c.nextHeldNote {
+		return
+	}
+	c.nextHeldNote = c.now.Mono + firstWaitNote
+	h := Held{Jobs: jobs, Until: c.silentUntil - c.now.Mono}
+	for _, w := range c.fleet {
+		if w.awaited() {
+			h.Silent++
+		}
+	}
+	c.act(h)
+}
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -59,6 +59,12 @@
 		mJobAge.Update(a.Age.Seconds())
 		evJobEnded.Log(o.ctx, l, slog.String("job", string(a.ID)), slog.String("outcome", a.Outcome.Status().String()),
 			slog.Duration("age", a.Age))
+	case cell.Waiting:
+		evWaiting.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("tasks", a.Tasks), slog.Duration("waited", a.Waited),
+			slog.Int("workers", a.Listed), slog.Int("usable", a.Usable), slog.Int("allowed", a.Allowed), slog.Int("large_enough", a.Empty),
+			slog.Bool("reserved", a.Reserved))
+	case cell.Held:
+		evHeld.Log(o.ctx, l, slog.Int("jobs", a.Jobs), slog.Int("silent", a.Silent), slog.Duration("until", a.Until))
 	case cell.WorkerNoted:
 		evWorker.Log(o.ctx, l, slog.String("worker", string(a.Worker)), slog.String("note", a.Note), slog.Int("runs", a.Runs))
 	}
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -38,6 +38,8 @@
 	evRunEnded      = logevent.New(2245, slog.LevelInfo, "run ended")
 	evJobEnded      = logevent.New(2246, slog.LevelInfo, "job ended")
 	evWorker        = logevent.New(2247, slog.LevelInfo, "worker")
+	evWaiting       = logevent.New(2250, slog.LevelInfo, "task finds no place")
+	evHeld          = logevent.New(2251, slog.LevelInfo, "jobs of the term before wait for workers")
 	evWorkerBad     = logevent.New(2248, slog.LevelWarn, "worker entry names no worker")
 	evHoldFailed    = logevent.New(2249, slog.LevelInfo, "worker not heard")
 )
