--- /dev/null
+++ b/internal/core/cell/demand.go
@@ -0,0 +1,29 @@
+package cell
+
+import "coltsfootmux/internal/job"
+
+// demand is what a unit's place depends on.
+type demand struct {
+	pool     string
+	takes    job.Resources
+	size     int
+	gang     bool
+	sameRack bool
+	label    string
+	urgent   bool
+	// own marks units whose place depends on more: their data, their bound on one
+	// worker, workers they keep off, room kept for them, how long they waited.
+	own bool
+}
+
+func demandOf(g *ranked, u *unit) demand {
+	s := g.step
+	return demand{
+		pool: g.pool, takes: s.Resources(), size: u.size, gang: s.Gang, sameRack: s.SameRack, label: s.Label,
+		urgent: g.priority == 0,
+		own:    s.DataRack != "" || s.MaxPerWorker > 0 || s.SameRack || len(u.shunned) > 0 || u.plan != nil,
+	}
+}
+
+// isPlain says whether alike demands have no place when this one has none.
+func (d demand) isPlain() bool { return !d.own }
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -79,6 +79,8 @@
 	notBefore time.Duration
 	waiting   time.Duration
 	plan      *plan
+	// nextRoom is when it may next be tried to make room for the unit.
+	nextRoom time.Duration
 	// waited is how long the unit waited for its present runs.
 	waited time.Duration
 	// noted is the wait from which on it is reported again.
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -20,8 +20,11 @@
 	racks  map[rackKey][]*worker
 	order  []rackKey
 	starts int
-	// need is what each account's jobs of priority 0 ask for.
+	// entitled are the jobs of priority 0 within their account's guarantee.
 	entitled map[*entry]bool
+	// full holds the demands for which there is no place: room only shrinks
+	// during a pass.
+	full map[demand]bool
 }
 
 // ranked is a group with what its place in the order depends on.
@@ -39,7 +42,7 @@
 
 // newPass gathers the groups that may start, most urgent first, and the workers.
 func (c *Core) newPass() *pass {
-	p := &pass{pools: make(map[string][]*worker), racks: make(map[rackKey][]*worker)}
+	p := &pass{pools: make(map[string][]*worker), racks: make(map[rackKey][]*worker), full: make(map[demand]bool)}
 	for _, w := range c.fleet {
 		if !w.listed {
 			continue
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -8,10 +8,11 @@
 
 // place starts what can be started, the most urgent work first.
 func (c *Core) place() {
-	if !c.changed || c.now.Mono-c.proven > c.settings.StartGrace {
+	if !c.changed || c.now.Mono < c.nextPlace || c.now.Mono-c.proven > c.settings.StartGrace {
 		return
 	}
 	c.changed = false
+	c.nextPlace = c.now.Mono + passEvery
 	c.drainWorkers()
 	p := c.newPass()
 	for _, g := range p.ready {
@@ -30,7 +31,11 @@
 		if u.state != unitWaiting || c.now.Mono < u.notBefore {
 			continue
 		}
-		on := c.find(p, g, u)
+		var on []*worker
+		if d := demandOf(g, u); !p.full[d] {
+			on = c.find(p, g, u)
+			p.full[d] = on == nil && d.isPlain()
+		}
 		if on == nil {
 			c.makeRoom(p, g, u)
 			c.noteWait(p, g, u)
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -19,16 +19,15 @@
 
 // makeRoom stops less urgent work for a unit that may preempt it.
 func (c *Core) makeRoom(p *pass, g *ranked, u *unit) {
-	if u.plan != nil {
+	if u.plan != nil || g.stale || c.now.Mono < u.nextRoom {
 		return
 	}
 	if g.priority != 0 {
+		u.nextRoom = c.now.Mono + reserveEvery
 		c.reserve(p, g, u)
 		return
 	}
-	if g.stale {
-		return
-	}
+	u.nextRoom = c.now.Mono + evictEvery
 	best := eviction{}
 	for _, set := range c.evictionSets(p, g) {
 		e := c.evict(set, g, u)
--- a/internal/core/cell/reserve.go
+++ b/internal/core/cell/reserve.go
@@ -22,7 +22,7 @@
 
 // reserve keeps the room for a unit that should be free the soonest.
 func (c *Core) reserve(p *pass, g *ranked, u *unit) {
-	if g.stale || c.now.Mono-u.waiting < reserveAfter {
+	if c.now.Mono-u.waiting < reserveAfter {
 		return
 	}
 	pool := p.pool(g.pool)
@@ -82,7 +82,7 @@
 		at    time.Duration
 		takes job.Resources
 	}
-	var ends []end
+	ends := make([]end, 0, len(w.runs))
 	for _, r := range w.runs {
 		ends = append(ends, end{c.endsIn(r), r.takes})
 	}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -78,6 +78,13 @@
 	// farWait is the wait, as a share of the estimate, after which a task may
 	// run away from its data.
 	farWait = 1.0
+	// passEvery is the least time between two passes of placement; what happens in
+	// between is looked at together.
+	passEvery = 15 * time.Millisecond
+	// evictEvery and reserveEvery lie between two attempts to make room for the
+	// same unit by preemption and by reservation.
+	evictEvery   = 100 * time.Millisecond
+	reserveEvery = time.Second
 	// startRate bounds the starts that one pass of placement orders; the rest
 	// follow in the next pass.
 	startRate = 200
