Move runs off workers that are much slower than others at alike work

Runs of a step are now compared: one that needs four times the usual time and would end sooner anew is moved, twice at most.

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -223,6 +223,30 @@
 	}
 }
 
+func TestRunsOnASlowWorkerAreMoved(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		w := newWorld(t, 15, 6)
+		w.fleet = fleet.New(func(job.TaskID, int64) (time.Duration, bool) { return 2 * time.Second, false })
+		for n := range 6 {
+			w.fleet.Add(machine(n))
+		}
+		for n := range 2 {
+			w.machine(n).Pace = 0.1
+		}
+		w.takeOver()
+		w.run(100 * time.Millisecond)
+		j := single("j", 4)
+		j.Steps[0].GPU, j.Steps[0].Gang, j.Steps[0].Checkpoints = 8, gang, false
+		w.submit(j)
+		began := w.now
+		w.settle(60 * time.Second)
+		w.check()
+		if took := w.now - began; took > 10*time.Second {
+			t.Errorf("gang %v: took %v beside two workers of a tenth of the speed", gang, took)
+		}
+	}
+}
+
 func TestRebornWorkersTasksStartAgain(t *testing.T) {
 	w := newWorld(t, 11, 4)
 	w.takeOver()
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -44,6 +44,8 @@
 	silentUntil time.Duration
 	// changed says that placement may find something new to do.
 	changed bool
+	// nextStragglers is when runs are compared next.
+	nextStragglers time.Duration
 	// nextPlace is when the next pass of placement may be made.
 	nextPlace time.Duration
 	// nextPass bounds how often time alone causes a pass of placement.
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -83,6 +83,10 @@
 	nextRoom time.Duration
 	// waited is how long the unit waited for its present runs.
 	waited time.Duration
+	// took is how long the run took that ended the unit, moves how often it was
+	// moved off a slow worker.
+	took  time.Duration
+	moves int
 	// noted is the wait from which on it is reported again.
 	noted time.Duration
 }
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -232,7 +232,7 @@
 		if r == nil {
 			r = c.adopt(w, row)
 		}
-		r.missing = 0
+		r.missing, r.listedAt = 0, now
 		if row.Percent != r.percent || r.moved == 0 {
 			r.percent, r.moved = row.Percent, now
 		}
@@ -254,7 +254,7 @@
 	u := c.unitOf(row.Task)
 	r := &run{
 		task: row.Task, number: row.Run, worker: w, state: runRunning,
-		since: c.now.Mono, began: c.now.Mono, mark: c.issued, moved: c.now.Mono, percent: row.Percent,
+		since: c.now.Mono, began: c.now.Mono, mark: c.issued, moved: c.now.Mono, percent: row.Percent, resumed: true,
 	}
 	if u != nil {
 		r.takes = u.group.step.Resources()
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -242,6 +242,9 @@
 func (c *Core) endedWell(r *run) {
 	r.worker.trust()
 	u := r.unit
+	if r.began > 0 && !r.resumed {
+		u.took = c.now.Mono - r.began
+	}
 	if u.group.step.LongRunning {
 		return
 	}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -18,7 +18,7 @@
 	for i, w := range on {
 		r := &run{
 			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
-			takes: u.group.step.Resources(), since: now, mark: c.issued, moved: now,
+			takes: u.group.step.Resources(), since: now, mark: c.issued, moved: now, resumed: u.saved != "",
 		}
 		r.attach()
 		c.act(Start{
@@ -144,6 +144,7 @@
 			c.dropWorker(w)
 		}
 	}
+	c.moveStragglers()
 	if now >= c.nextPass {
 		c.changed = true
 		c.nextPass = now + 250*time.Millisecond
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -42,6 +42,10 @@
 	moved   time.Duration
 	began   time.Duration
 	missing int
+	// listedAt is when a list last showed the run.
+	listedAt time.Duration
+	// resumed runs began from a checkpoint; their progress says little.
+	resumed bool
 }
 
 // attach puts the run on its worker and unit.
