Add a fault soak of the real programs as separate processes

Stand-ins serve the platform's protocols on loopback; a proxy stands in each connection to the store and to workers; machines are killed, paused, stopped and told to reload by signals; the store and workers fail. Callers' answers and the fleet's account are checked.

--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"coltsfootmux/internal/standin/fleet"
+	"coltsfootmux/internal/standin/store"
+)
+
+// fault is one thing that goes wrong for a time.
+type fault struct {
+	name  string
+	begin func()
+	end   func()
+}
+
+// draw gives a fault with what ends it. Faults of several kinds may overlap.
+func (s *site) draw(rng *rand.Rand) fault {
+	m := s.machines[rng.IntN(len(s.machines))]
+	n := rng.IntN(len(s.workers))
+	w := s.workers[n]
+	restart := func() { _ = m.start(s.o.Program) }
+	modes := [...]Mode{Delay, Silent, OneWay, Reset}
+	mode := modes[rng.IntN(len(modes))]
+	switch rng.IntN(10) {
+	case 0:
+		return fault{"kill " + m.name, m.kill, restart}
+	case 1:
+		return fault{"pause " + m.name, func() { m.signal(syscall.SIGSTOP) }, func() { m.signal(syscall.SIGCONT) }}
+	case 2:
+		return fault{"stop " + m.name, func() { m.signal(syscall.SIGTERM) }, func() { m.kill(); restart() }}
+	case 3:
+		return fault{fmt.Sprintf("store of %s, mode %d", m.name, mode), func() { m.store.Set(mode) }, func() { m.store.Set(Pass) }}
+	case 4:
+		return fault{fmt.Sprintf("worker %d, mode %d", n, mode), func() { w.Set(mode) }, func() { w.Set(Pass) }}
+	case 5:
+		return fault{fmt.Sprintf("worker %d crashes", n), func() { s.crash(n) }, func() { s.revive(n) }}
+	case 6:
+		return fault{fmt.Sprintf("worker %d hangs", n), func() { s.mode(n, fleet.Hanging) }, func() { s.mode(n, fleet.Sound) }}
+	case 7:
+		f := [...]store.Fault{{Down: true}, {Silent: true}, {LoseAnswers: true}, {Slow: 150 * time.Millisecond}}[rng.IntN(4)]
+		return fault{fmt.Sprintf("store %+v", f), func() { s.store.SetFault(f) }, func() { s.store.SetFault(store.Fault{}) }}
+	case 8:
+		return fault{"all machines killed", s.killAll, s.startAll}
+	default:
+		return fault{"hang-up of " + m.name, func() { m.signal(syscall.SIGHUP) }, func() {}}
+	}
+}
+
+func (s *site) crash(n int) {
+	s.fleet.With(func(f *fleet.Fleet) {
+		m := f.Machine(workerName(n))
+		m.Rebirth()
+		m.Down = true
+	})
+}
+
+func (s *site) revive(n int) {
+	s.fleet.With(func(f *fleet.Fleet) {
+		m := f.Machine(workerName(n))
+		m.Rebirth()
+		m.Down = false
+	})
+	s.register(n)
+}
+
+func (s *site) mode(n int, mode fleet.Mode) {
+	s.fleet.With(func(f *fleet.Fleet) { f.Machine(workerName(n)).Mode = mode })
+}
+
+func (s *site) killAll() {
+	for _, m := range s.machines {
+		m.kill()
+	}
+}
+
+func (s *site) startAll() {
+	for _, m := range s.machines {
+		_ = m.start(s.o.Program)
+	}
+}
+
+// heal ends every fault that may be in force.
+func (s *site) heal() {
+	s.store.SetFault(store.Fault{})
+	for n, w := range s.workers {
+		w.Set(Pass)
+		s.mode(n, fleet.Sound)
+		s.fleet.With(func(f *fleet.Fleet) { f.Machine(workerName(n)).Down = false })
+	}
+	for _, m := range s.machines {
+		m.store.Set(Pass)
+		m.signal(syscall.SIGCONT)
+		_ = m.start(s.o.Program)
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// regressionSeeds are soaks that broke a promise once, each with its cause.
+var regressionSeeds = []uint64{}
+
+// TestShortSoak plays a short soak with a fixed seed and those that failed once.
+func TestShortSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes about 20 s a seed")
+	}
+	program := filepath.Join(t.TempDir(), "coltsfootmux-node")
+	if out, err := exec.Command("go", "build", "-o", program, "coltsfootmux/cmd/coltsfootmux-node").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, seed := range append([]uint64{1}, regressionSeeds...) {
+		r, err := Run(Options{
+			Program: program, Dir: t.TempDir(), Seed: seed, Machines: 3, Workers: 8,
+			For: 8 * time.Second, Settle: 40 * time.Second, PerSecond: 5,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d jobs, %d accepted, %d complete; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.Series)
+		for _, f := range r.Faults {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+		if r.Accepted == 0 {
+			t.Errorf("seed %d: no job was accepted", seed)
+		}
+	}
+}
+
+func TestProxyModes(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode Mode
+		want string
+	}{
+		"passes":         {Pass, "echo"},
+		"swallows":       {Silent, ""},
+		"cuts one way":   {OneWay, ""},
+		"resets":         {Reset, ""},
+		"delays, passes": {Delay, "echo"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := throughProxy(t, c.mode); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -37,6 +37,7 @@
 	ever   map[job.TaskID]bool
 	listed map[job.TaskID]*Machine
 	faults []string
+	ran    map[job.ID]bool
 	// Starts counts runs that were started.
 	Starts int
 	// Late is set while an order is carried out that was held up on its way;
@@ -48,7 +49,7 @@
 func New(w Work) *Fleet {
 	return &Fleet{
 		work: w, machines: make(map[external.WorkerID]*Machine), jobs: make(map[job.ID]*job.Job),
-		stopped: make(map[job.ID]time.Duration), done: make(map[job.TaskID]bool), ever: make(map[job.TaskID]bool), listed: make(map[job.TaskID]*Machine),
+		stopped: make(map[job.ID]time.Duration), ran: make(map[job.ID]bool), done: make(map[job.TaskID]bool), ever: make(map[job.TaskID]bool), listed: make(map[job.TaskID]*Machine),
 	}
 }
 
@@ -90,6 +91,16 @@
 // Faults gives what must not have happened, in order.
 func (f *Fleet) Faults() []string { return f.faults }
 
+// Started gives the jobs of which some task was started, in order.
+func (f *Fleet) Started() []job.ID {
+	var out []job.ID
+	for id := range f.ran {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Running gives the number of runs on machines that are up.
 func (f *Fleet) Running() int {
 	n := 0
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -48,6 +48,7 @@
 	}
 	m.live = append(m.live, l)
 	f.Starts++
+	f.ran[o.Task.Job] = true
 	return m.report(external.RefusedNone), nil
 }
 
