--- a/internal/core/cell/bench_test.go
+++ b/internal/core/cell/bench_test.go
@@ -10,16 +10,40 @@
 )
 
 // BenchmarkPassOnAFullPool measures one look at all that waits while nothing is
-// free, with 350 workers and 200 waiting jobs.
+// free and 200 jobs wait.
 func BenchmarkPassOnAFullPool(b *testing.B) {
-	c := fullCell(350, 200)
-	now := c.now
-	b.ReportAllocs()
-	for b.Loop() {
-		now.Mono += 60 * time.Millisecond
-		c.changed = true
-		c.proven = now.Mono
-		c.Step(now, Tick{})
+	for _, workers := range []int{50, 350, 1400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := fullCell(workers, 200)
+			now := c.now
+			b.ReportAllocs()
+			for b.Loop() {
+				now.Mono += 60 * time.Millisecond
+				c.changed = true
+				c.proven = now.Mono
+				c.Step(now, Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkListed measures the answer to a hold of a worker with eight runs.
+func BenchmarkListed(b *testing.B) {
+	for _, workers := range []int{50, 350, 1400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := fullCell(workers, 0)
+			now := c.now
+			var rows []external.Running
+			for _, r := range c.fleet[0].runs {
+				rows = append(rows, external.Running{Task: r.task, Run: r.number, Percent: 10})
+			}
+			issue := int64(1)
+			for b.Loop() {
+				now.Mono += time.Millisecond
+				issue++
+				c.Step(now, Listed{Worker: c.fleet[0].ID, Issue: issue, Lists: external.Lists{Clock: now.Mono, Running: rows}})
+			}
+		})
 	}
 }
 
