Ask advisers, pace filling tasks, keep serving tasks available

Queues may need an adviser's ticket for each worker; tasks that fill a worker stop working while a serving task beside them is over its target; of a long-running step only as many tasks are moved at once as may be missing.

--- /dev/null
+++ b/internal/core/cell/advice.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// Figures of advice.
+const (
+	// adviseWorkers is how many workers one question names; the answer's time
+	// grows with them.
+	adviseWorkers = 30
+	// adviseRetry lies between two questions about a step whose answer failed.
+	adviseRetry = 400 * time.Millisecond
+	// ticketMargin is left of a ticket's time for the start's way.
+	ticketMargin = 300 * time.Millisecond
+)
+
+// Advise asks which of some workers may run a step. One question is open at a time.
+type Advise struct {
+	Step    job.TaskID
+	Workers []external.WorkerID
+}
+
+// Advised is the answer to an Advise; Failed says that there was none.
+type Advised struct {
+	Step   job.TaskID
+	Asked  []external.WorkerID
+	Advice external.Advice
+	Failed bool
+}
+
+func (Advise) action() {}
+func (Advised) event() {}
+
+// ticket allows the tasks of a step on one life of a worker for a time.
+type ticket struct {
+	text  string
+	until time.Duration
+	life  int
+}
+
+// ticketFor gives the ticket that holds for a group on a worker.
+func (c *Core) ticketFor(g *group, w *worker) (string, bool) {
+	t, ok := g.tickets[w.ID]
+	if !ok || t.life != w.life || c.now.Mono >= t.until {
+		return "", false
+	}
+	return t.text, true
+}
+
+// ask asks for advice on the first group that waits without a worker it may use.
+func (c *Core) ask(p *pass) {
+	if c.advising {
+		return
+	}
+	for _, g := range p.ready {
+		if !g.occ.entry.job.Queue.Advised || c.now.Mono < g.nextAdvice || !g.hasWaiting() {
+			continue
+		}
+		names := c.candidates(p, g)
+		if len(names) == 0 {
+			continue
+		}
+		c.advising = true
+		c.act(Advise{Step: g.units[0].taskID(0), Workers: names})
+		return
+	}
+}
+
+// candidates gives workers with room for the group of which nothing is known,
+// those with the most room first.
+func (c *Core) candidates(p *pass, g *ranked) []external.WorkerID {
+	var ws []*worker
+	for _, w := range p.pool(g.pool) {
+		_, known := c.ticketFor(g.group, w)
+		if known || c.now.Mono < g.denied[w.ID] || !w.usable(c.now.Mono) {
+			continue
+		}
+		if w.room(g.priority).Covers(g.step.Resources()) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+			ws = append(ws, w)
+		}
+	}
+	slices.SortStableFunc(ws, func(a, b *worker) int {
+		return cmp.Compare(copies(b.room(g.priority), g.step), copies(a.room(g.priority), g.step))
+	})
+	var out []external.WorkerID
+	for _, w := range ws[:min(len(ws), adviseWorkers)] {
+		out = append(out, w.ID)
+	}
+	return out
+}
+
+// advised takes an answer in. Who is not named may not run the step, which does
+// not change; so it is not asked about again.
+func (c *Core) advised(ev Advised) {
+	c.advising = false
+	c.changed = true
+	u := c.unitOf(ev.Step)
+	if u == nil {
+		return
+	}
+	g := u.group
+	if ev.Failed {
+		g.nextAdvice = c.now.Mono + adviseRetry
+		return
+	}
+	if g.tickets == nil {
+		g.tickets = make(map[external.WorkerID]ticket)
+		g.denied = make(map[external.WorkerID]time.Duration)
+	}
+	for _, id := range ev.Asked {
+		w := c.workers[id]
+		if w == nil {
+			continue
+		}
+		text, ok := ev.Advice.Tickets[id]
+		if !ok {
+			g.denied[id] = c.now.Mono + time.Hour
+			continue
+		}
+		g.tickets[id] = ticket{text: text, until: c.now.Mono + ev.Advice.ValidFor - ticketMargin, life: w.life}
+	}
+}
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -44,6 +44,8 @@
 	silentUntil time.Duration
 	// changed says that placement may find something new to do.
 	changed bool
+	// advising says that a question to the adviser is open.
+	advising bool
 	// nextStragglers is when runs are compared next.
 	nextStragglers time.Duration
 	// nextPlace is when the next pass of placement may be made.
@@ -102,6 +104,8 @@
 		c.listed(e)
 	case Committed:
 		c.committed(e)
+	case Advised:
+		c.advised(e)
 	case TermProven:
 		c.proven = max(c.proven, e.At)
 		c.changed = true
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -50,8 +50,12 @@
 	// readySince is when the steps before had ended.
 	readySince time.Duration
 	ready      bool
-	// gpus and cores are what one unit takes, for comparisons.
+	// total is what one unit takes.
 	total job.Resources
+	// tickets and denied are what an adviser said of workers, for advised queues.
+	tickets    map[external.WorkerID]ticket
+	denied     map[external.WorkerID]time.Duration
+	nextAdvice time.Duration
 }
 
 type unitState int
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -29,6 +29,9 @@
 		if !w.fenced || w.holdFails > 0 || len(w.runs) == 0 {
 			wait = 0
 		}
+		if w.isShared() {
+			wait = min(wait, paceHold)
+		}
 		c.sendHold(w, wait)
 	}
 }
@@ -117,6 +120,7 @@
 	c.takeEnds(w, ev.Lists.Ended)
 	c.takeRunning(w, ev.Issue, ev.Lists.Running)
 	c.takeMissing(w, ev.Issue, ev.Lists)
+	c.pace(w)
 }
 
 func (c *Core) holdFailed(w *worker, ev Listed) {
@@ -232,7 +236,7 @@
 		if r == nil {
 			r = c.adopt(w, row)
 		}
-		r.missing, r.listedAt = 0, now
+		r.missing, r.listedAt, r.figure = 0, now, row.Figure
 		if row.Percent != r.percent || r.moved == 0 {
 			r.percent, r.moved = row.Percent, now
 		}
@@ -254,7 +258,7 @@
 	u := c.unitOf(row.Task)
 	r := &run{
 		task: row.Task, number: row.Run, worker: w, state: runRunning,
-		since: c.now.Mono, began: c.now.Mono, mark: c.issued, moved: c.now.Mono, percent: row.Percent, resumed: true,
+		since: c.now.Mono, began: c.now.Mono, mark: c.issued, moved: c.now.Mono, percent: row.Percent, resumed: true, pace: fullPace,
 	}
 	if u != nil {
 		r.takes = u.group.step.Resources()
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -18,13 +18,14 @@
 	for i, w := range on {
 		r := &run{
 			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
-			takes: u.group.step.Resources(), since: now, mark: c.issued, moved: now, resumed: u.saved != "",
+			takes: u.group.step.Resources(), since: now, mark: c.issued, moved: now, resumed: u.saved != "", pace: fullPace,
 		}
 		r.attach()
+		pass, _ := c.ticketFor(u.group, w)
 		c.act(Start{
 			Order: external.StartOrder{
 				Call: c.call(w), Task: r.task, Run: number, Spec: u.entry().job.Spec,
-				Until: c.lease(w), Checkpoint: u.saved,
+				Until: c.lease(w), Checkpoint: u.saved, Ticket: pass,
 			},
 			Waited: waited,
 		})
@@ -87,6 +88,9 @@
 	if why == external.RefusedUnhealthy {
 		w.suspect(now)
 	}
+	if why == external.RefusedTicket {
+		delete(r.unit.group.tickets, w.ID)
+	}
 	if why == external.RefusedInvalid {
 		r.unit.notBefore = now + suspectPause
 	}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -15,6 +15,7 @@
 	c.nextPlace = c.now.Mono + passEvery
 	c.drainWorkers()
 	p := c.newPass()
+	defer c.ask(p)
 	for _, g := range p.ready {
 		if p.starts >= startRate {
 			c.changed = true
@@ -98,6 +99,11 @@
 	if u.shuns(w, c.now.Mono) {
 		return false
 	}
+	if g.occ.entry.job.Queue.Advised {
+		if _, ok := c.ticketFor(g, w); !ok {
+			return false
+		}
+	}
 	if g.step.Label != "" && !w.hasLabel(g.step.Label) {
 		return false
 	}
@@ -160,7 +166,7 @@
 			if r.state != runRunning || r.unit == nil || r.unit.state == unitDone {
 				continue
 			}
-			if c.leaves(w, r, left) {
+			if c.leaves(w, r, left) && r.unit.mayDisturb() {
 				c.stop(r, ReasonDrain)
 			}
 		}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -88,7 +88,7 @@
 func (c *Core) evict(workers []*worker, g *ranked, u *unit) eviction {
 	var spaces []*space
 	for _, w := range workers {
-		if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+		if w.usable(c.now.Mono) && c.allowed(w, g.group, u) {
 			spaces = append(spaces, &space{w: w, free: w.room(g.priority), victims: c.victims(w, g)})
 		}
 	}
@@ -139,7 +139,7 @@
 		if r.unit == nil || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
 			continue
 		}
-		if r.unit.entry().job.Queue.Priority > g.priority {
+		if r.unit.entry().job.Queue.Priority > g.priority && r.unit.mayDisturb() {
 			out = append(out, r)
 		}
 	}
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -42,6 +42,11 @@
 	moved   time.Duration
 	began   time.Duration
 	missing int
+	// figure is what the worker said of the run's last half second; pace is the
+	// share of its speed that it was ordered to work at, at paced.
+	figure int
+	pace   int
+	paced  time.Duration
 	// listedAt is when a list last showed the run.
 	listedAt time.Duration
 	// resumed runs began from a checkpoint; their progress says little.
--- /dev/null
+++ b/internal/core/cell/serving_test.go
@@ -0,0 +1,94 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+func serving(id string, count int) job.Job {
+	j := single(id, count)
+	j.Steps[0] = job.Step{Count: count, CPU: 8000, MemMB: 1000, LongRunning: true, TargetMS: 100, MayMiss: 1, EstimateMS: 1000}
+	return j
+}
+
+func TestAdvisedTasksStartOnlyOnWorkersWithATicket(t *testing.T) {
+	w := newWorld(t, 21, 8)
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	starts := 0
+	w.onStart = func(o external.StartOrder) {
+		starts++
+		if o.Ticket != "ticket-"+string(o.Worker) || (o.Worker[2]-'0')%2 != 0 {
+			t.Errorf("start on %s with ticket %q", o.Worker, o.Ticket)
+		}
+	}
+	j := single("advised", 10)
+	j.Queue.Advised = true
+	w.submit(j)
+	w.settle(30 * time.Second)
+	w.check()
+	if starts == 0 || w.asked > 16 {
+		t.Errorf("%d starts, %d workers asked about", starts, w.asked)
+	}
+}
+
+func TestFillingTasksGiveWayToServingOnes(t *testing.T) {
+	w := newWorld(t, 22, 1)
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	w.submit(serving("serving", 1))
+	w.run(500 * time.Millisecond)
+	filler := single("filler", 1)
+	filler.Steps[0].Fills, filler.Steps[0].EstimateMS = true, 60000
+	w.submit(filler)
+	over := time.Duration(0)
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		l, err := w.fleet.Hold(t.Context(), external.HoldOrder{Call: external.Call{Worker: "w00", Fence: 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range l.Running {
+			switch {
+			case r.Task.Job == "serving" && r.Figure > 100:
+				over += 100 * time.Millisecond
+			case r.Task.Job == "serving":
+				over = 0
+			}
+		}
+		if over >= 4*time.Second {
+			t.Fatal("a serving task is over its target for 4 s while a filling one works on")
+		}
+	}
+}
+
+func TestOnlySoManyServingTasksAreMovedAtOnce(t *testing.T) {
+	w := newWorld(t, 23, 4)
+	o := w.takeOver()
+	w.run(100 * time.Millisecond)
+	w.submit(serving("serving", 8))
+	w.run(2 * time.Second)
+	least := 8
+	for n := range 2 {
+		m := w.machine(n).Worker
+		m.Draining, m.LeavesIn = true, 20*time.Second
+		w.step(o, WorkerChanged{Worker: m})
+	}
+	for range 60 {
+		w.run(50 * time.Millisecond)
+		running := 0
+		for _, u := range o.core.jobs["serving"].units() {
+			if u.atWork() {
+				running++
+			}
+		}
+		least = min(least, running)
+	}
+	if least < 7 {
+		t.Errorf("%d of 8 tasks were at work at the least, want 7", least)
+	}
+	w.check()
+}
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -41,6 +41,9 @@
 	// unproven keeps the owner from proving its term.
 	unproven bool
 	log      []string
+	asked    int
+	// onStart, if set, sees every start that is ordered.
+	onStart func(external.StartOrder)
 }
 
 type testOwner struct {
@@ -237,6 +240,9 @@
 	ctx := context.Background()
 	switch a := a.(type) {
 	case Start:
+		if w.onStart != nil {
+			w.onStart(a.Order)
+		}
 		var r external.Report
 		var err error
 		carry := w.toThisLife(a.Order.Worker, func() { r, err = w.fleet.Start(ctx, a.Order) }, func() { err = external.ErrUnclear })
@@ -250,6 +256,10 @@
 		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
 			w.step(o, Stopped{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, failureFor(err))})
 		})
+	case Pace:
+		w.call(a.Order.Worker, 700*time.Millisecond, func() { _, _ = w.fleet.Pace(ctx, a.Order) }, func(Failure) {})
+	case Advise:
+		w.after(100*time.Millisecond, func() { w.step(o, w.advice(a)) })
 	case Hold:
 		w.doHold(o, a)
 	case Persist:
@@ -261,6 +271,18 @@
 	}
 }
 
+// advice allows every second worker.
+func (w *world) advice(a Advise) Advised {
+	ev := Advised{Step: a.Step, Asked: a.Workers, Advice: external.Advice{Tickets: make(map[external.WorkerID]string), ValidFor: 2 * time.Second}}
+	w.asked += len(a.Workers)
+	for _, id := range a.Workers {
+		if (id[len(id)-1]-'0')%2 == 0 {
+			ev.Advice.Tickets[id] = "ticket-" + string(id)
+		}
+	}
+	return ev
+}
+
 // doHold answers a long hold after part of its wait, as ends come at any time.
 func (w *world) doHold(o *testOwner, a Hold) {
 	var l external.Lists
--- a/internal/external/worker.go
+++ b/internal/external/worker.go
@@ -23,6 +23,8 @@
 	// BornMS is the Unix millisecond of the start of this life of the worker.
 	BornMS   int64
 	Draining bool
+	// Machine names the machine of which the worker is one life.
+	Machine string
 	// LeavesIn is the least time left to a draining worker.
 	LeavesIn time.Duration
 }
@@ -45,6 +47,26 @@
 	Until time.Duration
 	// Checkpoint, if not empty, is where the run resumes.
 	Checkpoint string
+	// Ticket is the adviser's word for this step and worker; empty where the queue
+	// needs none.
+	Ticket string
+}
+
+// PaceOrder lets one run work at a share of its speed.
+type PaceOrder struct {
+	Call
+	Task job.TaskID
+	Run  int64
+	// Percent is from 0 to 100.
+	Percent int
+}
+
+// Advice is what an adviser says of a step.
+type Advice struct {
+	// Tickets holds a ticket for each worker that may run the step.
+	Tickets map[WorkerID]string
+	// ValidFor is how long the tickets hold.
+	ValidFor time.Duration
 }
 
 // StopOrder stops one run of a task.
@@ -72,6 +94,9 @@
 	// Saved is the latest checkpoint.
 	Saved   string
 	Percent int
+	// Figure is the tail latency in milliseconds of a serving task, and the
+	// processor use in thousandths of a core of any other, over the last half second.
+	Figure int
 }
 
 // End is one ended run that a worker lists.
@@ -142,4 +167,10 @@
 	Start(ctx context.Context, o StartOrder) (Report, error)
 	Stop(ctx context.Context, o StopOrder) (Report, error)
 	Hold(ctx context.Context, o HoldOrder) (Lists, error)
+	Pace(ctx context.Context, o PaceOrder) (Report, error)
+}
+
+// Adviser says which workers may run a step of an advised queue. Errors as of Workers.
+type Adviser interface {
+	Advise(ctx context.Context, step job.TaskID, workers []WorkerID) (Advice, error)
 }
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -37,6 +37,12 @@
 		o.inst.goRun(func(context.Context) { o.stop(a.Order) })
 	case cell.Hold:
 		o.inst.goRun(func(context.Context) { o.hold(a) })
+	case cell.Pace:
+		evPace.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
+			slog.String("worker", string(a.Order.Worker)), slog.Int("percent", a.Order.Percent))
+		o.inst.goRun(func(context.Context) { o.pace(a.Order) })
+	case cell.Advise:
+		o.inst.goRun(func(context.Context) { o.advise(a) })
 	case cell.Persist:
 		o.inst.goRun(func(context.Context) { o.persist(a) })
 	case cell.Deposed:
@@ -96,6 +102,33 @@
 	o.step(cell.Stopped{Task: order.Task, Run: order.Run, Worker: order.Worker, Refusal: r.Refusal, Failure: failureOf(err)})
 }
 
+// pace sends one order; the core repeats what the worker's figures still ask for.
+func (o *owner) pace(order external.PaceOrder) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	defer cancel()
+	r, err := o.inst.Workers.Pace(ctx, order)
+	if err != nil || r.Refusal != external.RefusedNone {
+		evPaceFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
+			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
+	}
+}
+
+// advise asks the adviser; a deployment without one has no advised queues.
+func (o *owner) advise(a cell.Advise) {
+	ev := cell.Advised{Step: a.Step, Asked: a.Workers, Failed: true}
+	defer func() { o.step(ev) }()
+	if o.inst.Adviser == nil {
+		evAdvice.Log(o.ctx, o.inst.logger, slog.String("step", a.Step.String()), slog.String("error", "no adviser in the settings"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, adviceTime)
+	defer cancel()
+	advice, err := o.inst.Adviser.Advise(ctx, a.Step, a.Workers)
+	evAdvice.Log(o.ctx, o.inst.logger, slog.String("step", a.Step.String()), slog.Int("asked", len(a.Workers)),
+		slog.Int("good", len(advice.Tickets)), slog.Duration("valid", advice.ValidFor), slog.Any("error", err))
+	ev.Advice, ev.Failed = advice, err != nil
+}
+
 func (o *owner) hold(a cell.Hold) {
 	ctx, cancel := context.WithTimeout(o.ctx, a.Order.Wait+holdTime)
 	defer cancel()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,6 +21,8 @@
 	Settings Settings
 	Log      external.Log
 	Workers  external.Workers
+	// Adviser may be nil where no queue needs advice.
+	Adviser external.Adviser
 	// Policies is the topic and key of the operators' policy, WorkerList the
 	// topic of the workers' entries.
 	Policies   external.Topic
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -34,6 +34,8 @@
 	persistRetry = 150 * time.Millisecond
 	// orderTime bounds a start or stop at a worker.
 	orderTime = 700 * time.Millisecond
+	// adviceTime bounds a question to the adviser, which may queue behind others.
+	adviceTime = 4 * time.Second
 	// peerTime bounds a call to another instance.
 	peerTime = 600 * time.Millisecond
 	// holdTime bounds a hold beyond its wait.
--- a/internal/job/policy.go
+++ b/internal/job/policy.go
@@ -14,6 +14,8 @@
 	Stretch  float64 `cbor:"5,keyasint,omitempty"`
 	// ObjectiveMS is added to the stretched chain of work.
 	ObjectiveMS int64 `cbor:"6,keyasint,omitempty"`
+	// Advised queues may start tasks only on workers that an adviser named.
+	Advised bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Route leads calls to a queue.
--- a/internal/job/step.go
+++ b/internal/job/step.go
@@ -28,6 +28,11 @@
 	Speculative bool `cbor:"13,keyasint,omitempty"`
 	// LongRunning tasks run until the job is cancelled.
 	LongRunning bool `cbor:"14,keyasint,omitempty"`
+	// MayMiss, if set, is how many tasks of a long-running step may be away at
+	// the same time by the product's own orders.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+	// TargetMS, if set, is the bound on a serving task's tail latency.
+	TargetMS int `cbor:"17,keyasint,omitempty"`
 	// Fills marks tasks whose CPU is not counted against the worker's capacity.
 	Fills bool `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -156,7 +156,10 @@
 	if m.Mode == Hanging {
 		return
 	}
-	l.left -= time.Duration(float64(passed) * m.Pace)
+	if l.step.LongRunning {
+		return
+	}
+	l.left -= time.Duration(float64(passed) * m.Pace * float64(l.pace) / 100)
 	if done := l.total - l.left; done-l.saved >= saveEach {
 		l.saved = done.Truncate(saveEach)
 	}
--- a/internal/standin/fleet/live.go
+++ b/internal/standin/fleet/live.go
@@ -60,6 +60,12 @@
 	return r, err
 }
 
+// Pace implements external.Workers.
+func (l *Live) Pace(ctx context.Context, o external.PaceOrder) (r external.Report, err error) {
+	l.With(func(f *Fleet) { r, err = f.Pace(ctx, o) })
+	return r, err
+}
+
 // Hold implements external.Workers; it waits for an end as a worker does.
 func (l *Live) Hold(ctx context.Context, o external.HoldOrder) (lists external.Lists, err error) {
 	until := time.Now().Add(o.Wait)
--- a/internal/standin/fleet/machine.go
+++ b/internal/standin/fleet/machine.go
@@ -53,6 +53,8 @@
 	total   time.Duration
 	saved   time.Duration
 	arrived time.Duration
+	// pace is the share of its speed in percent.
+	pace int
 }
 
 // clock gives the machine's steady clock.
@@ -101,7 +103,25 @@
 	return l.saved.String()
 }
 
+// figure gives a serving task's tail in milliseconds: half of its target, and as
+// much again for each filling task at full pace beside it.
+func (m *Machine) figure(l *live) int {
+	if l.step.TargetMS == 0 {
+		return l.step.CPU
+	}
+	tail := l.step.TargetMS / 2
+	for _, o := range m.live {
+		if o.step.Fills {
+			tail += l.step.TargetMS * o.pace / 100
+		}
+	}
+	return tail
+}
+
 func (l *live) percent() int {
+	if l.step.LongRunning {
+		return 100
+	}
 	if l.total == 0 {
 		return 100
 	}
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -40,7 +40,7 @@
 	}
 	f.checkStart(m, o)
 	d, _ := f.work(o.Task, o.Run)
-	l := &live{task: o.Task, run: o.Run, step: step, machine: m, total: d, left: d, arrived: f.now}
+	l := &live{task: o.Task, run: o.Run, step: step, machine: m, total: d, left: d, arrived: f.now, pace: 100}
 	if o.Checkpoint != "" {
 		if at, err := time.ParseDuration(o.Checkpoint); err == nil {
 			l.saved, l.left = at, d-at
@@ -127,6 +127,18 @@
 	return m.report(external.RefusedNone), nil
 }
 
+// Pace implements external.Workers.
+func (f *Fleet) Pace(_ context.Context, o external.PaceOrder) (external.Report, error) {
+	m, r, err := f.reach(o.Call)
+	if err != nil || m == nil {
+		return r, err
+	}
+	if l := m.find(o.Task, o.Run); l != nil {
+		l.pace = o.Percent
+	}
+	return m.report(external.RefusedNone), nil
+}
+
 // Hold implements external.Workers; it answers at once.
 func (f *Fleet) Hold(_ context.Context, o external.HoldOrder) (external.Lists, error) {
 	m, r, err := f.reach(o.Call)
@@ -144,7 +156,7 @@
 	m.ended = slices.DeleteFunc(m.ended, func(e external.End) bool { return e.Number <= o.Acknowledge })
 	out := external.Lists{Clock: m.clock(f.now), BornMS: m.BornMS}
 	for _, l := range m.live {
-		out.Running = append(out.Running, external.Running{Task: l.task, Run: l.run, Saved: l.checkpoint(), Percent: l.percent()})
+		out.Running = append(out.Running, external.Running{Task: l.task, Run: l.run, Saved: l.checkpoint(), Percent: l.percent(), Figure: m.figure(l)})
 	}
 	out.Ended = append(out.Ended, m.ended[:min(len(m.ended), maxEnds)]...)
 	return out, nil
