Carry out waves of upkeep

Operators' waves are followed like the policy; the owner orders each machine's upkeep under its term, idle ones first, so many down at once, and writes the wave's state. A machine whose order had no answer counts as down. Properties: the cap holds under lost and late answers, and every wave ends.

--- /dev/null
+++ b/internal/core/cell/machines.go
@@ -0,0 +1,25 @@
+package cell
+
+import "coltsfootmux/internal/core/upkeep"
+
+// Machines gives what is known of the machines that have a worker, for upkeep.
+func (c *Core) Machines() []upkeep.Machine {
+	var out []upkeep.Machine
+	for _, w := range c.fleet {
+		if w.Machine == "" || !w.listed {
+			continue
+		}
+		m := upkeep.Machine{Name: w.Machine, Runs: len(w.runs), Born: max(w.born, w.BornMS)}
+		seen := make(map[*unit]bool)
+		for _, r := range w.runs {
+			if r.unit == nil || seen[r.unit] || r.unit.state == unitDone {
+				continue
+			}
+			seen[r.unit] = true
+			m.Loss += c.lossOf(r)
+			m.Kept = m.Kept || !r.unit.mayDisturb()
+		}
+		out = append(out, m)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/upkeep/core_test.go
@@ -0,0 +1,108 @@
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const upkeepTime = 2 * time.Second
+
+func TestWaveTakesIdleMachinesFirstAndEndsInTime(t *testing.T) {
+	c := New(upkeepTime)
+	w := Wave{Number: 1, Machines: []string{"a", "b", "c", "d"}, Over: 20 * time.Second, Cap: 1}
+	c.Add(0, w)
+	known := []Machine{{Name: "a", Runs: 3, Loss: 90}, {Name: "b"}, {Name: "c", Runs: 1, Loss: 10}, {Name: "d"}}
+	var order []string
+	var completeAt time.Duration
+	for now := time.Duration(0); now < 40*time.Second && completeAt == 0; now += 100 * time.Millisecond {
+		for _, a := range c.Step(now, now.Milliseconds(), known) {
+			switch a := a.(type) {
+			case Order:
+				order = append(order, a.Machine)
+				c.Answered(now, a, Begun)
+				for n := range known {
+					if known[n].Name == a.Machine {
+						known[n].Born = (now + upkeepTime).Milliseconds()
+					}
+				}
+			case Report:
+				if a.Complete {
+					completeAt = now
+				}
+			}
+		}
+	}
+	if fmt.Sprint(order) != "[b d c a]" {
+		t.Errorf("order %v", order)
+	}
+	if completeAt == 0 || completeAt > w.Over {
+		t.Errorf("complete at %v", completeAt)
+	}
+}
+
+func TestMachineWhoseTasksAreKeptWaits(t *testing.T) {
+	c := New(upkeepTime)
+	c.Add(0, Wave{Number: 1, Machines: []string{"a"}, Over: 4 * time.Second, Cap: 1})
+	for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
+		for _, a := range c.Step(now, 0, []Machine{{Name: "a", Runs: 1, Kept: true}}) {
+			if _, ok := a.(Order); ok {
+				t.Fatal("ordered")
+			}
+		}
+	}
+}
+
+// TestWavesKeepTheirCap plays answers that are lost, late and refused.
+func TestWavesKeepTheirCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(upkeepTime)
+		limit := rapid.IntRange(1, 3).Draw(t, "cap")
+		names := []string{"a", "b", "c", "d", "e"}
+		c.Add(0, Wave{Number: 7, Machines: names, Over: 30 * time.Second, Cap: limit})
+		downUntil := make(map[string]time.Duration)
+		born := make(map[string]int64)
+		complete := false
+		for now := time.Duration(0); now < 400*time.Second && !complete; now += 200 * time.Millisecond {
+			var known []Machine
+			for _, n := range names {
+				m := Machine{Name: n}
+				if downUntil[n] != 0 && now >= downUntil[n] {
+					m.Born = born[n]
+				}
+				known = append(known, m)
+			}
+			for _, a := range c.Step(now, now.Milliseconds(), known) {
+				switch a := a.(type) {
+				case Order:
+					r := Result(rapid.IntRange(0, 3).Draw(t, "result"))
+					began := r == Begun || (r == Unclear && rapid.Bool().Draw(t, "done"))
+					if began && downUntil[a.Machine] == 0 {
+						away := 0
+						for _, until := range downUntil {
+							if now < until {
+								away++
+							}
+						}
+						if away >= limit {
+							t.Fatalf("%d machines are down already", away)
+						}
+						downUntil[a.Machine] = now + upkeepTime
+						born[a.Machine] = downUntil[a.Machine].Milliseconds()
+					}
+					if r == Gone && downUntil[a.Machine] != 0 {
+						r = Begun // a machine that has begun is known
+					}
+					c.Answered(now, a, r)
+				case Report:
+					complete = a.Complete
+				}
+			}
+		}
+		if !complete {
+			t.Fatal("never complete")
+		}
+	})
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/upkeep"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/link"
@@ -28,6 +29,12 @@
 	Policies   external.Topic
 	PolicyKey  string
 	WorkerList external.Topic
+	// Machines orders upkeep; nil where there is none. DecodeWave and EncodeWave
+	// read and write the records about it, WaveStatus is where they go.
+	Machines   external.Machines
+	WaveStatus external.Topic
+	DecodeWave func(external.Record) (w upkeep.Wave, ok bool, err error)
+	EncodeWave func(upkeep.Report) (external.Record, error)
 	// DecodePolicy and DecodeWorker read the records of those topics.
 	DecodePolicy func([]byte) (*job.Policy, error)
 	DecodeWorker func(external.Record) (external.Worker, error)
@@ -53,6 +60,9 @@
 	log     external.Log
 	members members
 
+	waveMu sync.Mutex
+	waves  map[int64]upkeep.Wave
+
 	work    context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -45,7 +45,8 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Add(2)
+	wg.Add(3)
+	go func() { defer wg.Done(); o.keepUp() }()
 	go func() { defer wg.Done(); o.followJobs(from.jobs) }()
 	go func() { defer wg.Done(); o.followWorkers(from.workers) }()
 	wg.Wait()
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -29,6 +29,9 @@
 		if r.Key == i.PolicyKey && len(r.Value) > 0 {
 			i.takePolicy(r.Value, "store")
 		}
+		if i.DecodeWave != nil {
+			i.takeWave(r)
+		}
 	}
 }
 
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -21,6 +21,8 @@
 	Peers []string
 	Term  term.Settings
 	Cell  cell.Settings
+	// UpkeepTime is how long a machine's upkeep takes.
+	UpkeepTime time.Duration
 }
 
 // Times of calls. A caller's own deadline goes first where it is shorter.
--- /dev/null
+++ b/internal/instance/upkeep.go
@@ -0,0 +1,150 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"coltsfootmux/internal/core/upkeep"
+	"coltsfootmux/internal/external"
+)
+
+const (
+	// upkeepEvery is how often waves are looked at.
+	upkeepEvery = 200 * time.Millisecond
+	// upkeepTime bounds an order to a machine.
+	upkeepTime = 2 * time.Second
+)
+
+// takeWave keeps a wave that operators asked for.
+func (i *Instance) takeWave(r external.Record) {
+	w, ok, err := i.DecodeWave(r)
+	switch {
+	case !ok:
+		return
+	case err != nil:
+		evRecordBad.Log(i.work, i.logger, slog.String("key", r.Key), slog.Any("error", err))
+		return
+	}
+	i.waveMu.Lock()
+	defer i.waveMu.Unlock()
+	if i.waves == nil {
+		i.waves = make(map[int64]upkeep.Wave)
+	}
+	if _, known := i.waves[w.Number]; !known {
+		evWave.Log(i.work, i.logger, slog.Int64("wave", w.Number), slog.Int("machines", len(w.Machines)),
+			slog.Duration("over", w.Over), slog.Int("cap", w.Cap))
+	}
+	i.waves[w.Number] = w
+}
+
+func (i *Instance) knownWaves() []upkeep.Wave {
+	i.waveMu.Lock()
+	defer i.waveMu.Unlock()
+	var out []upkeep.Wave
+	for _, w := range i.waves {
+		out = append(out, w)
+	}
+	return out
+}
+
+// keepUp sees to the waves while the term is owned. A new owner orders every
+// machine of a wave anew; the platform answers for those that had their upkeep.
+func (o *owner) keepUp() {
+	if o.inst.Machines == nil {
+		return
+	}
+	core := upkeep.New(o.inst.Settings.UpkeepTime)
+	answers := make(chan func())
+	t := time.NewTicker(upkeepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case take := <-answers:
+			take()
+			continue
+		case <-t.C:
+		}
+		for _, w := range o.inst.knownWaves() {
+			core.Add(boottime(), w)
+		}
+		if !core.Open() {
+			continue
+		}
+		now := instant()
+		for _, a := range core.Step(now.Mono, now.UnixMS, o.machines()) {
+			o.doUpkeep(core, a, answers)
+		}
+	}
+}
+
+func (o *owner) machines() []upkeep.Machine {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil {
+		return nil
+	}
+	return o.core.Machines()
+}
+
+func (o *owner) doUpkeep(core *upkeep.Core, a upkeep.Action, answers chan<- func()) {
+	switch a := a.(type) {
+	case upkeep.Order:
+		o.inst.goRun(func(context.Context) {
+			r := o.orderUpkeep(a)
+			select {
+			case answers <- func() { core.Answered(boottime(), a, r) }:
+			case <-o.ctx.Done():
+			}
+		})
+	case upkeep.Report:
+		o.inst.goRun(func(context.Context) { o.reportWave(a) })
+	}
+}
+
+func (o *owner) orderUpkeep(a upkeep.Order) upkeep.Result {
+	ctx, cancel := context.WithTimeout(o.ctx, upkeepTime)
+	defer cancel()
+	r, err := o.inst.Machines.Upkeep(ctx, external.UpkeepOrder{
+		Machine: a.Machine, Wave: a.Wave, Holder: o.inst.Settings.Name, Fence: o.term,
+	})
+	evUpkeep.Log(o.ctx, o.inst.logger, slog.String("machine", a.Machine), slog.Int64("wave", a.Wave),
+		slog.Int("result", int(r)), slog.Any("error", err))
+	switch {
+	case errors.Is(err, external.ErrFenced):
+		o.deposed()
+		return upkeep.Busy
+	case errors.Is(err, external.ErrNotDone):
+		return upkeep.Busy
+	case err != nil:
+		return upkeep.Unclear
+	case r == external.UpkeepBegun:
+		return upkeep.Begun
+	case r == external.UpkeepGone:
+		return upkeep.Gone
+	default:
+		return upkeep.Busy
+	}
+}
+
+// reportWave tells operators how far a wave is, until the store has it.
+func (o *owner) reportWave(r upkeep.Report) {
+	rec, err := o.inst.EncodeWave(r)
+	if err != nil {
+		evUpkeep.Log(o.ctx, o.inst.logger, slog.Int64("wave", r.Wave), slog.Any("error", err))
+		return
+	}
+	for o.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, appendTry)
+		_, err := o.inst.log.Append(ctx, external.Append{Topic: o.inst.WaveStatus, Records: []external.Record{rec}})
+		cancel()
+		if err == nil {
+			evWaveTold.Log(o.ctx, o.inst.logger, slog.Int64("wave", r.Wave), slog.Bool("complete", r.Complete))
+			return
+		}
+		sleep(o.ctx, persistRetry)
+	}
+}
