--- a/internal/instance/follower.go
+++ b/internal/instance/follower.go
@@ -46,7 +46,9 @@
 		began := time.Now()
 		if err := f.once(ctx); err != nil && ctx.Err() == nil {
 			f.onError(err)
-			sleep(ctx, readRetry)
+			if !errors.Is(err, context.Canceled) {
+				sleep(ctx, readRetry)
+			}
 			continue
 		}
 		sleep(ctx, f.pace-time.Since(began))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -106,6 +106,7 @@
 	i.goRun(i.tick)
 	i.goRun(i.askPeersForPolicy)
 	i.goRun(i.followMembers)
+	i.goRun(i.probeStore)
 	<-ctx.Done()
 	evStopping.Log(ctx, i.logger)
 	i.stop.Store(true)
@@ -131,6 +132,14 @@
 	}()
 }
 
+// probeStore finds out soon when a lost store is back.
+func (i *Instance) probeStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		i.store.probe(ctx, topicTerm)
+		sleep(ctx, probeEvery)
+	}
+}
+
 // Ready says whether callers should be sent here.
 func (i *Instance) Ready() bool { return !i.stop.Load() && i.policy.Load() != nil }
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -101,6 +101,25 @@
 	}
 }
 
+// TestSilentStoreIsFoundAtOnceWhenItIsBack: reads that the store had forgotten
+// kept the instance waiting for seconds.
+func TestSilentStoreIsFoundAtOnceWhenItIsBack(t *testing.T) {
+	r := newRig(t, 1)
+	r.nodes[0].way.long = true
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.store.SetFault(store.Fault{Silent: true})
+	i := r.nodes[0].inst
+	r.wait("the loss noticed", func() bool { return !i.store.answers() })
+	time.Sleep(300 * time.Millisecond)
+	r.store.SetFault(store.Fault{})
+	r.store.Put(testPolicies, "policy", []byte("5"))
+	began := time.Now()
+	r.wait("the policy", func() bool { return i.policyVersion() == 5 })
+	if took := time.Since(began); took > 1200*time.Millisecond {
+		t.Errorf("took %v", took)
+	}
+}
+
 func TestLostAnswersLeaveOneJob(t *testing.T) {
 	r := newRig(t, 1)
 	r.wait("an owner", func() bool { return r.owner() != nil })
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -41,6 +41,8 @@
 type way struct {
 	external.Log
 	cut chan struct{}
+	// long lets reads wait as long as they ask for.
+	long bool
 }
 
 func (w *way) Append(ctx context.Context, a external.Append) (int64, error) {
@@ -54,6 +56,9 @@
 	if w.isCut() {
 		return external.Page{}, eris.Wrap(external.ErrNotDone, "turned away")
 	}
+	if w.long {
+		return w.Log.Read(ctx, t, from, wait)
+	}
 	return w.Log.Read(ctx, t, from, min(wait, 100*time.Millisecond))
 }
 
