Move stalled runs sooner

A run may stand still for 0.4 of its estimate, 1.2 s to 4 s; workers with urgent work are listed each 0.9 s at least; a gang that stood still keeps off all its workers.

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -220,6 +220,26 @@
 	}
 }
 
+func TestStalledGangIsMovedSoon(t *testing.T) {
+	w := newWorld(t, 16, 6)
+	w.fleet = fleet.New(func(job.TaskID, int64) (time.Duration, bool) { return 2 * time.Second, false })
+	for n := range 6 {
+		w.fleet.Add(machine(n))
+	}
+	w.machine(0).Mode = fleet.Hanging
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	j := single("j", 3)
+	j.Queue.Priority, j.Steps[0].GPU, j.Steps[0].Gang, j.Steps[0].EstimateMS, j.Steps[0].Checkpoints = 0, 8, true, 2000, false
+	w.submit(j)
+	began := w.now
+	w.settle(60 * time.Second)
+	w.check()
+	if took := w.now - began; took > 6500*time.Millisecond {
+		t.Errorf("took %v", took)
+	}
+}
+
 func TestRunsOnASlowWorkerAreMoved(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		w := newWorld(t, 15, 6)
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -29,6 +29,9 @@
 		if !w.fenced || w.holdFails > 0 || len(w.runs) == 0 {
 			wait = 0
 		}
+		if w.isUrgent() {
+			wait = min(wait, holdWaitUrgent)
+		}
 		if w.isShared() {
 			wait = min(wait, paceHold)
 		}
@@ -118,7 +121,7 @@
 	}
 	c.answered(w, ev.Issue, ev.Lists)
 	c.takeEnds(w, ev.Lists.Ended)
-	c.takeRunning(w, ev.Issue, ev.Lists.Running)
+	c.takeRunning(w, ev.Lists.Running)
 	c.takeMissing(w, ev.Issue, ev.Lists)
 	c.pace(w)
 }
@@ -229,7 +232,7 @@
 }
 
 // takeRunning takes in what runs on a worker.
-func (c *Core) takeRunning(w *worker, issue int64, rows []external.Running) {
+func (c *Core) takeRunning(w *worker, rows []external.Running) {
 	now := c.now.Mono
 	for _, row := range rows {
 		r := w.find(row.Task, row.Run)
@@ -248,7 +251,7 @@
 			r.mark = c.issued
 			r.began = now
 		}
-		c.checkRun(r, issue)
+		c.checkRun(r)
 	}
 }
 
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
 )
 
 // start orders a unit's runs, one on each of the workers given.
@@ -190,17 +191,25 @@
 	}
 }
 
-// checkRun looks at a run that a list shows: stalled ones are moved.
-func (c *Core) checkRun(r *run, _ int64) {
+// checkRun looks at a run that a list shows: stalled ones are moved. Of a gang
+// that stands still it is not known which worker is at fault; it keeps off all.
+func (c *Core) checkRun(r *run) {
 	now := c.now.Mono
-	if r.state != runRunning || r.unit == nil || r.unit.group.step.LongRunning {
+	if r.state != runRunning || r.unit == nil || r.unit.group.step.LongRunning || r.pace < fullPace {
 		return
 	}
-	if now-r.moved < stallTime || r.percent >= 100 {
+	if now-r.moved < stallTime(r.unit.group.step) || r.percent >= 100 {
 		return
 	}
 	r.worker.suspect(now)
-	r.unit.shun(r.worker, now)
+	for _, m := range r.unit.runs {
+		r.unit.shun(m.worker, now)
+	}
 	c.act(WorkerNoted{Worker: r.worker.ID, Note: "suspect: a run makes no progress", Runs: len(r.worker.runs)})
 	c.stop(r, ReasonStalled)
 }
+
+// stallTime gives how long a task may show no progress.
+func stallTime(s *job.Step) time.Duration {
+	return min(max(time.Duration(stallShare*float64(s.Estimate())), stallLeast), stallMost)
+}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -34,6 +34,9 @@
 	// holdWait is the longest wait of a hold's answer for an end; a lease is
 	// renewed at least this often.
 	holdWait = 1800 * time.Millisecond
+	// holdWaitUrgent is the same where work of priority 0 runs, so that a stalled
+	// run is seen soon.
+	holdWaitUrgent = 900 * time.Millisecond
 	// holdRetry lies between two holds of a worker that does not answer.
 	holdRetry = 400 * time.Millisecond
 	// ackPause is how long a hold waits for the progress of the worker's last
@@ -61,8 +64,12 @@
 	earlyFailure = 0.1
 	// shunTime is how long a task is kept off a worker on which it went wrong.
 	shunTime = 8 * time.Second
-	// stallTime is how long a run may show no progress before it is moved.
-	stallTime = 4 * time.Second
+	// stallShare is the part of a task's estimate without any progress after which
+	// its run is moved; stallLeast and stallMost bound it. A percent takes a fifth
+	// of the estimate on a worker that is seven times slower, away from its data.
+	stallShare = 0.4
+	stallLeast = 1200 * time.Millisecond
+	stallMost  = 4 * time.Second
 	// missingLists is how many lists may lack a running task before it counts as over.
 	missingLists = 2
 	// runsPerTerm is the number of run numbers that one term may give a task.
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -97,6 +97,16 @@
 	clear(w.failedJobs)
 }
 
+// isUrgent says whether work of priority 0 runs on the worker.
+func (w *worker) isUrgent() bool {
+	for _, r := range w.runs {
+		if r.unit != nil && r.unit.group.priority() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) hasLabel(l string) bool {
 	for _, have := range w.Labels {
 		if have == l {
