--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -20,13 +20,13 @@
 }
 
 // DefaultSettings gives the times used on the platform: a claim follows the
-// loss of an owner within about two seconds, which leaves most of the shortest
+// loss of an owner within about 1.5 s, which leaves most of the shortest
 // lease (6 s) for taking over what runs.
 func DefaultSettings() Settings {
 	return Settings{
-		Renew: 800 * time.Millisecond,
-		Stale: 2 * time.Second,
-		Grace: 3 * time.Second,
+		Renew: 500 * time.Millisecond,
+		Stale: 1500 * time.Millisecond,
+		Grace: 2500 * time.Millisecond,
 		Retry: 250 * time.Millisecond,
 	}
 }
