--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -65,6 +65,7 @@
 
 	work    context.Context
 	cancel  context.CancelFunc
+	runMu   sync.Mutex
 	running sync.WaitGroup
 }
 
@@ -115,7 +116,9 @@
 
 // Close ends all work.
 func (i *Instance) Close() {
+	i.runMu.Lock()
 	i.cancel()
+	i.runMu.Unlock()
 	_ = i.pool.Close()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -124,7 +127,14 @@
 	evStopped.Log(context.Background(), i.logger)
 }
 
+// goRun runs f beside the rest until it ends; nothing is begun once the instance
+// closes.
 func (i *Instance) goRun(f func(context.Context)) {
+	i.runMu.Lock()
+	defer i.runMu.Unlock()
+	if i.work.Err() != nil {
+		return
+	}
 	i.running.Add(1)
 	go func() {
 		defer i.running.Done()
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -105,7 +105,7 @@
 // kept the instance waiting for seconds.
 func TestSilentStoreIsFoundAtOnceWhenItIsBack(t *testing.T) {
 	r := newRig(t, 1)
-	r.nodes[0].way.long = true
+	r.nodes[0].way.long.Store(true)
 	r.wait("an owner", func() bool { return r.owner() != nil })
 	r.store.SetFault(store.Fault{Silent: true})
 	i := r.nodes[0].inst
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 	external.Log
 	cut chan struct{}
 	// long lets reads wait as long as they ask for.
-	long bool
+	long atomic.Bool
 }
 
 func (w *way) Append(ctx context.Context, a external.Append) (int64, error) {
@@ -56,7 +57,7 @@
 	if w.isCut() {
 		return external.Page{}, eris.Wrap(external.ErrNotDone, "turned away")
 	}
-	if w.long {
+	if w.long.Load() {
 		return w.Log.Read(ctx, t, from, wait)
 	}
 	return w.Log.Read(ctx, t, from, min(wait, 100*time.Millisecond))
