Count the failure of a run once across owners

The owner before had counted a failed run and lost its term before it could acknowledge the end; the next one was shown it again.

Ruled out: a fourth failure that was not listed. The numbers of failed runs are durable now, not their count. The test fails without the change.

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -49,6 +49,33 @@
 	}
 }
 
+// TestFailureIsCountedOnceAcrossOwners: a new owner counted the end of a failed
+// run again that the owner before had counted and not acknowledged yet.
+func TestFailureIsCountedOnceAcrossOwners(t *testing.T) {
+	w := newWorld(t, 17, 4)
+	w.fleet = fleet.New(func(job.TaskID, int64) (time.Duration, bool) { return 300 * time.Millisecond, true })
+	for n := range 4 {
+		w.fleet.Add(machine(n))
+	}
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	w.submit(single("poison", 1))
+	for range 200 {
+		w.run(20 * time.Millisecond)
+		if len(w.progress["poison"].Occurrences) > 0 {
+			break // the first failure is durable and its worker has not been told
+		}
+	}
+	w.current().dead = true
+	w.run(2 * time.Second)
+	w.takeOver()
+	w.settle(40 * time.Second)
+	w.check()
+	if w.fleet.Starts != 3 {
+		t.Errorf("failed after %d runs, want 3", w.fleet.Starts)
+	}
+}
+
 func TestCancelledJobStops(t *testing.T) {
 	w := newWorld(t, 3, 4)
 	w.takeOver()
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -68,14 +68,14 @@
 type unit struct {
 	group *group
 	// index is the task's index; a gang's members are 0 to size-1.
-	index     int
-	size      int
-	state     unitState
-	failures  int
-	saved     string
-	runs      []*run
-	lastRun   int64
-	failedRun int64
+	index int
+	size  int
+	state unitState
+	// failures are the numbers of the runs that failed.
+	failures []int64
+	saved    string
+	runs     []*run
+	lastRun  int64
 	// shunned holds until when the workers on which runs went wrong are left out.
 	shunned   map[external.WorkerID]time.Duration
 	notBefore time.Duration
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -190,14 +190,13 @@
 
 // unitFailed counts one failed run of a unit, once for a gang.
 func (c *Core) unitFailed(u *unit, number int64) {
-	if u.failedRun == number || u.group.step.LongRunning {
+	if slices.Contains(u.failures, number) || u.group.step.LongRunning {
 		return
 	}
-	u.failedRun = number
-	u.failures++
+	u.failures = append(u.failures, number)
 	e := u.entry()
 	c.markDirty(e)
-	if e.outcome == job.Open && u.failures >= max(e.job.Queue.MaxTries, 1) {
+	if e.outcome == job.Open && len(u.failures) >= max(e.job.Queue.MaxTries, 1) {
 		c.finish(e, job.Failed, ReasonFailed)
 	}
 }
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -127,11 +127,11 @@
 				changed = true
 				continue
 			}
-			if u.failures > 0 {
+			if len(u.failures) > 0 {
 				if s.Failures == nil {
-					s.Failures = make(map[int]int)
+					s.Failures = make(map[int][]int64)
 				}
-				s.Failures[u.index] = u.failures
+				s.Failures[u.index] = slices.Clone(u.failures)
 				changed = true
 			}
 			if u.saved != "" {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -32,8 +32,9 @@
 	Step int `cbor:"1,keyasint,omitempty"`
 	// Done holds one bit a task, lowest first.
 	Done []byte `cbor:"2,keyasint,omitempty"`
-	// Failures counts failed runs by task.
-	Failures map[int]int `cbor:"3,keyasint,omitempty"`
+	// Failures holds the numbers of the failed runs by task. A later owner may be
+	// shown the same end again.
+	Failures map[int][]int64 `cbor:"3,keyasint,omitempty"`
 	// Saved holds the latest checkpoint by task.
 	Saved map[int]string `cbor:"4,keyasint,omitempty"`
 }
