Drop a forgotten job's submission before its progress

Found on reading: the order was the other way, so that an owner lost in between would have left a submission without progress, and the next one would have run the job again. A test with a short retention holds it.

--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -86,7 +86,7 @@
 // forgettable drops jobs that ended long enough ago from memory and gives
 // their names, so that their records are dropped too.
 func (c *Core) forgettable() []job.ID {
-	keep := c.settings.Retention + timedRetention
+	keep := c.settings.Retention
 	var out []job.ID
 	c.ended = slices.DeleteFunc(c.ended, func(e *entry) bool {
 		age := time.Duration(c.now.UnixMS-e.endedMS) * time.Millisecond
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -88,6 +88,4 @@
 	// startRate bounds the starts that one pass of placement orders; the rest
 	// follow in the next pass.
 	startRate = 200
-	// timedRetention is added to Retention before a job is forgotten.
-	timedRetention = 30 * time.Second
 )
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -157,6 +157,9 @@
 
 // persist writes progress until the store confirms it or refuses the term.
 func (o *owner) persist(p cell.Persist) {
+	if !o.forget(p.Forget) {
+		p.Forget = nil // their progress stays: a submission without it would run again
+	}
 	records, err := progressRecords(p)
 	if err != nil {
 		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Any("error", err))
@@ -169,7 +172,6 @@
 		err := o.append(records)
 		if err == nil {
 			mCommit.Update((boottime() - began).Seconds())
-			o.forget(p.Forget)
 			evPersisted.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int("jobs", len(p.Progress)),
 				slog.Duration("took", boottime()-began))
 			o.step(cell.Committed{Batch: p.Batch})
@@ -224,12 +226,11 @@
 	return out, nil
 }
 
-// forget drops the submissions and cancellations of jobs whose progress has
-// been dropped. A failure leaves them to the next owner, which finds a
-// submission without progress: they are dropped before the progress is.
-func (o *owner) forget(ids []job.ID) {
+// forget drops the submissions and cancellations of jobs before their progress
+// is dropped, and says whether that is done.
+func (o *owner) forget(ids []job.ID) bool {
 	if len(ids) == 0 {
-		return
+		return true
 	}
 	var records []external.Record
 	for _, id := range ids {
@@ -237,7 +238,9 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
 	defer cancel()
-	if _, err := o.inst.log.Append(ctx, external.Append{Topic: topicJobs, Records: records}); err != nil {
+	_, err := o.inst.log.Append(ctx, external.Append{Topic: topicJobs, Records: records})
+	if err != nil {
 		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int("forgotten", len(ids)), slog.Any("error", err))
 	}
+	return err == nil
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -144,6 +144,37 @@
 	r.wait("cancelled", func() bool { s, err := r.status(r.other(), "j"); return err == nil && s == job.StatusCancelled })
 }
 
+// TestForgottenJobsLeaveNoSubmissionWithoutProgress: the next owner would run
+// such a job again.
+func TestForgottenJobsLeaveNoSubmissionWithoutProgress(t *testing.T) {
+	r := newRig(t, 0)
+	r.retention = 300 * time.Millisecond
+	r.add(0)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.wait("accepted", func() bool { return r.submit(r.nodes[0], "j", 1) == nil })
+	r.wait("complete", r.complete(r.nodes[0], "j"))
+	keys := func(topic external.Topic, key string) bool {
+		p, err := r.store.Newest(t.Context(), topic)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, rec := range p.Records {
+			if rec.Key == key {
+				return true
+			}
+		}
+		return false
+	}
+	r.wait("forgotten", func() bool {
+		progress := keys(topicProgress, "j") // read first: it must go last
+		submission := keys(topicJobs, keySubmission+"j")
+		if submission && !progress {
+			t.Fatal("a submission without progress")
+		}
+		return !submission && !progress
+	})
+}
+
 func TestJunkEntryNamesNoWorkerAndTheOthersHold(t *testing.T) {
 	r := newRig(t, 1)
 	r.store.Put(testWorkers, "junk", []byte{0xff, 0x00})
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -27,6 +27,8 @@
 	store *store.Store
 	fleet *fleet.Live
 	nodes []*node
+	// retention is how long ended jobs are known.
+	retention time.Duration
 }
 
 // node is one instance with its own way to the store.
@@ -96,7 +98,7 @@
 }
 
 func newRig(t *testing.T, instances int) *rig {
-	r := &rig{t: t, store: store.New()}
+	r := &rig{t: t, store: store.New(), retention: time.Minute}
 	r.fleet = fleet.NewLive(func(job.TaskID, int64) (time.Duration, bool) { return 200 * time.Millisecond, false })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -125,7 +127,7 @@
 	}
 	addr := ln.Addr().String()
 	s := Settings{Name: fmt.Sprintf("n%d", n), Life: fmt.Sprintf("n%d/%d", n, len(r.nodes)), LinkAddr: addr, Term: fastTerms(n)}
-	s.Cell = cell.Settings{Lease: 2 * time.Second, StartGrace: 500 * time.Millisecond, Overhang: 500 * time.Millisecond, FarFactor: 3, Retention: time.Minute}
+	s.Cell = cell.Settings{Lease: 2 * time.Second, StartGrace: 500 * time.Millisecond, Overhang: 500 * time.Millisecond, FarFactor: 3, Retention: r.retention}
 	if len(r.nodes) > 0 {
 		s.Peers = []string{r.nodes[0].inst.Settings.LinkAddr}
 	}
