Show an instance on the platform to operators

An operator had the logs and the metrics of an instance, and no view of what it believes now. The overview is read only: the core fills it from its state, the shell hands it out on the metrics address, and coltsfootmuxctl node show, workers and jobs print it.

--- /dev/null
+++ b/internal/core/cell/overview.go
@@ -0,0 +1,85 @@
+package cell
+
+import "coltsfootmux/internal/overview"
+
+// maxJobsShown bounds the jobs of one overview.
+const maxJobsShown = 500
+
+// Overview gives what operators are shown of the cell.
+func (c *Core) Overview() *overview.Cell {
+	out := &overview.Cell{Settled: c.swept()}
+	for _, w := range c.fleet {
+		free := w.room(0)
+		out.Workers = append(out.Workers, overview.Worker{
+			ID: string(w.ID), Pool: w.Pool, Rack: w.Rack, State: c.stateOf(w), Runs: len(w.runs),
+			FreeCPU: free.CPU, FreeMemMB: free.MemMB, FreeGPU: free.GPU,
+		})
+	}
+	for n, e := range c.open {
+		if n == maxJobsShown {
+			out.MoreJobs = len(c.open) - n
+			break
+		}
+		out.Jobs = append(out.Jobs, c.showJob(e))
+	}
+	return out
+}
+
+// stateOf says in a word why a worker is used or not.
+func (c *Core) stateOf(w *worker) string {
+	switch {
+	case !w.listed:
+		return "not listed"
+	case w.holdFails > 0:
+		return "silent"
+	case !w.fenced || !w.rostered:
+		return "new"
+	case w.Draining:
+		return "draining"
+	case c.now.Mono < w.pauseUntil:
+		return "suspect"
+	default:
+		return "usable"
+	}
+}
+
+func (c *Core) showJob(e *entry) overview.Job {
+	j := overview.Job{
+		ID: string(e.job.ID), Queue: e.job.Queue.Name, Account: e.job.Account,
+		Priority: e.job.Queue.Priority, AgeMS: c.now.UnixMS - e.job.SubmittedMS,
+	}
+	reserved, ready := false, false
+	for _, o := range e.occs {
+		for _, g := range o.groups {
+			for _, u := range g.units {
+				switch u.state {
+				case unitActive:
+					j.Running += len(u.runs)
+				case unitWaiting:
+					j.Waiting += u.size
+					ready = ready || g.isReady()
+					reserved = reserved || u.plan != nil
+				}
+			}
+		}
+	}
+	j.Why = c.whyWaits(e, j.Waiting, ready, reserved)
+	return j
+}
+
+func (c *Core) whyWaits(e *entry, waiting int, ready, reserved bool) string {
+	switch {
+	case waiting == 0 && len(e.occs) == 0:
+		return "not due yet"
+	case waiting == 0:
+		return ""
+	case e.inherited && !c.swept():
+		return "workers of the term before have not answered"
+	case !ready:
+		return "earlier steps have not ended"
+	case reserved:
+		return "room is kept and not free yet"
+	default:
+		return "no room"
+	}
+}
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -19,7 +19,7 @@
 		}),
 		Commands: []*cli.Command{
 			configCommand(), exceptionCommand(), drainCommand(), undrainCommand(), workerCommand(),
-			statusCommand(), auditCommand(), cancelCommand(),
+			statusCommand(), auditCommand(), cancelCommand(), nodeCommand(),
 		},
 		// The program's end is left to process.Main.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/internal/ctl/node.go
@@ -0,0 +1,68 @@
+package ctl
+
+import (
+	"context"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/urfave/cli/v3"
+
+	"coltsfootmux/internal/overview"
+)
+
+// pathStatus is where an instance on the platform shows itself, on the address
+// of its metrics.
+const pathStatus = "status"
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name: "node", Usage: "show an instance on the platform; --server is the address of its metrics",
+		Commands: []*cli.Command{
+			{Name: "show", Usage: "the instance, the term and its owner", Action: action(showNode)},
+			{Name: "workers", Usage: "the owned cell's workers, their state and free room", Action: action(showNodeWorkers)},
+			{Name: "jobs", Usage: "the owned cell's open jobs and why they wait", Action: action(showNodeJobs)},
+		},
+	}
+}
+
+func showNode(ctx context.Context, _ *cli.Command, c *Client, p *printer) error {
+	n, err := get[overview.Instance](ctx, c, pathStatus, nil)
+	if err != nil {
+		return err
+	}
+	return p.print(n, table.Row{"instance", "ready", "store", "policy", "policy age", "term", "owner", "owner's address"}, func(t table.Writer) {
+		age := time.Duration(n.PolicyAgeMS) * time.Millisecond
+		t.AppendRow(table.Row{n.Life, n.Ready, n.StoreReachable, n.PolicyVersion, age, n.Term, n.Owner, n.OwnerAddr})
+	})
+}
+
+func showNodeWorkers(ctx context.Context, _ *cli.Command, c *Client, p *printer) error {
+	n, err := get[overview.Instance](ctx, c, pathStatus, nil)
+	if err != nil {
+		return err
+	}
+	if n.Cell == nil {
+		return p.line(n, "%s does not own the cell; ask the instance at %s", n.Name, n.OwnerAddr)
+	}
+	return p.print(n.Cell.Workers, table.Row{"worker", "pool", "rack", "state", "runs", "free cores", "free MB", "free acc"}, func(t table.Writer) {
+		for _, w := range n.Cell.Workers {
+			t.AppendRow(table.Row{w.ID, w.Pool, w.Rack, w.State, w.Runs, float64(w.FreeCPU) / 1000, w.FreeMemMB, w.FreeGPU})
+		}
+	})
+}
+
+func showNodeJobs(ctx context.Context, _ *cli.Command, c *Client, p *printer) error {
+	n, err := get[overview.Instance](ctx, c, pathStatus, nil)
+	if err != nil {
+		return err
+	}
+	if n.Cell == nil {
+		return p.line(n, "%s does not own the cell; ask the instance at %s", n.Name, n.OwnerAddr)
+	}
+	return p.print(n.Cell.Jobs, table.Row{"job", "queue", "account", "priority", "age", "running", "waiting", "why"}, func(t table.Writer) {
+		for _, j := range n.Cell.Jobs {
+			age := time.Duration(j.AgeMS) * time.Millisecond
+			t.AppendRow(table.Row{j.ID, j.Queue, j.Account, j.Priority, age, j.Running, j.Waiting, j.Why})
+		}
+	})
+}
--- /dev/null
+++ b/internal/instance/overview.go
@@ -0,0 +1,23 @@
+package instance
+
+import "coltsfootmux/internal/overview"
+
+// Overview gives what operators are shown of this instance.
+func (i *Instance) Overview() overview.Instance {
+	t := i.newestTerm()
+	out := overview.Instance{
+		Name: i.Settings.Name, Life: i.Settings.Life, Ready: i.Ready(), StoreReachable: i.store.answers(),
+		PolicyVersion: int64(i.policyVersion()), PolicyAgeMS: int64(i.policyAge() * 1000),
+		Term: t.Term, Owner: t.Owner, OwnerAddr: t.Addr,
+	}
+	o := i.owner.Load()
+	if o == nil {
+		return out
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core != nil {
+		out.Cell = o.core.Overview()
+	}
+	return out
+}
