Bound the workers that a new owner asks at once

The one left out first is the next one's turn, so that silent workers don't keep others from being asked.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -21,8 +21,10 @@
 	open    []*entry
 	workers map[external.WorkerID]*worker
 	// fleet holds the workers in the order of their names.
-	fleet   []*worker
-	actions []Action
+	fleet []*worker
+	// holdFirst is the worker to begin with when new ones are asked again.
+	holdFirst external.WorkerID
+	actions   []Action
 	// issued numbers holds.
 	issued int64
 	// batch is the number of the Persist under way, 0 for none.
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"coltsfootmux/internal/external"
@@ -11,7 +12,8 @@
 // hold asks each worker that needs it for its lists.
 func (c *Core) hold() {
 	now := c.now.Mono
-	for _, w := range c.fleet {
+	contacts, leftOut := c.contacts(), false
+	for _, w := range c.holdOrder() {
 		if w.probe && !w.probing {
 			w.probe = false
 			w.probing = true
@@ -24,6 +26,15 @@
 		if c.ackPending(w) {
 			continue
 		}
+		if !w.fenced {
+			if contacts >= maxContacts {
+				if !leftOut {
+					leftOut, c.holdFirst = true, w.ID
+				}
+				continue
+			}
+			contacts++
+		}
 		w.holding = true
 		wait := holdWait
 		if !w.fenced || w.holdFails > 0 || len(w.runs) == 0 {
@@ -37,6 +48,32 @@
 		}
 		c.sendHold(w, wait)
 	}
+	if !leftOut {
+		c.holdFirst = ""
+	}
+}
+
+// contacts counts the workers that are asked for the first time in this term.
+func (c *Core) contacts() int {
+	n := 0
+	for _, w := range c.fleet {
+		if w.holding && !w.fenced {
+			n++
+		}
+	}
+	return n
+}
+
+// holdOrder gives the workers from the one that was left out last, so that
+// silent ones don't keep others from being asked.
+func (c *Core) holdOrder() []*worker {
+	at, _ := slices.BinarySearchFunc(c.fleet, c.holdFirst, func(w *worker, id external.WorkerID) int {
+		return strings.Compare(string(w.ID), string(id))
+	})
+	if at == 0 || at == len(c.fleet) {
+		return c.fleet
+	}
+	return slices.Concat(c.fleet[at:], c.fleet[:at])
 }
 
 // ackPending says whether a hold would do better to wait for a commit: the
