--- /dev/null
+++ b/internal/core/cell/contacts_test.go
@@ -0,0 +1,93 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// takenOver gives an owner that has read a list of workers, and what it asks them.
+func takenOver(workers int) (*Core, []Hold) {
+	c := New(testSettings(), 1, &job.Policy{}, Instant{Mono: time.Second})
+	ev := Loaded{}
+	for n := range workers {
+		ev.Workers = append(ev.Workers, external.Worker{ID: external.WorkerID(fmt.Sprintf("w%04d", n)), Pool: "p"})
+	}
+	return c, holdsIn(c.Step(c.now, ev))
+}
+
+func holdsIn(actions []Action) []Hold {
+	var out []Hold
+	for _, a := range actions {
+		if h, ok := a.(Hold); ok {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// TestNewOwnerAsksWorkersByAndBy: an owner asked 3,000 workers in one step and
+// could not renew its term beside.
+func TestNewOwnerAsksWorkersByAndBy(t *testing.T) {
+	c, asked := takenOver(3000)
+	open, calls := asked, 0
+	for len(open) > 0 {
+		if len(open) > maxContacts {
+			t.Fatalf("%d workers are asked at once", len(open))
+		}
+		h := open[0]
+		calls++
+		c.now.Mono += time.Millisecond
+		answer := Listed{Worker: h.Order.Worker, Issue: h.Issue, Lists: external.Lists{Clock: c.now.Mono}}
+		open = append(open[1:], holdsIn(c.Step(c.now, answer))...)
+	}
+	if !c.swept() || calls != 3000 {
+		t.Errorf("%d workers asked, all heard: %v", calls, c.swept())
+	}
+}
+
+// TestSilentWorkersDoNotKeepOthersFromBeingAsked: the first 200 by name never answer.
+func TestSilentWorkersDoNotKeepOthersFromBeingAsked(t *testing.T) {
+	c, asked := takenOver(400)
+	type call struct {
+		hold Hold
+		at   time.Duration
+	}
+	var open []call
+	add := func(hs []Hold) {
+		for _, h := range hs {
+			after := 10 * time.Millisecond
+			if h.Order.Worker < "w0200" {
+				after = 500 * time.Millisecond
+			}
+			open = append(open, call{hold: h, at: c.now.Mono + after})
+		}
+	}
+	add(asked)
+	heard := make(map[external.WorkerID]bool)
+	for end := c.now.Mono + 4*time.Second; c.now.Mono < end; {
+		c.now.Mono += 5 * time.Millisecond
+		due := open
+		open = nil
+		for _, o := range due {
+			if o.at > c.now.Mono {
+				open = append(open, o)
+				continue
+			}
+			ev := Listed{Worker: o.hold.Order.Worker, Issue: o.hold.Issue, Lists: external.Lists{Clock: c.now.Mono}}
+			if ev.Worker < "w0200" {
+				ev.Failure = FailureUnclear
+			} else {
+				heard[ev.Worker] = true
+			}
+			add(holdsIn(c.Step(c.now, ev)))
+		}
+		add(holdsIn(c.Step(c.now, Tick{})))
+	}
+	if len(heard) != 200 {
+		t.Errorf("%d of 200 workers that answer were heard within 4 s", len(heard))
+	}
+}
