--- a/internal/confsync/setup_test.go
+++ b/internal/confsync/setup_test.go
@@ -79,6 +79,13 @@
 	return out, nil
 }
 
+// addSilent puts hosts on the list that never answer.
+func (g *group) addSilent(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silent += n
+}
+
 // cutLog is a log that one host can be cut off from.
 type cutLog struct {
 	platform.Log
--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -258,7 +258,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 9)
 		defer g.endAll()
-		g.silent = 9
+		g.addSilent(9)
 		g.inForce(g.mustPublish(g.all()[0], "first"))
 		time.Sleep(10 * time.Second)
 		hosts := g.all()
