--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -122,14 +122,19 @@
 func (c *Core) addWorker(w external.Worker) *worker {
 	n := newWorker(w)
 	c.workers[w.ID] = n
-	at, _ := slices.BinarySearchFunc(c.fleet, w.ID, func(o *worker, id external.WorkerID) int {
-		return strings.Compare(string(o.ID), string(id))
-	})
-	c.fleet = slices.Insert(c.fleet, at, n)
+	c.fleet = slices.Insert(c.fleet, c.fleetIndex(w.ID), n)
 	c.rosterDirty = true
 	return n
 }
 
+// fleetIndex gives where a worker stands in the fleet, or would stand.
+func (c *Core) fleetIndex(id external.WorkerID) int {
+	at, _ := slices.BinarySearchFunc(c.fleet, id, func(o *worker, id external.WorkerID) int {
+		return strings.Compare(string(o.ID), string(id))
+	})
+	return at
+}
+
 // dropWorker forgets a worker without runs.
 func (c *Core) dropWorker(w *worker) {
 	delete(c.workers, w.ID)
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"coltsfootmux/internal/external"
@@ -67,9 +66,7 @@
 // holdOrder gives the workers from the one that was left out last, so that
 // silent ones don't keep others from being asked.
 func (c *Core) holdOrder() []*worker {
-	at, _ := slices.BinarySearchFunc(c.fleet, c.holdFirst, func(w *worker, id external.WorkerID) int {
-		return strings.Compare(string(w.ID), string(id))
-	})
+	at := c.fleetIndex(c.holdFirst)
 	if at == 0 || at == len(c.fleet) {
 		return c.fleet
 	}
