Spread submissions and progress over several topics, and keep contact with each

The store had lost the partition of submissions and served others, of terms among them, so that each probe of the terms said 'answers again' and each submission found out anew that its topic was down, and ended in doubt (26 answers 504). Found on the way: while only the partition of terms was down, the owner's peers told it that the store answers them, so it gave the term up and nobody could claim.

An append without an answer keeps its sequence number, as the store would take the next batch under it for a repeat.

--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -12,6 +12,7 @@
 
 // Loaded gives what the store holds at the time of a take-over.
 type Loaded struct {
+	// Jobs may hold a job more than once; the first counts.
 	Jobs     []job.Job
 	Cancels  []job.ID
 	Progress map[job.ID]job.Progress
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -16,6 +16,9 @@
 	c.inherit(e.Roster)
 	for i := range e.Jobs {
 		j := &e.Jobs[i]
+		if c.jobs[j.ID] != nil {
+			continue // submitted more than once
+		}
 		n := c.add(j)
 		n.inherited = true
 		if p, ok := e.Progress[j.ID]; ok {
--- a/internal/core/commit/core.go
+++ b/internal/core/commit/core.go
@@ -16,9 +16,6 @@
 	MaxTries = 12
 )
 
-// Own is the route over this process's own connection; routes from 1 on are peers.
-const Own = 0
-
 // Result is what became of a try.
 type Result int
 
@@ -44,7 +41,7 @@
 // Try makes a try over a route.
 type Try struct {
 	Try   int
-	Route int
+	Route Route
 }
 
 // End ends the record's way. No try's answer matters any more.
@@ -54,7 +51,7 @@
 func (End) action() {}
 
 type try struct {
-	route   int
+	route   Route
 	pending bool
 }
 
@@ -62,7 +59,7 @@
 type Core struct {
 	deadline time.Duration
 	// routes are those that may be used, best first.
-	routes []int
+	routes []Route
 	next   int
 	tries  []try
 	// doubt says that some try has ended unclear.
@@ -73,18 +70,9 @@
 	ended   bool
 }
 
-// New makes the way of a record that has time until deadline. The own route
-// comes first while the store answers this process, and is left out while it
-// does not and there are peers.
-func New(deadline time.Duration, storeAnswers bool, peers int) *Core {
-	c := &Core{deadline: deadline}
-	if storeAnswers || peers == 0 {
-		c.routes = append(c.routes, Own)
-	}
-	for p := 1; p <= peers; p++ {
-		c.routes = append(c.routes, p)
-	}
-	return c
+// New makes the way of a record that has time until deadline.
+func New(deadline time.Duration, w Ways) *Core {
+	return &Core{deadline: deadline, routes: w.routes()}
 }
 
 // Start makes the first try.
--- a/internal/core/commit/core_test.go
+++ b/internal/core/commit/core_test.go
@@ -1,6 +1,7 @@
 package commit
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // route gives the route of the only try among the actions.
-func route(t *testing.T, as []Action) int {
+func route(t *testing.T, as []Action) Route {
 	t.Helper()
 	if len(as) != 1 {
 		t.Fatalf("actions %v, want one try", as)
@@ -32,9 +33,9 @@
 }
 
 func TestRefusedByStoreAndPeersEndsAtOnce(t *testing.T) {
-	c := New(deadline, true, 2)
-	if r := route(t, c.Start(0)); r != Own {
-		t.Fatalf("first route %d", r)
+	c := New(deadline, Ways{Topics: []int{0}, Own: []int{0}, Peers: 2})
+	if r := route(t, c.Start(0)); r.Peer != Own {
+		t.Fatalf("first route %+v", r)
 	}
 	route(t, c.Step(ms(10), Answer{Try: 0, Result: Refused}))
 	route(t, c.Step(ms(20), Answer{Try: 1, Result: Refused}))
@@ -42,27 +43,27 @@
 }
 
 func TestStoreThatTurnsThisProcessAwayIsReachedOverAPeer(t *testing.T) {
-	c := New(deadline, false, 2)
-	if r := route(t, c.Start(0)); r != 1 {
-		t.Fatalf("first route %d", r)
+	c := New(deadline, Ways{Topics: []int{0}, Peers: 2})
+	if r := route(t, c.Start(0)); r.Peer != 1 {
+		t.Fatalf("first route %+v", r)
 	}
 	wantEnd(t, c.Step(ms(60), Answer{Try: 0, Result: Done}), Done)
 }
 
 func TestUnansweredTryIsRepeatedWhileItIsOpen(t *testing.T) {
-	c := New(deadline, true, 1)
+	c := New(deadline, Ways{Topics: []int{0}, Own: []int{0}, Peers: 1})
 	c.Start(0)
 	if as := c.Wake(ms(100)); as != nil {
 		t.Fatalf("woke early: %v", as)
 	}
-	if r := route(t, c.Wake(HedgeAfter)); r != 1 {
-		t.Fatalf("second route %d", r)
+	if r := route(t, c.Wake(HedgeAfter)); r.Peer != 1 {
+		t.Fatalf("second route %+v", r)
 	}
 	wantEnd(t, c.Step(ms(500), Answer{Try: 0, Result: Done}), Done)
 }
 
 func TestRefusalsAfterADoubtAreNotTheLastWord(t *testing.T) {
-	c := New(deadline, true, 0)
+	c := New(deadline, Ways{Topics: []int{0}, Own: []int{0}, Peers: 0})
 	c.Start(0)
 	route(t, c.Step(ms(10), Answer{Try: 0, Result: Unclear}))
 	if as := c.Step(ms(20), Answer{Try: 1, Result: Refused}); as != nil {
@@ -73,17 +74,19 @@
 }
 
 func TestNoTryIsCutOffByTheDeadline(t *testing.T) {
-	c := New(ms(400), true, 0)
+	c := New(ms(400), Ways{Topics: []int{0}, Own: []int{0}, Peers: 0})
 	c.Start(0)
 	wantEnd(t, c.Step(ms(200), Answer{Try: 0, Result: Refused}), Refused)
-	c = New(ms(400), true, 1)
+	c = New(ms(400), Ways{Topics: []int{0}, Own: []int{0}, Peers: 1})
 	c.Start(0)
 	wantEnd(t, c.Step(ms(200), Answer{Try: 0, Result: Refused}), Refused)
 }
 
 func TestRefusedMeansThatNoTryCanHaveWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := New(deadline, rapid.Bool().Draw(t, "store"), rapid.IntRange(0, 3).Draw(t, "peers"))
+		w := Ways{Topics: []int{2, 0, 1}, Peers: rapid.IntRange(0, 3).Draw(t, "peers")}
+		w.Own = w.Topics[:rapid.IntRange(0, 3).Draw(t, "own")]
+		c := New(deadline, w)
 		open := []int{}
 		may, written := false, false
 		var result *Result
@@ -127,3 +130,33 @@
 		}
 	})
 }
+
+func TestRoutesDifferFromOneToTheNext(t *testing.T) {
+	for name, c := range map[string]struct {
+		ways Ways
+		want []Route
+	}{
+		"all topics served": {
+			Ways{Topics: []int{2, 0, 1}, Own: []int{2, 0, 1}, Peers: 2},
+			[]Route{{Own, 2}, {1, 0}, {Own, 0}, {2, 1}, {Own, 1}},
+		},
+		"a topic is lost": {
+			Ways{Topics: []int{2, 0, 1}, Own: []int{0, 1}, Peers: 1},
+			[]Route{{Own, 0}, {1, 1}, {Own, 1}},
+		},
+		"the store is lost to this process": {
+			Ways{Topics: []int{2, 0, 1}, Peers: 3},
+			[]Route{{1, 2}, {2, 0}, {3, 1}},
+		},
+		"lost and alone": {
+			Ways{Topics: []int{1, 0}},
+			[]Route{{Own, 1}, {Own, 0}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := c.ways.routes(); !slices.Equal(got, c.want) {
+				t.Errorf("routes %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/commit/route.go
@@ -0,0 +1,44 @@
+package commit
+
+// Own is the peer of routes over this process's own connection.
+const Own = 0
+
+// Route is one way into the store.
+type Route struct {
+	// Peer is the peer that makes the append, from 1 on, or Own.
+	Peer int
+	// Topic is the number of the topic that the record goes to.
+	Topic int
+}
+
+// Ways are what the routes of a record are made of.
+type Ways struct {
+	// Topics are the topics that may take the record, best first; at least one.
+	Topics []int
+	// Own are those of them in which the store serves this process, in the same order.
+	Own   []int
+	Peers int
+}
+
+// routes gives the routes in the order in which they are tried. Each differs
+// from the one before in both parts where it can: partitions of the store are
+// lost apart, and so are machines' paths to it.
+func (w Ways) routes() []Route {
+	own, topics, first := w.Own, w.Own, 1
+	if len(own) == 0 {
+		topics, first = w.Topics, 0
+	}
+	if len(own) == 0 && w.Peers == 0 {
+		own = w.Topics
+	}
+	var out []Route
+	for n := range max(len(own), w.Peers) {
+		if n < len(own) {
+			out = append(out, Route{Peer: Own, Topic: own[n]})
+		}
+		if n < w.Peers {
+			out = append(out, Route{Peer: n + 1, Topic: topics[(n+first)%len(topics)]})
+		}
+	}
+	return out
+}
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -157,67 +157,50 @@
 
 // persist writes progress until the store confirms it or refuses the term.
 func (o *owner) persist(p cell.Persist) {
-	if !o.forget(p.Forget) {
-		p.Forget = nil // their progress stays: a submission without it would run again
-	}
-	records, err := progressRecords(p)
+	forgotten := o.forget(p.Forget)
+	records, err := progressRecords(stamp{Term: o.term, Batch: p.Batch}, p)
 	if err != nil {
 		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Any("error", err))
 		o.deposed()
 		return
 	}
-	o.seq++ // one batch is under way at a time
 	began := boottime()
 	for o.ctx.Err() == nil {
-		err := o.append(records)
+		err := o.progress.write(o.ctx, p.Batch, records)
 		if err == nil {
-			mCommit.Update((boottime() - began).Seconds())
-			evPersisted.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int("jobs", len(p.Progress)),
-				slog.Duration("took", boottime()-began))
-			o.step(cell.Committed{Batch: p.Batch})
-			return
+			break
 		}
-		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int64("seq", o.seq), slog.Any("error", err))
+		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Any("error", err))
 		if errors.Is(err, external.ErrFenced) {
 			o.deposed()
 			return
 		}
 		sleep(o.ctx, persistRetry)
 	}
-}
-
-func (o *owner) append(records []external.Record) error {
-	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
-	defer cancel()
-	_, err := o.inst.log.Append(ctx, external.Append{
-		Topic: topicProgress, Records: records,
-		Producer: &external.Producer{Name: producerOwner, Epoch: o.term, Seq: o.seq},
-	})
-	var gap *external.SequenceError
-	if !errors.As(err, &gap) {
-		return err
+	if forgotten {
+		o.dropProgress(p)
 	}
-	if gap.Expected == o.seq+1 {
-		return nil // this very append has been carried out before
+	if o.ctx.Err() != nil {
+		return
 	}
-	o.seq = gap.Expected
-	return err
+	mCommit.Update((boottime() - began).Seconds())
+	evPersisted.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int("jobs", len(p.Progress)),
+		slog.Duration("took", boottime()-began))
+	o.step(cell.Committed{Batch: p.Batch})
 }
 
-func progressRecords(p cell.Persist) ([]external.Record, error) {
+// progressRecords gives the records of a batch.
+func progressRecords(s stamp, p cell.Persist) ([]external.Record, error) {
 	var out []external.Record
 	for _, j := range p.Progress {
-		v, err := encode(j.Progress)
+		v, err := encode(progressRecord{Stamp: s, Progress: j.Progress})
 		if err != nil {
 			return nil, err
 		}
 		out = append(out, external.Record{Key: string(j.ID), Value: v})
 	}
-	for _, id := range p.Forget {
-		out = append(out, external.Record{Key: string(id)})
-	}
 	if p.Roster != nil {
-		v, err := encode(p.Roster)
+		v, err := encode(rosterRecord{Stamp: s, Workers: p.Roster})
 		if err != nil {
 			return nil, err
 		}
@@ -225,22 +208,3 @@
 	}
 	return out, nil
 }
-
-// forget drops the submissions and cancellations of jobs before their progress
-// is dropped, and says whether that is done.
-func (o *owner) forget(ids []job.ID) bool {
-	if len(ids) == 0 {
-		return true
-	}
-	var records []external.Record
-	for _, id := range ids {
-		records = append(records, external.Record{Key: keySubmission + string(id)}, external.Record{Key: keyCancellation + string(id)})
-	}
-	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
-	defer cancel()
-	_, err := o.inst.log.Append(ctx, external.Append{Topic: topicJobs, Records: records})
-	if err != nil {
-		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int("forgotten", len(ids)), slog.Any("error", err))
-	}
-	return err == nil
-}
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -65,7 +67,7 @@
 		return eris.Wrap(job.ErrInvalid, err.Error())
 	}
 	began := boottime()
-	err = i.write(ctx, external.Record{Key: keySubmission + string(j.ID), Value: value})
+	err = i.write(ctx, j.ID, external.Record{Key: keySubmission + string(j.ID), Value: value})
 	took := slog.Duration("took", boottime()-began)
 	switch {
 	case err == nil:
@@ -90,7 +92,7 @@
 // Cancel ends a job; the cancellation is durable when it returns without an
 // error. Errors: ErrNotRun when nothing was done, ErrUnclear.
 func (i *Instance) Cancel(ctx context.Context, id job.ID) error {
-	err := i.write(ctx, external.Record{Key: keyCancellation + string(id), Value: []byte{1}})
+	err := i.write(ctx, id, external.Record{Key: keyCancellation + string(id), Value: []byte{1}})
 	if err != nil {
 		mUnclear.Inc()
 		evUnclear.Log(ctx, i.logger, slog.String("cancel", string(id)), slog.Any("error", err))
@@ -153,4 +155,7 @@
 }
 
 // fresh says whether submissions have been read to their end lately.
-func (o *owner) fresh() bool { return boottime()-o.jobsRead.Mono < freshJobs }
+func (o *owner) fresh() bool {
+	now := boottime()
+	return !slices.ContainsFunc(o.jobsRead, func(at time.Duration) bool { return now-at >= freshJobs })
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -79,7 +79,7 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{Options: o, logger: o.Logger, term: term.New(s.Term, s.Life, s.LinkAddr)}
-	i.store = &storeWatch{Log: o.Log, changed: i.storeChanged}
+	i.store = newStoreWatch(o.Log, append(slices.Clone(topicsJobs), topicTerm), i.storeChanged)
 	i.log = i.store
 	i.members.silent = make(map[string]time.Duration)
 	i.members.set(slices.Clone(s.Peers), s.LinkAddr)
@@ -107,7 +107,7 @@
 	i.goRun(i.tick)
 	i.goRun(i.askPeersForPolicy)
 	i.goRun(i.followMembers)
-	i.goRun(i.probeStore)
+	i.goRun(i.store.keepProbing)
 	<-ctx.Done()
 	evStopping.Log(ctx, i.logger)
 	i.stop.Store(true)
@@ -142,14 +142,6 @@
 	}()
 }
 
-// probeStore finds out soon when a lost store is back.
-func (i *Instance) probeStore(ctx context.Context) {
-	for ctx.Err() == nil {
-		i.store.probe(ctx, topicTerm)
-		sleep(ctx, probeEvery)
-	}
-}
-
 // Ready says whether callers should be sent here.
 func (i *Instance) Ready() bool { return !i.stop.Load() && i.policy.Load() != nil }
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -59,7 +59,7 @@
 	cut := r.other()
 	r.wait("peers known", func() bool { return len(cut.inst.peers()) > 0 })
 	close(cut.way.cut)
-	r.wait("the loss noticed", func() bool { return !cut.inst.store.answers() })
+	r.wait("the loss noticed", func() bool { return !cut.inst.store.reachable() })
 	if err := r.submit(cut, "over", 2); err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 	r.wait("an owner", func() bool { return r.owner() != nil })
 	r.store.SetFault(store.Fault{Down: true})
 	for _, n := range r.nodes {
-		r.wait("the loss noticed", func() bool { return !n.inst.store.answers() })
+		r.wait("the loss noticed", func() bool { return !n.inst.store.reachable() })
 	}
 	began := time.Now()
 	if err := r.submit(r.nodes[0], "refused", 1); !errors.Is(err, ErrNotRun) {
@@ -109,7 +109,7 @@
 	r.wait("an owner", func() bool { return r.owner() != nil })
 	r.store.SetFault(store.Fault{Silent: true})
 	i := r.nodes[0].inst
-	r.wait("the loss noticed", func() bool { return !i.store.answers() })
+	r.wait("the loss noticed", func() bool { return !i.store.reachable() })
 	time.Sleep(300 * time.Millisecond)
 	r.store.SetFault(store.Fault{})
 	r.store.Put(testPolicies, "policy", []byte("5"))
@@ -166,8 +166,8 @@
 		return false
 	}
 	r.wait("forgotten", func() bool {
-		progress := keys(topicProgress, "j") // read first: it must go last
-		submission := keys(topicJobs, keySubmission+"j")
+		progress := keys(topicsProgress[0], "j") // read first: it must go last
+		submission := keys(topicsJobs[topicOrder("j")[0]], keySubmission+"j")
 		if submission && !progress {
 			t.Fatal("a submission without progress")
 		}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -48,7 +48,7 @@
 func init() {
 	gauge("coltsfootmux_policy_version", "version", "version of the policy in force", (*Instance).policyVersion)
 	gauge("coltsfootmux_policy_age_seconds", "seconds", "time since the policy was last read from the store", (*Instance).policyAge)
-	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process", (*Instance).storeReachable)
+	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process for any topic", (*Instance).storeReachable)
 	gauge("coltsfootmux_term_owned", "term", "the term that this process owns, 0 for none", (*Instance).termOwned)
 	gauge("coltsfootmux_open_jobs", "jobs", "jobs of the owned cell that have not ended", func(i *Instance) float64 { return float64(i.load().OpenJobs) })
 	gauge("coltsfootmux_waiting_units", "tasks", "tasks and gangs of the owned cell that wait", func(i *Instance) float64 { return float64(i.load().Waiting) })
@@ -69,7 +69,7 @@
 }
 
 func (i *Instance) storeReachable() float64 {
-	if i.store.answers() {
+	if i.store.reachable() {
 		return 1
 	}
 	return 0
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -10,6 +10,7 @@
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
 )
 
 // owner owns the cell for one term.
@@ -21,15 +22,21 @@
 
 	mu   sync.Mutex
 	core *cell.Core
-	// jobsRead is when submissions were last read to their end.
-	jobsRead cell.Instant
-	seq      int64
+	// jobsRead is when each topic of submissions was last read to its end.
+	jobsRead []time.Duration
+	// where has a bit for each topic of submissions that holds a job's records.
+	where    map[job.ID]uint8
+	progress *progressWriter
 	// stepped is the boot time of the last step.
 	stepped atomic.Int64
 }
 
 func newOwner(i *Instance, t int64) *owner {
-	o := &owner{inst: i, term: t}
+	o := &owner{
+		inst: i, term: t,
+		jobsRead: make([]time.Duration, len(topicsJobs)), where: make(map[job.ID]uint8),
+		progress: newProgressWriter(i.log, i.store.answers, t),
+	}
 	o.stepped.Store(int64(boottime()))
 	o.ctx, o.cancel = context.WithCancel(i.work)
 	return o
@@ -45,10 +52,11 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Add(3)
-	go func() { defer wg.Done(); o.keepUp() }()
-	go func() { defer wg.Done(); o.followJobs(from.jobs) }()
-	go func() { defer wg.Done(); o.followWorkers(from.workers) }()
+	wg.Go(o.keepUp)
+	for n := range topicsJobs {
+		wg.Go(func() { o.followJobs(n, from.jobs[n]) })
+	}
+	wg.Go(func() { o.followWorkers(from.workers) })
 	wg.Wait()
 }
 
@@ -70,38 +78,51 @@
 
 func (o *owner) tick() { o.step(cell.Tick{}) }
 
-func (o *owner) followJobs(from int64) {
+// followJobs follows the submissions and cancellations of topic number n.
+func (o *owner) followJobs(n int, from int64) {
+	take := func(p external.Page) { o.jobRecords(n, p) }
 	f := &follower{
-		log: o.inst.log, topic: topicJobs,
-		reset: o.jobRecords, page: o.jobRecords, failed: ignore,
+		log: o.inst.log, topic: topicsJobs[n],
+		reset: take, page: take, failed: ignore,
 	}
 	f.run(o.ctx, from)
 }
 
-func (o *owner) jobRecords(p external.Page) {
+func (o *owner) jobRecords(n int, p external.Page) {
 	for _, r := range p.Records {
-		o.takeJobRecord(r)
+		o.takeJobRecord(n, r)
 	}
 	o.mu.Lock()
-	o.jobsRead = instant()
+	o.jobsRead[n] = boottime()
 	o.mu.Unlock()
 }
 
-func (o *owner) takeJobRecord(r external.Record) {
+func (o *owner) takeJobRecord(n int, r external.Record) {
 	rec, err := readJobRecord(r)
 	if err != nil {
-		evRecordBad.Log(o.ctx, o.inst.logger, slog.String("topic", string(topicJobs)), slog.String("key", r.Key), slog.Any("error", err))
+		evRecordBad.Log(o.ctx, o.inst.logger, slog.String("topic", string(topicsJobs[n])), slog.String("key", r.Key), slog.Any("error", err))
 		return
 	}
+	o.foundIn(n, rec)
 	switch {
 	case rec.submitted != nil:
-		evSubmitted.Log(o.ctx, o.inst.logger, slog.String("job", string(rec.submitted.ID)), slog.Int64("offset", r.Offset))
+		evSubmitted.Log(o.ctx, o.inst.logger, slog.String("job", string(rec.submitted.ID)),
+			slog.String("topic", string(topicsJobs[n])), slog.Int64("offset", r.Offset))
 		o.step(cell.Submitted{Job: *rec.submitted})
 	case rec.cancelled != "":
 		o.step(cell.CancelRequested{ID: rec.cancelled})
 	}
 }
 
+// foundIn notes that topic number n holds a record of a job.
+func (o *owner) foundIn(n int, rec jobRecord) {
+	if id, ok := rec.id(); ok {
+		o.mu.Lock()
+		o.where[id] |= 1 << n
+		o.mu.Unlock()
+	}
+}
+
 func (o *owner) followWorkers(from int64) {
 	f := &follower{
 		log: o.inst.log, topic: o.inst.WorkerList, pace: workersPace,
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -61,19 +61,21 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		sleep(ctx, policyAge/2)
 		age := boottime() - time.Duration(i.policyRead.Load())
-		if age < readWait+policyAge && i.store.answers() {
+		if age < readWait+policyAge && i.store.answers(i.Policies) {
 			continue
 		}
 		for _, addr := range i.peers() {
-			i.askPolicy(ctx, addr)
+			i.askPolicy(ctx, addr, false)
 		}
 	}
 }
 
-func (i *Instance) askPolicy(ctx context.Context, addr string) (wire.PolicyReply, error) {
+// askPolicy asks a peer for a newer policy, and if told so whether the store
+// serves it terms.
+func (i *Instance) askPolicy(ctx context.Context, addr string, checkStore bool) (wire.PolicyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
-	q := wire.PolicyQuery{}
+	q := wire.PolicyQuery{CheckStore: checkStore}
 	if p := i.policy.Load(); p != nil {
 		q.Version = p.policy.Version
 	}
@@ -91,8 +93,12 @@
 	return r, err
 }
 
-func (i *Instance) onPolicyQuery(_ context.Context, _ link.Peer, q wire.PolicyQuery) (wire.PolicyReply, error) {
-	r := wire.PolicyReply{StoreAnswers: i.store.answers(), Term: i.newestTerm()}
+func (i *Instance) onPolicyQuery(ctx context.Context, _ link.Peer, q wire.PolicyQuery) (wire.PolicyReply, error) {
+	r := wire.PolicyReply{TermsServed: i.store.answers(topicTerm)}
+	if q.CheckStore {
+		r.TermsServed = i.store.check(ctx, topicTerm)
+	}
+	r.Term = i.newestTerm()
 	if p := i.policy.Load(); p != nil {
 		r.Version = p.policy.Version
 		if p.policy.Version > q.Version {
@@ -102,11 +108,11 @@
 	return r, nil
 }
 
-// storeChanged notes that the store is lost to this process or answers again.
-func (i *Instance) storeChanged(answers bool, err error) {
+// storeChanged notes that a topic of the store is lost to this process or answers again.
+func (i *Instance) storeChanged(t external.Topic, answers bool, err error) {
 	if answers {
-		evStoreBack.Log(i.work, i.logger)
+		evStoreBack.Log(i.work, i.logger, slog.String("topic", string(t)))
 		return
 	}
-	evStoreLost.Log(i.work, i.logger, slog.Any("error", err))
+	evStoreLost.Log(i.work, i.logger, slog.String("topic", string(t)), slog.Any("error", err))
 }
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -3,44 +3,70 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"coltsfootmux/internal/external"
 )
 
-// storeLostAfter is how many calls in a row must fail before the store counts
-// as lost to this process; a single lost answer says nothing.
-const storeLostAfter = 2
-
 const (
-	// probeEvery lies between two probes of a store that was lost, probeTime
+	// probeEvery lies between two probes of a topic that was lost, probeTime
 	// bounds one; a slow store still answers in time.
 	probeEvery = 150 * time.Millisecond
 	probeTime  = 500 * time.Millisecond
+	// checkTime bounds a probe made for a peer, of which checkProbes fit into peerTime.
+	checkTime   = 250 * time.Millisecond
+	checkProbes = 2
+	// checkFresh is how long a topic's last answer stands for a probe made for a peer.
+	checkFresh = 400 * time.Millisecond
+	// probeOffset is an offset that no topic reaches, so that a probe's answer
+	// holds no records.
+	probeOffset = math.MaxInt32
 )
 
-// storeWatch passes calls to the store on and keeps whether it answers.
+// storeWatch passes calls to the store on and keeps which topics answer.
 type storeWatch struct {
 	external.Log
-	// changed is told when the store is lost or answers again.
-	changed func(answers bool, err error)
+	// changed is told when a topic is lost or answers again.
+	changed func(t external.Topic, answers bool, err error)
+	// probed are the topics that are probed while they don't answer.
+	probed []external.Topic
 
 	mu       sync.Mutex
-	failures int
-	lost     bool
-	lastOK   time.Duration
-	// reads are those under way. When the store answers again they are given up,
-	// as it may have forgotten them.
+	contacts contacts
+	lastOK   map[external.Topic]time.Duration
+	// reads are those under way. When a topic answers again they are given up, as
+	// the store may have forgotten them.
 	reads map[int]context.CancelFunc
 	next  int
+	// wake has a word when topics are to be probed at once.
+	wake chan struct{}
 }
 
-// answers says whether the store answers this process.
-func (s *storeWatch) answers() bool {
+func newStoreWatch(l external.Log, probed []external.Topic, changed func(external.Topic, bool, error)) *storeWatch {
+	return &storeWatch{
+		Log: l, changed: changed, probed: probed,
+		contacts: make(contacts), lastOK: make(map[external.Topic]time.Duration),
+		reads: make(map[int]context.CancelFunc), wake: make(chan struct{}, 1),
+	}
+}
+
+// answers says whether the store answers this process for a topic.
+func (s *storeWatch) answers(t external.Topic) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.lost && s.lastOK > 0
+	return s.contacts.of(t).contact == contactGood
+}
+
+// reachable says whether the store answers this process for any topic.
+func (s *storeWatch) reachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contacts.reachable()
 }
 
 // Append implements external.Log.
@@ -48,7 +74,7 @@
 	began := boottime()
 	end, err := s.Log.Append(ctx, a)
 	mAppend.Update((boottime() - began).Seconds())
-	s.note(ctx, err)
+	s.note(ctx, a.Topic, err)
 	return end, err
 }
 
@@ -57,7 +83,7 @@
 	inner, done := s.begin(ctx)
 	defer done()
 	p, err := s.Log.Read(inner, t, from, wait)
-	s.note(inner, err)
+	s.note(inner, t, err)
 	return p, err
 }
 
@@ -66,9 +92,6 @@
 	inner, cancel := context.WithCancel(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reads == nil {
-		s.reads = make(map[int]context.CancelFunc)
-	}
 	s.next++
 	n := s.next
 	s.reads[n] = cancel
@@ -80,26 +103,68 @@
 	}
 }
 
-// probe asks a store that was lost for a sign of life over a new call, and says
-// whether it was asked.
-func (s *storeWatch) probe(ctx context.Context, t external.Topic) bool {
-	if s.answers() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTime)
-	defer cancel()
-	_, err := s.Log.Newest(ctx, t)
-	s.note(ctx, err)
-	return true
-}
-
 // Newest implements external.Log.
 func (s *storeWatch) Newest(ctx context.Context, t external.Topic) (external.Page, error) {
 	p, err := s.Log.Newest(ctx, t)
-	s.note(ctx, err)
+	s.note(ctx, t, err)
 	return p, err
 }
 
+// keepProbing probes topics that don't answer until ctx ends.
+func (s *storeWatch) keepProbing(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.probeAll(ctx)
+		t := time.NewTimer(probeEvery)
+		select {
+		case <-ctx.Done():
+		case <-s.wake:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (s *storeWatch) probeAll(ctx context.Context) {
+	var g errgroup.Group
+	for _, t := range s.probed {
+		if !s.answers(t) {
+			g.Go(func() error { s.probe(ctx, t, probeTime); return nil })
+		}
+	}
+	_ = g.Wait() // probes give no errors; what they found is noted
+}
+
+// probe asks for a sign of life over a new call, and says whether one came.
+func (s *storeWatch) probe(ctx context.Context, t external.Topic, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	_, err := s.Log.Read(ctx, t, probeOffset, 0)
+	s.note(ctx, t, err)
+	return !isSilence(err)
+}
+
+// check says whether the store answers for a topic right now; one lost answer
+// says nothing.
+func (s *storeWatch) check(ctx context.Context, t external.Topic) bool {
+	s.mu.Lock()
+	last, ok := s.lastOK[t]
+	s.mu.Unlock()
+	if ok && boottime()-last < checkFresh {
+		return true
+	}
+	for range checkProbes {
+		if s.probe(ctx, t, checkTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSilence says whether an error means that the store did not serve a call.
+func isSilence(err error) bool {
+	return errors.Is(err, external.ErrNotDone) || errors.Is(err, external.ErrUnclear)
+}
+
 // resultName names what became of a call, for metrics.
 func resultName(err error) string {
 	switch {
@@ -116,30 +181,51 @@
 	}
 }
 
-// note counts what a call says about the store. A call that its caller gave up
+// note counts what a call says about its topic. A call that its caller gave up
 // says nothing.
-func (s *storeWatch) note(ctx context.Context, err error) {
+func (s *storeWatch) note(ctx context.Context, t external.Topic, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	failed := errors.Is(err, external.ErrNotDone) || errors.Is(err, external.ErrUnclear)
 	mStore.With(resultName(err)).Inc()
-	s.mu.Lock()
-	was := s.lost
-	if failed {
-		s.failures++
-		s.lost = s.lost || s.failures >= storeLostAfter
-	} else {
-		s.failures, s.lost, s.lastOK = 0, false, boottime()
+	if isSilence(err) {
+		s.noteFailed(t, err)
+		return
 	}
-	now := s.lost
-	if was && !now {
+	s.mu.Lock()
+	back := s.contacts.answered(t)
+	s.lastOK[t] = boottime()
+	if back {
 		for _, giveUp := range s.reads {
 			giveUp()
 		}
 	}
 	s.mu.Unlock()
-	if was != now {
-		s.changed(!now, err)
+	if back {
+		s.changed(t, true, nil)
+	}
+}
+
+func (s *storeWatch) noteFailed(t external.Topic, err error) {
+	s.mu.Lock()
+	lost := s.contacts.failed(t)
+	s.mu.Unlock()
+	if !lost {
+		return
+	}
+	s.changed(t, false, err)
+	select {
+	case s.wake <- struct{}{}:
+	default: // a word is waiting already
 	}
 }
+
+// served gives the numbers of the topics, of those given by number in order, for
+// which the store answers this process.
+func (s *storeWatch) served(topics []external.Topic, order []int) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(order), func(n int) bool {
+		return s.contacts.of(topics[n]).contact != contactGood
+	})
+}
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -12,7 +12,11 @@
 )
 
 // offsets are where an owner goes on reading after it has taken a cell over.
-type offsets struct{ jobs, workers int64 }
+type offsets struct {
+	// jobs holds an offset for each of topicsJobs.
+	jobs    []int64
+	workers int64
+}
 
 // takeOver fences the owner before, reads what is durable and hands it to a new
 // core. It tries until it is done; ok is false when the term ended first.
@@ -40,16 +44,25 @@
 		policy = p.policy
 	}
 	o.core = cell.New(o.inst.Settings.Cell, o.term, policy, instant())
-	o.jobsRead = instant()
+	for n := range o.jobsRead {
+		o.jobsRead[n] = boottime()
+	}
 	o.mu.Unlock()
 	o.step(ev)
 }
 
+// pages are what the store holds at a take-over.
+type pages struct {
+	jobs     []external.Page
+	progress []external.Page
+	workers  external.Page
+}
+
 func (o *owner) load() (at offsets, ev cell.Loaded, err error) {
-	if err := o.fence(); err != nil {
+	if err := o.progress.fence(o.ctx); err != nil {
 		return at, ev, err
 	}
-	var jobs, progress, workers external.Page
+	in := pages{jobs: make([]external.Page, len(topicsJobs)), progress: make([]external.Page, len(topicsProgress))}
 	g, ctx := errgroup.WithContext(o.ctx)
 	read := func(t external.Topic, into *external.Page) {
 		g.Go(func() error {
@@ -60,60 +73,90 @@
 			return err
 		})
 	}
-	read(topicJobs, &jobs)
-	read(topicProgress, &progress)
-	read(o.inst.WorkerList, &workers)
+	for n, t := range topicsJobs {
+		read(t, &in.jobs[n])
+	}
+	for n, t := range topicsProgress {
+		read(t, &in.progress[n])
+	}
+	read(o.inst.WorkerList, &in.workers)
 	if err := g.Wait(); err != nil {
 		return at, ev, err
 	}
-	ev = o.decode(jobs, progress, workers)
-	return offsets{jobs: jobs.End, workers: workers.End}, ev, nil
-}
-
-// fence makes the store refuse progress of every owner before.
-func (o *owner) fence() error {
-	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
-	defer cancel()
-	_, err := o.inst.log.Append(ctx, external.Append{
-		Topic: topicProgress, Producer: &external.Producer{Name: producerOwner, Epoch: o.term},
-	})
-	return err
+	for _, p := range in.jobs {
+		at.jobs = append(at.jobs, p.End)
+	}
+	at.workers = in.workers.End
+	return at, o.decode(in), nil
 }
 
-func (o *owner) decode(jobs, progress, workers external.Page) cell.Loaded {
+func (o *owner) decode(in pages) cell.Loaded {
 	ev := cell.Loaded{Progress: make(map[job.ID]job.Progress)}
-	bad := func(t external.Topic, r external.Record, err error) {
-		evRecordBad.Log(o.ctx, o.inst.logger, slog.String("topic", string(t)), slog.String("key", r.Key), slog.Any("error", err))
+	for n, p := range in.jobs {
+		o.decodeJobs(n, p, &ev)
 	}
-	for _, r := range jobs.Records {
+	o.decodeProgress(in.progress, &ev)
+	o.decodeWorkers(in.workers, &ev)
+	sortBySubmission(ev.Jobs)
+	return ev
+}
+
+func (o *owner) badRecord(t external.Topic, r external.Record, err error) {
+	evRecordBad.Log(o.ctx, o.inst.logger, slog.String("topic", string(t)), slog.String("key", r.Key), slog.Any("error", err))
+}
+
+func (o *owner) decodeJobs(n int, p external.Page, ev *cell.Loaded) {
+	for _, r := range p.Records {
 		rec, err := readJobRecord(r)
+		if err != nil {
+			o.badRecord(topicsJobs[n], r, err)
+			continue
+		}
+		o.foundIn(n, rec)
 		switch {
-		case err != nil:
-			bad(topicJobs, r, err)
 		case rec.submitted != nil:
 			ev.Jobs = append(ev.Jobs, *rec.submitted)
 		case rec.cancelled != "":
 			ev.Cancels = append(ev.Cancels, rec.cancelled)
 		}
 	}
-	for _, r := range progress.Records {
-		if len(r.Value) == 0 {
-			continue
-		}
-		if r.Key == keyRoster {
-			if err := decodeRecord(r.Value, &ev.Roster); err != nil {
-				bad(topicProgress, r, err)
+}
+
+// decodeProgress takes the newest of each key over all topics.
+func (o *owner) decodeProgress(in []external.Page, ev *cell.Loaded) {
+	newest := make(map[job.ID]stamp)
+	var roster rosterRecord
+	for n, p := range in {
+		for _, r := range p.Records {
+			if len(r.Value) == 0 {
+				continue
+			}
+			o.progress.ways[n].holds[r.Key] = true
+			if r.Key == keyRoster {
+				var rec rosterRecord
+				if err := decodeRecord(r.Value, &rec); err != nil {
+					o.badRecord(topicsProgress[n], r, err)
+				} else if rec.Stamp.compare(roster.Stamp) > 0 {
+					roster = rec
+				}
+				continue
+			}
+			var rec progressRecord
+			if err := decodeRecord(r.Value, &rec); err != nil {
+				o.badRecord(topicsProgress[n], r, err)
+				continue
+			}
+			id := job.ID(r.Key)
+			if rec.Stamp.compare(newest[id]) > 0 {
+				newest[id], ev.Progress[id] = rec.Stamp, rec.Progress
 			}
-			continue
-		}
-		var p job.Progress
-		if err := decodeRecord(r.Value, &p); err != nil {
-			bad(topicProgress, r, err)
-			continue
 		}
-		ev.Progress[job.ID(r.Key)] = p
 	}
-	for _, r := range workers.Records {
+	ev.Roster = roster.Workers
+}
+
+func (o *owner) decodeWorkers(p external.Page, ev *cell.Loaded) {
+	for _, r := range p.Records {
 		if len(r.Value) == 0 {
 			continue
 		}
@@ -124,6 +167,4 @@
 		}
 		ev.Workers = append(ev.Workers, w)
 	}
-	sortBySubmission(ev.Jobs)
-	return ev
 }
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
@@ -124,20 +126,26 @@
 	}
 }
 
-// askPeersForStore tells the term's core if no peer can reach the store.
+// askPeersForStore tells the term's core if no peer that answers is served by
+// the store, and at least one answers.
 func (i *Instance) askPeersForStore(ctx context.Context) {
-	asked := 0
+	var asked, served atomic.Int64
+	var wg sync.WaitGroup
 	for _, addr := range i.peers() {
-		r, err := i.askPolicy(ctx, addr)
-		if err != nil {
-			continue
-		}
-		if r.StoreAnswers {
-			return
-		}
-		asked++
+		wg.Go(func() {
+			r, err := i.askPolicy(ctx, addr, true)
+			if err != nil {
+				return
+			}
+			asked.Add(1)
+			if r.TermsServed {
+				served.Add(1)
+			}
+		})
 	}
-	if asked > 0 {
+	wg.Wait()
+	evPeersAsked.Log(ctx, i.logger, slog.Int64("answered", asked.Load()), slog.Int64("served", served.Load()))
+	if asked.Load() > 0 && served.Load() == 0 {
 		i.stepTerm(term.PeersAgree{})
 	}
 }
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -1,21 +1,30 @@
 package instance
 
 import (
+	"cmp"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
 
 // The product's own topics in the store. Each keeps the newest record of a key.
+// Where the store may lose some of its partitions, what must go on is spread
+// over several topics.
+var (
+	// topicsJobs hold submissions and cancellations, written by any instance.
+	topicsJobs = []external.Topic{"keyed.jobs-0", "keyed.jobs-1", "keyed.jobs-2"}
+	// topicsProgress hold the progress of jobs, written by the cell's owner. All
+	// but the first are used only while those before are lost.
+	topicsProgress = []external.Topic{"keyed.progress-0", "keyed.progress-1"}
+)
+
 const (
-	// topicJobs holds submissions and cancellations, written by any instance.
-	topicJobs external.Topic = "keyed.jobs"
-	// topicProgress holds the progress of jobs, written by the cell's owner.
-	topicProgress external.Topic = "keyed.progress"
 	// topicTerm holds the term of the cell.
 	topicTerm external.Topic = "keyed.term"
 
@@ -27,6 +36,39 @@
 	producerOwner = "owner-0"
 )
 
+// topicOrder gives the numbers of the topics for a job's records, best first;
+// jobs are spread evenly.
+func topicOrder(id job.ID) []int {
+	first := int(xxhash.Sum64String(string(id)) % uint64(len(topicsJobs)))
+	order := make([]int, 0, len(topicsJobs))
+	for n := range topicsJobs {
+		order = append(order, (first+n)%len(topicsJobs))
+	}
+	return order
+}
+
+// stamp orders an owner's records of one key over several topics.
+type stamp struct {
+	Term  int64 `cbor:"1,keyasint"`
+	Batch int64 `cbor:"2,keyasint"`
+}
+
+func (s stamp) compare(o stamp) int {
+	return cmp.Or(cmp.Compare(s.Term, o.Term), cmp.Compare(s.Batch, o.Batch))
+}
+
+// progressRecord is a job's progress as it is kept.
+type progressRecord struct {
+	Stamp    stamp        `cbor:"1,keyasint"`
+	Progress job.Progress `cbor:"2,keyasint"`
+}
+
+// rosterRecord is the list of workers in use as it is kept.
+type rosterRecord struct {
+	Stamp   stamp              `cbor:"1,keyasint"`
+	Workers []cell.RosterEntry `cbor:"2,keyasint"`
+}
+
 // errRecord means that a record of the product's own can't be read.
 var errRecord = eris.New("record not understood")
 
@@ -42,13 +84,21 @@
 	return nil
 }
 
-// jobRecord is what a record of topicJobs says: a submission or a cancellation.
+// jobRecord is what a record of topicsJobs says: a submission or a cancellation.
 type jobRecord struct {
 	submitted *job.Job
 	cancelled job.ID
 }
 
-// readJobRecord reads a record of topicJobs; a dropped key gives an empty one.
+// id gives the job that the record is about; ok is false for a dropped key.
+func (r jobRecord) id() (id job.ID, ok bool) {
+	if r.submitted != nil {
+		return r.submitted.ID, true
+	}
+	return r.cancelled, r.cancelled != ""
+}
+
+// readJobRecord reads a record of topicsJobs; a dropped key gives an empty one.
 func readJobRecord(r external.Record) (jobRecord, error) {
 	if len(r.Value) == 0 {
 		return jobRecord{}, nil
--- a/internal/instance/write.go
+++ b/internal/instance/write.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"coltsfootmux/internal/core/commit"
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/wire"
 )
@@ -20,12 +22,14 @@
 	err    error
 }
 
-// write gets a record of topicJobs into the store, over this process's own
-// connection or a peer's. Repeats are harmless: the first record of a key
-// counts. Errors: ErrNotRun, ErrUnclear.
-func (i *Instance) write(ctx context.Context, r external.Record) error {
-	peers := i.peers()
-	core := commit.New(deadlineOf(ctx), i.store.answers(), len(peers))
+// write gets a record of a job into one of topicsJobs, over this process's own
+// connection or a peer's. Repeats are harmless, also in several topics: the
+// first record of a job counts. Errors: ErrNotRun, ErrUnclear.
+func (i *Instance) write(ctx context.Context, id job.ID, r external.Record) error {
+	peers, order := i.peers(), topicOrder(id)
+	core := commit.New(deadlineOf(ctx), commit.Ways{
+		Topics: order, Own: i.store.served(topicsJobs, order), Peers: len(peers),
+	})
 	answers := make(chan written, commit.MaxTries)
 	tries, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -81,19 +85,20 @@
 // try makes one try over a route.
 func (i *Instance) try(ctx context.Context, t commit.Try, peers []string, r external.Record) written {
 	w := written{try: t.Try}
-	if t.Route == commit.Own {
-		w.err = i.appendOnce(ctx, r)
+	topic := topicsJobs[t.Route.Topic]
+	if t.Route.Peer == commit.Own {
+		w.err = i.appendOnce(ctx, topic, r)
 		w.result = resultOfAppend(w.err)
 		return w
 	}
-	w.result, w.err = i.writeOver(ctx, peers[t.Route-1], r)
+	w.result, w.err = i.writeOver(ctx, peers[t.Route.Peer-1], topic, r)
 	return w
 }
 
-func (i *Instance) appendOnce(ctx context.Context, r external.Record) error {
+func (i *Instance) appendOnce(ctx context.Context, t external.Topic, r external.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTry)
 	defer cancel()
-	_, err := i.log.Append(ctx, external.Append{Topic: topicJobs, Records: []external.Record{r}})
+	_, err := i.log.Append(ctx, external.Append{Topic: t, Records: []external.Record{r}})
 	return err
 }
 
@@ -109,10 +114,10 @@
 }
 
 // writeOver asks a peer to append the record.
-func (i *Instance) writeOver(ctx context.Context, addr string, r external.Record) (commit.Result, error) {
+func (i *Instance) writeOver(ctx context.Context, addr string, t external.Topic, r external.Record) (commit.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTry+peerTime)
 	defer cancel()
-	rep, err := link.Call[wire.RecordWrite, wire.RecordWritten](ctx, i.pool, addr, wire.KindRecord, wire.RecordWrite{Key: r.Key, Value: r.Value})
+	rep, err := link.Call[wire.RecordWrite, wire.RecordWritten](ctx, i.pool, addr, wire.KindRecord, wire.RecordWrite{Topic: string(t), Key: r.Key, Value: r.Value})
 	i.members.answered(addr, err == nil)
 	switch {
 	case errors.Is(err, link.ErrNotSent):
@@ -130,10 +135,14 @@
 
 // onRecordWrite appends a record for a peer that can't reach the store.
 func (i *Instance) onRecordWrite(ctx context.Context, _ link.Peer, q wire.RecordWrite) (wire.RecordWritten, error) {
-	if !i.store.answers() {
-		return wire.RecordWritten{Refused: true, Reason: "the store does not answer here either"}, nil
+	t := external.Topic(q.Topic)
+	if !slices.Contains(topicsJobs, t) {
+		return wire.RecordWritten{Refused: true, Reason: "no topic of jobs: " + q.Topic}, nil
 	}
-	err := i.appendOnce(ctx, external.Record{Key: q.Key, Value: q.Value})
+	if !i.store.answers(t) {
+		return wire.RecordWritten{Refused: true, Reason: "the store does not answer here either for " + q.Topic}, nil
+	}
+	err := i.appendOnce(ctx, t, external.Record{Key: q.Key, Value: q.Value})
 	if err == nil {
 		return wire.RecordWritten{Done: true}, nil
 	}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,16 @@
 	LateBy time.Duration
 	// Slow delays every answer.
 	Slow time.Duration
+	// Topics, if any, are the only ones that the fault is about.
+	Topics []external.Topic
+}
+
+// on gives the fault as a topic meets it.
+func (f Fault) on(t external.Topic) Fault {
+	if len(f.Topics) > 0 && !slices.Contains(f.Topics, t) {
+		return Fault{}
+	}
+	return f
 }
 
 // Store is a stand-in store. It is safe for concurrent use.
@@ -73,7 +84,7 @@
 
 // Append implements external.Log.
 func (s *Store) Append(ctx context.Context, a external.Append) (int64, error) {
-	f, err := s.begin(ctx)
+	f, err := s.begin(ctx, a.Topic)
 	if err != nil {
 		return 0, err
 	}
@@ -100,7 +111,7 @@
 
 // Read implements external.Log.
 func (s *Store) Read(ctx context.Context, t external.Topic, from int64, wait time.Duration) (external.Page, error) {
-	if _, err := s.begin(ctx); err != nil {
+	if _, err := s.begin(ctx, t); err != nil {
 		return external.Page{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -108,9 +119,9 @@
 	for {
 		s.mu.Lock()
 		p, err := s.topic(t).read(from)
-		changed, down := s.changed, s.fault.Down || s.fault.Silent
+		changed, f := s.changed, s.fault.on(t)
 		s.mu.Unlock()
-		if down {
+		if f.Down || f.Silent {
 			return external.Page{}, eris.Wrap(external.ErrUnclear, "connection lost")
 		}
 		if err != nil || len(p.Records) > 0 {
@@ -128,7 +139,7 @@
 
 // Newest implements external.Log.
 func (s *Store) Newest(ctx context.Context, t external.Topic) (external.Page, error) {
-	if _, err := s.begin(ctx); err != nil {
+	if _, err := s.begin(ctx, t); err != nil {
 		return external.Page{}, err
 	}
 	s.mu.Lock()
@@ -137,9 +148,9 @@
 }
 
 // begin applies the faults that come before a call is carried out.
-func (s *Store) begin(ctx context.Context) (Fault, error) {
+func (s *Store) begin(ctx context.Context, t external.Topic) (Fault, error) {
 	s.mu.Lock()
-	f := s.fault
+	f := s.fault.on(t)
 	s.calls++
 	s.mu.Unlock()
 	switch {
--- a/internal/wire/policyquery.go
+++ b/internal/wire/policyquery.go
@@ -5,6 +5,8 @@
 // PolicyQuery asks for the policy in force if it is newer than Version.
 type PolicyQuery struct {
 	Version int64 `cbor:"1,keyasint"`
+	// CheckStore asks to find out now whether terms can be read and written there.
+	CheckStore bool `cbor:"2,keyasint,omitempty"`
 }
 
 // PolicyReply answers a PolicyQuery.
@@ -14,6 +16,6 @@
 	Record []byte `cbor:"2,keyasint,omitempty"`
 	// Term is the newest term that the answering instance knows of.
 	Term term.Record `cbor:"4,keyasint"`
-	// StoreAnswers says that the answering instance reaches the store.
-	StoreAnswers bool `cbor:"3,keyasint"`
+	// TermsServed says that the store serves the answering instance the topic of terms.
+	TermsServed bool `cbor:"3,keyasint"`
 }
--- a/internal/wire/recordwrite.go
+++ b/internal/wire/recordwrite.go
@@ -2,6 +2,7 @@
 
 // RecordWrite asks another instance to append a record of jobs.
 type RecordWrite struct {
+	Topic string `cbor:"3,keyasint"`
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint"`
 }
