Wait for workers of the roster that leave the list before they answer

Ruled out: the spread of progress over two topics (the end had not been durable in either, and the worker still listed it), repeats of fences that the store carried out late.

Test first: TestWorkerThatLeavesTheListBeforeItAnswersIsWaitedFor.

--- a/internal/core/cell/contacts_test.go
+++ b/internal/core/cell/contacts_test.go
@@ -91,3 +91,43 @@
 		t.Errorf("%d of 200 workers that answer were heard within 4 s", len(heard))
 	}
 }
+
+// TestWorkerThatLeavesTheListBeforeItAnswersIsWaitedFor: a worker was on the list
+// and the roster at the take-over, and its entry lapsed before its first answer;
+// a job that it had completed was started again.
+func TestWorkerThatLeavesTheListBeforeItAnswersIsWaitedFor(t *testing.T) {
+	c := New(testSettings(), 2, &job.Policy{}, Instant{Mono: time.Second})
+	ev := Loaded{Jobs: []job.Job{single("j", 1)}}
+	for n := range 2 {
+		w := machine(n)
+		ev.Workers = append(ev.Workers, w)
+		ev.Roster = append(ev.Roster, RosterEntry{ID: w.ID, Addr: w.Addr})
+	}
+	var starts int
+	take := func(actions []Action) {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case Start:
+				starts++
+			case Persist:
+				c.committed(Committed{Batch: a.Batch})
+			}
+		}
+	}
+	first := c.Step(c.now, ev)
+	take(first)
+	take(c.Step(c.now, WorkerUnlisted{ID: "w00"}))
+	for _, h := range holdsIn(first) {
+		if h.Order.Worker == "w01" {
+			take(c.Step(c.now, Listed{Worker: "w01", Issue: h.Issue, Lists: external.Lists{Clock: c.now.Mono}}))
+		}
+	}
+	for range 20 {
+		c.now.Mono += 50 * time.Millisecond
+		take(c.Step(c.now, Tick{}))
+		take(c.Step(c.now, TermProven{At: c.now.Mono}))
+	}
+	if starts > 0 {
+		t.Error("an inherited job was started before every worker of the roster had answered")
+	}
+}
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -6,14 +6,16 @@
 // once it is on it, so that a later owner asks every worker that can run
 // something, also one whose entry is missing from the list at that time.
 
-// inherit makes the workers known that the owner before may have used.
+// inherit makes the workers known that the owner before may have used. Those
+// on the list may leave it before they answer, and are waited for all the same.
 func (c *Core) inherit(roster []RosterEntry) {
 	for _, r := range roster {
-		if c.workers[r.ID] != nil {
-			continue
+		w := c.workers[r.ID]
+		if w == nil {
+			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr})
+			w.listed = false
 		}
-		w := c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr})
-		w.listed, w.inherited = false, true
+		w.inherited = true
 	}
 }
 
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -12,8 +12,8 @@
 	external.Worker
 	// listed says that the store's list names the worker.
 	listed bool
-	// rostered says that the durable roster names the worker, inherited that it
-	// is known from the roster of the term before.
+	// rostered says that the durable roster names the worker, inherited that the
+	// roster of the term before does.
 	rostered  bool
 	inherited bool
 	// fenced says that this life of the worker has answered a hold of this term.
