--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -21,13 +21,18 @@
 	owns int64
 	// provenAt is when the latest confirmed renewal was sent, or when peers last
 	// agreed that nobody can claim.
-	provenAt  time.Duration
-	writing   bool
+	provenAt time.Duration
+	// writes is how many writes are without an answer.
+	writes    int
 	nextWrite time.Duration
-	nextAsk   time.Duration
-	leaving   bool
-	now       time.Duration
-	actions   []Action
+	// sentRenewal is the number of the last renewal that was sent, sentAt when it
+	// was first sent.
+	sentRenewal int64
+	sentAt      time.Duration
+	nextAsk     time.Duration
+	leaving     bool
+	now         time.Duration
+	actions     []Action
 }
 
 // New makes the state of a life that others reach at addr.
@@ -75,9 +80,21 @@
 	c.end = max(c.end, e.End)
 	for _, r := range e.Records {
 		c.take(r)
+		c.prove(r)
 	}
 }
 
+// prove takes in that a renewal of this life was carried out, whose answer may
+// be lost: nobody else owned a later term when it was sent.
+func (c *Core) prove(r Record) {
+	if c.owns == 0 || r.Term != c.owns || r.Owner != c.self || r.Renewal != c.sentRenewal || c.sentAt <= c.provenAt {
+		return
+	}
+	c.provenAt = c.sentAt
+	c.act(Proven{At: c.sentAt})
+	c.nextWrite = c.sentAt + c.settings.Renew
+}
+
 // take compares a record with what is known; records of lower terms are late
 // and mean nothing.
 func (c *Core) take(r Record) {
@@ -113,10 +130,14 @@
 }
 
 func (c *Core) written(e Written) {
-	c.writing = false
-	c.nextWrite = c.now + c.settings.Retry
-	if e.Result != WriteDone {
-		return // what was written instead, or after all, is read next
+	c.writes--
+	switch e.Result {
+	case WriteDone:
+	case WriteUnclear:
+		return // made again already, or read if it was carried out after all
+	default:
+		c.nextWrite = c.now + c.settings.Retry
+		return // what was written instead is read next
 	}
 	c.end = max(c.end, e.End)
 	c.nextWrite = c.now + c.settings.Renew
@@ -154,7 +175,7 @@
 		c.nextAsk = c.now + c.settings.Retry
 		c.act(AskPeers{})
 	}
-	if c.leaving || c.writing || !c.known || c.now < c.nextWrite {
+	if c.leaving || c.writes >= maxWrites || !c.known || c.now < c.nextWrite {
 		return
 	}
 	switch {
@@ -165,8 +186,15 @@
 	}
 }
 
+// maxWrites bounds the writes without an answer.
+const maxWrites = 3
+
 func (c *Core) write(r Record) {
-	c.writing = true
+	c.writes++
+	c.nextWrite = c.now + c.settings.Hedge
+	if r.Renewal != c.sentRenewal || c.sentAt == 0 {
+		c.sentRenewal, c.sentAt = r.Renewal, c.now
+	}
 	c.act(Write{Record: r, At: c.end})
 }
 
--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -17,16 +17,21 @@
 	Delay time.Duration
 	// Retry lies between two attempts to write.
 	Retry time.Duration
+	// Hedge is how long a write may stay without an answer before it is made
+	// again beside. The condition on the end lets one of them pass.
+	Hedge time.Duration
 }
 
 // DefaultSettings gives the times used on the platform: a claim follows the
 // loss of an owner within about 1.5 s, which leaves most of the shortest
-// lease (6 s) for taking over what runs.
+// lease (6 s) for taking over what runs. A store that is 26 times slower than
+// usual answers within Hedge.
 func DefaultSettings() Settings {
 	return Settings{
 		Renew: 500 * time.Millisecond,
 		Stale: 1500 * time.Millisecond,
 		Grace: 2500 * time.Millisecond,
 		Retry: 250 * time.Millisecond,
+		Hedge: 300 * time.Millisecond,
 	}
 }
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -218,3 +218,62 @@
 		t.Fatalf("b owns %d", b.owns)
 	}
 }
+
+// TestLostAnswersDoNotCostTheTerm: two renewals in a row without an answer took
+// longer than others wait, although the store carried every second one out.
+func TestLostAnswersDoNotCostTheTerm(t *testing.T) {
+	for name, lose := range map[string]func(n int) (write, answer bool){
+		"all answers are lost":              func(int) (bool, bool) { return true, false },
+		"every second write is lost":        func(n int) (bool, bool) { return n%2 == 0, n%2 == 0 },
+		"two of three writes are lost":      func(n int) (bool, bool) { return n%3 == 2, n%3 == 2 },
+		"half is lost, half has no answers": func(n int) (bool, bool) { return n%2 == 0, false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			const answerTime, giveUp = 10 * time.Millisecond, 700 * time.Millisecond
+			f := &fakeStore{}
+			a, b := newContender(0), newContender(1)
+			type open struct {
+				at     time.Duration
+				result Written
+			}
+			var answers []open
+			writes := 0
+			for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+				a.readAll(now, f)
+				b.readAll(now, f)
+				a.step(now, Tick{})
+				b.step(now, Tick{})
+				for len(a.sent) > 0 {
+					w, at := a.sent[0], a.at[0]
+					a.sent, a.at = a.sent[1:], a.at[1:]
+					carried, answered := true, true
+					if a.owns != 0 {
+						carried, answered = lose(writes)
+						writes++
+					}
+					res := open{at + giveUp, Written{Result: WriteUnclear, Sent: at, Record: w.Record}}
+					if carried {
+						r, end := f.append(w)
+						if answered {
+							res = open{at + answerTime, Written{Result: r, End: end, Sent: at, Record: w.Record}}
+						}
+					}
+					answers = append(answers, res)
+				}
+				for len(b.sent) > 0 {
+					b.answer(now, f)
+				}
+				for n := 0; n < len(answers); n++ {
+					if now >= answers[n].at {
+						a.step(now, answers[n].result)
+						answers = append(answers[:n], answers[n+1:]...)
+						n--
+					}
+				}
+			}
+			if len(a.terms) != 1 || a.owns == 0 || len(b.terms) > 0 {
+				t.Errorf("terms of the owner %v, of the other %v", a.terms, b.terms)
+			}
+		})
+	}
+}
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -151,7 +151,7 @@
 func fastTerms(n int) term.Settings {
 	return term.Settings{
 		Renew: 100 * time.Millisecond, Stale: 600 * time.Millisecond, Grace: 900 * time.Millisecond,
-		Retry: 50 * time.Millisecond, Delay: time.Duration(n) * 60 * time.Millisecond,
+		Retry: 50 * time.Millisecond, Hedge: 100 * time.Millisecond, Delay: time.Duration(n) * 60 * time.Millisecond,
 	}
 }
 
