--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -223,6 +223,9 @@
 	if u == nil {
 		return
 	}
+	if u.group.priority() == 0 && r.began > 0 {
+		r.worker.cool(r.takes, c.now.Mono)
+	}
 	if saved != "" && saved != u.saved && u.state != unitDone {
 		u.saved = saved
 		c.markDirty(u.entry())
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -44,6 +44,7 @@
 func (c *Core) newPass() *pass {
 	p := &pass{pools: make(map[string][]*worker), racks: make(map[rackKey][]*worker), full: make(map[demand]bool)}
 	for _, w := range c.fleet {
+		w.release(c.now.Mono)
 		if !w.listed {
 			continue
 		}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -33,6 +33,9 @@
 	held     job.Resources
 	// reserved is kept for units that wait for it to come free.
 	reserved job.Resources
+	// cooled is kept for urgent work; cooling says until when, oldest first.
+	cooled  job.Resources
+	cooling []cooling
 	// holds in flight: the long one, and a probe that asks at once.
 	holding  bool
 	probing  bool
@@ -60,13 +63,13 @@
 }
 
 // room gives what work of a priority may take: what is neither taken nor held,
-// and for all but the most urgent what is not reserved.
+// and for all but the most urgent what is neither reserved nor kept for urgent work.
 func (w *worker) room(priority int) job.Resources {
 	free := w.Capacity.Minus(w.used).Minus(w.held)
 	if priority == 0 {
 		return free
 	}
-	return free.Minus(w.reserved)
+	return free.Minus(w.reserved).Minus(w.cooled)
 }
 
 // usable says whether new runs may be placed on the worker.
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -42,6 +42,7 @@
 	unproven bool
 	log      []string
 	asked    int
+	stops    map[Reason]int
 	// onStart, if set, sees every start that is ordered.
 	onStart func(external.StartOrder)
 }
@@ -77,6 +78,7 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: fleet.New(durationOf(seed)),
 		progress: make(map[job.ID]job.Progress), cut: make(map[external.WorkerID]bool),
+		stops:  make(map[Reason]int),
 		policy: &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
 	}
 	for n := range machines {
@@ -250,6 +252,7 @@
 			w.step(o, Started{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, failureFor(err))})
 		})
 	case Stop:
+		w.stops[a.Reason]++
 		var r external.Report
 		var err error
 		carry := w.toThisLife(a.Order.Worker, func() { r, err = w.fleet.Stop(ctx, a.Order) }, func() { err = external.ErrUnclear })
