--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -171,7 +171,7 @@
 	if c.owns != 0 && c.now-c.provenAt > c.settings.Grace {
 		c.lose(ReasonUnproven)
 	}
-	if c.owns != 0 && c.now-c.provenAt > c.settings.Grace/2 && c.now >= c.nextAsk {
+	if c.owns != 0 && c.now-c.provenAt > c.settings.Ask && c.now >= c.nextAsk {
 		c.nextAsk = c.now + c.settings.Retry
 		c.act(AskPeers{})
 	}
--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -12,6 +12,10 @@
 	// Grace is how long an owner goes on without a confirmed renewal, unless its
 	// peers can't reach the store either.
 	Grace time.Duration
+	// Ask is how long an owner goes on without a confirmed renewal before it asks
+	// its peers; their answers, which take up to 0.5 s, should come before it may
+	// start nothing more.
+	Ask time.Duration
 	// Delay is added to Stale at this instance, so that claims of several do not
 	// meet, and instances near the store come first.
 	Delay time.Duration
@@ -31,6 +35,7 @@
 		Renew: 500 * time.Millisecond,
 		Stale: 1500 * time.Millisecond,
 		Grace: 2500 * time.Millisecond,
+		Ask:   800 * time.Millisecond,
 		Retry: 250 * time.Millisecond,
 		Hedge: 300 * time.Millisecond,
 	}
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -150,7 +150,7 @@
 // fastTerms are terms short enough for tests.
 func fastTerms(n int) term.Settings {
 	return term.Settings{
-		Renew: 100 * time.Millisecond, Stale: 600 * time.Millisecond, Grace: 900 * time.Millisecond,
+		Renew: 100 * time.Millisecond, Stale: 600 * time.Millisecond, Grace: 900 * time.Millisecond, Ask: 300 * time.Millisecond,
 		Retry: 50 * time.Millisecond, Hedge: 100 * time.Millisecond, Delay: time.Duration(n) * 60 * time.Millisecond,
 	}
 }
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -21,7 +21,7 @@
 	topicsJobs = []external.Topic{"keyed.jobs-0", "keyed.jobs-1", "keyed.jobs-2"}
 	// topicsProgress hold the progress of jobs, written by the cell's owner. All
 	// but the first are used only while those before are lost.
-	topicsProgress = []external.Topic{"keyed.progress-0", "keyed.progress-1"}
+	topicsProgress = []external.Topic{"keyed.progress-0", "keyed.progress-1", "keyed.progress-2"}
 )
 
 const (
