Own each term once; let the soak cut links, parts of the store and slow clocks

Cause: soak (14 s, four machines): 136 starts of tasks that had ended. An owner gave its term up, as no renewal was confirmed in time; then a renewal of before was carried out, and it gained the same term again. The second owner of that term numbered its appends from 1 under the same epoch, so that the store took them for repeats and answered that they are durable. Found by faults that are new in the soak: answers of part of the store's topics lost or late.

Change: a life owns a term once; it claims the next one at once, as it knows best that the owner is gone. The soak draws, besides what it drew before, proxies in the links between processes (delay, silence, one way, reset), faults of some of the store's topics, appends that are carried out late, and workers' clocks up to 2 % slow.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -17,8 +17,10 @@
 	changedAt time.Duration
 	okSince   time.Duration
 	ok        bool
-	// owns is the term that this life owns, 0 for none.
+	// owns is the term that this life owns, 0 for none; had is the last one that it
+	// owned. A term is owned once: what was numbered under it can't be numbered anew.
 	owns int64
+	had  int64
 	// provenAt is when the latest confirmed renewal was sent, or when peers last
 	// agreed that nobody can claim.
 	provenAt time.Duration
@@ -106,7 +108,7 @@
 	}
 	c.rec, c.changedAt = r, c.now
 	switch {
-	case r.Owner == c.self && !r.Released && c.owns < r.Term:
+	case r.Owner == c.self && !r.Released && c.had < r.Term:
 		c.gain(r.Term)
 	case c.owns != 0 && r.Term > c.owns:
 		c.lose(ReasonOther)
@@ -119,7 +121,7 @@
 	if c.leaving {
 		return
 	}
-	c.owns, c.provenAt = t, c.now
+	c.owns, c.had, c.provenAt = t, t, c.now
 	c.nextWrite = c.now + c.settings.Renew
 	c.act(Gained{Term: t})
 }
@@ -204,7 +206,7 @@
 		return false
 	}
 	wait := c.settings.Stale + c.settings.Delay
-	if c.rec.Term == 0 || c.rec.Released || c.isPredecessor() {
+	if c.rec.Term == 0 || c.rec.Released || c.isPredecessor() || c.rec.Owner == c.self {
 		wait = c.settings.Delay
 	}
 	return c.now-max(c.changedAt, c.okSince) >= wait
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -277,3 +277,41 @@
 		})
 	}
 }
+
+// TestLostTermIsNotGainedAgain: a renewal that was carried out late, after its
+// owner had given the term up, made it the owner of the same term once more. Its
+// epoch and sequence numbers at the store were used up, so that the store took
+// new progress for repeats and dropped it.
+func TestLostTermIsNotGainedAgain(t *testing.T) {
+	f := &fakeStore{}
+	a := newContender(0)
+	a.readAll(0, f)
+	a.step(20*time.Millisecond, Tick{})
+	a.answer(30*time.Millisecond, f)
+	if a.owns != 1 {
+		t.Fatalf("owns %d, want 1", a.owns)
+	}
+	now := 600 * time.Millisecond
+	a.step(now, Tick{})
+	late := a.sent[0]
+	for a.owns != 0 {
+		now += 50 * time.Millisecond
+		a.step(now, Tick{})
+	}
+	a.sent, a.at = nil, nil
+	a.step(now, Written{Result: WriteUnclear, Record: late.Record})
+	f.append(late)
+	a.readAll(now, f)
+	if a.owns == 1 {
+		t.Fatal("the lost term was gained again")
+	}
+	for end := now + time.Second; now < end && a.owns == 0; now += 50 * time.Millisecond {
+		a.step(now, Tick{})
+		for len(a.sent) > 0 {
+			a.answer(now, f)
+		}
+	}
+	if a.owns != 2 {
+		t.Errorf("owns %d, want the next term", a.owns)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -10,6 +10,11 @@
 	"coltsfootmux/internal/standin/store"
 )
 
+// storeFaults are the ways in which the store fails.
+var storeFaults = [...]store.Fault{
+	{Down: true}, {Silent: true}, {LoseAnswers: true}, {LateBy: 2 * time.Second}, {Slow: 150 * time.Millisecond},
+}
+
 // fault is one thing that goes wrong for a time.
 type fault struct {
 	name  string
@@ -25,7 +30,7 @@
 	restart := func() { _ = m.start(s.o.Program) }
 	modes := [...]Mode{Delay, Silent, OneWay, Reset}
 	mode := modes[rng.IntN(len(modes))]
-	switch rng.IntN(10) {
+	switch rng.IntN(12) {
 	case 0:
 		return fault{"kill " + m.name, m.kill, restart}
 	case 1:
@@ -41,10 +46,20 @@
 	case 6:
 		return fault{fmt.Sprintf("worker %d hangs", n), func() { s.mode(n, fleet.Hanging) }, func() { s.mode(n, fleet.Sound) }}
 	case 7:
-		f := [...]store.Fault{{Down: true}, {Silent: true}, {LoseAnswers: true}, {Slow: 150 * time.Millisecond}}[rng.IntN(4)]
+		f := storeFaults[rng.IntN(len(storeFaults))]
 		return fault{fmt.Sprintf("store %+v", f), func() { s.store.SetFault(f) }, func() { s.store.SetFault(store.Fault{}) }}
 	case 8:
 		return fault{"all machines killed", s.killAll, s.startAll}
+	case 9:
+		return fault{fmt.Sprintf("links of %s, mode %d", m.name, mode), func() { m.links.Set(mode) }, func() { m.links.Set(Pass) }}
+	case 10:
+		f := storeFaults[rng.IntN(len(storeFaults))]
+		for _, t := range s.store.Topics() {
+			if rng.IntN(3) == 0 {
+				f.Topics = append(f.Topics, t)
+			}
+		}
+		return fault{fmt.Sprintf("part of the store %+v", f), func() { s.store.SetFault(f) }, func() { s.store.SetFault(store.Fault{}) }}
 	default:
 		return fault{"hang-up of " + m.name, func() { m.signal(syscall.SIGHUP) }, func() {}}
 	}
@@ -93,6 +108,7 @@
 	}
 	for _, m := range s.machines {
 		m.store.Set(Pass)
+		m.links.Set(Pass)
 		m.signal(syscall.SIGCONT)
 		_ = m.start(s.o.Program)
 	}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -15,7 +15,8 @@
 // ErrSetup means that the soak itself could not be set up.
 var ErrSetup = eris.New("soak setup")
 
-// machine is one machine of the system: a process with its own way to the store.
+// machine is one machine of the system: a process with its own way to the store,
+// which others reach over a proxy.
 type machine struct {
 	name     string
 	dir      string
@@ -23,6 +24,7 @@
 	front    string
 	ready    string
 	store    *Proxy
+	links    *Proxy
 	cmd      *exec.Cmd
 	log      *os.File
 	// ended is closed when the process has ended.
@@ -30,8 +32,8 @@
 }
 
 // newMachine writes the settings of a machine; nothing runs yet.
-func newMachine(dir string, n int, store string, seeds []string, control string) (*machine, error) {
-	m := &machine{name: fmt.Sprintf("front-%d", n), dir: dir}
+func newMachine(dir string, n int, store string, seeds []string, control string, links *Proxy) (*machine, error) {
+	m := &machine{name: fmt.Sprintf("front-%d", n), dir: dir, links: links}
 	var err error
 	if m.store, err = NewProxy(store); err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
@@ -88,7 +90,7 @@
 		return nil
 	}
 	m.cmd = exec.Command(program)
-	m.cmd.Env = append(os.Environ(), "COLTSFOOTMUX_NODE_FILE="+m.settings)
+	m.cmd.Env = append(os.Environ(), "COLTSFOOTMUX_NODE_FILE="+m.settings, "COLTSFOOTMUX_ADVERTISE="+m.links.Addr())
 	m.cmd.Stdout, m.cmd.Stderr = m.log, m.log
 	if err := m.cmd.Start(); err != nil {
 		return eris.Wrap(ErrSetup, err.Error())
@@ -137,5 +139,6 @@
 func (m *machine) close() {
 	m.kill()
 	m.store.Close()
+	m.links.Close()
 	_ = m.log.Close()
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -87,6 +87,9 @@
 	return ln.Addr().String(), nil
 }
 
+// slowestClock is by what share a worker's clock may be slow.
+const slowestClock = 0.02
+
 func workerName(n int) external.WorkerID { return external.WorkerID(fmt.Sprintf("i-%02d", n)) }
 
 func (s *site) addWorker(n int, addr string) error {
@@ -101,6 +104,7 @@
 			ID: workerName(n), Labels: []string{"a", rack}, Rack: rack,
 			Capacity: job.Resources{CPU: 8000, MemMB: 8000, GPU: 4},
 		})
+		f.Machine(workerName(n)).ClockRate = 1 - slowestClock*s.rng.Float64()
 	})
 	s.register(n)
 	return nil
@@ -116,16 +120,21 @@
 }
 
 func (s *site) addMachines(storeAddr string) error {
-	var controls []string
+	var controls, seeds []string
+	var links []*Proxy
 	for range s.o.Machines {
 		a, err := freeAddr()
 		if err != nil {
 			return err
 		}
-		controls = append(controls, a)
+		p, err := NewProxy(a)
+		if err != nil {
+			return eris.Wrap(ErrSetup, err.Error())
+		}
+		controls, links, seeds = append(controls, a), append(links, p), append(seeds, p.Addr())
 	}
 	for n, control := range controls {
-		m, err := newMachine(s.o.Dir, n, storeAddr, controls[:min(3, len(controls))], control)
+		m, err := newMachine(s.o.Dir, n, storeAddr, seeds[:min(3, len(seeds))], control, links[n])
 		if err != nil {
 			return err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,7 +8,9 @@
 )
 
 // regressionSeeds are soaks that broke a promise once, each with its cause.
-var regressionSeeds = []uint64{}
+var regressionSeeds = []uint64{
+	301006, // an owner that had lost its term gained the same one again (core/term)
+}
 
 // TestShortSoak plays a short soak with a fixed seed and those that failed once.
 func TestShortSoak(t *testing.T) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -58,6 +59,13 @@
 	s.signal()
 }
 
+// Topics gives the names of the topics there are, in order.
+func (s *Store) Topics() []external.Topic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.topics))
+}
+
 // Calls gives the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
