Fence progress by a record

An append without records sets the producer's sequence number back, so that later batches met numbers whose answers the store still had: it answered that they are durable and kept nothing.

Change: the fence is the epoch's first append and holds a record, so that a repeat is one with it whenever it is carried out.

--- a/internal/instance/partial_test.go
+++ b/internal/instance/partial_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"coltsfootmux/internal/core/cell"
@@ -191,3 +192,33 @@
 		t.Errorf("error %v, want fenced", err)
 	}
 }
+
+// TestLateFenceDoesNotTouchWhatFollows: a fence without an answer was repeated,
+// and carried out once more beside the batches that followed. It set their
+// sequence number back, so that the store took later ones for repeats.
+func TestLateFenceDoesNotTouchWhatFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		w := newProgressWriter(s, func(external.Topic) bool { return true }, 3)
+		s.SetFault(store.Fault{LateBy: 2 * time.Second})
+		for range 2 {
+			if err := w.fence(t.Context()); !errors.Is(err, external.ErrUnclear) {
+				t.Fatalf("error %v, want unclear", err)
+			}
+		}
+		s.SetFault(store.Fault{})
+		if err := w.fence(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for batch := range int64(60) {
+			time.Sleep(50 * time.Millisecond)
+			v := fmt.Sprint(batch)
+			if err := w.write(t.Context(), batch, []external.Record{{Key: "j", Value: []byte(v)}}); err != nil {
+				continue // told, and written again by the owner
+			}
+			if got := value(t, s, topicsProgress[0], "j"); got != v {
+				t.Fatalf("batch %s is said to be durable, the store holds %s", v, got)
+			}
+		}
+	})
+}
--- a/internal/instance/progresswriter.go
+++ b/internal/instance/progresswriter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -16,6 +17,9 @@
 	ways    []*progressWay
 }
 
+// firstSeq is the sequence number of an epoch's first append.
+const firstSeq = 1
+
 // progressWay is the way into one topic.
 type progressWay struct {
 	log      external.Log
@@ -94,8 +98,13 @@
 	return errors.Join(errs...)
 }
 
+// fence makes the first append of the epoch. It holds a record, as an append
+// without any would set the sequence number back if it were carried out once
+// more beside those that follow.
 func (w *progressWay) fence(ctx context.Context) error {
-	return w.append(ctx, nil)
+	w.producer.Seq = firstSeq
+	value := strconv.FormatInt(w.producer.Epoch, 10)
+	return w.append(ctx, []external.Record{{Key: keyFence, Value: []byte(value)}})
 }
 
 // write makes one batch durable in the topic.
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -128,7 +128,7 @@
 	var roster rosterRecord
 	for n, p := range in {
 		for _, r := range p.Records {
-			if len(r.Value) == 0 {
+			if len(r.Value) == 0 || r.Key == keyFence {
 				continue
 			}
 			o.progress.ways[n].holds[r.Key] = true
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -32,7 +32,9 @@
 	keyCancellation = "c/"
 	keyTerm         = "cell-0"
 	// keyRoster is the key of the workers in use, beside the names of jobs.
-	keyRoster     = "/roster"
+	keyRoster = "/roster"
+	// keyFence is the key of the term that may write progress.
+	keyFence      = "/fence"
 	producerOwner = "owner-0"
 )
 
