Call the store less often: batches of progress 25 ms apart, weak machines read the term once a second

A batch of progress followed the one before at once, every 9 ms in a busy pool, and each machine read each renewal.

Change: batches are 25 ms apart at least; machines that claim later than others by their power read the term once a second at most. A claim's condition bars one made on an old reading.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -37,6 +37,8 @@
 	rosterDirty bool
 	dirty       []*entry
 	ended       []*entry
+	// nextPersist is when the next batch may be sent.
+	nextPersist time.Duration
 	// cancels holds cancellations of jobs that have not been seen yet.
 	cancels map[job.ID]bool
 	// proven is when no later term existed for certain.
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -28,11 +28,15 @@
 	if c.batch != 0 {
 		return
 	}
+	if c.now.Mono < c.nextPersist && (len(c.dirty) > 0 || c.rosterDirty) {
+		return
+	}
 	forget := c.forgettable()
 	if len(c.dirty) == 0 && len(forget) == 0 && !c.rosterDirty {
 		c.ackAll()
 		return
 	}
+	c.nextPersist = c.now.Mono + persistEvery
 	c.batches++
 	c.batch = c.batches
 	p := Persist{Batch: c.batch, Forget: forget}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -82,6 +82,9 @@
 	drainNotice = 300 * time.Millisecond
 	// planTime bounds how long room is held for a unit while others leave it.
 	planTime = 2 * time.Second
+	// persistEvery is the least time between two batches of progress. Ends of a
+	// busy pool come every few milliseconds, and each call to the store is paid for.
+	persistEvery = 25 * time.Millisecond
 	// passEvery is the least time between two passes of placement; what happens in
 	// between is looked at together.
 	passEvery = 15 * time.Millisecond
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
@@ -14,13 +15,24 @@
 
 func (i *Instance) followTerm(ctx context.Context) {
 	f := &follower{
-		log: i.log, topic: topicTerm,
+		log: i.log, topic: topicTerm, pace: i.termPace(),
 		reset: i.termRecords, page: i.termRecords,
 		failed: func(error) { i.stepTerm(term.StoreFailed{}) },
 	}
 	f.run(ctx, -1)
 }
 
+// weakTermPace is the least time between two reads of the term at an instance
+// that claims later than others; it need not see each renewal.
+const weakTermPace = time.Second
+
+func (i *Instance) termPace() time.Duration {
+	if i.Settings.Term.Delay > 0 {
+		return weakTermPace
+	}
+	return 0
+}
+
 func (i *Instance) termRecords(p external.Page) {
 	ev := term.Observed{End: p.Next}
 	for _, r := range p.Records {
