--- a/internal/external/log.go
+++ b/internal/external/log.go
@@ -42,6 +42,8 @@
 	// Next is the offset to read from next.
 	Next    int64
 	Records []Record
+	// Unreadable counts records that were left out, as they can't be read.
+	Unreadable int
 }
 
 // Log is the store. Errors wrap those of this package.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -79,7 +79,8 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{Options: o, logger: o.Logger, term: term.New(s.Term, s.Life, s.LinkAddr)}
-	i.store = newStoreWatch(o.Log, append(slices.Clone(topicsJobs), topicTerm), i.storeChanged)
+	i.store = newStoreWatch(o.Log, append(slices.Clone(topicsJobs), topicTerm))
+	i.store.changed, i.store.unread = i.storeChanged, i.recordsUnread
 	i.log = i.store
 	i.members.silent = make(map[string]time.Duration)
 	i.members.set(slices.Clone(s.Peers), s.LinkAddr)
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -116,3 +116,8 @@
 	}
 	evStoreLost.Log(i.work, i.logger, slog.String("topic", string(t)), slog.Any("error", err))
 }
+
+// recordsUnread notes records of a topic that can't be read.
+func (i *Instance) recordsUnread(t external.Topic, from int64, n int) {
+	evRecordBad.Log(i.work, i.logger, slog.String("topic", string(t)), slog.Int64("from", from), slog.Int("records", n))
+}
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -33,6 +33,8 @@
 	external.Log
 	// changed is told when a topic is lost or answers again.
 	changed func(t external.Topic, answers bool, err error)
+	// unread is told of records that a read left out.
+	unread func(t external.Topic, from int64, n int)
 	// probed are the topics that are probed while they don't answer.
 	probed []external.Topic
 
@@ -47,9 +49,11 @@
 	wake chan struct{}
 }
 
-func newStoreWatch(l external.Log, probed []external.Topic, changed func(external.Topic, bool, error)) *storeWatch {
+func newStoreWatch(l external.Log, probed []external.Topic) *storeWatch {
 	return &storeWatch{
-		Log: l, changed: changed, probed: probed,
+		Log: l, probed: probed,
+		changed:  func(external.Topic, bool, error) {},
+		unread:   func(external.Topic, int64, int) {},
 		contacts: make(contacts), lastOK: make(map[external.Topic]time.Duration),
 		reads: make(map[int]context.CancelFunc), wake: make(chan struct{}, 1),
 	}
@@ -84,6 +88,9 @@
 	defer done()
 	p, err := s.Log.Read(inner, t, from, wait)
 	s.note(inner, t, err)
+	if p.Unreadable > 0 {
+		s.unread(t, from, p.Unreadable)
+	}
 	return p, err
 }
 
