--- /dev/null
+++ b/internal/instance/storeprobe.go
@@ -0,0 +1,76 @@
+package instance
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootmux/internal/external"
+)
+
+const (
+	// probeEvery lies between two probes of a topic that was lost, probeTime
+	// bounds one; a slow store still answers in time.
+	probeEvery = 150 * time.Millisecond
+	probeTime  = 500 * time.Millisecond
+	// checkTime bounds a probe made for a peer, of which checkProbes fit into peerTime.
+	checkTime   = 250 * time.Millisecond
+	checkProbes = 2
+	// checkFresh is how long a topic's last answer stands for a probe made for a peer.
+	checkFresh = 400 * time.Millisecond
+	// probeOffset is an offset that no topic reaches, so that a probe's answer
+	// holds no records.
+	probeOffset = math.MaxInt32
+)
+
+// keepProbing probes topics that don't answer until ctx ends.
+func (s *storeWatch) keepProbing(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.probeAll(ctx)
+		t := time.NewTimer(probeEvery)
+		select {
+		case <-ctx.Done():
+		case <-s.wake:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (s *storeWatch) probeAll(ctx context.Context) {
+	var g errgroup.Group
+	for _, t := range s.probed {
+		if !s.answers(t) {
+			g.Go(func() error { s.probe(ctx, t, probeTime); return nil })
+		}
+	}
+	_ = g.Wait() // probes give no errors; what they found is noted
+}
+
+// probe asks for a sign of life over a new call, and says whether one came.
+func (s *storeWatch) probe(ctx context.Context, t external.Topic, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	_, err := s.Log.Read(ctx, t, probeOffset, 0)
+	s.note(ctx, t, err)
+	return !isSilence(err)
+}
+
+// check says whether the store answers for a topic right now; one lost answer
+// says nothing.
+func (s *storeWatch) check(ctx context.Context, t external.Topic) bool {
+	s.mu.Lock()
+	last, ok := s.lastOK[t]
+	s.mu.Unlock()
+	if ok && boottime()-last < checkFresh {
+		return true
+	}
+	for range checkProbes {
+		if s.probe(ctx, t, checkTime) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -128,33 +128,49 @@
 	var roster rosterRecord
 	for n, p := range in {
 		for _, r := range p.Records {
-			if len(r.Value) == 0 || r.Key == keyFence {
+			var err error
+			switch {
+			case len(r.Value) == 0 || r.Key == keyFence:
 				continue
+			case r.Key == keyRoster:
+				err = roster.takeNewer(r)
+			default:
+				err = takeProgress(r, newest, ev)
 			}
 			o.progress.ways[n].holds[r.Key] = true
-			if r.Key == keyRoster {
-				var rec rosterRecord
-				if err := decodeRecord(r.Value, &rec); err != nil {
-					o.badRecord(topicsProgress[n], r, err)
-				} else if rec.Stamp.compare(roster.Stamp) > 0 {
-					roster = rec
-				}
-				continue
-			}
-			var rec progressRecord
-			if err := decodeRecord(r.Value, &rec); err != nil {
+			if err != nil {
 				o.badRecord(topicsProgress[n], r, err)
-				continue
-			}
-			id := job.ID(r.Key)
-			if rec.Stamp.compare(newest[id]) > 0 {
-				newest[id], ev.Progress[id] = rec.Stamp, rec.Progress
 			}
 		}
 	}
 	ev.Roster = roster.Workers
 }
 
+// takeNewer replaces the list by a record's if that is newer.
+func (have *rosterRecord) takeNewer(r external.Record) error {
+	var rec rosterRecord
+	if err := decodeRecord(r.Value, &rec); err != nil {
+		return err
+	}
+	if rec.Stamp.compare(have.Stamp) > 0 {
+		*have = rec
+	}
+	return nil
+}
+
+// takeProgress takes a job's progress if it is newer than what was read of it.
+func takeProgress(r external.Record, newest map[job.ID]stamp, ev *cell.Loaded) error {
+	var rec progressRecord
+	if err := decodeRecord(r.Value, &rec); err != nil {
+		return err
+	}
+	id := job.ID(r.Key)
+	if rec.Stamp.compare(newest[id]) > 0 {
+		newest[id], ev.Progress[id] = rec.Stamp, rec.Progress
+	}
+	return nil
+}
+
 func (o *owner) decodeWorkers(p external.Page, ev *cell.Loaded) {
 	for _, r := range p.Records {
 		if len(r.Value) == 0 {
