Tell a drop from an open batch; fence all topics at once

A batch without an answer stays open in its topic; the drop of forgotten jobs that goes with it bore its number, so that the open batch's end was taken for its own and their progress stayed in the store. Nothing runs by it, as submissions go first. Fences of the three topics went one after the other, three ways to the store and back at a take-over far from it.

Test first: TestDropIsNotTakenForAnOpenBatch.

--- a/internal/instance/partial_test.go
+++ b/internal/instance/partial_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// TestDropIsNotTakenForAnOpenBatch: a batch without an answer was written to
+// another topic; dropping jobs with it found the open batch done and dropped nothing.
+func TestDropIsNotTakenForAnOpenBatch(t *testing.T) {
+	s, w := writerRig(t)
+	first := topicsProgress[:1]
+	if err := w.write(t.Context(), 1, []external.Record{{Key: "j", Value: []byte("x")}}); err != nil {
+		t.Fatal(err)
+	}
+	s.SetFault(store.Fault{LoseAnswers: true, Topics: first})
+	if err := w.write(t.Context(), 2, []external.Record{{Key: "other", Value: []byte("y")}}); err != nil {
+		t.Fatal(err)
+	}
+	s.SetFault(store.Fault{})
+	if err := w.drop(t.Context(), 2, []job.ID{"j"}); err != nil {
+		t.Fatal(err)
+	}
+	if v := value(t, s, topicsProgress[0], "j"); v != "" {
+		t.Errorf("the first topic still holds %q", v)
+	}
+}
+
 func TestNewestProgressOfAllTopicsCounts(t *testing.T) {
 	record := func(term, batch int64, ended int64) external.Record {
 		v, err := encode(progressRecord{Stamp: stamp{Term: term, Batch: batch}, Progress: job.Progress{EndedMS: ended}})
--- a/internal/instance/progresswriter.go
+++ b/internal/instance/progresswriter.go
@@ -5,6 +5,8 @@
 	"errors"
 	"strconv"
 
+	"golang.org/x/sync/errgroup"
+
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -25,8 +27,9 @@
 	log      external.Log
 	topic    external.Topic
 	producer external.Producer
-	// open is an append without an answer, of the batch openBatch. Its sequence
-	// number can't be used for anything else: the append may be carried out yet.
+	// open is an append without an answer, of the batch openBatch, which is negative
+	// for the drop that goes with a batch. Its sequence number can't be used for
+	// anything else: the append may be carried out yet.
 	open      []external.Record
 	openBatch int64
 	// holds are the keys with a record in the topic.
@@ -44,14 +47,13 @@
 	return p
 }
 
-// fence makes the store refuse progress of every owner before.
+// fence makes the store refuse progress of every owner before, in all topics.
 func (p *progressWriter) fence(ctx context.Context) error {
+	var g errgroup.Group
 	for _, w := range p.ways {
-		if err := w.fence(ctx); err != nil {
-			return err
-		}
+		g.Go(func() error { return w.fence(ctx) })
 	}
-	return nil
+	return g.Wait()
 }
 
 // write makes a batch durable in one of the topics. Errors: of the last topic
@@ -92,7 +94,7 @@
 			}
 		}
 		if len(records) > 0 {
-			errs = append(errs, w.write(ctx, batch, records))
+			errs = append(errs, w.write(ctx, -batch, records)) // not the batch itself
 		}
 	}
 	return errors.Join(errs...)
