Let the next attempt wait for the end of a withdrawn start

An owner's new term withdrew an attempt whose start still waited for its holds, and dispatched the next attempt at once. That one took the attempt's place in the shell, so the end of the withdrawn start, which carries the old number, was dropped: placement kept the old job starting, with its room, and swallowed the new one as a repeat. The caller heard not_run at its deadline, 20 s later.

Ruled out: a lost answer (the ledger's waiter was there until the deadline), holds that never came (gained anew 0.2 s after they had lapsed).

The shell now keeps the next attempt behind the withdrawn one until placement is done with it.

--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"coltsfootmux/internal/core/ledger"
 	"coltsfootmux/internal/core/placement"
 	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/platform"
@@ -28,6 +29,10 @@
 	tried []model.HostID
 	// cancel ends the waits for the attempt's tasks.
 	cancel context.CancelFunc
+	// withdrawn says that the ledger gave the attempt up while it was starting.
+	withdrawn bool
+	// next is the key's next attempt, handed out once placement is done with this one.
+	next *ledger.Dispatch
 }
 
 // owns reports whether a lease belongs to the attempt.
@@ -64,3 +69,6 @@
 
 // whole reports whether every member's ending is at hand.
 func (a *attempt) whole() bool { return len(a.parts) > 0 && len(a.ended) >= len(a.parts) }
+
+// local reports whether placement here has the attempt.
+func (a *attempt) local() bool { return a.remote != nil || a.from.Addr == "" }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -14,13 +14,26 @@
 	"coltsfootmux/internal/wire"
 )
 
-// dispatch takes an attempt on and hands it to an owner of cells.
+// dispatch takes an attempt on and hands it to an owner of cells. While an earlier
+// attempt that was withdrawn is still starting, placement has no place for the
+// key, and the new one waits for its end.
 func (l *loop) dispatch(a ledger.Dispatch) {
+	if old, ok := l.attempts[a.Work.Key]; ok && old.withdrawn {
+		old.next = &a
+		return
+	}
 	at := &attempt{work: a.Work, group: a.Group, groupEpoch: a.GroupEpoch, number: a.Attempt, cancel: func() {}}
 	l.attempts[a.Work.Key] = at
 	l.offer(at, model.ReasonNoOwner, 0)
 }
 
+// follow hands out the attempt that waited for the end of this one.
+func (l *loop) follow(at *attempt) {
+	if at.next != nil {
+		l.dispatch(*at.next)
+	}
+}
+
 // offer hands an attempt to the owner that the dispatch core chooses. When none
 // is left, the ledger hears why the last one refused.
 func (l *loop) offer(at *attempt, last model.Reason, after time.Duration) {
--- a/internal/scheduler/led.go
+++ b/internal/scheduler/led.go
@@ -117,9 +117,15 @@
 // withdraw gives up an attempt here and, when it was forwarded, there.
 func (l *loop) withdraw(a ledger.Withdraw) {
 	at, ok := l.attempts[a.Key]
-	if ok && at.from.Addr != "" && at.remote == nil {
+	switch {
+	case ok && at.next != nil:
+		at.next = nil
+		return
+	case ok && !at.local():
 		go l.s.sendWithdraw(l.ctx, at.from, wire.Withdraw{Key: a.Key, Attempt: at.number})
 		return
+	case ok:
+		at.withdrawn = true
 	}
 	l.stepPlace(placement.Cancelled{Key: a.Key})
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -66,11 +66,17 @@
 	if at.refused != "" {
 		a.Reason = at.refused
 	}
-	if at.remote == nil && elsewhere(a.Reason) {
+	if at.next == nil && at.remote == nil && elsewhere(a.Reason) {
 		l.offer(at, a.Reason, a.RetryAfter)
 		return
 	}
 	delete(l.attempts, a.Key)
+	l.notRun(at, a)
+	l.follow(at)
+}
+
+// notRun tells the attempt's ledger that no part of it started.
+func (l *loop) notRun(at *attempt, a placement.Refuse) {
 	if at.remote != nil {
 		at.remote <- wire.PlaceReply{
 			NotRun: true,
@@ -89,16 +95,21 @@
 	}
 	at.cancel()
 	delete(l.attempts, a.Key)
-	if !at.whole() {
+	if at.whole() {
+		l.answered(at, at.result(a.Failed, a.Reason))
+	} else {
 		l.unclear(at, a.Reason)
-		return
 	}
-	res := at.result(a.Failed, a.Reason)
+	l.follow(at)
+}
+
+// answered tells the attempt's ledger its result.
+func (l *loop) answered(at *attempt, res model.Result) {
 	if at.remote != nil {
 		at.remote <- wire.PlaceReply{Result: res}
 		return
 	}
-	l.stepLedger(ledger.Answered{Key: a.Key, Attempt: at.number, Result: res})
+	l.stepLedger(ledger.Answered{Key: at.work.Key, Attempt: at.number, Result: res})
 }
 
 // unclear passes on that an attempt's fate must be asked for at its workers.
@@ -120,6 +131,7 @@
 		at.cancel()
 		delete(l.attempts, at.work.Key)
 		l.unclear(at, model.ReasonOwnerLost)
+		l.follow(at)
 	}
 }
 
