Give the test programs ports that nothing else takes

Two addresses picked in a row could also be the same. Ruled out: a program that is started twice (one start in the trace).

--- a/internal/programs/script_test.go
+++ b/internal/programs/script_test.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -18,6 +18,7 @@
 	entry "coltsfootmux/internal/entry/program"
 	driver "coltsfootmux/internal/load"
 	load "coltsfootmux/internal/load/program"
+	"coltsfootmux/internal/loopback"
 	"coltsfootmux/internal/process"
 	scheduler "coltsfootmux/internal/scheduler/program"
 )
@@ -48,13 +49,15 @@
 	})
 }
 
+// host is where the programs of the scripts listen.
+var host = loopback.New(os.Getpid())
+
 // freePorts NAME... sets variables to addresses on free loopback ports.
 func freePorts(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := host.Addr()
 		ts.Check(err)
-		defer func() { _ = ln.Close() }()
-		ts.Setenv(name, ln.Addr().String())
+		ts.Setenv(name, addr)
 	}
 }
 
--- a/internal/soak/echo_test.go
+++ b/internal/soak/echo_test.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
+
+	"coltsfootmux/internal/loopback"
 )
 
 // throughProxy sends a word to an echo server through a proxy in a mode and
@@ -25,7 +28,7 @@
 			go func() { _, _ = io.Copy(c, c) }()
 		}
 	}()
-	p, err := NewProxy("127.0.0.1", ln.Addr().String())
+	p, err := NewProxy(loopback.New(os.Getpid()), ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/loopback"
 )
 
 // ErrSetup means that the soak itself could not be set up.
@@ -32,15 +34,15 @@
 }
 
 // newMachine writes the settings of a machine; nothing runs yet.
-func newMachine(dir, ip string, n int, store string, seeds []string, control string, links *Proxy) (*machine, error) {
+func newMachine(dir string, host *loopback.Host, n int, store string, seeds []string, control string, links *Proxy) (*machine, error) {
 	m := &machine{name: fmt.Sprintf("front-%d", n), dir: dir, links: links}
 	var err error
-	if m.store, err = NewProxy(ip, store); err != nil {
+	if m.store, err = NewProxy(host, store); err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
 	}
 	var ports []string
 	for range 3 {
-		a, err := freeAddr(ip)
+		a, err := host.Addr()
 		if err != nil {
 			return nil, err
 		}
@@ -72,7 +74,7 @@
 grace_s = 4
 [platform]
 addr = %q
-`, m.name, ip, n%3, metrics, metrics, `"`+strings.Join(seeds, `","`)+`"`, m.front, m.ready, control, m.store.Addr())
+`, m.name, host.IP(), n%3, metrics, metrics, `"`+strings.Join(seeds, `","`)+`"`, m.front, m.ready, control, m.store.Addr())
 	m.settings = filepath.Join(dir, m.name+".toml")
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"coltsfootmux/internal/loopback"
 )
 
 // Mode is what a proxy does to the bytes that pass it.
@@ -35,9 +37,9 @@
 	conns map[net.Conn]bool
 }
 
-// NewProxy makes a proxy to a target address, on a free port of an IP address.
-func NewProxy(ip, target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp", ip+":0")
+// NewProxy makes a proxy to a target address, on a port of host.
+func NewProxy(host *loopback.Host, target string) (*Proxy, error) {
+	ln, err := host.Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -13,6 +12,7 @@
 
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/loopback"
 	"coltsfootmux/internal/standin/fleet"
 	"coltsfootmux/internal/standin/store"
 	"coltsfootmux/platform"
@@ -39,9 +39,9 @@
 // site is a small platform with the machines on it.
 type site struct {
 	o Options
-	// ip is the loopback address of this soak alone: beside others, a port that a
+	// host is the loopback address of this soak alone: beside others, a port that a
 	// killed process leaves would be taken by one of theirs.
-	ip       string
+	host     *loopback.Host
 	rng      *rand.Rand
 	store    *store.Store
 	fleet    *fleet.Live
@@ -56,7 +56,7 @@
 "backends":[{"name":"p","admission_check":true}],"limits":{"max_body_bytes":65536},"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":16}}]}`
 
 func newSite(o Options) (*site, error) {
-	s := &site{o: o, ip: ownLoopback(os.Getpid()), rng: rand.New(rand.NewPCG(o.Seed, 0)), store: store.New()}
+	s := &site{o: o, host: loopback.New(os.Getpid()), rng: rand.New(rand.NewPCG(o.Seed, 0)), store: store.New()}
 	s.fleet = fleet.NewLive(func(t job.TaskID, _ int64) (time.Duration, bool) {
 		return time.Duration(100+37*(t.Index+len(t.Job)*t.Step)%900) * time.Millisecond, false
 	})
@@ -81,7 +81,7 @@
 }
 
 func (s *site) serve(h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", s.ip+":0")
+	ln, err := s.host.Listen()
 	if err != nil {
 		return "", eris.Wrap(ErrSetup, err.Error())
 	}
@@ -97,7 +97,7 @@
 func workerName(n int) external.WorkerID { return external.WorkerID(fmt.Sprintf("i-%02d", n)) }
 
 func (s *site) addWorker(n int, addr string) error {
-	p, err := NewProxy(s.ip, addr)
+	p, err := NewProxy(s.host, addr)
 	if err != nil {
 		return eris.Wrap(ErrSetup, err.Error())
 	}
@@ -127,18 +127,18 @@
 	var controls, seeds []string
 	var links []*Proxy
 	for range s.o.Machines {
-		a, err := freeAddr(s.ip)
+		a, err := s.host.Addr()
 		if err != nil {
 			return err
 		}
-		p, err := NewProxy(s.ip, a)
+		p, err := NewProxy(s.host, a)
 		if err != nil {
 			return eris.Wrap(ErrSetup, err.Error())
 		}
 		controls, links, seeds = append(controls, a), append(links, p), append(seeds, p.Addr())
 	}
 	for n, control := range controls {
-		m, err := newMachine(s.o.Dir, s.ip, n, storeAddr, seeds[:min(3, len(seeds))], control, links[n])
+		m, err := newMachine(s.o.Dir, s.host, n, storeAddr, seeds[:min(3, len(seeds))], control, links[n])
 		if err != nil {
 			return err
 		}
@@ -162,18 +162,3 @@
 	}
 	s.stop()
 }
-
-// freeAddr gives an address on an IP address that nothing listens on.
-func freeAddr(ip string) (string, error) {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", eris.Wrap(ErrSetup, err.Error())
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
-
-// ownLoopback gives a loopback address that differs by process.
-func ownLoopback(pid int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16, pid>>8&0xff, pid&0xff)
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,16 +57,3 @@
 		})
 	}
 }
-
-// TestSoaksBesideEachOtherHaveAddressesOfTheirOwn: a soak's process answered for
-// another's, whose port it had taken while that one's process was down.
-func TestSoaksBesideEachOtherHaveAddressesOfTheirOwn(t *testing.T) {
-	seen := make(map[string]int)
-	for pid := 1; pid < 1<<18; pid++ {
-		ip := ownLoopback(pid)
-		if other, taken := seen[ip]; taken {
-			t.Fatalf("processes %d and %d share %s", other, pid, ip)
-		}
-		seen[ip] = pid
-	}
-}
