Play the users' kinds of jobs through the cell's core, by order and load

'cell' plays both users' mixes through core/cell and the stand-in fleet in virtual time, the same each time for a seed. Ways weighed: switches in the core for other orders (dead code in the product), a copy of the core (not what runs), or other ranks in the trace (chosen). Play finds no job left open and no breach at the workers.

--- /dev/null
+++ b/internal/cellplay/carry.go
@@ -0,0 +1,73 @@
+package cellplay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/external"
+)
+
+// do carries an action of the core out.
+func (p *player) do(a cell.Action) {
+	switch a := a.(type) {
+	case cell.Start:
+		p.tally.started(a)
+		p.start(a.Order)
+	case cell.Stop:
+		p.tally.stopped(a)
+		p.stop(a.Order)
+	case cell.Hold:
+		p.hold(a, p.now+a.Order.Wait)
+	case cell.Persist:
+		p.after(writeTime, func() { p.step(cell.Committed{Batch: a.Batch}) })
+	case cell.JobEnded:
+		p.open--
+		p.tally.ended(a)
+	}
+}
+
+func (p *player) start(o external.StartOrder) {
+	p.after(wayTime, func() {
+		r, err := p.fleet.Start(context.Background(), o)
+		p.after(wayTime, func() {
+			p.step(cell.Started{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(err)})
+		})
+	})
+}
+
+func (p *player) stop(o external.StopOrder) {
+	p.after(wayTime, func() {
+		r, err := p.fleet.Stop(context.Background(), o)
+		p.after(wayTime, func() {
+			p.step(cell.Stopped{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Failure: failureOf(err)})
+		})
+	})
+}
+
+// hold asks again each slice until an end is listed or the wait is over.
+func (p *player) hold(a cell.Hold, until time.Duration) {
+	p.after(wayTime, func() {
+		l, err := p.fleet.Hold(context.Background(), a.Order)
+		if err == nil && len(l.Ended) == 0 && p.now < until {
+			p.hold(a, until)
+			return
+		}
+		p.after(wayTime, func() {
+			p.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: failureOf(err)})
+		})
+	})
+}
+
+// failureOf says what a stand-in's error means to the core.
+func failureOf(err error) cell.Failure {
+	switch {
+	case err == nil:
+		return cell.FailureNone
+	case errors.Is(err, external.ErrFenced):
+		return cell.FailureFenced
+	default:
+		return cell.FailureUnclear
+	}
+}
--- /dev/null
+++ b/internal/cellplay/play_test.go
@@ -0,0 +1,73 @@
+package cellplay
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+)
+
+var seeds = flag.Int("cell-seeds", 1, "play each mix with so many seeds and print the tables")
+
+func small(m *Mix, seed uint64) Trace {
+	return Draw(m, Size{Workers: 16, Load: 1, Span: time.Minute, Seed: seed})
+}
+
+func TestEveryJobOfEveryMixEndsAndNothingForbiddenHappens(t *testing.T) {
+	for _, m := range Mixes() {
+		for seed := range uint64(*seeds) {
+			rs := Results(small(&m, seed), Orders())
+			for _, r := range rs {
+				if r.Open > 0 || len(r.Faults) > 0 {
+					t.Errorf("%s under %s, seed %d: %d jobs open, faults %v", m.Name, r.Order, seed, r.Open, r.Faults)
+				}
+			}
+			if testing.Verbose() {
+				Table(os.Stdout, rs)
+			}
+		}
+	}
+}
+
+func TestAPlayIsTheSameEachTime(t *testing.T) {
+	m := Cooperative()
+	o := Orders()[0]
+	if a, b := Play(small(&m, 3), o), Play(small(&m, 3), o); !reflect.DeepEqual(a, b) {
+		t.Errorf("two plays differ:\n%+v\n%+v", a, b)
+	}
+}
+
+func TestUrgentWorkStartsSoonerThanInOneClass(t *testing.T) {
+	for _, m := range Mixes() {
+		trace := Draw(&m, Size{Workers: 16, Load: 1.5, Span: time.Minute, Seed: 7})
+		byName := make(map[string]Result)
+		for _, r := range Results(trace, Orders()) {
+			byName[r.Order] = r
+		}
+		urgent := m.Kinds[0].Queue.Name
+		standard, flat := byName["standard"].kind(urgent), byName["one-class"].kind(urgent)
+		if standard.WaitP99 >= flat.WaitP99 {
+			t.Errorf("%s waits %v at most, %v in one class", urgent, standard.WaitP99, flat.WaitP99)
+		}
+	}
+}
+
+func (r Result) kind(name string) Figures {
+	for _, k := range r.Kinds {
+		if k.Kind == name {
+			return k
+		}
+	}
+	return Figures{}
+}
+
+func TestATraceDependsOnItsSeedOnly(t *testing.T) {
+	m := Observatory()
+	if !reflect.DeepEqual(small(&m, 1), small(&m, 1)) {
+		t.Error("the same seed gives two traces")
+	}
+	if reflect.DeepEqual(small(&m, 1).Jobs, small(&m, 2).Jobs) {
+		t.Error("two seeds give the same trace")
+	}
+}
--- /dev/null
+++ b/internal/cellplay/trace.go
@@ -0,0 +1,88 @@
+package cellplay
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+)
+
+// Trace is the work of one play.
+type Trace struct {
+	Mix     string
+	Size    Size
+	Workers []external.Worker
+	Policy  job.Policy
+	Jobs    []Arrival
+}
+
+// Arrival is a job with what only the workers know of it.
+type Arrival struct {
+	At  time.Duration
+	Job job.Job
+	// Work is the true run time of a task of each step.
+	Work []time.Duration
+}
+
+// Size says how large a trace is.
+type Size struct {
+	Workers int
+	// Load multiplies the mix's rates.
+	Load float64
+	// Span is how long jobs arrive.
+	Span time.Duration
+	Seed uint64
+}
+
+// Draw makes a trace of a mix.
+func Draw(m *Mix, s Size) Trace {
+	t := Trace{Mix: m.Name, Size: s, Workers: workers(m, s.Workers), Policy: policy(m, s.Workers)}
+	for n := range m.Kinds {
+		t.Jobs = append(t.Jobs, arrivals(m, n, s)...)
+	}
+	slices.SortStableFunc(t.Jobs, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return t
+}
+
+// arrivals draws the jobs of one kind; each kind has a random stream of its own.
+func arrivals(m *Mix, n int, s Size) []Arrival {
+	k := &m.Kinds[n]
+	rng := rand.New(rand.NewPCG(s.Seed, uint64(n)))
+	between := float64(time.Second) / (k.PerSecond * s.Load * float64(s.Workers))
+	var out []Arrival
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * between)
+		if at >= s.Span {
+			return out
+		}
+		id := job.ID(fmt.Sprintf("%s-%05d", k.Queue.Name, len(out)))
+		j, work := k.draw(rng, id, m.Accounts[rng.IntN(len(m.Accounts))])
+		j.SubmittedMS = at.Milliseconds()
+		out = append(out, Arrival{At: at, Job: j, Work: work})
+	}
+}
+
+func workers(m *Mix, count int) []external.Worker {
+	var out []external.Worker
+	for n := range count {
+		rack := fmt.Sprintf("rack%d", n/m.Rack)
+		out = append(out, external.Worker{
+			ID: external.WorkerID(fmt.Sprintf("w%04d", n)), Pool: pool, Capacity: m.Worker,
+			Labels: []string{rack}, Rack: rack, BornMS: 1,
+		})
+	}
+	return out
+}
+
+func policy(m *Mix, workers int) job.Policy {
+	p := job.Policy{Version: 1, Pools: []job.Pool{{Name: pool, Guarded: true}}}
+	each := int(m.Guaranteed * float64(m.Worker.GPU*workers) / float64(len(m.Accounts)))
+	for _, a := range m.Accounts {
+		p.Accounts = append(p.Accounts, job.Account{Name: a, GuaranteedGPU: each})
+	}
+	return p
+}
--- /dev/null
+++ b/internal/load/program/cell.go
@@ -0,0 +1,114 @@
+package program
+
+import (
+	"context"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"coltsfootmux/internal/cellplay"
+	"coltsfootmux/internal/process"
+)
+
+const (
+	flagWorkers = "workers"
+	flagLoad    = "load"
+	flagSeeds   = "seeds"
+	cellFor     = 2 * time.Minute
+	// maxWorkers bounds the workers of a play, several times what one cell has.
+	maxWorkers = 4096
+)
+
+func cellCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cell",
+		Usage: "play jobs through the cell's core in virtual time, by order, load and number of workers",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagMix, Usage: "play only this mix (default: all)"},
+			&cli.IntSliceFlag{Name: flagWorkers, Value: []int{48}, Usage: "numbers of workers"},
+			&cli.FloatSliceFlag{Name: flagLoad, Value: []float64{1}, Usage: "factors on the rates of the mix"},
+			&cli.DurationFlag{Name: flagFor, Value: cellFor, Usage: "how long jobs arrive, such as 2m"},
+			&cli.IntFlag{Name: flagSeeds, Value: 1, Usage: "traces played for each mix, load and number of workers"},
+		},
+		Action: playCells,
+	}
+}
+
+func playCells(_ context.Context, cmd *cli.Command) error {
+	mixes, err := chosenMixes(cmd.String(flagMix))
+	if err != nil {
+		return err
+	}
+	sizes, err := chosenSizes(cmd)
+	if err != nil {
+		return err
+	}
+	out := cmd.Root().Writer
+	for _, m := range mixes {
+		for _, rs := range playSizes(&m, sizes) {
+			cellplay.Table(out, rs)
+		}
+	}
+	return nil
+}
+
+func chosenMixes(name string) ([]cellplay.Mix, error) {
+	all := cellplay.Mixes()
+	if name == "" {
+		return all, nil
+	}
+	i := slices.IndexFunc(all, func(m cellplay.Mix) bool { return m.Name == name })
+	if i >= 0 {
+		return all[i : i+1], nil
+	}
+	var names []string
+	for _, m := range all {
+		names = append(names, m.Name)
+	}
+	return nil, &process.SettingError{Flag: flagMix, Value: name, Allowed: "one of " + strings.Join(names, ", ")}
+}
+
+// chosenSizes gives each load and seed for each number of workers.
+func chosenSizes(cmd *cli.Command) ([]cellplay.Size, error) {
+	span, seeds := cmd.Duration(flagFor), cmd.Int(flagSeeds)
+	if span <= 0 {
+		return nil, &process.SettingError{Flag: flagFor, Value: span, Allowed: "a positive duration"}
+	}
+	if seeds < 1 {
+		return nil, &process.SettingError{Flag: flagSeeds, Value: seeds, Allowed: "at least 1"}
+	}
+	var out []cellplay.Size
+	for _, workers := range cmd.IntSlice(flagWorkers) {
+		if workers < 1 || workers > maxWorkers {
+			return nil, &process.SettingError{Flag: flagWorkers, Value: workers, Allowed: "1 to 4096"}
+		}
+		for _, load := range cmd.FloatSlice(flagLoad) {
+			if load <= 0 {
+				return nil, &process.SettingError{Flag: flagLoad, Value: load, Allowed: "more than 0"}
+			}
+			for seed := range seeds {
+				out = append(out, cellplay.Size{Workers: workers, Load: load, Span: span, Seed: uint64(seed)})
+			}
+		}
+	}
+	return out, nil
+}
+
+// playSizes plays a mix in each size under each order, several sizes at a time.
+func playSizes(m *cellplay.Mix, sizes []cellplay.Size) [][]cellplay.Result {
+	out := make([][]cellplay.Result, len(sizes))
+	var g errgroup.Group
+	g.SetLimit(max(1, runtime.NumCPU()/2))
+	for i, s := range sizes {
+		g.Go(func() error {
+			out[i] = cellplay.Results(cellplay.Draw(m, s), cellplay.Orders())
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out
+}
--- a/internal/load/program/command.go
+++ b/internal/load/program/command.go
@@ -8,6 +8,6 @@
 	return &cli.Command{
 		Name:     "coltsfootmux-load",
 		Usage:    "send load, compare placement policies, measure the path, write reports",
-		Commands: []*cli.Command{runCommand(), policyCommand(), pathCommand(), reportCommand()},
+		Commands: []*cli.Command{runCommand(), policyCommand(), cellCommand(), pathCommand(), reportCommand()},
 	}
 }
