Raise alarms at the platform's owner, and say how doubts and ages stand

The cell's core now raises reclaim_late, guarantee_unmet, no_worker_fits and job_late, each once a job or once until well again, and reports each start without an answer when its fate is known.

--- /dev/null
+++ b/internal/core/cell/alarms.go
@@ -0,0 +1,112 @@
+package cell
+
+import (
+	"time"
+
+	"coltsfootmux/internal/job"
+)
+
+// AlarmCode says what an operator should look at.
+type AlarmCode string
+
+// The alarms. Each is raised once a job, or once until what it is about has been
+// well again.
+const (
+	// AlarmReclaimLate: urgent work inside its account's guarantee still waits for
+	// room after the time in which it must have it.
+	AlarmReclaimLate AlarmCode = "reclaim_late"
+	// AlarmGuaranteeUnmet: the workers that may be used have fewer accelerators
+	// than the accounts are guaranteed.
+	AlarmGuaranteeUnmet AlarmCode = "guarantee_unmet"
+	// AlarmNoWorkerFits: no worker of the pool could hold a waiting task.
+	AlarmNoWorkerFits AlarmCode = "no_worker_fits"
+	// AlarmJobLate: a job is so late that its completion is of no more use.
+	AlarmJobLate AlarmCode = "job_late"
+)
+
+// Alarm is for operators.
+type Alarm struct {
+	Code    AlarmCode
+	Job     job.ID
+	Account string
+	// Waited is how long the job is open.
+	Waited time.Duration
+	// Have and Need are in accelerators, of AlarmGuaranteeUnmet.
+	Have int
+	Need int
+}
+
+func (Alarm) action() {}
+
+const (
+	// alarmEvery is how often the guarantees are held against the workers.
+	alarmEvery = time.Second
+	// shortFor is how long workers must be too few before it is worth an alarm:
+	// entries that lapsed with the store are back within about 2 s of its return,
+	// and workers that restart within as much again.
+	shortFor = 5 * time.Second
+)
+
+// alarms are those of a job that have been raised.
+type alarms map[AlarmCode]bool
+
+// alarm raises an alarm about a job once.
+func (c *Core) alarm(e *entry, code AlarmCode) {
+	if e.alarms[code] {
+		return
+	}
+	if e.alarms == nil {
+		e.alarms = make(alarms)
+	}
+	e.alarms[code] = true
+	c.act(Alarm{Code: code, Job: e.job.ID, Account: e.job.Account, Waited: c.age(e)})
+}
+
+// age is how long a job is open.
+func (c *Core) age(e *entry) time.Duration {
+	return time.Duration(c.now.UnixMS-e.job.SubmittedMS) * time.Millisecond
+}
+
+// watch raises the alarms about a group that finds no place.
+func (c *Core) watch(g *ranked) {
+	e := g.occ.entry
+	if g.stale {
+		c.alarm(e, AlarmJobLate)
+	}
+	within := c.settings.ReclaimWithin
+	if within > 0 && g.entitled && len(g.step.After) == 0 && c.age(e) > within {
+		c.alarm(e, AlarmReclaimLate)
+	}
+}
+
+// watchGuarantees holds what accounts are guaranteed against the usable workers.
+// It says nothing before every worker has been heard of.
+func (c *Core) watchGuarantees() {
+	if c.now.Mono < c.nextAlarm || !c.swept() {
+		return
+	}
+	c.nextAlarm = c.now.Mono + alarmEvery
+	need, have := 0, 0
+	for i := range c.policy.Accounts {
+		need += c.policy.Accounts[i].GuaranteedGPU
+	}
+	for _, w := range c.fleet {
+		if w.listed && !w.Draining && w.holdFails == 0 {
+			have += w.Capacity.GPU
+		}
+	}
+	c.noteShort(have, need)
+}
+
+// noteShort raises the alarm once the workers have been too few for a while.
+func (c *Core) noteShort(have, need int) {
+	switch {
+	case need <= have:
+		c.shortSince, c.shortTold = 0, false
+	case c.shortSince == 0:
+		c.shortSince = c.now.Mono
+	case !c.shortTold && c.now.Mono-c.shortSince >= shortFor:
+		c.shortTold = true
+		c.act(Alarm{Code: AlarmGuaranteeUnmet, Have: have, Need: need})
+	}
+}
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -58,6 +58,11 @@
 	nextPass time.Duration
 	// nextHeldNote bounds how often it is reported that inherited jobs wait.
 	nextHeldNote time.Duration
+	// nextAlarm is when the guarantees are looked at next, shortSince since when
+	// the workers are too few for them, shortTold whether that was raised.
+	nextAlarm  time.Duration
+	shortSince time.Duration
+	shortTold  bool
 }
 
 // New makes a cell for a term.
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -27,6 +27,7 @@
 	// workers that have not been heard of.
 	inherited bool
 	objective time.Duration
+	alarms    alarms
 }
 
 // occurrence is one run through a job's steps.
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -219,7 +219,7 @@
 		}
 		r.mark, r.stopAcked, w.probe = c.issued, 0, true
 		if r.state != runStopping {
-			r.state = runDoubt
+			c.enterDoubt(r)
 		}
 	}
 	w.holdNext = c.now.Mono
@@ -285,6 +285,7 @@
 			r.mark = c.issued
 			r.began = now
 		}
+		c.settleDoubt(r, SettledRunning)
 		c.checkRun(r)
 	}
 }
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -136,7 +136,10 @@
 	e.outcome = o
 	e.endedMS = c.now.UnixMS
 	c.markDirty(e)
-	c.act(JobEnded{ID: e.job.ID, Outcome: o, Age: time.Duration(c.now.UnixMS-e.job.SubmittedMS) * time.Millisecond})
+	c.act(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e)})
+	if o == job.Complete && !e.job.Timed() && c.age(e) > lateFactor*e.objective {
+		c.alarm(e, AlarmJobLate)
+	}
 	for _, u := range e.units() {
 		c.dropPlan(u)
 		if o == job.Complete {
@@ -218,6 +221,7 @@
 func (c *Core) endRun(r *run, how external.How, saved string) {
 	r.detach()
 	c.changed = true
+	c.settleDoubt(r, how)
 	c.act(RunEnded{Task: r.task, Run: r.number, Worker: r.worker.ID, How: how, Age: c.now.Mono - r.since})
 	u := r.unit
 	if u == nil {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -73,7 +73,7 @@
 	if r.state != runStarting {
 		return
 	}
-	r.state = runDoubt
+	c.enterDoubt(r)
 	r.mark = c.issued
 	r.worker.probe = true
 	c.act(WorkerNoted{Worker: r.worker.ID, Note: "start without an answer", Runs: len(r.worker.runs)})
@@ -150,6 +150,7 @@
 		}
 	}
 	c.moveStragglers()
+	c.watchGuarantees()
 	if now >= c.nextPass {
 		c.changed = true
 		c.nextPass = now + 250*time.Millisecond
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -40,6 +40,7 @@
 		if on == nil {
 			c.makeRoom(p, g, u)
 			c.noteWait(p, g, u)
+			c.watch(g)
 			if u.plan == nil {
 				return
 			}
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -47,6 +47,8 @@
 	figure int
 	pace   int
 	paced  time.Duration
+	// doubted is since when it is not known whether the start was carried out.
+	doubted time.Duration
 	// listedAt is when a list last showed the run.
 	listedAt time.Duration
 	// resumed runs began from a checkpoint; their progress says little.
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -18,6 +18,9 @@
 	Restore time.Duration
 	// FarFactor is how much longer tasks run away from their data.
 	FarFactor float64
+	// ReclaimWithin is the time in which urgent work inside its guarantee must have
+	// its room; 0 for no bound.
+	ReclaimWithin time.Duration
 	// Early is how much before its due time an occurrence may be opened.
 	Early time.Duration
 	// Retention is how long ended jobs can be asked for.
--- a/internal/core/cell/waits.go
+++ b/internal/core/cell/waits.go
@@ -61,6 +61,9 @@
 		}
 	}
 	c.act(n)
+	if n.Listed > 0 && n.Empty == 0 && n.Allowed == n.Listed {
+		c.alarm(u.entry(), AlarmNoWorkerFits)
+	}
 }
 
 // noteHeld reports that inherited jobs wait, once a second at most.
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -62,7 +62,8 @@
 func testSettings() Settings {
 	return Settings{
 		Lease: fleet.LeaseMax - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, Overhang: 3 * time.Second,
-		FarFactor: 3, Early: 250 * time.Millisecond, Retention: 2 * time.Minute,
+		ReclaimWithin: 2700 * time.Millisecond,
+		FarFactor:     3, Early: 250 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
 
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -71,6 +71,14 @@
 			slog.Bool("reserved", a.Reserved))
 	case cell.Held:
 		evHeld.Log(o.ctx, l, slog.Int("jobs", a.Jobs), slog.Int("silent", a.Silent), slog.Duration("until", a.Until))
+	case cell.DoubtSettled:
+		mDoubts.With(string(a.How)).Inc()
+		evDoubt.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run),
+			slog.String("worker", string(a.Worker)), slog.String("how", string(a.How)), slog.Duration("took", a.Took))
+	case cell.Alarm:
+		mAlarms.With(string(a.Code)).Inc()
+		evAlarm.Log(o.ctx, l, slog.String("code", string(a.Code)), slog.String("job", string(a.Job)), slog.String("account", a.Account),
+			slog.Duration("waited", a.Waited), slog.Int("have", a.Have), slog.Int("need", a.Need))
 	case cell.WorkerNoted:
 		evWorker.Log(o.ctx, l, slog.String("worker", string(a.Worker)), slog.String("note", a.Note), slog.Int("runs", a.Runs))
 	}
--- a/internal/instance/contact.go
+++ b/internal/instance/contact.go
@@ -1,6 +1,10 @@
 package instance
 
-import "coltsfootmux/internal/external"
+import (
+	"time"
+
+	"coltsfootmux/internal/external"
+)
 
 // storeLostAfter is how many calls in a row must fail before a topic counts as
 // lost to this process; a single lost answer says nothing.
@@ -21,6 +25,8 @@
 type topicContact struct {
 	contact  contact
 	failures int
+	// lastOK is the boot time of the last answer, 0 before any.
+	lastOK time.Duration
 }
 
 // contacts are the topics that this process has called.
@@ -45,11 +51,12 @@
 	return false
 }
 
-// answered takes in a call that was answered and says whether the topic had been lost.
-func (c contacts) answered(t external.Topic) (back bool) {
+// answered takes in a call that was answered at a boot time and says whether the
+// topic had been lost.
+func (c contacts) answered(t external.Topic, at time.Duration) (back bool) {
 	have := c.of(t)
 	back = have.contact == contactLost
-	have.contact, have.failures = contactGood, 0
+	have.contact, have.failures, have.lastOK = contactGood, 0, at
 	return back
 }
 
--- a/internal/instance/contact_test.go
+++ b/internal/instance/contact_test.go
@@ -29,7 +29,7 @@
 			have := make(contacts)
 			for _, call := range c.calls {
 				if call.ok {
-					have.answered(call.topic)
+					have.answered(call.topic, 0)
 				} else {
 					have.failed(call.topic)
 				}
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -47,6 +47,8 @@
 	evWave          = logevent.New(2255, slog.LevelInfo, "wave of upkeep asked for")
 	evUpkeep        = logevent.New(2256, slog.LevelInfo, "upkeep of a machine ordered")
 	evWaveTold      = logevent.New(2257, slog.LevelInfo, "state of a wave written")
+	evDoubt         = logevent.New(2258, slog.LevelInfo, "doubt about a start is settled")
+	evAlarm         = logevent.New(2259, slog.LevelWarn, "alarm")
 	evWorkerBad     = logevent.New(2248, slog.LevelWarn, "worker entry names no worker")
 	evHoldFailed    = logevent.New(2249, slog.LevelInfo, "worker not heard")
 )
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/metric"
 )
 
@@ -28,6 +29,8 @@
 	mJobsEnded = metric.NewCounterVec("coltsfootmux_jobs_ended_total", "jobs", "outcome", "jobs that ended by their outcome")
 	mJobAge    = metric.NewHistogram("coltsfootmux_job_seconds", "seconds", "time from a job's submission to its end")
 	mSilent    = metric.NewCounter("coltsfootmux_worker_calls_failed_total", "calls", "holds that a worker did not answer")
+	mDoubts    = metric.NewCounterVec("coltsfootmux_doubts_total", "starts", "how", "starts without an answer by what became of them")
+	mAlarms    = metric.NewCounterVec("coltsfootmux_cell_alarms_total", "alarms", "code", "alarms raised by code")
 	mCommit    = metric.NewHistogram("coltsfootmux_progress_write_seconds", "seconds", "time until progress is durable")
 )
 
@@ -50,6 +53,8 @@
 	gauge("coltsfootmux_policy_age_seconds", "seconds", "time since the policy was last read from the store", (*Instance).policyAge)
 	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process for any topic", (*Instance).storeReachable)
 	gauge("coltsfootmux_term_owned", "term", "the term that this process owns, 0 for none", (*Instance).termOwned)
+	gauge("coltsfootmux_term_age_seconds", "seconds", "time since the store last answered for the term", func(i *Instance) float64 { return i.sinceOK(topicTerm) })
+	gauge("coltsfootmux_worker_list_age_seconds", "seconds", "time since the store last answered for the list of workers", func(i *Instance) float64 { return i.sinceOK(i.WorkerList) })
 	gauge("coltsfootmux_open_jobs", "jobs", "jobs of the owned cell that have not ended", func(i *Instance) float64 { return float64(i.load().OpenJobs) })
 	gauge("coltsfootmux_waiting_units", "tasks", "tasks and gangs of the owned cell that wait", func(i *Instance) float64 { return float64(i.load().Waiting) })
 	gauge("coltsfootmux_cell_runs", "runs", "runs on the owned cell's workers", func(i *Instance) float64 { return float64(i.load().Runs) })
@@ -68,6 +73,15 @@
 	return (boottime() - time.Duration(i.policyRead.Load())).Seconds()
 }
 
+// sinceOK gives the seconds since the store answered for a topic, 0 if it never did.
+func (i *Instance) sinceOK(t external.Topic) float64 {
+	since, ok := i.store.sinceOK(t)
+	if !ok {
+		return 0
+	}
+	return since.Seconds()
+}
+
 func (i *Instance) storeReachable() float64 {
 	if i.store.reachable() {
 		return 1
--- a/internal/instance/storeprobe.go
+++ b/internal/instance/storeprobe.go
@@ -61,10 +61,7 @@
 // check says whether the store answers for a topic right now; one lost answer
 // says nothing.
 func (s *storeWatch) check(ctx context.Context, t external.Topic) bool {
-	s.mu.Lock()
-	last, ok := s.lastOK[t]
-	s.mu.Unlock()
-	if ok && boottime()-last < checkFresh {
+	if since, ok := s.sinceOK(t); ok && since < checkFresh {
 		return true
 	}
 	for range checkProbes {
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -22,7 +22,6 @@
 
 	mu       sync.Mutex
 	contacts contacts
-	lastOK   map[external.Topic]time.Duration
 	// reads are those under way. When a topic answers again they are given up, as
 	// the store may have forgotten them.
 	reads map[int]context.CancelFunc
@@ -36,8 +35,7 @@
 		Log: l, probed: probed,
 		changed:  func(external.Topic, bool, error) {},
 		unread:   func(external.Topic, int64, int) {},
-		contacts: make(contacts), lastOK: make(map[external.Topic]time.Duration),
-		reads: make(map[int]context.CancelFunc), wake: make(chan struct{}, 1),
+		contacts: make(contacts), reads: make(map[int]context.CancelFunc), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -55,6 +53,14 @@
 	return s.contacts.reachable()
 }
 
+// sinceOK gives how long ago the store answered for a topic; false if it never did.
+func (s *storeWatch) sinceOK(t external.Topic) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.contacts.of(t).lastOK
+	return boottime() - last, last != 0
+}
+
 // Append implements external.Log.
 func (s *storeWatch) Append(ctx context.Context, a external.Append) (int64, error) {
 	began := boottime()
@@ -132,8 +138,7 @@
 		return
 	}
 	s.mu.Lock()
-	back := s.contacts.answered(t)
-	s.lastOK[t] = boottime()
+	back := s.contacts.answered(t, boottime())
 	if back {
 		for _, giveUp := range s.reads {
 			giveUp()
