Don't wait at a take-over for workers that said that they would leave

Ruled out: reads of the store (taken over within 40 ms), workers on the list (heard within 0.5 s).

The roster now says which workers drain. One of these that is missing from the list for 2.5 s and silent has left.

Found beside it by reading: the present owner took a draining worker that was cut off for one that had left as soon as its entry lapsed, after 4.5 s, while its lease of 6 s went on: a task could run twice. It must now have been heard within 2.5 s before its entry went. Both have a test that fails without the change.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -44,6 +44,8 @@
 type RosterEntry struct {
 	ID   external.WorkerID `cbor:"1,keyasint"`
 	Addr string            `cbor:"2,keyasint"`
+	// Draining workers said that they would leave.
+	Draining bool `cbor:"3,keyasint,omitempty"`
 }
 
 // JobProgress is the progress of one job.
--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -229,6 +229,66 @@
 	w.check()
 }
 
+// drain makes a worker say that it leaves.
+func (w *world) drain(o *testOwner, n int) {
+	m := w.machine(n).Worker
+	m.Draining, m.LeavesIn = true, 2500*time.Millisecond
+	w.machine(n).Worker = m
+	w.step(o, WorkerChanged{Worker: m})
+}
+
+// TestWorkersThatDrainedAndLeftUnseenDoNotHoldUpATakeOver: an owner was lost as
+// workers left. The next two waited 7.5 s each for them with every job of before.
+func TestWorkersThatDrainedAndLeftUnseenDoNotHoldUpATakeOver(t *testing.T) {
+	w := newWorld(t, 14, 6)
+	first := w.takeOver()
+	w.run(200 * time.Millisecond)
+	w.submit(single("before", 44))
+	w.settle(20 * time.Second)
+	w.drain(first, 5)
+	w.run(300 * time.Millisecond)
+	first.dead = true
+	w.machine(5).Down = true
+	w.submit(single("j", 4))
+	w.gone = "w05"
+	o := w.takeOver()
+	w.run(backWithin + 300*time.Millisecond)
+	if !o.core.Ready() {
+		t.Error("the new owner waits for a worker that said that it would leave, and left")
+	}
+	w.settle(20 * time.Second)
+	w.check()
+}
+
+// TestADrainingWorkerThatIsCutOffHasNotLeft: its entry lapses after three
+// heartbeats, while its lease goes on.
+func TestADrainingWorkerThatIsCutOffHasNotLeft(t *testing.T) {
+	w := newWorld(t, 14, 6)
+	w.fleet = fleet.New(func(job.TaskID, int64) (time.Duration, bool) { return 30 * time.Second, false })
+	for n := range 6 {
+		w.fleet.Add(machine(n))
+	}
+	o := w.takeOver()
+	w.run(200 * time.Millisecond)
+	j := single("j", 20)
+	j.Steps[0].EstimateMS = 20_000
+	w.submit(j)
+	w.run(2 * time.Second)
+	m := w.machine(0).Worker
+	if w.fleet.Running() != 20 {
+		t.Fatalf("%d tasks run", w.fleet.Running())
+	}
+	m.Draining, m.LeavesIn = true, time.Minute
+	w.machine(0).Worker = m
+	w.step(o, WorkerChanged{Worker: m})
+	w.run(time.Second)
+	w.cut[m.ID] = true
+	w.run(4500 * time.Millisecond)
+	w.step(o, WorkerUnlisted{ID: m.ID})
+	w.run(8 * time.Second)
+	w.check()
+}
+
 func TestHangingAndFailingWorkersAreLeft(t *testing.T) {
 	w := newWorld(t, 10, 8)
 	w.machine(0).Mode = fleet.Hanging
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -28,7 +28,7 @@
 		c.act(WorkerNoted{Worker: w.ID, Note: "drains", Runs: len(w.runs)})
 	}
 	if n.Draining != wasDraining {
-		c.changed = true
+		c.changed, c.rosterDirty = true, true
 	}
 }
 
@@ -39,7 +39,7 @@
 	if w == nil || !w.listed {
 		return
 	}
-	w.listed = false
+	w.unlist(c.now.Mono)
 	c.act(WorkerNoted{Worker: w.ID, Note: "left the list", Runs: len(w.runs)})
 }
 
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -145,7 +145,7 @@
 				c.tickStop(r)
 			}
 		}
-		if !w.listed && len(w.runs) == 0 && (!w.awaited() || now > c.silentUntil) {
+		if !w.listed && len(w.runs) == 0 && (!w.awaited(now) || now > c.silentUntil) {
 			c.dropWorker(w)
 		}
 	}
@@ -163,7 +163,7 @@
 	if w.holdFails == 0 || len(w.runs) == 0 {
 		return
 	}
-	left := w.Draining && !w.listed // it said so, took its entry away and is silent
+	left := w.hasLeft(now)
 	if !left && now < w.leaseEnd {
 		return
 	}
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -119,7 +119,7 @@
 		return true
 	}
 	for _, w := range c.fleet {
-		if w.awaited() {
+		if w.awaited(c.now.Mono) {
 			return false
 		}
 	}
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -1,6 +1,10 @@
 package cell
 
-import "coltsfootmux/internal/external"
+import (
+	"time"
+
+	"coltsfootmux/internal/external"
+)
 
 // The roster is the durable list of the workers in use. A worker is used only
 // once it is on it, so that a later owner asks every worker that can run
@@ -12,8 +16,8 @@
 	for _, r := range roster {
 		w := c.workers[r.ID]
 		if w == nil {
-			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr})
-			w.listed = false
+			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr, Draining: r.Draining})
+			w.unlist(c.now.Mono)
 		}
 		w.inherited = true
 	}
@@ -23,7 +27,7 @@
 func (c *Core) rosterNow() []RosterEntry {
 	out := []RosterEntry{}
 	for _, w := range c.fleet {
-		out = append(out, RosterEntry{ID: w.ID, Addr: w.Addr})
+		out = append(out, RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining})
 	}
 	return out
 }
@@ -38,4 +42,6 @@
 }
 
 // awaited says whether a worker may run something unseen of the term before.
-func (w *worker) awaited() bool { return !w.fenced && (w.listed || w.inherited) }
+func (w *worker) awaited(now time.Duration) bool {
+	return !w.fenced && (w.listed || w.inherited) && !w.hasLeft(now)
+}
--- a/internal/core/cell/waits.go
+++ b/internal/core/cell/waits.go
@@ -74,7 +74,7 @@
 	c.nextHeldNote = c.now.Mono + firstWaitNote
 	h := Held{Jobs: jobs, Until: c.silentUntil - c.now.Mono}
 	for _, w := range c.fleet {
-		if w.awaited() {
+		if w.awaited(c.now.Mono) {
 			h.Silent++
 		}
 	}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -10,8 +10,10 @@
 // worker is what the cell believes of a worker.
 type worker struct {
 	external.Worker
-	// listed says that the store's list names the worker.
-	listed bool
+	// listed says that the store's list names the worker, unlistedAt since when it
+	// does not.
+	listed     bool
+	unlistedAt time.Duration
 	// rostered says that the durable roster names the worker, inherited that the
 	// roster of the term before does.
 	rostered  bool
