Count a claim without an answer as the store's absence

After an outage of the term's partition a machine of 0.19 cores claimed the term before those of 0.8: its waiting read had not noticed the outage, so that by its own account the record had been stale for long, while the strong machines, whose reads had failed, waited 1.5 s anew. It could not carry 350 workers: renewals were confirmed too late, starts had no answer in time, gangs were started in part, the term was lost again. Ruled out: the order of claims on a calm store (strong first, 300 ms apart).

A claim that is refused or has no answer now starts the wait anew, as a failed read does.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -13,7 +13,7 @@
 	rec   Record
 	end   int64
 	// changedAt is when the record was last seen to change, okSince since when
-	// every read has succeeded.
+	// every read and claim was answered.
 	changedAt time.Duration
 	okSince   time.Duration
 	ok        bool
@@ -133,6 +133,11 @@
 
 func (c *Core) written(e Written) {
 	c.writes--
+	if c.owns == 0 && (e.Result == WriteUnclear || e.Result == WriteFailed) {
+		// A read that waits may not have noticed that the store is away. Without
+		// this the machines that notice it last would claim first on its return.
+		c.ok = false
+	}
 	switch e.Result {
 	case WriteDone:
 	case WriteUnclear:
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -181,6 +181,35 @@
 	}
 }
 
+// TestDelayedMachineStaysBehindAfterAnOutage: a weak machine whose waiting read had not noticed
+// an outage claimed the term first on the store's return, and could not carry it.
+func TestDelayedMachineStaysBehindAfterAnOutage(t *testing.T) {
+	for _, r := range []Result{WriteUnclear, WriteFailed} {
+		f := &fakeStore{records: []Record{{Term: 1, Owner: "gone", Addr: "10.0.0.9:1"}}}
+		weak := newContender(50) // half a second behind
+		weak.readAll(0, f)
+		back := 10 * time.Second
+		for now := time.Duration(0); now < back; now += 50 * time.Millisecond {
+			weak.step(now, Tick{})
+			for len(weak.sent) > 0 {
+				weak.sent = weak.sent[1:]
+				weak.step(now, Written{Result: r})
+			}
+		}
+		claimed := time.Duration(0)
+		for now := back; now < back+5*time.Second && claimed == 0; now += 50 * time.Millisecond {
+			weak.readAll(now, f)
+			weak.step(now, Tick{})
+			if len(weak.sent) > 0 {
+				claimed = now - back
+			}
+		}
+		if s := DefaultSettings(); claimed < s.Stale+500*time.Millisecond || claimed > s.Stale+time.Second {
+			t.Errorf("claimed %v after the store's return", claimed)
+		}
+	}
+}
+
 func TestRestartedProcessClaimsItsOwnTermAtOnce(t *testing.T) {
 	f := &fakeStore{records: []Record{{Term: 3, Owner: "node-0/0", Addr: "10.0.0.0:1"}}}
 	a := newContender(0)
