Bound the starts that have no answer yet

A new owner released all jobs that it had inherited in one pass (383 jobs, 200 starts a pass); on a machine of 0.19 cores the answers came after the calls' bound of 0.7 s, so that started runs were in doubt, gangs were started in part, and the renewals of the term came late.

At most 64 starts of the last 0.25 s are without an answer now; a worker that is cut off holds the others up no longer than that.

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -289,6 +289,47 @@
 	w.check()
 }
 
+// TestStartsWaitForAnswers: a new owner ordered everything that it had inherited
+// at once, heard no answer in time and lost its term; gangs were started in part.
+func TestStartsWaitForAnswers(t *testing.T) {
+	c, asked := takenOver(100)
+	for _, h := range asked {
+		c.Step(c.now, Listed{Worker: h.Order.Worker, Issue: h.Issue, Lists: external.Lists{Clock: c.now.Mono}})
+	}
+	for _, w := range c.fleet {
+		w.fenced, w.rostered, w.Capacity = true, true, job.Resources{CPU: 32_000, MemMB: 64_000, GPU: 8}
+	}
+	open, most, started := 0, 0, 0
+	var answers []Start
+	take := func(as []Action) {
+		for _, a := range as {
+			if s, ok := a.(Start); ok {
+				answers, open = append(answers, s), open+1
+			}
+		}
+		most = max(most, open)
+	}
+	for n := range 50 {
+		take(c.Step(c.now, Submitted{Job: single(fmt.Sprintf("j%02d", n), 10)}))
+	}
+	for started < 500 && c.now.Mono < 20*time.Second {
+		c.now.Mono += 10 * time.Millisecond
+		c.proven = c.now.Mono
+		for range min(len(answers), 10) { // an owner that hears 1,000 answers a second
+			s := answers[0]
+			answers, open, started = answers[1:], open-1, started+1
+			take(c.Step(c.now, Started{Task: s.Order.Task, Run: s.Order.Run, Worker: s.Order.Worker}))
+		}
+		take(c.Step(c.now, Tick{}))
+	}
+	if most > 80 {
+		t.Errorf("%d starts had no answer at once", most)
+	}
+	if started < 500 || c.now.Mono > 5*time.Second {
+		t.Errorf("%d of 500 were started after %v", started, c.now.Mono)
+	}
+}
+
 func TestHangingAndFailingWorkersAreLeft(t *testing.T) {
 	w := newWorld(t, 10, 8)
 	w.machine(0).Mode = fleet.Hanging
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -16,19 +16,37 @@
 	c.drainWorkers()
 	p := c.newPass()
 	defer c.ask(p)
+	unanswered := c.unanswered()
 	for _, g := range p.ready {
-		if p.starts >= startRate {
+		if unanswered+p.starts >= maxUnanswered {
 			c.changed = true
+			c.nextPlace = c.now.Mono + answerPause
 			return
 		}
-		c.placeGroup(p, g)
+		c.placeGroup(p, g, maxUnanswered-unanswered)
 	}
 }
 
-// placeGroup places the waiting units of one group; they are alike, so the
-// first that finds no place ends it.
-func (c *Core) placeGroup(p *pass, g *ranked) {
+// unanswered counts the starts that were ordered lately and have no answer yet.
+func (c *Core) unanswered() int {
+	n := 0
+	for _, w := range c.fleet {
+		for _, r := range w.runs {
+			if r.state == runStarting && c.now.Mono-r.since < answerTime {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// placeGroup places the waiting units of one group, until the pass has ordered
+// most starts; they are alike, so the first that finds no place ends it.
+func (c *Core) placeGroup(p *pass, g *ranked, most int) {
 	for _, u := range g.units {
+		if p.starts >= most {
+			return
+		}
 		if u.state != unitWaiting || c.now.Mono < u.notBefore {
 			continue
 		}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -95,7 +95,13 @@
 	// same unit by preemption and by reservation.
 	evictEvery   = 100 * time.Millisecond
 	reserveEvery = time.Second
-	// startRate bounds the starts that one pass of placement orders; the rest
-	// follow in the next pass.
-	startRate = 200
+	// maxUnanswered bounds the starts without an answer. A new owner on a machine of
+	// 0.19 cores ordered 383 jobs at once and could neither hear the answers in time
+	// nor renew its term (docs/MEASUREMENTS.md).
+	maxUnanswered = 64
+	// answerTime is how long a start counts as such; a worker that takes longer is
+	// cut off or slow, and says nothing of the owner.
+	answerTime = 250 * time.Millisecond
+	// answerPause lies between two passes while answers are waited for.
+	answerPause = 50 * time.Millisecond
 )
