Let a weak owner yield its term to a strong machine

The term's record now says by how much its owner delays its claims. A machine without a delay asks for the term of one with, 3 s after that is in place; the owner releases it as on leaving. Only those ask, as others read the term once a second and would not see the release before the owner may claim again (the test in internal/instance failed so at first: terms 5, 9, 14 of the same owner).

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -27,6 +27,13 @@
 // AskPeers asks whether peers can reach the store.
 type AskPeers struct{}
 
+// AskYield asks the owner of a term to leave it to this instance.
+type AskYield struct {
+	Addr string
+	Term int64
+}
+
+func (AskYield) action() {}
 func (Write) action()    {}
 func (Gained) action()   {}
 func (Lost) action()     {}
@@ -41,4 +48,5 @@
 	ReasonOther    Reason = "a higher term exists"
 	ReasonUnproven Reason = "no renewal was confirmed in time"
 	ReasonReleased Reason = "given up on leaving"
+	ReasonYielded  Reason = "a stronger instance takes over"
 )
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -33,8 +33,13 @@
 	sentAt      time.Duration
 	nextAsk     time.Duration
 	leaving     bool
-	now         time.Duration
-	actions     []Action
+	// since is when the present owner's term was first seen, nextYield when it may
+	// be asked for next, whole whether no part of the store is lost.
+	since     time.Duration
+	nextYield time.Duration
+	whole     bool
+	now       time.Duration
+	actions   []Action
 }
 
 // New makes the state of a life that others reach at addr.
@@ -67,6 +72,10 @@
 		c.deposed()
 	case Leaving:
 		c.leave()
+	case YieldAsked:
+		c.yieldTo(e)
+	case Tick:
+		c.whole = e.Whole
 	}
 	c.advance()
 	return c.actions
@@ -106,6 +115,9 @@
 	if r.Term == c.rec.Term && r.Renewal < c.rec.Renewal {
 		return
 	}
+	if r.Term != c.rec.Term {
+		c.since = c.now
+	}
 	c.rec, c.changedAt = r, c.now
 	switch {
 	case r.Owner == c.self && !r.Released && c.had < r.Term:
@@ -165,14 +177,23 @@
 // leave gives the term up, so that another is claimed at once.
 func (c *Core) leave() {
 	c.leaving = true
-	if c.owns == 0 {
-		return
+	if c.owns != 0 {
+		c.release(ReasonReleased)
 	}
-	r := Record{Term: c.owns, Owner: c.self, Addr: c.addr, Renewal: c.rec.Renewal + 1, Released: true}
-	c.lose(ReasonReleased)
+}
+
+func (c *Core) release(why Reason) {
+	r := c.record(c.owns, c.rec.Renewal+1)
+	r.Released = true
+	c.lose(why)
 	c.act(Write{Record: r, At: c.end})
 }
 
+// record gives a record of this life.
+func (c *Core) record(t, renewal int64) Record {
+	return Record{Term: t, Owner: c.self, Addr: c.addr, Renewal: renewal, Delay: c.settings.Delay}
+}
+
 // advance does what the time asks for.
 func (c *Core) advance() {
 	if c.owns != 0 && c.now-c.provenAt > c.settings.Grace {
@@ -182,14 +203,15 @@
 		c.nextAsk = c.now + c.settings.Retry
 		c.act(AskPeers{})
 	}
+	c.askYield()
 	if c.leaving || c.writes >= maxWrites || !c.known || c.now < c.nextWrite {
 		return
 	}
 	switch {
 	case c.owns != 0:
-		c.write(Record{Term: c.owns, Owner: c.self, Addr: c.addr, Renewal: c.rec.Renewal + 1})
+		c.write(c.record(c.owns, c.rec.Renewal+1))
 	case c.claimable():
-		c.write(Record{Term: c.rec.Term + 1, Owner: c.self, Addr: c.addr})
+		c.write(c.record(c.rec.Term+1, 0))
 	}
 }
 
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -54,8 +54,14 @@
 // Leaving says that the process will stop.
 type Leaving struct{}
 
+// YieldAsked says that a stronger instance asks for a term.
+type YieldAsked struct{ Term int64 }
+
 // Tick passes time.
-type Tick struct{}
+type Tick struct {
+	// Whole says that no part of the store is lost to this process.
+	Whole bool
+}
 
 func (Observed) event()    {}
 func (Heard) event()       {}
@@ -64,4 +70,5 @@
 func (PeersAgree) event()  {}
 func (Deposed) event()     {}
 func (Leaving) event()     {}
+func (YieldAsked) event()  {}
 func (Tick) event()        {}
--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -19,6 +19,9 @@
 	// Delay is added to Stale at this instance, so that claims of several do not
 	// meet, and instances near the store come first.
 	Delay time.Duration
+	// Settle is how long an owner has been in place before a stronger instance asks
+	// for its term; 0 for never.
+	Settle time.Duration
 	// Retry lies between two attempts to write.
 	Retry time.Duration
 	// Hedge is how long a write may stay without an answer before it is made
@@ -36,7 +39,10 @@
 		Stale: 1500 * time.Millisecond,
 		Grace: 2500 * time.Millisecond,
 		Ask:   800 * time.Millisecond,
-		Retry: 250 * time.Millisecond,
-		Hedge: 300 * time.Millisecond,
+		// An owner is in place once it has heard its workers, and a change costs
+		// the jobs of then a second or two.
+		Settle: 3 * time.Second,
+		Retry:  250 * time.Millisecond,
+		Hedge:  300 * time.Millisecond,
 	}
 }
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -27,6 +27,7 @@
 	at    []time.Duration
 	terms []int64
 	owns  int64
+	asked []AskYield
 }
 
 func newContender(n int) *contender {
@@ -40,6 +41,8 @@
 		switch a := a.(type) {
 		case Write:
 			c.sent, c.at = append(c.sent, a), append(c.at, now)
+		case AskYield:
+			c.asked = append(c.asked, a)
 		case Gained:
 			c.terms, c.owns = append(c.terms, a.Term), a.Term
 		case Lost:
@@ -250,6 +253,50 @@
 
 // TestLostAnswersDoNotCostTheTerm: two renewals in a row without an answer took
 // longer than others wait, although the store carried every second one out.
+// TestAnOwnerOnAWeakMachineYieldsToAStrongOne: one of 0.19 cores kept the term for a whole day.
+func TestAnOwnerOnAWeakMachineYieldsToAStrongOne(t *testing.T) {
+	cases := map[string]struct {
+		other int // its delay, in tens of milliseconds
+		whole bool
+		want  int64
+	}{
+		"a strong one asks":                         {0, true, 2},
+		"one that is weaker than others does not":   {20, true, 1},
+		"a strong one that misses a topic does not": {0, false, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeStore{}
+			weak, other := newContender(60), newContender(c.other)
+			for now := time.Duration(0); now < 10*time.Second; now += 50 * time.Millisecond {
+				weak.readAll(now, f)
+				weak.step(now, Tick{Whole: true})
+				if len(weak.terms) > 0 {
+					other.readAll(now, f)
+					other.step(now, Tick{Whole: c.whole})
+				}
+				for _, x := range []*contender{weak, other} {
+					for len(x.sent) > 0 {
+						x.answer(now, f)
+					}
+					for _, y := range x.asked {
+						if y.Addr == weak.core.addr {
+							weak.step(now, YieldAsked{Term: y.Term})
+						}
+					}
+					x.asked = nil
+				}
+			}
+			if got := f.records[len(f.records)-1]; got.Term != c.want {
+				t.Errorf("term %d of %s at the end", got.Term, got.Owner)
+			}
+			if len(weak.terms) != 1 || c.want == 2 && len(other.terms) != 1 {
+				t.Errorf("terms %v and %v", weak.terms, other.terms)
+			}
+		})
+	}
+}
+
 func TestLostAnswersDoNotCostTheTerm(t *testing.T) {
 	for name, lose := range map[string]func(n int) (write, answer bool){
 		"all answers are lost":              func(int) (bool, bool) { return true, false },
--- a/internal/instance/contact.go
+++ b/internal/instance/contact.go
@@ -51,6 +51,16 @@
 	return false
 }
 
+// whole says whether no topic is lost.
+func (c contacts) whole() bool {
+	for _, t := range c {
+		if t.contact == contactLost {
+			return false
+		}
+	}
+	return true
+}
+
 // answered takes in a call that was answered at a boot time and says whether the
 // topic had been lost.
 func (c contacts) answered(t external.Topic, at time.Duration) (back bool) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -92,6 +92,7 @@
 	link.Handle(i.server, wire.KindPolicy, i.onPolicyQuery)
 	link.Handle(i.server, wire.KindRecord, i.onRecordWrite)
 	link.Handle(i.server, wire.KindAppended, i.onAppended)
+	link.Handle(i.server, wire.KindYield, i.onYield)
 	i.work, i.cancel = context.WithCancel(context.Background())
 	return i
 }
@@ -157,7 +158,7 @@
 			return
 		case <-t.C:
 		}
-		i.stepTerm(term.Tick{})
+		i.stepTerm(term.Tick{Whole: i.store.whole()})
 		if o := i.owner.Load(); o != nil {
 			o.tick()
 		}
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -29,6 +29,8 @@
 	nodes []*node
 	// retention is how long ended jobs are known.
 	retention time.Duration
+	// delay is added to the next instance's claims; settle is as in term.Settings.
+	delay, settle time.Duration
 }
 
 // node is one instance with its own way to the store.
@@ -127,6 +129,8 @@
 	}
 	addr := ln.Addr().String()
 	s := Settings{Name: fmt.Sprintf("n%d", n), Life: fmt.Sprintf("n%d/%d", n, len(r.nodes)), LinkAddr: addr, Term: fastTerms(n)}
+	s.Term.Delay += r.delay
+	s.Term.Settle = r.settle
 	s.Cell = cell.Settings{Lease: 2 * time.Second, StartGrace: 500 * time.Millisecond, Overhang: 500 * time.Millisecond, FarFactor: 3, Retention: r.retention}
 	if len(r.nodes) > 0 {
 		s.Peers = []string{r.nodes[0].inst.Settings.LinkAddr}
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -70,8 +70,18 @@
 func (s *storeWatch) sinceOK(t external.Topic) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last := s.contacts.of(t).lastOK
-	return boottime() - last, last != 0
+	have := s.contacts[t]
+	if have == nil || have.lastOK == 0 {
+		return 0, false
+	}
+	return boottime() - have.lastOK, true
+}
+
+// whole says whether no topic that this process calls is lost to it.
+func (s *storeWatch) whole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contacts.whole()
 }
 
 // Append implements external.Log.
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -98,6 +98,8 @@
 		if o := i.owner.Load(); o != nil {
 			i.goRun(func(context.Context) { o.step(cell.TermProven{At: a.At}) })
 		}
+	case term.AskYield:
+		i.goRun(func(ctx context.Context) { i.askYield(ctx, a) })
 	case term.AskPeers:
 		i.goRun(i.askPeersForStore)
 	}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -21,6 +21,7 @@
 	KindPolicy    Kind = 14 // instance to any: PolicyQuery -> PolicyReply
 	KindRecord    Kind = 15 // instance to any: RecordWrite -> RecordWritten
 	KindAppended  Kind = 16 // instance to owner: Appended -> Ack
+	KindYield     Kind = 17 // instance to owner: Yield -> Ack
 )
 
 // String names the kind for metrics and logs.
@@ -54,6 +55,8 @@
 		return "pending"
 	case KindPolicy:
 		return "policy"
+	case KindYield:
+		return "yield"
 	case KindAppended:
 		return "appended"
 	case KindRecord:
