Bound every append in one place, and name a wave's failed report

Found in the last reading: the same bound on an append was written six times. It is now in the store's watch, which the tests of the progress writer go through as well. Read beside it: a term record that can't be encoded kept a write open for good, and a wave's report that failed was repeated without a line.

--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -52,6 +52,7 @@
 	evAlarm         = logevent.New(2259, slog.LevelWarn, "alarm")
 	evHurried       = logevent.New(2260, slog.LevelInfo, "record not delivered in time, read anew")
 	evUntold        = logevent.New(2261, slog.LevelInfo, "owner not told of a record")
+	evWaveUntold    = logevent.New(2262, slog.LevelInfo, "state of a wave not written, tried again")
 	evWorkerBad     = logevent.New(2248, slog.LevelWarn, "worker entry names no worker")
 	evHoldFailed    = logevent.New(2249, slog.LevelInfo, "worker not heard")
 )
--- a/internal/instance/forget.go
+++ b/internal/instance/forget.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"log/slog"
 
 	"coltsfootmux/internal/core/cell"
@@ -43,9 +42,7 @@
 }
 
 func (o *owner) dropFrom(t external.Topic, records []external.Record) error {
-	ctx, cancel := context.WithTimeout(o.ctx, appendTry)
-	defer cancel()
-	_, err := o.inst.log.Append(ctx, external.Append{Topic: t, Records: records})
+	_, err := o.inst.log.Append(o.ctx, external.Append{Topic: t, Records: records})
 	return err
 }
 
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -91,8 +91,6 @@
 }
 
 func (i *Instance) announce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, appendTry)
-	defer cancel()
 	_, err := i.log.Append(ctx, external.Append{
 		Topic: topicMembers, Records: []external.Record{{Key: i.Settings.Name, Value: []byte(i.Settings.LinkAddr)}},
 	})
--- a/internal/instance/progresswriter.go
+++ b/internal/instance/progresswriter.go
@@ -145,8 +145,6 @@
 }
 
 func (w *progressWay) append(ctx context.Context, records []external.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTry)
-	defer cancel()
 	producer := w.producer
 	_, err := w.log.Append(ctx, external.Append{Topic: w.topic, Records: records, Producer: &producer})
 	var gap *external.SequenceError
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -84,8 +84,10 @@
 	return s.contacts.whole()
 }
 
-// Append implements external.Log.
+// Append implements external.Log. It waits for appendTry at most.
 func (s *storeWatch) Append(ctx context.Context, a external.Append) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTry)
+	defer cancel()
 	began := boottime()
 	end, err := s.Log.Append(ctx, a)
 	mAppend.Update((boottime() - began).Seconds())
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -110,10 +110,10 @@
 	value, err := encode(a.Record)
 	if err != nil {
 		evTermWrite.Log(ctx, i.logger, slog.Any("error", err))
+		w.Result = term.WriteFailed
+		i.stepTerm(w)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTry)
-	defer cancel()
 	at := a.At
 	w.End, err = i.log.Append(ctx, external.Append{
 		Topic: topicTerm, At: &at, Records: []external.Record{{Key: keyTerm, Value: value}},
--- a/internal/instance/upkeep.go
+++ b/internal/instance/upkeep.go
@@ -138,13 +138,12 @@
 		return
 	}
 	for o.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(o.ctx, appendTry)
-		_, err := o.inst.log.Append(ctx, external.Append{Topic: o.inst.WaveStatus, Records: []external.Record{rec}})
-		cancel()
+		_, err := o.inst.log.Append(o.ctx, external.Append{Topic: o.inst.WaveStatus, Records: []external.Record{rec}})
 		if err == nil {
 			evWaveTold.Log(o.ctx, o.inst.logger, slog.Int64("wave", r.Wave), slog.Bool("complete", r.Complete))
 			return
 		}
+		evWaveUntold.Log(o.ctx, o.inst.logger, slog.Int64("wave", r.Wave), slog.Any("error", err))
 		sleep(o.ctx, persistRetry)
 	}
 }
--- a/internal/instance/write.go
+++ b/internal/instance/write.go
@@ -97,8 +97,6 @@
 
 // appendOnce appends a record of a job and tells the owner.
 func (i *Instance) appendOnce(ctx context.Context, t external.Topic, r external.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTry)
-	defer cancel()
 	end, err := i.log.Append(ctx, external.Append{Topic: t, Records: []external.Record{r}})
 	if err == nil {
 		i.tellAppended(t, end)
