--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -330,6 +331,33 @@
 	}
 }
 
+// TestAGangStartedInPartIsStoppedAtOnce: its owner was lost between the starts. The
+// members that had come waited for the others until they ended alone, or were taken
+// for stalled, and their workers left out for 8 s.
+func TestAGangStartedInPartIsStoppedAtOnce(t *testing.T) {
+	w := newWorld(t, 17, 4)
+	first := w.takeOver()
+	w.run(100 * time.Millisecond)
+	w.cut["w02"], w.cut["w03"] = true, true
+	j := single("j", 4)
+	j.Steps[0].Gang, j.Steps[0].GPU = true, 8
+	w.submit(j)
+	w.run(200 * time.Millisecond)
+	if n := w.fleet.Running(); n != 2 {
+		t.Fatalf("%d members run", n)
+	}
+	first.dead = true
+	clear(w.cut)
+	w.takeOver()
+	w.settle(20 * time.Second)
+	w.check()
+	for _, l := range w.log {
+		if strings.Contains(l, "How:alone") || strings.Contains(l, "suspect") {
+			t.Error(l)
+		}
+	}
+}
+
 func TestHangingAndFailingWorkersAreLeft(t *testing.T) {
 	w := newWorld(t, 10, 8)
 	w.machine(0).Mode = fleet.Hanging
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -46,6 +46,8 @@
 	// silentUntil is when a worker that has not answered since the take-over
 	// can't run anything of the term before.
 	silentUntil time.Duration
+	// sweptBefore says that everything of the term before has been found.
+	sweptBefore bool
 	// changed says that placement may find something new to do.
 	changed bool
 	// advising says that a question to the adviser is open.
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -57,6 +57,10 @@
 	}
 	p.entitled = c.entitlements()
 	swept, held := c.swept(), 0
+	if swept && !c.sweptBefore {
+		c.sweptBefore = true
+		c.stopPartial()
+	}
 	for i, e := range c.open {
 		if e.inherited && !swept {
 			held++
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// stopPartial stops the gangs of which the owner before started a part only. Once
+// every worker has been heard of, the other members can't come any more.
+func (c *Core) stopPartial() {
+	for _, e := range c.open {
+		for _, u := range e.units() {
+			if u.state == unitActive && len(u.runs) < u.size {
+				c.gangBroken(u)
+			}
+		}
+	}
+}
+
 // rosterNow gives the workers that are in use or may be used.
 func (c *Core) rosterNow() []RosterEntry {
 	out := []RosterEntry{}
