Start new jobs only once the workers of the owner before were asked

The earlier owner held its term by its peers' word; a claim that was on its way was carried out as the store came back, at 33.01 s. The earlier owner read the job at 33.055 and started it before it heard of the claim (33.157); the new owner read it at 33.526, took it for a new one and started it at 33.611, before it had heard that worker (33.719). Ruled out: late orders (the start took 60 ms), the roster (the worker was on it), the yielding of terms (none until 39 s).

Tried and not kept: to start jobs that were read after the last confirmed renewal only after the next one.

A new owner now waits with all starts until each worker of the roster has answered once or failed to: then starts of the one before are refused there. Left: a worker that only the earlier owner reaches. An owner that yields also waits before it claims again (it regained its own term once).

--- a/internal/core/cell/cell_test.go
+++ b/internal/core/cell/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -290,6 +291,55 @@
 	w.check()
 }
 
+// TestNewJobsWaitUntilTheWorkersWereAsked: an owner that held its term by its peers'
+// word read a job as the store came back, when another had claimed the term; both
+// started it, as the new one had not heard the worker yet.
+func TestNewJobsWaitUntilTheWorkersWereAsked(t *testing.T) {
+	c := New(testSettings(), 2, &job.Policy{}, Instant{Mono: time.Second})
+	ev := Loaded{}
+	for n := range 3 {
+		w := machine(n)
+		ev.Workers = append(ev.Workers, w)
+		ev.Roster = append(ev.Roster, RosterEntry{ID: w.ID, Addr: w.Addr})
+	}
+	var asked []Hold
+	started := 0
+	var step func(ev Event)
+	step = func(ev Event) {
+		c.now.Mono += 20 * time.Millisecond
+		c.proven = c.now.Mono
+		for _, a := range c.Step(c.now, ev) {
+			switch a := a.(type) {
+			case Start:
+				started++
+			case Hold:
+				asked = append(asked, a)
+			case Persist:
+				step(Committed{Batch: a.Batch})
+			}
+		}
+	}
+	step(ev)
+	step(Submitted{Job: single("new", 1)})
+	for n, h := range slices.Clone(asked) {
+		step(Tick{})
+		if started > 0 {
+			t.Fatalf("started when %d of 3 workers had answered", n)
+		}
+		answer := Listed{Worker: h.Order.Worker, Issue: h.Issue, Lists: external.Lists{Clock: c.now.Mono, BornMS: 1}}
+		if n == 2 {
+			answer.Failure = FailureUnclear // a silent worker holds nothing up
+		}
+		step(answer)
+	}
+	for range 20 {
+		step(Tick{})
+	}
+	if started != 1 {
+		t.Errorf("%d starts once every worker had been asked", started)
+	}
+}
+
 // TestStartsWaitForAnswers: a new owner ordered everything that it had inherited
 // at once, heard no answer in time and lost its term; gangs were started in part.
 func TestStartsWaitForAnswers(t *testing.T) {
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -61,8 +61,9 @@
 		c.sweptBefore = true
 		c.stopPartial()
 	}
+	asking := c.asksFirst()
 	for i, e := range c.open {
-		if e.inherited && !swept {
+		if asking || e.inherited && !swept {
 			held++
 			continue
 		}
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -23,6 +23,19 @@
 	}
 }
 
+// asksFirst says whether a worker of the owner before has neither answered nor
+// failed to. Until then that one may start jobs there that it read after this
+// owner's take-over, if it held its term by its peers' word; a worker that has
+// answered this owner refuses it.
+func (c *Core) asksFirst() bool {
+	for _, w := range c.fleet {
+		if w.inherited && !w.fenced && w.holdFails == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // stopPartial stops the gangs of which the owner before started a part only. Once
 // every worker has been heard of, the other members can't come any more.
 func (c *Core) stopPartial() {
--- a/internal/core/term/yield.go
+++ b/internal/core/term/yield.go
@@ -31,4 +31,5 @@
 		return
 	}
 	c.release(ReasonYielded)
+	c.nextWrite = c.now + c.settings.Stale // leaves the asker time to claim
 }
