--- a/internal/cellplay/carry.go
+++ b/internal/cellplay/carry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"coltsfootmux/internal/core/cell"
@@ -32,7 +31,7 @@
 	p.after(wayTime, func() {
 		r, err := p.fleet.Start(context.Background(), o)
 		p.after(wayTime, func() {
-			p.step(cell.Started{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(err)})
+			p.step(cell.Started{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cell.FailureOf(err)})
 		})
 	})
 }
@@ -41,7 +40,7 @@
 	p.after(wayTime, func() {
 		r, err := p.fleet.Stop(context.Background(), o)
 		p.after(wayTime, func() {
-			p.step(cell.Stopped{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Failure: failureOf(err)})
+			p.step(cell.Stopped{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Failure: cell.FailureOf(err)})
 		})
 	})
 }
@@ -55,19 +54,7 @@
 			return
 		}
 		p.after(wayTime, func() {
-			p.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: failureOf(err)})
+			p.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: cell.FailureOf(err)})
 		})
 	})
 }
-
-// failureOf says what a stand-in's error means to the core.
-func failureOf(err error) cell.Failure {
-	switch {
-	case err == nil:
-		return cell.FailureNone
-	case errors.Is(err, external.ErrFenced):
-		return cell.FailureFenced
-	default:
-		return cell.FailureUnclear
-	}
-}
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -87,16 +87,3 @@
 func (Committed) event()       {}
 func (TermProven) event()      {}
 func (Tick) event()            {}
-
-// Failure says how a call to a worker failed.
-type Failure int
-
-// The ways in which a call fails. FailureUnclear calls may be carried out yet.
-const (
-	FailureNone Failure = iota
-	FailureNotReached
-	FailureUnclear
-	FailureFenced
-	// FailureGone means that nobody listens at the worker's address.
-	FailureGone
-)
--- a/internal/core/cell/world_test.go
+++ b/internal/core/cell/world_test.go
@@ -228,17 +228,6 @@
 	})
 }
 
-func failureFor(err error) Failure {
-	switch err {
-	case nil:
-		return FailureNone
-	case external.ErrFenced:
-		return FailureFenced
-	default:
-		return FailureUnclear
-	}
-}
-
 func (w *world) do(o *testOwner, a Action) {
 	ctx := context.Background()
 	switch a := a.(type) {
@@ -250,7 +239,7 @@
 		var err error
 		carry := w.toThisLife(a.Order.Worker, func() { r, err = w.fleet.Start(ctx, a.Order) }, func() { err = external.ErrUnclear })
 		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
-			w.step(o, Started{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, failureFor(err))})
+			w.step(o, Started{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	case Stop:
 		w.stops[a.Reason]++
@@ -258,7 +247,7 @@
 		var err error
 		carry := w.toThisLife(a.Order.Worker, func() { r, err = w.fleet.Stop(ctx, a.Order) }, func() { err = external.ErrUnclear })
 		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
-			w.step(o, Stopped{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, failureFor(err))})
+			w.step(o, Stopped{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	case Pace:
 		w.call(a.Order.Worker, 700*time.Millisecond, func() { _, _ = w.fleet.Pace(ctx, a.Order) }, func(Failure) {})
@@ -299,7 +288,7 @@
 	carry = w.toThisLife(a.Order.Worker, carry, func() { err = external.ErrUnclear })
 	w.after(wait, func() {
 		w.call(a.Order.Worker, 700*time.Millisecond, carry, func(f Failure) {
-			w.step(o, Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: cmp.Or(f, failureFor(err))})
+			w.step(o, Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	})
 }
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -95,7 +95,7 @@
 	}
 	o.step(cell.Started{
 		Task: order.Task, Run: order.Run, Worker: order.Worker,
-		Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(err),
+		Refusal: r.Refusal, Clock: r.Clock, Failure: cell.FailureOf(err),
 	})
 }
 
@@ -107,7 +107,7 @@
 		evStopFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
 			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
 	}
-	o.step(cell.Stopped{Task: order.Task, Run: order.Run, Worker: order.Worker, Refusal: r.Refusal, Failure: failureOf(err)})
+	o.step(cell.Stopped{Task: order.Task, Run: order.Run, Worker: order.Worker, Refusal: r.Refusal, Failure: cell.FailureOf(err)})
 }
 
 // pace sends one order; the core repeats what the worker's figures still ask for.
@@ -145,22 +145,7 @@
 		mSilent.Inc()
 		evHoldFailed.Log(o.ctx, o.inst.logger, slog.String("worker", string(a.Order.Worker)), slog.Any("error", err))
 	}
-	o.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: failureOf(err)})
-}
-
-func failureOf(err error) cell.Failure {
-	switch {
-	case err == nil:
-		return cell.FailureNone
-	case errors.Is(err, external.ErrFenced):
-		return cell.FailureFenced
-	case errors.Is(err, external.ErrGone):
-		return cell.FailureGone
-	case errors.Is(err, external.ErrNotDone):
-		return cell.FailureNotReached
-	default:
-		return cell.FailureUnclear
-	}
+	o.step(cell.Listed{Worker: a.Order.Worker, Issue: a.Issue, Lists: l, Failure: cell.FailureOf(err)})
 }
 
 // persist writes progress until the store confirms it or refuses the term.
