--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -82,6 +82,9 @@
 
 // followJobs follows the submissions and cancellations of topic number n.
 func (o *owner) followJobs(n int, from int64) {
+	o.mu.Lock()
+	o.readTo[n] = from
+	o.mu.Unlock()
 	f := &follower{
 		log: o.inst.log, topic: topicsJobs[n], failed: ignore,
 		reset: func(p external.Page) { o.jobRecords(n, p.Records, p.End) },
