--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -16,14 +16,14 @@
 	c.drainWorkers()
 	p := c.newPass()
 	defer c.ask(p)
-	unanswered := c.unanswered()
+	most := max(maxUnanswered, len(c.fleet)/workersPerStart) - c.unanswered()
 	for _, g := range p.ready {
-		if unanswered+p.starts >= maxUnanswered {
+		if p.starts >= most {
 			c.changed = true
 			c.nextPlace = c.now.Mono + answerPause
 			return
 		}
-		c.placeGroup(p, g, maxUnanswered-unanswered)
+		c.placeGroup(p, g, most)
 	}
 }
 
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -95,10 +95,12 @@
 	// same unit by preemption and by reservation.
 	evictEvery   = 100 * time.Millisecond
 	reserveEvery = time.Second
-	// maxUnanswered bounds the starts without an answer. A new owner on a machine of
-	// 0.19 cores ordered 383 jobs at once and could neither hear the answers in time
-	// nor renew its term (docs/MEASUREMENTS.md).
-	maxUnanswered = 64
+	// maxUnanswered bounds the starts without an answer, or one for every
+	// workersPerStart workers if that is more. A new owner of 350 workers on a machine of 0.19 cores ordered 383
+	// jobs at once and could neither hear the answers in time nor renew its term
+	// (docs/MEASUREMENTS.md); pools of thousands are owned by stronger machines.
+	maxUnanswered   = 64
+	workersPerStart = 5
 	// hearsWithin is how soon an earlier owner that reaches the store has heard of a
 	// new term: it renews its own every 0.5 s, and after a failure every 0.25 s.
 	hearsWithin = time.Second
