--- a/internal/cellplay/player.go
+++ b/internal/cellplay/player.go
@@ -22,7 +22,8 @@
 	settleTime = 10 * time.Minute
 )
 
-// settings are the cell's bounds as the programs have them.
+// settings are bounds like those of the programs; with one owner and no lost call
+// their exact values decide nothing.
 func settings() cell.Settings {
 	return cell.Settings{
 		Lease: fleet.LeaseMax - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, Overhang: 3 * time.Second,
