Make the link test's connections go silent by count, not by time

A handler now drops them before it answers, after every 50th call, so that its own answer is certainly lost.

--- a/internal/link/chaos_test.go
+++ b/internal/link/chaos_test.go
@@ -16,16 +16,24 @@
 	"coltsfootmux/internal/wire"
 )
 
+// dropEvery is after how many handlers the open connections go silent: six times
+// in the test's 300 calls.
+const dropEvery = 50
+
 // ran notes which calls' handlers were started.
 type ran struct {
 	mu    sync.Mutex
 	calls map[uint64]int
+	total int
 }
 
-func (r *ran) note(sum uint64) {
+// note counts a handler; drop says that the connections are to go silent now.
+func (r *ran) note(sum uint64) (drop bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls[sum]++
+	r.total++
+	return r.total%dropEvery == 0
 }
 
 func (r *ran) count(sum uint64) int {
@@ -35,19 +43,23 @@
 }
 
 // TestAnswersStayTrueWhileConnectionsGoSilent makes calls over a network that
-// loses track of its connections again and again.
+// loses track of its connections again and again. A handler makes them silent
+// before it answers, so that its own answer is lost whatever the machine's load.
 func TestAnswersStayTrueWhileConnectionsGoSilent(t *testing.T) {
 	seen := &ran{calls: make(map[uint64]int)}
+	var hole *linktest.Blackhole
 	s := link.NewServer(link.ServerOptions{Limits: fast()})
 	link.Handle(s, wire.KindSubmit, func(ctx context.Context, _ link.Peer, q wire.Submit) (wire.SubmitReply, error) {
-		seen.note(q.Sum)
+		if seen.note(q.Sum) {
+			hole.DropOpen()
+		}
 		select {
 		case <-time.After(time.Duration(q.Sum%20) * time.Millisecond):
 		case <-ctx.Done():
 		}
 		return wire.SubmitReply{Result: model.Result{Key: q.Work.Key, Answer: q.Work.Body}}, nil
 	})
-	hole := linktest.NewBlackhole(t, serve(t, s))
+	hole = linktest.NewBlackhole(t, serve(t, s))
 	p := newPool(t, link.PoolOptions{Limits: fast(), Seed: 3})
 	ctx := within(t)
 	var answered, lost atomic.Int64
@@ -79,16 +91,7 @@
 			}
 		})
 	}
-	done := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(done)
-	}()
-	for range 6 {
-		time.Sleep(60 * time.Millisecond)
-		hole.DropOpen()
-	}
-	<-done
+	wg.Wait()
 	if answered.Load() == 0 || lost.Load() == 0 {
 		t.Errorf("%d calls answered and %d lost: nothing was tried", answered.Load(), lost.Load())
 	}
