Make orders without an answer again, and bound first questions by their answers' age

A start without an answer was in doubt after 0.7 s, was then barred, and its whole gang began anew; the answer to a hold that was lost made its worker count as silent; and a new owner waited for 33 of 1,100 workers whose first answer was lost, 2 s after its term. It also asked 64 at a time, 1.0 s for the whole pool.

Starts, stops and holds are idempotent at the worker, so a call without an answer is made again after 0.2 s, twice at most, and never on a term that was not proven lately. Two tests count orders less their repeats.

--- a/internal/cellplay/tally.go
+++ b/internal/cellplay/tally.go
@@ -43,6 +43,9 @@
 }
 
 func (t *tally) started(a cell.Start) {
+	if a.Repeat > 0 {
+		return
+	}
 	t.starts++
 	if r := t.jobs[a.Order.Task.Job]; r.wait < 0 {
 		r.wait = a.Waited
--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -15,6 +15,8 @@
 	Order external.StartOrder
 	// Waited is how long the task waited since it could first run.
 	Waited time.Duration
+	// Repeat is how often the order was sent before without an answer.
+	Repeat int
 }
 
 // Stop orders a worker to stop a run.
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"coltsfootmux/internal/core/contact"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -22,6 +23,10 @@
 	workers map[external.WorkerID]*worker
 	// fleet holds the workers in the order of their names.
 	fleet []*worker
+	// contact bounds the first questions to workers.
+	contact contact.Window
+	// repeats is how many calls may still be made again at the present tick.
+	repeats int
 	// holdFirst is the worker to begin with when new ones are asked again.
 	holdFirst external.WorkerID
 	actions   []Action
@@ -75,6 +80,7 @@
 		workers: make(map[external.WorkerID]*worker),
 		cancels: make(map[job.ID]bool),
 		proven:  now.Mono,
+		contact: contact.New(),
 	}
 	c.silentUntil = now.Mono + s.Overhang + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -13,20 +13,19 @@
 	now := c.now.Mono
 	contacts, leftOut := c.contacts(), false
 	for _, w := range c.holdOrder() {
-		if w.probe && !w.probing {
+		if w.probe && w.probeIssue == 0 {
 			w.probe = false
-			w.probing = true
-			c.sendHold(w, 0)
+			w.probeIssue = c.sendHold(w, 0)
 			continue
 		}
-		if w.holding || now < w.holdNext || !c.needsHold(w) {
+		if w.holdIssue != 0 || now < w.holdNext || !c.needsHold(w) {
 			continue
 		}
 		if c.ackPending(w) {
 			continue
 		}
 		if !w.fenced {
-			if contacts >= maxContacts {
+			if contacts >= c.contact.Size() {
 				if !leftOut {
 					leftOut, c.holdFirst = true, w.ID
 				}
@@ -34,7 +33,6 @@
 			}
 			contacts++
 		}
-		w.holding = true
 		wait := holdWait
 		if !w.fenced || w.holdFails > 0 || len(w.runs) == 0 {
 			wait = 0
@@ -45,7 +43,8 @@
 		if w.isShared() {
 			wait = min(wait, paceHold)
 		}
-		c.sendHold(w, wait)
+		w.asked, w.askedWait, w.overdue = now, wait, 0
+		w.holdIssue = c.sendHold(w, wait)
 	}
 	if !leftOut {
 		c.holdFirst = ""
@@ -56,7 +55,7 @@
 func (c *Core) contacts() int {
 	n := 0
 	for _, w := range c.fleet {
-		if w.holding && !w.fenced {
+		if w.holdIssue != 0 && !w.fenced {
 			n++
 		}
 	}
@@ -94,7 +93,8 @@
 	return w.ack > w.ackSent
 }
 
-func (c *Core) sendHold(w *worker, wait time.Duration) {
+// sendHold asks a worker for its lists and gives the hold's number.
+func (c *Core) sendHold(w *worker, wait time.Duration) int64 {
 	c.issued++
 	o := external.HoldOrder{Call: c.call(w), Wait: wait}
 	// Numbers of ends begin anew with each life of a worker. Only one that was
@@ -109,6 +109,7 @@
 	}
 	w.ackSent = o.Acknowledge
 	c.act(Hold{Order: o, Issue: c.issued})
+	return c.issued
 }
 
 func (c *Core) call(w *worker) external.Call {
@@ -131,12 +132,7 @@
 		return
 	}
 	now := c.now.Mono
-	if w.probing {
-		w.probing = false
-	} else {
-		w.holding = false
-	}
-	w.holdNext = now
+	c.settleHold(w, ev)
 	switch {
 	case ev.Failure == FailureFenced:
 		c.act(Deposed{Worker: w.ID})
@@ -146,6 +142,8 @@
 		c.dropWorker(w) // its entry is gone and so is its process
 		c.changed = true
 		return
+	case ev.Failure != FailureNone && ev.Issue < w.heardIssue:
+		return // answered a later one
 	case ev.Failure != FailureNone || ev.Lists.Refusal != external.RefusedNone:
 		c.holdFailed(w, ev)
 		return
@@ -179,7 +177,7 @@
 		c.changed = true
 		c.act(WorkerNoted{Worker: w.ID, Note: "answers again", Runs: len(w.runs)})
 	}
-	w.heard = c.now.Mono
+	w.heard, w.heardIssue = c.now.Mono, max(w.heardIssue, issue)
 	if l.BornMS != 0 && w.born != 0 && l.BornMS != w.born {
 		c.reborn(w, issue)
 	}
@@ -190,6 +188,7 @@
 	if !w.fenced {
 		w.fenced = true
 		c.changed = true
+		c.contact.Answered(c.now.Mono - w.asked)
 	}
 }
 
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -20,22 +20,28 @@
 		r := &run{
 			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
 			takes: u.group.step.Resources(), since: now, mark: c.issued, moved: now, resumed: u.saved != "", pace: fullPace,
+			checkpoint: u.saved,
 		}
 		r.attach()
-		pass, _ := c.ticketFor(u.group, w)
-		c.act(Start{
-			Order: external.StartOrder{
-				Call: c.call(w), Task: r.task, Run: number, Spec: u.entry().job.Spec,
-				Until: c.lease(w), Checkpoint: u.saved, Ticket: pass,
-			},
-			Waited: waited,
-		})
-		if !w.holding {
+		c.sendStart(r)
+		if w.holdIssue == 0 {
 			w.holdNext = max(w.holdNext, now)
 		}
 	}
 }
 
+func (c *Core) sendStart(r *run) {
+	r.sent = c.now.Mono
+	pass, _ := c.ticketFor(r.unit.group, r.worker)
+	c.act(Start{
+		Order: external.StartOrder{
+			Call: c.call(r.worker), Task: r.task, Run: r.number, Spec: r.unit.entry().job.Spec,
+			Until: c.lease(r.worker), Checkpoint: r.checkpoint, Ticket: pass,
+		},
+		Waited: r.unit.waited, Repeat: r.repeats,
+	})
+}
+
 // startAnswered takes in what became of a start.
 func (c *Core) startAnswered(ev Started) {
 	w := c.workers[ev.Worker]
@@ -52,22 +58,30 @@
 	case ev.Failure == FailureFenced:
 		c.act(Deposed{Worker: w.ID})
 		c.endRun(r, EndedRefused, "")
+	case ev.Failure == FailureNone && ev.Refusal == external.RefusedNone:
+		c.begun(r)
+	case r.repeats > 0:
+		c.repeatFailed(r, ev)
 	case ev.Failure == FailureNotReached || ev.Failure == FailureGone:
 		w.pauseUntil = max(w.pauseUntil, now+refusedPause)
 		c.endRun(r, EndedRefused, "")
 	case ev.Failure == FailureUnclear:
-		c.doubt(r)
-	case ev.Refusal == external.RefusedNone:
-		if r.state == runStarting {
-			r.state = runRunning
-			r.began = now
-		}
-		r.mark = max(r.mark, c.issued)
+		c.repeatStart(r)
 	default:
 		c.refused(r, ev.Refusal)
 	}
 }
 
+// begun takes in that a worker has the run.
+func (c *Core) begun(r *run) {
+	if r.state == runStarting || r.state == runDoubt {
+		r.state = runRunning
+		r.began = c.now.Mono
+		c.settleDoubt(r, SettledRunning)
+	}
+	r.mark = max(r.mark, c.issued)
+}
+
 // doubt asks the worker whether an unanswered start has begun.
 func (c *Core) doubt(r *run) {
 	if r.state != runStarting {
@@ -81,6 +95,12 @@
 
 // refused takes in a start that the worker did not carry out.
 func (c *Core) refused(r *run, why external.Refusal) {
+	c.noteRefusal(r, why)
+	c.endRun(r, EndedRefused, "")
+}
+
+// noteRefusal takes in what a refusal says of the worker and the task.
+func (c *Core) noteRefusal(r *run, why external.Refusal) {
 	now := c.now.Mono
 	w := r.worker
 	w.pauseUntil = max(w.pauseUntil, now+refusedPause)
@@ -95,7 +115,6 @@
 	if why == external.RefusedInvalid {
 		r.unit.notBefore = now + suspectPause
 	}
-	c.endRun(r, EndedRefused, "")
 }
 
 // stop orders a run to stop; it keeps its room until it is over.
@@ -105,7 +124,7 @@
 	}
 	r.state = runStopping
 	r.reason = why
-	r.stopAcked = 0
+	r.stopAcked, r.repeats = 0, 0
 	c.sendStop(r)
 }
 
@@ -138,10 +157,15 @@
 // tick passes time: lapsed leases, repeated stops, stalled runs.
 func (c *Core) tick() {
 	now := c.now.Mono
+	c.repeats = repeatsPerTick
 	for _, w := range slices.Clone(c.fleet) {
 		c.tickWorker(w)
+		c.repeatHold(w)
 		for _, r := range slices.Clone(w.runs) {
-			if r.state == runStopping {
+			switch r.state {
+			case runStarting:
+				c.tickStart(r)
+			case runStopping:
 				c.tickStop(r)
 			}
 		}
@@ -182,6 +206,9 @@
 func (c *Core) tickStop(r *run) {
 	now := c.now.Mono
 	switch {
+	case r.stopAcked == 0 && r.repeats < maxRepeats && now-r.stopSent > repeatAfter && c.mayRepeat():
+		r.repeats++
+		c.sendStop(r)
 	case r.stopAcked == 0 && now-r.stopSent > stopRetry:
 		c.sendStop(r)
 	case r.stopAcked != 0 && now-r.stopAcked > barCheck && r.mark == c.issued:
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -8,7 +8,7 @@
 
 // place starts what can be started, the most urgent work first.
 func (c *Core) place() {
-	if !c.changed || c.now.Mono < c.nextPlace || c.now.Mono-c.proven > c.settings.StartGrace {
+	if !c.changed || c.now.Mono < c.nextPlace || !c.mayStart() {
 		return
 	}
 	c.changed = false
@@ -27,6 +27,9 @@
 	}
 }
 
+// mayStart says whether the term was proven lately enough to order starts.
+func (c *Core) mayStart() bool { return c.now.Mono-c.proven <= c.settings.StartGrace }
+
 // unanswered counts the starts that were ordered lately and have no answer yet.
 func (c *Core) unanswered() int {
 	n := 0
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -32,6 +32,12 @@
 	// mark is the number of the last hold issued before the state was entered:
 	// only lists of later holds speak about it.
 	mark int64
+	// checkpoint is what the run was started from.
+	checkpoint string
+	// sent is when the start was last sent, repeats how often it, or a stop, was
+	// sent again.
+	sent    time.Duration
+	repeats int
 	// stopSent is when the last stop was sent, stopAcked when one was answered.
 	stopSent  time.Duration
 	stopAcked time.Duration
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -40,10 +40,14 @@
 	// holdWaitUrgent is the same where work of priority 0 runs, so that a stalled
 	// run is seen soon.
 	holdWaitUrgent = 900 * time.Millisecond
-	// maxContacts bounds the workers that a new owner asks for the first time at
-	// once. 3,000 at once kept the renewals of the term waiting for 2 s on a
-	// machine of 0.4 cores (docs/MEASUREMENTS.md), so 64 do for about 0.05 s.
-	maxContacts = 64
+	// repeatAfter is how long a call to a worker may stay without an answer before
+	// it is made again: twice two round trips between regions, of 40 ms each.
+	repeatAfter = 200 * time.Millisecond
+	// maxRepeats bounds how often one order is made again.
+	maxRepeats = 2
+	// repeatsPerTick bounds the calls that are made again at once: an owner that is
+	// itself too slow to take answers in would add to its load.
+	repeatsPerTick = 16
 	// holdRetry lies between two holds of a worker that does not answer.
 	holdRetry = 400 * time.Millisecond
 	// ackPause is how long a hold waits for the progress of the worker's last
--- a/internal/core/cell/takeover_test.go
+++ b/internal/core/cell/takeover_test.go
@@ -195,7 +195,9 @@
 		for _, a := range c.Step(c.now, ev) {
 			switch a := a.(type) {
 			case Start:
-				started++
+				if a.Repeat == 0 {
+					started++
+				}
 			case Hold:
 				asked = append(asked, a)
 			case Persist:
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -38,11 +38,21 @@
 	// cooled is kept for urgent work; cooling says until when, oldest first.
 	cooled  job.Resources
 	cooling []cooling
-	// holds in flight: the long one, and a probe that asks at once.
-	holding  bool
-	probing  bool
-	probe    bool
-	holdNext time.Duration
+	// holdIssue and probeIssue number the holds in flight, 0 for none: the one that
+	// waits for an end, and one that asks at once. probe asks for the latter.
+	holdIssue  int64
+	probeIssue int64
+	probe      bool
+	// asked is when the hold in flight was sent, askedWait how long its answer may
+	// wait; overdue counts the probes sent as it had none in time, overdueAt is when
+	// the last of them was sent.
+	asked     time.Duration
+	askedWait time.Duration
+	overdue   int
+	overdueAt time.Duration
+	// heardIssue is the latest hold that was answered.
+	heardIssue int64
+	holdNext   time.Duration
 	// holdFails counts holds in a row without an answer.
 	holdFails int
 	firstFail time.Duration
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -24,11 +24,10 @@
 	l := o.inst.logger
 	switch a := a.(type) {
 	case cell.Start:
-		mStarts.Inc()
-		mWaited.Update(a.Waited.Seconds())
+		countStart(a)
 		evStart.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
 			slog.String("worker", string(a.Order.Worker)), slog.Int64("term", o.term),
-			slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited))
+			slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited), slog.Int("repeat", a.Repeat))
 		o.inst.goRun(func(context.Context) { o.start(a.Order) })
 	case cell.Stop:
 		mStops.Inc()
@@ -52,6 +51,15 @@
 	}
 }
 
+func countStart(a cell.Start) {
+	if a.Repeat > 0 {
+		mStartsAgain.Inc()
+		return
+	}
+	mStarts.Inc()
+	mWaited.Update(a.Waited.Seconds())
+}
+
 // note logs what the core reports.
 func (o *owner) note(a cell.Action) {
 	l := o.inst.logger
