Try failed tasks on workers that got on, while many fail what they start

Cause: a tenth of 1,100 workers fail all that they start, each within 50 to 270 ms. A task that failed was started again at once on the next one that had not shown itself, and a job of 180 tasks had one that used up its three tries in 0.4 s. core/retry now tells such a trouble from tasks that fail by their own fault; while it lasts, failed tasks wait up to 1 s (4 s for the last try) for workers on which something started since has got on, others prefer them, and a worker that failed gets one single task at a time until that gets on. Two workers' failures 300 ms after a start count as early whatever the estimate says.

--- a/internal/cellplay/mix.go
+++ b/internal/cellplay/mix.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// LargeCooperative gives the ordering service's work on hundreds of workers: wider
+// gangs and steps, and more of the urgent work.
+func LargeCooperative() Mix {
+	m := Cooperative()
+	m.Name = "cooperative-large"
+	reserve, plan, check := &m.Kinds[0], &m.Kinds[1], &m.Kinds[2]
+	reserve.PerSecond, reserve.Width, reserve.GPU = 0.0178, 15, []int{1, 2, 4, 8, 8}
+	plan.PerSecond, plan.Width, plan.GPU, plan.Work = 0.0031, 51, []int{1, 2, 4, 8, 8}, 8500*time.Millisecond
+	check.PerSecond, check.Width, check.Steps, check.Work = 0.0031, 155, 2, 7600*time.Millisecond
+	return m
+}
+
 // Observatory gives the rent index's work: urgent checks, recomputations in gangs,
 // and sweeps.
 func Observatory() Mix {
--- a/internal/cellplay/play_test.go
+++ b/internal/cellplay/play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"os"
 	"reflect"
 	"testing"
@@ -10,6 +11,10 @@
 
 var seeds = flag.Int("cell-seeds", 1, "play each mix with so many seeds and print the tables")
 
+var rejectSeeds = flag.Int("reject-seeds", 4, "play workers that reject tasks with so many seeds")
+
+func seedOf(n uint64) *rand.Rand { return rand.New(rand.NewPCG(n, 1)) }
+
 func small(m *Mix, seed uint64) Trace {
 	return Draw(m, Size{Workers: 16, Load: 1, Span: time.Minute, Seed: seed})
 }
--- a/internal/cellplay/player.go
+++ b/internal/cellplay/player.go
@@ -49,6 +49,9 @@
 	for _, a := range p.trace.Jobs {
 		p.after(a.At, func() { p.submit(a) })
 	}
+	for _, t := range p.trace.Troubles {
+		p.befall(t)
+	}
 	for p.now < p.trace.Size.Span || p.open > 0 && p.now < p.trace.Size.Span+settleTime {
 		p.advance()
 	}
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -18,6 +18,8 @@
 	Workers []external.Worker
 	Policy  job.Policy
 	Jobs    []Arrival
+	// Troubles befall the workers while jobs arrive.
+	Troubles []Trouble
 }
 
 // Arrival is a job with what only the workers know of it.
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/contact"
+	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -23,6 +24,8 @@
 	workers map[external.WorkerID]*worker
 	// fleet holds the workers in the order of their names.
 	fleet []*worker
+	// troubles holds what is known of failures, by pool.
+	troubles map[string]*retry.Pool
 	// contact bounds the first questions to workers.
 	contact contact.Window
 	// repeats is how many calls may still be made again at the present tick.
@@ -80,7 +83,7 @@
 		workers: make(map[external.WorkerID]*worker),
 		cancels: make(map[job.ID]bool),
 		proven:  now.Mono,
-		contact: contact.New(),
+		contact: contact.New(), troubles: make(map[string]*retry.Pool),
 	}
 	c.silentUntil = now.Mono + s.Overhang + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -30,6 +31,8 @@
 	read      time.Duration
 	objective time.Duration
 	alarms    alarms
+	// trouble is what is known of failures in the job's pool.
+	trouble *retry.Pool
 }
 
 // occurrence is one run through a job's steps.
@@ -76,6 +79,8 @@
 	state unitState
 	// failures are the numbers of the runs that failed.
 	failures []int64
+	// failedAt is when the last of them was counted by this owner.
+	failedAt time.Duration
 	saved    string
 	runs     []*run
 	lastRun  int64
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -27,7 +27,7 @@
 // findRack gives the rack that holds the whole gang with the least room left.
 func (c *Core) findRack(p *pass, g *ranked, u *unit, patient bool) []*worker {
 	var best []*worker
-	bestLeft := 0
+	bestLeft, bestRisk := 0, 0
 	for _, k := range p.order {
 		if k.pool != g.pool {
 			continue
@@ -42,12 +42,12 @@
 		if k.rack == g.step.DataRack && k.rack != "" {
 			return on
 		}
-		left := 0
+		left, risk := 0, c.riskOf(on, g.group)
 		for _, w := range p.racks[k] {
 			left += w.room(g.priority).GPU
 		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = on, left
+		if best == nil || risk < bestRisk || risk == bestRisk && left < bestLeft {
+			best, bestLeft, bestRisk = on, left, risk
 		}
 	}
 	return best
@@ -116,7 +116,7 @@
 		return nil
 	}
 	slices.SortStableFunc(spaces, func(a, b space) int {
-		return cmp.Or(compareBool(a.w.suspicion > 0, b.w.suspicion > 0), cmp.Compare(b.n, a.n))
+		return cmp.Or(compareBool(c.avoids(a.w, g), c.avoids(b.w, g)), cmp.Compare(b.n, a.n))
 	})
 	var on []*worker
 	for _, s := range spaces {
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -275,6 +275,9 @@
 		r.missing, r.listedAt, r.figure = 0, now, row.Figure
 		if row.Percent != r.percent || r.moved == 0 {
 			r.percent, r.moved = row.Percent, now
+			if now-r.since >= gotOnAge {
+				c.gotOn(r)
+			}
 		}
 		if row.Saved != "" {
 			r.saved = row.Saved
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -45,6 +45,7 @@
 func (c *Core) add(j *job.Job) *entry {
 	e := newEntry(j)
 	e.read = c.now.Mono
+	e.trouble = c.troubleIn(j.Queue.Pool)
 	c.jobs[j.ID] = e
 	c.open = append(c.open, e)
 	c.changed = true
@@ -201,6 +202,7 @@
 		return
 	}
 	u.failures = append(u.failures, number)
+	u.failedAt = c.now.Mono
 	e := u.entry()
 	c.markDirty(e)
 	if e.outcome == job.Open && len(u.failures) >= max(e.job.Queue.MaxTries, 1) {
@@ -251,6 +253,7 @@
 
 func (c *Core) endedWell(r *run) {
 	r.worker.trust()
+	c.gotOn(r)
 	u := r.unit
 	if r.began > 0 && !r.resumed {
 		u.took = c.now.Mono - r.began
@@ -270,7 +273,10 @@
 	w := r.worker
 	r.unit.shun(w, c.now.Mono)
 	w.failedJobs[r.task.Job] = true
-	early := c.now.Mono-r.since < time.Duration(earlyFailure*float64(r.unit.group.step.Estimate()))
+	early := c.now.Mono-r.since < max(earlyLeast, time.Duration(earlyFailure*float64(r.unit.group.step.Estimate())))
+	if early {
+		c.failedEarly(w)
+	}
 	if early || len(w.failedJobs) >= suspectFailures {
 		w.suspect(c.now.Mono)
 		c.act(WorkerNoted{Worker: w.ID, Note: "suspect: runs fail", Runs: len(w.runs)})
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -230,6 +230,7 @@
 		return
 	}
 	r.worker.suspect(now)
+	c.failedEarly(r.worker)
 	for _, m := range r.unit.runs {
 		r.unit.shun(m.worker, now)
 	}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -118,7 +118,7 @@
 
 // allowed says whether the worker may run a task of the unit at all.
 func (c *Core) allowed(w *worker, g *group, u *unit) bool {
-	if u.shuns(w, c.now.Mono) {
+	if u.shuns(w, c.now.Mono) || !c.mayTry(w, u) {
 		return false
 	}
 	if g.occ.entry.job.Queue.Advised {
@@ -180,7 +180,7 @@
 
 func (c *Core) scoreOf(w *worker, g *ranked, u *unit, far bool) score {
 	left := w.room(g.priority).Minus(g.step.Resources())
-	return score{far: far, avoid: w.suspicion > 0, leftGPU: left.GPU, leftCPU: left.CPU}
+	return score{far: far, avoid: c.avoids(w, g.group), leftGPU: left.GPU, leftCPU: left.CPU}
 }
 
 // drainWorkers moves what would not end before its worker leaves.
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -73,6 +73,11 @@
 	// earlyFailure is the share of its estimated time before which a failed run
 	// speaks against its worker at once.
 	earlyFailure = 0.1
+	// earlyLeast is the age up to which any failed run does: workers that fail all
+	// they start have been seen to take up to 270 ms.
+	earlyLeast = 300 * time.Millisecond
+	// gotOnAge is the age from which on progress speaks for a run's worker.
+	gotOnAge = 500 * time.Millisecond
 	// shunTime is how long a task is kept off a worker on which it went wrong.
 	shunTime = 8 * time.Second
 	// stallShare is the part of a task's estimate without any progress after which
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -65,6 +66,8 @@
 	pauseUntil time.Duration
 	suspicion  int
 	failedJobs map[job.ID]bool
+	// record is what the worker's runs say of it.
+	record retry.Record
 	// planned counts the tasks of a group for which room is held.
 	planned    map[*group]int
 	drainSince time.Duration
--- /dev/null
+++ b/internal/core/retry/trouble_test.go
@@ -0,0 +1,82 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/external"
+)
+
+func worker(n int) external.WorkerID { return external.WorkerID(fmt.Sprintf("w%04d", n)) }
+
+func TestFailuresOfATaskOfItsOwnAreNoTrouble(t *testing.T) {
+	p := &Pool{}
+	for n := range 100 { // one failure a second, each on another worker
+		p.Failed(time.Duration(n+1)*1100*time.Millisecond, worker(n), 1100)
+	}
+	for range 50 { // one worker alone
+		p.Failed(200*time.Second, worker(0), 1100)
+	}
+	if p.IsTroubled(200 * time.Second) {
+		t.Error("single failures count as trouble of the pool")
+	}
+}
+
+func TestManyWorkersThatFailAreTroubleUntilTheyAreCalm(t *testing.T) {
+	p := &Pool{}
+	for n := range 10 {
+		p.Failed(10*time.Second+time.Duration(n)*20*time.Millisecond, worker(n), 1100)
+	}
+	for _, c := range []struct {
+		at   time.Duration
+		want bool
+	}{
+		{10*time.Second + 200*time.Millisecond, true},
+		{15 * time.Second, true},
+		{16 * time.Second, false},
+	} {
+		if got := p.IsTroubled(c.at); got != c.want {
+			t.Errorf("troubled at %v: %v", c.at, got)
+		}
+	}
+}
+
+func TestOnlyWhatWasStartedSinceProvesAWorker(t *testing.T) {
+	p := &Pool{}
+	for n := range 10 {
+		p.Failed(10*time.Second, worker(n), 1100)
+	}
+	old, fresh, failed := &Record{}, &Record{}, &Record{}
+	old.GotOn(9 * time.Second)
+	fresh.GotOn(11 * time.Second)
+	failed.GotOn(11 * time.Second)
+	failed.Failed(12 * time.Second)
+	if p.Proves(old) || !p.Proves(fresh) || p.Proves(failed) {
+		t.Errorf("before the trouble %v, since %v, failed after %v", p.Proves(old), p.Proves(fresh), p.Proves(failed))
+	}
+}
+
+func TestTheLastTryWaitsLongerForAProvenWorker(t *testing.T) {
+	p := &Pool{}
+	for n := range 10 {
+		p.Failed(10*time.Second, worker(n), 1100)
+	}
+	for _, c := range []struct {
+		name  string
+		task  Task
+		after time.Duration
+		want  bool
+	}{
+		{"a first try", Task{Tries: 3}, 0, false},
+		{"a second try at once", Task{Failures: 1, Tries: 3}, 0, true},
+		{"a second try after its wait", Task{Failures: 1, Tries: 3}, nextTry, false},
+		{"the last try after as long", Task{Failures: 2, Tries: 3}, nextTry, true},
+		{"the last try after its wait", Task{Failures: 2, Tries: 3}, lastTry, false},
+	} {
+		c.task.FailedAt = 10 * time.Second
+		if got := p.NeedsProof(10*time.Second+c.after, c.task); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -29,7 +29,9 @@
 	machines map[external.WorkerID]*Machine
 	order    []*Machine
 	jobs     map[job.ID]*job.Job
-	stopped  map[job.ID]time.Duration
+	// gangs holds the runs of each gang that are on machines.
+	gangs   map[gangRun][]*live
+	stopped map[job.ID]time.Duration
 	// done holds tasks of which a run has ended done and that end was
 	// acknowledged, listed those whose end is listed only, ever all of them, also
 	// those whose machine has forgotten the end.
@@ -48,7 +50,7 @@
 // New makes a fleet without machines.
 func New(w Work) *Fleet {
 	return &Fleet{
-		work: w, machines: make(map[external.WorkerID]*Machine), jobs: make(map[job.ID]*job.Job),
+		work: w, machines: make(map[external.WorkerID]*Machine), jobs: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*live),
 		stopped: make(map[job.ID]time.Duration), ran: make(map[job.ID]bool), done: make(map[job.TaskID]bool), ever: make(map[job.TaskID]bool), listed: make(map[job.TaskID]*Machine),
 	}
 }
@@ -66,6 +68,7 @@
 func (m *Machine) Rebirth() {
 	for _, l := range m.live {
 		m.fleet.forgetEnd(m, l.task)
+		m.fleet.leaveGang(l)
 	}
 	for t, on := range m.fleet.listed {
 		if on == m {
@@ -156,6 +159,11 @@
 	if m.Mode == Hanging {
 		return
 	}
+	if l.doomed > 0 && f.now >= l.doomed {
+		m.end(l, external.EndedFailed)
+		f.breakGang(l)
+		return
+	}
 	if l.step.LongRunning {
 		return
 	}
@@ -179,24 +187,43 @@
 	m.end(l, external.EndedDone)
 }
 
-// members gives the runs of a gang that are on machines that are up.
-func (f *Fleet) members(of *live) []*live {
-	var out []*live
-	for _, m := range f.order {
-		for _, l := range m.live {
-			if l.run == of.run && sameGang(l.task, of.task) {
-				out = append(out, l)
-			}
-		}
+// gangRun names one run of a gang.
+type gangRun struct {
+	job              job.ID
+	occurrence, step int
+	run              int64
+}
+
+func (l *live) gang() gangRun {
+	return gangRun{job: l.task.Job, occurrence: l.task.Occurrence, step: l.task.Step, run: l.run}
+}
+
+func (f *Fleet) joinGang(l *live) {
+	if l.step.Gang {
+		f.gangs[l.gang()] = append(f.gangs[l.gang()], l)
 	}
-	return out
 }
 
+func (f *Fleet) leaveGang(l *live) {
+	if !l.step.Gang {
+		return
+	}
+	left := slices.DeleteFunc(f.gangs[l.gang()], func(o *live) bool { return o == l })
+	if len(left) == 0 {
+		delete(f.gangs, l.gang())
+		return
+	}
+	f.gangs[l.gang()] = left
+}
+
+// members gives the runs of a gang that are on machines.
+func (f *Fleet) members(of *live) []*live { return slices.Clone(f.gangs[of.gang()]) }
+
 func sameGang(a, b job.TaskID) bool {
 	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
 }
 
-func (f *Fleet) gangComplete(l *live) bool { return len(f.members(l)) == l.step.Count }
+func (f *Fleet) gangComplete(l *live) bool { return len(f.gangs[l.gang()]) == l.step.Count }
 
 func (f *Fleet) breakGang(l *live) {
 	if !l.step.Gang {
--- a/internal/standin/fleet/machine.go
+++ b/internal/standin/fleet/machine.go
@@ -18,6 +18,14 @@
 	Failing
 	// Hanging machines make no progress.
 	Hanging
+	// Rejecting machines fail what they start soon after; what ran before goes on.
+	Rejecting
+)
+
+// Rejecting machines fail a task between rejectLeast and rejectMost after its start.
+const (
+	rejectLeast = 50 * time.Millisecond
+	rejectMost  = 270 * time.Millisecond
 )
 
 // Machine is one worker.
@@ -53,6 +61,8 @@
 	total   time.Duration
 	saved   time.Duration
 	arrived time.Duration
+	// doomed is when the run fails, 0 for one on a sound machine.
+	doomed time.Duration
 	// pace is the share of its speed in percent.
 	pace int
 }
@@ -90,6 +100,7 @@
 	if m.barred[l.task] < l.run {
 		m.barred[l.task] = l.run
 	}
+	m.fleet.leaveGang(l)
 	m.lastEnd++
 	m.ended = append(m.ended, external.End{Number: m.lastEnd, Task: l.task, Run: l.run, How: how, Saved: l.checkpoint()})
 	m.fleet.noteEnd(m, l, how)
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -46,7 +46,12 @@
 			l.saved, l.left = at, d-at
 		}
 	}
+	if m.Mode == Rejecting {
+		span := int(rejectMost-rejectLeast) / int(time.Millisecond)
+		l.doomed = f.now + rejectLeast + time.Duration((o.Task.Index*37)%span)*time.Millisecond
+	}
 	m.live = append(m.live, l)
+	f.joinGang(l)
 	f.Starts++
 	f.ran[o.Task.Job] = true
 	return m.report(external.RefusedNone), nil
