Bound the room of pools and racks, so that a pass looks at few workers

Cause: a pass over a full pool looked at each worker for each task that waits, for a place, for runs to preempt and for a reservation, also when all that may be reserved was. Racks and pools now have upper bounds on what they can hold, the preemptible runs of a worker are sorted once a pass, and nothing is reckoned for a reservation that can't be made.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -76,7 +76,7 @@
 // those with the most room first.
 func (c *Core) candidates(p *pass, g *ranked) []external.WorkerID {
 	var ws []*worker
-	for _, w := range p.pool(g.pool) {
+	for _, w := range p.pool(g.pool).workers {
 		_, known := c.ticketFor(g.group, w)
 		if known || c.now.Mono < g.denied[w.ID] || !w.usable(c.now.Mono) {
 			continue
--- a/internal/core/cell/bench_test.go
+++ b/internal/core/cell/bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkPassOnAFullPool measures one look at all that waits while nothing is
 // free and 200 jobs wait.
 func BenchmarkPassOnAFullPool(b *testing.B) {
-	for _, workers := range []int{50, 350, 1400} {
+	for _, workers := range []int{50, 350, 1100, 3000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			c := fullCell(workers, 200)
 			now := c.now
@@ -29,7 +29,7 @@
 
 // BenchmarkListed measures the answer to a hold of a worker with eight runs.
 func BenchmarkListed(b *testing.B) {
-	for _, workers := range []int{50, 350, 1400} {
+	for _, workers := range []int{50, 350, 1100, 3000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			c := fullCell(workers, 0)
 			now := c.now
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -20,8 +20,11 @@
 	if g.step.DataRack != "" && patient && !c.mayRunFar(p, g, u) {
 		return nil
 	}
-	on := c.fill(p.pool(g.pool), g.group, u)
-	return on
+	pool := p.pool(g.pool)
+	if !pool.mayHold(g, u) {
+		return nil
+	}
+	return c.fill(pool.workers, g.group, u)
 }
 
 // findRack gives the rack that holds the whole gang with the least room left.
@@ -32,10 +35,14 @@
 		if k.pool != g.pool {
 			continue
 		}
+		rack := p.racks[k]
+		if !rack.mayHold(g, u) {
+			continue
+		}
 		if far := g.step.DataRack != "" && k.rack != g.step.DataRack; far && patient && !c.mayRunFar(p, g, u) {
 			continue
 		}
-		on := c.fill(p.racks[k], g.group, u)
+		on := c.fill(rack.workers, g.group, u)
 		if on == nil {
 			continue
 		}
@@ -43,7 +50,7 @@
 			return on
 		}
 		left, risk := 0, c.riskOf(on, g.group)
-		for _, w := range p.racks[k] {
+		for _, w := range rack.workers {
 			left += w.room(g.priority).GPU
 		}
 		if best == nil || risk < bestRisk || risk == bestRisk && left < bestLeft {
@@ -60,7 +67,7 @@
 			continue
 		}
 		n := 0
-		for _, w := range p.racks[k] {
+		for _, w := range p.racks[k].workers {
 			if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
 				n += copies(w.Capacity, g.step)
 			}
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -8,16 +8,11 @@
 // completion is of no more use to its caller.
 const lateFactor = 3
 
-type rackKey struct {
-	pool string
-	rack string
-}
-
 // pass is one look at all that waits and all that is free.
 type pass struct {
 	ready  []*ranked
-	pools  map[string][]*worker
-	racks  map[rackKey][]*worker
+	pools  map[string]*span
+	racks  map[rackKey]*span
 	order  []rackKey
 	starts int
 	// entitled are the jobs of priority 0 within their account's guarantee.
@@ -25,6 +20,9 @@
 	// full holds the demands for which there is no place: room only shrinks
 	// during a pass.
 	full map[demand]bool
+	// victims holds the runs on a worker that urgent work may preempt, cheapest
+	// first, once they were asked for.
+	victims map[*worker][]*run
 }
 
 // ranked is a group with what its place in the order depends on.
@@ -38,22 +36,17 @@
 	order      int
 }
 
-func (p *pass) pool(name string) []*worker { return p.pools[name] }
-
 // newPass gathers the groups that may start, most urgent first, and the workers.
 func (c *Core) newPass() *pass {
-	p := &pass{pools: make(map[string][]*worker), racks: make(map[rackKey][]*worker), full: make(map[demand]bool)}
+	p := &pass{
+		pools: make(map[string]*span), racks: make(map[rackKey]*span), full: make(map[demand]bool),
+		victims: make(map[*worker][]*run),
+	}
 	for _, w := range c.fleet {
 		w.release(c.now.Mono)
-		if !w.listed {
-			continue
-		}
-		p.pools[w.Pool] = append(p.pools[w.Pool], w)
-		k := rackKey{w.Pool, w.Rack}
-		if p.racks[k] == nil {
-			p.order = append(p.order, k)
+		if w.listed {
+			p.add(w, c.now.Mono)
 		}
-		p.racks[k] = append(p.racks[k], w)
 	}
 	p.entitled = c.entitlements()
 	swept, held := c.swept(), 0
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -92,10 +92,14 @@
 
 // findOne gives the best worker for a single task, or nil.
 func (c *Core) findOne(p *pass, g *ranked, u *unit) *worker {
+	pool := p.pool(g.pool)
+	if !pool.mayHold(g, u) {
+		return nil
+	}
 	mayFar := c.mayRunFar(p, g, u)
 	var best *worker
 	var bestScore score
-	for _, w := range p.pool(g.pool) {
+	for _, w := range pool.workers {
 		if !c.fits(w, g.group, u) {
 			continue
 		}
@@ -141,7 +145,7 @@
 	if c.now.Mono-u.waiting > c.farWait(g) {
 		return true
 	}
-	for _, w := range p.racks[rackKey{g.pool, g.step.DataRack}] {
+	for _, w := range p.rack(rackKey{g.pool, g.step.DataRack}).workers {
 		if w.usable(c.now.Mono) && w.Capacity.Covers(g.step.Resources()) {
 			return false
 		}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -30,7 +30,10 @@
 	u.nextRoom = c.now.Mono + evictEvery
 	best := eviction{}
 	for _, set := range c.evictionSets(p, g) {
-		e := c.evict(set, g, u)
+		if !set.giving.holds(g.step, u.size) {
+			continue
+		}
+		e := c.evict(p, set.workers, g, u)
 		if e.on != nil && (best.on == nil || e.cost < best.cost) {
 			best = e
 		}
@@ -42,6 +45,7 @@
 	for _, r := range best.victims {
 		for _, m := range slices.Clone(r.unit.runs) {
 			c.stop(m, ReasonPreempted)
+			delete(p.victims, m.worker)
 		}
 	}
 }
@@ -52,8 +56,8 @@
 }
 
 // evictionSets gives the sets of workers that a unit may be placed on.
-func (c *Core) evictionSets(p *pass, g *ranked) [][]*worker {
-	var out [][]*worker
+func (c *Core) evictionSets(p *pass, g *ranked) []*span {
+	var out []*span
 	for _, k := range p.order {
 		if k.pool != g.pool {
 			continue
@@ -85,11 +89,11 @@
 }
 
 // evict finds the cheapest runs of lower priority whose room a unit could have.
-func (c *Core) evict(workers []*worker, g *ranked, u *unit) eviction {
+func (c *Core) evict(p *pass, workers []*worker, g *ranked, u *unit) eviction {
 	var spaces []*space
 	for _, w := range workers {
 		if w.usable(c.now.Mono) && c.allowed(w, g.group, u) {
-			spaces = append(spaces, &space{w: w, free: w.room(g.priority), victims: c.victims(w, g)})
+			spaces = append(spaces, &space{w: w, free: w.room(g.priority), victims: c.victimsOn(p, w, g)})
 		}
 	}
 	out := eviction{}
@@ -132,6 +136,20 @@
 	return best, n, cost
 }
 
+// victimsOn gives the runs on a worker that the group may preempt, and keeps those
+// for urgent work.
+func (c *Core) victimsOn(p *pass, w *worker, g *ranked) []*run {
+	if g.priority != 0 {
+		return c.victims(w, g)
+	}
+	out, ok := p.victims[w]
+	if !ok {
+		out = c.victims(w, g)
+		p.victims[w] = out
+	}
+	return out
+}
+
 // victims gives the runs on a worker that the group may preempt, cheapest first.
 func (c *Core) victims(w *worker, g *ranked) []*run {
 	var out []*run
--- a/internal/core/cell/reserve.go
+++ b/internal/core/cell/reserve.go
@@ -25,17 +25,20 @@
 	if c.now.Mono-u.waiting < reserveAfter {
 		return
 	}
-	pool := p.pool(g.pool)
+	pool := p.pool(g.pool).workers
 	room := int(reserveShare * float64(len(pool)))
 	for _, w := range pool {
 		if w.reserved != (job.Resources{}) {
 			room--
 		}
 	}
+	if room <= 0 {
+		return
+	}
 	var best []*worker
 	var bestAt time.Duration
 	for _, set := range c.evictionSets(p, g) {
-		on, at := c.soonest(set, g, u)
+		on, at := c.soonest(set.workers, g, u)
 		if on != nil && len(distinct(on)) <= room && (best == nil || at < bestAt) {
 			best, bestAt = on, at
 		}
--- /dev/null
+++ b/internal/core/cell/span_test.go
@@ -0,0 +1,36 @@
+package cell
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"coltsfootmux/internal/job"
+)
+
+// TestASpanNeverDeniesAPlaceThatThereIs: tasks would wait beside free workers.
+func TestASpanNeverDeniesAPlaceThatThereIs(t *testing.T) {
+	amount := rapid.Custom(func(rt *rapid.T) job.Resources {
+		return job.Resources{
+			CPU: rapid.IntRange(0, 32).Draw(rt, "cpu"), MemMB: rapid.IntRange(0, 64).Draw(rt, "mem"),
+			GPU: rapid.IntRange(0, 8).Draw(rt, "gpu"),
+		}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		rooms := rapid.SliceOfN(amount, 1, 8).Draw(rt, "rooms")
+		need := amount.Draw(rt, "need")
+		var b bound
+		fit := 0
+		for _, r := range rooms {
+			b.add(r)
+			for r.Covers(need) && fit < 64 {
+				r = r.Minus(need)
+				fit++
+			}
+		}
+		s := &job.Step{CPU: need.CPU, MemMB: need.MemMB, GPU: need.GPU}
+		if fit > 0 && !b.holds(s, fit) {
+			rt.Errorf("%d tasks of %+v fit into %v, and are denied", fit, need, rooms)
+		}
+	})
+}
--- a/internal/core/cell/waits.go
+++ b/internal/core/cell/waits.go
@@ -46,7 +46,7 @@
 	}
 	u.noted = 2 * waited
 	n := Waiting{Task: u.taskID(0), Tasks: u.size, Waited: waited, Reserved: u.plan != nil}
-	for _, w := range p.pool(g.pool) {
+	for _, w := range p.pool(g.pool).workers {
 		n.Listed++
 		if !w.usable(c.now.Mono) {
 			continue
