Leave out job records that no instance would have accepted

Records are now checked like a submission, on reading and before an append for a peer; the name in the key must be the job's.

--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -112,5 +112,13 @@
 	if err := decodeRecord(r.Value, j); err != nil {
 		return jobRecord{}, err
 	}
+	if r.Key != keySubmission+string(j.ID) {
+		return jobRecord{}, eris.Wrap(errRecord, "job "+string(j.ID)+" under the key "+r.Key)
+	}
+	// Each owner reads what the store keeps: a job that none may take in must not
+	// get as far as the cell.
+	if err := j.Check(); err != nil {
+		return jobRecord{}, eris.Wrap(errRecord, err.Error())
+	}
 	return jobRecord{submitted: j}, nil
 }
--- a/internal/instance/write.go
+++ b/internal/instance/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -141,10 +142,15 @@
 	if !slices.Contains(topicsJobs, t) {
 		return wire.RecordWritten{Refused: true, Reason: "no topic of jobs: " + q.Topic}, nil
 	}
+	record := external.Record{Key: q.Key, Value: q.Value}
+	if rec, err := readJobRecord(record); err != nil || rec == (jobRecord{}) {
+		evRecordBad.Log(ctx, i.logger, slog.String("topic", q.Topic), slog.String("key", q.Key), slog.String("from", "a peer"), slog.Any("error", err))
+		return wire.RecordWritten{Refused: true, Reason: "no record of a job: " + q.Key}, nil
+	}
 	if !i.store.answers(t) {
 		return wire.RecordWritten{Refused: true, Reason: "the store does not answer here either for " + q.Topic}, nil
 	}
-	err := i.appendOnce(ctx, t, external.Record{Key: q.Key, Value: q.Value})
+	err := i.appendOnce(ctx, t, record)
 	if err == nil {
 		return wire.RecordWritten{Done: true}, nil
 	}
--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -36,10 +36,9 @@
 				return eris.Wrap(ErrInvalid, fmt.Sprintf("order of step %d", i))
 			}
 		}
-		total += s.Count
-	}
-	if total > maxTasks {
-		return eris.Wrap(ErrInvalid, fmt.Sprintf("%d tasks", total))
+		if total += min(s.Count, maxTasks+1); total > maxTasks {
+			return eris.Wrap(ErrInvalid, fmt.Sprintf("more than %d tasks", maxTasks))
+		}
 	}
 	return nil
 }
