Name tests for the cases that hit operators of similar systems

A silent or slow worker keeps its work; no order goes out twice around a hand-over; a paused owner starts nothing on an old proof; no worker that has left and no withdrawn key is in use after a restart, also when the store turns just that machine away; a lost answer neither repeats nor denies work.

--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -29,6 +29,8 @@
 	nodes []*node
 	// retention is how long ended jobs are known.
 	retention time.Duration
+	// cutNext has the store turn the next instance away from its start on.
+	cutNext bool
 	// delay is added to the next instance's claims; settle is as in term.Settings.
 	delay, settle time.Duration
 }
@@ -88,13 +90,20 @@
 	testWorkers  external.Topic = "workers"
 )
 
-// decodeTestPolicy reads a version only; the rest is the same in each.
+// keyless is the version from which on the test's policies have no keys.
+const keyless = 100
+
+// decodeTestPolicy reads a version only; the rest is the same in each, but for the
+// keys.
 func decodeTestPolicy(b []byte) (*job.Policy, error) {
 	p := &job.Policy{
 		Routes:   []job.Route{{Queue: job.Queue{Name: "q", Pool: "p", MaxTries: 3, Stretch: 3, ObjectiveMS: 1000}, Host: "h", Prefix: "/q/"}},
 		Accounts: []job.Account{{Name: "a", Keys: []string{"key-a"}}},
 	}
 	_, err := fmt.Sscanf(string(b), "%d", &p.Version)
+	if p.Version >= keyless {
+		p.Accounts[0].Keys = nil
+	}
 	p.Index()
 	return p, err
 }
@@ -136,6 +145,9 @@
 		s.Peers = []string{r.nodes[0].inst.Settings.LinkAddr}
 	}
 	w := &way{Log: r.store, cut: make(chan struct{})}
+	if r.cutNext {
+		close(w.cut)
+	}
 	inst := New(Options{
 		Settings: s, Log: w, Workers: r.fleet, Policies: testPolicies, PolicyKey: "policy", WorkerList: testWorkers,
 		DecodePolicy: decodeTestPolicy, DecodeWorker: r.decodeWorker, Logger: slog.New(slog.DiscardHandler),
