Hand the term over when the store turns the owner away and serves its peers

It now gives the term up at once and tells up to four strong instances, which claim without a delay; members say which are strong. A peer's probe is always made anew: with an answer of up to 0.4 s before, an owner handed over as an outage began for all (found by TestOwnerKeepsItsTermWhileOnlyTheTermsTopicIsDown).

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -33,7 +33,11 @@
 	Term int64
 }
 
+// Tell tells peers of a record that this life can't write.
+type Tell struct{ Record Record }
+
 func (AskYield) action() {}
+func (Tell) action()     {}
 func (Write) action()    {}
 func (Gained) action()   {}
 func (Lost) action()     {}
@@ -49,4 +53,5 @@
 	ReasonUnproven Reason = "no renewal was confirmed in time"
 	ReasonReleased Reason = "given up on leaving"
 	ReasonYielded  Reason = "a stronger instance takes over"
+	ReasonUnserved Reason = "the store turns this instance away and serves its peers"
 )
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -68,6 +68,8 @@
 	case PeersAgree:
 		c.provenAt = max(c.provenAt, now)
 		c.act(Proven{At: now})
+	case PeersServed:
+		c.handOver()
 	case Deposed:
 		c.deposed()
 	case Leaving:
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -48,6 +48,10 @@
 // either, so that none of them can claim.
 type PeersAgree struct{}
 
+// PeersServed says that the store turns this life away and serves peers, of whom one
+// will claim the next term.
+type PeersServed struct{}
+
 // Deposed says that somebody met a higher term.
 type Deposed struct{}
 
@@ -68,6 +72,7 @@
 func (StoreFailed) event() {}
 func (Written) event()     {}
 func (PeersAgree) event()  {}
+func (PeersServed) event() {}
 func (Deposed) event()     {}
 func (Leaving) event()     {}
 func (YieldAsked) event()  {}
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -16,6 +16,7 @@
 	evTermLost      = logevent.New(2211, slog.LevelWarn, "term lost")
 	evTermSeen      = logevent.New(2212, slog.LevelInfo, "term of another instance seen")
 	evTermWrite     = logevent.New(2213, slog.LevelInfo, "term not written")
+	evTermTold      = logevent.New(2218, slog.LevelInfo, "instance told of a term that was given up")
 	evYield         = logevent.New(2217, slog.LevelInfo, "owner on a weaker machine asked for its term")
 	evPeersAsked    = logevent.New(2216, slog.LevelInfo, "peers asked whether the store serves them terms")
 	evTakenOver     = logevent.New(2214, slog.LevelInfo, "cell taken over")
--- /dev/null
+++ b/internal/instance/handover_test.go
@@ -0,0 +1,26 @@
+package instance
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAnOwnerThatTheStoreTurnsAwayHandsOver: claims on a stale record take 20 s here, so
+// that only a hand-over gives the cell another owner in time.
+func TestAnOwnerThatTheStoreTurnsAwayHandsOver(t *testing.T) {
+	r := newRig(t, 0)
+	r.stale = 20 * time.Second
+	for n := range 3 {
+		r.add(n)
+	}
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	first := r.owner()
+	r.wait("strong peers known", func() bool { return len(first.inst.members.strong(boottime(), maxTold)) > 0 })
+	r.wait("accepted", func() bool { return r.submit(first, "before", 8) == nil })
+	close(first.way.cut)
+	r.wait("another owner", func() bool { o := r.owner(); return o != nil && o != first })
+	r.wait("accepted over a peer", func() bool { return r.submit(first, "after", 4) == nil })
+	r.wait("complete", r.complete(first, "before"))
+	r.wait("complete", r.complete(first, "after"))
+	r.checkFleet()
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -83,7 +83,7 @@
 	i.store.changed, i.store.unread = i.storeChanged, i.recordsUnread
 	i.log = i.store
 	i.members.silent = make(map[string]time.Duration)
-	i.members.set(slices.Clone(s.Peers), s.LinkAddr)
+	i.members.set(slices.Clone(s.Peers), nil, s.LinkAddr)
 	host, region := model.HostID(s.Name), model.Region(s.Region)
 	i.pool = link.NewPool(link.PoolOptions{Self: host, Region: region, Logger: o.Logger})
 	i.server = link.NewServer(link.ServerOptions{Self: host, Region: region, Logger: o.Logger})
@@ -93,6 +93,7 @@
 	link.Handle(i.server, wire.KindRecord, i.onRecordWrite)
 	link.Handle(i.server, wire.KindAppended, i.onAppended)
 	link.Handle(i.server, wire.KindYield, i.onYield)
+	link.Handle(i.server, wire.KindTermTold, i.onTermTold)
 	i.work, i.cancel = context.WithCancel(context.Background())
 	return i
 }
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -12,7 +11,7 @@
 )
 
 const (
-	// topicMembers holds the address of each instance under its name.
+	// topicMembers holds a member record of each instance under its name.
 	topicMembers external.Topic = "keyed.members"
 	// membersEvery is how often the addresses are read; a new instance is not
 	// needed by others at once.
@@ -23,19 +22,29 @@
 	maxRoutes = 3
 )
 
+// memberRecord says where an instance is reached, and how much later than others it
+// claims a term.
+type memberRecord struct {
+	Addr  string        `cbor:"1,keyasint"`
+	Delay time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // members are the addresses of other instances, from the settings and the store.
 type members struct {
 	mu sync.Mutex
 	// addrs are all that are known, in a fixed order that differs by instance.
 	addrs []string
+	// strongAddrs are those of machines that claim a term without a delay.
+	strongAddrs map[string]bool
 	// silent holds when an instance last gave no answer.
 	silent map[string]time.Duration
 }
 
-// set replaces the addresses; own is left out.
-func (m *members) set(addrs []string, own string) {
+// set replaces the addresses and which of them are strong; own is left out.
+func (m *members) set(addrs []string, strong map[string]bool, own string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.strongAddrs = strong
 	slices.Sort(addrs)
 	addrs = slices.Compact(addrs)
 	at, _ := slices.BinarySearch(addrs, own)
@@ -48,8 +57,28 @@
 func (m *members) best(now time.Duration, preferred string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var good, bad []string
+	all := m.inOrder(now, preferred, m.addrs)
+	return all[:min(len(all), maxRoutes)]
+}
+
+// strong gives some addresses of strong machines, last those that did not answer lately.
+func (m *members) strong(now time.Duration, most int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addrs []string
 	for _, a := range m.addrs {
+		if m.strongAddrs[a] {
+			addrs = append(addrs, a)
+		}
+	}
+	all := m.inOrder(now, "", addrs)
+	return all[:min(len(all), most)]
+}
+
+// inOrder puts the preferred address first and those that did not answer lately last.
+func (m *members) inOrder(now time.Duration, preferred string, addrs []string) []string {
+	var good, bad []string
+	for _, a := range addrs {
 		switch at, ok := m.silent[a]; {
 		case ok && now-at < memberPause:
 			bad = append(bad, a)
@@ -59,8 +88,7 @@
 			good = append(good, a)
 		}
 	}
-	all := append(good, bad...)
-	return all[:min(len(all), maxRoutes)]
+	return append(good, bad...)
 }
 
 // answered notes whether an instance answered.
@@ -91,9 +119,12 @@
 }
 
 func (i *Instance) announce(ctx context.Context) bool {
-	_, err := i.log.Append(ctx, external.Append{
-		Topic: topicMembers, Records: []external.Record{{Key: i.Settings.Name, Value: []byte(i.Settings.LinkAddr)}},
-	})
+	value, err := encode(memberRecord{Addr: i.Settings.LinkAddr, Delay: i.Settings.Term.Delay})
+	if err == nil {
+		_, err = i.log.Append(ctx, external.Append{
+			Topic: topicMembers, Records: []external.Record{{Key: i.Settings.Name, Value: value}},
+		})
+	}
 	if err != nil {
 		evMembers.Log(ctx, i.logger, slog.String("call", "announce"), slog.Any("error", err))
 	}
@@ -108,13 +139,17 @@
 		evMembers.Log(ctx, i.logger, slog.String("call", "read"), slog.Any("error", err))
 		return
 	}
-	addrs := slices.Clone(i.Settings.Peers)
+	addrs, strong := slices.Clone(i.Settings.Peers), make(map[string]bool)
 	for _, r := range p.Records {
-		if a := string(r.Value); strings.Contains(a, ":") {
-			addrs = append(addrs, a)
+		var m memberRecord
+		if err := decodeRecord(r.Value, &m); err != nil {
+			evRecordBad.Log(ctx, i.logger, slog.String("topic", string(topicMembers)), slog.String("key", r.Key), slog.Any("error", err))
+			continue
 		}
+		addrs = append(addrs, m.Addr)
+		strong[m.Addr] = m.Delay == 0
 	}
-	i.members.set(addrs, i.Settings.LinkAddr)
+	i.members.set(addrs, strong, i.Settings.LinkAddr)
 }
 
 // peers gives the addresses of other instances to try, the cell's owner first.
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -29,6 +29,8 @@
 	nodes []*node
 	// retention is how long ended jobs are known.
 	retention time.Duration
+	// stale, if set, is how long a term's record may stay unchanged.
+	stale time.Duration
 	// cutNext has the store turn the next instance away from its start on.
 	cutNext bool
 	// delay is added to the next instance's claims; settle is as in term.Settings.
@@ -139,6 +141,9 @@
 	addr := ln.Addr().String()
 	s := Settings{Name: fmt.Sprintf("n%d", n), Life: fmt.Sprintf("n%d/%d", n, len(r.nodes)), LinkAddr: addr, Term: fastTerms(n)}
 	s.Term.Delay += r.delay
+	if r.stale > 0 {
+		s.Term.Stale, s.Term.Grace, s.Term.Delay = r.stale, r.stale, 0
+	}
 	s.Term.Settle = r.settle
 	s.Cell = cell.Settings{Lease: 2 * time.Second, StartGrace: 500 * time.Millisecond, Overhang: 500 * time.Millisecond, FarFactor: 3, Retention: r.retention}
 	if len(r.nodes) > 0 {
--- a/internal/instance/storeprobe.go
+++ b/internal/instance/storeprobe.go
@@ -18,8 +18,6 @@
 	// checkTime bounds a probe made for a peer, of which checkProbes fit into peerTime.
 	checkTime   = 250 * time.Millisecond
 	checkProbes = 2
-	// checkFresh is how long a topic's last answer stands for a probe made for a peer.
-	checkFresh = 400 * time.Millisecond
 	// probeOffset is an offset that no topic reaches, so that a probe's answer
 	// holds no records.
 	probeOffset = math.MaxInt32
@@ -59,11 +57,9 @@
 }
 
 // check says whether the store answers for a topic right now; one lost answer
-// says nothing.
+// says nothing. An answer of a moment ago doesn't either: an owner would hand its
+// term over as an outage begins that leaves nobody to claim it.
 func (s *storeWatch) check(ctx context.Context, t external.Topic) bool {
-	if since, ok := s.sinceOK(t); ok && since < checkFresh {
-		return true
-	}
 	for range checkProbes {
 		if s.probe(ctx, t, checkTime) {
 			return true
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -100,6 +100,8 @@
 		}
 	case term.AskYield:
 		i.goRun(func(ctx context.Context) { i.askYield(ctx, a) })
+	case term.Tell:
+		i.goRun(func(ctx context.Context) { i.tellTerm(ctx, a.Record) })
 	case term.AskPeers:
 		i.goRun(i.askPeersForStore)
 	}
@@ -141,7 +143,7 @@
 }
 
 // askPeersForStore tells the term's core if no peer that answers is served by
-// the store, and at least one answers.
+// the store, and at least one answers; or if some are and this instance is not.
 func (i *Instance) askPeersForStore(ctx context.Context) {
 	var asked, served atomic.Int64
 	var wg sync.WaitGroup
@@ -159,7 +161,10 @@
 	}
 	wg.Wait()
 	evPeersAsked.Log(ctx, i.logger, slog.Int64("answered", asked.Load()), slog.Int64("served", served.Load()))
-	if asked.Load() > 0 && served.Load() == 0 {
+	switch {
+	case asked.Load() > 0 && served.Load() == 0:
 		i.stepTerm(term.PeersAgree{})
+	case served.Load() > 0 && !i.store.answers(topicTerm):
+		i.stepTerm(term.PeersServed{})
 	}
 }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -22,6 +22,7 @@
 	KindRecord    Kind = 15 // instance to any: RecordWrite -> RecordWritten
 	KindAppended  Kind = 16 // instance to owner: Appended -> Ack
 	KindYield     Kind = 17 // instance to owner: Yield -> Ack
+	KindTermTold  Kind = 18 // owner to any: TermTold -> Ack
 )
 
 // String names the kind for metrics and logs.
@@ -57,6 +58,8 @@
 		return "policy"
 	case KindYield:
 		return "yield"
+	case KindTermTold:
+		return "term_told"
 	case KindAppended:
 		return "appended"
 	case KindRecord:
