--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -146,7 +146,9 @@
 // the store, and at least one answers; or if some are and this instance is not.
 func (i *Instance) askPeersForStore(ctx context.Context) {
 	var asked, served atomic.Int64
+	var own atomic.Bool
 	var wg sync.WaitGroup
+	wg.Go(func() { own.Store(i.store.probe(ctx, topicTerm, checkTime)) })
 	for _, addr := range i.peers() {
 		wg.Go(func() {
 			r, err := i.askPolicy(ctx, addr, true)
@@ -160,11 +162,11 @@
 		})
 	}
 	wg.Wait()
-	evPeersAsked.Log(ctx, i.logger, slog.Int64("answered", asked.Load()), slog.Int64("served", served.Load()))
+	evPeersAsked.Log(ctx, i.logger, slog.Int64("answered", asked.Load()), slog.Int64("served", served.Load()), slog.Bool("self", own.Load()))
 	switch {
 	case asked.Load() > 0 && served.Load() == 0:
 		i.stepTerm(term.PeersAgree{})
-	case served.Load() > 0 && !i.store.answers(topicTerm):
+	case served.Load() > 0 && !own.Load():
 		i.stepTerm(term.PeersServed{})
 	}
 }
