End no run on a refusal once its start was made again

Found by reading: a stop reset the count of a start's repeats, so that a repeat that was then barred, or found no connection, ended the run, and its task was started elsewhere while the first start still ran. A test fails first in three forms. coltsfootmux-load cell plays rejecting workers and the mix of the large site.

--- a/internal/cellplay/large_test.go
+++ b/internal/cellplay/large_test.go
@@ -1,7 +1,6 @@
 package cellplay
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -36,7 +35,7 @@
 			t.Errorf("seed %d: %d jobs failed, %d open, faults %v", seed, failed, r.Open, r.Faults)
 		}
 		if testing.Verbose() {
-			fmt.Println(seed, r.Starts, r.Kinds)
+			t.Logf("seed %d: %d starts, %+v", seed, r.Starts, r.Kinds)
 		}
 	}
 }
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -9,6 +9,7 @@
 
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/standin/fleet"
 )
 
 // Trace is the work of one play.
@@ -38,6 +39,9 @@
 	// Span is how long jobs arrive.
 	Span time.Duration
 	Seed uint64
+	// Rejecting is the share of the workers that fail all they start in the middle
+	// third of Span.
+	Rejecting float64
 }
 
 // Draw makes a trace of a mix.
@@ -46,6 +50,9 @@
 	for n := range m.Kinds {
 		t.Jobs = append(t.Jobs, arrivals(m, n, s)...)
 	}
+	if s.Rejecting > 0 {
+		t.Troubles = []Trouble{{At: s.Span / 3, For: s.Span / 3, Mode: fleet.Rejecting, Share: s.Rejecting, Seed: s.Seed}}
+	}
 	slices.SortStableFunc(t.Jobs, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
 	return t
 }
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -28,8 +28,8 @@
 	troubles map[string]*retry.Pool
 	// contact bounds the first questions to workers.
 	contact contact.Window
-	// repeats is how many calls may still be made again at the present tick.
-	repeats int
+	// repeatsLeft is how many calls may still be made again at the present tick.
+	repeatsLeft int
 	// holdFirst is the worker to begin with when new ones are asked again.
 	holdFirst external.WorkerID
 	actions   []Action
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -124,7 +124,7 @@
 	}
 	r.state = runStopping
 	r.reason = why
-	r.stopAcked, r.repeats = 0, 0
+	r.stopAcked, r.stopRepeats = 0, 0
 	c.sendStop(r)
 }
 
@@ -157,7 +157,7 @@
 // tick passes time: lapsed leases, repeated stops, stalled runs.
 func (c *Core) tick() {
 	now := c.now.Mono
-	c.repeats = repeatsPerTick
+	c.repeatsLeft = repeatsPerTick
 	for _, w := range slices.Clone(c.fleet) {
 		c.tickWorker(w)
 		c.repeatHold(w)
@@ -206,8 +206,8 @@
 func (c *Core) tickStop(r *run) {
 	now := c.now.Mono
 	switch {
-	case r.stopAcked == 0 && r.repeats < maxRepeats && now-r.stopSent > repeatAfter && c.mayRepeat():
-		r.repeats++
+	case r.stopAcked == 0 && r.stopRepeats < maxRepeats && now-r.stopSent > repeatAfter && c.mayRepeat():
+		r.stopRepeats++
 		c.sendStop(r)
 	case r.stopAcked == 0 && now-r.stopSent > stopRetry:
 		c.sendStop(r)
--- a/internal/core/cell/repeats.go
+++ b/internal/core/cell/repeats.go
@@ -12,10 +12,10 @@
 
 // mayRepeat takes one of the tick's repeats.
 func (c *Core) mayRepeat() bool {
-	if c.repeats <= 0 {
+	if c.repeatsLeft <= 0 {
 		return false
 	}
-	c.repeats--
+	c.repeatsLeft--
 	return true
 }
 
--- a/internal/core/cell/repeats_test.go
+++ b/internal/core/cell/repeats_test.go
@@ -171,3 +171,44 @@
 		t.Error("a worker that answered later calls counts as silent")
 	}
 }
+
+// TestALateRefusalDoesNotEndARunThatIsBeingStopped: of two calls for a start the first was
+// carried out and its answer lost. The run was then stopped, and the second call found it
+// barred, or no connection; the task was started again while the first run still stopped.
+func TestALateRefusalDoesNotEndARunThatIsBeingStopped(t *testing.T) {
+	for name, ev := range map[string]Started{
+		"barred":      {Refusal: external.RefusedOld},
+		"not reached": {Failure: FailureNotReached},
+		"gone":        {Failure: FailureGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5, 2)
+			o := w.takeOver()
+			w.run(200 * time.Millisecond)
+			w.late = 1
+			w.submit(single("j", 1))
+			w.run(300 * time.Millisecond)
+			o.dead = true
+			c := o.core
+			var r *run
+			for _, m := range c.fleet {
+				if len(m.runs) > 0 {
+					r = m.runs[0]
+				}
+			}
+			if r == nil || r.repeats == 0 {
+				t.Fatal("no start was made again")
+			}
+			c.stop(r, ReasonDrain)
+			ev.Task, ev.Run, ev.Worker = r.task, r.number, r.worker.ID
+			for _, a := range c.Step(c.now, ev) {
+				if s, ok := a.(Start); ok {
+					t.Errorf("%v was ordered on %s", s.Order.Task, s.Order.Worker)
+				}
+			}
+			if len(r.worker.runs) != 1 || r.state != runStopping {
+				t.Errorf("%d runs, state %d", len(r.worker.runs), r.state)
+			}
+		})
+	}
+}
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -34,10 +34,12 @@
 	mark int64
 	// checkpoint is what the run was started from.
 	checkpoint string
-	// sent is when the start was last sent, repeats how often it, or a stop, was
-	// sent again.
+	// sent is when the start was last sent, repeats how often it was sent again. Once
+	// it was, no single answer says that nothing was started.
 	sent    time.Duration
 	repeats int
+	// stopRepeats is how often the stop was sent again.
+	stopRepeats int
 	// stopSent is when the last stop was sent, stopAcked when one was answered.
 	stopSent  time.Duration
 	stopAcked time.Duration
--- a/internal/load/program/cell.go
+++ b/internal/load/program/cell.go
@@ -18,6 +18,7 @@
 	flagWorkers = "workers"
 	flagLoad    = "load"
 	flagSeeds   = "seeds"
+	flagReject  = "rejecting"
 	cellFor     = 2 * time.Minute
 	// maxWorkers bounds the workers of a play, several times what one cell has.
 	maxWorkers = 4096
@@ -28,10 +29,11 @@
 		Name:  "cell",
 		Usage: "play jobs through the cell's core in virtual time, by order, load and number of workers",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagMix, Usage: "play only this mix (default: all)"},
+			&cli.StringFlag{Name: flagMix, Usage: "play only this mix (default: all for small fleets; cooperative-large needs hundreds of workers)"},
 			&cli.IntSliceFlag{Name: flagWorkers, Value: []int{48}, Usage: "numbers of workers"},
 			&cli.FloatSliceFlag{Name: flagLoad, Value: []float64{1}, Usage: "factors on the rates of the mix"},
 			&cli.DurationFlag{Name: flagFor, Value: cellFor, Usage: "how long jobs arrive, such as 2m"},
+			&cli.FloatFlag{Name: flagReject, Usage: "share of the workers that fail all they start in the middle third of that time"},
 			&cli.IntFlag{Name: flagSeeds, Value: 1, Usage: "traces played for each mix, load and number of workers"},
 		},
 		Action: playCells,
@@ -61,6 +63,7 @@
 	if name == "" {
 		return all, nil
 	}
+	all = append(all, cellplay.LargeCooperative())
 	i := slices.IndexFunc(all, func(m cellplay.Mix) bool { return m.Name == name })
 	if i >= 0 {
 		return all[i : i+1], nil
@@ -81,6 +84,10 @@
 	if seeds < 1 {
 		return nil, &process.SettingError{Flag: flagSeeds, Value: seeds, Allowed: "at least 1"}
 	}
+	rejecting := cmd.Float(flagReject)
+	if rejecting < 0 || rejecting > 1 {
+		return nil, &process.SettingError{Flag: flagReject, Value: rejecting, Allowed: "0 to 1"}
+	}
 	var out []cellplay.Size
 	for _, workers := range cmd.IntSlice(flagWorkers) {
 		if workers < 1 || workers > maxWorkers {
@@ -91,7 +98,7 @@
 				return nil, &process.SettingError{Flag: flagLoad, Value: load, Allowed: "more than 0"}
 			}
 			for seed := range seeds {
-				out = append(out, cellplay.Size{Workers: workers, Load: load, Span: span, Seed: uint64(seed)})
+				out = append(out, cellplay.Size{Workers: workers, Load: load, Span: span, Seed: uint64(seed), Rejecting: rejecting})
 			}
 		}
 	}
