--- a/internal/instance/handover_test.go
+++ b/internal/instance/handover_test.go
@@ -24,3 +24,23 @@
 	r.wait("complete", r.complete(first, "after"))
 	r.checkFleet()
 }
+
+// TestAnOwnerThatTheStoreServesSlowlyKeepsItsTerm: in a store 60 times slower than usual,
+// answers took 0.24 s and more; an owner whose probe just failed to end within 0.25 s
+// handed over, and its successor needed 1.1 s to read the store.
+func TestAnOwnerThatTheStoreServesSlowlyKeepsItsTerm(t *testing.T) {
+	r := newRig(t, 0)
+	r.stale = 20 * time.Second
+	for n := range 3 {
+		r.add(n)
+	}
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	first := r.owner()
+	r.wait("strong peers known", func() bool { return len(first.inst.members.strong(boottime(), maxTold)) > 0 })
+	first.way.slow.Store(int64(330 * time.Millisecond))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if r.owner() != first {
+			t.Fatal("the owner handed its term over")
+		}
+	}
+}
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -50,6 +50,8 @@
 type way struct {
 	external.Log
 	cut chan struct{}
+	// slow is added to each answer.
+	slow atomic.Int64
 	// long lets reads wait as long as they ask for.
 	long atomic.Bool
 }
@@ -58,6 +60,9 @@
 	if w.isCut() {
 		return 0, eris.Wrap(external.ErrNotDone, "turned away")
 	}
+	if err := w.await(ctx); err != nil {
+		return 0, err
+	}
 	return w.Log.Append(ctx, a)
 }
 
@@ -65,6 +70,9 @@
 	if w.isCut() {
 		return external.Page{}, eris.Wrap(external.ErrNotDone, "turned away")
 	}
+	if err := w.await(ctx); err != nil {
+		return external.Page{}, err
+	}
 	if w.long.Load() {
 		return w.Log.Read(ctx, t, from, wait)
 	}
@@ -78,6 +86,16 @@
 	return w.Log.Newest(ctx, t)
 }
 
+// await waits for as long as the store is slower than usual.
+func (w *way) await(ctx context.Context) error {
+	select {
+	case <-time.After(time.Duration(w.slow.Load())):
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(external.ErrUnclear, "no answer in time")
+	}
+}
+
 func (w *way) isCut() bool {
 	select {
 	case <-w.cut:
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -148,7 +148,7 @@
 	var asked, served atomic.Int64
 	var own atomic.Bool
 	var wg sync.WaitGroup
-	wg.Go(func() { own.Store(i.store.probe(ctx, topicTerm, checkTime)) })
+	wg.Go(func() { own.Store(i.store.probe(ctx, topicTerm, probeTime)) })
 	for _, addr := range i.peers() {
 		wg.Go(func() {
 			r, err := i.askPolicy(ctx, addr, true)
