Call a trouble over 2.5 s after its last failure

Found by reading: a task on its last try, alone in its pool, would have waited 5 s with room for it free; the users' bound is 3 s. The test fails first.

--- a/internal/core/retry/trouble.go
+++ b/internal/core/retry/trouble.go
@@ -13,9 +13,9 @@
 	// must fail in a window: tasks also fail by their own fault.
 	leastWorkers = 3
 	workerShare  = 0.003
-	// calmAfter is how long after its last failure a trouble is over. A worker
-	// that failed is tried again after a pause of 2 s, 4 s with its second failure.
-	calmAfter = 5 * time.Second
+	// calmAfter is how long after its last failure a trouble is over: workers that
+	// failed are tried again after a pause of 2 s, so that a trouble that goes on shows.
+	calmAfter = 2500 * time.Millisecond
 	// nextTry and lastTry bound how long a task waits for a worker that got on:
 	// one with tries left, and one that ends its job by failing once more. The latter
 	// outlives a trouble of 7 s and the time until it counts as over.
