Ask the owner for a record without an answer; time tries by the store's answers

Cause: a submission made a further append each 350 ms in another topic, up to twelve.

Change: commit.Core asks the cell's owner, which reads every record, whether it has the job; its answer carries how long the store takes, and the next try comes after four times that (0.35 s to 1.4 s). An append is given six times that (0.7 s to 2 s). A refusal by every route waits 0.15 s for the owner's word at most, so that a repeat of an accepted job is accepted while the store is away.

Tests that changed: TestLostAnswersLeaveOneJob asked for a doubt where the owner has read the job; it is now accepted, within the hedge's time, and a doubt is asked for where the append lands late. Core tests follow the new events.

--- a/internal/core/commit/core.go
+++ b/internal/core/commit/core.go
@@ -4,9 +4,13 @@
 
 // Times of tries.
 const (
-	// HedgeAfter is how long a try may stay without an answer before the next is
-	// made; a store that answers 26 times slower than usual is still in time.
-	HedgeAfter = 350 * time.Millisecond
+	// HedgeLeast and HedgeMost bound how long a try may stay without an answer
+	// before the next is made. The least covers a store that answers 26 times
+	// slower than usual, the most leaves a caller of 3 s a second try.
+	HedgeLeast = 350 * time.Millisecond
+	HedgeMost  = 1400 * time.Millisecond
+	// hedgeTimes is how many usual answer times of the store a try may take.
+	hedgeTimes = 4
 	// pause lies between two rounds of tries when the outcome is in doubt.
 	pause = 200 * time.Millisecond
 	// leastTry is the time that a try needs to be worth making; one that is cut
@@ -14,44 +18,22 @@
 	leastTry = 250 * time.Millisecond
 	// MaxTries bounds the tries for one record.
 	MaxTries = 12
+	// askAfter is how long a record goes without an answer before the owner is asked
+	// for it; two round trips between regions. askEvery lies between two questions.
+	askAfter = 150 * time.Millisecond
+	askEvery = 200 * time.Millisecond
+	// askWait is how long a refusal by every route waits for the owner's word.
+	askWait = 150 * time.Millisecond
 )
 
-// Result is what became of a try.
-type Result int
-
-// The results of a try.
-const (
-	// Done means that the record is durable.
-	Done Result = iota
-	// Refused means that nothing was written.
-	Refused
-	// Unclear means that it may have been written, or may be yet.
-	Unclear
-)
-
-// Answer is what became of a try.
-type Answer struct {
-	Try    int
-	Result Result
-}
-
-// Action is what is to be done.
-type Action interface{ action() }
-
-// Try makes a try over a route.
-type Try struct {
-	Try   int
-	Route Route
+// hedgeAfter gives how long a try may stay without an answer.
+func hedgeAfter(storeTime time.Duration) time.Duration {
+	return min(max(hedgeTimes*storeTime, HedgeLeast), HedgeMost)
 }
 
-// End ends the record's way. No try's answer matters any more.
-type End struct{ Result Result }
-
-func (Try) action() {}
-func (End) action() {}
-
 type try struct {
 	route   Route
+	at      time.Duration
 	pending bool
 }
 
@@ -62,34 +44,67 @@
 	routes []Route
 	next   int
 	tries  []try
+	// hedge is how long a try may stay without an answer.
+	hedge time.Duration
 	// doubt says that some try has ended unclear.
 	doubt bool
 	// refused counts refusals in a row.
 	refused int
-	wakeAt  time.Duration
-	ended   bool
+	// tryAt is when the next try is due, askAt when the next question to the owner.
+	tryAt time.Duration
+	askAt time.Duration
+	// asking says that a question is open, told that one was answered.
+	asking bool
+	told   bool
+	// refuseAt is when a refusal by every route ends the way; 0 while there is none.
+	refuseAt time.Duration
+	// away says that the store served this process for no topic at the start.
+	away  bool
+	ended bool
 }
 
 // New makes the way of a record that has time until deadline.
 func New(deadline time.Duration, w Ways) *Core {
-	return &Core{deadline: deadline, routes: w.routes()}
+	return &Core{deadline: deadline, routes: w.routes(), hedge: hedgeAfter(w.StoreTime), away: len(w.Own) == 0}
+}
+
+// Start makes the first try. Where the store is away, the record may be a repeat
+// of one that it took before.
+func (c *Core) Start(now time.Duration) []Action {
+	c.askAt = now + askAfter
+	if c.away {
+		c.askAt = now
+	}
+	return c.ask(now, c.try(now, nil))
 }
 
-// Start makes the first try.
-func (c *Core) Start(now time.Duration) []Action { return c.try(now, nil) }
+// Step takes an event in.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	if c.ended {
+		return nil
+	}
+	switch e := ev.(type) {
+	case Answer:
+		return c.answered(now, e)
+	case Told:
+		return c.heard(now, e)
+	}
+	return nil
+}
 
-// Step takes an answer in.
-func (c *Core) Step(now time.Duration, a Answer) []Action {
-	if c.ended || a.Try >= len(c.tries) || !c.tries[a.Try].pending {
+func (c *Core) answered(now time.Duration, a Answer) []Action {
+	if a.Try >= len(c.tries) || !c.tries[a.Try].pending {
 		return nil
 	}
-	c.tries[a.Try].pending = false
+	t := &c.tries[a.Try]
+	t.pending = false
 	switch a.Result {
 	case Done:
 		return c.end(Done, nil)
 	case Unclear:
 		c.doubt = true
 		c.refused = 0
+		return c.unclear(now, t.at)
 	case Refused:
 		c.refused++
 	}
@@ -99,47 +114,111 @@
 	return c.try(now, nil)
 }
 
+// unclear asks the owner for the record. The next try is made at once if a
+// connection broke; what ran out of time may be in the store's queue.
+func (c *Core) unclear(now, began time.Duration) []Action {
+	c.askAt = now
+	out := c.ask(now, nil)
+	if now-began < HedgeLeast || now-began >= c.hedge {
+		return c.try(now, out)
+	}
+	c.tryAt = min(c.tryAt, began+c.hedge)
+	return out
+}
+
+// heard takes in what the owner says.
+func (c *Core) heard(now time.Duration, t Told) []Action {
+	c.asking, c.told = false, true
+	switch {
+	case t.Known:
+		return c.end(Done, nil)
+	case c.refuseAt > 0:
+		return c.end(Refused, nil)
+	}
+	if t.StoreTime > 0 {
+		c.hedge = hedgeAfter(t.StoreTime)
+		if c.pending() {
+			c.tryAt = min(c.tries[len(c.tries)-1].at+c.hedge, c.deadline)
+		}
+	}
+	c.askAt = now + askEvery
+	return nil
+}
+
 // Wake takes the time that Next gave in.
 func (c *Core) Wake(now time.Duration) []Action {
-	if c.ended {
+	switch {
+	case c.ended:
 		return nil
-	}
-	if now >= c.deadline {
+	case now >= c.deadline:
 		return c.end(c.verdict(), nil)
+	case c.refuseAt > 0:
+		if now < c.refuseAt {
+			return nil
+		}
+		return c.end(Refused, nil)
 	}
-	if now < c.wakeAt {
-		return nil
+	var out []Action
+	if now >= c.tryAt {
+		out = c.try(now, out)
 	}
-	return c.try(now, nil)
+	if c.ended {
+		return out
+	}
+	return c.ask(now, out)
 }
 
 // Next gives when Wake is to be called.
-func (c *Core) Next() time.Duration { return min(c.wakeAt, c.deadline) }
+func (c *Core) Next() time.Duration {
+	if c.refuseAt > 0 {
+		return min(c.refuseAt, c.deadline)
+	}
+	next := min(c.tryAt, c.deadline)
+	if !c.asking {
+		next = min(next, c.askAt)
+	}
+	return next
+}
+
+// ask asks the owner when that is due.
+func (c *Core) ask(now time.Duration, out []Action) []Action {
+	if c.asking || now < c.askAt || c.ended {
+		return out
+	}
+	c.asking = true
+	return append(out, Ask{})
+}
 
-// allRefused ends the way at once if nothing can have been written; otherwise
-// the outcome has to be found out, and the routes are tried again.
+// allRefused ends the way if nothing can have been written, once the owner had the
+// time to say whether it knows the record from an earlier call. Otherwise the
+// outcome has to be found out, and the routes are tried again.
 func (c *Core) allRefused(now time.Duration) []Action {
-	if !c.doubt && !c.pending() {
+	if c.doubt || c.pending() {
+		c.refused = 0
+		c.tryAt = now + pause
+		return nil
+	}
+	if c.told {
 		return c.end(Refused, nil)
 	}
-	c.refused = 0
-	c.wakeAt = now + pause
-	return nil
+	c.refuseAt = now + askWait
+	c.askAt = now
+	return c.ask(now, nil)
 }
 
 // try makes the next try if there is time for one.
 func (c *Core) try(now time.Duration, out []Action) []Action {
-	c.wakeAt = now + HedgeAfter
+	c.tryAt = now + c.hedge
 	if c.deadline-now < leastTry && len(c.tries) > 0 || len(c.tries) >= MaxTries {
-		c.wakeAt = c.deadline
-		if !c.pending() {
-			return c.end(c.verdict(), out)
+		c.tryAt = c.deadline
+		if !c.doubt && !c.pending() {
+			return c.end(Refused, out)
 		}
-		return out
+		return out // the owner may know it yet
 	}
 	route := c.routes[c.next%len(c.routes)]
 	c.next++
-	c.tries = append(c.tries, try{route: route, pending: true})
+	c.tries = append(c.tries, try{route: route, at: now, pending: true})
 	return append(out, Try{Try: len(c.tries) - 1, Route: route})
 }
 
--- a/internal/core/commit/route.go
+++ b/internal/core/commit/route.go
@@ -1,5 +1,7 @@
 package commit
 
+import "time"
+
 // Own is the peer of routes over this process's own connection.
 const Own = 0
 
@@ -18,6 +20,8 @@
 	// Own are those of them in which the store serves this process, in the same order.
 	Own   []int
 	Peers int
+	// StoreTime is how long the store takes to answer of late; 0 if not known.
+	StoreTime time.Duration
 }
 
 // routes gives the routes in the order in which they are tried. Each differs
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -67,7 +67,7 @@
 		return eris.Wrap(job.ErrInvalid, err.Error())
 	}
 	began := boottime()
-	err = i.write(ctx, j.ID, external.Record{Key: keySubmission + string(j.ID), Value: value})
+	err = i.write(ctx, j.ID, external.Record{Key: keySubmission + string(j.ID), Value: value}, isSubmitted)
 	took := slog.Duration("took", boottime()-began)
 	switch {
 	case err == nil:
@@ -84,6 +84,14 @@
 	return err
 }
 
+// isSubmitted says by a job's state whether its submission has been read.
+func isSubmitted(s job.Status) bool { return s != job.Unknown }
+
+// isEnded says by a job's state whether a cancellation has nothing left to do.
+func isEnded(s job.Status) bool {
+	return s == job.StatusCancelled || s == job.StatusComplete || s == job.StatusFailed
+}
+
 func (i *Instance) refused(ctx context.Context, j *job.Job, err error) {
 	mRefused.Inc()
 	evRefused.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.String("queue", j.Queue.Name), slog.Any("error", err))
@@ -92,7 +100,7 @@
 // Cancel ends a job; the cancellation is durable when it returns without an
 // error. Errors: ErrNotRun when nothing was done, ErrUnclear.
 func (i *Instance) Cancel(ctx context.Context, id job.ID) error {
-	err := i.write(ctx, id, external.Record{Key: keyCancellation + string(id), Value: []byte{1}})
+	err := i.write(ctx, id, external.Record{Key: keyCancellation + string(id), Value: []byte{1}}, isEnded)
 	if err != nil {
 		mUnclear.Inc()
 		evUnclear.Log(ctx, i.logger, slog.String("cancel", string(id)), slog.Any("error", err))
@@ -133,16 +141,15 @@
 // job gives a job's state as far as the owner can tell: that a job does not
 // exist only if its submission would have been read.
 func (o *owner) job(id job.ID) wire.JobReply {
+	r := wire.JobReply{StoreTime: o.inst.store.meanTime()}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.core == nil {
-		return wire.JobReply{}
-	}
-	s := o.core.Status(id)
-	if s == job.Unknown && !o.fresh() {
-		return wire.JobReply{}
+		return r
 	}
-	return wire.JobReply{Known: true, Status: s}
+	r.Status = o.core.Status(id)
+	r.Known = r.Status != job.Unknown || o.fresh()
+	return r
 }
 
 func (o *owner) pending(queue string) wire.PendingReply {
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -54,6 +54,8 @@
 	evHurried       = logevent.New(2260, slog.LevelInfo, "record not delivered in time, read anew")
 	evUntold        = logevent.New(2261, slog.LevelInfo, "owner not told of a record")
 	evWaveUntold    = logevent.New(2262, slog.LevelInfo, "state of a wave not written, tried again")
+	evOwnerSilent   = logevent.New(2263, slog.LevelInfo, "owner did not say whether it has read a record")
+	evKnownToOwner  = logevent.New(2264, slog.LevelInfo, "owner has read the record of a job")
 	evWorkerBad     = logevent.New(2248, slog.LevelWarn, "worker entry names no worker")
 	evHoldFailed    = logevent.New(2249, slog.LevelInfo, "worker not heard")
 )
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"coltsfootmux/internal/core/commit"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/standin/store"
@@ -120,10 +121,33 @@
 	}
 }
 
-func TestLostAnswersLeaveOneJob(t *testing.T) {
+// TestLostAnswersLeaveOneAcceptedJob: the caller was told of a doubt although the
+// owner had read the job.
+func TestLostAnswersLeaveOneAcceptedJob(t *testing.T) {
+	r := newRig(t, 2)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.wait("a job accepted", func() bool { return r.submit(r.other(), "first", 1) == nil })
+	r.wait("complete", r.complete(r.other(), "first"))
+	for n, from := range []*node{r.owner(), r.other()} {
+		id := fmt.Sprintf("j%d", n)
+		r.store.SetFault(store.Fault{LoseAnswers: true, Topics: topicsJobs})
+		began := time.Now()
+		if err := r.submit(from, id, 2); err != nil {
+			t.Fatalf("error %v, want none", err)
+		}
+		if took := time.Since(began); took > commit.HedgeLeast {
+			t.Errorf("accepted after %v", took)
+		}
+		r.store.SetFault(store.Fault{})
+		r.wait("complete", r.complete(r.other(), id))
+	}
+	r.checkFleet()
+}
+
+func TestLateAppendsLeaveADoubtAndOneJob(t *testing.T) {
 	r := newRig(t, 1)
 	r.wait("an owner", func() bool { return r.owner() != nil })
-	r.store.SetFault(store.Fault{LoseAnswers: true})
+	r.store.SetFault(store.Fault{LateBy: 4 * time.Second, Topics: topicsJobs})
 	if err := r.submit(r.nodes[0], "j", 2); !errors.Is(err, ErrUnclear) {
 		t.Fatalf("error %v, want unclear", err)
 	}
@@ -132,6 +156,23 @@
 	r.checkFleet()
 }
 
+// TestRepeatOfAnAcceptedJobIsAcceptedWhileTheStoreIsDown: it was refused, and the
+// caller took the job for lost that then ran.
+func TestRepeatOfAnAcceptedJobIsAcceptedWhileTheStoreIsDown(t *testing.T) {
+	r := newRig(t, 2)
+	r.wait("an owner", func() bool { return r.owner() != nil })
+	r.wait("accepted", func() bool { return r.submit(r.other(), "j", 200) == nil })
+	r.wait("read", func() bool { _, err := r.status(r.other(), "j"); return err == nil })
+	r.store.SetFault(store.Fault{Down: true})
+	r.wait("the loss noticed", func() bool { return !r.other().inst.store.reachable() })
+	if err := r.submit(r.other(), "j", 200); err != nil {
+		t.Errorf("the repeat: %v", err)
+	}
+	if err := r.submit(r.other(), "k", 2); !errors.Is(err, ErrNotRun) {
+		t.Errorf("another job: %v, want not run", err)
+	}
+}
+
 func TestCancelledJobIsShownAsSuch(t *testing.T) {
 	r := newRig(t, 2)
 	r.wait("an owner", func() bool { return r.owner() != nil })
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -27,9 +27,6 @@
 
 // Times of calls. A caller's own deadline goes first where it is shorter.
 const (
-	// appendTry bounds one append; a store under load answers in tens of
-	// milliseconds, another region adds 40.
-	appendTry = 700 * time.Millisecond
 	// persistRetry lies between two appends of the same progress.
 	persistRetry = 150 * time.Millisecond
 	// orderTime bounds a start or stop at a worker.
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"coltsfootmux/internal/core/storetime"
 	"coltsfootmux/internal/external"
 )
 
@@ -35,6 +36,8 @@
 
 	mu       sync.Mutex
 	contacts contacts
+	// times is how long the store takes to answer calls that don't wait.
+	times storetime.Estimate
 	// reads are those under way. When a topic answers again they are given up, as
 	// the store may have forgotten them.
 	reads map[int]openRead
@@ -84,17 +87,51 @@
 	return s.contacts.whole()
 }
 
-// Append implements external.Log. It waits for appendTry at most.
+// Append implements external.Log. It waits for appendTime at most.
 func (s *storeWatch) Append(ctx context.Context, a external.Append) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTry)
+	ctx, cancel := context.WithTimeout(ctx, s.appendTime())
 	defer cancel()
 	began := boottime()
 	end, err := s.Log.Append(ctx, a)
-	mAppend.Update((boottime() - began).Seconds())
+	took := boottime() - began
+	mAppend.Update(took.Seconds())
+	s.noteTime(took, err)
 	s.note(ctx, a.Topic, err)
 	return end, err
 }
 
+// appendTime gives how long an append may take.
+func (s *storeWatch) appendTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times.AppendTime(boottime())
+}
+
+// meanTime gives how long the store takes to answer of late; 0 if not known.
+func (s *storeWatch) meanTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times.Mean(boottime())
+}
+
+// noteTime takes in how long the store took to answer; a refusal or a lost answer
+// says nothing of that.
+func (s *storeWatch) noteTime(took time.Duration, err error) {
+	if isSilence(err) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times.Answered(boottime(), took)
+}
+
+// heardTime takes in how long the store takes to answer the cell's owner.
+func (s *storeWatch) heardTime(mean time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times.Heard(boottime(), mean)
+}
+
 // Read implements external.Log. It may also end with errGivenUp.
 func (s *storeWatch) Read(ctx context.Context, t external.Topic, from int64, wait time.Duration) (external.Page, error) {
 	inner, done := s.begin(ctx, openRead{topic: t, waits: wait > 0})
--- a/internal/instance/write.go
+++ b/internal/instance/write.go
@@ -10,53 +10,26 @@
 	"github.com/rotisserie/eris"
 
 	"coltsfootmux/internal/core/commit"
+	"coltsfootmux/internal/core/storetime"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/wire"
 )
 
-// written is the end of one try.
-type written struct {
-	try    int
-	result commit.Result
-	err    error
-}
-
 // write gets a record of a job into one of topicsJobs, over this process's own
 // connection or a peer's. Repeats are harmless, also in several topics: the
-// first record of a job counts. Errors: ErrNotRun, ErrUnclear.
-func (i *Instance) write(ctx context.Context, id job.ID, r external.Record) error {
+// first record of a job counts. read says by a job's state whether its owner has
+// read such a record. Errors: ErrNotRun, ErrUnclear.
+func (i *Instance) write(ctx context.Context, id job.ID, r external.Record, read func(job.Status) bool) error {
 	peers, order := i.peers(), topicOrder(id)
 	core := commit.New(deadlineOf(ctx), commit.Ways{
-		Topics: order, Own: i.store.served(topicsJobs, order), Peers: len(peers),
+		Topics: order, Own: i.store.served(topicsJobs, order), Peers: len(peers), StoreTime: i.store.meanTime(),
 	})
-	answers := make(chan written, commit.MaxTries)
-	tries, stop := context.WithCancel(context.WithoutCancel(ctx))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	var last error
-	actions := core.Start(boottime())
-	for {
-		for _, a := range actions {
-			switch a := a.(type) {
-			case commit.Try:
-				go func() { answers <- i.try(tries, a, peers, r) }()
-			case commit.End:
-				return verdict(a.Result, last)
-			}
-		}
-		timer := time.NewTimer(core.Next() - boottime())
-		select {
-		case w := <-answers:
-			if w.err != nil {
-				last = w.err
-			}
-			actions = core.Step(boottime(), commit.Answer{Try: w.try, Result: w.result})
-		case <-timer.C:
-			actions = core.Wake(boottime())
-		}
-		timer.Stop()
-	}
+	w := &recordWay{inst: i, ctx: work, id: id, record: r, read: read, peers: peers, events: make(chan wayEvent)}
+	return w.run(core)
 }
 
 func verdict(r commit.Result, last error) error {
@@ -78,24 +51,11 @@
 func deadlineOf(ctx context.Context) time.Duration {
 	d, ok := ctx.Deadline()
 	if !ok {
-		return boottime() + appendTry
+		return boottime() + storetime.AppendLeast
 	}
 	return boottime() + time.Until(d)
 }
 
-// try makes one try over a route.
-func (i *Instance) try(ctx context.Context, t commit.Try, peers []string, r external.Record) written {
-	w := written{try: t.Try}
-	topic := topicsJobs[t.Route.Topic]
-	if t.Route.Peer == commit.Own {
-		w.err = i.appendOnce(ctx, topic, r)
-		w.result = resultOfAppend(w.err)
-		return w
-	}
-	w.result, w.err = i.writeOver(ctx, peers[t.Route.Peer-1], topic, r)
-	return w
-}
-
 // appendOnce appends a record of a job and tells the owner.
 func (i *Instance) appendOnce(ctx context.Context, t external.Topic, r external.Record) error {
 	end, err := i.log.Append(ctx, external.Append{Topic: t, Records: []external.Record{r}})
@@ -118,7 +78,7 @@
 
 // writeOver asks a peer to append the record.
 func (i *Instance) writeOver(ctx context.Context, addr string, t external.Topic, r external.Record) (commit.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTry+peerTime)
+	ctx, cancel := context.WithTimeout(ctx, i.store.appendTime()+peerTime)
 	defer cancel()
 	rep, err := link.Call[wire.RecordWrite, wire.RecordWritten](ctx, i.pool, addr, wire.KindRecord, wire.RecordWrite{Topic: string(t), Key: r.Key, Value: r.Value})
 	i.members.answered(addr, err == nil)
--- a/internal/wire/jobquery.go
+++ b/internal/wire/jobquery.go
@@ -1,6 +1,10 @@
 package wire
 
-import "coltsfootmux/internal/job"
+import (
+	"time"
+
+	"coltsfootmux/internal/job"
+)
 
 // JobQuery asks a cell's owner for the state of a job.
 type JobQuery struct {
@@ -15,4 +19,6 @@
 	// cell, has not read all of its records, or can't reach the store.
 	Known  bool       `cbor:"1,keyasint"`
 	Status job.Status `cbor:"2,keyasint"`
+	// StoreTime is how long the store takes to answer the owner; 0 if not known.
+	StoreTime time.Duration `cbor:"3,keyasint,omitempty"`
 }
