--- a/internal/instance/forget.go
+++ b/internal/instance/forget.go
@@ -32,7 +32,7 @@
 	out := make([][]external.Record, len(topicsJobs))
 	for _, id := range ids {
 		for n := range topicsJobs {
-			if o.where[id]&(1<<n) == 0 {
+			if !o.where[id].has(n) {
 				continue
 			}
 			out[n] = append(out[n], external.Record{Key: keySubmission + string(id)}, external.Record{Key: keyCancellation + string(id)})
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -26,8 +26,8 @@
 	jobsRead []time.Duration
 	// readTo is the offset up to which each topic of submissions was read.
 	readTo []int64
-	// where has a bit for each topic of submissions that holds a job's records.
-	where    map[job.ID]uint8
+	// where has the topics of submissions that hold a job's records.
+	where    map[job.ID]topicSet
 	progress *progressWriter
 	// stepped is the boot time of the last step.
 	stepped atomic.Int64
@@ -36,7 +36,7 @@
 func newOwner(i *Instance, t int64) *owner {
 	o := &owner{
 		inst: i, term: t,
-		jobsRead: make([]time.Duration, len(topicsJobs)), readTo: make([]int64, len(topicsJobs)), where: make(map[job.ID]uint8),
+		jobsRead: make([]time.Duration, len(topicsJobs)), readTo: make([]int64, len(topicsJobs)), where: make(map[job.ID]topicSet),
 		progress: newProgressWriter(i.log, i.store.answers, t),
 	}
 	o.stepped.Store(int64(boottime()))
@@ -124,7 +124,7 @@
 func (o *owner) foundIn(n int, rec jobRecord) {
 	if id, ok := rec.id(); ok {
 		o.mu.Lock()
-		o.where[id] |= 1 << n
+		o.where[id] = o.where[id].with(n)
 		o.mu.Unlock()
 	}
 }
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,13 +18,24 @@
 // Where the store may lose some of its partitions, what must go on is spread
 // over several topics.
 var (
-	// topicsJobs hold submissions and cancellations, written by any instance.
-	topicsJobs = []external.Topic{"keyed.jobs-0", "keyed.jobs-1", "keyed.jobs-2"}
+	// topicsJobs hold submissions and cancellations, written by any instance. A
+	// partition carries out one append at a time: a store that takes 140 ms for each
+	// carries 85 a second over twelve.
+	topicsJobs = numbered("keyed.jobs-", 12)
 	// topicsProgress hold the progress of jobs, written by the cell's owner. All
 	// but the first are used only while those before are lost.
-	topicsProgress = []external.Topic{"keyed.progress-0", "keyed.progress-1", "keyed.progress-2"}
+	topicsProgress = numbered("keyed.progress-", 3)
 )
 
+// numbered gives n topics with a common beginning.
+func numbered(prefix string, n int) []external.Topic {
+	out := make([]external.Topic, n)
+	for i := range out {
+		out[i] = external.Topic(prefix + strconv.Itoa(i))
+	}
+	return out
+}
+
 const (
 	// topicTerm holds the term of the cell.
 	topicTerm external.Topic = "keyed.term"
@@ -38,6 +50,13 @@
 	producerOwner = "owner-0"
 )
 
+// topicSet has a bit for each of topicsJobs.
+type topicSet uint16
+
+func (s topicSet) has(n int) bool { return s&(1<<n) != 0 }
+
+func (s topicSet) with(n int) topicSet { return s | 1<<n }
+
 // topicOrder gives the numbers of the topics for a job's records, best first;
 // jobs are spread evenly.
 func topicOrder(id job.ID) []int {
