Probe a store that is away one topic at a time, and read from it seldom

Change: after a loss or a return all topics are probed, else one a round; reads wait for the return, a second at most, while no topic answers.

--- a/internal/instance/follower.go
+++ b/internal/instance/follower.go
@@ -15,6 +15,9 @@
 	readWait = 2 * time.Second
 	// readRetry lies between two reads after one that failed.
 	readRetry = 200 * time.Millisecond
+	// awayRetry is the same while the store answers for no topic. Its return is seen
+	// by the probes.
+	awayRetry = time.Second
 	// readTime bounds a read beyond its wait.
 	readTime = 1200 * time.Millisecond
 )
@@ -22,7 +25,7 @@
 // follower reads a topic to its end and goes on reading. Handlers run in the
 // follower's goroutine, one at a time.
 type follower struct {
-	log   external.Log
+	log   *storeWatch
 	topic external.Topic
 	// pace is the least time between two reads; busy topics are read in batches.
 	pace time.Duration
@@ -51,7 +54,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			f.onError(err)
-			sleep(ctx, readRetry)
+			f.log.pause(ctx)
 			continue
 		}
 		sleep(ctx, f.pace-time.Since(began))
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -86,7 +86,7 @@
 	o.readTo[n] = from
 	o.mu.Unlock()
 	f := &follower{
-		log: o.inst.log, topic: topicsJobs[n], failed: ignore,
+		log: o.inst.store, topic: topicsJobs[n], failed: ignore,
 		reset: func(p external.Page) { o.jobRecords(n, p.Records, p.End) },
 		page:  func(p external.Page) { o.jobRecords(n, p.Records, p.Next) },
 	}
@@ -131,7 +131,7 @@
 
 func (o *owner) followWorkers(from int64) {
 	f := &follower{
-		log: o.inst.log, topic: o.inst.WorkerList, pace: workersPace,
+		log: o.inst.store, topic: o.inst.WorkerList, pace: workersPace,
 		reset: o.workersReset, page: o.workerRecords, failed: ignore,
 	}
 	f.run(o.ctx, from)
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -15,7 +15,7 @@
 // followPolicy keeps the policy in force up to date.
 func (i *Instance) followPolicy(ctx context.Context) {
 	f := &follower{
-		log: i.log, topic: i.Policies,
+		log: i.store, topic: i.Policies,
 		reset:  i.policyRecords,
 		page:   i.policyRecords,
 		failed: ignore,
--- a/internal/instance/storeprobe.go
+++ b/internal/instance/storeprobe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -23,26 +24,39 @@
 	probeOffset = math.MaxInt32
 )
 
-// keepProbing probes topics that don't answer until ctx ends.
+// keepProbing probes topics that don't answer until ctx ends: all of them after
+// one was lost or came back, else one at a time. A store that is away is not asked
+// for each topic by every instance all the while.
 func (s *storeWatch) keepProbing(ctx context.Context) {
+	all, turn := true, 0
 	for ctx.Err() == nil {
-		s.probeAll(ctx)
+		topics := s.unanswered()
+		if !all && len(topics) > 0 {
+			turn++
+			topics = topics[turn%len(topics):][:1]
+		}
+		s.probeAll(ctx, topics)
 		t := time.NewTimer(probeEvery)
 		select {
 		case <-ctx.Done():
 		case <-s.wake:
+			all = true
 		case <-t.C:
+			all = false
 		}
 		t.Stop()
 	}
 }
 
-func (s *storeWatch) probeAll(ctx context.Context) {
+// unanswered gives the probed topics for which the store does not answer.
+func (s *storeWatch) unanswered() []external.Topic {
+	return slices.DeleteFunc(slices.Clone(s.probed), s.answers)
+}
+
+func (s *storeWatch) probeAll(ctx context.Context, topics []external.Topic) {
 	var g errgroup.Group
-	for _, t := range s.probed {
-		if !s.answers(t) {
-			g.Go(func() error { s.probe(ctx, t, probeTime); return nil })
-		}
+	for _, t := range topics {
+		g.Go(func() error { s.probe(ctx, t, probeTime); return nil })
 	}
 	_ = g.Wait() // probes give no errors; what they found is noted
 }
--- a/internal/instance/storewatch.go
+++ b/internal/instance/storewatch.go
@@ -42,8 +42,10 @@
 	// the store may have forgotten them.
 	reads map[int]openRead
 	next  int
-	// wake has a word when topics are to be probed at once.
+	// wake has a word when all topics are to be probed at once.
 	wake chan struct{}
+	// back is closed, and replaced, when a topic answers again.
+	back chan struct{}
 }
 
 func newStoreWatch(l external.Log, probed []external.Topic) *storeWatch {
@@ -52,6 +54,7 @@
 		changed:  func(external.Topic, bool, error) {},
 		unread:   func(external.Topic, int64, int) {},
 		contacts: make(contacts), reads: make(map[int]openRead), wake: make(chan struct{}, 1),
+		back: make(chan struct{}),
 	}
 }
 
@@ -220,10 +223,13 @@
 		for _, r := range s.reads {
 			r.giveUp()
 		}
+		close(s.back)
+		s.back = make(chan struct{})
 	}
 	s.mu.Unlock()
 	if back {
 		s.changed(t, true, nil)
+		s.wakeProbes()
 	}
 }
 
@@ -235,12 +241,37 @@
 		return
 	}
 	s.changed(t, false, err)
+	s.wakeProbes()
+}
+
+func (s *storeWatch) wakeProbes() {
 	select {
 	case s.wake <- struct{}{}:
 	default: // a word is waiting already
 	}
 }
 
+// pause waits before a read that failed is made again: for the store's return,
+// where it is away.
+func (s *storeWatch) pause(ctx context.Context) {
+	s.mu.Lock()
+	away, back := !s.contacts.reachable(), s.back
+	s.mu.Unlock()
+	wait := readRetry
+	if away {
+		wait = awayRetry
+	} else {
+		back = nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-back:
+	case <-t.C:
+	}
+}
+
 // served gives the numbers of the topics, of those given by number in order, for
 // which the store answers this process.
 func (s *storeWatch) served(topics []external.Topic, order []int) []int {
--- a/internal/instance/termshell.go
+++ b/internal/instance/termshell.go
@@ -15,7 +15,7 @@
 
 func (i *Instance) followTerm(ctx context.Context) {
 	f := &follower{
-		log: i.log, topic: topicTerm, pace: i.termPace(),
+		log: i.store, topic: topicTerm, pace: i.termPace(),
 		reset: i.termRecords, page: i.termRecords,
 		failed: func(error) { i.stepTerm(term.StoreFailed{}) },
 	}
