--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -73,8 +73,11 @@
 type JobEnded struct {
 	ID      job.ID
 	Outcome job.Outcome
-	// Age is how long ago the job was submitted.
-	Age time.Duration
+	// Age is how long ago the job was submitted, Objective the time that it should
+	// take at most.
+	Age       time.Duration
+	Objective time.Duration
+	History   History
 }
 
 // WorkerNoted reports a change of what is believed of a worker, for the log.
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -31,6 +31,7 @@
 	read      time.Duration
 	objective time.Duration
 	alarms    alarms
+	history   History
 	// trouble is what is known of failures in the job's pool.
 	trouble *retry.Pool
 }
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -138,7 +138,7 @@
 	e.outcome = o
 	e.endedMS = c.now.UnixMS
 	c.markDirty(e)
-	c.act(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e)})
+	c.act(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e), Objective: e.objective, History: e.history})
 	if o == job.Complete && !e.job.Timed() && c.age(e) > lateFactor*e.objective {
 		c.alarm(e, AlarmJobLate)
 	}
@@ -230,6 +230,7 @@
 	if u == nil {
 		return
 	}
+	u.entry().history.ended(how)
 	if u.group.priority() == 0 && r.began > 0 {
 		r.worker.cool(r.takes, c.now.Mono)
 	}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -16,6 +16,7 @@
 	u.entry().begun = true
 	waited := now - u.waiting
 	u.noted, u.waited = 0, waited
+	u.entry().history.Waited = max(u.entry().history.Waited, waited)
 	for i, w := range on {
 		r := &run{
 			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
@@ -124,6 +125,9 @@
 	}
 	r.state = runStopping
 	r.reason = why
+	if r.unit != nil {
+		r.unit.entry().history.stopped(why)
+	}
 	r.stopAcked, r.stopRepeats = 0, 0
 	c.sendStop(r)
 }
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -72,7 +72,9 @@
 		mJobsEnded.With(a.Outcome.Status().String()).Inc()
 		mJobAge.Update(a.Age.Seconds())
 		evJobEnded.Log(o.ctx, l, slog.String("job", string(a.ID)), slog.String("outcome", a.Outcome.Status().String()),
-			slog.Duration("age", a.Age))
+			slog.Duration("age", a.Age), slog.Duration("objective", a.Objective), slog.Duration("waited", a.History.Waited),
+			slog.Int("displaced", a.History.Displaced), slog.Int("moved", a.History.Moved),
+			slog.Int("failed", a.History.Failed), slog.Int("lost", a.History.Lost))
 	case cell.Waiting:
 		evWaiting.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("tasks", a.Tasks), slog.Duration("waited", a.Waited),
 			slog.Int("workers", a.Listed), slog.Int("usable", a.Usable), slog.Int("allowed", a.Allowed), slog.Int("large_enough", a.Empty),
