Let gangs without slack displace work that has slack; reserve nothing for small tasks

Change: core/displace: a gang that has waited 1.5 s and has less than two of its run times left stops runs of lower priority whose jobs can spare it, if their unsaved work is a quarter of its own at most. A task that takes a quarter of a worker or less reserves nothing.

--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/displace"
 	"coltsfootmux/internal/job"
 )
 
@@ -24,10 +25,54 @@
 	}
 	if g.priority != 0 {
 		u.nextRoom = c.now.Mono + reserveEvery
-		c.reserve(p, g, u)
+		if !c.displace(p, g, u) {
+			c.reserve(p, g, u)
+		}
 		return
 	}
 	u.nextRoom = c.now.Mono + evictEvery
+	best := c.cheapestSet(p, g, u)
+	if best.on == nil || !g.entitled && c.unsavedWork(best.victims) > g.work(u) {
+		return
+	}
+	c.carryOut(p, u, best)
+}
+
+// displace makes room for a gang that is not urgent, of runs of lower priority with
+// slack, and says whether it did.
+func (c *Core) displace(p *pass, g *ranked, u *unit) bool {
+	gang := displace.Gang{
+		Waited: c.now.Mono - u.waiting, Left: c.leftUntil(g.deadlineMS),
+		Estimate: g.step.Estimate(), Work: g.work(u),
+	}
+	if u.size == 1 || !gang.IsPressed() {
+		return false
+	}
+	best := c.cheapestSet(p, g, u)
+	if best.on == nil || !gang.IsWorth(c.unsavedWork(best.victims)) {
+		return false
+	}
+	c.carryOut(p, u, best)
+	return true
+}
+
+// leftUntil gives the time until a Unix millisecond, negative after it.
+func (c *Core) leftUntil(unixMS int64) time.Duration {
+	return time.Duration(unixMS-c.now.UnixMS) * time.Millisecond
+}
+
+// hasSlack says whether a run's caller loses nothing if it is stopped.
+func (c *Core) hasSlack(r *run) bool {
+	e := r.unit.entry()
+	return displace.Run{
+		Left:      c.leftUntil(r.unit.group.occ.dueMS + e.objective.Milliseconds()),
+		Objective: e.objective, Estimate: r.unit.group.step.Estimate(),
+	}.HasSlack()
+}
+
+// cheapestSet gives the cheapest way to make room for a unit; its on is nil if there
+// is none.
+func (c *Core) cheapestSet(p *pass, g *ranked, u *unit) eviction {
 	best := eviction{}
 	for _, set := range c.evictionSets(p, g) {
 		if !set.giving.holds(g.step, u.size) {
@@ -38,9 +83,11 @@
 			best = e
 		}
 	}
-	if best.on == nil || !g.entitled && c.unsavedWork(best.victims) > g.work(u) {
-		return
-	}
+	return best
+}
+
+// carryOut stops the victims of an eviction and keeps their room for the unit.
+func (c *Core) carryOut(p *pass, u *unit, best eviction) {
 	c.setPlan(u, best.on, false)
 	for _, r := range best.victims {
 		for _, m := range slices.Clone(r.unit.runs) {
@@ -157,7 +204,10 @@
 		if r.unit == nil || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
 			continue
 		}
-		if r.unit.entry().job.Queue.Priority > g.priority && r.unit.mayDisturb() {
+		if r.unit.entry().job.Queue.Priority <= g.priority || !r.unit.mayDisturb() {
+			continue
+		}
+		if g.priority == 0 || c.hasSlack(r) {
 			out = append(out, r)
 		}
 	}
--- a/internal/core/cell/reserve.go
+++ b/internal/core/cell/reserve.go
@@ -18,6 +18,9 @@
 	reserveTime = 12 * time.Second
 	// reserveShare is the part of a pool's workers that may be kept at once.
 	reserveShare = 0.25
+	// smallShare is the part of a worker up to which a lone task finds its place in any
+	// gap and needs no reservation.
+	smallShare = 0.25
 )
 
 // reserve keeps the room for a unit that should be free the soonest.
@@ -26,6 +29,9 @@
 		return
 	}
 	pool := p.pool(g.pool).workers
+	if u.isSmall(pool) {
+		return
+	}
 	room := int(reserveShare * float64(len(pool)))
 	for _, w := range pool {
 		if w.reserved != (job.Resources{}) {
@@ -49,6 +55,16 @@
 	c.setPlan(u, best, true)
 }
 
+// isSmall says whether the unit is one task that takes little of some worker. Hundreds
+// of such tasks would hold all room that may be reserved.
+func (u *unit) isSmall(workers []*worker) bool {
+	if u.size > 1 {
+		return false
+	}
+	need := u.group.step.Resources().Times(int(1 / smallShare))
+	return slices.ContainsFunc(workers, func(w *worker) bool { return w.Capacity.Covers(need) })
+}
+
 // opening is when a worker has room for one more task of a group.
 type opening struct {
 	w  *worker
