--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -79,7 +79,7 @@
 		i.refused(ctx, j, err)
 	default:
 		mUnclear.Inc()
-		evUnclear.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.Any("error", err), took)
+		evUnclear.Log(ctx, i.logger, slog.String("job", string(j.ID)), slog.String("queue", j.Queue.Name), slog.Any("error", err), took)
 	}
 	return err
 }
