Move the order of waiting work into a package of its own

core/queue ranks by value what core/cell placed by hand; the factor after which a job is of no more use stands once, in package job.

--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -81,12 +81,12 @@
 		if known || c.now.Mono < g.denied[w.ID] || !w.usable(c.now.Mono) {
 			continue
 		}
-		if w.room(g.priority).Covers(g.step.Resources()) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
+		if w.room(g.rank.Priority).Covers(g.step.Resources()) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
 			ws = append(ws, w)
 		}
 	}
 	slices.SortStableFunc(ws, func(a, b *worker) int {
-		return cmp.Compare(copies(b.room(g.priority), g.step), copies(a.room(g.priority), g.step))
+		return cmp.Compare(copies(b.room(g.rank.Priority), g.step), copies(a.room(g.rank.Priority), g.step))
 	})
 	var out []external.WorkerID
 	for _, w := range ws[:min(len(ws), adviseWorkers)] {
--- a/internal/core/cell/alarms.go
+++ b/internal/core/cell/alarms.go
@@ -70,11 +70,11 @@
 // watch raises the alarms about a group that finds no place.
 func (c *Core) watch(g *ranked) {
 	e := g.occ.entry
-	if g.stale {
+	if g.rank.Stale {
 		c.alarm(e, AlarmJobLate)
 	}
 	within := c.settings.ReclaimWithin
-	if within > 0 && g.entitled && len(g.step.After) == 0 && c.age(e) > within {
+	if within > 0 && g.rank.Entitled && len(g.step.After) == 0 && c.age(e) > within {
 		c.alarm(e, AlarmReclaimLate)
 	}
 }
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -51,7 +51,7 @@
 		}
 		left, risk := 0, c.riskOf(on, g.group)
 		for _, w := range rack.workers {
-			left += w.room(g.priority).GPU
+			left += w.room(g.rank.Priority).GPU
 		}
 		if best == nil || risk < bestRisk || risk == bestRisk && left < bestLeft {
 			best, bestLeft, bestRisk = on, left, risk
@@ -136,3 +136,15 @@
 	}
 	return on
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -139,7 +139,7 @@
 	e.endedMS = c.now.UnixMS
 	c.markDirty(e)
 	c.act(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e), Objective: e.objective, History: e.history})
-	if o == job.Complete && !e.job.Timed() && c.age(e) > lateFactor*e.objective {
+	if o == job.Complete && !e.job.Timed() && c.age(e) > job.LateFactor*e.objective {
 		c.alarm(e, AlarmJobLate)
 	}
 	for _, u := range e.units() {
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -2,11 +2,10 @@
 
 import (
 	"slices"
-)
 
-// lateFactor is how many times its objective a job may take before its
-// completion is of no more use to its caller.
-const lateFactor = 3
+	"coltsfootmux/internal/core/queue"
+	"coltsfootmux/internal/job"
+)
 
 // pass is one look at all that waits and all that is free.
 type pass struct {
@@ -25,15 +24,11 @@
 	victims map[*worker][]*run
 }
 
-// ranked is a group with what its place in the order depends on.
+// ranked is a group with its place in the order.
 type ranked struct {
 	*group
-	pool       string
-	priority   int
-	entitled   bool
-	stale      bool
-	deadlineMS int64
-	order      int
+	pool string
+	rank queue.Rank
 }
 
 // newPass gathers the groups that may start, most urgent first, and the workers.
@@ -63,7 +58,7 @@
 		c.gather(p, e, i)
 	}
 	c.noteHeld(held)
-	slices.SortStableFunc(p.ready, byUrgency)
+	slices.SortStableFunc(p.ready, func(a, b *ranked) int { return a.rank.Compare(b.rank) })
 	return p
 }
 
@@ -81,12 +76,12 @@
 				continue
 			}
 			c.markReady(g)
-			deadline := o.dueMS + e.objective.Milliseconds()
-			p.ready = append(p.ready, &ranked{
-				group: g, pool: e.job.Queue.Pool, priority: e.job.Queue.Priority,
-				entitled: p.entitled[e], order: order, deadlineMS: deadline,
-				stale: c.now.UnixMS > o.dueMS+lateFactor*e.objective.Milliseconds(),
-			})
+			rank := queue.Rank{
+				Entitled: p.entitled[e], Priority: e.job.Queue.Priority, Arrival: order,
+				DeadlineMS: o.dueMS + e.objective.Milliseconds(),
+				Stale:      c.now.UnixMS > o.dueMS+job.LateFactor*e.objective.Milliseconds(),
+			}
+			p.ready = append(p.ready, &ranked{group: g, pool: e.job.Queue.Pool, rank: rank})
 		}
 	}
 }
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -183,7 +182,7 @@
 }
 
 func (c *Core) scoreOf(w *worker, g *ranked, u *unit, far bool) score {
-	left := w.room(g.priority).Minus(g.step.Resources())
+	left := w.room(g.rank.Priority).Minus(g.step.Resources())
 	return score{far: far, avoid: c.avoids(w, g.group), leftGPU: left.GPU, leftCPU: left.CPU}
 }
 
@@ -224,26 +223,3 @@
 	est := r.unit.group.step.Estimate()
 	return est * time.Duration(100-min(r.percent, 100)) / 100
 }
-
-// byUrgency orders groups: guaranteed work, then by priority, then what can
-// still be of use, then by deadline.
-func byUrgency(a, b *ranked) int {
-	return cmp.Or(
-		compareBool(b.entitled, a.entitled),
-		cmp.Compare(a.priority, b.priority),
-		compareBool(a.stale, b.stale),
-		cmp.Compare(a.deadlineMS, b.deadlineMS),
-		cmp.Compare(a.order, b.order),
-	)
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -20,10 +20,10 @@
 
 // makeRoom stops less urgent work for a unit that may preempt it.
 func (c *Core) makeRoom(p *pass, g *ranked, u *unit) {
-	if u.plan != nil || g.stale || c.now.Mono < u.nextRoom {
+	if u.plan != nil || g.rank.Stale || c.now.Mono < u.nextRoom {
 		return
 	}
-	if g.priority != 0 {
+	if g.rank.Priority != 0 {
 		u.nextRoom = c.now.Mono + reserveEvery
 		if !c.displace(p, g, u) {
 			c.reserve(p, g, u)
@@ -32,7 +32,7 @@
 	}
 	u.nextRoom = c.now.Mono + evictEvery
 	best := c.cheapestSet(p, g, u)
-	if best.on == nil || !g.entitled && c.unsavedWork(best.victims) > g.work(u) {
+	if best.on == nil || !g.rank.Entitled && c.unsavedWork(best.victims) > g.work(u) {
 		return
 	}
 	c.carryOut(p, u, best)
@@ -42,7 +42,7 @@
 // slack, and says whether it did.
 func (c *Core) displace(p *pass, g *ranked, u *unit) bool {
 	gang := displace.Gang{
-		Waited: c.now.Mono - u.waiting, Left: c.leftUntil(g.deadlineMS),
+		Waited: c.now.Mono - u.waiting, Left: c.leftUntil(g.rank.DeadlineMS),
 		Estimate: g.step.Estimate(), Work: g.work(u),
 	}
 	if u.size == 1 || !gang.IsPressed() {
@@ -140,7 +140,7 @@
 	var spaces []*space
 	for _, w := range workers {
 		if w.usable(c.now.Mono) && c.allowed(w, g.group, u) {
-			spaces = append(spaces, &space{w: w, free: w.room(g.priority), victims: c.victimsOn(p, w, g)})
+			spaces = append(spaces, &space{w: w, free: w.room(g.rank.Priority), victims: c.victimsOn(p, w, g)})
 		}
 	}
 	out := eviction{}
@@ -186,7 +186,7 @@
 // victimsOn gives the runs on a worker that the group may preempt, and keeps those
 // for urgent work.
 func (c *Core) victimsOn(p *pass, w *worker, g *ranked) []*run {
-	if g.priority != 0 {
+	if g.rank.Priority != 0 {
 		return c.victims(w, g)
 	}
 	out, ok := p.victims[w]
@@ -204,10 +204,10 @@
 		if r.unit == nil || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
 			continue
 		}
-		if r.unit.entry().job.Queue.Priority <= g.priority || !r.unit.mayDisturb() {
+		if r.unit.entry().job.Queue.Priority <= g.rank.Priority || !r.unit.mayDisturb() {
 			continue
 		}
-		if g.priority == 0 || c.hasSlack(r) {
+		if g.rank.Priority == 0 || c.hasSlack(r) {
 			out = append(out, r)
 		}
 	}
--- a/internal/core/cell/span.go
+++ b/internal/core/cell/span.go
@@ -46,7 +46,7 @@
 
 // mayHold says whether a group's unit may find its place in the span.
 func (s *span) mayHold(g *ranked, u *unit) bool {
-	if g.priority == 0 {
+	if g.rank.Priority == 0 {
 		return s.free.holds(g.step, u.size)
 	}
 	return s.other.holds(g.step, u.size)
--- a/internal/core/displace/displace.go
+++ b/internal/core/displace/displace.go
@@ -1,6 +1,10 @@
 package displace
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/job"
+)
 
 const (
 	// patience is how long a gang waits before it displaces anything: gaps in a pool
@@ -11,9 +15,6 @@
 	lastCall = 2
 	// spare is how many of its estimated run times a run's job must have left.
 	spare = 2
-	// lateFactor is how many times its objective a job may take before its completion
-	// is of no more use.
-	lateFactor = 3
 	// mostLost is the part of the gang's own work that the unsaved work of all runs
 	// that it displaces may be.
 	mostLost = 0.25
@@ -48,5 +49,5 @@
 // HasSlack says whether the run can be stopped without loss to its caller: there is
 // the time to start it again, or its completion is of no more use.
 func (r Run) HasSlack() bool {
-	return r.Left > spare*r.Estimate || r.Left < -(lateFactor-1)*r.Objective
+	return r.Left > spare*r.Estimate || r.Left < -(job.LateFactor-1)*r.Objective
 }
--- /dev/null
+++ b/internal/core/queue/rank_test.go
@@ -0,0 +1,56 @@
+package queue
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestOrderOfWaitingWork(t *testing.T) {
+	for name, c := range map[string]struct{ first, second Rank }{
+		"guaranteed work goes before urgent work beyond it": {
+			Rank{Entitled: true, DeadlineMS: 9}, Rank{DeadlineMS: 1},
+		},
+		"a higher priority goes before an earlier deadline": {
+			Rank{Priority: 1, DeadlineMS: 9}, Rank{Priority: 2, DeadlineMS: 1},
+		},
+		"work past use waits behind its own priority": {
+			Rank{Priority: 1, DeadlineMS: 9}, Rank{Priority: 1, Stale: true, DeadlineMS: 1},
+		},
+		"but not behind a lower one": {
+			Rank{Priority: 1, Stale: true}, Rank{Priority: 2},
+		},
+		"the earlier deadline goes first": {
+			Rank{DeadlineMS: 1, Arrival: 2}, Rank{DeadlineMS: 2, Arrival: 1},
+		},
+		"of alike work the earlier job goes first": {
+			Rank{Arrival: 1}, Rank{Arrival: 2},
+		},
+	} {
+		if c.first.Compare(c.second) >= 0 || c.second.Compare(c.first) <= 0 {
+			t.Errorf("%s: %d and %d", name, c.first.Compare(c.second), c.second.Compare(c.first))
+		}
+	}
+}
+
+func TestOrderIsTotal(t *testing.T) {
+	rank := rapid.Custom(func(t *rapid.T) Rank {
+		return Rank{
+			Entitled: rapid.Bool().Draw(t, "entitled"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+			Stale: rapid.Bool().Draw(t, "stale"), DeadlineMS: rapid.Int64Range(0, 3).Draw(t, "deadline"),
+			Arrival: rapid.IntRange(0, 3).Draw(t, "arrival"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		rs := rapid.SliceOfN(rank, 3, 3).Draw(t, "ranks")
+		a, b, c := rs[0], rs[1], rs[2]
+		if a.Compare(b) != -b.Compare(a) {
+			t.Fatalf("%+v and %+v: %d, %d", a, b, a.Compare(b), b.Compare(a))
+		}
+		if a.Compare(b) <= 0 && b.Compare(c) <= 0 && a.Compare(c) > 0 {
+			t.Fatalf("%+v, %+v, %+v have no order", a, b, c)
+		}
+		slices.SortFunc(rs, Rank.Compare)
+	})
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -55,6 +55,10 @@
 	return longest
 }
 
+// LateFactor is how many times its objective a job may take before its completion
+// is of no more use to its caller.
+const LateFactor = 3
+
 // Objective gives how long after it is due an occurrence should have ended.
 func (j *Job) Objective() time.Duration {
 	return time.Duration(j.Queue.Stretch*float64(j.Chain())) + time.Duration(j.Queue.ObjectiveMS)*time.Millisecond
