--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -103,6 +103,8 @@
 	type space struct {
 		w *worker
 		n int
+		// risk is 1 for a worker to be avoided.
+		risk int
 	}
 	var spaces []space
 	total := 0
@@ -114,16 +116,21 @@
 		if g.step.MaxPerWorker > 0 {
 			n = min(n, g.step.MaxPerWorker-w.countOf(g))
 		}
-		if n > 0 {
-			spaces = append(spaces, space{w, n})
-			total += n
+		if n <= 0 {
+			continue
+		}
+		s := space{w: w, n: n}
+		if c.avoids(w, g) {
+			s.risk = 1
 		}
+		spaces = append(spaces, s)
+		total += n
 	}
 	if total < u.size {
 		return nil
 	}
 	slices.SortStableFunc(spaces, func(a, b space) int {
-		return cmp.Or(compareBool(c.avoids(a.w, g), c.avoids(b.w, g)), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(a.risk, b.risk), cmp.Compare(b.n, a.n))
 	})
 	var on []*worker
 	for _, s := range spaces {
@@ -136,15 +143,3 @@
 	}
 	return on
 }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"coltsfootmux/internal/core/displace"
 	"coltsfootmux/internal/job"
 )
 
@@ -38,38 +37,6 @@
 	c.carryOut(p, u, best)
 }
 
-// displace makes room for a gang that is not urgent, of runs of lower priority with
-// slack, and says whether it did.
-func (c *Core) displace(p *pass, g *ranked, u *unit) bool {
-	gang := displace.Gang{
-		Waited: c.now.Mono - u.waiting, Left: c.leftUntil(g.rank.DeadlineMS),
-		Estimate: g.step.Estimate(), Work: g.work(u),
-	}
-	if u.size == 1 || !gang.IsPressed() {
-		return false
-	}
-	best := c.cheapestSet(p, g, u)
-	if best.on == nil || !gang.IsWorth(c.unsavedWork(best.victims)) {
-		return false
-	}
-	c.carryOut(p, u, best)
-	return true
-}
-
-// leftUntil gives the time until a Unix millisecond, negative after it.
-func (c *Core) leftUntil(unixMS int64) time.Duration {
-	return time.Duration(unixMS-c.now.UnixMS) * time.Millisecond
-}
-
-// hasSlack says whether a run's caller loses nothing if it is stopped.
-func (c *Core) hasSlack(r *run) bool {
-	e := r.unit.entry()
-	return displace.Run{
-		Left:      c.leftUntil(r.unit.group.occ.dueMS + e.objective.Milliseconds()),
-		Objective: e.objective, Estimate: r.unit.group.step.Estimate(),
-	}.HasSlack()
-}
-
 // cheapestSet gives the cheapest way to make room for a unit; its on is nil if there
 // is none.
 func (c *Core) cheapestSet(p *pass, g *ranked, u *unit) eviction {
