Let a call that its caller gave up say nothing of a peer

Found by reading: a record that was answered while its owner was being asked made the owner count as silent, so that it was tried last for 3 s.

--- a/internal/instance/ask.go
+++ b/internal/instance/ask.go
@@ -61,10 +61,10 @@
 }
 
 func askPeer[Req, Rep any](ctx context.Context, i *Instance, addr string, k wire.Kind, q Req) (Rep, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	inner, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	rep, err := link.Call[Req, Rep](ctx, i.pool, addr, k, q)
-	i.members.answered(addr, err == nil)
+	rep, err := link.Call[Req, Rep](inner, i.pool, addr, k, q)
+	i.noteAnswer(ctx, addr, err)
 	return rep, err
 }
 
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -102,6 +102,14 @@
 	m.silent[addr] = boottime()
 }
 
+// noteAnswer notes whether an instance answered a call. One that its caller gave up
+// says nothing.
+func (i *Instance) noteAnswer(ctx context.Context, addr string, err error) {
+	if err == nil || ctx.Err() == nil {
+		i.members.answered(addr, err == nil)
+	}
+}
+
 // followMembers announces this instance and reads where the others are.
 func (i *Instance) followMembers(ctx context.Context) {
 	announced := false
--- a/internal/instance/write.go
+++ b/internal/instance/write.go
@@ -78,10 +78,10 @@
 
 // writeOver asks a peer to append the record.
 func (i *Instance) writeOver(ctx context.Context, addr string, t external.Topic, r external.Record) (commit.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, i.store.appendTime()+peerTime)
+	inner, cancel := context.WithTimeout(ctx, i.store.appendTime()+peerTime)
 	defer cancel()
-	rep, err := link.Call[wire.RecordWrite, wire.RecordWritten](ctx, i.pool, addr, wire.KindRecord, wire.RecordWrite{Topic: string(t), Key: r.Key, Value: r.Value})
-	i.members.answered(addr, err == nil)
+	rep, err := link.Call[wire.RecordWrite, wire.RecordWritten](inner, i.pool, addr, wire.KindRecord, wire.RecordWrite{Topic: string(t), Key: r.Key, Value: r.Value})
+	i.noteAnswer(ctx, addr, err)
 	switch {
 	case errors.Is(err, link.ErrNotSent):
 		return commit.Refused, err
