Give the stand-in store the queue of a partition, and play a burst into it

The stand-in carries out one append a topic at a time when told so, and refuses those that would wait for over 2 s.

--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -24,6 +24,10 @@
 	LateBy time.Duration
 	// Slow delays every answer.
 	Slow time.Duration
+	// AppendTime is how long a topic takes for each append; it carries out one at a
+	// time, in the order in which they come, and refuses those that would wait for
+	// longer than 2 s.
+	AppendTime time.Duration
 	// Deaf leaves reads that wait unanswered until their wait is over.
 	Deaf bool
 	// Topics, if any, are the only ones that the fault is about.
@@ -98,6 +102,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if f.AppendTime > 0 {
+		return s.queue(ctx, a, f.AppendTime)
+	}
 	if f.LateBy > 0 {
 		time.AfterFunc(f.LateBy, func() { _, _ = s.append(a) })
 	}
@@ -111,6 +118,42 @@
 	return s.append(a)
 }
 
+// longestQueue is the wait from which on a topic refuses appends.
+const longestQueue = 2 * time.Second
+
+// queue carries an append out after those that came before it, also when its
+// caller has left.
+func (s *Store) queue(ctx context.Context, a external.Append, takes time.Duration) (int64, error) {
+	s.mu.Lock()
+	t := s.topic(a.Topic)
+	starts := time.Now()
+	if t.busy.After(starts) {
+		starts = t.busy
+	}
+	if time.Until(starts) > longestQueue {
+		s.mu.Unlock()
+		return 0, eris.Wrap(external.ErrNotDone, "too many appends wait")
+	}
+	t.busy = starts.Add(takes)
+	ends := time.Until(t.busy)
+	s.mu.Unlock()
+	type result struct {
+		end int64
+		err error
+	}
+	done := make(chan result, 1)
+	time.AfterFunc(ends, func() {
+		end, err := s.append(a)
+		done <- result{end, err}
+	})
+	select {
+	case r := <-done:
+		return r.end, r.err
+	case <-ctx.Done():
+		return 0, eris.Wrap(external.ErrUnclear, "no answer in time")
+	}
+}
+
 func (s *Store) append(a external.Append) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +83,33 @@
 		}
 	})
 }
+
+func TestTopicCarriesOutOneAppendAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New()
+		s.SetFault(Fault{AppendTime: 500 * time.Millisecond})
+		var done, refused atomic.Int64
+		var wg sync.WaitGroup
+		for n := range 8 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+				defer cancel()
+				_, err := s.Append(ctx, external.Append{Topic: "t", Records: rec(fmt.Sprint(n), "1")})
+				switch {
+				case err == nil:
+					done.Add(1)
+				case errors.Is(err, external.ErrNotDone):
+					refused.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		if done.Load() != 1 || refused.Load() != 3 {
+			t.Errorf("%d done and %d refused within 0.7 s, want 1 and 3", done.Load(), refused.Load())
+		}
+		time.Sleep(3 * time.Second)
+		if p, err := s.Newest(t.Context(), "t"); err != nil || len(p.Records) != 5 {
+			t.Errorf("%d records, %v; want the 5 that were taken", len(p.Records), err)
+		}
+	})
+}
--- a/internal/standin/store/topic.go
+++ b/internal/standin/store/topic.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"coltsfootmux/internal/external"
 )
@@ -11,6 +12,8 @@
 
 // topic is one keyed topic.
 type topic struct {
+	// busy is until when appends that were taken before are carried out.
+	busy    time.Time
 	records []external.Record // from first on, without a gap
 	first   int64
 	newest  map[string]external.Record
