Start nothing in data centres that operators drain

The cell places nothing there and plans and reservations move; what runs there runs on, as no time is set for it.

Weighed: stopping what runs there (throws work away without a use), taking the drain as part of the policy's version (drains and policies change independently).

--- a/internal/core/cell/alarms.go
+++ b/internal/core/cell/alarms.go
@@ -92,7 +92,7 @@
 		need += c.policy.Accounts[i].GuaranteedGPU
 	}
 	for _, w := range c.fleet {
-		if w.listed && !w.Draining && w.holdFailures == 0 {
+		if w.listed && !w.Draining && !w.placeDrained && w.holdFailures == 0 {
 			have += w.Capacity.GPU
 		}
 	}
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -19,7 +19,9 @@
 	now       Instant
 	startedAt time.Duration
 	policy    *job.Policy
-	jobs      map[job.ID]*jobEntry
+	// drained holds the data centres that operators have drained.
+	drained map[string]bool
+	jobs    map[job.ID]*jobEntry
 	// openJobs holds the jobs that have not ended, in order of arrival.
 	openJobs []*jobEntry
 	workers  map[external.WorkerID]*worker
@@ -130,6 +132,8 @@
 	case PolicyChanged:
 		c.policy = e.Policy
 		c.placementDue = true
+	case DrainsChanged:
+		c.drainsChanged(e.DataCentres)
 	case StartAnswered:
 		c.startAnswered(e)
 	case StopAnswered:
@@ -154,6 +158,7 @@
 // addWorker adds a worker to the fleet, which stays sorted.
 func (c *Core) addWorker(w external.Worker) *worker {
 	n := newWorker(w)
+	n.placeDrained = c.drained[w.Zone]
 	c.workers[w.ID] = n
 	c.fleet = slices.Insert(c.fleet, c.fleetIndex(w.ID), n)
 	c.rosterDirty = true
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -50,6 +50,9 @@
 // PolicyChanged reports that a new policy is in force.
 type PolicyChanged struct{ Policy *job.Policy }
 
+// DrainsChanged reports which data centres are drained now.
+type DrainsChanged struct{ DataCentres []string }
+
 // StartAnswered is the answer to a Start.
 type StartAnswered struct {
 	Task    job.TaskID
@@ -96,6 +99,7 @@
 func (WorkerChanged) event()   {}
 func (WorkerUnlisted) event()  {}
 func (PolicyChanged) event()   {}
+func (DrainsChanged) event()   {}
 func (StartAnswered) event()   {}
 func (StopAnswered) event()    {}
 func (HoldAnswered) event()    {}
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -16,6 +16,7 @@
 		c.rosterDirty = true
 	}
 	w.Worker = n
+	w.placeDrained = c.drained[n.Zone]
 	if !w.listed {
 		w.listed = true
 		c.placementDue = true
--- a/internal/core/cell/missing_test.go
+++ b/internal/core/cell/missing_test.go
@@ -43,7 +43,7 @@
 // it has taken over.
 func TestInvariantsHoldWhenSubmissionsAreReadLate(t *testing.T) {
 	for seed := range uint64(randomScenarios) {
-		if err := runRandomScenario(t, seed, 0.4); err != "" {
+		if err := runRandomScenario(t, seed, scenario{unreadRate: 0.4}); err != "" {
 			t.Fatal(err)
 		}
 	}
--- a/internal/core/cell/overview.go
+++ b/internal/core/cell/overview.go
@@ -36,6 +36,8 @@
 		return "new"
 	case w.Draining:
 		return "draining"
+	case w.placeDrained:
+		return "data centre drained"
 	case c.now.Mono < w.pauseUntil:
 		return "suspect"
 	default:
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +23,7 @@
 		seeds = append(seeds, s)
 	}
 	for _, seed := range seeds {
-		if err := runRandomScenario(t, seed, 0); err != "" {
+		if err := runRandomScenario(t, seed, scenario{}); err != "" {
 			t.Fatal(err)
 		}
 	}
@@ -33,8 +35,8 @@
 		t.Skip("runs with -fresh")
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		unread := rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread")
-		if err := runRandomScenario(t, rapid.Uint64().Draw(rt, "seed"), unread); err != "" {
+		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains")}
+		if err := runRandomScenario(t, rapid.Uint64().Draw(rt, "seed"), o); err != "" {
 			rt.Fatal(err)
 		}
 	})
@@ -57,21 +59,35 @@
 	768540840,       // long hold that outlasted its worker's process
 }
 
-// runRandomScenario runs the scenario of a seed until all jobs have ended. New owners
-// read the given share of the jobs late. It returns a description of what went wrong,
-// or "".
-func runRandomScenario(t *testing.T, seed uint64, unreadRate float64) string {
+// scenario says what a random scenario contains beside the faults of all.
+type scenario struct {
+	// unreadRate is the share of jobs that new owners read late.
+	unreadRate float64
+	// drains says that data centres are drained and taken back.
+	drains bool
+}
+
+// runRandomScenario runs the scenario of a seed until all jobs have ended. It returns a
+// description of what went wrong, or "".
+func runRandomScenario(t *testing.T, seed uint64, o scenario) string {
 	sim := newSimulation(t, seed, 6+int(seed%6))
-	sim.unreadRate = unreadRate
+	sim.unreadRate = o.unreadRate
+	drainRNG := rand.New(rand.NewPCG(seed, 2))
 	sim.lossRate, sim.lateRate = sim.rng.Float64()*0.15, sim.rng.Float64()*0.1
 	sim.unlistedRate = sim.rng.Float64() * 0.3
 	sim.takeOver()
 	for range 24 {
 		sim.run(time.Duration(100+sim.rng.IntN(900)) * time.Millisecond)
 		sim.addJobOrFault()
+		if o.drains && drainRNG.IntN(4) == 0 {
+			sim.toggleDrain(fmt.Sprintf("d%d", drainRNG.IntN(testDataCentres)))
+		}
 	}
 	sim.lossRate, sim.lateRate, sim.storeDown = 0, 0, false
 	clear(sim.unreachable)
+	for _, d := range slices.Clone(sim.drained) {
+		sim.toggleDrain(d)
+	}
 	for n := range 12 {
 		if m := sim.machine(n); m != nil {
 			m.Mode, m.Pace = fleet.Healthy, 1
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -42,6 +42,8 @@
 	unlistedRate float64
 	// unreadRate is the share of jobs that a new owner can't read at first.
 	unreadRate float64
+	// drained holds the drained data centres.
+	drained []string
 	// departedWorker, if set, is missing from the list of every new owner.
 	departedWorker external.WorkerID
 	// roster is the stored roster.
@@ -73,6 +75,9 @@
 	do     func()
 }
 
+// testDataCentres is the number of data centres, d0 and up.
+const testDataCentres = 3
+
 func testSettings() Settings {
 	return Settings{
 		Lease: fleet.MaxLease - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, PreviousOwnerGrace: 3 * time.Second,
@@ -104,11 +109,11 @@
 	return s
 }
 
-// testWorker returns the n-th worker, on a rack of four workers.
+// testWorker returns the n-th worker, on a rack of four workers. Data centres take turns.
 func testWorker(n int) external.Worker {
 	rack := fmt.Sprintf("r%d", n/4)
 	return external.Worker{
-		ID: external.WorkerID(fmt.Sprintf("w%02d", n)), Pool: "p", Addr: fmt.Sprintf("10.0.0.%d:1", n),
+		ID: external.WorkerID(fmt.Sprintf("w%02d", n)), Zone: fmt.Sprintf("d%d", n%testDataCentres), Pool: "p", Addr: fmt.Sprintf("10.0.0.%d:1", n),
 		Capacity: job.Resources{CPU: 32000, MemMB: 64000, GPU: 8}, Labels: []string{"a", rack}, Rack: rack, StartedMS: 1,
 	}
 }
@@ -152,6 +157,7 @@
 		ev.Workers = append(ev.Workers, m)
 	}
 	s.step(o, ev)
+	s.step(o, DrainsChanged{DataCentres: slices.Clone(s.drained)})
 	return o
 }
 
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -72,6 +72,8 @@
 	processedEnd int64
 	durableEnd   int64
 	ackedEnd     int64
+	// placeDrained is set while operators have drained the worker's data centre.
+	placeDrained bool
 	// unidentifiedRuns counts the unidentified ones of runs. deferredEnds are the listed
 	// ends of runs whose jobs' submissions have not been read, in the order of their
 	// numbers.
@@ -109,7 +111,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && w.onRoster && w.knowsTerm && !w.Draining && w.holdFailures == 0 && w.unidentifiedRuns == 0 && now >= w.pauseUntil
+	return w.listed && w.onRoster && w.knowsTerm && !w.Draining && !w.placeDrained && w.holdFailures == 0 && w.unidentifiedRuns == 0 && now >= w.pauseUntil
 }
 
 // settledEnd returns the number up to which all listed ends of runs have been applied.
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -30,9 +31,9 @@
 	if err != nil {
 		return err
 	}
-	return p.print(n, table.Row{"instance", "ready", "store", "policy", "policy age", "term", "owner", "owner's address"}, func(t table.Writer) {
+	return p.print(n, table.Row{"instance", "ready", "store", "policy", "policy age", "drained", "term", "owner", "owner's address"}, func(t table.Writer) {
 		age := time.Duration(n.PolicyAgeMS) * time.Millisecond
-		t.AppendRow(table.Row{n.Incarnation, n.Ready, n.StoreReachable, n.PolicyVersion, age, n.Term, n.Owner, n.OwnerAddr})
+		t.AppendRow(table.Row{n.Incarnation, n.Ready, n.StoreReachable, n.PolicyVersion, age, strings.Join(n.DrainedDataCentres, ", "), n.Term, n.Owner, n.OwnerAddr})
 	})
 }
 
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -21,6 +21,7 @@
 	evPeersAsked        = logevent.New(2216, slog.LevelInfo, "peers asked whether the store serves them the term")
 	evTakenOver         = logevent.New(2214, slog.LevelInfo, "cell taken over")
 	evTakeOverFailed    = logevent.New(2215, slog.LevelWarn, "records not read at takeover; retrying")
+	evDrainChanged      = logevent.New(2205, slog.LevelInfo, "data centre drained or taken back")
 	evTopicReadLate     = logevent.New(2219, slog.LevelInfo, "topic of jobs read after the takeover")
 	evTopicUnavailable  = logevent.New(2220, slog.LevelWarn, "store does not answer for a topic")
 	evTopicAvailable    = logevent.New(2221, slog.LevelInfo, "store answers again for a topic")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootmux/internal/core/drain"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/upkeep"
 	"coltsfootmux/internal/external"
@@ -36,6 +37,9 @@
 	WaveStatusTopic external.Topic
 	DecodeWave      func(external.Record) (w upkeep.Wave, ok bool, err error)
 	EncodeWave      func(upkeep.Report) (external.Record, error)
+	// DecodeDrain, if set, decodes the records of PolicyTopic that drain a data centre or
+	// take it back; ok is false for all others.
+	DecodeDrain func(external.Record) (dataCentre string, drained, ok bool)
 	// DecodePolicy and DecodeWorker decode the records of PolicyTopic and WorkerTopic.
 	DecodePolicy func([]byte) (*job.Policy, error)
 	DecodeWorker func(external.Record) (external.Worker, error)
@@ -63,6 +67,9 @@
 	store        external.Store
 	members      members
 
+	drainMu sync.Mutex
+	drains  drain.Set
+
 	waveMu sync.Mutex
 	waves  map[int64]upkeep.Wave
 
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -53,6 +53,7 @@
 func init() {
 	gauge("coltsfootmux_policy_version", "version", "version of the policy in force", (*Instance).policyVersion)
 	gauge("coltsfootmux_policy_age_seconds", "seconds", "time since the policy was last read from the store", (*Instance).policyAge)
+	gauge("coltsfootmux_data_centres_drained", "data centres", "data centres in which operators allow no new runs", func(i *Instance) float64 { return float64(len(i.drainedDataCentres())) })
 	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process for any topic", (*Instance).storeReachable)
 	gauge("coltsfootmux_term_owned", "term", "the term that this process owns, 0 for none", (*Instance).ownedTerm)
 	gauge("coltsfootmux_term_age_seconds", "seconds", "time since the store last answered for the term", func(i *Instance) float64 { return i.sinceAnswer(topicTerm) })
--- a/internal/instance/overview.go
+++ b/internal/instance/overview.go
@@ -8,7 +8,8 @@
 	out := overview.Instance{
 		Name: i.Settings.Name, Incarnation: i.Settings.Incarnation, Ready: i.Ready(), StoreReachable: i.storeMonitor.reachable(),
 		PolicyVersion: int64(i.policyVersion()), PolicyAgeMS: int64(i.policyAge() * 1000),
-		Term: t.Term, Owner: t.Owner, OwnerAddr: t.Addr,
+		DrainedDataCentres: i.drainedDataCentres(),
+		Term:               t.Term, Owner: t.Owner, OwnerAddr: t.Addr,
 	}
 	o := i.owner.Load()
 	if o == nil {
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/drain"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/link"
@@ -16,13 +17,18 @@
 func (i *Instance) followPolicy(ctx context.Context) {
 	r := &topicReader{
 		store: i.storeMonitor, topic: i.PolicyTopic,
-		onSnapshot: i.handlePolicyRecords,
+		onSnapshot: i.handlePolicySnapshot,
 		onPage:     i.handlePolicyRecords,
 		onError:    ignoreError,
 	}
 	r.run(ctx, -1)
 }
 
+func (i *Instance) handlePolicySnapshot(p external.Page) {
+	i.applyDrainSnapshot(p)
+	i.handlePolicyRecords(p)
+}
+
 func (i *Instance) handlePolicyRecords(p external.Page) {
 	i.policyReadAt.Store(int64(boottime()))
 	for _, r := range p.Records {
@@ -32,6 +38,9 @@
 		if i.DecodeWave != nil {
 			i.addWave(r)
 		}
+		if d, ok := i.decodeDrain(r); ok {
+			i.applyDrains([]drain.Record{d}, "store")
+		}
 	}
 }
 
@@ -84,6 +93,7 @@
 	if err != nil {
 		return r, err
 	}
+	i.applyDrains(r.Drains, addr)
 	if len(r.Record) > 0 {
 		i.applyPolicy(r.Record, addr)
 	}
@@ -99,6 +109,7 @@
 		r.TermTopicAvailable = i.storeMonitor.confirmAvailable(ctx, topicTerm)
 	}
 	r.Term = i.latestTermRecord()
+	r.Drains = i.drainRecords()
 	if p := i.policy.Load(); p != nil {
 		r.Version = p.policy.Version
 		if p.policy.Version > q.Version {
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,6 +131,13 @@
 	return p, err
 }
 
+const testDrainPrefix = "drain/"
+
+func decodeTestDrain(r external.Record) (dataCentre string, drained, ok bool) {
+	dataCentre, ok = strings.CutPrefix(r.Key, testDrainPrefix)
+	return dataCentre, len(r.Value) > 0, ok
+}
+
 func newRig(t *testing.T, instances int) *rig {
 	r := &rig{t: t, store: store.New(), retention: time.Minute}
 	r.fleet = fleet.NewLive(func(job.TaskID, int64) (time.Duration, bool) { return 200 * time.Millisecond, false })
@@ -138,7 +146,7 @@
 	go r.fleet.Run(ctx)
 	for n := range 4 {
 		w := external.Worker{
-			ID: external.WorkerID(fmt.Sprintf("w%d", n)), Pool: "p", Addr: "x", Rack: "r0",
+			ID: external.WorkerID(fmt.Sprintf("w%d", n)), Zone: fmt.Sprintf("d%d", n%2), Pool: "p", Addr: "x", Rack: "r0",
 			Capacity: job.Resources{CPU: 8000, MemMB: 8000, GPU: 8}, Labels: []string{"a", "r0"},
 		}
 		r.fleet.With(func(f *fleet.Fleet) { f.Add(w) })
@@ -175,7 +183,7 @@
 	}
 	inst := New(Options{
 		Settings: s, StoreClient: conn, Workers: r.fleet, PolicyTopic: testPolicies, PolicyKey: "policy", WorkerTopic: testWorkers,
-		DecodePolicy: decodeTestPolicy, DecodeWorker: r.decodeWorker, Logger: slog.New(slog.DiscardHandler),
+		DecodeDrain: decodeTestDrain, DecodePolicy: decodeTestPolicy, DecodeWorker: r.decodeWorker, Logger: slog.New(slog.DiscardHandler),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, inst.LinkServer())
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -51,7 +51,10 @@
 		}
 	}
 	o.mu.Unlock()
+	// No worker has answered in this term yet, so that nothing is started before the
+	// drains are known.
 	o.step(ev)
+	o.inst.passDrains(o)
 }
 
 // storedState is what the store holds at a takeover.
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -12,6 +12,8 @@
 	PolicyVersion  int64  `json:"policy_version"`
 	// PolicyAgeMS is the time since the policy was last read from the store.
 	PolicyAgeMS int64 `json:"policy_age_ms"`
+	// DrainedDataCentres are those in which operators allow no new runs.
+	DrainedDataCentres []string `json:"drained_data_centres,omitempty"`
 	// Term is the latest known term, Owner the incarnation that owns it, and
 	// OwnerAddr the owner's address for links.
 	Term      int64  `json:"term"`
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 
 	"coltsfootmux/internal/standin/fleet"
 	"coltsfootmux/internal/standin/store"
+	"coltsfootmux/platform"
 )
 
 // storeFaults are the faults of the store that a soak injects.
@@ -30,7 +31,7 @@
 	restart := func() { _ = m.start(s.opts.Program) }
 	modes := [...]Mode{Delay, DropAll, DropReplies, Reset}
 	mode := modes[rng.IntN(len(modes))]
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
 	case 0:
 		return fault{"kill " + m.name, m.kill, restart}
 	case 1:
@@ -60,11 +61,28 @@
 			}
 		}
 		return fault{fmt.Sprintf("topics of the store %+v", f), func() { s.store.SetFault(f) }, func() { s.store.SetFault(store.Fault{}) }}
+	case 11:
+		d := dataCentre(n)
+		return fault{"drain " + d, func() { s.drain(d) }, func() { s.takeBack(d) }}
 	default:
 		return fault{"SIGHUP to " + m.name, func() { m.signal(syscall.SIGHUP) }, func() {}}
 	}
 }
 
+// drainBound is how long after its request a drain must be in force while other faults
+// may delay it.
+const drainBound = 8 * time.Second
+
+func (s *testbed) drain(dataCentre string) {
+	s.store.Put(platform.TopicPolicy, platform.DrainKeyPrefix+dataCentre, []byte("{}"))
+	s.fleet.With(func(f *fleet.Fleet) { f.Drain(dataCentre, f.Now()+drainBound) })
+}
+
+func (s *testbed) takeBack(dataCentre string) {
+	s.fleet.With(func(f *fleet.Fleet) { f.TakeBack(dataCentre) })
+	s.store.Put(platform.TopicPolicy, platform.DrainKeyPrefix+dataCentre, nil)
+}
+
 func (s *testbed) crashWorker(n int) {
 	s.fleet.With(func(f *fleet.Fleet) {
 		m := f.Machine(workerName(n))
@@ -102,6 +120,7 @@
 func (s *testbed) clearFaults() {
 	s.store.SetFault(store.Fault{})
 	for n, w := range s.workers {
+		s.takeBack(dataCentre(n))
 		w.SetMode(Pass)
 		s.setWorkerMode(n, fleet.Healthy)
 		s.fleet.With(func(f *fleet.Fleet) { f.Machine(workerName(n)).Down = false })
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -96,6 +96,9 @@
 
 func workerName(n int) external.WorkerID { return external.WorkerID(fmt.Sprintf("i-%02d", n)) }
 
+// dataCentre returns the data centre of a worker; there are two.
+func dataCentre(n int) string { return fmt.Sprintf("z%d", n%2) }
+
 func (s *testbed) addWorker(n int, addr string) error {
 	p, err := NewProxy(s.host, addr)
 	if err != nil {
@@ -105,7 +108,7 @@
 	rack := fmt.Sprintf("r%d", n/4)
 	s.fleet.With(func(f *fleet.Fleet) {
 		f.Add(external.Worker{
-			ID: workerName(n), Labels: []string{"a", rack}, Rack: rack,
+			ID: workerName(n), Zone: dataCentre(n), Labels: []string{"a", rack}, Rack: rack,
 			Capacity: job.Resources{CPU: 8000, MemMB: 8000, GPU: 4},
 		})
 		f.Machine(workerName(n)).ClockRate = 1 - maxClockLag*s.rng.Float64()
@@ -118,8 +121,8 @@
 func (s *testbed) register(n int) {
 	var born int64
 	s.fleet.With(func(f *fleet.Fleet) { born = f.Machine(workerName(n)).StartedMS })
-	entry := fmt.Sprintf(`{"backend":"p","addr":%q,"zone":"z","state":"ready","capacity":{"cpu":8000,"mem_mb":8000,"gpu":4},"labels":["a","r%d"],"born":%d}`,
-		s.workers[n].Addr(), n/4, born)
+	entry := fmt.Sprintf(`{"backend":"p","addr":%q,"zone":%q,"state":"ready","capacity":{"cpu":8000,"mem_mb":8000,"gpu":4},"labels":["a","r%d"],"born":%d}`,
+		s.workers[n].Addr(), dataCentre(n), n/4, born)
 	s.store.Put(platform.TopicWorkers, string(workerName(n)), []byte(entry))
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -37,6 +37,8 @@
 	gangs map[gangRun][]*taskRun
 	// noStartsAfter holds, by job, the time from which none of its tasks may start.
 	noStartsAfter map[job.ID]time.Duration
+	// drainedAfter holds, by data centre, the time from which no task may start there.
+	drainedAfter map[string]time.Duration
 	// everDone holds the tasks of which a run ended as done. acknowledgedDone holds
 	// those of which such an end was acknowledged. listedDone holds the machines
 	// that have not lost such an end in a restart.
@@ -57,7 +59,7 @@
 func New(w WorkFunc) *Fleet {
 	return &Fleet{
 		work: w, byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*taskRun),
-		noStartsAfter: make(map[job.ID]time.Duration), startedJobs: make(map[job.ID]bool), acknowledgedDone: make(map[job.TaskID]bool), everDone: make(map[job.TaskID]bool), listedDone: make(map[job.TaskID]*Machine),
+		drainedAfter: make(map[string]time.Duration), noStartsAfter: make(map[job.ID]time.Duration), startedJobs: make(map[job.ID]bool), acknowledgedDone: make(map[job.TaskID]bool), everDone: make(map[job.TaskID]bool), listedDone: make(map[job.TaskID]*Machine),
 	}
 }
 
@@ -99,6 +101,15 @@
 // violation.
 func (f *Fleet) ForbidStarts(id job.ID, at time.Duration) { f.noStartsAfter[id] = at }
 
+// Now returns the fleet's time.
+func (f *Fleet) Now() time.Duration { return f.now }
+
+// Drain makes every start in a data centre after the given time a violation.
+func (f *Fleet) Drain(dataCentre string, at time.Duration) { f.drainedAfter[dataCentre] = at }
+
+// TakeBack ends a drain.
+func (f *Fleet) TakeBack(dataCentre string) { delete(f.drainedAfter, dataCentre) }
+
 // Violations returns the violations recorded so far, in the order in which they occurred.
 func (f *Fleet) Violations() []string { return f.violations }
 
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -74,6 +74,9 @@
 	if at, ok := f.noStartsAfter[o.Task.Job]; ok && f.now > at && !f.OrderDelayed {
 		f.violationf("start of %v of a cancelled job", o.Task)
 	}
+	if at, ok := f.drainedAfter[m.Zone]; ok && f.now > at && !f.OrderDelayed {
+		f.violationf("start of %v on %s in a drained data centre", o.Task, m.ID)
+	}
 	if o.Spec != j.Spec {
 		f.violationf("start of %v with another spec", o.Task)
 	}
--- a/internal/wire/policyquery.go
+++ b/internal/wire/policyquery.go
@@ -1,6 +1,9 @@
 package wire
 
-import "coltsfootmux/internal/core/term"
+import (
+	"coltsfootmux/internal/core/drain"
+	"coltsfootmux/internal/core/term"
+)
 
 // PolicyQuery asks for the policy in force if it is newer than Version.
 type PolicyQuery struct {
@@ -17,6 +20,8 @@
 	Record []byte `cbor:"2,keyasint,omitempty"`
 	// Term is the newest term that the answering instance knows of.
 	Term term.Record `cbor:"4,keyasint"`
+	// Drains are the newest records about drained data centres.
+	Drains []drain.Record `cbor:"5,keyasint,omitempty"`
 	// TermTopicAvailable reports whether the store serves the topic of terms to the
 	// answering instance.
 	TermTopicAvailable bool `cbor:"3,keyasint"`
