Predict run times from the ended runs of a queue

Every decision asked the caller's estimate: the order by objective, what is too late to be of use, whom a gang may displace, reservations, stalls, moves. The shifted work has estimates that are ten times off. core/predict weighs the estimate against the recent run times of the queue by how far either was off; order and reservation take the middle, giving up the high end.

TestUnderestimatedJobIsNotGivenUp fails on the old way (started 8 s after work that came later). With estimates that fit, the prediction is the estimate, and TestStaleWorkWithGoodEstimatesComesLast holds on both.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -77,7 +77,7 @@
 	ID      job.ID
 	Outcome job.Outcome
 	// Age is the time since the job was submitted; Objective is the time in which
-	// the job should complete.
+	// the job should complete, by the run times of its queue.
 	Age       time.Duration
 	Objective time.Duration
 	History   History
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/contact"
+	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -29,6 +30,8 @@
 	fleet []*worker
 	// failuresByPool holds the recent early failures of each pool.
 	failuresByPool map[string]*retry.Pool
+	// runTimesByQueue holds what ended runs tell of the run times of each queue.
+	runTimesByQueue map[string]*predict.Queue
 	// contactWindow limits how many workers are sent their first hold at the same
 	// time.
 	contactWindow contact.Window
@@ -97,7 +100,7 @@
 		workers:         make(map[external.WorkerID]*worker),
 		cancels:         make(map[job.ID]bool),
 		termConfirmedAt: now.Mono,
-		contactWindow:   contact.New(), failuresByPool: make(map[string]*retry.Pool),
+		contactWindow:   contact.New(), failuresByPool: make(map[string]*retry.Pool), runTimesByQueue: make(map[string]*predict.Queue),
 	}
 	c.previousLeasesEnd = now.Mono + s.PreviousOwnerGrace + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
--- a/internal/core/cell/displace.go
+++ b/internal/core/cell/displace.go
@@ -11,7 +11,7 @@
 func (c *Core) displace(p *pass, g *rankedGroup, u *unit) bool {
 	gang := displace.Gang{
 		Waited: c.now.Mono - u.waitingSince, TimeLeft: c.timeUntil(g.rank.DeadlineMS),
-		Estimate: g.step.Estimate(), CoreSeconds: g.work(u),
+		Estimate: g.runTime(), CoreSeconds: g.work(u),
 	}
 	if u.size == 1 || !gang.MayDisplace() {
 		return false
@@ -33,7 +33,7 @@
 func (c *Core) hasSlack(r *run) bool {
 	e := r.unit.entry()
 	return displace.Run{
-		TimeLeft:  c.timeUntil(r.unit.group.occ.dueMS + e.objective.Milliseconds()),
-		Objective: e.objective, Estimate: r.unit.group.step.Estimate(),
+		TimeLeft:  c.timeUntil(r.unit.group.occ.dueMS + e.expectedObjective().Milliseconds()),
+		Objective: e.latestObjective(), Estimate: r.unit.group.runTime(),
 	}.HasSlack()
 }
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -30,13 +31,13 @@
 	// workers that have not answered yet.
 	inherited bool
 	// readAt is when the job was read from the store.
-	readAt time.Duration
-	// objective is how long after it is due an occurrence should have ended.
-	objective    time.Duration
+	readAt       time.Duration
 	raisedAlarms alarmSet
 	history      History
 	// poolFailures is the history of recent early failures in the job's pool.
 	poolFailures *retry.Pool
+	// runTimes is what is known of the run times of the job's queue.
+	runTimes *predict.Queue
 }
 
 // occurrence is one execution of all of a job's steps.
@@ -137,7 +138,7 @@
 
 // newJobEntry returns the record of a new job, without any occurrence.
 func newJobEntry(j *job.Job) *jobEntry {
-	return &jobEntry{job: j, doneOccurrences: make(map[int]bool), objective: j.Objective()}
+	return &jobEntry{job: j, doneOccurrences: make(map[int]bool)}
 }
 
 // openOccurrence creates the tasks of the next occurrence.
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -64,6 +64,7 @@
 	e := newJobEntry(j)
 	e.readAt = c.now.Mono
 	e.poolFailures = c.poolFailures(j.Queue.Pool)
+	e.runTimes = c.runTimes(j.Queue.Name)
 	c.jobs[j.ID] = e
 	c.openJobs = append(c.openJobs, e)
 	c.placementDue = true
@@ -157,8 +158,8 @@
 	e.outcome = o
 	e.endedMS = c.now.UnixMS
 	c.markDirty(e)
-	c.emit(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e), Objective: e.objective, History: e.history})
-	if o == job.Complete && !e.job.HasDueTimes() && c.age(e) > job.StaleFactor*e.objective {
+	c.emit(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e), Objective: e.expectedObjective(), History: e.history})
+	if o == job.Complete && !e.job.HasDueTimes() && c.age(e) > job.StaleFactor*e.latestObjective() {
 		c.alarm(e, AlarmJobLate)
 	}
 	for _, u := range e.units() {
@@ -276,6 +277,7 @@
 func (c *Core) runSucceeded(r *run) {
 	r.worker.clearSuspicions()
 	c.recordProgress(r)
+	c.recordRunTime(r)
 	u := r.unit
 	if r.startedAt > 0 && !r.resumed {
 		u.runTime = c.now.Mono - r.startedAt
@@ -295,7 +297,7 @@
 	w := r.worker
 	r.unit.exclude(w, c.now.Mono)
 	w.failedJobs[r.task.Job] = true
-	early := c.now.Mono-r.createdAt < max(minEarlyFailureAge, time.Duration(earlyFailureShare*float64(r.unit.group.step.Estimate())))
+	early := c.now.Mono-r.createdAt < max(minEarlyFailureAge, time.Duration(earlyFailureShare*float64(r.unit.group.runTime())))
 	if early {
 		c.recordEarlyFailure(w)
 	}
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -81,8 +81,8 @@
 			c.markReady(g)
 			rank := queue.Rank{
 				Entitled: p.entitled[e], Priority: e.job.Queue.Priority, Arrival: order,
-				DeadlineMS: o.dueMS + e.objective.Milliseconds(),
-				Stale:      c.now.UnixMS > o.dueMS+job.StaleFactor*e.objective.Milliseconds(),
+				DeadlineMS: o.dueMS + e.expectedObjective().Milliseconds(),
+				Stale:      c.now.UnixMS > o.dueMS+job.StaleFactor*e.latestObjective().Milliseconds(),
 			}
 			p.ready = append(p.ready, &rankedGroup{taskGroup: g, pool: e.job.Queue.Pool, rank: rank})
 		}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -158,7 +158,7 @@
 // localityWait returns how long a task waits for a place in its data's rack: half
 // of the run time that a place in another rack would add.
 func (c *Core) localityWait(g *rankedGroup) time.Duration {
-	return time.Duration((c.settings.RemoteDataFactor - 1) / 2 * float64(g.step.Estimate()))
+	return time.Duration((c.settings.RemoteDataFactor - 1) / 2 * float64(g.runTime()))
 }
 
 // score ranks a worker for a task; lower is better.
@@ -223,11 +223,10 @@
 }
 
 // remainingTime estimates how long a run still takes, from its progress and its
-// caller's estimate.
+// predicted run time.
 func (r *run) remainingTime() time.Duration {
 	if r.unit.group.step.LongRunning {
 		return time.Hour
 	}
-	est := r.unit.group.step.Estimate()
-	return est * time.Duration(100-min(r.percent, 100)) / 100
+	return r.unit.group.runTime() * time.Duration(100-min(r.percent, 100)) / 100
 }
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -73,7 +73,7 @@
 
 // work returns a unit's estimated work in core-seconds.
 func (g *rankedGroup) work(u *unit) float64 {
-	return g.step.Resources().Cores() * g.step.Estimate().Seconds() * float64(u.size)
+	return g.step.Resources().Cores() * g.runTime().Seconds() * float64(u.size)
 }
 
 // candidateSets returns the sets of workers to consider for a group's unit: each
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -40,9 +40,9 @@
 	return j.FirstDueMS + int64(k)*j.IntervalMS
 }
 
-// CriticalPath returns the length of the longest chain of dependent steps,
-// measured by their estimated run times.
-func (j *Job) CriticalPath() time.Duration {
+// CriticalPath returns the length of the longest chain of dependent steps, of which each
+// takes the time that runTime returns.
+func (j *Job) CriticalPath(runTime func(*Step) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i := range j.Steps {
@@ -50,7 +50,7 @@
 		for _, a := range j.Steps[i].After {
 			start = max(start, ends[a])
 		}
-		ends[i] = start + j.Steps[i].Estimate()
+		ends[i] = start + runTime(&j.Steps[i])
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -61,7 +61,10 @@
 const StaleFactor = 3
 
 // Objective returns the time after its due time within which an occurrence should
-// complete.
-func (j *Job) Objective() time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(j.CriticalPath())) + time.Duration(j.Queue.ObjectiveMS)*time.Millisecond
+// complete, by its caller's estimates.
+func (j *Job) Objective() time.Duration { return j.ObjectiveFor(j.CriticalPath((*Step).Estimate)) }
+
+// ObjectiveFor returns the objective of a job with the given critical path.
+func (j *Job) ObjectiveFor(criticalPath time.Duration) time.Duration {
+	return time.Duration(j.Queue.Stretch*float64(criticalPath)) + time.Duration(j.Queue.ObjectiveMS)*time.Millisecond
 }
