--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -75,6 +75,7 @@
 // JobEnded reports a job's outcome, for the log.
 type JobEnded struct {
 	ID      job.ID
+	Queue   job.Queue
 	Outcome job.Outcome
 	// Age is the time since the job was submitted; Objective is the time in which
 	// the job should complete, by the run times of its queue.
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -158,7 +158,7 @@
 	e.outcome = o
 	e.endedMS = c.now.UnixMS
 	c.markDirty(e)
-	c.emit(JobEnded{ID: e.job.ID, Outcome: o, Age: c.age(e), Objective: e.expectedObjective(), History: e.history})
+	c.emit(JobEnded{ID: e.job.ID, Queue: e.job.Queue, Outcome: o, Age: c.age(e), Objective: e.expectedObjective(), History: e.history})
 	if o == job.Complete && !e.job.HasDueTimes() && c.age(e) > job.StaleFactor*e.latestObjective() {
 		c.alarm(e, AlarmJobLate)
 	}
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"time"
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/external"
@@ -72,7 +73,8 @@
 		mJobsEnded.With(a.Outcome.Status().String()).Inc()
 		mJobTime.Update(a.Age.Seconds())
 		evJobEnded.Log(o.ctx, l, slog.String("job", string(a.ID)), slog.String("outcome", a.Outcome.Status().String()),
-			slog.Duration("age", a.Age), slog.Duration("objective", a.Objective), slog.Duration("waited", a.History.MaxWait),
+			slog.Duration("age", a.Age), slog.Duration("objective", a.Objective),
+			slog.Float64("stretch", a.Queue.Stretch), slog.Duration("fixed", time.Duration(a.Queue.ObjectiveMS)*time.Millisecond), slog.Duration("waited", a.History.MaxWait),
 			slog.Int("displaced", a.History.Preempted), slog.Int("moved", a.History.Moved),
 			slog.Int("failed", a.History.Failed), slog.Int("lost", a.History.Lost))
 	case cell.UnitWaiting:
