Log the policy behind a refusal, and how its reads and peers fail

The logs did not tell why a version was late: neither the size of its record, nor the time of its read, nor failed reads and failed questions to peers were logged, and a refusal did not say by which version.

New: events 2206 (read failed), 2207 (peer did not answer), 2208 (request refused: version and age of the policy); size, time and age at 2203; metrics of reads and refusals.

--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -40,11 +40,13 @@
 	}
 	r := p.policy.Match(req.Host, req.Path)
 	if r == nil {
+		i.logDenied(req, p.policy.Version, "no route")
 		return Access{}, ErrNoRoute
 	}
 	a := Access{Route: r, PathSuffix: req.Path[len(r.Prefix):], MaxBody: p.policy.MaxBodyBytes}
 	account := p.policy.AccountByKey(req.Key)
 	if account == nil && !r.Public {
+		i.logDenied(req, p.policy.Version, "unknown key")
 		return Access{}, ErrUnknownKey
 	}
 	if account != nil {
@@ -53,6 +55,13 @@
 	return a, nil
 }
 
+// logDenied logs that a version of the policy does not allow a request.
+func (i *Instance) logDenied(req Request, version int64, reason string) {
+	mDenied.With(reason).Inc()
+	evDenied.Log(i.ctx, i.logger, slog.String("reason", reason), slog.String("host", req.Host), slog.String("path", req.Path),
+		slog.Int64("version", version), slog.Duration("age", i.policyAge()))
+}
+
 // Submit accepts a job; the job is durable when Submit returns without an error.
 // Errors: after job.ErrInvalid and ErrRefused the job never runs, after
 // ErrOutcomeUnknown it may.
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -236,8 +236,8 @@
 	r.store.Put(testPolicies, "policy", []byte("7"))
 	i := r.nodes[0].inst
 	r.waitFor("version 7", func() bool { return i.policyVersion() == 7 })
-	i.applyPolicy([]byte("6"), "a peer")
-	i.applyPolicy([]byte("junk"), "a peer")
+	i.applyPolicy([]byte("6"), policySource{from: "a peer"})
+	i.applyPolicy([]byte("junk"), policySource{from: "a peer"})
 	if v := i.policyVersion(); v != 7 {
 		t.Errorf("version %v", v)
 	}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -18,6 +18,10 @@
 	mStatusUnavailable = metric.NewCounter("coltsfootmux_states_unavailable_total", "calls", "requests for a job's status that could not be answered")
 	mAcceptTime        = metric.NewHistogram("coltsfootmux_accept_seconds", "seconds", "time from a submission to its acceptance")
 
+	mPolicyReadTime    = metric.NewHistogram("coltsfootmux_policy_read_seconds", "seconds", "time of a read of the policy's topic that returned records, with the wait for them")
+	mPolicyReadsFailed = metric.NewCounter("coltsfootmux_policy_reads_failed_total", "reads", "reads of the policy's topic that failed")
+	mDenied            = metric.NewCounterVec("coltsfootmux_requests_denied_total", "requests", "reason", "requests refused because the policy has no such route or key")
+
 	mStoreCalls = metric.NewCounterVec("coltsfootmux_store_calls_total", "calls", "result", "calls to the store by result")
 	mAppendTime = metric.NewHistogram("coltsfootmux_store_append_seconds", "seconds", "time of an append to the store")
 
@@ -52,7 +56,7 @@
 
 func init() {
 	gauge("coltsfootmux_policy_version", "version", "version of the policy in force", (*Instance).policyVersion)
-	gauge("coltsfootmux_policy_age_seconds", "seconds", "time since the policy was last read from the store", (*Instance).policyAge)
+	gauge("coltsfootmux_policy_age_seconds", "seconds", "time since the policy was last read from the store", func(i *Instance) float64 { return i.policyAge().Seconds() })
 	gauge("coltsfootmux_data_centres_drained", "data centres", "data centres in which operators allow no new runs", func(i *Instance) float64 { return float64(len(i.drainedDataCentres())) })
 	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process for any topic", (*Instance).storeReachable)
 	gauge("coltsfootmux_term_owned", "term", "the term that this process owns, 0 for none", (*Instance).ownedTerm)
@@ -72,8 +76,9 @@
 	return 0
 }
 
-func (i *Instance) policyAge() float64 {
-	return (boottime() - time.Duration(i.policyReadAt.Load())).Seconds()
+// policyAge returns how long ago the policy was last read from the store.
+func (i *Instance) policyAge() time.Duration {
+	return boottime() - time.Duration(i.policyReadAt.Load())
 }
 
 // sinceAnswer returns the seconds since the store last answered for a topic, 0 if it
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -15,25 +15,34 @@
 
 // followPolicy keeps the policy up to date from the store.
 func (i *Instance) followPolicy(ctx context.Context) {
-	r := &topicReader{
-		store: i.storeMonitor, topic: i.PolicyTopic,
-		onSnapshot: i.handlePolicySnapshot,
-		onPage:     i.handlePolicyRecords,
-		onError:    ignoreError,
-	}
+	r := &topicReader{store: i.storeMonitor, topic: i.PolicyTopic}
+	r.onSnapshot = func(p external.Page) { i.handlePolicySnapshot(p, r.took) }
+	r.onPage = func(p external.Page) { i.handlePolicyRecords(p, r.took) }
+	r.onError = func(err error) { i.policyReadFailed(err, r.took) }
 	r.run(ctx, -1)
 }
 
-func (i *Instance) handlePolicySnapshot(p external.Page) {
+// policyReadFailed reports a failed read of the policy that took the given time.
+func (i *Instance) policyReadFailed(err error, took time.Duration) {
+	mPolicyReadsFailed.Inc()
+	evPolicyReadFailed.Log(i.ctx, i.logger, slog.Any("error", err), slog.Duration("took", took),
+		slog.Int64("version", int64(i.policyVersion())), slog.Duration("age", i.policyAge()))
+}
+
+func (i *Instance) handlePolicySnapshot(p external.Page, took time.Duration) {
 	i.applyDrainSnapshot(p)
-	i.handlePolicyRecords(p)
+	i.handlePolicyRecords(p, took)
 }
 
-func (i *Instance) handlePolicyRecords(p external.Page) {
+func (i *Instance) handlePolicyRecords(p external.Page, took time.Duration) {
+	age := i.policyAge()
 	i.policyReadAt.Store(int64(boottime()))
+	if len(p.Records) > 0 {
+		mPolicyReadTime.Update(took.Seconds())
+	}
 	for _, r := range p.Records {
 		if r.Key == i.PolicyKey && len(r.Value) > 0 {
-			i.applyPolicy(r.Value, "store")
+			i.applyPolicy(r.Value, policySource{from: "store", took: took, age: age})
 		}
 		if i.DecodeWave != nil {
 			i.addWave(r)
@@ -44,11 +53,21 @@
 	}
 }
 
+// policySource says how a policy record was obtained, for the log.
+type policySource struct {
+	// from is "store" or the address of a peer.
+	from string
+	// took is how long the call that returned the record took, with its wait for news.
+	took time.Duration
+	// age is how long ago the policy in force had last been confirmed as the newest.
+	age time.Duration
+}
+
 // applyPolicy puts a policy into force if its version is newer.
-func (i *Instance) applyPolicy(record []byte, from string) {
+func (i *Instance) applyPolicy(record []byte, src policySource) {
 	p, err := i.DecodePolicy(record)
 	if err != nil {
-		evPolicyInvalid.Log(i.ctx, i.logger, slog.String("from", from), slog.Any("error", err))
+		evPolicyInvalid.Log(i.ctx, i.logger, slog.String("from", src.from), slog.Any("error", err))
 		return
 	}
 	i.policyMu.Lock()
@@ -57,8 +76,9 @@
 		return
 	}
 	i.policy.Store(&currentPolicy{policy: p, record: record})
-	evPolicyApplied.Log(i.ctx, i.logger, slog.Int64("version", p.Version), slog.String("from", from),
-		slog.Int("routes", len(p.Routes)), slog.Int("accounts", len(p.Accounts)))
+	evPolicyApplied.Log(i.ctx, i.logger, slog.Int64("version", p.Version), slog.String("from", src.from),
+		slog.Int("routes", len(p.Routes)), slog.Int("accounts", len(p.Accounts)),
+		slog.Int("bytes", len(record)), slog.Duration("took", src.took), slog.Duration("age", src.age))
 	if o := i.owner.Load(); o != nil {
 		o.step(cell.PolicyChanged{Policy: p})
 	}
@@ -88,14 +108,17 @@
 	if p := i.policy.Load(); p != nil {
 		q.Version = p.policy.Version
 	}
+	began := boottime()
 	r, err := link.Call[wire.PolicyQuery, wire.PolicyReply](ctx, i.pool, addr, wire.KindPolicy, q)
+	took := boottime() - began
 	i.members.recordAnswer(addr, err == nil)
 	if err != nil {
+		evPeerPolicyFailed.Log(ctx, i.logger, slog.String("addr", addr), slog.Any("error", err), slog.Duration("took", took))
 		return r, err
 	}
 	i.applyDrains(r.Drains, addr)
 	if len(r.Record) > 0 {
-		i.applyPolicy(r.Record, addr)
+		i.applyPolicy(r.Record, policySource{from: addr, took: took, age: i.policyAge()})
 	}
 	if r.Term.Term > i.latestTermRecord().Term {
 		i.stepTerm(term.PeerRecord{Record: r.Term})
--- a/internal/instance/topicreader.go
+++ b/internal/instance/topicreader.go
@@ -42,6 +42,8 @@
 	nextOffset int64
 	// skipWait makes reads return at once, because the one before was aborted.
 	skipWait bool
+	// took is how long the last read took, with its wait for a record.
+	took time.Duration
 }
 
 // run reads until ctx ends. It starts with a snapshot unless from is an offset of 0
@@ -73,7 +75,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
+	began := boottime()
 	p, err := r.store.Read(ctx, r.topic, r.nextOffset, wait)
+	r.took = boottime() - began
 	if err != nil {
 		return err
 	}
@@ -85,7 +89,9 @@
 func (r *topicReader) readSnapshot(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readWait+readTimeout)
 	defer cancel()
+	began := boottime()
 	p, err := r.store.Newest(ctx, r.topic)
+	r.took = boottime() - began
 	if err != nil {
 		return err
 	}
