Reproduce the late policy in tests, as known faults

A record of 870 kB over 200 kB/s never arrives, as the read's time limit of 3.2 s cuts each transfer off.

--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -37,6 +37,10 @@
 	refuseNext bool
 	// claimDelay is added to that of the next instance; minTenure is as in term.Settings.
 	claimDelay, minTenure time.Duration
+	// region and link, if set, are the region of the next instance, and what carries its
+	// reads of the store.
+	region string
+	link   *narrowLink
 }
 
 // node is one instance with its own connection to the store.
@@ -57,6 +61,8 @@
 	latency atomic.Int64
 	// longReads lets reads wait as long as they ask for, instead of 100 ms.
 	longReads atomic.Bool
+	// link, if set, carries the records of reads.
+	link *narrowLink
 }
 
 func (c *storeConn) Append(ctx context.Context, a external.Append) (int64, error) {
@@ -76,17 +82,27 @@
 	if err := c.delayAnswer(ctx); err != nil {
 		return external.Page{}, err
 	}
-	if c.longReads.Load() {
-		return c.Store.Read(ctx, t, from, wait)
+	if !c.longReads.Load() {
+		wait = min(wait, 100*time.Millisecond)
 	}
-	return c.Store.Read(ctx, t, from, min(wait, 100*time.Millisecond))
+	p, err := c.Store.Read(ctx, t, from, wait)
+	return c.overLink(ctx, p, err)
+}
+
+// overLink returns the answer to a read after the link has carried it.
+func (c *storeConn) overLink(ctx context.Context, p external.Page, err error) (external.Page, error) {
+	if err == nil && c.link != nil {
+		err = c.link.transfer(ctx, p)
+	}
+	return p, err
 }
 
 func (c *storeConn) Newest(ctx context.Context, t external.Topic) (external.Page, error) {
 	if c.isRefused() {
 		return external.Page{}, eris.Wrap(external.ErrNotExecuted, "refused")
 	}
-	return c.Store.Newest(ctx, t)
+	p, err := c.Store.Newest(ctx, t)
+	return c.overLink(ctx, p, err)
 }
 
 // delayAnswer waits for latency or until ctx ends.
@@ -177,7 +193,8 @@
 	if len(r.nodes) > 0 {
 		s.Peers = []string{r.nodes[0].inst.Settings.LinkAddr}
 	}
-	conn := &storeConn{Store: r.store, refused: make(chan struct{})}
+	s.Region = r.region
+	conn := &storeConn{Store: r.store, refused: make(chan struct{}), link: r.link}
 	if r.refuseNext {
 		close(conn.refused)
 	}
