End a read of the store by silence, not by the length of its transfer

Callers saw 401, 404 and old routes long after a version of the policy had been acknowledged; leases of workers in the same region expired and ended tasks were started again.

Cause: the time limit of a read (3.2 s) covered its wait for a record, up to 2 s of it, and the record's transfer. A record that needed longer was cut off and read again from its first byte. The repeated transfers filled the link between the regions, so that still fewer came through: collapse by retries without progress. A takeover and the list of members had the same limit.

Fix: the limit counts from the last part of the answer that arrived.

What remains is the full link itself.

--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -141,7 +141,7 @@
 }
 
 func (i *Instance) readMembers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	ctx, cancel := withStallLimit(ctx, readWait, readTimeout)
 	defer cancel()
 	p, err := i.store.Newest(ctx, topicMembers)
 	if err != nil {
--- a/internal/instance/narrowlink_test.go
+++ b/internal/instance/narrowlink_test.go
@@ -34,6 +34,7 @@
 	for ; left > 0; left -= linkChunkBytes {
 		select {
 		case <-time.After(time.Until(l.reserve(min(left, linkChunkBytes)))):
+			external.ReportProgress(ctx)
 		case <-ctx.Done():
 			return eris.Wrap(external.ErrOutcomeUnknown, "no answer in time")
 		}
--- a/internal/instance/storemonitor.go
+++ b/internal/instance/storemonitor.go
@@ -210,7 +210,7 @@
 // recordResult records what a call says about its topic. A call that its caller
 // cancelled says nothing.
 func (s *storeMonitor) recordResult(ctx context.Context, t external.Topic, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStalled) {
 		return
 	}
 	mStoreCalls.With(resultName(err)).Inc()
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"log/slog"
 
 	"golang.org/x/sync/errgroup"
@@ -71,7 +70,7 @@
 	if err := o.progress.fence(o.ctx); err != nil {
 		return offsets, ev, err
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, readWait+readTimeout)
+	ctx, cancel := withStallLimit(o.ctx, readWait+readTimeout, readTimeout)
 	defer cancel()
 	jobs := o.readJobTopics(ctx)
 	state := storedState{progress: make([]external.Page, len(topicsProgress))}
--- a/internal/instance/topicreader.go
+++ b/internal/instance/topicreader.go
@@ -18,7 +18,8 @@
 	// outageRetryDelay is the same while the store answers for no topic. Probes notice
 	// its return.
 	outageRetryDelay = time.Second
-	// readTimeout bounds a read in addition to its wait.
+	// readTimeout is how long a read may go without any part of its answer, in addition to
+	// its wait.
 	readTimeout = 1200 * time.Millisecond
 )
 
@@ -73,7 +74,7 @@
 	if r.skipWait {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := withStallLimit(ctx, wait+readTimeout, readTimeout)
 	defer cancel()
 	began := boottime()
 	p, err := r.store.Read(ctx, r.topic, r.nextOffset, wait)
@@ -87,7 +88,7 @@
 }
 
 func (r *topicReader) readSnapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readTimeout)
+	ctx, cancel := withStallLimit(ctx, readWait+readTimeout, readTimeout)
 	defer cancel()
 	began := boottime()
 	p, err := r.store.Newest(ctx, r.topic)
