Read the policy over a few relays in each region

Callers of one region were served by an older version of the policy for seconds while large versions arrived; urgent work there began late and gangs waited in vain, as calls to workers timed out behind the copies.

Cause: every instance read every version from the store. 18 copies of 0.87 MB over 60 Mbit/s take 2.1 s, and grow with the instances, the record and the number of versions: fan-out of whole documents over a shared link. Peers passed a record on as one answer within 0.6 s, which a large one never met.

Fix: core/relay chooses, from the list of members, three instances of a region of more than eight (one more for each 16) on machines that can serve others. These read from the store. The others wait at a relay for news and copy the record in parts of 64 kB; what was copied is kept for the next relay, and the last four versions stay available, so that a copy ends while versions follow each other. A relay says how old its contact with the store is; one that has lost it, or does not answer, is passed over, and without any the store is read as before. Peers of an instance that the store refuses are asked in parts too.

Regions of up to eight instances read from the store as before.

--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -15,6 +15,8 @@
 	evPolicyReadFailed  = logevent.New(2206, slog.LevelInfo, "policy not read from the store")
 	evPeerPolicyFailed  = logevent.New(2207, slog.LevelInfo, "peer did not give its policy")
 	evDenied            = logevent.New(2208, slog.LevelInfo, "request refused by the policy")
+	evRelayStale        = logevent.New(2209, slog.LevelInfo, "relay has no contact with the store")
+	evPolicyPlan        = logevent.New(2265, slog.LevelInfo, "source of the policy chosen")
 	evTermGained        = logevent.New(2210, slog.LevelInfo, "term gained")
 	evTermLost          = logevent.New(2211, slog.LevelWarn, "term lost")
 	evOwnerChanged      = logevent.New(2212, slog.LevelInfo, "term owner changed")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -53,9 +53,16 @@
 	server *link.Server
 	logger *slog.Logger
 
-	policy       atomic.Pointer[currentPolicy]
-	policyReadAt atomic.Int64 // boot time of the last successful read, in ns
-	policyMu     sync.Mutex
+	policy atomic.Pointer[currentPolicy]
+	// policyReadAt is the boot time at which the store last answered a read of the policy,
+	// here or at the relay that was asked; policyContactAt that of the last part of an
+	// answer. Both are in ns.
+	policyReadAt    atomic.Int64
+	policyContactAt atomic.Int64
+	// policyFromStore is set while this instance reads the policy from the store itself.
+	policyFromStore atomic.Bool
+	policyMu        sync.Mutex
+	policyChanged   broadcast
 
 	termMu   sync.Mutex
 	term     *term.Core
@@ -66,6 +73,9 @@
 	storeMonitor *storeMonitor
 	store        external.Store
 	members      members
+	// membersRead is closed when the members have been read for the first time.
+	membersRead     chan struct{}
+	membersReadOnce sync.Once
 
 	drainMu sync.Mutex
 	drains  drain.Set
@@ -81,12 +91,6 @@
 	wg     sync.WaitGroup
 }
 
-// currentPolicy is a policy with the record that it was decoded from.
-type currentPolicy struct {
-	policy *job.Policy
-	record []byte
-}
-
 // New returns an instance that Run starts.
 func New(o Options) *Instance {
 	s := o.Settings
@@ -95,13 +99,15 @@
 	i.storeMonitor.onChange, i.storeMonitor.onUnreadable = i.logTopicChange, i.logUnreadableRecords
 	i.store = i.storeMonitor
 	i.members.lastFailure = make(map[string]time.Duration)
-	i.members.set(slices.Clone(s.Peers), nil, s.LinkAddr)
+	i.members.set(nil, s.Peers, s.LinkAddr)
+	i.membersRead = make(chan struct{})
 	host, region := model.HostID(s.Name), model.Region(s.Region)
 	i.pool = link.NewPool(link.PoolOptions{Self: host, Region: region, Logger: o.Logger})
 	i.server = link.NewServer(link.ServerOptions{Self: host, Region: region, Logger: o.Logger})
 	link.Handle(i.server, wire.KindJob, i.onJobQuery)
 	link.Handle(i.server, wire.KindPending, i.onPendingQuery)
 	link.Handle(i.server, wire.KindPolicy, i.onPolicyQuery)
+	link.Handle(i.server, wire.KindPolicyPart, i.onPolicyPartQuery)
 	link.Handle(i.server, wire.KindRecord, i.onRecordWrite)
 	link.Handle(i.server, wire.KindAppended, i.onAppended)
 	link.Handle(i.server, wire.KindYield, i.onYield)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -66,7 +66,7 @@
 	}
 	r.waitFor("complete", r.isComplete(refused, "over"))
 	r.store.Put(testPolicies, "policy", []byte("2"))
-	r.waitFor("the policy through a peer", func() bool { return refused.inst.policyVersion() == 2 })
+	r.waitFor("the policy through a peer", func() bool { return refused.inst.policyInForce() == 2 })
 }
 
 func TestInstanceRefusedByTheStoreFindsTheNextOwner(t *testing.T) {
@@ -115,7 +115,7 @@
 	r.store.SetFault(store.Fault{})
 	r.store.Put(testPolicies, "policy", []byte("5"))
 	began := time.Now()
-	r.waitFor("the policy", func() bool { return i.policyVersion() == 5 })
+	r.waitFor("the policy", func() bool { return i.policyInForce() == 5 })
 	if took := time.Since(began); took > 1200*time.Millisecond {
 		t.Errorf("took %v", took)
 	}
@@ -223,22 +223,22 @@
 
 func TestPolicyIsReadPastExpiredRecords(t *testing.T) {
 	r := newRig(t, 1)
-	r.waitFor("a policy", func() bool { return r.nodes[0].inst.policyVersion() == 1 })
+	r.waitFor("a policy", func() bool { return r.nodes[0].inst.policyInForce() == 1 })
 	r.store.SetFault(store.Fault{Down: true})
 	r.store.Put(testPolicies, "policy", []byte("2"))
 	r.store.Expire(testPolicies)
 	r.store.SetFault(store.Fault{})
-	r.waitFor("the newest policy", func() bool { return r.nodes[0].inst.policyVersion() == 2 })
+	r.waitFor("the newest policy", func() bool { return r.nodes[0].inst.policyInForce() == 2 })
 }
 
 func TestOlderPolicyIsNeverApplied(t *testing.T) {
 	r := newRig(t, 1)
 	r.store.Put(testPolicies, "policy", []byte("7"))
 	i := r.nodes[0].inst
-	r.waitFor("version 7", func() bool { return i.policyVersion() == 7 })
+	r.waitFor("version 7", func() bool { return i.policyInForce() == 7 })
 	i.applyPolicy([]byte("6"), policySource{from: "a peer"})
 	i.applyPolicy([]byte("junk"), policySource{from: "a peer"})
-	if v := i.policyVersion(); v != 7 {
+	if v := i.policyInForce(); v != 7 {
 		t.Errorf("version %v", v)
 	}
 }
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"coltsfootmux/internal/core/relay"
 	"coltsfootmux/internal/external"
 )
 
@@ -16,6 +17,9 @@
 	// membersInterval is how often the addresses are read; others don't need a new
 	// instance at once.
 	membersInterval = 8 * time.Second
+	// membersStartDelay is the time to the second read, for instances that start together
+	// and announce themselves after the first.
+	membersStartDelay = time.Second
 	// memberDemotion is how long an instance that did not answer is tried last.
 	memberDemotion = 3 * time.Second
 	// maxPeersPerCall bounds the peers that are tried for one call.
@@ -27,6 +31,9 @@
 type memberRecord struct {
 	Addr       string        `cbor:"1,keyasint"`
 	ClaimDelay time.Duration `cbor:"2,keyasint,omitempty"`
+	// Region and Relay are empty in the records of versions without relays.
+	Region string `cbor:"3,keyasint,omitempty"`
+	Relay  bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // members holds the addresses of other instances, from the settings and the store.
@@ -36,15 +43,23 @@
 	addrs []string
 	// strongAddrs are those of strong instances, which claim a term without a delay.
 	strongAddrs map[string]bool
+	// forRelays are the members whose records have been read, see package relay.
+	forRelays []relay.Member
 	// lastFailure is the boot time at which an instance last failed to answer, by address.
 	lastFailure map[string]time.Duration
 }
 
-// set replaces the addresses and which of them are strong; own is left out.
-func (m *members) set(addrs []string, strong map[string]bool, own string) {
+// set replaces the addresses by those of the records and of fixed; own is left out.
+func (m *members) set(records []memberRecord, fixed []string, own string) {
+	addrs, strong, forRelays := slices.Clone(fixed), make(map[string]bool), []relay.Member(nil)
+	for _, r := range records {
+		addrs = append(addrs, r.Addr)
+		strong[r.Addr] = r.ClaimDelay == 0
+		forRelays = append(forRelays, relay.Member{Addr: r.Addr, Region: r.Region, Capable: r.Relay})
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.strongAddrs = strong
+	m.strongAddrs, m.forRelays = strong, forRelays
 	slices.Sort(addrs)
 	addrs = slices.Compact(addrs)
 	at, _ := slices.BinarySearch(addrs, own)
@@ -52,6 +67,13 @@
 	m.addrs = slices.DeleteFunc(m.addrs, func(a string) bool { return a == own })
 }
 
+// relayPlan returns where an instance gets the policy from.
+func (m *members) relayPlan(self relay.Member) relay.Plan {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return relay.Choose(self, m.forRelays)
+}
+
 // candidates returns some addresses to try: preferred first, and last those that failed
 // to answer recently.
 func (m *members) candidates(now time.Duration, preferred string) []string {
@@ -76,6 +98,13 @@
 	return all[:min(len(all), limit)]
 }
 
+// responsiveFirst returns addrs with those that failed to answer recently at the end.
+func (m *members) responsiveFirst(now time.Duration, addrs []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ordered(now, "", addrs)
+}
+
 // ordered puts preferred first and those that failed to answer recently last.
 func (m *members) ordered(now time.Duration, preferred string, addrs []string) []string {
 	var responsive, unresponsive []string
@@ -113,22 +142,21 @@
 
 // followMembers announces this instance and keeps the addresses of the others up to date.
 func (i *Instance) followMembers(ctx context.Context) {
-	announced := false
-	for ctx.Err() == nil {
-		if !announced {
-			announced = i.announce(ctx)
-		}
+	i.readMembers(ctx)
+	for !i.announce(ctx) && ctx.Err() == nil {
+		sleep(ctx, readRetryDelay)
+		i.readMembers(ctx)
+	}
+	for delay := membersStartDelay; ctx.Err() == nil; delay = membersInterval {
+		sleep(ctx, delay)
 		i.readMembers(ctx)
-		if !announced {
-			sleep(ctx, readRetryDelay)
-			continue
-		}
-		sleep(ctx, membersInterval)
 	}
 }
 
 func (i *Instance) announce(ctx context.Context) bool {
-	value, err := encodeRecord(memberRecord{Addr: i.Settings.LinkAddr, ClaimDelay: i.Settings.Term.ClaimDelay})
+	value, err := encodeRecord(memberRecord{
+		Addr: i.Settings.LinkAddr, ClaimDelay: i.Settings.Term.ClaimDelay, Region: i.Settings.Region, Relay: i.Settings.Relay,
+	})
 	if err == nil {
 		_, err = i.store.Append(ctx, external.Append{
 			Topic: topicMembers, Records: []external.Record{{Key: i.Settings.Name, Value: value}},
@@ -141,24 +169,24 @@
 }
 
 func (i *Instance) readMembers(ctx context.Context) {
-	ctx, cancel := withStallLimit(ctx, readWait, readTimeout)
+	ctx, cancel := withStallLimit(ctx, readWait, readTimeout, nil)
 	defer cancel()
 	p, err := i.store.Newest(ctx, topicMembers)
 	if err != nil {
 		evMembersFailed.Log(ctx, i.logger, slog.String("call", "read"), slog.Any("error", err))
 		return
 	}
-	addrs, strong := slices.Clone(i.Settings.Peers), make(map[string]bool)
+	var records []memberRecord
 	for _, r := range p.Records {
 		var m memberRecord
 		if err := decodeRecord(r.Value, &m); err != nil {
 			evRecordInvalid.Log(ctx, i.logger, slog.String("topic", string(topicMembers)), slog.String("key", r.Key), slog.Any("error", err))
 			continue
 		}
-		addrs = append(addrs, m.Addr)
-		strong[m.Addr] = m.ClaimDelay == 0
+		records = append(records, m)
 	}
-	i.members.set(addrs, strong, i.Settings.LinkAddr)
+	i.members.set(records, i.Settings.Peers, i.Settings.LinkAddr)
+	i.membersReadOnce.Do(func() { close(i.membersRead) })
 }
 
 // peers returns the addresses of other instances to try, the cell's owner first.
--- a/internal/instance/members_test.go
+++ b/internal/instance/members_test.go
@@ -14,7 +14,7 @@
 func TestCancelledCallDoesNotDemoteAPeer(t *testing.T) {
 	i := &Instance{}
 	i.members.lastFailure = make(map[string]time.Duration)
-	i.members.set([]string{"a:1", "b:1"}, nil, "c:1")
+	i.members.set(nil, []string{"a:1", "b:1"}, "c:1")
 	ctx, cancel := context.WithCancel(t.Context())
 	i.recordPeerAnswer(ctx, "a:1", external.ErrOutcomeUnknown)
 	cancel()
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/external"
@@ -55,7 +54,7 @@
 }
 
 func init() {
-	gauge("coltsfootmux_policy_version", "version", "version of the policy in force", (*Instance).policyVersion)
+	gauge("coltsfootmux_policy_version", "version", "version of the policy in force", func(i *Instance) float64 { return float64(i.policyInForce()) })
 	gauge("coltsfootmux_policy_age_seconds", "seconds", "time since the policy was last read from the store", func(i *Instance) float64 { return i.policyAge().Seconds() })
 	gauge("coltsfootmux_data_centres_drained", "data centres", "data centres in which operators allow no new runs", func(i *Instance) float64 { return float64(len(i.drainedDataCentres())) })
 	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process for any topic", (*Instance).storeReachable)
@@ -69,18 +68,6 @@
 	gauge("coltsfootmux_cell_workers_usable", "workers", "workers of the owned cell that may be given work", func(i *Instance) float64 { return float64(i.cellLoad().Usable) })
 }
 
-func (i *Instance) policyVersion() float64 {
-	if p := i.policy.Load(); p != nil {
-		return float64(p.policy.Version)
-	}
-	return 0
-}
-
-// policyAge returns how long ago the policy was last read from the store.
-func (i *Instance) policyAge() time.Duration {
-	return boottime() - time.Duration(i.policyReadAt.Load())
-}
-
 // sinceAnswer returns the seconds since the store last answered for a topic, 0 if it
 // never did.
 func (i *Instance) sinceAnswer(t external.Topic) float64 {
--- a/internal/instance/narrowlink_test.go
+++ b/internal/instance/narrowlink_test.go
@@ -59,6 +59,17 @@
 	return fmt.Appendf(nil, "%d %s", version, bytes.Repeat([]byte("x"), 870_000))
 }
 
+// readers returns the number of instances that read the policy from the store.
+func (r *rig) readers() int {
+	readers := 0
+	for _, n := range r.nodes {
+		if n.inst.policyFromStore.Load() {
+			readers++
+		}
+	}
+	return readers
+}
+
 // The time limit of a read counted its wait for a record and the record's transfer. A
 // longer transfer was cut off and began again with the first byte.
 func TestPolicyArrivesOverALinkThatNeedsLongerThanARead(t *testing.T) {
@@ -68,7 +79,7 @@
 	slow.conn.longReads.Store(true)
 	r.waitFor("a policy", slow.inst.Ready)
 	r.store.Put(testPolicies, "policy", largePolicy(2))
-	r.waitFor("the new version", func() bool { return slow.inst.policyVersion() == 2 })
+	r.waitFor("the new version", func() bool { return slow.inst.policyInForce() == 2 })
 }
 
 // Every instance of a region read each version from the store in the other region, within
@@ -84,13 +95,14 @@
 		r.addInstance(n).conn.longReads.Store(true)
 	}
 	r.waitFor("an owner", func() bool { return r.owner() != nil })
+	r.waitFor("relays in use", func() bool { return r.readers() <= instances/4 })
 	for version := int64(2); version < 6; version++ {
 		put := time.Now()
 		r.store.Put(testPolicies, "policy", largePolicy(version))
 		time.Sleep(time.Until(put.Add(bound)))
 		late := 0
 		for _, n := range r.nodes {
-			if int64(n.inst.policyVersion()) < version {
+			if n.inst.policyInForce() < version {
 				late++
 			}
 		}
--- a/internal/instance/overview.go
+++ b/internal/instance/overview.go
@@ -7,7 +7,7 @@
 	t := i.latestTermRecord()
 	out := overview.Instance{
 		Name: i.Settings.Name, Incarnation: i.Settings.Incarnation, Ready: i.Ready(), StoreReachable: i.storeMonitor.reachable(),
-		PolicyVersion: int64(i.policyVersion()), PolicyAgeMS: i.policyAge().Milliseconds(),
+		PolicyVersion: i.policyInForce(), PolicyAgeMS: i.policyAge().Milliseconds(),
 		DrainedDataCentres: i.drainedDataCentres(),
 		Term:               t.Term, Owner: t.Owner, OwnerAddr: t.Addr,
 	}
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"coltsfootmux/internal/core/cell"
@@ -13,20 +14,11 @@
 	"coltsfootmux/internal/wire"
 )
 
-// followPolicy keeps the policy up to date from the store.
-func (i *Instance) followPolicy(ctx context.Context) {
-	r := &topicReader{store: i.storeMonitor, topic: i.PolicyTopic}
-	r.onSnapshot = func(p external.Page) { i.handlePolicySnapshot(p, r.took) }
-	r.onPage = func(p external.Page) { i.handlePolicyRecords(p, r.took) }
-	r.onError = func(err error) { i.policyReadFailed(err, r.took) }
-	r.run(ctx, -1)
-}
-
 // policyReadFailed reports a failed read of the policy that took the given time.
 func (i *Instance) policyReadFailed(err error, took time.Duration) {
 	mPolicyReadsFailed.Inc()
 	evPolicyReadFailed.Log(i.ctx, i.logger, slog.Any("error", err), slog.Duration("took", took),
-		slog.Int64("version", int64(i.policyVersion())), slog.Duration("age", i.policyAge()))
+		slog.Int64("version", i.policyInForce()), slog.Duration("age", i.policyAge()))
 }
 
 func (i *Instance) handlePolicySnapshot(p external.Page, took time.Duration) {
@@ -37,6 +29,7 @@
 func (i *Instance) handlePolicyRecords(p external.Page, took time.Duration) {
 	age := i.policyAge()
 	i.policyReadAt.Store(int64(boottime()))
+	i.recordPolicyContact()
 	if len(p.Records) > 0 {
 		mPolicyReadTime.Update(took.Seconds())
 	}
@@ -72,10 +65,12 @@
 	}
 	i.policyMu.Lock()
 	defer i.policyMu.Unlock()
-	if old := i.policy.Load(); old != nil && old.policy.Version >= p.Version {
+	old := i.policy.Load()
+	if old != nil && old.policy.Version >= p.Version {
 		return
 	}
-	i.policy.Store(&currentPolicy{policy: p, record: record})
+	i.policy.Store(newCurrentPolicy(p, record, old))
+	i.policyChanged.notify()
 	evPolicyApplied.Log(i.ctx, i.logger, slog.Int64("version", p.Version), slog.String("from", src.from),
 		slog.Int("routes", len(p.Routes)), slog.Int("accounts", len(p.Accounts)),
 		slog.Int("bytes", len(record)), slog.Duration("took", src.took), slog.Duration("age", src.age))
@@ -84,30 +79,39 @@
 	}
 }
 
-// askPeersForPolicy asks other instances for a newer policy while the store does not
-// answer this one.
+// askPeersForPolicy asks other instances for a newer policy while neither the store nor
+// a relay answers this one.
 func (i *Instance) askPeersForPolicy(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
+	copied := policyCopy{inst: i}
+	for ctx.Err() == nil {
 		sleep(ctx, policyMaxAge/2)
-		age := boottime() - time.Duration(i.policyReadAt.Load())
-		if age < readWait+policyMaxAge && i.storeMonitor.available(i.PolicyTopic) {
+		if i.policySourceAnswers() {
 			continue
 		}
 		for _, addr := range i.peers() {
-			i.askPolicy(ctx, addr, false)
+			r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{Parts: true})
+			if err == nil && r.Version > i.policyInForce() {
+				i.copyPolicy(ctx, &copied, addr, r)
+			}
 		}
 	}
 }
 
-// askPolicy asks a peer for a newer policy and, if checkStore is set, has it check whether
-// the store serves it the term.
-func (i *Instance) askPolicy(ctx context.Context, addr string, checkStore bool) (wire.PolicyReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	q := wire.PolicyQuery{CheckStore: checkStore}
-	if p := i.policy.Load(); p != nil {
-		q.Version = p.policy.Version
+// policySourceAnswers reports whether the store, or the relay that is asked in its place,
+// answers questions for the policy.
+func (i *Instance) policySourceAnswers() bool {
+	if i.policyContactAge() >= readWait+policyMaxAge {
+		return false
 	}
+	return !i.policyFromStore.Load() || i.storeMonitor.available(i.PolicyTopic)
+}
+
+// askPolicy asks a peer for a newer policy than the one in force. It applies the rest of
+// the answer, but leaves it to the caller to copy an offered record.
+func (i *Instance) askPolicy(ctx context.Context, addr string, q wire.PolicyQuery) (wire.PolicyReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+peerTimeout)
+	defer cancel()
+	q.Version = i.policyInForce()
 	began := boottime()
 	r, err := link.Call[wire.PolicyQuery, wire.PolicyReply](ctx, i.pool, addr, wire.KindPolicy, q)
 	took := boottime() - began
@@ -117,7 +121,7 @@
 		return r, err
 	}
 	i.applyDrains(r.Drains, addr)
-	if len(r.Record) > 0 {
+	if len(r.Record) > 0 { // from a peer that offers no parts
 		i.applyPolicy(r.Record, policySource{from: addr, took: took, age: i.policyAge()})
 	}
 	if r.Term.Term > i.latestTermRecord().Term {
@@ -126,20 +130,95 @@
 	return r, err
 }
 
+// copyPolicy copies the record that a peer offers and puts it into force. It reports
+// whether the policy in force is now at least as new as the offered one.
+func (i *Instance) copyPolicy(ctx context.Context, c *policyCopy, addr string, r wire.PolicyReply) bool {
+	if r.Relay == nil {
+		return false
+	}
+	age, began := i.policyAge(), boottime()
+	record, err := c.fetch(ctx, addr, r.Version, *r.Relay)
+	took := boottime() - began
+	if err != nil {
+		evPeerPolicyFailed.Log(ctx, i.logger, slog.String("addr", addr), slog.Any("error", err), slog.Duration("took", took),
+			slog.Int64("version", r.Version), slog.Int("copied", len(c.data)), slog.Int("of", r.Relay.Size))
+		return false
+	}
+	i.applyPolicy(record, policySource{from: addr, took: took, age: age})
+	return i.policyInForce() >= r.Version
+}
+
 func (i *Instance) onPolicyQuery(ctx context.Context, _ link.Peer, q wire.PolicyQuery) (wire.PolicyReply, error) {
+	i.awaitNewerPolicy(ctx, q)
 	r := wire.PolicyReply{TermTopicAvailable: i.storeMonitor.available(topicTerm)}
 	if q.CheckStore {
 		r.TermTopicAvailable = i.storeMonitor.confirmAvailable(ctx, topicTerm)
 	}
 	r.Term = i.latestTermRecord()
 	r.Drains = i.drainRecords()
+	r.Relay = &wire.PolicyOffer{FromStore: i.policyFromStore.Load(), ReadAge: i.policyAge(), ContactAge: i.policyContactAge()}
+	p := i.policy.Load()
+	if p == nil {
+		return r, nil
+	}
+	r.Version, r.Relay.Size, r.Relay.Sum = p.policy.Version, len(p.record), p.sum
+	if p.policy.Version > q.Version && !q.Parts {
+		r.Record = p.record
+	}
+	return r, nil
+}
+
+// awaitNewerPolicy waits, for q.Wait at most, while the policy in force is not newer than
+// the query's and this instance is in contact with the store.
+func (i *Instance) awaitNewerPolicy(ctx context.Context, q wire.PolicyQuery) {
+	if q.Wait <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(q.Wait, relayWait))
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := i.policyChanged.next()
+		untilStale := relayMaxContactAge - i.policyContactAge()
+		if i.policyInForce() > q.Version || untilStale < 0 || !i.policyFromStore.Load() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(untilStale + time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// policyInForce returns the version of the policy in force, 0 if there is none.
+func (i *Instance) policyInForce() int64 {
 	if p := i.policy.Load(); p != nil {
-		r.Version = p.policy.Version
-		if p.policy.Version > q.Version {
-			r.Record = p.record
+		return p.policy.Version
+	}
+	return 0
+}
+
+// policyAge returns how long ago the store last answered a read of the policy, here or at
+// the relay that was asked.
+func (i *Instance) policyAge() time.Duration {
+	return boottime() - time.Duration(i.policyReadAt.Load())
+}
+
+// policyContactAge returns how long ago the last part of such an answer arrived.
+func (i *Instance) policyContactAge() time.Duration {
+	return boottime() - time.Duration(i.policyContactAt.Load())
+}
+
+func (i *Instance) recordPolicyContact() { raise(&i.policyContactAt, boottime()) }
+
+// raise sets a boot time to a later one.
+func raise(at *atomic.Int64, to time.Duration) {
+	for {
+		old := at.Load()
+		if int64(to) <= old || at.CompareAndSwap(old, int64(to)) {
+			return
 		}
 	}
-	return r, nil
 }
 
 // logTopicChange logs that a topic of the store became unavailable to this process, or
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -193,7 +193,7 @@
 	if len(r.nodes) > 0 {
 		s.Peers = []string{r.nodes[0].inst.Settings.LinkAddr}
 	}
-	s.Region = r.region
+	s.Region, s.Relay = r.region, n%3 == 0
 	conn := &storeConn{Store: r.store, refused: make(chan struct{}), link: r.link}
 	if r.refuseNext {
 		close(conn.refused)
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -13,8 +13,10 @@
 	Name        string
 	Incarnation string
 	Zone        string
-	// Region is the machine's region, for the byte counts of links.
+	// Region is the machine's region.
 	Region string
+	// Relay says that the machine can pass the policy on to others of its region.
+	Relay bool
 	// LinkAddr is the address at which peers reach this instance.
 	LinkAddr string
 	// Peers are the addresses of some other instances; they may be out of date.
--- a/internal/instance/stall_test.go
+++ b/internal/instance/stall_test.go
@@ -13,7 +13,7 @@
 func TestTransferIsEndedBySilenceAndNotByItsLength(t *testing.T) {
 	const first, stall = 3 * time.Second, time.Second
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := withStallLimit(t.Context(), first, stall)
+		ctx, cancel := withStallLimit(t.Context(), first, stall, nil)
 		defer cancel()
 		time.Sleep(first - time.Millisecond)
 		for range 20 {
@@ -34,7 +34,7 @@
 func TestCallWithoutAnAnswerIsEnded(t *testing.T) {
 	const first = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := withStallLimit(t.Context(), first, time.Second)
+		ctx, cancel := withStallLimit(t.Context(), first, time.Second, nil)
 		defer cancel()
 		time.Sleep(first + time.Millisecond)
 		if !errors.Is(context.Cause(ctx), errStalled) {
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -70,7 +70,7 @@
 	if err := o.progress.fence(o.ctx); err != nil {
 		return offsets, ev, err
 	}
-	ctx, cancel := withStallLimit(o.ctx, readWait+readTimeout, readTimeout)
+	ctx, cancel := withStallLimit(o.ctx, readWait+readTimeout, readTimeout, nil)
 	defer cancel()
 	jobs := o.readJobTopics(ctx)
 	state := storedState{progress: make([]external.Page, len(topicsProgress))}
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -11,6 +11,7 @@
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/wire"
 )
 
 func (i *Instance) followTerm(ctx context.Context) {
@@ -153,7 +154,7 @@
 	wg.Go(func() { selfServed.Store(i.storeMonitor.probe(ctx, topicTerm, probeTimeout)) })
 	for _, addr := range i.peers() {
 		wg.Go(func() {
-			r, err := i.askPolicy(ctx, addr, true)
+			r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{CheckStore: true, Parts: true})
 			if err != nil {
 				return
 			}
--- a/internal/instance/topicreader.go
+++ b/internal/instance/topicreader.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -38,11 +39,15 @@
 	onPage func(external.Page)
 	// onError is called when a read fails.
 	onError func(error)
+	// onProgress, if set, is called when a part of an answer arrives.
+	onProgress func()
 
 	// nextOffset is the offset to read next; negative before a snapshot has been read.
 	nextOffset int64
 	// skipWait makes reads return at once, because the one before was aborted.
 	skipWait bool
+	// maxWait replaces readWait if it is set.
+	maxWait time.Duration
 	// took is how long the last read took, with its wait for a record.
 	took time.Duration
 }
@@ -52,29 +57,34 @@
 func (r *topicReader) run(ctx context.Context, from int64) {
 	r.nextOffset = from
 	for ctx.Err() == nil {
-		began := time.Now()
-		err := r.readOnce(ctx)
-		if r.skipWait = errors.Is(err, errReadAborted); r.skipWait {
-			continue
-		}
-		if err != nil && ctx.Err() == nil {
-			r.handleError(err)
-			r.store.waitToRetry(ctx)
-			continue
-		}
-		sleep(ctx, r.minInterval-time.Since(began))
+		r.step(ctx)
 	}
 }
 
+// step makes one read, and waits before the next.
+func (r *topicReader) step(ctx context.Context) {
+	began := time.Now()
+	err := r.readOnce(ctx)
+	if r.skipWait = errors.Is(err, errReadAborted); r.skipWait {
+		return
+	}
+	if err != nil && ctx.Err() == nil {
+		r.handleError(err)
+		r.store.waitToRetry(ctx)
+		return
+	}
+	sleep(ctx, r.minInterval-time.Since(began))
+}
+
 func (r *topicReader) readOnce(ctx context.Context) error {
 	if r.nextOffset < 0 {
 		return r.readSnapshot(ctx)
 	}
-	wait := readWait
+	wait := cmp.Or(r.maxWait, readWait)
 	if r.skipWait {
 		wait = 0
 	}
-	ctx, cancel := withStallLimit(ctx, wait+readTimeout, readTimeout)
+	ctx, cancel := r.limit(ctx, wait)
 	defer cancel()
 	began := boottime()
 	p, err := r.store.Read(ctx, r.topic, r.nextOffset, wait)
@@ -87,8 +97,16 @@
 	return nil
 }
 
+// skipSuperseded continues with a snapshot if a page was not the last: the records that
+// follow supersede each other.
+func (r *topicReader) skipSuperseded(p external.Page) {
+	if p.End-p.Next > 1 {
+		r.nextOffset = unread
+	}
+}
+
 func (r *topicReader) readSnapshot(ctx context.Context) error {
-	ctx, cancel := withStallLimit(ctx, readWait+readTimeout, readTimeout)
+	ctx, cancel := r.limit(ctx, readWait)
 	defer cancel()
 	began := boottime()
 	p, err := r.store.Newest(ctx, r.topic)
@@ -101,6 +119,11 @@
 	return nil
 }
 
+// limit returns a context for a read that may wait for a record.
+func (r *topicReader) limit(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return withStallLimit(ctx, wait+readTimeout, readTimeout, r.onProgress)
+}
+
 // handleError starts over with a snapshot if the next records have expired.
 func (r *topicReader) handleError(err error) {
 	var expired *external.ExpiredError
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -23,6 +23,7 @@
 	KindAppended     Kind = 16 // instance to owner: Appended -> Ack
 	KindYield        Kind = 17 // instance to owner: Yield -> Ack
 	KindTermNotice   Kind = 18 // owner to any: TermNotice -> Ack
+	KindPolicyPart   Kind = 19 // instance to any: PolicyPartQuery -> PolicyPartReply
 )
 
 // String returns the kind's name in metrics and logs.
@@ -56,6 +57,8 @@
 		return "pending"
 	case KindPolicy:
 		return "policy"
+	case KindPolicyPart:
+		return "policy_part"
 	case KindYield:
 		return "yield"
 	case KindTermNotice:
