Ask all peers for the policy in turn, and the owner each time

An instance that the store refuses could stay on an old policy for good.

Cause: it asked the same three peers each time, the next ones by address. If the store refused these too, none knew better. The cell's owner, which is asked first, was left out where the list of members had been read before the owner was added.

Fix: the owner is asked whether listed or not, and the other peers in turn.

--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -79,7 +79,23 @@
 func (m *members) candidates(now time.Duration, preferred string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := m.ordered(now, preferred, m.addrs)
+	return m.firstFew(now, preferred, m.addrs)
+}
+
+// inTurn returns the same number of addresses: preferred first, and others that change with
+// turn, so that all instances are asked in the end.
+func (m *members) inTurn(now time.Duration, preferred string, turn int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.addrs) == 0 {
+		return m.firstFew(now, preferred, nil)
+	}
+	at := turn * (maxPeersPerCall - 1) % len(m.addrs)
+	return m.firstFew(now, preferred, slices.Concat(m.addrs[at:], m.addrs[:at]))
+}
+
+func (m *members) firstFew(now time.Duration, preferred string, addrs []string) []string {
+	all := m.ordered(now, preferred, addrs)
 	return all[:min(len(all), maxPeersPerCall)]
 }
 
@@ -105,8 +121,12 @@
 	return m.ordered(now, "", addrs)
 }
 
-// ordered puts preferred first and those that failed to answer recently last.
+// ordered puts preferred first and those that failed to answer recently last. Preferred
+// need not be among addrs, which may be out of date.
 func (m *members) ordered(now time.Duration, preferred string, addrs []string) []string {
+	if preferred != "" && !slices.Contains(addrs, preferred) {
+		addrs = slices.Concat([]string{preferred}, addrs)
+	}
 	var responsive, unresponsive []string
 	for _, a := range addrs {
 		switch failedAt, ok := m.lastFailure[a]; {
@@ -191,9 +211,14 @@
 
 // peers returns the addresses of other instances to try, the cell's owner first.
 func (i *Instance) peers() []string {
-	owner := ""
+	return i.members.candidates(boottime(), i.ownerAddr())
+}
+
+// ownerAddr returns the address of the cell's owner, or an empty string if the owner is not
+// known or this instance.
+func (i *Instance) ownerAddr() string {
 	if rec, ok := i.ownerRecord(); ok && rec.Addr != i.Settings.LinkAddr {
-		owner = rec.Addr
+		return rec.Addr
 	}
-	return i.members.candidates(boottime(), owner)
+	return ""
 }
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -83,12 +83,12 @@
 // a relay answers this one.
 func (i *Instance) askPeersForPolicy(ctx context.Context) {
 	copied := policyCopy{inst: i}
-	for ctx.Err() == nil {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		sleep(ctx, policyMaxAge/2)
 		if i.policySourceAnswers() {
 			continue
 		}
-		for _, addr := range i.peers() {
+		for _, addr := range i.members.inTurn(boottime(), i.ownerAddr(), turn) {
 			r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{Parts: true})
 			if err == nil && r.Version > i.policyInForce() {
 				i.copyPolicy(ctx, &copied, addr, r)
--- a/internal/instance/relay_test.go
+++ b/internal/instance/relay_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+func TestPolicyArrivesThoughTheStoreRefusesTheRelays(t *testing.T) {
+	r := newRegion(t)
+	r.waitForVersion(2, r.nodes)
+	for _, n := range r.relays() {
+		close(n.conn.refused)
+	}
+	r.waitForVersion(3, r.nodes)
+	r.waitForVersion(4, r.nodes)
+}
+
 func TestPolicyArrivesThoughTheRelaysAreLost(t *testing.T) {
 	r := newRegion(t)
 	lost := make(map[*node]bool)
