--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -162,10 +162,8 @@
 
 func (s *simulation) workers() []external.Worker {
 	var out []external.Worker
-	for n := range 64 {
-		if m := s.machine(n); m != nil {
-			out = append(out, m.Worker)
-		}
+	for _, m := range s.fleet.Machines() {
+		out = append(out, m.Worker)
 	}
 	return out
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -48,6 +48,15 @@
 	violations       []string
 	// startedJobs holds the jobs of which a task was started.
 	startedJobs map[job.ID]bool
+	// Deadly, if set, says whether a task crashes each machine that starts it. OnCrash, if
+	// set, is called after a crash.
+	Deadly  func(job.TaskID) bool
+	OnCrash func(*Machine)
+	// Crashes is the number of machines that have crashed under a task; crashes and
+	// startsAfterCrashes count, by task, those and the starts after maxCrashes of them.
+	Crashes            int
+	crashes            map[job.TaskID]int
+	startsAfterCrashes map[job.TaskID]int
 	// Starts is the number of runs that were started.
 	Starts int
 	// OrderDelayed is set while an order is carried out that was delayed by the
@@ -58,7 +67,7 @@
 // New returns a fleet without machines.
 func New(w WorkFunc) *Fleet {
 	return &Fleet{
-		work: w, byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*taskRun),
+		work: w, crashes: make(map[job.TaskID]int), startsAfterCrashes: make(map[job.TaskID]int), byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*taskRun),
 		drainedAfter: make(map[string]time.Duration), noStartsAfter: make(map[job.ID]time.Duration), startedJobs: make(map[job.ID]bool), acknowledgedDone: make(map[job.TaskID]bool), everDone: make(map[job.TaskID]bool), listedDone: make(map[job.TaskID]*Machine),
 	}
 }
@@ -154,6 +163,10 @@
 	if m.Down {
 		return
 	}
+	if m.crashAt > 0 && now >= m.crashAt {
+		m.crash()
+		return
+	}
 	if len(m.runs) > 0 && m.clock(now) > m.leaseEnd {
 		for _, run := range slices.Clone(m.runs) {
 			m.end(run, external.EndedLeaseExpired)
@@ -297,5 +310,17 @@
 	return strings.Join(out, " ")
 }
 
+// Machines returns the machines whose processes have not crashed, in the order in which
+// they were added.
+func (f *Fleet) Machines() []*Machine {
+	var out []*Machine
+	for _, m := range f.machines {
+		if !m.crashed {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Machine returns a machine by its name, or nil if there is none.
 func (f *Fleet) Machine(id external.WorkerID) *Machine { return f.byID[id] }
--- a/internal/standin/fleet/machine.go
+++ b/internal/standin/fleet/machine.go
@@ -38,6 +38,12 @@
 	ClockRate float64
 	// Down machines answer no orders, and their runs make no progress.
 	Down bool
+	// crashed is set once the machine's process has ended for good; replacement is the
+	// process that runs at its address since, if any. crashAt is when a run that crashes
+	// its machine will do so, or 0.
+	crashed     bool
+	replacement *Machine
+	crashAt     time.Duration
 
 	fleet        *Fleet
 	startedAt    time.Duration
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -39,6 +39,7 @@
 		return m.orderResult(external.RefusedCapacity), nil
 	}
 	f.checkStart(m, o)
+	f.checkCrashes(m, o)
 	d, _ := f.work(o.Task, o.Run)
 	run := &taskRun{task: o.Task, number: o.Run, step: step, machine: m, total: d, remaining: d, startedAt: f.now, pacePercent: 100}
 	if o.Checkpoint != "" {
@@ -174,6 +175,12 @@
 // neither a machine nor an error, the result says why the order was refused.
 func (f *Fleet) machineFor(c external.OrderHeader) (*Machine, external.OrderResult, error) {
 	m := f.byID[c.Worker]
+	if m != nil && m.replacement != nil {
+		return nil, external.OrderResult{Refusal: external.RefusedOtherIncarnation}, nil
+	}
+	if m != nil && m.crashed {
+		return nil, external.OrderResult{}, external.ErrConnectionRefused
+	}
 	if m == nil || m.Down {
 		return nil, external.OrderResult{}, external.ErrOutcomeUnknown
 	}
