Do not wait for the lease of a process that is gone

Runs of a crashed worker were started again 6.3 s after the crash, although the owner had known for 2.6 s that another process answered at the worker's address.

Cause: an order that is refused as addressed to another incarnation was treated like any refusal. An address has one process at a time, so such an answer proves that the earlier process has ended, and its runs with it.

Fix: such an answer to a start, a stop or a hold ends the worker's runs, keeps new ones off it, and ends a new owner's wait for it.

--- a/internal/core/cell/crash_test.go
+++ b/internal/core/cell/crash_test.go
@@ -11,24 +11,29 @@
 )
 
 // newCrashSimulation returns a simulation in which the first task of jobs whose IDs begin
-// with "deadly" crashes its workers. Another process runs at a crashed worker's address
-// after three seconds.
+// with "deadly" crashes its workers.
 func newCrashSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	sim := newSimulation(t, seed, workers)
 	sim.fleet.Deadly = func(id job.TaskID) bool { return id.Index == 0 && len(id.Job) > 6 && id.Job[:6] == "deadly" }
+	sim.replaceCrashed()
+	return sim
+}
+
+// replaceCrashed has another process, with another ID, run at a crashed worker's address
+// after three seconds.
+func (s *simulation) replaceCrashed() {
 	crashes := 0
-	sim.fleet.OnCrash = func(m *fleet.Machine) {
+	s.fleet.OnCrash = func(m *fleet.Machine) {
 		crashes++
 		id := external.WorkerID(fmt.Sprintf("%s.%d", m.ID[:3], crashes))
-		sim.schedule(3*time.Second, func() {
-			next := sim.fleet.Replace(m, id)
-			sim.schedule(500*time.Millisecond, func() {
-				sim.step(sim.current(), WorkerUnlisted{ID: m.ID})
-				sim.step(sim.current(), WorkerChanged{Worker: next.Worker})
+		s.schedule(3*time.Second, func() {
+			next := s.fleet.Replace(m, id)
+			s.schedule(500*time.Millisecond, func() {
+				s.step(s.current(), WorkerUnlisted{ID: m.ID})
+				s.step(s.current(), WorkerChanged{Worker: next.Worker})
 			})
 		})
 	}
-	return sim
 }
 
 // A run that ended with its worker counted as no attempt, so that a task that crashes its
@@ -80,3 +85,32 @@
 		}
 	}
 }
+
+// The runs of a crashed worker waited for the lease of a process that did not exist any
+// more, although another process answered at its address.
+func TestRunsOfACrashedWorkerDoNotWaitForTheirLease(t *testing.T) {
+	sim := newCrashSimulation(t, 3, 2)
+	sim.takeOver()
+	sim.run(100 * time.Millisecond)
+	starts := make(map[job.TaskID][]time.Duration)
+	sim.onStart = func(o external.StartOrder) { starts[o.Task] = append(starts[o.Task], sim.now) }
+	beside := oneStepJob("j", 6)
+	sim.submit(beside)
+	sim.run(200 * time.Millisecond)
+	sim.submit(oneStepJob("deadly-1", 1))
+	sim.run(6 * time.Second)
+	const downFor = 3 * time.Second
+	again := 0
+	for task, at := range starts {
+		if task.Job != "j" || len(at) < 2 {
+			continue
+		}
+		again++
+		if wait := at[1] - at[0]; wait > downFor+1500*time.Millisecond {
+			t.Errorf("%v was started again after %v", task, wait)
+		}
+	}
+	if again == 0 {
+		t.Error("no run was lost")
+	}
+}
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -22,6 +22,7 @@
 		c.placementDue = true
 	}
 	if n.StartedMS != 0 && w.reportedStartMS != 0 && n.StartedMS > w.reportedStartMS {
+		w.gone = false
 		w.probeDue = true // the worker's own lists show which runs the new incarnation has
 	}
 	if n.Draining && !wasDraining {
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -87,6 +87,9 @@
 // needsHold reports whether a worker has to be asked: it has runs, it does not answer
 // or has not answered in this term, or ended runs can be acknowledged.
 func (c *Core) needsHold(w *worker) bool {
+	if w.gone {
+		return false
+	}
 	if len(w.runs) > 0 {
 		return true
 	}
@@ -151,6 +154,7 @@
 		return // the worker has answered a later hold
 	case ev.Failure != FailureNone || ev.Lists.Refusal != external.RefusedNone:
 		c.holdFailed(w, ev)
+		c.checkProcess(w, ev.Lists.Refusal)
 		return
 	}
 	if ev.Lists.StartedMS != 0 && ev.Lists.StartedMS < w.reportedStartMS {
@@ -233,6 +237,19 @@
 	w.nextHoldAt = c.now.Mono
 }
 
+// checkProcess ends the runs of a worker whose address refuses an order as another worker.
+// An address has one process at a time, so that the runs need not wait for their lease.
+func (c *Core) checkProcess(w *worker, refusal external.Refusal) {
+	if refusal != external.RefusedOtherIncarnation || w.gone {
+		return
+	}
+	w.gone = true
+	c.emit(WorkerStateChanged{Worker: w.ID, Change: "process is gone", Runs: len(w.runs)})
+	for _, r := range slices.Clone(w.runs) {
+		c.endRun(r, EndedLost, r.latestCheckpoint)
+	}
+}
+
 // processEnds processes each listed end of a run once, in the order of the numbers.
 func (c *Core) processEnds(w *worker, ends []external.EndedRun) {
 	for _, e := range ends {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -51,6 +51,7 @@
 		return
 	}
 	c.updateClock(w, ev.Clock)
+	c.checkProcess(w, ev.Refusal)
 	r := w.findRun(ev.Task, ev.Run)
 	if r == nil {
 		return
@@ -148,6 +149,7 @@
 	if w == nil {
 		return
 	}
+	c.checkProcess(w, ev.Refusal)
 	r := w.findRun(ev.Task, ev.Run)
 	if r == nil || r.state != runStopping {
 		return
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -29,13 +29,23 @@
 	}
 }
 
+// TestInvariantsHoldWhileWorkersCrash runs scenarios in which workers crash and other
+// processes run at their addresses.
+func TestInvariantsHoldWhileWorkersCrash(t *testing.T) {
+	for seed := range uint64(randomScenarios) {
+		if err := runRandomScenario(t, seed, scenario{crashes: true}); err != "" {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestInvariantsHoldUnderFreshSeeds runs scenarios with seeds that rapid chooses.
 func TestInvariantsHoldUnderFreshSeeds(t *testing.T) {
 	if !*fresh {
 		t.Skip("runs with -fresh")
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains")}
+		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains"), crashes: rapid.Bool().Draw(rt, "crashes")}
 		if err := runRandomScenario(t, rapid.Uint64().Draw(rt, "seed"), o); err != "" {
 			rt.Fatal(err)
 		}
@@ -65,6 +75,8 @@
 	unreadRate float64
 	// drains says that data centres are drained and taken back.
 	drains bool
+	// crashes says that workers crash, and other processes run at their addresses.
+	crashes bool
 }
 
 // runRandomScenario runs the scenario of a seed until all jobs have ended. It returns a
@@ -72,7 +84,8 @@
 func runRandomScenario(t *testing.T, seed uint64, o scenario) string {
 	sim := newSimulation(t, seed, 6+int(seed%6))
 	sim.unreadRate = o.unreadRate
-	drainRNG := rand.New(rand.NewPCG(seed, 2))
+	drainRNG, crashRNG := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
+	sim.replaceCrashed()
 	sim.lossRate, sim.lateRate = sim.rng.Float64()*0.15, sim.rng.Float64()*0.1
 	sim.unlistedRate = sim.rng.Float64() * 0.3
 	sim.takeOver()
@@ -82,6 +95,9 @@
 		if o.drains && drainRNG.IntN(4) == 0 {
 			sim.toggleDrain(fmt.Sprintf("d%d", drainRNG.IntN(testDataCentres)))
 		}
+		if live := sim.fleet.Machines(); o.crashes && crashRNG.IntN(3) == 0 {
+			live[crashRNG.IntN(len(live))].Crash()
+		}
 	}
 	sim.lossRate, sim.lateRate, sim.storeDown = 0, 0, false
 	clear(sim.unreachable)
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -77,5 +77,5 @@
 // mayHaveUnknownRuns reports whether a worker may have runs of the previous term that
 // this owner does not know of.
 func (w *worker) mayHaveUnknownRuns(now time.Duration) bool {
-	return !w.knowsTerm && (w.listed || w.inherited) && !w.hasLeft(now)
+	return !w.knowsTerm && !w.gone && (w.listed || w.inherited) && !w.hasLeft(now)
 }
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -25,6 +25,9 @@
 	// reportedStartMS identifies the worker's current incarnation by its start time,
 	// as last listed or answered; 0 if unknown.
 	reportedStartMS int64
+	// gone is set once another worker has answered at this worker's address: its process
+	// has ended, and nothing runs there any more.
+	gone bool
 	// incarnation counts the restarts of the worker that this owner has seen.
 	incarnation int
 	// lastAnswerAt is when the worker last answered a hold.
@@ -111,7 +114,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && w.onRoster && w.knowsTerm && !w.Draining && !w.placeDrained && w.holdFailures == 0 && w.unidentifiedRuns == 0 && now >= w.pauseUntil
+	return w.listed && !w.gone && w.onRoster && w.knowsTerm && !w.Draining && !w.placeDrained && w.holdFailures == 0 && w.unidentifiedRuns == 0 && now >= w.pauseUntil
 }
 
 // settledEnd returns the number up to which all listed ends of runs have been applied.
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -15,12 +15,12 @@
 	maxStartsAfter = 2
 )
 
-// crash ends the machine's process for good: its runs and its state are lost.
-func (m *Machine) crash() {
+// Crash ends the machine's process for good: its runs and its state are lost.
+func (m *Machine) Crash() {
 	f := m.fleet
 	f.Crashes++
 	for _, run := range m.runs {
-		if f.Deadly(run.task) {
+		if f.Deadly != nil && f.Deadly(run.task) {
 			f.crashes[run.task]++
 		}
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -164,7 +164,7 @@
 		return
 	}
 	if m.crashAt > 0 && now >= m.crashAt {
-		m.crash()
+		m.Crash()
 		return
 	}
 	if len(m.runs) > 0 && m.clock(now) > m.leaseEnd {
