Give up tasks that crash their workers, after trying them alone

Cause: a run that ended with its worker was no attempt, and nothing else counted it. The task started again at once, in company, without end. Class of fault: a retry whose failure takes a shared resource down, without a budget.

Fix: core/blame decides which tasks are to blame for a crash. The first crash makes suspects of the runs that had just been started; while many workers crash at once, only of those at their very start. A suspect is tried again on a worker of its own that has not crashed lately: an empty one, or one that gets no new runs until it is empty; nothing runs beside it until it has survived for 3 s. A second crash alone and at the start gives the task up, any third one does, and the job is shown as failed. Crashes are counted with the progress of the job, so that they outlive the owner. A crash is known from another process at the worker's address, from a restart, or from a worker that is off the list and refuses connections until its lease is over; a cut or a leaving worker is none.

Logs: 2266 (crash, evidence, tasks to blame), 2267 (task given up), crashes in 2246; two counters.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"coltsfootmux/internal/core/blame"
 	"coltsfootmux/internal/core/contact"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
@@ -30,6 +31,10 @@
 	fleet []*worker
 	// failuresByPool holds the recent early failures of each pool.
 	failuresByPool map[string]*retry.Pool
+	// crashes is what is known of crashes of workers, crashedAddrs when processes at the
+	// workers' addresses crashed last.
+	crashes      blame.History
+	crashedAddrs map[string]time.Duration
 	// runTimesByQueue holds what ended runs tell of the run times of each queue.
 	runTimesByQueue map[string]*predict.Queue
 	// contactWindow limits how many workers are sent their first hold at the same
@@ -100,7 +105,7 @@
 		workers:         make(map[external.WorkerID]*worker),
 		cancels:         make(map[job.ID]bool),
 		termConfirmedAt: now.Mono,
-		contactWindow:   contact.New(), failuresByPool: make(map[string]*retry.Pool), runTimesByQueue: make(map[string]*predict.Queue),
+		contactWindow:   contact.New(), crashedAddrs: make(map[string]time.Duration), failuresByPool: make(map[string]*retry.Pool), runTimesByQueue: make(map[string]*predict.Queue),
 	}
 	c.previousLeasesEnd = now.Mono + s.PreviousOwnerGrace + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
--- a/internal/core/cell/demand.go
+++ b/internal/core/cell/demand.go
@@ -23,7 +23,7 @@
 	return demand{
 		pool: g.pool, resources: s.Resources(), size: u.size, gang: s.Gang, sameRack: s.SameRack, label: s.Label,
 		urgent:       g.rank.Priority == 0,
-		unitSpecific: s.DataRack != "" || s.MaxPerWorker > 0 || s.SameRack || len(u.excludedUntil) > 0 || u.plan != nil || g.occ.entry.job.Queue.NeedsAdvice,
+		unitSpecific: s.DataRack != "" || s.MaxPerWorker > 0 || s.SameRack || len(u.excludedUntil) > 0 || u.plan != nil || u.isSuspect() || g.occ.entry.job.Queue.NeedsAdvice,
 	}
 }
 
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -90,6 +90,10 @@
 	failedRuns []int64
 	// failedAt is when this owner counted the last of them.
 	failedAt time.Duration
+	// crashes counts, by member, the workers that have crashed under the unit; cleared is
+	// set once a later run has survived.
+	crashes map[int]int
+	cleared bool
 	// checkpoint names the latest checkpoint.
 	checkpoint    string
 	runs          []*run
--- a/internal/core/cell/history.go
+++ b/internal/core/cell/history.go
@@ -18,6 +18,8 @@
 	Moved     int
 	Failed    int
 	Lost      int
+	// Crashed counts the crashes of workers that were counted against the job's tasks.
+	Crashed int
 }
 
 func (h *History) countStop(reason StopReason) {
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -172,9 +172,11 @@
 	now := c.now.Mono
 	if w.holdFailures == 0 {
 		w.firstHoldFailureAt = now
+		c.crashes.WorkerFailed(now)
 		c.emit(WorkerStateChanged{Worker: w.ID, Change: "no answer", Runs: len(w.runs)})
 	}
 	w.holdFailures++
+	w.refusesConns = ev.Failure == FailureConnectionRefused
 	w.ackedEnd = 0 // the acknowledgement may not have arrived
 	w.nextHoldAt = now + holdRetryDelay
 	c.placementDue = true
@@ -183,15 +185,15 @@
 // recordAnswer records that a worker has answered a hold, and detects a restart of
 // the worker.
 func (c *Core) recordAnswer(w *worker, hold int64, l external.HoldResult) {
+	if l.StartedMS != 0 && w.reportedStartMS != 0 && l.StartedMS != w.reportedStartMS {
+		c.workerRestarted(w, hold)
+	}
 	if w.holdFailures > 0 {
 		w.holdFailures = 0
 		c.placementDue = true
 		c.emit(WorkerStateChanged{Worker: w.ID, Change: "answers again", Runs: len(w.runs)})
 	}
 	w.lastAnswerAt, w.answeredHold = c.now.Mono, max(w.answeredHold, hold)
-	if l.StartedMS != 0 && w.reportedStartMS != 0 && l.StartedMS != w.reportedStartMS {
-		c.workerRestarted(w, hold)
-	}
 	if l.StartedMS != 0 {
 		w.reportedStartMS = l.StartedMS
 	}
@@ -220,6 +222,7 @@
 // its outcome is unknown.
 func (c *Core) workerRestarted(w *worker, hold int64) {
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "has restarted", Runs: len(w.runs)})
+	c.workerCrashed(w, "it has restarted")
 	w.knowsTerm = false
 	w.incarnation++
 	w.clock, w.processedEnd, w.durableEnd, w.ackedEnd, w.leaseEnd = 0, 0, 0, 0, 0
@@ -237,19 +240,6 @@
 	w.nextHoldAt = c.now.Mono
 }
 
-// checkProcess ends the runs of a worker whose address refuses an order as another worker.
-// An address has one process at a time, so that the runs need not wait for their lease.
-func (c *Core) checkProcess(w *worker, refusal external.Refusal) {
-	if refusal != external.RefusedOtherIncarnation || w.gone {
-		return
-	}
-	w.gone = true
-	c.emit(WorkerStateChanged{Worker: w.ID, Change: "process is gone", Runs: len(w.runs)})
-	for _, r := range slices.Clone(w.runs) {
-		c.endRun(r, EndedLost, r.latestCheckpoint)
-	}
-}
-
 // processEnds processes each listed end of a run once, in the order of the numbers.
 func (c *Core) processEnds(w *worker, ends []external.EndedRun) {
 	for _, e := range ends {
@@ -318,6 +308,7 @@
 			r.startedAt = now
 		}
 		c.resolveStart(r, ResolvedRunning)
+		c.clearSuspect(r)
 		c.stopIfStalled(r)
 	}
 }
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -111,6 +111,7 @@
 		for _, u := range o.groups[s.Step].units {
 			u.failedRuns = s.Failures[u.index]
 			u.checkpoint = s.Checkpoints[u.index]
+			u.restoreCrashes(s.Crashes)
 			if s.IsDone(u.index) {
 				c.finishUnit(u)
 			}
@@ -118,6 +119,18 @@
 	}
 }
 
+// restoreCrashes restores the crashes counted by task.
+func (u *unit) restoreCrashes(byTask map[int]int) {
+	for member := range u.size {
+		if n := byTask[u.index+member]; n > 0 {
+			if u.crashes == nil {
+				u.crashes = make(map[int]int)
+			}
+			u.crashes[member] = n
+		}
+	}
+}
+
 // openNextOccurrence opens the next occurrence, or skips it if it has ended.
 func (c *Core) openNextOccurrence(e *jobEntry) {
 	if e.doneOccurrences[e.nextOccurrence] {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -210,6 +210,9 @@
 		change = "has left"
 	}
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: change, Runs: len(w.runs)})
+	if w.refusesConns && !w.listed {
+		c.workerCrashed(w, "nothing listens at its address")
+	}
 	for _, r := range slices.Clone(w.runs) {
 		c.endRun(r, EndedLost, r.latestCheckpoint)
 	}
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -148,6 +148,13 @@
 				s.Failures[u.index] = slices.Clone(u.failedRuns)
 				changed = true
 			}
+			for member, n := range u.crashes {
+				if s.Crashes == nil {
+					s.Crashes = make(map[int]int)
+				}
+				s.Crashes[u.index+member] = n
+				changed = true
+			}
 			if u.checkpoint != "" {
 				if s.Checkpoints == nil {
 					s.Checkpoints = make(map[int]string)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -60,6 +60,11 @@
 			p.unplaceable[d] = on == nil && d.isCacheable()
 		}
 		if on == nil {
+			if u.isSuspect() {
+				c.clearWorker(p, g, u)
+				c.reportWait(p, g, u)
+				continue
+			}
 			c.makeRoom(p, g, u)
 			c.reportWait(p, g, u)
 			c.checkAlarms(g)
@@ -124,6 +129,11 @@
 // allowed reports whether the worker may run a task of the unit, apart from its
 // free resources.
 func (c *Core) allowed(w *worker, g *taskGroup, u *unit) bool {
+	return c.isolationPermits(w, u) && c.allowedInCompany(w, g, u)
+}
+
+// allowedInCompany is allowed without what isolates suspects.
+func (c *Core) allowedInCompany(w *worker, g *taskGroup, u *unit) bool {
 	if u.excludes(w, c.now.Mono) || !c.failuresPermit(w, u) {
 		return false
 	}
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -74,6 +74,10 @@
 	// resumed is set for runs that began from a checkpoint or were adopted; their
 	// progress does not show their speed.
 	resumed bool
+	// crashCounted is set once the crash of the worker was counted against the run's task,
+	// onProbation while the run is one of worker.probationRuns.
+	crashCounted bool
+	onProbation  bool
 	// unidentified is set while the submission of the run's job has not been read. What
 	// resources such a run takes is not known.
 	unidentified bool
@@ -86,6 +90,7 @@
 	if r.unidentified {
 		r.worker.unidentifiedRuns++
 	}
+	r.worker.enterProbation(r)
 	if r.unit != nil {
 		r.unit.runs = append(r.unit.runs, r)
 		r.unit.state = unitActive
@@ -99,6 +104,7 @@
 	if r.unidentified {
 		r.worker.unidentifiedRuns--
 	}
+	r.worker.leaveProbation(r)
 	if r.unit != nil {
 		r.unit.runs = removeRun(r.unit.runs, r)
 	}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -69,6 +69,12 @@
 	// when the first of them failed.
 	holdFailures       int
 	firstHoldFailureAt time.Duration
+	// refusesConns is set if nothing listened at its address at the last of them.
+	refusesConns bool
+	// probationRuns counts the runs of suspects on the worker. clearedFor is the suspect
+	// for which it gets no other runs, if any.
+	probationRuns int
+	clearedFor    *unit
 	// processedEnd is the number of the last ended run that was processed, durableEnd
 	// of the last one whose effect is durable, and ackedEnd of the last one that was
 	// acknowledged to the worker.
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -76,7 +76,15 @@
 			slog.Duration("age", a.Age), slog.Duration("objective", a.Objective),
 			slog.Float64("stretch", a.Queue.Stretch), slog.Duration("fixed", time.Duration(a.Queue.ObjectiveMS)*time.Millisecond), slog.Duration("waited", a.History.MaxWait),
 			slog.Int("displaced", a.History.Preempted), slog.Int("moved", a.History.Moved),
-			slog.Int("failed", a.History.Failed), slog.Int("lost", a.History.Lost))
+			slog.Int("failed", a.History.Failed), slog.Int("lost", a.History.Lost), slog.Int("crashed", a.History.Crashed))
+	case cell.WorkerCrashed:
+		mWorkerCrashes.Inc()
+		evWorkerCrashed.Log(o.ctx, l, slog.String("worker", string(a.Worker)), slog.String("evidence", a.Evidence),
+			slog.Int("runs", a.Runs), slog.Any("blamed", a.Blamed))
+	case cell.TaskGivenUp:
+		mTasksGivenUp.Inc()
+		evTaskGivenUp.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("crashes", a.Crashes),
+			slog.Bool("alone", a.Alone), slog.Duration("age", a.Age))
 	case cell.UnitWaiting:
 		evWaiting.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("tasks", a.Tasks), slog.Duration("waited", a.Waited),
 			slog.Int("workers", a.Listed), slog.Int("usable", a.Usable), slog.Int("allowed", a.Allowed), slog.Int("large_enough", a.LargeEnough),
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -63,6 +63,8 @@
 	evWaveReportFailed  = logevent.New(2262, slog.LevelInfo, "status of an upkeep wave not written; retrying")
 	evOwnerQueryFailed  = logevent.New(2263, slog.LevelInfo, "owner did not say whether it has read a record")
 	evConfirmedByOwner  = logevent.New(2264, slog.LevelInfo, "owner has read the record of a job")
+	evWorkerCrashed     = logevent.New(2266, slog.LevelWarn, "worker has crashed")
+	evTaskGivenUp       = logevent.New(2267, slog.LevelWarn, "task given up: workers crash under it")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
 )
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -35,6 +35,8 @@
 	mHoldsFailed       = metric.NewCounter("coltsfootmux_worker_calls_failed_total", "calls", "holds that a worker did not answer")
 	mReadsAborted      = metric.NewCounter("coltsfootmux_reads_hurried_total", "reads", "reads of jobs aborted because a confirmed record was not delivered in time")
 	mUnconfirmedStarts = metric.NewCounterVec("coltsfootmux_doubts_total", "starts", "how", "unconfirmed starts by how they were resolved")
+	mWorkerCrashes     = metric.NewCounter("coltsfootmux_worker_crashes_total", "workers", "workers that have crashed while they had runs")
+	mTasksGivenUp      = metric.NewCounter("coltsfootmux_tasks_given_up_total", "tasks", "tasks whose job failed because workers crashed under them")
 	mAlarms            = metric.NewCounterVec("coltsfootmux_cell_alarms_total", "alarms", "code", "alarms raised, by code")
 	mProgressWriteTime = metric.NewHistogram("coltsfootmux_progress_write_seconds", "seconds", "time until progress is durable")
 )
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -38,6 +38,9 @@
 	Failures map[int][]int64 `cbor:"3,keyasint,omitempty"`
 	// Checkpoints holds the latest checkpoint by task.
 	Checkpoints map[int]string `cbor:"4,keyasint,omitempty"`
+	// Crashes counts the workers that have crashed under a task, by task. Here each member
+	// of a gang counts as a task.
+	Crashes map[int]int `cbor:"5,keyasint,omitempty"`
 }
 
 // MarkDone records that a task is done.
