Count runs of ended and unknown jobs against their workers' room

A worker that starts whatever it is told to could be given more than it holds.

Cause: a new owner adopts the runs that a worker lists. A run whose job had ended by then, such as a cancelled one whose order to stop was lost with the owner, belongs to no open task; it was ordered to stop, and took up nothing until then. Workers that check what fits refuse such starts; others run them.

Fix: what a run takes follows from its job's record, whether the job has ended or not. A worker with a run of a job that is not known gets nothing until the run is over.

--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -328,14 +328,14 @@
 // stops the run if its task is unknown or does not need it.
 func (c *Core) identify(r *run) {
 	u := c.unitOf(r.task)
-	if u != nil {
-		r.resources = u.group.step.Resources()
-	}
+	var known bool
+	r.resources, known = c.resourcesOf(r.task)
 	switch {
 	case c.isMissing(r.task.Job):
 		r.unidentified = true
 		r.attach()
 	case u == nil:
+		r.unidentified = !known
 		r.attach()
 		c.stopRun(r, ReasonUnknownTask)
 	case u.state == unitDone || u.entry().outcome != 0 || c.isOutdated(u, r.number):
@@ -351,6 +351,16 @@
 	}
 }
 
+// resourcesOf returns what a task takes, also if its job has ended; false if the job is not
+// known.
+func (c *Core) resourcesOf(t job.TaskID) (job.Resources, bool) {
+	e := c.jobs[t.Job]
+	if e == nil || t.Step < 0 || t.Step >= len(e.job.Steps) {
+		return job.Resources{}, false
+	}
+	return e.job.Steps[t.Step].Resources(), true
+}
+
 // isOutdated reports whether a run number of a unit is superseded by a later run, or
 // by the known run of the same number if the unit is a single task.
 func (c *Core) isOutdated(u *unit, number int64) bool {
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -45,7 +45,7 @@
 		t.Skip("runs with -fresh")
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains"), crashes: rapid.Bool().Draw(rt, "crashes")}
+		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains"), crashes: rapid.Bool().Draw(rt, "crashes"), unguarded: rapid.Bool().Draw(rt, "unguarded")}
 		if err := runRandomScenario(t, rapid.Uint64().Draw(rt, "seed"), o); err != "" {
 			rt.Fatal(err)
 		}
@@ -77,6 +77,8 @@
 	drains bool
 	// crashes says that workers crash, and other processes run at their addresses.
 	crashes bool
+	// unguarded says that workers start whatever they are told to.
+	unguarded bool
 }
 
 // runRandomScenario runs the scenario of a seed until all jobs have ended. It returns a
@@ -86,6 +88,9 @@
 	sim.unreadRate = o.unreadRate
 	drainRNG, crashRNG := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	sim.replaceCrashed()
+	if o.unguarded {
+		sim.unguarded()
+	}
 	sim.lossRate, sim.lateRate = sim.rng.Float64()*0.15, sim.rng.Float64()*0.1
 	sim.unlistedRate = sim.rng.Float64() * 0.3
 	sim.takeOver()
@@ -95,7 +100,7 @@
 		if o.drains && drainRNG.IntN(4) == 0 {
 			sim.toggleDrain(fmt.Sprintf("d%d", drainRNG.IntN(testDataCentres)))
 		}
-		if live := sim.fleet.Machines(); o.crashes && crashRNG.IntN(3) == 0 {
+		if live := sim.fleet.Machines(); o.crashes && len(live) > 0 && crashRNG.IntN(3) == 0 {
 			live[crashRNG.IntN(len(live))].Crash()
 		}
 	}
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -78,8 +78,8 @@
 	// onProbation while the run is one of worker.probationRuns.
 	crashCounted bool
 	onProbation  bool
-	// unidentified is set while the submission of the run's job has not been read. What
-	// resources such a run takes is not known.
+	// unidentified is set while the submission of the run's job is not known, or has not
+	// been read yet. What resources such a run takes is not known.
 	unidentified bool
 }
 
--- a/internal/job/resources.go
+++ b/internal/job/resources.go
@@ -34,3 +34,8 @@
 
 // Cores returns the amount in cores, with each GPU counted as coresPerGPU cores.
 func (r Resources) Cores() float64 { return float64(r.CPU)/1000 + coresPerGPU*float64(r.GPU) }
+
+// Max returns the larger of the two amounts of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), MemMB: max(r.MemMB, o.MemMB), GPU: max(r.GPU, o.GPU)}
+}
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -36,6 +36,7 @@
 	w := m.Worker
 	w.ID = id
 	m.replacement = f.Add(w)
+	m.replacement.Unguarded = m.Unguarded
 	return m.replacement
 }
 
--- a/internal/standin/fleet/machine.go
+++ b/internal/standin/fleet/machine.go
@@ -38,6 +38,11 @@
 	ClockRate float64
 	// Down machines answer no orders, and their runs make no progress.
 	Down bool
+	// Unguarded machines start whatever they are told to, whether it fits or not.
+	Unguarded bool
+	// before is the capacity that still counts until beforeEnd, after the machine shrank.
+	before    job.Resources
+	beforeEnd time.Duration
 	// crashed is set once the machine's process has ended for good; replacement is the
 	// process that runs at its address since, if any. crashAt is when a run that crashes
 	// its machine will do so, or 0.
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -35,7 +35,9 @@
 		return m.orderResult(external.RefusedInvalid), nil
 	}
 	step := &j.Steps[o.Task.Step]
-	if !m.free().Covers(step.Resources()) {
+	if m.Unguarded {
+		f.checkCapacity(m, o, step)
+	} else if !m.free().Covers(step.Resources()) {
 		return m.orderResult(external.RefusedCapacity), nil
 	}
 	f.checkStart(m, o)
