Back off from a store that refuses calls for its rate limit

Cause: each instance probes thirteen topics at its start. Together they exceed the rate limit of the store; refused probes made topics unavailable, each change of a topic had all topics probed again at once, and reads and the takeover were repeated after fixed delays. The load that kept the store at its limit was made by the reaction to the limit: a metastable overload.

Fix: the adapter tells a refusal for the rate limit (429) from others. While the store has answered any call of the process within the last second, such a refusal says nothing about a topic. Reads, probes, announcements and takeovers that it refuses are repeated after random delays that double; probes are then made one at a time, and together again once the store answers.

Ruled out: the takeover itself, members and status queries, which ran into the limit but did not cause it.

--- a/internal/external/errors.go
+++ b/internal/external/errors.go
@@ -11,6 +11,8 @@
 	ErrNotExecuted = eris.New("call was not executed")
 	// ErrConnectionRefused wraps ErrNotExecuted: nothing listens at the address.
 	ErrConnectionRefused = eris.Wrap(ErrNotExecuted, "connection refused")
+	// ErrRateLimited wraps ErrNotExecuted: all clients together call too often.
+	ErrRateLimited = eris.Wrap(ErrNotExecuted, "rate limit")
 	// ErrOutcomeUnknown means that no usable answer came: the call may have been
 	// executed, or may still be executed later.
 	ErrOutcomeUnknown = eris.New("outcome of the call is unknown")
--- a/internal/instance/health.go
+++ b/internal/instance/health.go
@@ -10,6 +10,10 @@
 // counts as unavailable; a single failure proves nothing.
 const failuresUntilUnavailable = 2
 
+// answerWindow is how long after an answer a refusal for the store's rate limit says nothing
+// about a topic: the store serves this process, but not each of its calls.
+const answerWindow = time.Second
+
 // availability says whether this process can use one topic of the store. The store
 // may lose some of its partitions and serve the others.
 type availability int
@@ -52,6 +56,16 @@
 	return false
 }
 
+// answeredWithin reports whether the store answered for any topic within the given time.
+func (h storeHealth) answeredWithin(now, d time.Duration) bool {
+	for _, t := range h {
+		if t.lastAnswer > 0 && now-t.lastAnswer <= d {
+			return true
+		}
+	}
+	return false
+}
+
 // noTopicUnavailable reports whether no topic is unavailable.
 func (h storeHealth) noTopicUnavailable() bool {
 	for _, t := range h {
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -162,10 +162,14 @@
 
 // followMembers announces this instance and keeps the addresses of the others up to date.
 func (i *Instance) followMembers(ctx context.Context) {
-	i.readMembers(ctx)
-	for !i.announce(ctx) && ctx.Err() == nil {
-		sleep(ctx, readRetryDelay)
+	retry := backoff{min: readRetryDelay, max: maxRetryDelay}
+	for ctx.Err() == nil {
 		i.readMembers(ctx)
+		err := i.announce(ctx)
+		if err == nil {
+			break
+		}
+		sleep(ctx, retry.delayAfter(err))
 	}
 	for delay := membersStartDelay; ctx.Err() == nil; delay = membersInterval {
 		sleep(ctx, delay)
@@ -173,7 +177,7 @@
 	}
 }
 
-func (i *Instance) announce(ctx context.Context) bool {
+func (i *Instance) announce(ctx context.Context) error {
 	value, err := encodeRecord(memberRecord{
 		Addr: i.Settings.LinkAddr, ClaimDelay: i.Settings.Term.ClaimDelay, Region: i.Settings.Region, Relay: i.Settings.Relay,
 	})
@@ -185,7 +189,7 @@
 	if err != nil {
 		evMembersFailed.Log(ctx, i.logger, slog.String("call", "announce"), slog.Any("error", err))
 	}
-	return err == nil
+	return err
 }
 
 func (i *Instance) readMembers(ctx context.Context) {
--- a/internal/instance/storemonitor.go
+++ b/internal/instance/storemonitor.go
@@ -236,6 +236,10 @@
 
 func (s *storeMonitor) recordFailure(t external.Topic, err error) {
 	s.mu.Lock()
+	if errors.Is(err, external.ErrRateLimited) && s.health.answeredWithin(boottime(), answerWindow) {
+		s.mu.Unlock()
+		return
+	}
 	becameUnavailable := s.health.recordFailure(t)
 	s.mu.Unlock()
 	if !becameUnavailable {
@@ -253,15 +257,14 @@
 	}
 }
 
-// waitToRetry waits before a failed read is repeated. While the store answers for no
-// topic, it waits longer, but not beyond the store's return.
-func (s *storeMonitor) waitToRetry(ctx context.Context) {
+// waitToRetry waits, for at least the given time, before a failed read is repeated. While
+// the store answers for no topic, it waits longer, but not beyond the store's return.
+func (s *storeMonitor) waitToRetry(ctx context.Context, wait time.Duration) {
 	s.mu.Lock()
 	down, recovered := !s.health.reachable(), s.recovered
 	s.mu.Unlock()
-	wait := readRetryDelay
 	if down {
-		wait = outageRetryDelay
+		wait = max(wait, outageRetryDelay)
 	} else {
 		recovered = nil
 	}
--- a/internal/instance/storeprobe.go
+++ b/internal/instance/storeprobe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -15,7 +16,10 @@
 	// probeInterval is the time between two probes of a topic that is not available.
 	// probeTimeout bounds one; a slow store still answers within it.
 	probeInterval = 150 * time.Millisecond
-	probeTimeout  = 500 * time.Millisecond
+	// maxProbeInterval is the longest time between two probes while the store refuses them
+	// for its rate limit; it doubles from probeInterval.
+	maxProbeInterval = 2 * time.Second
+	probeTimeout     = 500 * time.Millisecond
 	// confirmTimeout bounds a probe made for a peer; confirmAttempts of them fit into
 	// peerTimeout.
 	confirmTimeout  = 250 * time.Millisecond
@@ -27,48 +31,70 @@
 
 // runProbes probes the topics that are not available until ctx ends: all of them after
 // one became unavailable or available again, otherwise one at a time. During an outage,
-// the instances thus don't all call the store for every topic all the time.
+// the instances thus don't all call the store for every topic all the time. While the
+// store refuses probes for its rate limit, they are made ever less often.
 func (s *storeMonitor) runProbes(ctx context.Context) {
 	all, turn := true, 0
+	retry := backoff{min: probeInterval, max: maxProbeInterval}
 	for ctx.Err() == nil {
 		topics := s.topicsToProbe()
 		if !all && len(topics) > 0 {
 			turn++
 			topics = topics[turn%len(topics):][:1]
 		}
-		s.probeAll(ctx, topics)
-		t := time.NewTimer(probeInterval)
-		select {
-		case <-ctx.Done():
-		case <-s.probeNow:
-			all = true
-		case <-t.C:
+		answered, limited := s.probeAll(ctx, topics)
+		if limited {
 			all = false
+			sleep(ctx, retry.delay())
+			continue
 		}
-		t.Stop()
+		retry.reset()
+		// The topics that are left of a store that answers are probed together.
+		all = s.awaitProbe(ctx) || answered && len(topics) > 0
 	}
 }
 
+// awaitProbe waits until the next probe, and reports whether all topics are to be probed.
+func (s *storeMonitor) awaitProbe(ctx context.Context) (all bool) {
+	t := time.NewTimer(probeInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.probeNow:
+		return true
+	case <-t.C:
+	}
+	return false
+}
+
 // topicsToProbe returns the probed topics that are not available.
 func (s *storeMonitor) topicsToProbe() []external.Topic {
 	return slices.DeleteFunc(slices.Clone(s.probedTopics), s.available)
 }
 
-func (s *storeMonitor) probeAll(ctx context.Context, topics []external.Topic) {
+// probeAll probes topics at the same time. It reports whether the store answered all of
+// the probes, and whether it refused any for its rate limit.
+func (s *storeMonitor) probeAll(ctx context.Context, topics []external.Topic) (answered, limited bool) {
+	errs := make([]error, len(topics))
 	var g errgroup.Group
-	for _, t := range topics {
-		g.Go(func() error { s.probe(ctx, t, probeTimeout); return nil })
+	for n, t := range topics {
+		g.Go(func() error { errs[n] = s.probe(ctx, t, probeTimeout); return nil })
 	}
-	_ = g.Wait() // probes return no errors; their results are recorded
+	_ = g.Wait() // the errors are in errs
+	err := errors.Join(errs...)
+	return err == nil, errors.Is(err, external.ErrRateLimited)
 }
 
-// probe makes a new call for a topic and reports whether the store answered it.
-func (s *storeMonitor) probe(ctx context.Context, t external.Topic, within time.Duration) bool {
+// probe makes a new call for a topic. It returns an error if the store did not serve it.
+func (s *storeMonitor) probe(ctx context.Context, t external.Topic, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	_, err := s.Store.Read(ctx, t, probeOffset, 0)
 	s.recordResult(ctx, t, err)
-	return !isUnavailable(err)
+	if isUnavailable(err) {
+		return err
+	}
+	return nil
 }
 
 // confirmAvailable reports whether the store answers for a topic right now. One lost
@@ -76,7 +102,7 @@
 // of an outage, it would make an owner hand over its term although nobody can claim it.
 func (s *storeMonitor) confirmAvailable(ctx context.Context, t external.Topic) bool {
 	for range confirmAttempts {
-		if s.probe(ctx, t, confirmTimeout) {
+		if s.probe(ctx, t, confirmTimeout) == nil {
 			return true
 		}
 	}
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -10,6 +11,10 @@
 	"coltsfootmux/internal/job"
 )
 
+// maxTakeOverDelay is the longest time between two attempts to read the stored state; it
+// doubles from readRetryDelay.
+const maxTakeOverDelay = 600 * time.Millisecond
+
 // resumeOffsets are the offsets from which an owner reads on after it has taken over a cell.
 type resumeOffsets struct {
 	// jobs holds an offset for each of topicsJobs, unread for those that are not read yet.
@@ -21,6 +26,7 @@
 // It retries until it succeeds; ok is false if the term ended first.
 func (o *owner) takeOver() (from resumeOffsets, ok bool) {
 	began := boottime()
+	retry := backoff{min: readRetryDelay, max: maxTakeOverDelay}
 	for o.ctx.Err() == nil {
 		offsets, ev, err := o.loadState()
 		if err == nil {
@@ -30,7 +36,7 @@
 			return offsets, true
 		}
 		evTakeOverFailed.Log(o.ctx, o.inst.logger, slog.Int64("term", o.term), slog.Any("error", err))
-		sleep(o.ctx, readRetryDelay)
+		sleep(o.ctx, retry.delayAfter(err))
 	}
 	return resumeOffsets{}, false
 }
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -151,7 +151,7 @@
 	var answered, served atomic.Int64
 	var selfServed atomic.Bool
 	var wg sync.WaitGroup
-	wg.Go(func() { selfServed.Store(i.storeMonitor.probe(ctx, topicTerm, probeTimeout)) })
+	wg.Go(func() { selfServed.Store(i.storeMonitor.probe(ctx, topicTerm, probeTimeout) == nil) })
 	for _, addr := range i.peers() {
 		wg.Go(func() {
 			r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{CheckStore: true, Parts: true})
--- a/internal/instance/topicreader.go
+++ b/internal/instance/topicreader.go
@@ -16,6 +16,9 @@
 	readWait = 2 * time.Second
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = 200 * time.Millisecond
+	// maxRetryDelay is the longest such delay while the store refuses reads for its rate
+	// limit; it doubles from readRetryDelay.
+	maxRetryDelay = 2 * time.Second
 	// outageRetryDelay is the same while the store answers for no topic. Probes notice
 	// its return.
 	outageRetryDelay = time.Second
@@ -48,6 +51,8 @@
 	skipWait bool
 	// maxWait replaces readWait if it is set.
 	maxWait time.Duration
+	// retry gives the delays after failed reads.
+	retry backoff
 	// took is how long the last read took, with its wait for a record.
 	took time.Duration
 }
@@ -63,6 +68,7 @@
 
 // step makes one read, and waits before the next.
 func (r *topicReader) step(ctx context.Context) {
+	r.retry.min, r.retry.max = readRetryDelay, maxRetryDelay
 	began := time.Now()
 	err := r.readOnce(ctx)
 	if r.skipWait = errors.Is(err, errReadAborted); r.skipWait {
@@ -70,9 +76,10 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		r.handleError(err)
-		r.store.waitToRetry(ctx)
+		r.store.waitToRetry(ctx, r.retry.delayAfter(err))
 		return
 	}
+	r.retry.reset()
 	sleep(ctx, r.minInterval-time.Since(began))
 }
 
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -30,6 +30,9 @@
 	// NoReadWakeup lets a read that waits for records return only at the end of its
 	// wait time, even if records are appended before.
 	NoReadWakeup bool
+	// ReadsPerSecond, if positive, is how many reads all clients together may make in each
+	// second. Those beyond are refused.
+	ReadsPerSecond int
 	// Topics limits the fault to these topics; if empty, it applies to all.
 	Topics []external.Topic
 }
@@ -51,6 +54,9 @@
 	changed chan struct{}
 	// calls is the number of calls to the external.Log methods.
 	calls int
+	// second is the second in which the reads counted in readsInSecond were made.
+	second        time.Time
+	readsInSecond int
 }
 
 // New returns an empty store.
@@ -168,6 +174,9 @@
 	if _, err := s.begin(ctx, t); err != nil {
 		return external.Page{}, err
 	}
+	if s.isOverRate(t) {
+		return external.Page{}, eris.Wrap(external.ErrRateLimited, "too many reads")
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	waited := false
@@ -198,11 +207,29 @@
 	if _, err := s.begin(ctx, t); err != nil {
 		return external.Page{}, err
 	}
+	if s.isOverRate(t) {
+		return external.Page{}, eris.Wrap(external.ErrRateLimited, "too many reads")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.topic(t).newestPage(), nil
 }
 
+// isOverRate counts a read and reports whether it exceeds the rate limit.
+func (s *Store) isOverRate(t external.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.fault.forTopic(t).ReadsPerSecond
+	if limit <= 0 {
+		return false
+	}
+	if now := time.Now().Truncate(time.Second); !now.Equal(s.second) {
+		s.second, s.readsInSecond = now, 0
+	}
+	s.readsInSecond++
+	return s.readsInSecond > limit
+}
+
 // begin counts a call and applies the faults that act before it is carried out.
 func (s *Store) begin(ctx context.Context, t external.Topic) (Fault, error) {
 	s.mu.Lock()
