Ask only the first relay of a round to wait for news

With two of three relays silent at once, a version could be missed for 3.2 s: each was given its full wait.

--- a/internal/instance/policyfollower.go
+++ b/internal/instance/policyfollower.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// relayWait is how long a relay may wait for a newer version before it answers. A
-	// relay that stands still is noticed peerTimeout later.
-	relayWait = time.Second
+	// relayWait is how long the first relay of a round may wait for a newer version before
+	// it answers. A relay that is silent is noticed peerTimeout later.
+	relayWait = 700 * time.Millisecond
 	// relayReadWait replaces readWait at a relay, and relayMaxContactAge is the age of its
 	// last contact with the store up to which others rely on it: one such wait, and two
 	// round trips between regions.
@@ -106,19 +106,22 @@
 	f.turn++
 	first := f.turn % len(relays)
 	order := f.inst.members.responsiveFirst(boottime(), slices.Concat(relays[first:], relays[:first]))
+	wait := relayWait
 	for _, addr := range order[:min(len(order), relaysPerRound)] {
-		if ctx.Err() != nil || f.askRelay(ctx, addr) {
+		if ctx.Err() != nil || f.askRelay(ctx, addr, wait) {
 			return true
 		}
+		wait = 0 // a version may have been missed meanwhile
 	}
 	return false
 }
 
-// askRelay waits for news from a relay and copies a newer policy from it. It reports
-// whether the relay is in contact with the store and gave what it has.
-func (f *policyFollower) askRelay(ctx context.Context, addr string) bool {
+// askRelay asks a relay, which waits for news at most as long as given, and copies a newer
+// policy from it. It reports whether the relay is in contact with the store and gave what
+// it has.
+func (f *policyFollower) askRelay(ctx context.Context, addr string, wait time.Duration) bool {
 	i, began := f.inst, boottime()
-	r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{Wait: relayWait, Parts: true})
+	r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{Wait: wait, Parts: true})
 	if err != nil {
 		return false
 	}
@@ -132,7 +135,7 @@
 	now := boottime()
 	raise(&i.policyReadAt, now-r.Relay.ReadAge)
 	raise(&i.policyContactAt, now-r.Relay.ContactAge)
-	if r.Version <= i.policyInForce() && now-began < relayWait/2 {
+	if wait > 0 && r.Version <= i.policyInForce() && now-began < wait/2 {
 		sleep(ctx, readRetryDelay) // the relay did not wait
 	}
 	return true
