Count the bytes of each kind of call by itself

Kinds of 16 and above, the parts of a policy among them, were counted as control frames. TestEachKindOfCallIsCountedByItself failed before for four kinds.

--- a/internal/link/bytecount.go
+++ b/internal/link/bytecount.go
@@ -21,7 +21,7 @@
 
 // kindSlots bounds the kinds that are counted separately. Kinds with a number of
 // kindSlots or more are counted in slot 0.
-const kindSlots = 16
+const kindSlots = 32
 
 // traffic counts the bytes of one slot in both directions.
 type traffic struct{ sent, received atomic.Uint64 }
