Soak: tasks that crash their workers, large policies, workers that shrink

One job in 30 has a task that crashes each worker; it must end as failed, within the starts that the stand-in fleet allows. Policies of up to 3,000 more routes are written at random.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,8 @@
 	callTimeout = 3 * time.Second
 	retryDelay  = 400 * time.Millisecond
 	maxAttempts = 5
+	// deadlyEvery is the number of jobs for each whose task crashes its workers.
+	deadlyEvery = 30
 	// visibleAfter is how long after its acceptance a job must be known on every machine.
 	visibleAfter = 3 * time.Second
 )
@@ -35,6 +37,8 @@
 	// cancelUnknown means that a cancellation was neither accepted nor refused.
 	cancelUnknown bool
 	complete      bool
+	// deadly jobs have a task that crashes its workers. They are to fail.
+	deadly bool
 }
 
 // callers submits jobs, queries them and records the answers.
@@ -94,6 +98,9 @@
 	if rng.IntN(3) == 0 {
 		steps = append(steps, step{Count: 2, CPU: 200, EstMS: 300, After: []int{0}})
 	}
+	if sent.deadly = rng.IntN(deadlyEvery) == 0; sent.deadly {
+		c.bed.deadlyJobs.Store(job.ID(sent.id), true)
+	}
 	j := &job.Job{ID: job.ID(sent.id), Spec: "soak"}
 	for _, s := range steps {
 		j.Steps = append(j.Steps, job.Step{Count: s.Count, CPU: s.CPU, GPU: s.GPU, Gang: s.Gang, Checkpoints: s.Checkpoints, After: s.After})
@@ -135,8 +142,12 @@
 	switch status := c.call(rng, http.MethodGet, j, nil, &state); {
 	case status == http.StatusGone && time.Since(j.accepted) > visibleAfter:
 		c.violationf("job %s accepted %v ago is unknown", j.id, time.Since(j.accepted))
+	case status == http.StatusOK && state.State == "failed" && j.deadly:
+		j.complete = true
 	case status == http.StatusOK && state.State == "failed":
 		c.violationf("job %s is reported as failed", j.id)
+	case status == http.StatusOK && state.State == "complete" && j.deadly:
+		c.violationf("job %s is reported as complete, and its task crashes each worker", j.id)
 	case status == http.StatusOK && state.State == "complete":
 		j.complete = true
 	case status == http.StatusOK && state.State == "cancelled" && j.cancelUnknown:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/standin/fleet"
 	"coltsfootmux/internal/standin/store"
 	"coltsfootmux/platform"
@@ -31,7 +32,7 @@
 	restart := func() { _ = m.start(s.opts.Program) }
 	modes := [...]Mode{Delay, DropAll, DropReplies, Reset}
 	mode := modes[rng.IntN(len(modes))]
-	switch rng.IntN(13) {
+	switch rng.IntN(15) {
 	case 0:
 		return fault{"kill " + m.name, m.kill, restart}
 	case 1:
@@ -64,6 +65,11 @@
 	case 11:
 		d := dataCentre(n)
 		return fault{"drain " + d, func() { s.drain(d) }, func() { s.takeBack(d) }}
+	case 12:
+		routes := rng.IntN(3000)
+		return fault{fmt.Sprintf("policy with %d more routes", routes), func() { s.putPolicy(routes) }, func() {}}
+	case 13:
+		return fault{fmt.Sprintf("worker %d shrinks", n), func() { s.resizeWorker(n, 2) }, func() { s.resizeWorker(n, 1) }}
 	default:
 		return fault{"SIGHUP to " + m.name, func() { m.signal(syscall.SIGHUP) }, func() {}}
 	}
@@ -104,6 +110,19 @@
 	s.fleet.With(func(f *fleet.Fleet) { f.Machine(workerName(n)).Mode = mode })
 }
 
+// resizeWorker sets a worker's capacity to a part of what it had. Workers that check nothing
+// keep theirs: while the store fails, an owner may learn of the change too late.
+func (s *testbed) resizeWorker(n, divisor int) {
+	if s.unguarded() {
+		return
+	}
+	s.fleet.With(func(f *fleet.Fleet) {
+		r := workerCapacity
+		f.Machine(workerName(n)).SetCapacity(job.Resources{CPU: r.CPU / divisor, MemMB: r.MemMB / divisor, GPU: r.GPU / divisor})
+	})
+	s.register(n)
+}
+
 func (s *testbed) killAll() {
 	for _, m := range s.machines {
 		m.kill()
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,21 +50,22 @@
 	machines []*machine
 	servers  []*http.Server
 	stop     context.CancelFunc
+	// deadlyJobs holds the IDs of jobs whose first task crashes its workers.
+	deadlyJobs sync.Map
+	// policyVersion is the version of the policy that was written last.
+	policyVersion int
 }
 
-const policy = `{"version":1,"routes":[{"name":"r","host":"jobs.example","path_prefix":"/q/","timeout_ms":3000,"slo_ms":500,"priority":1,"backend":"p","max_tries":20,"stretch":2},
-{"name":"u","host":"jobs.example","path_prefix":"/u/","timeout_ms":3000,"slo_ms":500,"priority":0,"backend":"p","max_tries":20,"stretch":1.5}],
-"backends":[{"name":"p","admission_check":true}],"limits":{"max_body_bytes":65536},"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":16}}]}`
-
 func newTestbed(o Options) (*testbed, error) {
 	s := &testbed{opts: o, host: loopback.New(os.Getpid()), rng: rand.New(rand.NewPCG(o.Seed, 0)), store: store.New()}
 	s.fleet = fleet.NewLive(func(t job.TaskID, _ int64) (time.Duration, bool) {
 		return time.Duration(100+37*(t.Index+len(t.Job)*t.Step)%900) * time.Millisecond, false
 	})
+	s.setUpCrashes()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	go s.fleet.Run(ctx)
-	s.store.Put(platform.TopicPolicy, platform.KeyPolicy, []byte(policy))
+	s.putPolicy(0)
 	storeAddr, err := s.serve(platformtest.NewStore(s.store))
 	if err != nil {
 		return nil, err
@@ -91,6 +93,9 @@
 	return ln.Addr().String(), nil
 }
 
+// workerCapacity is the capacity of each worker.
+var workerCapacity = job.Resources{CPU: 8000, MemMB: 8000, GPU: 4}
+
 // maxClockLag is the largest share by which a worker's clock is slow.
 const maxClockLag = 0.02
 
@@ -109,9 +114,10 @@
 	s.fleet.With(func(f *fleet.Fleet) {
 		f.Add(external.Worker{
 			ID: workerName(n), Zone: dataCentre(n), Labels: []string{"a", rack}, Rack: rack,
-			Capacity: job.Resources{CPU: 8000, MemMB: 8000, GPU: 4},
+			Capacity: workerCapacity,
 		})
 		f.Machine(workerName(n)).ClockRate = 1 - maxClockLag*s.rng.Float64()
+		f.Machine(workerName(n)).Unguarded = s.unguarded()
 	})
 	s.register(n)
 	return nil
@@ -120,9 +126,12 @@
 // register writes a worker's entry to the store, as a real worker does periodically.
 func (s *testbed) register(n int) {
 	var born int64
-	s.fleet.With(func(f *fleet.Fleet) { born = f.Machine(workerName(n)).StartedMS })
-	entry := fmt.Sprintf(`{"backend":"p","addr":%q,"zone":%q,"state":"ready","capacity":{"cpu":8000,"mem_mb":8000,"gpu":4},"labels":["a","r%d"],"born":%d}`,
-		s.workers[n].Addr(), dataCentre(n), n/4, born)
+	var has job.Resources
+	s.fleet.With(func(f *fleet.Fleet) {
+		born, has = f.Machine(workerName(n)).StartedMS, f.Machine(workerName(n)).Capacity
+	})
+	entry := fmt.Sprintf(`{"backend":"p","addr":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"mem_mb":%d,"gpu":%d},"labels":["a","r%d"],"born":%d}`,
+		s.workers[n].Addr(), dataCentre(n), has.CPU, has.MemMB, has.GPU, n/4, born)
 	s.store.Put(platform.TopicWorkers, string(workerName(n)), []byte(entry))
 }
 
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -40,6 +40,12 @@
 	return m.replacement
 }
 
+// Revive starts the machine's process again, under its name, after a crash.
+func (m *Machine) Revive() {
+	m.Restart()
+	m.Down, m.crashed = false, false
+}
+
 // checkCrashes records a start of a task that has crashed too many machines.
 func (f *Fleet) checkCrashes(m *Machine, o external.StartOrder) {
 	if f.Deadly == nil || !f.Deadly(o.Task) {
