--- a/internal/instance/lastversion_test.go
+++ b/internal/instance/lastversion_test.go
@@ -92,7 +92,7 @@
 	leftOut(t, wire.PolicyQuery{Version: 3, Wait: time.Second, Parts: true}, &struct {
 		Version int64 `cbor:"1,keyasint"`
 	}{})
-	leftOut(t, wire.PolicyReply{Version: 3, Relay: &wire.PolicyOffer{Size: 3}}, &struct {
+	leftOut(t, wire.PolicyReply{Version: 3, Offer: &wire.PolicyOffer{Size: 3}}, &struct {
 		Version int64 `cbor:"1,keyasint"`
 	}{})
 }
--- a/internal/instance/policy.go
+++ b/internal/instance/policy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"coltsfootmux/internal/core/cell"
@@ -133,94 +132,21 @@
 // copyPolicy copies the record that a peer offers and puts it into force. It reports
 // whether the policy in force is now at least as new as the offered one.
 func (i *Instance) copyPolicy(ctx context.Context, c *policyCopy, addr string, r wire.PolicyReply) bool {
-	if r.Relay == nil {
+	if r.Offer == nil {
 		return false
 	}
 	age, began := i.policyAge(), boottime()
-	record, err := c.fetch(ctx, addr, r.Version, *r.Relay)
+	record, err := c.fetch(ctx, addr, r.Version, *r.Offer)
 	took := boottime() - began
 	if err != nil {
 		evPeerPolicyFailed.Log(ctx, i.logger, slog.String("addr", addr), slog.Any("error", err), slog.Duration("took", took),
-			slog.Int64("version", r.Version), slog.Int("copied", len(c.data)), slog.Int("of", r.Relay.Size))
+			slog.Int64("version", r.Version), slog.Int("copied", len(c.data)), slog.Int("of", r.Offer.Size))
 		return false
 	}
 	i.applyPolicy(record, policySource{from: addr, took: took, age: age})
 	return i.policyInForce() >= r.Version
 }
 
-func (i *Instance) onPolicyQuery(ctx context.Context, _ link.Peer, q wire.PolicyQuery) (wire.PolicyReply, error) {
-	i.awaitNewerPolicy(ctx, q)
-	r := wire.PolicyReply{TermTopicAvailable: i.storeMonitor.available(topicTerm)}
-	if q.CheckStore {
-		r.TermTopicAvailable = i.storeMonitor.confirmAvailable(ctx, topicTerm)
-	}
-	r.Term = i.latestTermRecord()
-	r.Drains = i.drainRecords()
-	r.Relay = &wire.PolicyOffer{FromStore: i.policyFromStore.Load(), ReadAge: i.policyAge(), ContactAge: i.policyContactAge()}
-	p := i.policy.Load()
-	if p == nil {
-		return r, nil
-	}
-	r.Version, r.Relay.Size, r.Relay.Sum = p.policy.Version, len(p.record), p.sum
-	if p.policy.Version > q.Version && !q.Parts {
-		r.Record = p.record
-	}
-	return r, nil
-}
-
-// awaitNewerPolicy waits, for q.Wait at most, while the policy in force is not newer than
-// the query's and this instance is in contact with the store.
-func (i *Instance) awaitNewerPolicy(ctx context.Context, q wire.PolicyQuery) {
-	if q.Wait <= 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, min(q.Wait, relayWait))
-	defer cancel()
-	for ctx.Err() == nil {
-		changed := i.policyChanged.next()
-		untilStale := relayMaxContactAge - i.policyContactAge()
-		if i.policyInForce() > q.Version || untilStale < 0 || !i.policyFromStore.Load() {
-			return
-		}
-		select {
-		case <-changed:
-		case <-time.After(untilStale + time.Millisecond):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// policyInForce returns the version of the policy in force, 0 if there is none.
-func (i *Instance) policyInForce() int64 {
-	if p := i.policy.Load(); p != nil {
-		return p.policy.Version
-	}
-	return 0
-}
-
-// policyAge returns how long ago the store last answered a read of the policy, here or at
-// the relay that was asked.
-func (i *Instance) policyAge() time.Duration {
-	return boottime() - time.Duration(i.policyReadAt.Load())
-}
-
-// policyContactAge returns how long ago the last part of such an answer arrived.
-func (i *Instance) policyContactAge() time.Duration {
-	return boottime() - time.Duration(i.policyContactAt.Load())
-}
-
-func (i *Instance) recordPolicyContact() { raise(&i.policyContactAt, boottime()) }
-
-// raise sets a boot time to a later one.
-func raise(at *atomic.Int64, to time.Duration) {
-	for {
-		old := at.Load()
-		if int64(to) <= old || at.CompareAndSwap(old, int64(to)) {
-			return
-		}
-	}
-}
-
 // logTopicChange logs that a topic of the store became unavailable to this process, or
 // available again.
 func (i *Instance) logTopicChange(t external.Topic, available bool, err error) {
--- a/internal/instance/policyfollower.go
+++ b/internal/instance/policyfollower.go
@@ -125,16 +125,16 @@
 	if err != nil {
 		return false
 	}
-	if r.Relay == nil || !r.Relay.FromStore || r.Relay.ContactAge > relayMaxContactAge {
-		evRelayStale.Log(ctx, i.logger, slog.String("addr", addr), slog.Any("offer", r.Relay))
+	if r.Offer == nil || !r.Offer.FromStore || r.Offer.ContactAge > relayMaxContactAge {
+		evRelayStale.Log(ctx, i.logger, slog.String("addr", addr), slog.Any("offer", r.Offer))
 		return false
 	}
 	if r.Version > i.policyInForce() && !i.copyPolicy(ctx, &f.copy, addr, r) {
 		return false
 	}
 	now := boottime()
-	raise(&i.policyReadAt, now-r.Relay.ReadAge)
-	raise(&i.policyContactAt, now-r.Relay.ContactAge)
+	raise(&i.policyReadAt, now-r.Offer.ReadAge)
+	raise(&i.policyContactAt, now-r.Offer.ContactAge)
 	if wait > 0 && r.Version <= i.policyInForce() && now-began < wait/2 {
 		sleep(ctx, readRetryDelay) // the relay did not wait
 	}
--- a/internal/instance/topicreader.go
+++ b/internal/instance/topicreader.go
@@ -18,7 +18,7 @@
 	readRetryDelay = 200 * time.Millisecond
 	// maxRetryDelay is the longest such delay while the store refuses reads for its rate
 	// limit; it doubles from readRetryDelay.
-	maxRetryDelay = 2 * time.Second
+	maxRetryDelay = time.Second
 	// outageRetryDelay is the same while the store answers for no topic. Probes notice
 	// its return.
 	outageRetryDelay = time.Second
--- a/internal/wire/policyquery.go
+++ b/internal/wire/policyquery.go
@@ -33,9 +33,9 @@
 	// TermTopicAvailable reports whether the store serves the topic of terms to the
 	// answering instance.
 	TermTopicAvailable bool `cbor:"3,keyasint"`
-	// Relay describes the record to copy. It is nil in the answers of versions that
+	// Offer describes the record to copy. It is nil in the answers of versions that
 	// know no parts.
-	Relay *PolicyOffer `cbor:"6,keyasint,omitempty"`
+	Offer *PolicyOffer `cbor:"6,keyasint,omitempty"`
 }
 
 // PolicyOffer describes the policy record of an instance.
