Give a worker back that was kept for a suspect

Found in review, before a landing: a worker that was cleared for a suspect got no other work until another suspect waited, also when the first one had been placed or given up.

--- a/internal/core/cell/crash_test.go
+++ b/internal/core/cell/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,3 +115,32 @@
 		t.Error("no run was lost")
 	}
 }
+
+// A worker that had been cleared for a suspect stayed reserved for it after the suspect had
+// been given up.
+func TestWorkerClearedForASuspectIsUsedAgain(t *testing.T) {
+	for seed := range uint64(8) {
+		sim := newCrashSimulation(t, seed, 6)
+		sim.takeOver()
+		sim.run(100 * time.Millisecond)
+		for n := range 12 {
+			sim.submit(oneStepJob(fmt.Sprintf("j%d", n), 24)) // no worker is empty for long
+		}
+		urgent := oneStepJob("deadly-1", 1)
+		urgent.Queue.Priority = 0
+		sim.submit(urgent)
+		sim.runUntilDone(90 * time.Second)
+		if !strings.Contains(strings.Join(sim.reports, "\n"), "cleared for a task") {
+			t.Errorf("seed %d: no worker was cleared", seed)
+		}
+		sim.run(20 * time.Second)
+		wide := oneStepJob("wide", 48)
+		sim.submit(wide)
+		sim.run(150 * time.Millisecond) // no task is done before 200 ms
+		if n := sim.fleet.RunningCount(); n < 48 {
+			t.Errorf("seed %d: %d of 48 tasks run on workers with room for all", seed, n)
+		}
+		sim.runUntilDone(30 * time.Second)
+		sim.check()
+	}
+}
--- a/internal/core/cell/isolation.go
+++ b/internal/core/cell/isolation.go
@@ -21,7 +21,7 @@
 // isolationPermits reports whether a unit may be placed on a worker as far as suspects are
 // concerned: nothing runs beside a suspect, and a suspect runs beside nothing.
 func (c *Core) isolationPermits(w *worker, u *unit) bool {
-	if w.probationRuns > 0 || w.clearedFor != nil && w.clearedFor != u {
+	if w.probationRuns > 0 || w.isCleared() && w.clearedFor != u {
 		return false
 	}
 	if !u.isSuspect() {
@@ -42,13 +42,13 @@
 // clearWorker has the worker that is free soonest get no new runs, so that a suspect can
 // run there alone.
 func (c *Core) clearWorker(p *pass, g *rankedGroup, u *unit) {
-	if u.size > 1 || c.countClearing(u) >= max(1, len(c.fleet)/workersPerClearing) {
+	if u.size > 1 || c.hasCleared(u) || c.countCleared() >= max(1, len(c.fleet)/workersPerClearing) {
 		return
 	}
 	var best *worker
 	var bestWait time.Duration
 	for _, w := range p.pool(g.pool).workers {
-		if !w.usable(c.now.Mono) || w.probationRuns > 0 || w.clearedFor != nil || c.crashedRecently(w) ||
+		if !w.usable(c.now.Mono) || w.probationRuns > 0 || w.isCleared() || c.crashedRecently(w) ||
 			!w.Capacity.Covers(g.step.Resources()) || !c.allowedInCompany(w, g.taskGroup, u) {
 			continue
 		}
@@ -62,25 +62,33 @@
 	}
 }
 
-// countClearing returns the number of workers that are cleared for suspects. It ends the
-// clearing for units that no longer wait, and returns a high number if one is cleared for u.
-func (c *Core) countClearing(u *unit) int {
+// isCleared reports whether the worker is kept for a suspect that still waits.
+func (w *worker) isCleared() bool {
+	u := w.clearedFor
+	return u != nil && u.state == unitWaiting && u.isSuspect() && u.entry().outcome == job.Open
+}
+
+// countCleared returns the number of workers that are kept for suspects.
+func (c *Core) countCleared() int {
 	n := 0
 	for _, w := range c.fleet {
-		switch {
-		case w.clearedFor == nil:
-			continue
-		case w.clearedFor.state != unitWaiting || !w.clearedFor.isSuspect() || w.clearedFor.entry().outcome != 0 || !w.usable(c.now.Mono):
-			w.clearedFor = nil
-		case w.clearedFor == u:
-			return len(c.fleet)
-		default:
+		if w.isCleared() {
 			n++
 		}
 	}
 	return n
 }
 
+// hasCleared reports whether a worker that can be used is kept for the unit.
+func (c *Core) hasCleared(u *unit) bool {
+	for _, w := range c.fleet {
+		if w.clearedFor == u && w.usable(c.now.Mono) {
+			return true
+		}
+	}
+	return false
+}
+
 // timeToEmpty returns how long the worker's runs still take.
 func (c *Core) timeToEmpty(w *worker) time.Duration {
 	out := time.Duration(0)
