--- a/internal/core/cell/crash_test.go
+++ b/internal/core/cell/crash_test.go
@@ -116,9 +116,9 @@
 	}
 }
 
-// A worker that had been cleared for a suspect stayed reserved for it after the suspect had
+// A worker that had been vacated for a suspect stayed reserved for it after the suspect had
 // been given up.
-func TestWorkerClearedForASuspectIsUsedAgain(t *testing.T) {
+func TestWorkerVacatedForASuspectIsUsedAgain(t *testing.T) {
 	for seed := range uint64(8) {
 		sim := newCrashSimulation(t, seed, 6)
 		sim.takeOver()
@@ -130,8 +130,8 @@
 		urgent.Queue.Priority = 0
 		sim.submit(urgent)
 		sim.runUntilDone(90 * time.Second)
-		if !strings.Contains(strings.Join(sim.reports, "\n"), "cleared for a task") {
-			t.Errorf("seed %d: no worker was cleared", seed)
+		if !strings.Contains(strings.Join(sim.reports, "\n"), "vacated for a task") {
+			t.Errorf("seed %d: no worker was vacated", seed)
 		}
 		sim.run(20 * time.Second)
 		wide := oneStepJob("wide", 48)
--- a/internal/core/cell/isolation.go
+++ b/internal/core/cell/isolation.go
@@ -13,15 +13,15 @@
 	// crashMemory is how long a suspect is kept off a worker whose process has crashed, as
 	// it may crash again for the same reason of its own.
 	crashMemory = 15 * time.Second
-	// workersPerClearing is the number of workers for each that may be cleared for a
+	// workersPerVacated is the number of workers for each that may be vacated for a
 	// suspect at a time.
-	workersPerClearing = 16
+	workersPerVacated = 16
 )
 
 // isolationPermits reports whether a unit may be placed on a worker as far as suspects are
 // concerned: nothing runs beside a suspect, and a suspect runs beside nothing.
 func (c *Core) isolationPermits(w *worker, u *unit) bool {
-	if w.probationRuns > 0 || w.isCleared() && w.clearedFor != u {
+	if w.probationRuns > 0 || w.isVacated() && w.vacatedFor != u {
 		return false
 	}
 	if !u.isSuspect() {
@@ -39,16 +39,16 @@
 	return ok && c.now.Mono-at <= crashMemory
 }
 
-// clearWorker has the worker that is free soonest get no new runs, so that a suspect can
+// vacateWorker has the worker that is free soonest get no new runs, so that a suspect can
 // run there alone.
-func (c *Core) clearWorker(p *pass, g *rankedGroup, u *unit) {
-	if u.size > 1 || c.hasCleared(u) || c.countCleared() >= max(1, len(c.fleet)/workersPerClearing) {
+func (c *Core) vacateWorker(p *pass, g *rankedGroup, u *unit) {
+	if u.size > 1 || c.hasVacated(u) || c.countVacated() >= max(1, len(c.fleet)/workersPerVacated) {
 		return
 	}
 	var best *worker
 	var bestWait time.Duration
 	for _, w := range p.pool(g.pool).workers {
-		if !w.usable(c.now.Mono) || w.probationRuns > 0 || w.isCleared() || c.crashedRecently(w) ||
+		if !w.usable(c.now.Mono) || w.probationRuns > 0 || w.isVacated() || c.crashedRecently(w) ||
 			!w.Capacity.Covers(g.step.Resources()) || !c.allowedInCompany(w, g.taskGroup, u) {
 			continue
 		}
@@ -57,32 +57,32 @@
 		}
 	}
 	if best != nil {
-		best.clearedFor = u
-		c.emit(WorkerStateChanged{Worker: best.ID, Change: "cleared for a task under which a worker has crashed", Runs: len(best.runs)})
+		best.vacatedFor = u
+		c.emit(WorkerStateChanged{Worker: best.ID, Change: "vacated for a task under which a worker has crashed", Runs: len(best.runs)})
 	}
 }
 
-// isCleared reports whether the worker is kept for a suspect that still waits.
-func (w *worker) isCleared() bool {
-	u := w.clearedFor
+// isVacated reports whether the worker is kept for a suspect that still waits.
+func (w *worker) isVacated() bool {
+	u := w.vacatedFor
 	return u != nil && u.state == unitWaiting && u.isSuspect() && u.entry().outcome == job.Open
 }
 
-// countCleared returns the number of workers that are kept for suspects.
-func (c *Core) countCleared() int {
+// countVacated returns the number of workers that are kept for suspects.
+func (c *Core) countVacated() int {
 	n := 0
 	for _, w := range c.fleet {
-		if w.isCleared() {
+		if w.isVacated() {
 			n++
 		}
 	}
 	return n
 }
 
-// hasCleared reports whether a worker that can be used is kept for the unit.
-func (c *Core) hasCleared(u *unit) bool {
+// hasVacated reports whether a worker that can be used is kept for the unit.
+func (c *Core) hasVacated(u *unit) bool {
 	for _, w := range c.fleet {
-		if w.clearedFor == u && w.usable(c.now.Mono) {
+		if w.vacatedFor == u && w.usable(c.now.Mono) {
 			return true
 		}
 	}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -61,7 +61,7 @@
 		}
 		if on == nil {
 			if u.isSuspect() {
-				c.clearWorker(p, g, u)
+				c.vacateWorker(p, g, u)
 				c.reportWait(p, g, u)
 				continue
 			}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -71,10 +71,10 @@
 	firstHoldFailureAt time.Duration
 	// refusesConns is set if nothing listened at its address at the last of them.
 	refusesConns bool
-	// probationRuns counts the runs of suspects on the worker. clearedFor is the suspect
+	// probationRuns counts the runs of suspects on the worker. vacatedFor is the suspect
 	// for which it gets no other runs, if any.
 	probationRuns int
-	clearedFor    *unit
+	vacatedFor    *unit
 	// processedEnd is the number of the last ended run that was processed, durableEnd
 	// of the last one whose effect is durable, and ackedEnd of the last one that was
 	// acknowledged to the worker.
