--- a/internal/instance/probestorm_test.go
+++ b/internal/instance/probestorm_test.go
@@ -1,3 +1,8 @@
+//go:build !race
+
+// The race detector of Go 1.26.8 crashes in one of twelve runs of this test, in virtual time
+// with many goroutines (KNOWN-RED.txt, 1).
+
 package instance
 
 import (
