Count a crash as soon as connections are refused

Cause: a crash was counted once it was certain, 3.5 s to 6.3 s after it. Two owners in a row were lost within that time, each with what it would have counted. The third owner then held its verdict back, as workers of which it knew nothing had crashed for causes unknown to it.

Fix: the second hold that fails, with nothing listening at the worker's address, counts the crash, half a second after it; an answer of the same process takes it back, and the verdict waits until the crash is certain. What ran on a worker that has not answered in this term, and runs that an earlier owner ordered, whose age is not known, are neither blamed nor a sign of other causes.

--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -9,6 +9,10 @@
 	"coltsfootmux/internal/job"
 )
 
+// refusalsUntilCrash is how many holds in a row must fail, the last because nothing listens
+// at the worker's address, until the worker is presumed to have crashed.
+const refusalsUntilCrash = 2
+
 // WorkerCrashed reports the crash of a worker that had runs, for the log.
 type WorkerCrashed struct {
 	Worker external.WorkerID
@@ -46,46 +50,89 @@
 	}
 }
 
-// workerCrashed counts the crash of a worker against the tasks that may have caused it. The
-// runs are still on the worker.
-func (c *Core) workerCrashed(w *worker, evidence string) {
-	if w.Draining {
-		return // it ended because it was told to
+// presumeCrash counts the crash of a worker that refuses connections, before it is certain.
+// Otherwise the count would be lost with an owner that is lost within the seconds until then.
+func (c *Core) presumeCrash(w *worker) {
+	if w.crashPresumed || w.holdFailures < refusalsUntilCrash || !w.refusesConns {
+		return
+	}
+	w.crashPresumed = true
+	c.emit(WorkerStateChanged{Worker: w.ID, Change: "may have crashed: it refuses connections", Runs: len(w.runs)})
+	w.blamed = c.blameForCrash(w)
+}
+
+// withdrawCrash takes back what was counted for a worker that has not crashed after all.
+func (c *Core) withdrawCrash(w *worker) {
+	for _, r := range w.blamed {
+		c.uncountCrash(r)
 	}
+	w.crashPresumed, w.blamed = false, nil
+}
+
+// workerCrashed counts the crash of a worker against the tasks that may have caused it, and
+// gives up those that are to blame for too many. The runs are still on the worker.
+func (c *Core) workerCrashed(w *worker, evidence string) {
 	c.rememberCrash(w)
+	if !w.crashPresumed {
+		w.blamed = c.blameForCrash(w)
+	}
+	blamed := w.blamed
+	w.crashPresumed, w.blamed = false, nil
+	if len(w.runs) == 0 {
+		return
+	}
+	ev := WorkerCrashed{Worker: w.ID, Evidence: evidence, Runs: len(w.runs)}
+	for _, r := range blamed {
+		ev.Blamed = append(ev.Blamed, r.task)
+	}
+	c.emit(ev)
+	for _, r := range blamed {
+		c.judge(r)
+	}
+}
+
+// blameForCrash counts a crash of the worker against the tasks that may have caused it, and
+// returns their runs. A worker that was told to leave has not crashed, and nothing is known
+// of what ran on one that has not answered in this term.
+func (c *Core) blameForCrash(w *worker) []*run {
+	if w.Draining || !w.knowsTerm {
+		return nil
+	}
 	failedAt := c.now.Mono
 	if w.holdFailures > 0 {
 		failedAt = w.firstHoldFailureAt
 	}
-	var suspects []*run
+	var candidates []*run
 	var runs []blame.Run
 	for _, r := range w.runs {
-		if r.unit != nil && !r.crashCounted {
-			suspects = append(suspects, r)
-			runs = append(runs, blame.Run{Age: failedAt - r.createdAt, Crashes: r.unit.crashes[r.member()]})
+		if r.unit == nil || c.isInherited(r) && !r.unit.isSuspect() {
+			continue // it survived its start
 		}
+		candidates = append(candidates, r)
+		runs = append(runs, blame.Run{Age: failedAt - r.createdAt, Crashes: r.unit.crashes[r.member()]})
+	}
+	if len(candidates) == 0 && len(w.runs) > 0 {
+		return nil
 	}
-	ev := WorkerCrashed{Worker: w.ID, Evidence: evidence, Runs: len(w.runs)}
 	var blamed []*run
 	for _, n := range c.crashes.Crashed(failedAt, len(c.fleet), runs) {
-		blamed = append(blamed, suspects[n])
-		ev.Blamed = append(ev.Blamed, suspects[n].task)
-	}
-	if len(w.runs) > 0 {
-		c.emit(ev)
-	}
-	for _, r := range blamed {
-		c.countCrash(r, failedAt-r.createdAt)
+		r := candidates[n]
+		r.crashAge, r.crashedAlone = runs[n].Age, r.isAlone()
+		if c.countCrash(r) {
+			blamed = append(blamed, r)
+		}
 	}
+	return blamed
 }
 
-// countCrash counts a crash against the task of a run, and gives the task up if it is to
-// blame for too many.
-func (c *Core) countCrash(r *run, age time.Duration) {
-	r.crashCounted = true
+// isInherited reports whether an owner of an earlier term ordered the run.
+func (c *Core) isInherited(r *run) bool { return r.number < c.term*runsPerTerm }
+
+// countCrash counts a crash against the task of a run, unless the task needs no run any more.
+func (c *Core) countCrash(r *run) bool {
 	u := r.unit
 	if u.state == unitDone || u.entry().outcome != job.Open {
-		return
+		return false
 	}
 	if u.crashes == nil {
 		u.crashes = make(map[int]int)
@@ -94,7 +141,26 @@
 	u.cleared = false
 	u.entry().history.Crashed++
 	c.markDirty(u.entry())
-	t := blame.Task{Crashes: u.crashes[r.member()], Alone: r.isAlone(), Age: age}
+	return true
+}
+
+func (c *Core) uncountCrash(r *run) {
+	u := r.unit
+	u.crashes[r.member()]--
+	if u.crashes[r.member()] == 0 {
+		delete(u.crashes, r.member())
+	}
+	u.entry().history.Crashed--
+	c.markDirty(u.entry())
+}
+
+// judge gives the task of a run up if it is to blame for too many crashes.
+func (c *Core) judge(r *run) {
+	u := r.unit
+	if u.state == unitDone || u.entry().outcome != job.Open {
+		return
+	}
+	t := blame.Task{Crashes: u.crashes[r.member()], Alone: r.crashedAlone, Age: r.crashAge}
 	if !c.crashes.GivesUp(c.now.Mono, t) {
 		return
 	}
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -177,6 +177,7 @@
 	}
 	w.holdFailures++
 	w.refusesConns = ev.Failure == FailureConnectionRefused
+	c.presumeCrash(w)
 	w.ackedEnd = 0 // the acknowledgement may not have arrived
 	w.nextHoldAt = now + holdRetryDelay
 	c.placementDue = true
@@ -190,6 +191,7 @@
 	}
 	if w.holdFailures > 0 {
 		w.holdFailures = 0
+		c.withdrawCrash(w)
 		c.placementDue = true
 		c.emit(WorkerStateChanged{Worker: w.ID, Change: "answers again", Runs: len(w.runs)})
 	}
--- a/internal/core/cell/probation.go
+++ b/internal/core/cell/probation.go
@@ -24,7 +24,7 @@
 // recordProgress records that a run has made progress on its worker. It ignores runs
 // of earlier terms, whose start time is unknown.
 func (c *Core) recordProgress(r *run) {
-	if r.number >= c.term*runsPerTerm {
+	if !c.isInherited(r) {
 		r.worker.retryHistory.MadeProgress(r.createdAt)
 	}
 }
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -74,10 +74,12 @@
 	// resumed is set for runs that began from a checkpoint or were adopted; their
 	// progress does not show their speed.
 	resumed bool
-	// crashCounted is set once the crash of the worker was counted against the run's task,
-	// onProbation while the run is one of worker.probationRuns.
-	crashCounted bool
-	onProbation  bool
+	// crashAge and crashedAlone describe the run at the first sign of its worker's crash:
+	// how long ago it was ordered, and whether only its unit had runs there.
+	crashAge     time.Duration
+	crashedAlone bool
+	// onProbation is set while the run is one of worker.probationRuns.
+	onProbation bool
 	// unidentified is set while the submission of the run's job is not known, or has not
 	// been read yet. What resources such a run takes is not known.
 	unidentified bool
--- a/internal/core/cell/simulationcalls_test.go
+++ b/internal/core/cell/simulationcalls_test.go
@@ -19,6 +19,10 @@
 		s.schedule(timeout, func() { done(FailureOutcomeUnknown) })
 		return
 	}
+	if s.refusing[id] {
+		s.schedule(s.delay(), func() { done(FailureConnectionRefused) })
+		return
+	}
 	switch p := s.rng.Float64(); {
 	case p < s.lossRate:
 		s.schedule(s.delay(), execute)
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -71,6 +71,10 @@
 	firstHoldFailureAt time.Duration
 	// refusesConns is set if nothing listened at its address at the last of them.
 	refusesConns bool
+	// crashPresumed is set while the worker is presumed to have crashed. blamed are the
+	// runs against whose tasks this was counted.
+	crashPresumed bool
+	blamed        []*run
 	// probationRuns counts the runs of suspects on the worker. vacatedFor is the suspect
 	// for which it gets no other runs, if any.
 	probationRuns int
