Do not give a task up for a worker that crashed before its order

Cause: the task was blamed for a crash by a deadly task beside it, and tried alone on a worker that another task had crashed a moment before. The order got no answer, the worker refused connections 1.4 ms later, and that counted as the second crash under the task, alone and at its start.

Fix: the second crash is proof only if the worker is known to have started the run. Otherwise the task keeps its count, and is tried alone again.

--- a/internal/core/blame/crash.go
+++ b/internal/core/blame/crash.go
@@ -46,6 +46,9 @@
 	// Alone says that no other task ran on the last of them, Age how old its run was.
 	Alone bool
 	Age   time.Duration
+	// Started says that the worker is known to have started the run. Otherwise it may have
+	// crashed before the order arrived.
+	Started bool
 }
 
 // History is what is known of the failures of a pool's workers. The zero value is ready for
@@ -85,14 +88,14 @@
 }
 
 // GivesUp reports whether a task has crashed so many workers that it is given up. The second
-// crash is enough if the task was alone and had just been started, and no workers crash for
-// reasons of their own.
+// crash is enough if the task was alone and had certainly just been started, and no workers
+// crash for reasons of their own.
 func (h *History) GivesUp(now time.Duration, t Task) bool {
 	if t.Crashes >= maxCrashes {
 		return true
 	}
 	background := h.unexplained && now-h.unexplainedAt <= unexplainedTime
-	return t.Crashes >= minCrashes && t.Alone && t.Age <= startWindow && !background
+	return t.Crashes >= minCrashes && t.Alone && t.Started && t.Age <= startWindow && !background
 }
 
 // isBurst reports whether many workers stopped answering at about the same time.
--- a/internal/core/blame/crash_test.go
+++ b/internal/core/blame/crash_test.go
@@ -42,11 +42,12 @@
 		unexplained bool
 		want        bool
 	}{
-		"not after one crash":                                  {Task{Crashes: 1, Alone: true}, false, false},
-		"after a second crash alone, at its start":             {Task{Crashes: 2, Alone: true, Age: s / 10}, false, true},
-		"not after a second crash in company":                  {Task{Crashes: 2, Age: s / 10}, false, false},
-		"not after a second crash late in its run":             {Task{Crashes: 2, Alone: true, Age: s}, false, false},
-		"not after two while workers crash for unknown causes": {Task{Crashes: 2, Alone: true, Age: s / 10}, true, false},
+		"not after one crash":                                  {Task{Crashes: 1, Alone: true, Started: true}, false, false},
+		"after a second crash alone, at its start":             {Task{Crashes: 2, Alone: true, Started: true, Age: s / 10}, false, true},
+		"not after a second crash in company":                  {Task{Crashes: 2, Started: true, Age: s / 10}, false, false},
+		"not after a second crash late in its run":             {Task{Crashes: 2, Alone: true, Started: true, Age: s}, false, false},
+		"not after two while workers crash for unknown causes": {Task{Crashes: 2, Alone: true, Started: true, Age: s / 10}, true, false},
+		"not if the worker may have crashed before the order":  {Task{Crashes: 2, Alone: true, Age: s / 1000}, false, false},
 		"after three in any case":                              {Task{Crashes: 3, Age: 9 * s}, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -57,7 +58,7 @@
 			if got := h.GivesUp(12*s, c.task); got != c.want {
 				t.Errorf("given up: %v, want %v", got, c.want)
 			}
-			if !h.GivesUp(30*s, Task{Crashes: 2, Alone: true}) {
+			if !h.GivesUp(30*s, Task{Crashes: 2, Alone: true, Started: true}) {
 				t.Error("a crash of unknown cause counts for ever")
 			}
 		})
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -160,7 +160,7 @@
 	if u.state == unitDone || u.entry().outcome != job.Open {
 		return
 	}
-	t := blame.Task{Crashes: u.crashes[r.member()], Alone: r.crashedAlone, Age: r.crashAge}
+	t := blame.Task{Crashes: u.crashes[r.member()], Alone: r.crashedAlone, Age: r.crashAge, Started: r.startedAt != 0}
 	if !c.crashes.GivesUp(c.now.Mono, t) {
 		return
 	}
--- a/internal/core/cell/crash_test.go
+++ b/internal/core/cell/crash_test.go
@@ -149,6 +149,32 @@
 	}
 }
 
+// A task was tried alone on a worker that had crashed a moment before, and given up for it.
+func TestTaskOrderedOnAWorkerThatHasJustCrashedIsNotGivenUp(t *testing.T) {
+	for seed := range uint64(24) {
+		sim := newCrashSimulation(t, seed, 4)
+		sim.takeOver()
+		sim.run(100 * time.Millisecond)
+		sim.submit(oneStepJob("deadly-1", 1))
+		sim.submit(oneStepJob("j", 1)) // beside it, and blamed for the first crash too
+		triedAgain := false
+		sim.onStart = func(o external.StartOrder) {
+			if o.Task.Job == "j" && o.Run == runsPerTerm+1 && !triedAgain {
+				triedAgain = true
+				sim.schedule(0, sim.fleet.Machine(o.Worker).Crash) // before the order arrives
+			}
+		}
+		sim.runUntilDone(60 * time.Second)
+		if p := sim.progress["j"]; p.Outcome != job.Complete {
+			t.Errorf("seed %d: the job ended as %v", seed, p.Outcome)
+		}
+		if !triedAgain {
+			t.Errorf("seed %d: the job was not tried again", seed)
+		}
+		sim.check()
+	}
+}
+
 // Connections to a worker were refused for a while, and it ran on.
 func TestWorkerThatRefusedConnectionsHasNotCrashed(t *testing.T) {
 	sim := newSimulation(t, 4, 4)
