--- a/internal/core/blame/crash.go
+++ b/internal/core/blame/crash.go
@@ -9,6 +9,9 @@
 	startWindow = 500 * time.Millisecond
 	// youngAge is the same while few workers crash.
 	youngAge = 2 * time.Second
+	// proofWindow is the age up to which a run that was alone proves that its task is to
+	// blame. In a longer time a worker may crash by chance.
+	proofWindow = 250 * time.Millisecond
 	// SurvivalTime is how long a suspect must run to be cleared.
 	SurvivalTime = 3 * time.Second
 	// burstWindow is the time within which the failures of several workers count as a burst,
@@ -95,7 +98,7 @@
 		return true
 	}
 	background := h.unexplained && now-h.unexplainedAt <= unexplainedTime
-	return t.Crashes >= minCrashes && t.Alone && t.Started && t.Age <= startWindow && !background
+	return t.Crashes >= minCrashes && t.Alone && t.Started && t.Age <= proofWindow && !background
 }
 
 // isBurst reports whether many workers stopped answering at about the same time.
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/standin/fleet"
 )
 
 // Timing of callers.
@@ -142,7 +143,7 @@
 	switch status := c.call(rng, http.MethodGet, j, nil, &state); {
 	case status == http.StatusGone && time.Since(j.accepted) > visibleAfter:
 		c.violationf("job %s accepted %v ago is unknown", j.id, time.Since(j.accepted))
-	case status == http.StatusOK && state.State == "failed" && j.deadly:
+	case status == http.StatusOK && state.State == "failed" && (j.deadly || c.mayBeGivenUp(j)):
 		j.complete = true
 	case status == http.StatusOK && state.State == "failed":
 		c.violationf("job %s is reported as failed", j.id)
@@ -157,6 +158,16 @@
 	}
 }
 
+// crashesUntilGivenUp is the number of workers that must have crashed under a task before its
+// job may be given up.
+const crashesUntilGivenUp = 2
+
+// mayBeGivenUp reports whether so many workers have crashed under a task of the job.
+func (c *callers) mayBeGivenUp(j *submittedJob) (ok bool) {
+	c.bed.fleet.With(func(f *fleet.Fleet) { ok = f.CrashesUnder(job.ID(j.id)) >= crashesUntilGivenUp })
+	return ok
+}
+
 // call makes a call to a random machine and returns its status, or 0 if there was
 // no complete answer.
 func (c *callers) call(rng *rand.Rand, method string, j *submittedJob, body []byte, result any) int {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -84,6 +84,7 @@
 // Restart restarts the machine: its runs end, and its state is lost.
 func (m *Machine) Restart() {
 	for _, run := range m.runs {
+		m.fleet.crashes[run.task]++
 		m.fleet.forgetListedDone(m, run.task)
 		m.fleet.leaveGang(run)
 	}
