--- a/internal/core/blame/crash_test.go
+++ b/internal/core/blame/crash_test.go
@@ -47,7 +47,7 @@
 		"not after a second crash in company":                  {Task{Crashes: 2, Started: true, Age: s / 10}, false, false},
 		"not after a second crash late in its run":             {Task{Crashes: 2, Alone: true, Started: true, Age: s}, false, false},
 		"not after two while workers crash for unknown causes": {Task{Crashes: 2, Alone: true, Started: true, Age: s / 10}, true, false},
-		"not after a second crash that may be chance":           {Task{Crashes: 2, Alone: true, Started: true, Age: 4 * s / 10}, false, false},
+		"not after a second crash that may be chance":          {Task{Crashes: 2, Alone: true, Started: true, Age: 4 * s / 10}, false, false},
 		"not if the worker may have crashed before the order":  {Task{Crashes: 2, Alone: true, Age: s / 1000}, false, false},
 		"after three in any case":                              {Task{Crashes: 3, Age: 9 * s}, true, true},
 	} {
