Order work of accounts over their share after that of others

An account with a large burst filled the queue ahead of the others, as work beyond the guarantee is ordered by deadline within a priority.

internal/core/share keeps the decaying usage of each account and finds those that use more than AccountOveruse times their share while others wait. queue.Rank gains Overuse, after Priority and before Stale.

Ruled out: the threshold of the ratio alone.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -95,6 +95,8 @@
 	nextGuaranteeCheck time.Duration
 	shortageSince      time.Duration
 	shortageReported   bool
+	// shares is what is known of the accounts' shares of the workers.
+	shares accountShares
 }
 
 // New returns the core of a cell for the given term.
--- a/internal/core/cell/overview.go
+++ b/internal/core/cell/overview.go
@@ -7,7 +7,7 @@
 
 // Overview returns the state of the cell as it is shown to operators.
 func (c *Core) Overview() *overview.Cell {
-	out := &overview.Cell{PreviousRunsKnown: c.previousRunsKnown()}
+	out := &overview.Cell{PreviousRunsKnown: c.previousRunsKnown(), Accounts: c.accountsOverview()}
 	for _, w := range c.fleet {
 		free := w.available(0)
 		out.Workers = append(out.Workers, overview.Worker{
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -61,6 +61,7 @@
 		c.addReadyGroups(p, e, i)
 	}
 	c.reportHeld(held)
+	c.rankByShare(p)
 	slices.SortStableFunc(p.ready, func(a, b *rankedGroup) int { return a.rank.Compare(b.rank) })
 	return p
 }
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -25,6 +25,9 @@
 	OpenEarly time.Duration
 	// Retention is how long the status of an ended job is kept.
 	Retention time.Duration
+	// AccountOveruse is how many times its share of the workers an account may use while
+	// others wait, before its work comes after theirs; 0 for no bound.
+	AccountOveruse float64
 }
 
 // Internal constants, which operators have no reason to change.
--- a/internal/core/queue/rank.go
+++ b/internal/core/queue/rank.go
@@ -8,6 +8,9 @@
 	Entitled bool
 	// Priority is the priority of the queue; 0 is the most urgent.
 	Priority int
+	// Overuse is 0 for accounts within their share of the workers, and otherwise how much
+	// the account uses relative to its share.
+	Overuse float64
 	// Stale says that the time is past after which the work's completion is of no use.
 	Stale bool
 	// DeadlineMS is the end of the objective in Unix milliseconds.
@@ -21,6 +24,7 @@
 	return cmp.Or(
 		trueFirst(r.Entitled, o.Entitled),
 		cmp.Compare(r.Priority, o.Priority),
+		cmp.Compare(r.Overuse, o.Overuse),
 		trueFirst(!r.Stale, !o.Stale),
 		cmp.Compare(r.DeadlineMS, o.DeadlineMS),
 		cmp.Compare(r.Arrival, o.Arrival),
--- a/internal/core/queue/rank_test.go
+++ b/internal/core/queue/rank_test.go
@@ -21,6 +21,18 @@
 		"stale work goes before a lower priority": {
 			Rank{Priority: 1, Stale: true}, Rank{Priority: 2},
 		},
+		"guaranteed work goes first whatever its account uses": {
+			Rank{Entitled: true, Overuse: 9}, Rank{DeadlineMS: 1},
+		},
+		"work of an account over its share comes last in its own priority": {
+			Rank{Priority: 1, Stale: true, DeadlineMS: 9}, Rank{Priority: 1, Overuse: 4, DeadlineMS: 1},
+		},
+		"work of an account over its share goes before a lower priority": {
+			Rank{Priority: 1, Overuse: 4}, Rank{Priority: 2},
+		},
+		"of accounts over their share the one that uses less goes first": {
+			Rank{Overuse: 4, Stale: true, DeadlineMS: 9}, Rank{Overuse: 5, DeadlineMS: 1},
+		},
 		"the earlier deadline goes first": {
 			Rank{DeadlineMS: 1, Arrival: 2}, Rank{DeadlineMS: 2, Arrival: 1},
 		},
@@ -38,7 +50,8 @@
 	rank := rapid.Custom(func(t *rapid.T) Rank {
 		return Rank{
 			Entitled: rapid.Bool().Draw(t, "entitled"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
-			Stale: rapid.Bool().Draw(t, "stale"), DeadlineMS: rapid.Int64Range(0, 3).Draw(t, "deadline"),
+			Overuse: rapid.SampledFrom([]float64{0, 4, 5}).Draw(t, "overuse"),
+			Stale:   rapid.Bool().Draw(t, "stale"), DeadlineMS: rapid.Int64Range(0, 3).Draw(t, "deadline"),
 			Arrival: rapid.IntRange(0, 3).Draw(t, "arrival"),
 		}
 	})
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 			{Name: "show", Usage: "show the instance, the term and the term's owner", Action: action(showNode)},
 			{Name: "workers", Usage: "list the owned cell's workers, their state and free capacity", Action: action(showNodeWorkers)},
 			{Name: "jobs", Usage: "list the owned cell's open jobs and why they wait", Action: action(showNodeJobs)},
+			{Name: "accounts", Usage: "list the client accounts and their shares of the owned cell's workers", Action: action(showNodeAccounts)},
 		},
 	}
 }
@@ -67,3 +69,21 @@
 		}
 	})
 }
+
+func showNodeAccounts(ctx context.Context, _ *cli.Command, c *Client, p *printer) error {
+	n, err := get[overview.Instance](ctx, c, pathStatus, nil)
+	if err != nil {
+		return err
+	}
+	if n.Cell == nil {
+		return p.printLine(n, "%s does not own the cell; ask the instance at %s", n.Name, n.OwnerAddr)
+	}
+	if len(n.Cell.Accounts) == 0 {
+		return p.printLine(n.Cell.Accounts, "%s does not read the shares of accounts; account-overuse is 0", n.Name)
+	}
+	return p.print(n.Cell.Accounts, table.Row{"account", "guarantee", "usage of share", "waiting jobs", "over"}, func(t table.Writer) {
+		for _, a := range n.Cell.Accounts {
+			t.AppendRow(table.Row{a.Name, a.GuaranteedGPU, strconv.FormatFloat(a.UsageOfShare, 'f', 2, 64), a.WaitingJobs, a.OverShare})
+		}
+	})
+}
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -85,6 +85,9 @@
 		mTasksGivenUp.Inc()
 		evTaskGivenUp.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("crashes", a.Crashes),
 			slog.Bool("alone", a.Alone), slog.Duration("age", a.Age))
+	case cell.AccountShareChanged:
+		evAccountShare.Log(o.ctx, l, slog.String("account", a.Account), slog.Bool("over", a.Over),
+			slog.Float64("usage_of_share", a.Ratio), slog.Float64("share", a.Share))
 	case cell.UnitWaiting:
 		evWaiting.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("tasks", a.Tasks), slog.Duration("waited", a.Waited),
 			slog.Int("workers", a.Listed), slog.Int("usable", a.Usable), slog.Int("allowed", a.Allowed), slog.Int("large_enough", a.LargeEnough),
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -67,6 +67,7 @@
 	gauge("coltsfootmux_waiting_units", "tasks", "tasks and gangs waiting in the owned cell", func(i *Instance) float64 { return float64(i.cellLoad().Waiting) })
 	gauge("coltsfootmux_cell_runs", "runs", "runs on the owned cell's workers", func(i *Instance) float64 { return float64(i.cellLoad().Runs) })
 	gauge("coltsfootmux_cell_workers", "workers", "workers known to the owned cell", func(i *Instance) float64 { return float64(i.cellLoad().Workers) })
+	gauge("coltsfootmux_accounts_over_share", "accounts", "client accounts over their share of the owned cell's workers", func(i *Instance) float64 { return float64(i.cellLoad().OverShare) })
 	gauge("coltsfootmux_cell_workers_usable", "workers", "workers of the owned cell that may be given work", func(i *Instance) float64 { return float64(i.cellLoad().Usable) })
 }
 
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -33,6 +33,9 @@
 	// number of those left out.
 	Jobs     []Job `json:"jobs"`
 	MoreJobs int   `json:"more_jobs,omitempty"`
+	// Accounts are the client accounts and their shares of the workers; empty if the
+	// shares are not in use.
+	Accounts []Account `json:"accounts,omitempty"`
 }
 
 // Worker is the state of a worker as the owner knows it.
@@ -60,3 +63,16 @@
 	// WaitReason says why tasks of the job are waiting; empty if none is.
 	WaitReason string `json:"why,omitempty"`
 }
+
+// Account is a client account and its share of the workers.
+type Account struct {
+	Name          string `json:"name"`
+	GuaranteedGPU int    `json:"guaranteed_gpu"`
+	// UsageOfShare is the recent usage relative to the account's share of all usage: 1 if it
+	// uses just its share.
+	UsageOfShare float64 `json:"usage_of_share"`
+	// WaitingJobs counts the jobs with tasks that wait for room.
+	WaitingJobs int `json:"waiting_jobs"`
+	// OverShare says that the account's work comes after that of the others.
+	OverShare bool `json:"over_share"`
+}
