Soak with bursts of an account and workers of different speeds

A quarter of the workers are about twice as fast as the others, as in deployment L, and a second account submits bursts. The programs get the settings of deploy/system.toml for the parts that act on such loads; the ones whose flags are not there yet ignore them.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,6 +31,7 @@
 type submittedJob struct {
 	id       string
 	path     string
+	key      string
 	accepted time.Time
 	// outcomeUnknown means that some attempt to submit the job was neither accepted nor refused.
 	outcomeUnknown bool
@@ -64,9 +65,9 @@
 }
 
 // runCaller plays one caller: it submits a job, retrying if needed, and then follows it.
-func (c *callers) runCaller(rng *rand.Rand) {
+func (c *callers) runCaller(rng *rand.Rand, key string) {
 	defer c.wg.Done()
-	j, body := c.newJob(rng)
+	j, body := c.newJob(rng, key)
 	for range maxAttempts {
 		status := c.call(rng, http.MethodPost, j, body, nil)
 		switch {
@@ -82,9 +83,9 @@
 }
 
 // newJob makes a random job and submits it to the fleet, which checks starts against it.
-func (c *callers) newJob(rng *rand.Rand) (*submittedJob, []byte) {
+func (c *callers) newJob(rng *rand.Rand, key string) (*submittedJob, []byte) {
 	prefix := [...]string{"/q/", "/u/"}[rng.IntN(2)]
-	sent := &submittedJob{id: fmt.Sprintf("%016x", rng.Uint64())}
+	sent := &submittedJob{id: fmt.Sprintf("%016x", rng.Uint64()), key: key}
 	sent.path = prefix + sent.id
 	type step struct {
 		Count       int   `json:"count"`
@@ -179,7 +180,7 @@
 		return 0
 	}
 	req.Host = "jobs.example"
-	req.Header.Set("Authorization", "Bearer key-1")
+	req.Header.Set("Authorization", "Bearer "+j.key)
 	req.Header.Set("X-Deadline-Ms", "3000")
 	res, err := c.client.Do(req)
 	if err != nil {
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	m.cmd = exec.Command(program)
-	m.cmd.Env = append(os.Environ(), "COLTSFOOTMUX_NODE_FILE="+m.settingsFile, "COLTSFOOTMUX_ADVERTISE="+m.linkProxy.Addr())
+	m.cmd.Env = append(append(os.Environ(), switches...), "COLTSFOOTMUX_NODE_FILE="+m.settingsFile, "COLTSFOOTMUX_ADVERTISE="+m.linkProxy.Addr())
 	m.cmd.Stdout, m.cmd.Stderr = m.log, m.log
 	if err := m.cmd.Start(); err != nil {
 		return eris.Wrap(ErrSetup, err.Error())
--- a/internal/soak/policy.go
+++ b/internal/soak/policy.go
@@ -11,7 +11,8 @@
 // fits are filled in.
 const policyFormat = `{"version":%d,"routes":[{"name":"r","host":"jobs.example","path_prefix":"/q/","timeout_ms":3000,"slo_ms":500,"priority":1,"backend":"p","max_tries":20,"stretch":2},
 {"name":"u","host":"jobs.example","path_prefix":"/u/","timeout_ms":3000,"slo_ms":500,"priority":0,"backend":"p","max_tries":20,"stretch":1.5}%s],
-"backends":[{"name":"p","admission_check":%t}],"limits":{"max_body_bytes":65536},"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":16}}]}`
+"backends":[{"name":"p","admission_check":%t}],"limits":{"max_body_bytes":65536},"tenants":[{"name":"t","api_keys":["key-1"],"guaranteed":{"gpu":16}},
+{"name":"b","api_keys":["key-2"],"guaranteed":{"gpu":4}}]}`
 
 // unguarded reports whether the workers start whatever they are told to.
 func (s *testbed) unguarded() bool { return s.opts.Seed%2 == 0 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -17,10 +17,12 @@
 
 // Report is the result of a soak.
 type Report struct {
-	Seed           uint64
-	Jobs           int
-	Accepted       int
-	Complete       int
+	Seed     uint64
+	Jobs     int
+	Accepted int
+	Complete int
+	// BurstJobs counts the jobs of the account that submits in bursts.
+	BurstJobs      int
 	OutcomeUnknown int
 	Starts         int
 	// InjectedFaults names the injected faults in order.
@@ -42,6 +44,7 @@
 	until := time.Now().Add(o.LoadTime)
 	var load sync.WaitGroup
 	load.Go(func() { c.submitJobs(until) })
+	load.Go(func() { r.BurstJobs = c.submitBursts(until) })
 	r.InjectedFaults = s.injectFaults(until)
 	load.Wait()
 	s.clearFaults()
@@ -61,7 +64,7 @@
 	rng := rand.New(rand.NewPCG(c.bed.opts.Seed, 1))
 	for n := uint64(0); time.Now().Before(until); n++ {
 		c.wg.Add(1)
-		go c.runCaller(rand.New(rand.NewPCG(c.bed.opts.Seed, 100+n)))
+		go c.runCaller(rand.New(rand.NewPCG(c.bed.opts.Seed, 100+n)), steadyKey)
 		time.Sleep(time.Duration(rng.ExpFloat64() / c.bed.opts.JobsPerSecond * float64(time.Second)))
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,10 +29,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("seed %d: %d jobs, %d accepted, %d complete; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.InjectedFaults)
+		t.Logf("seed %d: %d jobs, %d accepted, %d complete, %d in bursts; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.BurstJobs, r.InjectedFaults)
 		for _, f := range r.Violations {
 			t.Errorf("seed %d: %s", seed, f)
 		}
+		if r.BurstJobs == 0 {
+			t.Errorf("seed %d: no burst of an account", seed)
+		}
 		if r.Accepted == 0 {
 			t.Errorf("seed %d: no job was accepted", seed)
 		}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -118,6 +118,7 @@
 		})
 		f.Machine(workerName(n)).ClockRate = 1 - maxClockLag*s.rng.Float64()
 		f.Machine(workerName(n)).Unguarded = s.unguarded()
+		f.Machine(workerName(n)).Pace = pace(n)
 	})
 	s.register(n)
 	return nil
