--- a/internal/core/cell/shares.go
+++ b/internal/core/cell/shares.go
@@ -95,10 +95,9 @@
 		c.emit(AccountShareChanged{ch})
 	}
 	for _, g := range p.ready {
-		if g.rank.Entitled || c.hasWaitedLong(g.occ) {
-			continue
+		if !g.rank.Entitled && !c.hasWaitedLong(g) {
+			g.rank.Overuse = order.Overuse(g.occ.entry.job.Account, classOf(g))
 		}
-		g.rank.Overuse = order.Overuse(g.occ.entry.job.Account, classOf(g))
 	}
 }
 
@@ -106,9 +105,11 @@
 	return share.Class{Pool: g.pool, Priority: g.rank.Priority}
 }
 
-// hasWaitedLong reports whether a job has waited longer than maxBehindObjectives.
-func (c *Core) hasWaitedLong(o *occurrence) bool {
-	return c.now.UnixMS > o.dueMS+maxBehindObjectives*o.entry.expectedObjective().Milliseconds()
+// hasWaitedLong reports whether a job has waited longer than maxBehindObjectives. It takes the
+// objective from the rank, so that each pass predicts it only once.
+func (c *Core) hasWaitedLong(g *rankedGroup) bool {
+	objectiveMS := g.rank.DeadlineMS - g.occ.dueMS
+	return c.now.UnixMS > g.occ.dueMS+maxBehindObjectives*objectiveMS
 }
 
 // waitingWork returns which accounts have waiting work of which class, for how long.
--- a/internal/core/cell/shares_test.go
+++ b/internal/core/cell/shares_test.go
@@ -165,6 +165,24 @@
 	p.check()
 }
 
+// Guards against an order that breaks a guarantee of the cell when calls are lost, a worker is cut
+// off and owners change, and against work that never ends.
+func TestInvariantsHoldWithShares(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newAccountPlay(t, seed, testOveruse)
+		p.lossRate, p.lateRate = 0.05, 0.02
+		p.load(3*time.Second, 16, mostlyLarge)
+		p.unreachable["w03"] = true
+		p.load(3*time.Second, 16, mostlyLarge)
+		p.takeOverWith(testOveruse)
+		p.unreachable["w03"] = false
+		p.load(2*time.Second, 16, mostlyLarge)
+		p.lossRate, p.lateRate = 0, 0
+		p.runUntilDone(3 * time.Minute)
+		p.check()
+	}
+}
+
 // Guards against starvation: a job that has waited for two objectives is not held back any
 // more, and guaranteed urgent work never is.
 func TestWorkThatIsNotHeldBack(t *testing.T) {
