--- a/internal/core/cell/shares.go
+++ b/internal/core/cell/shares.go
@@ -84,7 +84,8 @@
 }
 
 // rankByShare puts the work of accounts that are over their share behind that of other
-// accounts. Entitled work and work that has waited for long keep their place.
+// accounts. Entitled work and work that has waited for long keep their place. Stale work does not: it comes
+// last as it is, and would otherwise come before work of its account that can still be in time.
 func (c *Core) rankByShare(p *pass) {
 	s := &c.shares
 	if s.accounts == nil {
@@ -95,7 +96,7 @@
 		c.emit(AccountShareChanged{ch})
 	}
 	for _, g := range p.ready {
-		if !g.rank.Entitled && !c.hasWaitedLong(g) {
+		if !g.rank.Entitled && (g.rank.Stale || !c.hasWaitedLong(g)) {
 			g.rank.Overuse = order.Overuse(g.occ.entry.job.Account, classOf(g))
 		}
 	}
--- a/internal/core/cell/shares_test.go
+++ b/internal/core/cell/shares_test.go
@@ -184,7 +184,7 @@
 }
 
 // Guards against starvation: a job that has waited for two objectives is not held back any
-// more, and guaranteed urgent work never is.
+// more, unless it is stale, and guaranteed urgent work never is.
 func TestWorkThatIsNotHeldBack(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(*job.Job)
@@ -193,6 +193,7 @@
 	}{
 		"work beyond the share":        {func(*job.Job) {}, time.Second, true},
 		"work that waited for long":    {func(*job.Job) {}, 16 * time.Second, false},
+		"work of no use any more":      {func(*job.Job) {}, time.Minute, true},
 		"guaranteed urgent work":       {func(j *job.Job) { j.Queue.Priority = 0 }, time.Second, false},
 		"urgent work beyond guarantee": {func(j *job.Job) { j.Queue.Priority, j.Steps[0].Count = 0, 40 }, time.Second, true},
 		"work without competition":     {func(j *job.Job) { j.Queue.Pool = "other" }, time.Second, false},
