--- a/internal/core/cell/shares.go
+++ b/internal/core/cell/shares.go
@@ -88,7 +88,7 @@
 // last as it is, and would otherwise come before work of its account that can still be in time.
 func (c *Core) rankByShare(p *pass) {
 	s := &c.shares
-	if s.accounts == nil {
+	if s.accounts == nil || s.accounts.Quiet(c.settings.AccountOveruse) {
 		return
 	}
 	order, changes := s.accounts.Decide(c.now.Mono, c.settings.AccountOveruse, c.waitingWork(p))
--- a/internal/core/cell/shares_test.go
+++ b/internal/core/cell/shares_test.go
@@ -224,3 +224,29 @@
 		})
 	}
 }
+
+// BenchmarkPassWithShares measures a placement pass as BenchmarkPassOverFullPool does, with ten
+// accounts, one of which is over its share, and without shares.
+func BenchmarkPassWithShares(b *testing.B) {
+	for _, overuse := range []float64{0, testOveruse} {
+		b.Run(fmt.Sprintf("overuse=%g", overuse), func(b *testing.B) {
+			c := fullCell(350, 200)
+			c.settings.AccountOveruse = overuse
+			for n, e := range c.openJobs {
+				e.job.Account = smallAccount(n % smallAccounts)
+			}
+			for n, w := range c.fleet {
+				for _, r := range w.runs { // jobs 0, 10, 20 and so on are of the first account
+					r.task.Job = c.openJobs[n*smallAccounts%len(c.openJobs)].job.ID
+				}
+			}
+			now := c.now
+			b.ReportAllocs()
+			for b.Loop() {
+				now.Mono += 60 * time.Millisecond
+				c.placementDue, c.termConfirmedAt = true, now.Mono
+				c.Step(now, Tick{})
+			}
+		})
+	}
+}
--- a/internal/core/share/over.go
+++ b/internal/core/share/over.go
@@ -78,6 +78,17 @@
 	return a.ratio(e)-certainty*a.standardError(e) > returnPart*overuse
 }
 
+// Quiet reports whether no account is over its share or may be now, whatever waits. Decide
+// changes nothing then.
+func (a *Accounts) Quiet(overuse float64) bool {
+	for _, e := range a.byName {
+		if e.over || a.ratio(e) > overuse {
+			return false
+		}
+	}
+	return true
+}
+
 func (a *Accounts) order(waiting []Waiting) Order {
 	o := Order{accounts: a, contested: make(map[Class]bool)}
 	for _, w := range waiting {
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -78,7 +78,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, now := usedFor(20*time.Second, c.guarantees, c.cores)
+			quiet := a.Quiet(testOveruse)
 			_, changes := a.Decide(now, testOveruse, c.waiting)
+			if quiet && len(changes) > 0 {
+				t.Errorf("changes %+v of quiet accounts", changes)
+			}
 			if a.Over() != c.want || len(changes) != c.want {
 				t.Errorf("%d accounts over their share, want %d: %+v, %+v", a.Over(), c.want, changes, a.States())
 			}
