--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -25,6 +25,18 @@
 	OpenEarly time.Duration
 	// Retention is how long the status of an ended job is kept.
 	Retention time.Duration
+	// WorkerSpeedRatio is the least ratio between the time factors of a pool's slow and
+	// fast workers for which placement takes speeds into account; 0 for never.
+	WorkerSpeedRatio float64
+	// InterferenceSlowdown is the least factor by which one task must slow another for
+	// them to be placed apart; 0 for never.
+	InterferenceSlowdown float64
+	// PreemptionWait is the longest that urgent work waits for a run to end instead of
+	// stopping it; 0 for not at all.
+	PreemptionWait time.Duration
+	// AccountOveruse is the multiple of its share above which an account's work comes
+	// after that of others; 0 for never.
+	AccountOveruse float64
 }
 
 // Internal constants, which operators have no reason to change.
