--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -50,6 +50,10 @@
 	Addr string            `cbor:"2,keyasint"`
 	// Draining is set when the worker has announced that it will leave.
 	Draining bool `cbor:"3,keyasint,omitempty"`
+	// Machine names the worker's machine, SpeedPercent is the time factor in percent; both
+	// are empty if not known.
+	Machine      string `cbor:"4,keyasint,omitempty"`
+	SpeedPercent int    `cbor:"5,keyasint,omitempty"`
 }
 
 // JobProgress is the progress of one job.
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -95,6 +95,8 @@
 	nextGuaranteeCheck time.Duration
 	shortageSince      time.Duration
 	shortageReported   bool
+	// speeds is what is known of the workers' speeds.
+	speeds speeds
 }
 
 // New returns the core of a cell for the given term.
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -5,6 +5,7 @@
 
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
+	"coltsfootmux/internal/core/speed"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -67,6 +68,8 @@
 	tickets     map[external.WorkerID]ticket
 	deniedUntil map[external.WorkerID]time.Duration
 	nextAdvice  time.Duration
+	// speeds holds the durations of the tasks, from which the workers' speeds are learned.
+	speeds speed.Step
 }
 
 type unitState int
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -24,15 +24,16 @@
 	if !pool.mayFit(g, u) {
 		return nil
 	}
-	return c.packGang(pool.workers, g.taskGroup, u)
+	on, _ := c.packGangBySpeed(pool.workers, g, u)
+	return on
 }
 
 // findGangRack places the whole gang within one rack. It prefers the rack of the
 // gang's data, then the one with the fewest workers to be avoided, then the one
-// with the fewest free accelerators.
+// with workers of the preferred speed, then the one with the fewest free accelerators.
 func (c *Core) findGangRack(p *pass, g *rankedGroup, u *unit, waitsForRack bool) []*worker {
 	var best []*worker
-	bestLeft, bestRisk := 0, 0
+	bestLeft, bestRisk, bestSpeed := 0, 0, 0
 	for _, k := range p.rackOrder {
 		if k.pool != g.pool {
 			continue
@@ -44,7 +45,7 @@
 		if remote := g.step.DataRack != "" && k.rack != g.step.DataRack; remote && waitsForRack && !c.mayRunRemote(p, g, u) {
 			continue
 		}
-		on := c.packGang(rack.workers, g.taskGroup, u)
+		on, speed := c.packGangBySpeed(rack.workers, g, u)
 		if on == nil {
 			continue
 		}
@@ -55,8 +56,8 @@
 		for _, w := range rack.workers {
 			left += w.available(g.rank.Priority).GPU
 		}
-		if best == nil || risk < bestRisk || risk == bestRisk && left < bestLeft {
-			best, bestLeft, bestRisk = on, left, risk
+		if best == nil || cmp.Or(cmp.Compare(risk, bestRisk), cmp.Compare(speed, bestSpeed), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestRisk, bestSpeed = on, left, risk, speed
 		}
 	}
 	return best
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -300,6 +300,7 @@
 			if now-r.createdAt >= minProgressAge {
 				c.recordProgress(r)
 			}
+			c.learnFromProgress(r)
 		}
 		if listed.Checkpoint != "" {
 			r.latestCheckpoint = listed.Checkpoint
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -291,6 +291,7 @@
 	r.worker.clearSuspicions()
 	c.recordProgress(r)
 	c.recordRunTime(r)
+	c.learnFromEnd(r)
 	u := r.unit
 	if r.startedAt > 0 && !r.resumed {
 		u.runTime = c.now.Mono - r.startedAt
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -187,6 +187,7 @@
 		}
 	}
 	c.moveStragglers()
+	c.refreshSpeeds()
 	c.checkGuarantees()
 	if now >= c.nextPeriodicPlacement {
 		c.placementDue = true
--- a/internal/core/cell/overview.go
+++ b/internal/core/cell/overview.go
@@ -12,7 +12,7 @@
 		free := w.available(0)
 		out.Workers = append(out.Workers, overview.Worker{
 			ID: string(w.ID), Pool: w.Pool, Rack: w.Rack, State: c.stateOf(w), Runs: len(w.runs),
-			FreeCPU: free.CPU, FreeMemMB: free.MemMB, FreeGPU: free.GPU,
+			FreeCPU: free.CPU, FreeMemMB: free.MemMB, FreeGPU: free.GPU, SpeedPercent: c.speedPercent(w),
 		})
 	}
 	for n, e := range c.openJobs {
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -103,6 +103,7 @@
 		return nil
 	}
 	remoteAllowed := c.mayRunRemote(p, g, u)
+	order := c.speedOrder(g)
 	var best *worker
 	var bestScore score
 	for _, w := range pool.workers {
@@ -114,6 +115,7 @@
 			continue
 		}
 		s := c.scoreOf(w, g, u, remote)
+		s.speed = order.speedRank(w)
 		if best == nil || s.less(bestScore) {
 			best, bestScore = w, s
 		}
@@ -177,6 +179,8 @@
 	remote bool
 	// avoided is set if failures make other workers preferable.
 	avoided bool
+	// speed ranks the worker's class of speed.
+	speed int
 	// leftGPU and leftCPU are what would remain free: tight packing keeps whole
 	// workers free for large tasks.
 	leftGPU int
@@ -190,6 +194,9 @@
 	if s.avoided != o.avoided {
 		return !s.avoided
 	}
+	if s.speed != o.speed {
+		return s.speed < o.speed
+	}
 	if s.leftGPU != o.leftGPU {
 		return s.leftGPU < o.leftGPU
 	}
@@ -238,5 +245,5 @@
 	if r.unit.group.step.LongRunning {
 		return time.Hour
 	}
-	return r.unit.group.runTime() * time.Duration(100-min(r.percent, 100)) / 100
+	return scaled(r.unit.group.runTime(), r.timeFactor()) * time.Duration(100-min(r.percent, 100)) / 100
 }
--- a/internal/core/cell/predictions.go
+++ b/internal/core/cell/predictions.go
@@ -53,5 +53,5 @@
 	if g.step.DataRack != "" && r.worker.Rack != g.step.DataRack {
 		return // takes longer by a factor that is only nominal
 	}
-	g.occ.entry.runTimes.Ended(g.step.Estimate(), c.now.Mono-r.startedAt)
+	g.occ.entry.runTimes.Ended(g.step.Estimate(), scaled(c.now.Mono-r.startedAt, 1/r.timeFactor()))
 }
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -51,9 +51,12 @@
 		if !set.preemptable.mayFit(g.step, u.size) {
 			continue
 		}
-		e := c.planEviction(p, set.workers, g, u)
-		if e.on != nil && (best.on == nil || e.cost < best.cost) {
-			best = e
+		for _, workers := range c.evictionSets(set.workers, g) {
+			e := c.planEviction(p, workers, g, u)
+			e.cost += c.slowCost(g, u, e.on)
+			if e.on != nil && (best.on == nil || e.cost < best.cost) {
+				best = e
+			}
 		}
 	}
 	return best
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -14,9 +14,10 @@
 // waited for even if they leave the list before they answer.
 func (c *Core) inheritRoster(roster []RosterEntry) {
 	for _, r := range roster {
+		c.inheritSpeed(r)
 		w := c.workers[r.ID]
 		if w == nil {
-			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr, Draining: r.Draining})
+			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr, Draining: r.Draining, Machine: r.Machine})
 			w.markUnlisted(c.now.Mono)
 		}
 		w.inherited = true
@@ -60,7 +61,9 @@
 func (c *Core) currentRoster() []RosterEntry {
 	out := []RosterEntry{}
 	for _, w := range c.fleet {
-		out = append(out, RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining})
+		e := RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining}
+		e.Machine, e.SpeedPercent = c.storedSpeed(w)
+		out = append(out, e)
 	}
 	return out
 }
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -83,6 +83,8 @@
 	// unidentified is set while the submission of the run's job is not known, or has not
 	// been read yet. What resources such a run takes is not known.
 	unidentified bool
+	// speedShare is the share of the run's evidence of its worker's speed that has been used.
+	speedShare float64
 }
 
 // attach adds the run to its worker and unit.
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -59,6 +59,8 @@
 	stops       map[StopReason]int
 	// onStart, if set, is called with every start order.
 	onStart func(external.StartOrder)
+	// settings are those of new owners.
+	settings Settings
 }
 
 // testOwner is the owner of one term. A halted owner processes no events.
@@ -99,7 +101,8 @@
 // newSimulation returns a simulation with the given number of workers and no owner.
 func newSimulation(t *testing.T, seed uint64, machines int) *simulation {
 	s := &simulation{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: fleet.New(randomDurations(seed)),
+		settings: testSettings(),
+		t:        t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: fleet.New(randomDurations(seed)),
 		progress: make(map[job.ID]job.Progress), unreachable: make(map[external.WorkerID]bool), refusing: make(map[external.WorkerID]bool),
 		stops:  make(map[StopReason]int),
 		policy: &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
@@ -135,7 +138,7 @@
 		s.schedule(testSettings().PreviousOwnerGrace, func() { previous.halted = true })
 	}
 	o := &testOwner{term: int64(len(s.owners) + 1)}
-	o.core = New(testSettings(), o.term, s.policy, s.instant())
+	o.core = New(s.settings, o.term, s.policy, s.instant())
 	s.storeTerm = o.term
 	s.owners = append(s.owners, o)
 	ev := Loaded{Jobs: slices.Clone(s.jobs), Cancels: slices.Clone(s.cancels), Progress: make(map[job.ID]job.Progress)}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/retry"
+	"coltsfootmux/internal/core/speed"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -105,6 +106,12 @@
 	// reserved.
 	plannedTasks  map[*taskGroup]int
 	drainingSince time.Duration
+	// speed is the estimate of the worker's time factor, class its class relative to
+	// speed.Usual, and slowness its factor relative to its pool's median, 0 before the first
+	// computation; see speeds.go.
+	speed    speed.Estimate
+	class    speed.Class
+	slowness float64
 }
 
 func newWorker(w external.Worker) *worker {
--- a/internal/core/predict/queue.go
+++ b/internal/core/predict/queue.go
@@ -70,6 +70,9 @@
 	return p.quantile(deviations)
 }
 
+// Deviation returns the standard deviation of the logarithm of the run time.
+func (p Prediction) Deviation() float64 { return p.deviation }
+
 func (p Prediction) quantile(deviations float64) time.Duration {
 	if !p.known {
 		return 0
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,9 +46,9 @@
 	if n.Cell == nil {
 		return p.printLine(n, "%s does not own the cell; ask the instance at %s", n.Name, n.OwnerAddr)
 	}
-	return p.print(n.Cell.Workers, table.Row{"worker", "pool", "rack", "state", "runs", "free cores", "free MB", "free acc"}, func(t table.Writer) {
+	return p.print(n.Cell.Workers, table.Row{"worker", "pool", "rack", "state", "runs", "free cores", "free MB", "free acc", "speed"}, func(t table.Writer) {
 		for _, w := range n.Cell.Workers {
-			t.AppendRow(table.Row{w.ID, w.Pool, w.Rack, w.State, w.Runs, float64(w.FreeCPU) / 1000, w.FreeMemMB, w.FreeGPU})
+			t.AppendRow(table.Row{w.ID, w.Pool, w.Rack, w.State, w.Runs, float64(w.FreeCPU) / 1000, w.FreeMemMB, w.FreeGPU, speedText(w.SpeedPercent)})
 		}
 	})
 }
@@ -67,3 +68,11 @@
 		}
 	})
 }
+
+// speedText returns a worker's speed in percent as it is shown.
+func speedText(percent int) string {
+	if percent == 0 {
+		return "-"
+	}
+	return strconv.Itoa(percent)
+}
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -46,6 +46,8 @@
 	FreeCPU   int `json:"free_cpu"`
 	FreeMemMB int `json:"free_mem_mb"`
 	FreeGPU   int `json:"free_gpu"`
+	// SpeedPercent is the speed in percent of a usual worker's; 0 if not known.
+	SpeedPercent int `json:"speed_percent,omitempty"`
 }
 
 // Job is a job that has not ended.
