Open the gate of a pool by one standard error above the threshold

Ruled out: margins of 1.05 to 1.25 on the noise, and a bound on its share; none of them separates one run each. Now the ratio must exceed the threshold by one standard error: 2 of 4,000 pools with factors of 0.8, 1 and 1.25 open, 18 without. A stored factor counts as two runs.

--- a/internal/core/speed/pool.go
+++ b/internal/core/speed/pool.go
@@ -34,9 +34,13 @@
 	// lowQuantile and highQuantile are the percentiles whose ratio is compared.
 	lowQuantile  = 0.1
 	highQuantile = 0.9
-	// noiseMargin multiplies the spread that is due to errors. Without it the gate opened for
-	// factors of 0.8, 1 and 1.25 in one of 100 pools of workers with one run each.
-	noiseMargin = 1.25
+	// openMargin is by how many of its standard errors the ratio must exceed the threshold for
+	// the gate to open. Without it, the gate opened for factors of 0.8, 1 and 1.25 in 18 of 4,000
+	// pools of 120 workers with 1 to 20 runs each; with it in 2.
+	openMargin = 1.0
+	// spreadError is the standard error of the distance between the two percentiles, for one
+	// worker and a standard deviation of 1.
+	spreadError = 2.4
 )
 
 // Pool is what is known of the differences between a pool's workers. The zero value knows
@@ -64,14 +68,15 @@
 		}
 	}
 	slices.Sort(logs)
+	noise := 0.0
 	p.Known, p.Ratio, p.median = len(known), 1, 0
 	if len(known) > 0 {
 		p.median = quantile(logs, 0.5)
-		p.Ratio = spreadOf(known)
+		p.Ratio, noise = spreadOf(known)
 	}
-	least := threshold
+	least := threshold * math.Exp(openMargin*spreadError*math.Sqrt(noise/float64(max(len(known), 1))))
 	if p.Open {
-		least *= closeShare
+		least = threshold * closeShare
 	}
 	open := p.Ratio >= least && p.Known >= minKnown && float64(p.Known) >= minKnownShare*float64(len(workers))
 	changed = open != p.Open
@@ -80,11 +85,12 @@
 }
 
 // spreadOf returns the ratio of the high to the low percentile of the factors, without the
-// part of their spread that is due to the error of the estimates. Equal workers would seem
-// to differ by a factor of two while each is known by a single run.
-func spreadOf(known []Estimate) float64 {
+// part of their spread that is due to the error of the estimates, and the variance
+// of these errors. Equal workers would seem to differ by a factor of two while each is known by
+// a single run.
+func spreadOf(known []Estimate) (ratio, noise float64) {
 	raw := make([]float64, 0, len(known))
-	mean, noise := 0.0, 0.0
+	mean := 0.0
 	for _, e := range known {
 		raw = append(raw, e.rawLog)
 		mean += e.rawLog / float64(len(known))
@@ -94,13 +100,12 @@
 	for _, v := range raw {
 		variance += (v - mean) * (v - mean) / float64(len(known))
 	}
-	noise *= noiseMargin
 	if variance <= noise {
-		return 1
+		return 1, noise
 	}
 	slices.Sort(raw)
 	spread := quantile(raw, highQuantile) - quantile(raw, lowQuantile)
-	return math.Exp(spread * math.Sqrt((variance-noise)/variance))
+	return math.Exp(spread * math.Sqrt((variance-noise)/variance)), noise
 }
 
 // quantile returns a quantile of sorted values.
--- a/internal/core/speed/worker.go
+++ b/internal/core/speed/worker.go
@@ -20,8 +20,9 @@
 	surprise       = 2.0
 	contradictions = 2
 	keptWeight     = 0.2
-	// storedPrecision is the precision that a factor has which a previous owner stored.
-	storedPrecision = 12.0
+	// storedPrecision is the precision that a factor has which a previous owner stored: that
+	// of about two runs.
+	storedPrecision = 24.0
 	// maxLogFactor bounds a single piece of evidence: a factor of 10.
 	maxLogFactor = 2.3
 )
