Keep urgent work outside its guarantee from losing an eviction on slow workers

An eviction on fast workers that was cheaper in total but lost more than the unit's own work kept the unit from any eviction. Only urgent work weighs speeds in evictions.

Tests: 100 random scenarios with speeds in use.

--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -54,7 +54,7 @@
 		for _, workers := range c.evictionSets(set.workers, g) {
 			e := c.planEviction(p, workers, g, u)
 			e.cost += c.slowCost(g, u, e.on)
-			if e.on != nil && (best.on == nil || e.cost < best.cost) {
+			if e.on != nil && (best.on == nil || e.cost < best.cost) && !c.losesTooMuch(g, u, e) {
 				best = e
 			}
 		}
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -79,6 +79,8 @@
 	crashes bool
 	// unguarded says that workers start whatever they are told to.
 	unguarded bool
+	// prepare, if set, is called before the first owner takes over.
+	prepare func(*simulation)
 }
 
 // runRandomScenario runs the scenario of a seed until all jobs have ended. It returns a
@@ -87,6 +89,9 @@
 	sim := newSimulation(t, seed, 6+int(seed%6))
 	sim.unreadRate = o.unreadRate
 	drainRNG, crashRNG := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
+	if o.prepare != nil {
+		o.prepare(sim)
+	}
 	sim.replaceCrashed()
 	if o.unguarded {
 		sim.unguarded()
--- a/internal/core/cell/speedplace.go
+++ b/internal/core/cell/speedplace.go
@@ -134,15 +134,27 @@
 }
 
 // evictionSets returns the parts of a set of workers among which an eviction is planned:
-// all of them and, if their speeds differ, each class.
+// all of them and, for urgent work, each class if their speeds differ.
 func (c *Core) evictionSets(workers []*worker, g *rankedGroup) [][]*worker {
 	out := [][]*worker{workers}
-	if c.speedOrder(g) == fastestFirst {
+	if c.weighsSpeed(g) {
 		out = append(out, speedSubsets(workers)...)
 	}
 	return out
 }
 
+// weighsSpeed reports whether evictions for a group take speeds into account.
+func (c *Core) weighsSpeed(g *rankedGroup) bool {
+	return g.rank.Priority == 0 && c.speedOrder(g) != anySpeed
+}
+
+// losesTooMuch reports whether an eviction for urgent work outside its guarantee destroys
+// more than the unit's own work. Such an eviction on fast workers must not keep the unit
+// from one on slow workers that loses less.
+func (c *Core) losesTooMuch(g *rankedGroup, u *unit, e eviction) bool {
+	return c.weighsSpeed(g) && !g.rank.Entitled && c.unsavedWork(e.victims) > g.work(u)
+}
+
 // urgentDelayWeight is how many core-seconds of stopped work one core-second of longer
 // urgent work is worth. With 1, 15 of 25 urgent gangs of TestUrgentGangsGoToFastWorkers are
 // late, with 3 six, with 5 or 10 none.
@@ -151,7 +163,7 @@
 // slowCost returns the core-seconds that a unit takes longer on the given workers than on a
 // usual one, negative if it takes less. It is part of the cost of making room there.
 func (c *Core) slowCost(g *rankedGroup, u *unit, on []*worker) float64 {
-	if len(on) == 0 || c.speedOrder(g) == anySpeed {
+	if len(on) == 0 || !c.weighsSpeed(g) {
 		return 0
 	}
 	factor := slices.MaxFunc(on, func(a, b *worker) int { return cmp.Compare(a.timeFactor(), b.timeFactor()) }).timeFactor()
--- a/internal/core/cell/speeds_test.go
+++ b/internal/core/cell/speeds_test.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -219,3 +220,32 @@
 	s.run(200 * time.Millisecond)
 	return on
 }
+
+// Workers whose speeds change while calls are lost, owners replaced and gates opened must
+// not make the cell break what holds without speeds.
+func TestInvariantsHoldWhileSpeedsAreUsed(t *testing.T) {
+	var sims []*simulation
+	for seed := range uint64(100) {
+		err := runRandomScenario(t, 5000+seed, scenario{crashes: seed%2 == 0, prepare: func(s *simulation) {
+			s.settings.WorkerSpeedRatio = 1.2
+			for n, m := range s.fleet.Machines() {
+				m.Pace = []float64{0.5, 1, 1.8}[n%3]
+			}
+			sims = append(sims, s)
+		}})
+		if err != "" {
+			t.Fatal(err)
+		}
+	}
+	opened := 0
+	for _, s := range sims {
+		for _, r := range s.reports {
+			if strings.Contains(r, "Open:true Ratio:") {
+				opened++
+			}
+		}
+	}
+	if opened < 20 {
+		t.Errorf("gates opened %d times in 100 scenarios; the test needs at least 20", opened)
+	}
+}
