--- a/internal/core/cell/speedstore_test.go
+++ b/internal/core/cell/speedstore_test.go
@@ -94,3 +94,24 @@
 		t.Errorf("this version reads %+v, %v", now, err)
 	}
 }
+
+// Operators must see the speed, not the time factor, and nothing for unknown workers.
+func TestOverviewShowsSpeeds(t *testing.T) {
+	sim := unevenSimulation(t, 1.8, quarterFast)
+	c := openGate(sim)
+	c.fleet[0].Machine = "unknown"
+	c.now.Mono += speedInterval
+	c.refreshSpeeds()
+	for n, w := range c.Overview().Workers {
+		want := 100
+		switch {
+		case n == 0:
+			want = 0
+		case quarterFast(n) > 1:
+			want = 218
+		}
+		if w.SpeedPercent < want-3 || w.SpeedPercent > want+3 {
+			t.Errorf("%s has the speed %d, want about %d", w.ID, w.SpeedPercent, want)
+		}
+	}
+}
