--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -97,6 +97,8 @@
 	shortageReported   bool
 	// shares is what is known of the accounts' shares of the workers.
 	shares accountShares
+	// speeds is what is known of the workers' speeds.
+	speeds speeds
 }
 
 // New returns the core of a cell for the given term.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -187,6 +187,7 @@
 		}
 	}
 	c.moveStragglers()
+	c.refreshSpeeds()
 	c.checkGuarantees()
 	c.readUsage()
 	if now >= c.nextPeriodicPlacement {
