Explain in the core where a job would be placed

Operators see why a job waits, but not where one would go before it is submitted. The core copies its decision state; the copy submits the job, makes one placement pass and records, through a trace that is nil everywhere else, what the pass did with it.

Ruled out: reading the placement off a pass on the real state and undoing it, as too much changes in a pass (plans, numbers, reports); a generic copy by reflection in the product, as unexported fields need package unsafe.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -46,6 +46,8 @@
 	// round of holds begins with it. It is empty if none was left out.
 	nextContact external.WorkerID
 	actions     []Action
+	// trace records what is done with one job, in the copy of an Explainer; else nil.
+	trace *trace
 	// lastHold is the number of the last hold that was sent.
 	lastHold int64
 	// batchInFlight is the number of the Persist that has not been answered, or 0.
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		for _, u := range o.groups[s.Step].units {
-			u.failedRuns = s.Failures[u.index]
+			u.failedRuns = slices.Clip(s.Failures[u.index]) // the stored progress may be shared
 			u.checkpoint = s.Checkpoints[u.index]
 			u.restoreCrashes(s.Crashes)
 			if s.IsDone(u.index) {
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -15,8 +15,9 @@
 	c.nextPlacement = c.now.Mono + minPassInterval
 	c.stopRunsOnDraining()
 	p := c.newPass()
+	c.trace.passBegan(p)
 	defer c.requestAdvice(p)
-	maxStarts := max(maxUnansweredStarts, len(c.fleet)/workersPerUnansweredStart) - c.unansweredStarts()
+	maxStarts := c.maxUnansweredStarts() - c.unansweredStarts()
 	for _, g := range p.ready {
 		if p.starts >= maxStarts {
 			c.placementDue = true
@@ -30,6 +31,11 @@
 // mayStart reports whether the term was confirmed recently enough to order starts.
 func (c *Core) mayStart() bool { return c.now.Mono-c.termConfirmedAt <= c.settings.StartGrace }
 
+// maxUnansweredStarts returns how many starts may be without an answer.
+func (c *Core) maxUnansweredStarts() int {
+	return max(maxUnansweredStarts, len(c.fleet)/workersPerUnansweredStart)
+}
+
 // unansweredStarts counts the recent starts that have no answer yet.
 func (c *Core) unansweredStarts() int {
 	n := 0
@@ -74,6 +80,7 @@
 			continue
 		}
 		c.dropPlan(u)
+		c.trace.starting(c, g, u, on)
 		c.startUnit(u, on)
 		p.starts += len(on)
 	}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -62,6 +62,7 @@
 // applyEviction stops the victims of an eviction, with their gangs, and keeps the
 // room for the unit.
 func (c *Core) applyEviction(p *pass, u *unit, best eviction) {
+	c.trace.stopping(c, u, best.victims)
 	c.setPlan(u, best.on, false)
 	for _, r := range best.victims {
 		for _, m := range slices.Clone(r.unit.runs) {
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -59,6 +59,8 @@
 	stops       map[StopReason]int
 	// onStart, if set, is called with every start order.
 	onStart func(external.StartOrder)
+	// stepCore, if set, replaces the call of an owner's core.
+	stepCore func(o *testOwner, now Instant, ev Event) []Action
 }
 
 // testOwner is the owner of one term. A halted owner processes no events.
@@ -180,7 +182,11 @@
 	if o.halted {
 		return
 	}
-	for _, a := range o.core.Step(s.instant(), ev) {
+	step := s.stepCore
+	if step == nil {
+		step = func(o *testOwner, now Instant, ev Event) []Action { return o.core.Step(now, ev) }
+	}
+	for _, a := range step(o, s.instant(), ev) {
 		s.carryOut(o, a)
 	}
 }
--- a/internal/core/cell/waits.go
+++ b/internal/core/cell/waits.go
@@ -49,7 +49,16 @@
 		return
 	}
 	u.nextWaitReport = 2 * waited
-	n := UnitWaiting{Task: u.taskID(0), Tasks: u.size, Waited: waited, Reserved: u.plan != nil}
+	n := c.waitOf(p, g, u)
+	c.emit(n)
+	if n.Listed > 0 && n.LargeEnough == 0 && n.Allowed == n.Listed {
+		c.alarm(u.entry(), AlarmNoWorkerFits)
+	}
+}
+
+// waitOf returns how long a unit has waited and how many workers were considered.
+func (c *Core) waitOf(p *pass, g *rankedGroup, u *unit) UnitWaiting {
+	n := UnitWaiting{Task: u.taskID(0), Tasks: u.size, Waited: c.now.Mono - u.waitingSince, Reserved: u.plan != nil}
 	for _, w := range p.pool(g.pool).workers {
 		n.Listed++
 		if !w.usable(c.now.Mono) {
@@ -64,10 +73,7 @@
 			n.LargeEnough++
 		}
 	}
-	c.emit(n)
-	if n.Listed > 0 && n.LargeEnough == 0 && n.Allowed == n.Listed {
-		c.alarm(u.entry(), AlarmNoWorkerFits)
-	}
+	return n
 }
 
 // reportHeld reports the number of held jobs, if any, at most once a second.
--- /dev/null
+++ b/internal/core/retry/clone.go
@@ -0,0 +1,10 @@
+package retry
+
+import "slices"
+
+// Clone returns a copy that shares nothing with p.
+func (p *Pool) Clone() Pool {
+	out := *p
+	out.recent = slices.Clone(p.recent)
+	return out
+}
