Serve explanations to operators

POST /explain at an instance's operator address, and coltsfootmuxctl node explain. Only the copy of the decision state is made under the owner's lock; the pass is made beside the owner's work.

A refusal is application/problem+json, so that the command line prints its code. While the owner takes the cell over or has unread jobs the answer is 503 with Retry-After.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -83,6 +83,8 @@
 	waveMu sync.Mutex
 	waves  map[int64]upkeep.Wave
 
+	explanations explanations
+
 	// ctx ends when the instance is closed. wgMu keeps goroutines from being added to wg
 	// after that.
 	ctx    context.Context
