--- a/internal/core/cell/copygraph_test.go
+++ b/internal/core/cell/copygraph_test.go
@@ -12,7 +12,7 @@
 	"cell.Core.policy":          "a policy is replaced, never modified",
 	"cell.jobEntry.job":         "a job is never modified",
 	"cell.taskGroup.step":       "part of a job",
-	"external.Worker.Labels":        "an entry of the list of workers is replaced, never modified",
+	"external.Worker.Labels":    "an entry of the list of workers is replaced, never modified",
 	"cell.missingJobs.progress": "read only; what is taken from it is clipped, so that appending copies it",
 }
 
