--- a/internal/core/share/usage.go
+++ b/internal/core/share/usage.go
@@ -33,6 +33,22 @@
 	updatedAt time.Duration
 }
 
+// Clone returns a copy that shares nothing with the original; nil for nil.
+func (a *Accounts) Clone() *Accounts {
+	if a == nil {
+		return nil
+	}
+	out := *a
+	out.names = slices.Clone(a.names)
+	out.byName = make(map[string]*account, len(a.byName))
+	for name, e := range a.byName {
+		copied := *e
+		copied.jobs = slices.Clone(e.jobs)
+		out.byName[name] = &copied
+	}
+	return &out
+}
+
 // account is the state of one client account.
 type account struct {
 	// inPolicy says that the policy names the account.
--- a/internal/core/speed/step.go
+++ b/internal/core/speed/step.go
@@ -30,6 +30,15 @@
 	worker      *Worker
 }
 
+// Clone returns a copy that refers to the workers that workerOf returns for its own.
+func (s *Step) Clone(workerOf func(*Worker) *Worker) Step {
+	out := Step{samples: slices.Clone(s.samples)}
+	for i := range out.samples {
+		out.samples[i].worker = workerOf(out.samples[i].worker)
+	}
+	return out
+}
+
 // Record records the duration of a task on a worker, as it was or as its progress shows it.
 // It replaces what was recorded of the task before.
 func (s *Step) Record(index int, d time.Duration, on *Worker) {
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -24,6 +24,7 @@
 			{Name: "workers", Usage: "list the owned cell's workers, their state and free capacity", Action: action(showNodeWorkers)},
 			{Name: "jobs", Usage: "list the owned cell's open jobs and why they wait", Action: action(showNodeJobs)},
 			{Name: "accounts", Usage: "list the client accounts and their shares of the owned cell's workers", Action: action(showNodeAccounts)},
+			explainCommand(),
 		},
 	}
 }
