Keep the lease of a restarted worker that may have runs of its new incarnation

A restart set the end of the worker's lease to zero, while runs whose start may have reached the new incarnation stayed. The next hold without an answer took the lease for expired, and the tasks started elsewhere while they still ran.

--- a/internal/core/cell/adopt.go
+++ b/internal/core/cell/adopt.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"time"
-
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -13,7 +11,7 @@
 		task: listed.Task, number: listed.Run, worker: w, state: runRunning,
 		createdAt: c.now.Mono, startedAt: c.now.Mono, staleThrough: c.lastHold, progressedAt: c.now.Mono, percent: listed.Percent, resumed: true, pace: fullPace,
 	}
-	w.leaseEnd = max(w.leaseEnd, c.now.Mono+time.Duration(float64(c.settings.Lease)*clockSlack)+leaseMargin)
+	w.leaseEnd = max(w.leaseEnd, c.longestLeaseEnd())
 	c.identify(r)
 	return r
 }
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -239,9 +239,18 @@
 			c.markUnconfirmed(r)
 		}
 	}
+	if len(w.runs) > 0 {
+		// The starts of these runs may have granted the new incarnation a lease.
+		w.leaseEnd = c.longestLeaseEnd()
+	}
 	w.nextHoldAt = c.now.Mono
 }
 
+// longestLeaseEnd returns when any lease that was granted until now has certainly expired.
+func (c *Core) longestLeaseEnd() time.Duration {
+	return c.now.Mono + time.Duration(float64(c.settings.Lease)*clockSlack) + leaseMargin
+}
+
 // processEnds processes each listed end of a run once, in the order of the numbers.
 func (c *Core) processEnds(w *worker, ends []external.EndedRun) {
 	for _, e := range ends {
--- a/internal/core/cell/missing_test.go
+++ b/internal/core/cell/missing_test.go
@@ -90,3 +90,12 @@
 		t.Errorf("%d starts, %d of them before the takeover", sim.fleet.Starts, starts)
 	}
 }
+
+// Guards against a second run of a task whose start may have reached the new incarnation of
+// a worker that has restarted: the worker then fails to answer, and its lease counted as
+// expired at once.
+func TestRunOfANewIncarnationKeepsItsLease(t *testing.T) {
+	if err := runRandomScenario(t, 1593, scenario{unreadRate: 0.4, drains: true}); err != "" {
+		t.Error(err)
+	}
+}
