--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -95,6 +95,8 @@
 	nextGuaranteeCheck time.Duration
 	shortageSince      time.Duration
 	shortageReported   bool
+	// interference is what is known of tasks that slow each other down.
+	interference interferenceState
 }
 
 // New returns the core of a cell for the given term.
@@ -107,6 +109,7 @@
 		termConfirmedAt: now.Mono,
 		contactWindow:   contact.New(), crashedAddrs: make(map[string]time.Duration), failuresByPool: make(map[string]*retry.Pool), runTimesByQueue: make(map[string]*predict.Queue),
 	}
+	c.interference = newInterferenceState(s)
 	c.previousLeasesEnd = now.Mono + s.PreviousOwnerGrace + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
 }
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/interference"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
@@ -67,6 +68,8 @@
 	tickets     map[external.WorkerID]ticket
 	deniedUntil map[external.WorkerID]time.Duration
 	nextAdvice  time.Duration
+	// endedRuns are the step's runs that are compared with each other once all have ended.
+	endedRuns []interference.Run
 }
 
 type unitState int
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -32,7 +32,7 @@
 // with the fewest free accelerators.
 func (c *Core) findGangRack(p *pass, g *rankedGroup, u *unit, waitsForRack bool) []*worker {
 	var best []*worker
-	bestLeft, bestRisk := 0, 0
+	bestLeft, bestRisk, bestDisturbed := 0, 0, 0
 	for _, k := range p.rackOrder {
 		if k.pool != g.pool {
 			continue
@@ -51,12 +51,12 @@
 		if k.rack == g.step.DataRack && k.rack != "" {
 			return on
 		}
-		left, risk := 0, c.countRisky(on, g.taskGroup)
+		left, risk, disturbed := 0, c.countRisky(on, g.taskGroup), c.countDisturbed(on, g.taskGroup)
 		for _, w := range rack.workers {
 			left += w.available(g.rank.Priority).GPU
 		}
-		if best == nil || risk < bestRisk || risk == bestRisk && left < bestLeft {
-			best, bestLeft, bestRisk = on, left, risk
+		if best == nil || cmp.Or(cmp.Compare(risk, bestRisk), cmp.Compare(disturbed, bestDisturbed), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestRisk, bestDisturbed = on, left, risk, disturbed
 		}
 	}
 	return best
@@ -108,11 +108,12 @@
 		w *worker
 		// n is how many members fit.
 		n int
-		// risk is 1 for a worker to be avoided.
-		risk int
+		// risk is 1 for a worker to be avoided, disturbed for one on which tasks and the
+		// gang would slow each other down.
+		risk, disturbed int
 	}
 	var candidates []candidate
-	total := 0
+	total, oneRack := 0, c.interference.model != nil && inOneRack(workers)
 	for _, w := range workers {
 		if !c.fits(w, g, u) {
 			continue
@@ -128,6 +129,9 @@
 		if c.isRisky(w, g) {
 			cand.risk = 1
 		}
+		if oneRack && c.isDisturbed(w, g) {
+			cand.disturbed = 1
+		}
 		candidates = append(candidates, cand)
 		total += n
 	}
@@ -135,7 +139,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.risk, b.risk), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(a.risk, b.risk), cmp.Compare(a.disturbed, b.disturbed), cmp.Compare(b.n, a.n))
 	})
 	var on []*worker
 	for _, cand := range candidates {
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -311,6 +311,7 @@
 		}
 		c.resolveStart(r, ResolvedRunning)
 		c.clearSuspect(r)
+		c.sampleLatency(r)
 		c.stopIfStalled(r)
 	}
 }
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -266,6 +266,7 @@
 		return
 	}
 	u.entry().history.countEnd(reason)
+	c.observeEnd(r, reason)
 	if u.group.priority() == 0 && r.startedAt > 0 {
 		r.worker.startCooldown(r.resources, c.now.Mono)
 	}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -188,6 +188,7 @@
 	}
 	c.moveStragglers()
 	c.checkGuarantees()
+	c.judgeInterference()
 	if now >= c.nextPeriodicPlacement {
 		c.placementDue = true
 		c.nextPeriodicPlacement = now + 250*time.Millisecond
--- a/internal/core/cell/overview.go
+++ b/internal/core/cell/overview.go
@@ -22,6 +22,7 @@
 		}
 		out.Jobs = append(out.Jobs, c.jobOverview(e))
 	}
+	c.addInterference(out)
 	return out
 }
 
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -56,7 +56,7 @@
 		}
 		var on []*worker
 		if d := demandOf(g, u); !p.unplaceable[d] {
-			on = c.findWorkers(p, g, u)
+			on = c.findWorkersApart(p, g, u)
 			p.unplaceable[d] = on == nil && d.isCacheable()
 		}
 		if on == nil {
@@ -177,6 +177,8 @@
 	remote bool
 	// avoided is set if failures make other workers preferable.
 	avoided bool
+	// disturbed is set if tasks on the worker and the task would slow each other down.
+	disturbed bool
 	// leftGPU and leftCPU are what would remain free: tight packing keeps whole
 	// workers free for large tasks.
 	leftGPU int
@@ -190,6 +192,9 @@
 	if s.avoided != o.avoided {
 		return !s.avoided
 	}
+	if s.disturbed != o.disturbed {
+		return !s.disturbed
+	}
 	if s.leftGPU != o.leftGPU {
 		return s.leftGPU < o.leftGPU
 	}
@@ -198,7 +203,7 @@
 
 func (c *Core) scoreOf(w *worker, g *rankedGroup, u *unit, remote bool) score {
 	left := w.available(g.rank.Priority).Minus(g.step.Resources())
-	return score{remote: remote, avoided: c.isRisky(w, g.taskGroup), leftGPU: left.GPU, leftCPU: left.CPU}
+	return score{remote: remote, avoided: c.isRisky(w, g.taskGroup), disturbed: c.isDisturbed(w, g.taskGroup), leftGPU: left.GPU, leftCPU: left.CPU}
 }
 
 // stopRunsOnDraining stops the runs that would not end before their draining
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -83,6 +83,8 @@
 	// unidentified is set while the submission of the run's job is not known, or has not
 	// been read yet. What resources such a run takes is not known.
 	unidentified bool
+	// latencySampledAt is when the latency of a serving task was last sampled.
+	latencySampledAt time.Duration
 }
 
 // attach adds the run to its worker and unit.
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -25,6 +25,9 @@
 	OpenEarly time.Duration
 	// Retention is how long the status of an ended job is kept.
 	Retention time.Duration
+	// InterferenceSlowdown is the slowdown from which tasks of two profiles are kept on
+	// different workers where there is room; 0 to place them without regard to it.
+	InterferenceSlowdown float64
 }
 
 // Internal constants, which operators have no reason to change.
--- a/internal/core/cell/status.go
+++ b/internal/core/cell/status.go
@@ -44,11 +44,13 @@
 	Workers int
 	// Usable counts the workers that may get new runs.
 	Usable int
+	// InterferingPairs counts the pairs of profiles of which one slows the other.
+	InterferingPairs int
 }
 
 // Load returns the summary.
 func (c *Core) Load() Load {
-	l := Load{OpenJobs: len(c.openJobs), Workers: len(c.fleet)}
+	l := Load{OpenJobs: len(c.openJobs), Workers: len(c.fleet), InterferingPairs: c.interferingPairs()}
 	for _, e := range c.openJobs {
 		for _, u := range e.units() {
 			if u.state == unitWaiting {
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -105,6 +105,8 @@
 	// reserved.
 	plannedTasks  map[*taskGroup]int
 	drainingSince time.Duration
+	// pastRuns are the runs that ended lately, as neighbours of those that go on.
+	pastRuns pastRuns
 }
 
 func newWorker(w external.Worker) *worker {
--- /dev/null
+++ b/internal/core/interference/model.go
@@ -0,0 +1,173 @@
+package interference
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// memoryRuns is how many of a victim's last runs count, and how many of its last runs
+	// with each neighbour; memoryTime is how long a run counts.
+	memoryRuns = 200
+	memoryTime = 120 * time.Second
+	// minRuns is how many runs with and without the neighbour are needed to name a pair,
+	// minRunsKept to keep it.
+	minRuns     = 12.0
+	minRunsKept = 6.0
+	// errorsToName and errorsToKeep are multiples of the standard error.
+	errorsToName = 4.0
+	errorsToKeep = 2.0
+	// keptShare is the share of the threshold's logarithm below which a pair is forgotten.
+	keptShare = 2.0 / 3
+	// presentShare is the share of time from which a run counts as one with a neighbour in
+	// the memory.
+	presentShare = 0.25
+	// maxProfiles bounds the victims that are remembered, maxSamples the samples of each.
+	maxProfiles = 64
+	maxSamples  = 2000
+)
+
+// Pair says how much a neighbour slows a victim.
+type Pair struct {
+	Victim    string
+	Neighbour string
+	// Slowdown is the factor by which the victim takes longer, Error the standard error of
+	// its logarithm.
+	Slowdown float64
+	Error    float64
+	// With and Without count the runs by the share of their time with the neighbour.
+	With    float64
+	Without float64
+}
+
+// Change reports that a pair was named, or forgotten.
+type Change struct {
+	Pair
+	Named bool
+}
+
+// pairKey identifies an ordered pair of profiles.
+type pairKey struct{ victim, neighbour string }
+
+// Model holds the evidence and the named pairs.
+type Model struct {
+	threshold float64
+	samples   map[string][]Sample
+	named     map[pairKey]Pair
+	// conflicts holds, by profile, the profiles that it should not run beside.
+	conflicts map[string][]string
+}
+
+// New returns a model that names pairs with at least the given slowdown.
+func New(slowdown float64) *Model {
+	return &Model{threshold: math.Log(slowdown), samples: make(map[string][]Sample), named: make(map[pairKey]Pair)}
+}
+
+// Observe records a sample of a victim.
+func (m *Model) Observe(victim string, s Sample) {
+	if _, known := m.samples[victim]; known || len(m.samples) < maxProfiles {
+		m.samples[victim] = append(m.samples[victim], s)
+	}
+}
+
+// Judge reviews all evidence and returns the pairs that are named or forgotten by it.
+func (m *Model) Judge(now time.Duration) []Change {
+	victims := m.forgetOld(now)
+	levels := m.placeLevels(victims)
+	var changes []Change
+	named := make(map[pairKey]Pair)
+	for _, v := range victims {
+		for _, p := range estimate(v, m.samples[v], levels) {
+			key := pairKey{v, p.Neighbour}
+			_, was := m.named[key]
+			is := m.interferes(p, was)
+			if is {
+				named[key] = p
+			}
+			if is != was {
+				changes = append(changes, Change{Pair: p, Named: is})
+			}
+			delete(m.named, key)
+		}
+	}
+	for _, p := range m.Pairs() { // no evidence is left of these
+		changes = append(changes, Change{Pair: p})
+	}
+	m.named = named
+	m.updateConflicts()
+	return changes
+}
+
+// interferes reports whether the evidence names a pair, or keeps one that was named.
+func (m *Model) interferes(p Pair, was bool) bool {
+	effect, threshold, errors, runs := math.Log(p.Slowdown), m.threshold, errorsToName, minRuns
+	if was {
+		threshold, errors, runs = keptShare*m.threshold, errorsToKeep, minRunsKept
+	}
+	return effect >= threshold && effect >= errors*p.Error && p.With >= runs && p.Without >= runs
+}
+
+// Pairs returns the named pairs, sorted.
+func (m *Model) Pairs() []Pair {
+	out := make([]Pair, 0, len(m.named))
+	for _, p := range m.named {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b Pair) int {
+		return cmp.Or(cmp.Compare(a.Victim, b.Victim), cmp.Compare(a.Neighbour, b.Neighbour))
+	})
+	return out
+}
+
+// Conflicts returns the profiles that slow the given one or are slowed by it.
+func (m *Model) Conflicts(profile string) []string { return m.conflicts[profile] }
+
+func (m *Model) updateConflicts() {
+	m.conflicts = make(map[string][]string)
+	add := func(a, b string) {
+		if !slices.Contains(m.conflicts[a], b) {
+			m.conflicts[a] = append(m.conflicts[a], b)
+		}
+	}
+	for _, p := range m.Pairs() {
+		add(p.Victim, p.Neighbour)
+		add(p.Neighbour, p.Victim)
+	}
+}
+
+// forgetOld drops the samples that no longer count and returns the remaining victims, sorted.
+func (m *Model) forgetOld(now time.Duration) []string {
+	var victims []string
+	for v, samples := range m.samples {
+		if kept := recent(samples, now); len(kept) > 0 {
+			m.samples[v] = kept
+			victims = append(victims, v)
+		} else {
+			delete(m.samples, v)
+		}
+	}
+	slices.Sort(victims)
+	return victims
+}
+
+// recent returns the samples that still count, in the same order.
+func recent(samples []Sample, now time.Duration) []Sample {
+	var kept []Sample
+	seen := make(map[string]int)
+	for i, s := range slices.Backward(samples) {
+		keep := len(samples)-i <= memoryRuns
+		for p, share := range s.Present {
+			if share >= presentShare {
+				seen[p]++
+				keep = keep || seen[p] <= memoryRuns
+			}
+		}
+		if keep && now-s.At <= memoryTime && len(kept) < maxSamples {
+			kept = append(kept, s)
+		}
+	}
+	slices.Reverse(kept)
+	return kept
+}
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -22,6 +22,7 @@
 			{Name: "show", Usage: "show the instance, the term and the term's owner", Action: action(showNode)},
 			{Name: "workers", Usage: "list the owned cell's workers, their state and free capacity", Action: action(showNodeWorkers)},
 			{Name: "jobs", Usage: "list the owned cell's open jobs and why they wait", Action: action(showNodeJobs)},
+			{Name: "interference", Usage: "list the tasks of the owned cell that slow each other down on one worker", Action: action(showNodeInterference)},
 		},
 	}
 }
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -85,6 +85,10 @@
 		mTasksGivenUp.Inc()
 		evTaskGivenUp.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("crashes", a.Crashes),
 			slog.Bool("alone", a.Alone), slog.Duration("age", a.Age))
+	case cell.PairChanged:
+		o.reportPair(a)
+	case cell.PlacedApart:
+		mPlacedApart.Inc()
 	case cell.UnitWaiting:
 		evWaiting.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int("tasks", a.Tasks), slog.Duration("waited", a.Waited),
 			slog.Int("workers", a.Listed), slog.Int("usable", a.Usable), slog.Int("allowed", a.Allowed), slog.Int("large_enough", a.LargeEnough),
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -65,6 +65,8 @@
 	evConfirmedByOwner  = logevent.New(2264, slog.LevelInfo, "owner has read the record of a job")
 	evWorkerCrashed     = logevent.New(2266, slog.LevelWarn, "worker has crashed")
 	evTaskGivenUp       = logevent.New(2267, slog.LevelWarn, "task given up: workers crash under it")
+	evPairNamed         = logevent.New(2270, slog.LevelInfo, "tasks slow each other down")
+	evPairForgotten     = logevent.New(2271, slog.LevelInfo, "tasks no longer slow each other down")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
 )
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -37,6 +37,7 @@
 	mUnconfirmedStarts = metric.NewCounterVec("coltsfootmux_doubts_total", "starts", "how", "unconfirmed starts by how they were resolved")
 	mWorkerCrashes     = metric.NewCounter("coltsfootmux_worker_crashes_total", "workers", "workers that have crashed while they had runs")
 	mTasksGivenUp      = metric.NewCounter("coltsfootmux_tasks_given_up_total", "tasks", "tasks whose job failed because workers crashed under them")
+	mPlacedApart       = metric.NewCounter("coltsfootmux_placed_apart_total", "placements", "placements elsewhere because tasks slow each other down")
 	mAlarms            = metric.NewCounterVec("coltsfootmux_cell_alarms_total", "alarms", "code", "alarms raised, by code")
 	mProgressWriteTime = metric.NewHistogram("coltsfootmux_progress_write_seconds", "seconds", "time until progress is durable")
 )
@@ -68,6 +69,7 @@
 	gauge("coltsfootmux_cell_runs", "runs", "runs on the owned cell's workers", func(i *Instance) float64 { return float64(i.cellLoad().Runs) })
 	gauge("coltsfootmux_cell_workers", "workers", "workers known to the owned cell", func(i *Instance) float64 { return float64(i.cellLoad().Workers) })
 	gauge("coltsfootmux_cell_workers_usable", "workers", "workers of the owned cell that may be given work", func(i *Instance) float64 { return float64(i.cellLoad().Usable) })
+	gauge("coltsfootmux_interfering_pairs", "pairs", "pairs of task profiles in the owned cell of which one slows the other", func(i *Instance) float64 { return float64(i.cellLoad().InterferingPairs) })
 }
 
 // sinceAnswer returns the seconds since the store last answered for a topic, 0 if it
--- a/internal/job/step.go
+++ b/internal/job/step.go
@@ -39,6 +39,8 @@
 	// BestEffortCPU says that the tasks' CPU is not counted against the worker's
 	// capacity.
 	BestEffortCPU bool `cbor:"15,keyasint,omitempty"`
+	// Image names the program that the tasks run. Tasks of one image behave alike.
+	Image string `cbor:"18,keyasint,omitempty"`
 }
 
 // Estimate returns the estimated run time of one task.
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -33,6 +33,22 @@
 	// number of those left out.
 	Jobs     []Job `json:"jobs"`
 	MoreJobs int   `json:"more_jobs,omitempty"`
+	// Interference holds the pairs of task profiles of which one slows the other.
+	Interference []Interference `json:"interference,omitempty"`
+}
+
+// Interference says how much a neighbour on the same worker slows tasks of a profile.
+type Interference struct {
+	Victim    string `json:"victim"`
+	Neighbour string `json:"neighbour"`
+	// Slowdown is the factor by which the victim takes longer, Error the standard error of
+	// its logarithm.
+	Slowdown float64 `json:"slowdown"`
+	Error    float64 `json:"error"`
+	// RunsWith and RunsWithout count the victim's runs by the share of their time with and
+	// without the neighbour.
+	RunsWith    float64 `json:"runs_with"`
+	RunsWithout float64 `json:"runs_without"`
 }
 
 // Worker is the state of a worker as the owner knows it.
