--- a/internal/core/cell/interference.go
+++ b/internal/core/cell/interference.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -52,6 +53,11 @@
 	return g.occ.entry.job.Queue.Name
 }
 
+// id names the group among all.
+func (g *taskGroup) id() string {
+	return fmt.Sprintf("%s.%d.%d", g.occ.entry.job.ID, g.occ.index, g.index)
+}
+
 // observeEnd takes the evidence of a run that has been removed from its worker. The runs
 // of a step are compared once its last one has ended: the first ones to end are the
 // shorter ones.
@@ -67,7 +73,7 @@
 		})
 	}
 	if g.unfinished <= 1 && len(g.endedRuns) > 0 {
-		for _, s := range interference.Contrast(g.endedRuns) {
+		for _, s := range interference.Samples(g.id(), g.endedRuns) {
 			c.interference.model.Observe(g.profile(), s)
 		}
 		g.endedRuns = nil
@@ -94,7 +100,7 @@
 	r.latencySampledAt = now
 	ofTarget := float64(r.measurement) / float64(g.step.LatencyTargetMS)
 	present := r.worker.exposures(r, now-latencyWindow, now)
-	c.interference.model.Observe(g.profile(), interference.Latency(now, g.profile(), string(r.worker.ID), ofTarget, present))
+	c.interference.model.Observe(g.profile(), interference.Latency(now, g.id(), string(r.worker.ID), ofTarget, present))
 }
 
 // judgeInterference reviews the evidence and reports the pairs that have changed.
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -59,6 +59,8 @@
 	stops       map[StopReason]int
 	// onStart, if set, is called with every start order.
 	onStart func(external.StartOrder)
+	// adjustSettings, if set, changes the settings of every new owner.
+	adjustSettings func(*Settings)
 }
 
 // testOwner is the owner of one term. A halted owner processes no events.
@@ -135,7 +137,11 @@
 		s.schedule(testSettings().PreviousOwnerGrace, func() { previous.halted = true })
 	}
 	o := &testOwner{term: int64(len(s.owners) + 1)}
-	o.core = New(testSettings(), o.term, s.policy, s.instant())
+	settings := testSettings()
+	if s.adjustSettings != nil {
+		s.adjustSettings(&settings)
+	}
+	o.core = New(settings, o.term, s.policy, s.instant())
 	s.storeTerm = o.term
 	s.owners = append(s.owners, o)
 	ev := Loaded{Jobs: slices.Clone(s.jobs), Cancels: slices.Clone(s.cancels), Progress: make(map[job.ID]job.Progress)}
--- a/internal/core/interference/estimate.go
+++ b/internal/core/interference/estimate.go
@@ -8,59 +8,48 @@
 )
 
 const (
-	// minOthers is how many other runs at its place a run is compared with at least.
-	minOthers = 2
-	// minPlaces is the least number of places with evidence: what is seen on one or two
-	// workers may be a fault of these.
-	minPlaces = 3
 	// maxNeighbours bounds the neighbours of one victim whose effects are estimated at once.
 	maxNeighbours = 16
+	// minFreedom is the least number of degrees of freedom: with fewer, a few lucky runs
+	// make the standard error far too small.
+	minFreedom = 40
 	// minVariance is the least variance of values: durations are known to a few percent.
 	minVariance = 0.01
+	// minWorkers is the least number of workers with evidence: what is seen on one or two
+	// may be a fault of these.
+	minWorkers = 3
 	// ridge keeps the equations solvable if two neighbours always come together. Their
 	// effects then have errors so large that neither is named.
 	ridge = 1e-3
+	// centerings is how often the means of waves and workers are subtracted in turn. Runs
+	// are spread over both, so that the remainder shrinks several times with each turn.
+	centerings = 12
 )
 
-// level is the sum of the values of all runs at one place, and their number.
-type level struct {
-	sum   float64
-	count int
-}
-
-func (m *Model) placeLevels(victims []string) map[string]level {
-	out := make(map[string]level)
-	for _, v := range victims {
-		for _, s := range m.samples[v] {
-			l := out[s.Place]
-			out[s.Place] = level{sum: l.sum + s.Value, count: l.count + 1}
-		}
-	}
-	return out
-}
-
-// row is one equation of the regression: a value and its exposures, both relative to the
-// other runs at the same place. The first exposure is 1, for the intercept.
-type row struct {
-	place     string
-	value     float64
-	exposures []float64
-}
-
 // estimate returns the effect of each neighbour on a victim for which there is enough
 // evidence.
-func estimate(victim string, samples []Sample, levels map[string]level) []Pair {
+func estimate(victim string, samples []Sample) []Pair {
 	pairs := candidates(victim, samples)
 	if len(pairs) == 0 {
 		return nil
 	}
-	rows := equations(pairs, samples, levels)
-	inverse, effects := leastSquares(rows, len(pairs)+1)
-	variance := residualVariance(rows, effects)
+	t := newTable(pairs, samples)
+	freedom := len(samples) - t.waves.count - t.workers.count + 1 - len(pairs)
+	if freedom < minFreedom {
+		return nil
+	}
+	for range centerings {
+		t.center(t.waves)
+		t.center(t.workers)
+	}
+	inverse, effects := t.leastSquares()
+	residuals := t.residuals(effects)
+	variance := max(dot(residuals, residuals)/float64(freedom), minVariance)
 	for i := range pairs {
-		pairs[i].Slowdown = math.Exp(effects[i+1])
-		byRun := variance * inverse[i+1][i+1]
-		pairs[i].Error = math.Sqrt(max(byRun, varianceByPlace(rows, effects, inverse[i+1])))
+		pairs[i].Slowdown = math.Exp(effects[i])
+		byRun, byWorker := variance*inverse[i][i], t.varianceByWorker(residuals, inverse[i])
+		pairs[i].contrast = 1 / inverse[i][i]
+		pairs[i].Error = math.Sqrt(max(byRun, byWorker))
 	}
 	return pairs
 }
@@ -87,49 +76,83 @@
 	return out[:min(len(out), maxNeighbours)]
 }
 
-// equations returns an equation for each sample whose place has enough other runs.
-func equations(pairs []Pair, samples []Sample, levels map[string]level) []row {
-	sums := make(map[string][]float64)
-	for _, s := range samples {
-		if sums[s.Place] == nil {
-			sums[s.Place] = make([]float64, len(pairs))
-		}
-		for i, p := range pairs {
-			sums[s.Place][i] += s.Contrast[p.Neighbour]
+// table holds the equations of the regression, by column: the values and, for each
+// neighbour, the exposures.
+type table struct {
+	values    []float64
+	exposures [][]float64
+	waves     grouping
+	workers   grouping
+}
+
+// grouping assigns each row to one of count groups.
+type grouping struct {
+	of    []int
+	count int
+}
+
+func groupBy[K comparable](samples []Sample, key func(*Sample) K) grouping {
+	g := grouping{of: make([]int, len(samples))}
+	known := make(map[K]int)
+	for i := range samples {
+		k := key(&samples[i])
+		if _, ok := known[k]; !ok {
+			known[k] = g.count
+			g.count++
 		}
+		g.of[i] = known[k]
+	}
+	return g
+}
+
+func newTable(pairs []Pair, samples []Sample) *table {
+	t := &table{
+		waves:   groupBy(samples, func(s *Sample) wave { return s.wave }),
+		workers: groupBy(samples, func(s *Sample) string { return s.Worker }),
 	}
-	var rows []row
 	for _, s := range samples {
-		l := levels[s.Place]
-		others := float64(l.count - 1)
-		if others < minOthers {
-			continue
-		}
-		r := row{place: s.Place, value: s.Value - (l.sum-s.Value)/others, exposures: make([]float64, len(pairs)+1)}
-		r.exposures[0] = 1
-		for i, p := range pairs {
-			own := s.Contrast[p.Neighbour]
-			r.exposures[i+1] = own - (sums[s.Place][i]-own)/others
+		t.values = append(t.values, s.Value)
+	}
+	for _, p := range pairs {
+		column := make([]float64, len(samples))
+		for i, s := range samples {
+			column[i] = s.Present[p.Neighbour]
 		}
-		rows = append(rows, r)
+		t.exposures = append(t.exposures, column)
+	}
+	return t
+}
+
+// center subtracts from all columns the means of the groups.
+func (t *table) center(g grouping) {
+	g.center(t.values)
+	for _, column := range t.exposures {
+		g.center(column)
+	}
+}
+
+func (g grouping) center(column []float64) {
+	sums, sizes := make([]float64, g.count), make([]float64, g.count)
+	for i, v := range column {
+		sums[g.of[i]] += v
+		sizes[g.of[i]]++
+	}
+	for i := range column {
+		column[i] -= sums[g.of[i]] / sizes[g.of[i]]
 	}
-	return rows
 }
 
 // leastSquares returns the inverse of the normal equations' matrix, and the effects.
-func leastSquares(rows []row, n int) (inverse [][]float64, effects []float64) {
+func (t *table) leastSquares() (inverse [][]float64, effects []float64) {
+	n := len(t.exposures)
 	matrix, right := make([][]float64, n), make([]float64, n)
-	for i := range n {
+	for i, column := range t.exposures {
 		matrix[i] = make([]float64, n)
-		matrix[i][i] = ridge
-	}
-	for _, r := range rows {
-		for i, x := range r.exposures {
-			right[i] += x * r.value
-			for j, y := range r.exposures {
-				matrix[i][j] += x * y
-			}
+		for j, other := range t.exposures {
+			matrix[i][j] = dot(column, other)
 		}
+		matrix[i][i] += ridge
+		right[i] = dot(column, t.values)
 	}
 	inverse, effects = invert(matrix), make([]float64, n)
 	for i := range n {
@@ -138,65 +161,28 @@
 	return inverse, effects
 }
 
-// invert returns the inverse of a symmetric positive definite matrix, by elimination.
-func invert(m [][]float64) [][]float64 {
-	n := len(m)
-	out := make([][]float64, n)
-	for i := range n {
-		out[i] = make([]float64, n)
-		out[i][i] = 1
-	}
-	for c := range n {
-		pivot := m[c][c]
-		for j := range n {
-			m[c][j] /= pivot
-			out[c][j] /= pivot
-		}
-		for i := range n {
-			if i == c {
-				continue
-			}
-			factor := m[i][c]
-			for j := range n {
-				m[i][j] -= factor * m[c][j]
-				out[i][j] -= factor * out[c][j]
-			}
+func (t *table) residuals(effects []float64) []float64 {
+	out := slices.Clone(t.values)
+	for j, column := range t.exposures {
+		for i, x := range column {
+			out[i] -= effects[j] * x
 		}
 	}
 	return out
 }
 
-func dot(a, b []float64) float64 {
-	sum := 0.0
-	for i := range a {
-		sum += a[i] * b[i]
-	}
-	return sum
-}
-
-func residualVariance(rows []row, effects []float64) float64 {
-	sum := 0.0
-	for _, r := range rows {
-		e := r.value - dot(r.exposures, effects)
-		sum += e * e
-	}
-	return max(sum/float64(max(len(rows)-len(effects), 1)), minVariance)
-}
-
-// varianceByPlace returns the variance of an effect if the runs at each place count as
-// one observation. It is infinite with fewer than minPlaces. inverse is the effect's row
-// of the inverse matrix.
-func varianceByPlace(rows []row, effects, inverse []float64) float64 {
-	byPlace := make(map[string]float64)
-	for _, r := range rows {
-		byPlace[r.place] += dot(inverse, r.exposures) * (r.value - dot(r.exposures, effects))
-	}
-	sum, n := 0.0, float64(len(byPlace))
-	for _, w := range slices.Sorted(maps.Keys(byPlace)) {
-		sum += byPlace[w] * byPlace[w]
-	}
-	if n < minPlaces {
+// varianceByWorker returns the variance of an effect if the runs on each worker count as
+// one observation. inverse is the effect's row of the inverse matrix.
+func (t *table) varianceByWorker(residuals, inverse []float64) float64 {
+	if t.workers.count < minWorkers {
 		return math.Inf(1)
 	}
-	return sum * n / (n - 1)
+	scores := make([]float64, t.workers.count)
+	for j, column := range t.exposures {
+		for i, x := range column {
+			scores[t.workers.of[i]] += inverse[j] * x * residuals[i]
+		}
+	}
+	n := float64(t.workers.count)
+	return dot(scores, scores) * n / (n - 1)
 }
--- a/internal/core/interference/model.go
+++ b/internal/core/interference/model.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// memoryRuns is how many of a victim's last runs count, and how many of its last runs
-	// with each neighbour; memoryTime is how long a run counts.
-	memoryRuns = 200
-	memoryTime = 120 * time.Second
+	// memoryRuns is how many of a victim's last runs with each neighbour count,
+	// memoryByWorker how many of its last runs on each worker; memoryTime is how long a run
+	// counts.
+	memoryRuns     = 200
+	memoryByWorker = 16
+	memoryTime     = 120 * time.Second
 	// minRuns is how many runs with and without the neighbour are needed to name a pair,
 	// minRunsKept to keep it.
 	minRuns     = 12.0
@@ -40,6 +42,9 @@
 	// With and Without count the runs by the share of their time with the neighbour.
 	With    float64
 	Without float64
+	// contrast is the sum of the squares of what is left of the exposures once workers,
+	// waves and other neighbours are taken out: n runs with and n without give n/2.
+	contrast float64
 }
 
 // Change reports that a pair was named, or forgotten.
@@ -75,11 +80,10 @@
 // Judge reviews all evidence and returns the pairs that are named or forgotten by it.
 func (m *Model) Judge(now time.Duration) []Change {
 	victims := m.forgetOld(now)
-	levels := m.placeLevels(victims)
 	var changes []Change
 	named := make(map[pairKey]Pair)
 	for _, v := range victims {
-		for _, p := range estimate(v, m.samples[v], levels) {
+		for _, p := range estimate(v, m.samples[v]) {
 			key := pairKey{v, p.Neighbour}
 			_, was := m.named[key]
 			is := m.interferes(p, was)
@@ -106,7 +110,7 @@
 	if was {
 		threshold, errors, runs = keptShare*m.threshold, errorsToKeep, minRunsKept
 	}
-	return effect >= threshold && effect >= errors*p.Error && p.With >= runs && p.Without >= runs
+	return effect >= threshold && effect >= errors*p.Error && p.With >= runs && p.Without >= runs && p.contrast >= runs/2
 }
 
 // Pairs returns the named pairs, sorted.
@@ -154,16 +158,12 @@
 
 // recent returns the samples that still count, in the same order.
 func recent(samples []Sample, now time.Duration) []Sample {
+	waves := wavesWithNeighbours(samples)
+	onWorker := make(map[string]int)
 	var kept []Sample
-	seen := make(map[string]int)
-	for i, s := range slices.Backward(samples) {
-		keep := len(samples)-i <= memoryRuns
-		for p, share := range s.Present {
-			if share >= presentShare {
-				seen[p]++
-				keep = keep || seen[p] <= memoryRuns
-			}
-		}
+	for _, s := range slices.Backward(samples) {
+		onWorker[s.Worker]++
+		keep := waves[s.wave] || onWorker[s.Worker] <= memoryByWorker
 		if keep && now-s.At <= memoryTime && len(kept) < maxSamples {
 			kept = append(kept, s)
 		}
@@ -171,3 +171,21 @@
 	slices.Reverse(kept)
 	return kept
 }
+
+// wavesWithNeighbours returns the waves that have one of the last runs with some neighbour.
+// They are kept whole, as a run tells nothing without those with which it is compared.
+func wavesWithNeighbours(samples []Sample) map[wave]bool {
+	seen, out := make(map[string]int), make(map[wave]bool)
+	for _, s := range slices.Backward(samples) {
+		for p, share := range s.Present {
+			if share < presentShare {
+				continue
+			}
+			seen[p]++
+			if seen[p] <= memoryRuns {
+				out[s.wave] = true
+			}
+		}
+	}
+	return out
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -52,6 +52,8 @@
 	// set, is called after a crash.
 	Deadly  func(job.TaskID) bool
 	OnCrash func(*Machine)
+	// Slowdown, if set, says how tasks on one machine slow each other down.
+	Slowdown SlowdownFunc
 	// Crashes is the number of machines that have crashed under a task; crashes and
 	// startsAfterCrashes count, by task, those and the starts after maxCrashes of them.
 	Crashes            int
@@ -201,7 +203,7 @@
 	if run.step.LongRunning {
 		return
 	}
-	run.remaining -= time.Duration(float64(passed) * m.Pace * float64(run.pacePercent) / 100)
+	run.remaining -= time.Duration(float64(passed) * m.Pace * float64(run.pacePercent) / 100 / m.slowdown(run))
 	if done := run.total - run.remaining; done-run.checkpointed >= checkpointInterval {
 		run.checkpointed = done.Truncate(checkpointInterval)
 	}
--- a/internal/standin/fleet/machine.go
+++ b/internal/standin/fleet/machine.go
@@ -130,13 +130,13 @@
 }
 
 // measurement returns what the machine measures of a run: its CPU, or, for a
-// serving task, its tail latency in milliseconds. That is half of its target, plus
-// the whole target for each best-effort task beside it at full pace.
+// serving task, its tail latency in milliseconds. That is half of its target,
+// slowed by its neighbours, plus the whole target for each best-effort task beside it at full pace.
 func (m *Machine) measurement(run *taskRun) int {
 	if run.step.LatencyTargetMS == 0 {
 		return run.step.CPU
 	}
-	tail := run.step.LatencyTargetMS / 2
+	tail := int(float64(run.step.LatencyTargetMS) / 2 * m.slowdown(run))
 	for _, o := range m.runs {
 		if o.step.BestEffortCPU {
 			tail += run.step.LatencyTargetMS * o.pacePercent / 100
