--- a/internal/core/cell/interference.go
+++ b/internal/core/cell/interference.go
@@ -12,8 +12,8 @@
 
 const (
 	// judgeInterval is how often the evidence about one victim is reviewed. There are as
-	// many victims as queues or images: each is reviewed within about a second.
-	judgeInterval = 200 * time.Millisecond
+	// many victims as queues or images; with three, each is reviewed every 1.2 s.
+	judgeInterval = 400 * time.Millisecond
 	// latencyInterval is the least time between two samples of a serving task's latency.
 	latencyInterval = time.Second
 	// latencyWindow is the time that a measurement of a worker covers.
--- a/internal/core/cell/interference_test.go
+++ b/internal/core/cell/interference_test.go
@@ -117,6 +117,24 @@
 	}
 }
 
+// Tasks that were kept apart for ever would take room from each other for no reason.
+func TestPairThatStopsInterferingIsForgotten(t *testing.T) {
+	for seed := range uint64(3) {
+		sim := interferenceSimulation(t, seed, 2, 1.25)
+		playMixedLoad(sim, 40)
+		c := sim.current().core
+		if c.Load().InterferingPairs != 1 || c.Overview().Interference[0].Slowdown < 1.25 {
+			t.Fatalf("seed %d: %+v, want one pair", seed, c.Overview().Interference)
+		}
+		sim.fleet.Slowdown = nil
+		sim.run(125 * time.Second)
+		if c.Load().InterferingPairs != 0 || sim.countReports("Named:false") == 0 {
+			t.Errorf("seed %d: %+v after the end of the interference", seed, c.Overview().Interference)
+		}
+		sim.check()
+	}
+}
+
 // Load that goes up and down, racks of slow workers and tasks of different lengths must not be taken for
 // interference.
 func TestNoPairIsNamedWithoutInterference(t *testing.T) {
--- a/internal/core/interference/model.go
+++ b/internal/core/interference/model.go
@@ -29,7 +29,7 @@
 	presentShare = 0.25
 	// maxProfiles bounds the victims that are remembered, maxSamples the samples of each.
 	maxProfiles = 64
-	maxSamples  = 2000
+	maxSamples  = 1000
 )
 
 // Pair says how much a neighbour slows a victim.
