--- a/internal/core/cell/interference_test.go
+++ b/internal/core/cell/interference_test.go
@@ -111,6 +111,9 @@
 		if len(pairs) != 1 || pairs[0].Victim != "db" || pairs[0].Neighbour != "scan" {
 			t.Errorf("seed %d: named %+v", seed, pairs)
 		}
+		if on.countReports("{}") == 0 || off.countReports("{}") != 0 || off.countReports("Named") != 0 {
+			t.Errorf("seed %d: %d placements apart, %d without the part", seed, on.countReports("{}"), off.countReports("{}"))
+		}
 		if float64(after) > 0.85*float64(before) {
 			t.Errorf("seed %d: mean completion %v with the part, %v without", seed, after, before)
 		}
@@ -135,13 +138,16 @@
 	}
 }
 
-// Load that goes up and down, racks of slow workers and tasks of different lengths must not be taken for
-// interference.
+// Load that goes up and down, racks of slow workers, a neighbour that is bound to one of
+// them and tasks of different lengths must not be taken for interference.
 func TestNoPairIsNamedWithoutInterference(t *testing.T) {
 	for seed := range uint64(100) {
 		sim := interferenceSimulation(t, seed, 1, 1.25)
 		for n := range 16 {
 			sim.machine(n).Pace = []float64{1, 0.5}[n/4%2]
+			if seed%2 == 1 && n/4 == 1 {
+				sim.submit(boundScan(n))
+			}
 		}
 		playMixedLoad(sim, 30)
 		sim.check()
@@ -151,6 +157,31 @@
 	}
 }
 
+// boundScan returns a job of image "bound" with tasks one after another in the slow rack r1.
+func boundScan(n int) job.Job {
+	j := imageJob("bound", n, 2)
+	j.Steps[0].Label = "r1"
+	for k := range 4 {
+		step := j.Steps[0]
+		step.After = []int{k}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
+
+// The earlier deployments, on which nothing interferes, must be scheduled as before.
+func TestNothingChangesWithoutInterference(t *testing.T) {
+	var starts [2][]external.StartOrder
+	for k, threshold := range []float64{0, 1.25} {
+		sim := interferenceSimulation(t, 7, 1, threshold)
+		sim.onStart = func(o external.StartOrder) { starts[k] = append(starts[k], o) }
+		playMixedLoad(sim, 20)
+	}
+	if len(starts[0]) == 0 || !slices.Equal(starts[0], starts[1]) {
+		t.Errorf("%d starts without the part, %d other ones with it", len(starts[0]), len(starts[1]))
+	}
+}
+
 // Urgent work that found room only beside tasks that slow it would wait if pairs were kept
 // apart at any price.
 func TestUrgentWorkTakesRoomBesideInterference(t *testing.T) {
