--- a/internal/core/interference/model.go
+++ b/internal/core/interference/model.go
@@ -92,15 +92,29 @@
 	if len(m.samples[victim]) == 0 {
 		delete(m.samples, victim)
 	}
-	pairs := estimate(victim, m.samples[victim])
-	for _, p := range m.Pairs() { // those without enough evidence are not estimated any more
+	changes := m.update(m.withNamed(victim, estimate(victim, m.samples[victim])))
+	if len(changes) > 0 {
+		m.updateConflicts()
+	}
+	return changes
+}
+
+// withNamed adds to the estimated pairs of a victim those that are named and for which
+// there is not enough evidence any more.
+func (m *Model) withNamed(victim string, pairs []Pair) []Pair {
+	for _, p := range m.Pairs() {
 		if p.Victim == victim && !slices.ContainsFunc(pairs, func(o Pair) bool { return o.Neighbour == p.Neighbour }) {
 			pairs = append(pairs, Pair{Victim: victim, Neighbour: p.Neighbour, Slowdown: 1})
 		}
 	}
+	return pairs
+}
+
+// update names or forgets pairs by their present estimates.
+func (m *Model) update(pairs []Pair) []Change {
 	var changes []Change
 	for _, p := range pairs {
-		key := pairKey{victim, p.Neighbour}
+		key := pairKey{p.Victim, p.Neighbour}
 		_, was := m.named[key]
 		is := m.interferes(p, was)
 		if is {
@@ -112,9 +126,6 @@
 			changes = append(changes, Change{Pair: p, Named: is})
 		}
 	}
-	if len(changes) > 0 {
-		m.updateConflicts()
-	}
 	return changes
 }
 
