--- a/internal/core/cell/copy.go
+++ b/internal/core/cell/copy.go
@@ -69,6 +69,7 @@
 	c.speeds.pools = copyValues(c.speeds.pools, &k.speedPools)
 	c.speeds.stored = maps.Clone(c.speeds.stored)
 	c.shares.accounts = c.shares.accounts.Clone()
+	c.interference.model = c.interference.model.Clone()
 	if c.missing != nil {
 		m := *c.missing
 		c.missing = &m
@@ -83,6 +84,7 @@
 	w.deferredEnds = slices.Clone(w.deferredEnds)
 	w.failedJobs = maps.Clone(w.failedJobs)
 	w.plannedTasks = copyKeys(w.plannedTasks, &k.groups)
+	w.pastRuns.stays = slices.Clone(w.pastRuns.stays)
 }
 
 func (k *copier) fixRun(r *run) {
@@ -109,6 +111,7 @@
 	g.tickets = maps.Clone(g.tickets)
 	g.deniedUntil = maps.Clone(g.deniedUntil)
 	g.speeds = g.speeds.Clone(k.speeds.of)
+	g.endedRuns = slices.Clone(g.endedRuns)
 }
 
 func (k *copier) fixUnit(u *unit) {
--- a/internal/core/cell/copygraph_test.go
+++ b/internal/core/cell/copygraph_test.go
@@ -9,12 +9,14 @@
 // sharedFields are the fields that a copy shares with the original on purpose, with the
 // reason why that is safe. All other pointers, maps and slices must be copied.
 var sharedFields = map[string]string{
-	"cell.Core.policy":          "a policy is replaced, never modified",
-	"cell.accountShares.policy": "a policy is replaced, never modified",
-	"cell.jobEntry.job":         "a job is never modified",
-	"cell.taskGroup.step":       "part of a job",
-	"external.Worker.Labels":    "an entry of the list of workers is replaced, never modified",
-	"cell.missingJobs.progress": "read only; what is taken from it is clipped, so that appending copies it",
+	"cell.Core.policy":            "a policy is replaced, never modified",
+	"cell.accountShares.policy":   "a policy is replaced, never modified",
+	"cell.jobEntry.job":           "a job is never modified",
+	"interference.Run.Present":    "exposures of an ended run are never modified",
+	"interference.Sample.Present": "exposures of a sample are never modified",
+	"cell.taskGroup.step":         "part of a job",
+	"external.Worker.Labels":      "an entry of the list of workers is replaced, never modified",
+	"cell.missingJobs.progress":   "read only; what is taken from it is clipped, so that appending copies it",
 }
 
 // droppedFields are the fields that a copy does not have.
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -101,6 +101,8 @@
 	shares accountShares
 	// speeds is what is known of the workers' speeds.
 	speeds speeds
+	// interference is what is known of tasks that slow each other down.
+	interference interferenceState
 }
 
 // New returns the core of a cell for the given term.
@@ -113,6 +115,7 @@
 		termConfirmedAt: now.Mono,
 		contactWindow:   contact.New(), crashedAddrs: make(map[string]time.Duration), failuresByPool: make(map[string]*retry.Pool), runTimesByQueue: make(map[string]*predict.Queue),
 	}
+	c.interference = newInterferenceState(s)
 	c.previousLeasesEnd = now.Mono + s.PreviousOwnerGrace + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
 	return c
 }
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/interference"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/core/speed"
@@ -70,6 +71,8 @@
 	nextAdvice  time.Duration
 	// speeds holds the durations of the tasks, from which the workers' speeds are learned.
 	speeds speed.Step
+	// endedRuns are the step's runs that are compared with each other once all have ended.
+	endedRuns []interference.Run
 }
 
 type unitState int
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -33,7 +33,7 @@
 // with workers of the preferred speed, then the one with the fewest free accelerators.
 func (c *Core) findGangRack(p *pass, g *rankedGroup, u *unit, waitsForRack bool) []*worker {
 	var best []*worker
-	bestLeft, bestRisk, bestSpeed := 0, 0, 0
+	bestLeft, bestRisk, bestSpeed, bestDisturbed := 0, 0, 0, 0
 	for _, k := range p.rackOrder {
 		if k.pool != g.pool {
 			continue
@@ -52,12 +52,12 @@
 		if k.rack == g.step.DataRack && k.rack != "" {
 			return on
 		}
-		left, risk := 0, c.countRisky(on, g.taskGroup)
+		left, risk, disturbed := 0, c.countRisky(on, g.taskGroup), c.countDisturbed(on, g.taskGroup)
 		for _, w := range rack.workers {
 			left += w.available(g.rank.Priority).GPU
 		}
-		if best == nil || cmp.Or(cmp.Compare(risk, bestRisk), cmp.Compare(speed, bestSpeed), cmp.Compare(left, bestLeft)) < 0 {
-			best, bestLeft, bestRisk, bestSpeed = on, left, risk, speed
+		if best == nil || cmp.Or(cmp.Compare(risk, bestRisk), cmp.Compare(speed, bestSpeed), cmp.Compare(disturbed, bestDisturbed), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestLeft, bestRisk, bestSpeed, bestDisturbed = on, left, risk, speed, disturbed
 		}
 	}
 	return best
@@ -109,11 +109,12 @@
 		w *worker
 		// n is how many members fit.
 		n int
-		// risk is 1 for a worker to be avoided.
-		risk int
+		// risk is 1 for a worker to be avoided, disturbed for one on which tasks and the
+		// gang would slow each other down.
+		risk, disturbed int
 	}
 	var candidates []candidate
-	total := 0
+	total, oneRack := 0, c.interference.model != nil && inOneRack(workers)
 	for _, w := range workers {
 		if !c.fits(w, g, u) {
 			continue
@@ -129,6 +130,9 @@
 		if c.isRisky(w, g) {
 			cand.risk = 1
 		}
+		if oneRack && c.isDisturbed(w, g) {
+			cand.disturbed = 1
+		}
 		candidates = append(candidates, cand)
 		total += n
 	}
@@ -136,7 +140,7 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.risk, b.risk), cmp.Compare(b.n, a.n))
+		return cmp.Or(cmp.Compare(a.risk, b.risk), cmp.Compare(a.disturbed, b.disturbed), cmp.Compare(b.n, a.n))
 	})
 	var on []*worker
 	for _, cand := range candidates {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -190,6 +190,7 @@
 	c.refreshSpeeds()
 	c.checkGuarantees()
 	c.readUsage()
+	c.judgeInterference()
 	if now >= c.nextPeriodicPlacement {
 		c.placementDue = true
 		c.nextPeriodicPlacement = now + 250*time.Millisecond
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -62,7 +62,7 @@
 		}
 		var on []*worker
 		if d := demandOf(g, u); !p.unplaceable[d] {
-			on = c.findWorkers(p, g, u)
+			on = c.findWorkersApart(p, g, u)
 			p.unplaceable[d] = on == nil && d.isCacheable()
 		}
 		if on == nil {
@@ -121,8 +121,7 @@
 		if remote && !remoteAllowed {
 			continue
 		}
-		s := c.scoreOf(w, g, u, remote)
-		s.speed = order.speedRank(w)
+		s := c.scoreOf(w, g, order, remote)
 		if best == nil || s.less(bestScore) {
 			best, bestScore = w, s
 		}
@@ -188,6 +187,8 @@
 	avoided bool
 	// speed ranks the worker's class of speed.
 	speed int
+	// disturbed is set if tasks on the worker and the task would slow each other down.
+	disturbed bool
 	// leftGPU and leftCPU are what would remain free: tight packing keeps whole
 	// workers free for large tasks.
 	leftGPU int
@@ -204,15 +205,22 @@
 	if s.speed != o.speed {
 		return s.speed < o.speed
 	}
+	if s.disturbed != o.disturbed {
+		return !s.disturbed
+	}
 	if s.leftGPU != o.leftGPU {
 		return s.leftGPU < o.leftGPU
 	}
 	return s.leftCPU < o.leftCPU
 }
 
-func (c *Core) scoreOf(w *worker, g *rankedGroup, u *unit, remote bool) score {
+func (c *Core) scoreOf(w *worker, g *rankedGroup, order speedOrder, remote bool) score {
 	left := w.available(g.rank.Priority).Minus(g.step.Resources())
-	return score{remote: remote, avoided: c.isRisky(w, g.taskGroup), leftGPU: left.GPU, leftCPU: left.CPU}
+	return score{
+		remote: remote, avoided: c.isRisky(w, g.taskGroup),
+		speed: order.speedRank(w), disturbed: c.isDisturbed(w, g.taskGroup),
+		leftGPU: left.GPU, leftCPU: left.CPU,
+	}
 }
 
 // stopRunsOnDraining stops the runs that would not end before their draining
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -85,6 +85,8 @@
 	unidentified bool
 	// speedShare is the share of the run's evidence of its worker's speed that has been used.
 	speedShare float64
+	// latencySampledAt is when the latency of a serving task was last sampled.
+	latencySampledAt time.Duration
 }
 
 // attach adds the run to its worker and unit.
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -63,6 +63,8 @@
 	settings Settings
 	// stepCore, if set, replaces the call of an owner's core.
 	stepCore func(o *testOwner, now Instant, ev Event) []Action
+	// adjustSettings, if set, changes the settings of every new owner.
+	adjustSettings func(*Settings)
 }
 
 // testOwner is the owner of one term. A halted owner processes no events.
@@ -140,7 +142,11 @@
 		s.schedule(testSettings().PreviousOwnerGrace, func() { previous.halted = true })
 	}
 	o := &testOwner{term: int64(len(s.owners) + 1)}
-	o.core = New(s.settings, o.term, s.policy, s.instant())
+	settings := s.settings
+	if s.adjustSettings != nil {
+		s.adjustSettings(&settings)
+	}
+	o.core = New(settings, o.term, s.policy, s.instant())
 	s.storeTerm = o.term
 	s.owners = append(s.owners, o)
 	ev := Loaded{Jobs: slices.Clone(s.jobs), Cancels: slices.Clone(s.cancels), Progress: make(map[job.ID]job.Progress)}
--- a/internal/core/cell/status.go
+++ b/internal/core/cell/status.go
@@ -46,11 +46,16 @@
 	Usable int
 	// OverShare counts the accounts that are over their share of the workers.
 	OverShare int
+	// InterferingPairs counts the pairs of profiles of which one slows the other.
+	InterferingPairs int
 }
 
 // Load returns the summary.
 func (c *Core) Load() Load {
-	l := Load{OpenJobs: len(c.openJobs), Workers: len(c.fleet), OverShare: c.AccountsOverShare()}
+	l := Load{
+		OpenJobs: len(c.openJobs), Workers: len(c.fleet),
+		OverShare: c.AccountsOverShare(), InterferingPairs: c.interferingPairs(),
+	}
 	for _, e := range c.openJobs {
 		for _, u := range e.units() {
 			if u.state == unitWaiting {
--- a/internal/core/cell/trace.go
+++ b/internal/core/cell/trace.go
@@ -76,7 +76,7 @@
 // choiceOf returns how many workers findWorker could choose from for a single task,
 // and the criterion by which the chosen one went before the next best.
 func (c *Core) choiceOf(p *pass, g *rankedGroup, u *unit, chosen *worker) (n int, decidedBy string) {
-	remoteAllowed := c.mayRunRemote(p, g, u)
+	remoteAllowed, order := c.mayRunRemote(p, g, u), c.speedOrder(g)
 	isRemote := func(w *worker) bool { return g.step.DataRack != "" && w.Rack != g.step.DataRack }
 	var next *score
 	for _, w := range p.pool(g.pool).workers {
@@ -84,14 +84,14 @@
 			continue
 		}
 		n++
-		if s := c.scoreOf(w, g, u, isRemote(w)); w != chosen && (next == nil || s.less(*next)) {
+		if s := c.scoreOf(w, g, order, isRemote(w)); w != chosen && (next == nil || s.less(*next)) {
 			next = &s
 		}
 	}
 	if next == nil {
 		return n, criterionOnly
 	}
-	return n, c.scoreOf(chosen, g, u, isRemote(chosen)).criterionAgainst(*next)
+	return n, c.scoreOf(chosen, g, order, isRemote(chosen)).criterionAgainst(*next)
 }
 
 // The criteria that decide among the workers that have room for a task.
@@ -101,6 +101,7 @@
 	criterionData    = "near its data"
 	criterionRisk    = "not risky"
 	criterionSpeed   = "speed"
+	criterionApart   = "apart from tasks that interfere"
 	criterionFreeGPU = "fewest accelerators left"
 	criterionFreeCPU = "fewest cores left"
 )
@@ -114,6 +115,8 @@
 		return criterionRisk
 	case s.speed != o.speed:
 		return criterionSpeed
+	case s.disturbed != o.disturbed:
+		return criterionApart
 	case s.leftGPU != o.leftGPU:
 		return criterionFreeGPU
 	case s.leftCPU != o.leftCPU:
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -112,6 +112,8 @@
 	speed    speed.Estimate
 	class    speed.Class
 	slowness float64
+	// pastRuns are the runs that ended lately, as neighbours of those that go on.
+	pastRuns pastRuns
 }
 
 func newWorker(w external.Worker) *worker {
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -25,6 +25,7 @@
 			{Name: "jobs", Usage: "list the owned cell's open jobs and why they wait", Action: action(showNodeJobs)},
 			{Name: "accounts", Usage: "list the client accounts and their shares of the owned cell's workers", Action: action(showNodeAccounts)},
 			explainCommand(),
+			{Name: "interference", Usage: "list the tasks of the owned cell that slow each other down on one worker", Action: action(showNodeInterference)},
 		},
 	}
 }
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -68,6 +68,8 @@
 	evAccountShare      = logevent.New(2273, slog.LevelInfo, "account is over its share or back within it")
 	evSpeedsDiffer      = logevent.New(2268, slog.LevelInfo, "speeds of a pool's workers differ")
 	evSpeedLearned      = logevent.New(2269, slog.LevelInfo, "worker's speed learned")
+	evPairNamed         = logevent.New(2270, slog.LevelInfo, "tasks slow each other down")
+	evPairForgotten     = logevent.New(2271, slog.LevelInfo, "tasks no longer slow each other down")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
 )
