--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -51,12 +51,9 @@
 		if !set.preemptable.mayFit(g.step, u.size) {
 			continue
 		}
-		for _, workers := range c.evictionSets(set.workers, g) {
-			e := c.planEviction(p, workers, g, u)
-			e.cost += c.slowCost(g, u, e.on)
-			if e.on != nil && (best.on == nil || e.cost < best.cost) && !c.losesTooMuch(g, u, e) {
-				best = e
-			}
+		e := c.planEvictionBySpeed(p, set.workers, g, u)
+		if e.on != nil && (best.on == nil || e.cost < best.cost) {
+			best = e
 		}
 	}
 	return best
--- a/internal/core/cell/speedplace.go
+++ b/internal/core/cell/speedplace.go
@@ -133,6 +133,19 @@
 	return out
 }
 
+// planEvictionBySpeed is planEviction with the cost of slower workers for urgent work.
+func (c *Core) planEvictionBySpeed(p *pass, workers []*worker, g *rankedGroup, u *unit) eviction {
+	best := eviction{}
+	for _, some := range c.evictionSets(workers, g) {
+		e := c.planEviction(p, some, g, u)
+		e.cost += c.slowCost(g, u, e.on)
+		if e.on != nil && (best.on == nil || e.cost < best.cost) && !c.losesTooMuch(g, u, e) {
+			best = e
+		}
+	}
+	return best
+}
+
 // evictionSets returns the parts of a set of workers among which an eviction is planned:
 // all of them and, for urgent work, each class if their speeds differ.
 func (c *Core) evictionSets(workers []*worker, g *rankedGroup) [][]*worker {
