Choose victims of urgent work by what is lost for certain

The cost of a victim counted how long its unit had waited for its room, at the rate of its cores. In a full pool units wait longer than their runs are old, so that the wait decided and work was stopped that had more to lose.

With PreemptionWait, the cost is now the unsaved work with the restore, the cores for the time of a stop, and what the unit has lost to preemption before.

--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -109,6 +109,8 @@
 	nextMakeRoom time.Duration
 	// awaited is set while urgent work waits for the unit's runs to end; see evictionWait.
 	awaited bool
+	// evictedWork is the work in core-seconds that the unit has lost to preemption.
+	evictedWork float64
 	// waited is how long the unit waited before its current runs were started.
 	waited time.Duration
 	// runTime is how long the successful run took, moves how often the unit was
--- a/internal/core/cell/evictions.go
+++ b/internal/core/cell/evictions.go
@@ -57,6 +57,16 @@
 	return out
 }
 
+// evictionLoss returns what is lost in core-seconds if a run is stopped with its gang.
+func (c *Core) evictionLoss(r *run) float64 {
+	out := evict.Run{Lost: r.unit.evictedWork, Stop: c.stopTime.Mean()}
+	for _, m := range r.unit.runs {
+		out.Cores += m.resources.Cores()
+		out.Unsaved += m.unsavedWork(c.now.Mono, c.settings.RestoreTime)
+	}
+	return out.Loss()
+}
+
 // endsWithin reports whether a run is expected to end by itself within a time, by its
 // listed progress.
 func (c *Core) endsWithin(r *run, d time.Duration) bool {
--- a/internal/core/cell/evictionwaits.go
+++ b/internal/core/cell/evictionwaits.go
@@ -100,11 +100,11 @@
 	left := w.awaited[:0]
 	for _, r := range w.awaited {
 		switch {
-		case !slices.Contains(r.worker.runs, r):
+		case !slices.Contains(r.worker.runs, r) || r.unit.state == unitDone:
 			w.report.Avoided++
 			r.unit.awaited = false
 		case !planned && w.unit.state == unitActive && r.state == runRunning:
-			w.report.Avoided++ // the unit has started without its room
+			w.report.Avoided++ // the unit has started before the run's end
 			r.unit.awaited = false
 		case !planned || r.state != runRunning || r.unit.state != unitActive:
 			r.unit.awaited = false
@@ -134,6 +134,9 @@
 
 // preempt stops a run and its gang.
 func (c *Core) preempt(r *run) {
+	if c.settings.PreemptionWait > 0 {
+		r.unit.evictedWork += c.unsavedWork([]*run{r})
+	}
 	for _, m := range slices.Clone(r.unit.runs) {
 		c.stopRun(m, ReasonPreempted)
 	}
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -221,6 +221,9 @@
 // and its resources times how long the unit waited for them, as it has to wait
 // again. All members of a gang count, as they stop together.
 func (c *Core) stopCost(r *run) float64 {
+	if c.weighsVictims() {
+		return c.evictionLoss(r)
+	}
 	lost := 0.0
 	for _, m := range r.unit.runs {
 		lost += m.unsavedWork(c.now.Mono, c.settings.RestoreTime)
