--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -257,6 +257,7 @@
 
 // endRun removes a run from its worker and applies its result to its unit.
 func (c *Core) endRun(r *run, reason external.EndReason, checkpoint string) {
+	c.recordStopTime(r, reason)
 	r.detach()
 	c.placementDue = true
 	c.resolveStart(r, reason)
@@ -267,7 +268,7 @@
 	}
 	u.entry().history.countEnd(reason)
 	c.observeEnd(r, reason)
-	if u.group.priority() == 0 && r.startedAt > 0 {
+	if r.startedAt > 0 && c.keepsRoomOf(r) {
 		r.worker.startCooldown(r.resources, c.now.Mono)
 	}
 	if checkpoint != "" && checkpoint != u.checkpoint && u.state != unitDone {
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -108,6 +108,8 @@
 			slog.Duration("waited", a.Waited), slog.Int("have", a.Have), slog.Int("need", a.Need))
 	case cell.SpeedsDiffer, cell.WorkerSpeedLearned:
 		o.reportSpeed(a)
+	case cell.RoomMade:
+		o.reportRoomMade(a)
 	case cell.WorkerStateChanged:
 		evWorker.Log(o.ctx, l, slog.String("worker", string(a.Worker)), slog.String("note", a.Change), slog.Int("runs", a.Runs))
 	}
