Leave the room that comes free to waiting gangs

Work whose time left exceeds gang-yield-run-times of its run times now starts nothing while such a gang waits in a pool that is at least 60 % in use.

--- a/internal/core/cell/copy.go
+++ b/internal/core/cell/copy.go
@@ -67,6 +67,7 @@
 	c.dirtyJobs = copySlice(c.dirtyJobs, &k.entries)
 	c.endedJobs = copySlice(c.endedJobs, &k.entries)
 	c.cancels = maps.Clone(c.cancels)
+	c.claimedPools = maps.Clone(c.claimedPools)
 	c.speeds.byMachine = copyValues(c.speeds.byMachine, &k.speeds)
 	c.speeds.pools = copyValues(c.speeds.pools, &k.speedPools)
 	c.speeds.stored = maps.Clone(c.speeds.stored)
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -104,6 +104,8 @@
 	nextGuaranteeCheck time.Duration
 	shortageSince      time.Duration
 	shortageReported   bool
+	// claimedPools holds the pools in which gangs claimed room in the last pass.
+	claimedPools map[string]bool
 	// shares is what is known of the accounts' shares of the workers.
 	shares accountShares
 	// speeds is what is known of the workers' speeds.
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -22,6 +22,8 @@
 	// unplaceable holds the demands for which no place was found. They stay so for
 	// the whole pass, as free room only shrinks during it.
 	unplaceable map[demand]bool
+	// claims holds, by pool, the most urgent gang that claims the room that comes free.
+	claims map[string]*rankedGroup
 	// victims caches, by worker, the runs that urgent work may preempt, cheapest
 	// first.
 	victims map[*worker][]*run
@@ -63,6 +65,7 @@
 	c.reportHeld(held)
 	c.rankByShare(p)
 	slices.SortStableFunc(p.ready, func(a, b *rankedGroup) int { return a.rank.Compare(b.rank) })
+	c.findClaims(p)
 	return p
 }
 
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -24,7 +24,9 @@
 			c.nextPlacement = c.now.Mono + unansweredPause
 			return
 		}
-		c.placeGroup(p, g, maxStarts)
+		if !c.leavesRoom(p, g) {
+			c.placeGroup(p, g, maxStarts)
+		}
 	}
 }
 
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -37,6 +37,9 @@
 	// AccountOveruse is the multiple of its share above which an account's work comes
 	// after that of others; 0 for never.
 	AccountOveruse float64
+	// GangYieldRunTimes is the multiple of its run time above which work that has so much
+	// time left starts nothing while a gang of higher priority waits for room; 0 for never.
+	GangYieldRunTimes float64
 }
 
 // Internal constants, which operators have no reason to change.
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -108,6 +108,8 @@
 			slog.Duration("waited", a.Waited), slog.Int("have", a.Have), slog.Int("need", a.Need))
 	case cell.SpeedsDiffer, cell.WorkerSpeedLearned:
 		o.reportSpeed(a)
+	case cell.GangsClaimRoom:
+		evGangsClaimRoom.Log(o.ctx, l, slog.String("pool", a.Pool), slog.Bool("begin", a.Begin), slog.String("job", string(a.Job)), slog.Int("tasks", a.Tasks))
 	case cell.RoomMade:
 		o.reportRoomMade(a)
 	case cell.WorkerStateChanged:
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -70,6 +70,7 @@
 	evPairNamed         = logevent.New(2270, slog.LevelInfo, "tasks slow each other down")
 	evPairForgotten     = logevent.New(2271, slog.LevelInfo, "tasks no longer slow each other down")
 	evRoomMade          = logevent.New(2272, slog.LevelInfo, "room made for urgent work")
+	evGangsClaimRoom    = logevent.New(2274, slog.LevelInfo, "work with slack leaves room to waiting gangs, or no longer")
 	evAccountShare      = logevent.New(2273, slog.LevelInfo, "account is over its share or back within it")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
