--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -13,21 +13,14 @@
 	switch a := a.(type) {
 	case cell.Start:
 		s.tally.addStart(a)
-		s.losses.started(a.Order, s.now)
 		s.start(a.Order)
 	case cell.Stop:
 		s.tally.addStop(a)
-		s.losses.stopped(a)
 		s.stop(a.Order)
 	case cell.Hold:
 		s.hold(a, s.now+a.Order.Wait)
 	case cell.Persist:
 		s.after(appendLatency, func() { s.step(cell.Persisted{Batch: a.Batch}) })
-	case cell.RunEnded:
-		s.losses.ended(a, s.jobs[a.Task.Job], restoreTime, s.now)
-	case cell.RoomMade:
-		s.losses.Awaited += a.Awaited
-		s.losses.Avoided += a.Avoided
 	case cell.JobEnded:
 		s.unfinished--
 		s.tally.addEnd(a)
@@ -45,23 +38,13 @@
 
 func (s *simulator) stop(o external.StopOrder) {
 	s.after(oneWayLatency, func() {
-		r, err := s.beginStop(o)
+		r, err := s.fleet.Stop(context.Background(), o)
 		s.after(oneWayLatency, func() {
 			s.step(cell.StopAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Failure: cell.FailureOf(err)})
 		})
 	})
 }
 
-// beginStop has a run stop after its stop time. It makes no progress in the meantime.
-func (s *simulator) beginStop(o external.StopOrder) (external.OrderResult, error) {
-	d := s.stopTime(o.Task)
-	if d == 0 {
-		return s.fleet.Stop(context.Background(), o)
-	}
-	s.after(d, func() { _, _ = s.fleet.Stop(context.Background(), o) })
-	return s.fleet.Pace(context.Background(), external.PaceOrder{OrderHeader: o.OrderHeader, Task: o.Task, Run: o.Run})
-}
-
 // hold polls the worker every time step until it lists an ended run or the wait is
 // over.
 func (s *simulator) hold(a cell.Hold, until time.Duration) {
@@ -72,7 +55,6 @@
 			return
 		}
 		s.after(oneWayLatency, func() {
-			s.losses.listed(l.Ended)
 			s.step(cell.HoldAnswered{Worker: a.Order.Worker, Number: a.Number, Lists: l, Failure: cell.FailureOf(err)})
 		})
 	})
--- a/internal/cellplay/kind.go
+++ b/internal/cellplay/kind.go
@@ -1,7 +1,6 @@
 package cellplay
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -33,12 +32,6 @@
 	// time, both as fractions.
 	RunTimeSpread float64
 	EstimateError float64
-	// EstimateLogSpread replaces EstimateError if it is set: the standard deviation of the
-	// logarithm of the factor by which estimates are off.
-	EstimateLogSpread float64
-	// TaskSpread is how far the run times of a step's tasks deviate from each other at
-	// most, as a fraction. It has no effect on gangs, which end together.
-	TaskSpread float64
 	// CheckpointShare is the fraction of the jobs whose tasks write checkpoints.
 	CheckpointShare float64
 }
@@ -53,7 +46,7 @@
 		d := varied(rng, k.MeanRunTime, k.RunTimeSpread)
 		s := job.Step{
 			Count: 1 + rng.IntN(k.MaxTasks), CPU: k.CPU, MemMB: k.MemMB, GPU: gpu, Gang: k.Gang,
-			EstimateMS: int(k.estimate(rng, d).Milliseconds()), Checkpoints: checkpoints,
+			EstimateMS: int(varied(rng, d, k.EstimateError).Milliseconds()), Checkpoints: checkpoints,
 		}
 		if n > 0 {
 			s.After = []int{n - 1}
@@ -64,14 +57,6 @@
 	return j, runTimes
 }
 
-// estimate returns the caller's estimate of a run time.
-func (k *Kind) estimate(rng *rand.Rand, d time.Duration) time.Duration {
-	if k.EstimateLogSpread > 0 {
-		return time.Duration(float64(d) * math.Exp(k.EstimateLogSpread*rng.NormFloat64()))
-	}
-	return varied(rng, d, k.EstimateError)
-}
-
 // varied returns a random time that differs from the mean by at most the fraction
 // maxDeviation, but is at least a tenth of the mean.
 func varied(rng *rand.Rand, mean time.Duration, maxDeviation float64) time.Duration {
--- a/internal/cellplay/result.go
+++ b/internal/cellplay/result.go
@@ -19,8 +19,6 @@
 	Unfinished int
 	Starts     int
 	Preempted  int
-	// Loss is what preemption cost.
-	Loss Loss
 	// MeanRuns is the mean number of runs in progress.
 	MeanRuns float64
 	// Violations are the breaches of the workers' protocol that the stand-in fleet
--- a/internal/cellplay/simulator.go
+++ b/internal/cellplay/simulator.go
@@ -19,8 +19,6 @@
 	oneWayLatency = 2 * time.Millisecond
 	// appendLatency is the time that the store takes to answer an append.
 	appendLatency = 8 * time.Millisecond
-	// restoreTime is how long a run takes to resume from a checkpoint.
-	restoreTime = 600 * time.Millisecond
 	// drainTimeout is how long a simulation waits for unfinished jobs after the last
 	// arrival.
 	drainTimeout = 10 * time.Minute
@@ -28,11 +26,10 @@
 
 // settings returns values similar to those of the programs. With a single owner and
 // no lost calls, their exact values don't affect the result.
-func settings(p *Params) cell.Settings {
+func settings() cell.Settings {
 	return cell.Settings{
 		Lease: fleet.MaxLease - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, PreviousOwnerGrace: 3 * time.Second,
-		RestoreTime: restoreTime, RemoteDataFactor: 1, OpenEarly: 250 * time.Millisecond, Retention: 2 * time.Minute,
-		ReclaimWithin: p.ReclaimWithin, PreemptionWait: p.PreemptionWait,
+		RestoreTime: 600 * time.Millisecond, RemoteDataFactor: 1, OpenEarly: 250 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
 
@@ -43,9 +40,7 @@
 	core       *cell.Core
 	fleet      *fleet.Fleet
 	runTimes   map[job.ID][]time.Duration
-	jobs       map[job.ID]*job.Job
 	tally      *tally
-	losses     *losses
 	unfinished int
 }
 
@@ -63,25 +58,22 @@
 	for s.now < s.trace.Params.ArrivalPeriod || s.unfinished > 0 && s.now < s.trace.Params.ArrivalPeriod+drainTimeout {
 		s.advance()
 	}
-	out := s.tally.result(&t, r.Name, s.unfinished, s.fleet.Violations())
-	out.Loss = s.losses.Loss
-	s.tally.addLateness(&out)
-	return out
+	return s.tally.result(&t, r.Name, s.unfinished, s.fleet.Violations())
 }
 
 func newSimulator(t Trace) *simulator {
 	t.Policy.Index()
-	s := &simulator{trace: t, runTimes: make(map[job.ID][]time.Duration), tally: newTally(&t), losses: newLosses(), jobs: make(map[job.ID]*job.Job)}
+	s := &simulator{trace: t, runTimes: make(map[job.ID][]time.Duration), tally: newTally(&t)}
 	s.fleet = fleet.New(s.runTimeOf)
 	for _, w := range t.Workers {
 		s.fleet.Add(w)
 	}
-	s.core = cell.New(settings(&t.Params), 1, &s.trace.Policy, s.instant())
+	s.core = cell.New(settings(), 1, &s.trace.Policy, s.instant())
 	return s
 }
 
 func (s *simulator) runTimeOf(t job.TaskID, _ int64) (time.Duration, bool) {
-	return s.taskTime(t), false
+	return s.runTimes[t.Job][t.Step], false
 }
 
 func (s *simulator) instant() cell.Instant {
@@ -90,7 +82,7 @@
 
 func (s *simulator) submit(a Arrival) {
 	s.unfinished++
-	s.runTimes[a.Job.ID], s.jobs[a.Job.ID] = a.RunTimes, &a.Job
+	s.runTimes[a.Job.ID] = a.RunTimes
 	s.fleet.Submit(&a.Job)
 	s.tally.addJob(&a)
 	s.step(cell.Submitted{Job: a.Job})
--- a/internal/cellplay/tally.go
+++ b/internal/cellplay/tally.go
@@ -26,10 +26,7 @@
 // jobRecord is the history of one job.
 type jobRecord struct {
 	kind      string
-	priority  int
 	objective time.Duration
-	// trueObjective is the objective by the true run times.
-	trueObjective time.Duration
 	// wait is the time from submission to the first start, or negative if there was
 	// none.
 	wait     time.Duration
@@ -41,8 +38,7 @@
 func newTally(t *Trace) *tally { return &tally{jobs: make(map[job.ID]*jobRecord, len(t.Jobs))} }
 
 func (t *tally) addJob(a *Arrival) {
-	r := &jobRecord{kind: a.Job.Queue.Name, priority: a.Job.Queue.Priority, objective: a.Job.Objective(), wait: -1}
-	r.trueObjective = a.trueObjective()
+	r := &jobRecord{kind: a.Job.Queue.Name, objective: a.Job.Objective(), wait: -1}
 	t.jobs[a.Job.ID] = r
 	t.bySubmission = append(t.bySubmission, r)
 }
@@ -68,22 +64,6 @@
 	r.ended, r.duration, r.done = true, a.Age, a.Outcome == job.Complete
 }
 
-// addLateness adds how late urgent jobs began and ended.
-func (t *tally) addLateness(out *Result) {
-	for _, r := range t.bySubmission {
-		if r.priority != 0 {
-			continue
-		}
-		if out.Params.ReclaimWithin > 0 && (r.wait < 0 || r.wait > out.Params.ReclaimWithin) {
-			out.Loss.LateReclaims++
-		}
-		if r.duration > r.trueObjective {
-			out.Loss.Late++
-			out.Loss.Lateness += r.duration - r.trueObjective
-		}
-	}
-}
-
 func (t *tally) addSample(runs int) {
 	t.runsSum += runs
 	t.samples++
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -21,8 +21,6 @@
 	Jobs    []Arrival
 	// Faults are injected into workers while jobs arrive.
 	Faults []WorkerFault
-	// TaskSpread holds Kind.TaskSpread by queue, where it is set.
-	TaskSpread map[string]float64
 }
 
 // Arrival is a job with its time of submission and its true run times.
@@ -45,22 +43,12 @@
 	// RejectingShare is the fraction of the workers that fail every task they are
 	// given in the middle third of ArrivalPeriod.
 	RejectingShare float64
-	// Burst multiplies the rate of urgent jobs for 5 s of every 12 s, if it is set.
-	Burst float64
-	// StopTime is the longest that a run takes to stop.
-	StopTime time.Duration
-	// ReclaimWithin and PreemptionWait are those of cell.Settings.
-	ReclaimWithin  time.Duration
-	PreemptionWait time.Duration
 }
 
 // Draw returns a random trace of a mix.
 func Draw(m *Mix, s Params) Trace {
 	t := Trace{Mix: m.Name, Params: s, Workers: workers(m, s.Workers), Policy: policy(m, s.Workers)}
 	for n := range m.Kinds {
-		if d := m.Kinds[n].TaskSpread; d > 0 {
-			t.setTaskSpread(m.Kinds[n].Queue.Name, d)
-		}
 		t.Jobs = append(t.Jobs, arrivals(m, n, s)...)
 	}
 	if s.RejectingShare > 0 {
@@ -70,13 +58,6 @@
 	return t
 }
 
-func (t *Trace) setTaskSpread(queue string, spread float64) {
-	if t.TaskSpread == nil {
-		t.TaskSpread = make(map[string]float64)
-	}
-	t.TaskSpread[queue] = spread
-}
-
 // arrivals draws the jobs of one kind. Each kind has its own random source.
 func arrivals(m *Mix, n int, s Params) []Arrival {
 	k := &m.Kinds[n]
@@ -84,7 +65,7 @@
 	between := float64(time.Second) / (k.JobsPerSecond * s.Load * float64(s.Workers))
 	var out []Arrival
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * between / s.rateAt(k, at))
+		at += time.Duration(rng.ExpFloat64() * between)
 		if at >= s.ArrivalPeriod {
 			return out
 		}
@@ -95,14 +76,6 @@
 	}
 }
 
-// rateAt returns the factor on a kind's arrival rate at a time.
-func (s *Params) rateAt(k *Kind, at time.Duration) float64 {
-	if s.Burst > 0 && k.Queue.Priority == 0 && at%(12*time.Second) >= 7*time.Second {
-		return s.Burst
-	}
-	return 1
-}
-
 func workers(m *Mix, count int) []external.Worker {
 	var out []external.Worker
 	for n := range count {
--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -98,20 +98,6 @@
 	Runs int
 }
 
-// RoomMade reports that runs were stopped or awaited for an urgent unit, for the log.
-type RoomMade struct {
-	Job job.ID
-	// Victims is the number of runs that were chosen and stopped, CoreSeconds the work
-	// that they and their gangs lost.
-	Victims     int
-	CoreSeconds float64
-	// Awaited is the number of runs that were left to end by themselves, Avoided how
-	// many of them were not stopped in the end. Wait is how long the wait took.
-	Awaited int
-	Avoided int
-	Wait    time.Duration
-}
-
 func (Start) action()              {}
 func (Stop) action()               {}
 func (Hold) action()               {}
@@ -120,7 +106,6 @@
 func (RunEnded) action()           {}
 func (JobEnded) action()           {}
 func (WorkerStateChanged) action() {}
-func (RoomMade) action()           {}
 
 // StopReason says why a run is stopped.
 type StopReason string
--- a/internal/core/cell/copy.go
+++ b/internal/core/cell/copy.go
@@ -27,7 +27,6 @@
 	queues      copies[predict.Queue]
 	speeds      copies[speed.Worker]
 	speedPools  copies[speedPool]
-	waits       copies[evictionWait]
 }
 
 // copy returns a copy of the core that steps like the original. Nothing that is done
@@ -45,8 +44,7 @@
 // fix may make further ones.
 func (k *copier) fixMade() bool {
 	n := k.entries.fix(k.fixEntry) + k.occurrences.fix(k.fixOccurrence) + k.groups.fix(k.fixGroup) + k.units.fix(k.fixUnit) +
-		k.plans.fix(k.fixPlan) + k.runs.fix(k.fixRun) + k.workers.fix(k.fixWorker) + k.pools.fix(fixPool) + k.speedPools.fix(fixSpeedPool) +
-		k.waits.fix(k.fixWait)
+		k.plans.fix(k.fixPlan) + k.runs.fix(k.fixRun) + k.workers.fix(k.fixWorker) + k.pools.fix(fixPool) + k.speedPools.fix(fixSpeedPool)
 	return n > 0
 }
 
@@ -72,7 +70,6 @@
 	c.speeds.pools = copyValues(c.speeds.pools, &k.speedPools)
 	c.speeds.stored = maps.Clone(c.speeds.stored)
 	c.shares.accounts = c.shares.accounts.Clone()
-	c.evictionWaits = copySlice(c.evictionWaits, &k.waits)
 	c.interference.model = c.interference.model.Clone()
 	if c.missing != nil {
 		m := *c.missing
@@ -131,10 +128,4 @@
 
 func fixPool(p *retry.Pool) { *p = p.Clone() }
 
-func (k *copier) fixWait(w *evictionWait) {
-	w.unit = k.units.of(w.unit)
-	w.plan = k.plans.of(w.plan)
-	w.awaited = copySlice(w.awaited, &k.runs)
-}
-
 func fixSpeedPool(p *speedPool) { p.estimates = slices.Clone(p.estimates) }
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -7,7 +7,6 @@
 
 	"coltsfootmux/internal/core/blame"
 	"coltsfootmux/internal/core/contact"
-	"coltsfootmux/internal/core/evict"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/external"
@@ -38,12 +37,6 @@
 	crashedAddrs map[string]time.Duration
 	// runTimesByQueue holds what ended runs tell of the run times of each queue.
 	runTimesByQueue map[string]*predict.Queue
-	// stopTime is how long stops for preemption take, evictionWaits the waits for runs
-	// that end instead.
-	stopTime      evict.StopTime
-	evictionWaits []*evictionWait
-	// urgentReserve decides whether freed room is kept for urgent work.
-	urgentReserve evict.Reserve
 	// contactWindow limits how many workers are sent their first hold at the same
 	// time.
 	contactWindow contact.Window
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -113,13 +113,6 @@
 	plan         *plan
 	// nextMakeRoom is the earliest time of the next attempt to make room for the unit.
 	nextMakeRoom time.Duration
-	// awaited is set while urgent work waits for the unit's runs to end; see evictionWait.
-	awaited bool
-	// evictBy is when the unit stops waiting for runs that end by themselves, if it is
-	// later than waitingSince: it waits for them only once.
-	evictBy time.Duration
-	// evictedWork is the work in core-seconds that the unit has lost to preemption.
-	evictedWork float64
 	// waited is how long the unit waited before its current runs were started.
 	waited time.Duration
 	// runTime is how long the successful run took, moves how often the unit was
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -257,7 +257,6 @@
 
 // endRun removes a run from its worker and applies its result to its unit.
 func (c *Core) endRun(r *run, reason external.EndReason, checkpoint string) {
-	c.recordStopTime(r, reason)
 	r.detach()
 	c.placementDue = true
 	c.resolveStart(r, reason)
@@ -268,7 +267,7 @@
 	}
 	u.entry().history.countEnd(reason)
 	c.observeEnd(r, reason)
-	if r.startedAt > 0 && c.keepsRoomOf(r) {
+	if u.group.priority() == 0 && r.startedAt > 0 {
 		r.worker.startCooldown(r.resources, c.now.Mono)
 	}
 	if checkpoint != "" && checkpoint != u.checkpoint && u.state != unitDone {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -133,7 +133,7 @@
 	if r.unit != nil {
 		r.unit.entry().history.countStop(reason)
 	}
-	r.stopAckedAt, r.stopResends, r.stopOrderedAt = 0, 0, c.now.Mono
+	r.stopAckedAt, r.stopResends = 0, 0
 	c.sendStop(r)
 }
 
@@ -188,7 +188,6 @@
 	}
 	c.moveStragglers()
 	c.refreshSpeeds()
-	c.endEvictionWaits()
 	c.checkGuarantees()
 	c.readUsage()
 	c.judgeInterference()
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -37,13 +37,10 @@
 	}
 	u.nextMakeRoom = c.now.Mono + preemptInterval
 	best := c.cheapestEviction(p, g, u)
-	c.chooseAwaited(g, u, &best)
-	lost := c.unsavedWork(best.victims)
-	if best.on == nil || !g.rank.Entitled && lost > g.work(u) {
+	if best.on == nil || !g.rank.Entitled && c.unsavedWork(best.victims) > g.work(u) {
 		return
 	}
 	c.applyEviction(p, u, best)
-	c.beginEviction(p, u, &best, lost)
 }
 
 // cheapestEviction returns the eviction with the lowest cost that makes room for a
@@ -68,10 +65,10 @@
 	c.trace.stopping(c, u, best.victims)
 	c.setPlan(u, best.on, false)
 	for _, r := range best.victims {
-		for _, m := range r.unit.runs {
+		for _, m := range slices.Clone(r.unit.runs) {
+			c.stopRun(m, ReasonPreempted)
 			delete(p.victims, m.worker)
 		}
-		c.preempt(r)
 	}
 }
 
@@ -104,9 +101,6 @@
 	// on holds a worker for each member of the unit.
 	on      []*worker
 	victims []*run
-	// awaited are runs that are left to end by themselves, until the time wait is over.
-	awaited []*run
-	wait    time.Duration
 	// cost is the sum of the victims' costs in core-seconds; see stopCost.
 	cost float64
 }
@@ -120,60 +114,76 @@
 	victims []*run
 	// placed counts the members that are planned here.
 	placed int
-	// wait is how long the unit may wait for victims that end by themselves.
-	wait time.Duration
-	// choice is what the next member here takes, if it is known.
-	choice *evictionChoice
 }
 
 // planEviction chooses workers for a unit and the runs to stop on them, each member
 // in turn where it costs the least.
 func (c *Core) planEviction(p *pass, workers []*worker, g *rankedGroup, u *unit) eviction {
 	var candidates []*evictionCandidate
-	wait := c.evictionLimit(g, u)
 	for _, w := range workers {
 		if w.usable(c.now.Mono) && c.allowed(w, g.taskGroup, u) {
-			candidates = append(candidates, &evictionCandidate{w: w, free: w.available(g.rank.Priority), victims: c.endingFirst(c.cachedVictims(p, w, g), wait), wait: wait})
+			candidates = append(candidates, &evictionCandidate{w: w, free: w.available(g.rank.Priority), victims: c.cachedVictims(p, w, g)})
 		}
 	}
 	out := eviction{}
 	for range u.size {
-		best, chosen := c.cheapestCandidate(candidates, g)
+		best, n, cost := c.cheapestCandidate(candidates, g)
 		if best == nil {
 			return eviction{}
 		}
-		best.take(chosen)
-		out.victims = append(out.victims, chosen.victims...)
+		for _, r := range best.victims[:n] {
+			best.free = best.free.Plus(r.resources)
+		}
+		out.victims = append(out.victims, best.victims[:n]...)
+		best.victims = best.victims[n:]
 		best.free = best.free.Minus(g.step.Resources())
 		best.placed++
 		out.on = append(out.on, best.w)
-		out.cost += chosen.cost
+		out.cost += cost
 	}
 	return out
 }
 
 // cheapestCandidate returns the worker on which room for one more task costs the
-// least, and its victims.
-func (c *Core) cheapestCandidate(candidates []*evictionCandidate, g *rankedGroup) (best *evictionCandidate, chosen *evictionChoice) {
+// least, the number n of its next victims to stop, and their cost.
+func (c *Core) cheapestCandidate(candidates []*evictionCandidate, g *rankedGroup) (best *evictionCandidate, n int, cost float64) {
+	need := g.step.Resources()
 	for _, cand := range candidates {
 		if g.step.MaxPerWorker > 0 && cand.placed+cand.w.taskCount(g.taskGroup) >= g.step.MaxPerWorker {
 			continue
 		}
-		if cand.choice == nil {
-			cand.choice = c.chooseVictims(cand, g)
+		free, k, lost := cand.free, 0, 0.0
+		for !free.Covers(need) && k < len(cand.victims) {
+			lost += c.stopCost(cand.victims[k])
+			free = free.Plus(cand.victims[k].resources)
+			k++
 		}
-		if cand.choice.fits && (best == nil || cand.choice.cost < chosen.cost) {
-			best, chosen = cand, cand.choice
+		if free.Covers(need) && (best == nil || lost < cost) {
+			best, n, cost = cand, k, lost
 		}
 	}
-	return best, chosen
+	return best, n, cost
+}
+
+// cachedVictims is findVictims with a cache for urgent groups, which all may
+// preempt the same runs.
+func (c *Core) cachedVictims(p *pass, w *worker, g *rankedGroup) []*run {
+	if g.rank.Priority != 0 {
+		return c.findVictims(w, g)
+	}
+	out, ok := p.victims[w]
+	if !ok {
+		out = c.findVictims(w, g)
+		p.victims[w] = out
+	}
+	return out
 }
 
 // findVictims returns the runs on a worker that the group may preempt, cheapest first.
 func (c *Core) findVictims(w *worker, g *rankedGroup) []*run {
 	var out []*run
 	for _, r := range w.runs {
-		if r.unit == nil || r.unit.awaited || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
+		if r.unit == nil || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
 			continue
 		}
 		if r.unit.entry().job.Queue.Priority <= g.rank.Priority || !r.unit.mayInterrupt() {
@@ -208,9 +218,6 @@
 // and its resources times how long the unit waited for them, as it has to wait
 // again. All members of a gang count, as they stop together.
 func (c *Core) stopCost(r *run) float64 {
-	if c.weighsVictims() {
-		return c.evictionLoss(r)
-	}
 	lost := 0.0
 	for _, m := range r.unit.runs {
 		lost += m.unsavedWork(c.now.Mono, c.settings.RestoreTime)
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -46,11 +46,9 @@
 	stopResends int
 	// stopSentAt is when the stop was last sent, stopAckedAt when one was
 	// acknowledged.
-	stopSentAt time.Duration
-	// stopOrderedAt is when it was first sent.
-	stopOrderedAt time.Duration
-	stopAckedAt   time.Duration
-	stopReason    StopReason
+	stopSentAt  time.Duration
+	stopAckedAt time.Duration
+	stopReason  StopReason
 	// latestCheckpoint is the latest checkpoint that the worker has listed.
 	latestCheckpoint string
 	// percent is the progress that the worker has listed, changed last at
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -31,9 +31,6 @@
 	// InterferenceSlowdown is the least factor by which one task must slow another for
 	// them to be placed apart; 0 for never.
 	InterferenceSlowdown float64
-	// PreemptionWait is how long urgent work may wait for runs that end about as soon as
-	// a stop would take; 0 to choose victims without regard to that.
-	PreemptionWait time.Duration
 	// AccountOveruse is the multiple of its share above which an account's work comes
 	// after that of others; 0 for never.
 	AccountOveruse float64
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -110,8 +110,6 @@
 		o.reportSpeed(a)
 	case cell.GangsClaimRoom:
 		evGangsClaimRoom.Log(o.ctx, l, slog.String("pool", a.Pool), slog.Bool("begin", a.Begin), slog.String("job", string(a.Job)), slog.Int("tasks", a.Tasks))
-	case cell.RoomMade:
-		o.reportRoomMade(a)
 	case cell.WorkerStateChanged:
 		evWorker.Log(o.ctx, l, slog.String("worker", string(a.Worker)), slog.String("note", a.Change), slog.Int("runs", a.Runs))
 	}
