--- a/internal/core/cell/explain.go
+++ b/internal/core/cell/explain.go
@@ -130,6 +130,8 @@
 		out.WaitReason = "workers of the previous term have not answered yet"
 	case c.unansweredStarts() >= c.maxUnansweredStarts():
 		out.WaitReason = "too many starts have not been answered yet"
+	case c.leavesRoom(c.trace.pass, ranked):
+		out.WaitReason = "leaves room to the waiting gang of job " + string(c.trace.pass.claims[ranked.pool].occ.entry.job.ID)
 	default:
 		w := c.waitOf(c.trace.pass, ranked, u)
 		out.Candidates = &overview.Candidates{Listed: w.Listed, Usable: w.Usable, Allowed: w.Allowed, LargeEnough: w.LargeEnough}
--- a/internal/core/cell/yield_test.go
+++ b/internal/core/cell/yield_test.go
@@ -101,3 +101,25 @@
 		rank: queue.Rank{Priority: j.Queue.Priority, DeadlineMS: o.dueMS + e.expectedObjective().Milliseconds()},
 	}
 }
+
+// Guards against an explanation that blames a lack of room where work with slack waits for a
+// gang of higher priority.
+func TestExplanationNamesTheGangThatClaimsRoom(t *testing.T) {
+	sim := newSimulation(t, 44, 4)
+	sim.settings.GangYieldRunTimes = 2
+	sim.takeOver()
+	sim.run(100 * time.Millisecond)
+	first := oneStepJob("first", 90)
+	first.Queue.Priority, first.Queue.ObjectiveMS = 2, 90_000
+	sim.submit(first)
+	sim.run(300 * time.Millisecond)
+	gang := oneStepJob("gang", 16)
+	gang.Steps[0].GPU, gang.Steps[0].Gang, gang.Queue.ObjectiveMS = 2, true, 60_000
+	sim.submit(gang)
+	sim.run(2200 * time.Millisecond)
+	low := oneStepJob("low", 1)
+	low.Queue.Priority, low.Queue.ObjectiveMS = 2, 90_000
+	if why := sim.explainNow(low).Steps[0].WaitReason; why != "leaves room to the waiting gang of job gang" {
+		t.Errorf("waits: %q", why)
+	}
+}
