--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -23,7 +23,7 @@
 // with the values of deploy/system.toml.
 var switches = []string{
 	"COLTSFOOTMUX_ACCOUNT_OVERUSE=3", "COLTSFOOTMUX_WORKER_SPEED_RATIO=1.8",
-	"COLTSFOOTMUX_INTERFERENCE_SLOWDOWN=1.25", "COLTSFOOTMUX_PREEMPTION_WAIT=900ms",
+	"COLTSFOOTMUX_INTERFERENCE_SLOWDOWN=1.25", "COLTSFOOTMUX_GANG_YIELD_RUN_TIMES=2",
 }
 
 // pace returns the speed of a worker. A quarter of the workers are about twice as fast as the
