Review the workers less often in large fleets

The owner is at 95 % of its processor there, and the reviews of speeds, shares and interference visit all workers every 250 to 400 ms. Their interval now grows with the fleet beyond 350 workers; nothing changes up to that size.

--- a/internal/core/cell/interference.go
+++ b/internal/core/cell/interference.go
@@ -110,7 +110,7 @@
 	if s.model == nil || c.now.Mono < s.nextJudge {
 		return
 	}
-	s.nextJudge = c.now.Mono + judgeInterval
+	s.nextJudge = c.now.Mono + c.reviewInterval(judgeInterval)
 	for _, change := range s.model.Judge(c.now.Mono) {
 		c.emit(PairChanged{change})
 	}
--- a/internal/core/cell/shares.go
+++ b/internal/core/cell/shares.go
@@ -38,7 +38,7 @@
 	if c.settings.AccountOveruse == 0 || c.now.Mono < s.nextRead {
 		return
 	}
-	s.nextRead = c.now.Mono + usageInterval
+	s.nextRead = c.now.Mono + c.reviewInterval(usageInterval)
 	if s.accounts == nil {
 		s.accounts = share.New(c.now.Mono)
 	}
--- a/internal/core/cell/speeds.go
+++ b/internal/core/cell/speeds.go
@@ -156,7 +156,7 @@
 	if !c.learnsSpeeds() || now < c.speeds.nextRefresh {
 		return
 	}
-	c.speeds.nextRefresh = now + speedInterval
+	c.speeds.nextRefresh = now + c.reviewInterval(speedInterval)
 	for _, p := range c.speeds.pools {
 		p.estimates = p.estimates[:0]
 	}
