--- /dev/null
+++ b/review/rig/refused.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// cutTime is how long a worker is cut off, killAfter when the owner is killed after its start.
+const (
+	cutTime   = 5 * time.Second
+	killAfter = time.Second
+)
+
+// refused: a worker is cut off from the store and, by a cut that refuses connections, from the
+// process that becomes the owner next. The present owner, which still reaches it, is killed.
+// The worker runs on under its lease.
+func refused(b *bed) error {
+	const id = "00000000000000b2"
+	if err := b.addWorkers(6, "a", resources{CPU: 8000, MemMB: 16000, GPU: 8}); err != nil {
+		return err
+	}
+	if err := b.addNodes("", 0.4, 0.4, 0.4); err != nil {
+		return err
+	}
+	task := id + ".0.0.0"
+	if !b.submit(urgentQueue, id, 16000, step{Count: 1, CPU: 4000, MemMB: 8000, GPU: 4, EstMS: 16000}) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	if !waitFor(5*time.Second, func() bool { return b.on(task) != nil }) {
+		return fmt.Errorf("the task was not started")
+	}
+	time.Sleep(3 * time.Second)
+	if b.trouble {
+		w, owner := b.on(task), b.owner()
+		if w == nil || owner == nil {
+			return fmt.Errorf("no owner, or the task has ended early")
+		}
+		b.rec.notef("%s is cut off from the store", w.name)
+		w.setStoreCut(true)
+		time.Sleep(killAfter)
+		owner.kill()
+		w.setReach(refusing)
+		time.Sleep(cutTime - killAfter)
+		b.rec.notef("the cuts of %s heal", w.name)
+		w.setReach(reachable)
+		w.setStoreCut(false)
+		if err := owner.start(); err != nil {
+			return err
+		}
+	}
+	if !waitFor(40*time.Second, func() bool { return b.state(b.nodes[0], urgentQueue, id) == "complete" }) {
+		b.rec.notef("the job is not complete after 40 s")
+	}
+	return nil
+}
