--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -11,15 +11,16 @@
 	"time"
 
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/loopback"
 	"coltsfootmux/internal/standin/store"
 	"coltsfootmux/platform"
 	"coltsfootmux/platform/platformtest"
 )
 
 const (
-	pool = "p"
-	host = "jobs.example"
-	key  = "key-1"
+	pool    = "p"
+	jobHost = "jobs.example"
+	key     = "key-1"
 	// urgentQueue has priority 0, batchQueue priority 1.
 	urgentQueue = "/u/"
 	batchQueue  = "/q/"
@@ -44,7 +45,7 @@
 	trouble bool
 	dir     string
 	program string
-	ip      string
+	host    *loopback.Host
 	store   *store.Store
 	addr    string
 	workers []*worker
@@ -62,10 +63,10 @@
 func newBed(rec *record, dir, program string, trouble bool) (*bed, error) {
 	b := &bed{
 		rec: rec, dir: dir, program: program, trouble: trouble, store: store.New(), stop: make(chan struct{}),
-		ip:     fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()>>16&0x7f, os.Getpid()>>8&0xff, max(1, os.Getpid()&0xff)),
+		host:   loopback.New(os.Getpid()),
 		active: make(map[string][]placed), starts: make(map[string]int), away: make(map[string]map[string]bool),
 	}
-	ln, err := net.Listen("tcp", b.ip+":0")
+	ln, err := b.host.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -81,19 +82,10 @@
 	b.store.Put(external.Topic("keyed.servers"), id, entry)
 }
 
-func (b *bed) freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", b.ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
-
 // addWorkers starts n workers of a kind.
 func (b *bed) addWorkers(n int, kind string, has resources) error {
 	for range n {
-		addr, err := b.freeAddr()
+		addr, err := b.host.FreeAddr()
 		if err != nil {
 			return err
 		}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return 0, nil
 	}
-	req.Host = host
+	req.Host = jobHost
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("X-Deadline-Ms", "3000")
--- a/review/rig/failing.go
+++ b/review/rig/failing.go
@@ -44,7 +44,7 @@
 			idleSince = time.Now()
 		}
 	}
-	b.failOnce(soundTask)
+	b.endTask(soundTask, "failed")
 	failedAt := time.Now()
 	if !b.submit(urgentQueue, urgentID, 1000, step{Count: 1, CPU: 1000, MemMB: 2000, GPU: 1, EstMS: 1000}) {
 		return fmt.Errorf("the urgent job was not accepted")
@@ -61,8 +61,8 @@
 	return nil
 }
 
-// failOnce ends the present run of a task as failed.
-func (b *bed) failOnce(task string) {
+// endTask ends the present run of a task.
+func (b *bed) endTask(task, how string) {
 	w := b.on(task)
 	if w == nil {
 		return
@@ -71,7 +71,7 @@
 	defer w.mu.Unlock()
 	for _, r := range w.runs {
 		if r.task == task {
-			w.end(r, "failed")
+			w.end(r, how)
 			return
 		}
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 	"missing": missing,
 	"pending": pending,
 	"refused": refused,
+	"upkeep":  upkeep,
 }
 
 func main() { os.Exit(play()) }
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -94,7 +94,7 @@
 	for i := range shares {
 		n := &node{bed: b, name: fmt.Sprintf("front-%d", i)}
 		for _, a := range []*string{&n.callers, &n.ready, &n.control, &n.metricsAt} {
-			addr, err := b.freeAddr()
+			addr, err := b.host.FreeAddr()
 			if err != nil {
 				return err
 			}
@@ -107,7 +107,7 @@
 	}
 	for i, n := range b.nodes {
 		_, port, _ := strings.Cut(n.metricsAt, ":")
-		text := fmt.Sprintf(settingsFormat, n.name, b.ip, fmt.Sprintf("z%d", i%3), port, port, strings.Join(seeds, ","), n.callers, n.ready, n.control, shares[i], b.addr, more)
+		text := fmt.Sprintf(settingsFormat, n.name, b.host.IP(), fmt.Sprintf("z%d", i%3), port, port, strings.Join(seeds, ","), n.callers, n.ready, n.control, shares[i], b.addr, more)
 		if err := os.WriteFile(n.settings(), []byte(text), 0o600); err != nil {
 			return err
 		}
