--- a/review/rig/drained.go
+++ b/review/rig/drained.go
@@ -33,10 +33,10 @@
 		time.Sleep(200 * time.Millisecond)
 		b.rec.notef("%s is cut off from the store", w.name)
 		w.setStoreCut(true)
-		time.Sleep(4800 * time.Millisecond)
+		time.Sleep(4700 * time.Millisecond)
 		b.rec.notef("the connections to %s are reset", w.name)
 		w.resetConns()
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
 		b.rec.notef("the cut of %s from the store heals", w.name)
 		w.setStoreCut(false)
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,13 +13,14 @@
 )
 
 var cases = map[string]func(*bed) error{
-	"crashes": crashes,
-	"drained": drained,
-	"failing": failing,
-	"missing": missing,
-	"pending": pending,
-	"refused": refused,
-	"upkeep":  upkeep,
+	"crashes":     crashes,
+	"drained":     drained,
+	"failing":     failing,
+	"missing":     missing,
+	"occurrences": occurrences,
+	"pending":     pending,
+	"refused":     refused,
+	"upkeep":      upkeep,
 }
 
 func main() { os.Exit(play()) }
--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -37,6 +37,8 @@
 		if w == nil || owner == nil {
 			return fmt.Errorf("no owner, or the task has ended early")
 		}
+		// The entry lapses 4.5 s after the last heartbeat, and thus before the cut ends.
+		waitFor(heartbeat, func() bool { return w.sinceBeat() > heartbeat/3 })
 		b.rec.notef("%s is cut off from the store", w.name)
 		w.setStoreCut(true)
 		time.Sleep(stopAfter)
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -427,6 +427,13 @@
 	w.storeCut = cut
 }
 
+// sinceBeat returns how long ago the worker last wrote its entry.
+func (w *worker) sinceBeat() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.lastBeat)
+}
+
 // drain reports that the worker leaves, after the given time at least.
 func (w *worker) drain(remains time.Duration) {
 	w.mu.Lock()
