--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -56,6 +56,8 @@
 	// active holds the runs that are on workers, by task; starts counts the starts of each.
 	active map[string][]placed
 	starts map[string]int
+	// doneNoted holds the tasks of which an end as done was acknowledged.
+	doneNoted map[string]bool
 	// away holds, by step, the tasks that an order has ended and that have not begun again.
 	away map[string]map[string]bool
 }
@@ -64,7 +66,7 @@
 	b := &bed{
 		rec: rec, dir: dir, program: program, trouble: trouble, store: store.New(), stop: make(chan struct{}),
 		host:   loopback.New(os.Getpid()),
-		active: make(map[string][]placed), starts: make(map[string]int), away: make(map[string]map[string]bool),
+		active: make(map[string][]placed), starts: make(map[string]int), doneNoted: make(map[string]bool), away: make(map[string]map[string]bool),
 	}
 	ln, err := b.host.Listen()
 	if err != nil {
@@ -92,7 +94,7 @@
 		no := len(b.workers)
 		w := &worker{
 			bed: b, name: fmt.Sprintf("m%d", no), addr: addr, rack: fmt.Sprintf("r%d", no/8), capacity: has,
-			conns: make(map[net.Conn]bool), ended: make(chan struct{}),
+			conns: make(map[net.Conn]http.ConnState), ended: make(chan struct{}),
 		}
 		b.workers = append(b.workers, w)
 		if err := w.begin(fmt.Sprintf("i-%02d", no), kind); err != nil {
@@ -112,6 +114,9 @@
 			b.rec.brokenf("TWICE: task %s starts as run %d on %s while run %d is at work on %s, which is up", o.Task, o.Run, w.name, p.run, p.w.name)
 		}
 	}
+	if b.doneNoted[o.Task] {
+		b.rec.brokenf("TWICE: task %s starts as run %d on %s after a run has ended as done and that end was acknowledged", o.Task, o.Run, w.name)
+	}
 	b.active[o.Task] = append(b.active[o.Task], placed{w: w, life: w.life, run: o.Run})
 	b.starts[o.Task]++
 	delete(b.away[stepOf(o.Task)], o.Task)
@@ -123,6 +128,14 @@
 // anyLabel stands in a spec for tasks that require no label.
 const anyLabel = "-"
 
+// noted notes that the end of a run as done is taken note of.
+func (b *bed) noted(w *worker, task string, number int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.doneNoted[task] = true
+	b.rec.notef("the end of %s %d as done on %s is acknowledged", task, number, w.name)
+}
+
 // stepOf returns the name of a task's step.
 func stepOf(task string) string { return task[:strings.LastIndex(task, ".")] }
 
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -86,7 +88,7 @@
 	listed        bool
 	life          int
 	ln            net.Listener
-	conns         map[net.Conn]bool
+	conns         map[net.Conn]http.ConnState
 	ended         chan struct{}
 }
 
@@ -95,6 +97,13 @@
 // begin starts a new life, which knows nothing of the one before.
 func (w *worker) begin(id, kind string) error {
 	w.mu.Lock()
+	if old := w.id; w.listed && old != id {
+		// The entry of the former life goes after three heartbeats of silence.
+		time.AfterFunc(3*heartbeat-time.Since(w.lastBeat), func() {
+			w.bed.rec.notef("the store removes the entry of %s (%s): silent for three heartbeats", w.name, old)
+			w.bed.putEntry(old, nil)
+		})
+	}
 	w.life++
 	w.id, w.kind, w.state, w.born = id, kind, "ready", time.Now()
 	w.fence, w.leaseEnd, w.runs, w.ends, w.lastEnd, w.seq = 0, 0, nil, nil, 0, 0
@@ -120,7 +129,7 @@
 		if s == http.StateClosed || s == http.StateHijacked {
 			delete(w.conns, c)
 		} else {
-			w.conns[c] = true
+			w.conns[c] = s
 		}
 	}}
 	go func() { _ = srv.Serve(ln) }()
@@ -156,14 +165,40 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c := range w.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
 	}
 	clear(w.conns)
 }
 
+// resetHalf resets half of the open connections, those with a call in progress first.
+func (w *worker) resetHalf() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := slices.SortedFunc(maps.Keys(w.conns), func(a, b net.Conn) int {
+		return cmp.Compare(rank(w.conns[a]), rank(w.conns[b]))
+	})
+	n := (len(all) + 1) / 2
+	w.bed.rec.notef("%d of the %d connections to %s are reset", n, len(all), w.name)
+	for _, c := range all[:n] {
+		reset(c)
+		delete(w.conns, c)
+	}
+}
+
+func rank(s http.ConnState) int {
+	if s == http.StateActive {
+		return 0
+	}
+	return 1
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // beat writes the worker's entry to the store.
 func (w *worker) beat() {
 	w.mu.Lock()
@@ -363,6 +398,12 @@
 // hold answers with the lists, at once if an end is listed, otherwise when one comes or the
 // wait is over.
 func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order, life int) {
+	for _, e := range w.ends {
+		// A lease that lapses before the end is acknowledged excuses a further start.
+		if e.n <= o.AckCursor && e.how == "done" && w.clock() <= w.leaseEnd {
+			w.bed.noted(w, e.task, e.run)
+		}
+	}
 	w.ends = slices.DeleteFunc(w.ends, func(e endedRow) bool { return e.n <= o.AckCursor })
 	until := time.Now().Add(min(time.Duration(o.WaitMS)*time.Millisecond, 2*time.Second))
 	for len(w.ends) == 0 && time.Now().Before(until) {
