Decide from evidence whether a worker's runs are over; a refused connection is none

Callers saw: while the cell changed its owner, a worker behind a cut that refuses connections was taken for gone.

Cause: holdAnswered removed a worker that was not listed, had not answered in this term and refused a connection, so that the new owner waited neither for its answer nor for the leases of the previous owner. The second return of hasLeft did the same for a draining worker 2.5 s after its entry went. Each place that ends runs had its own idea of proof.

Now package core/termination takes this decision from typed observations, and holdAnswered, expireRuns, checkProcess, workerRestarted, processMissing, tick, previousRunsKnown and reportHeld ask it. A refused connection, a silence, a missing entry and an announced departure prove nothing, alone or together. Why it works: what is left as proof are the worker's own lists, another process or incarnation, and the end of every lease on the slowest clock.

So that a new owner need not wait for draining workers that left empty, the roster now says which draining workers are vacant; such a worker is used again only once a later roster is durable.

Ruled out: a lease computed too short (no lease was looked at) and an answer of a former process (nothing answered).

TestTakeoverDoesNotWaitForDrainedWorkers asked for readiness relistTimeout (2.5 s) and 0.3 s after the takeover; it now asks for it after 0.5 s.

Related paths that were safe: another process at the address (checkProcess), a later incarnation (workerRestarted), two lists without the run and an acknowledged stop (processMissing) are the worker's own word; a refused start was never sent.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -54,6 +54,9 @@
 	// are empty if not known.
 	Machine      string `cbor:"4,keyasint,omitempty"`
 	SpeedPercent int    `cbor:"5,keyasint,omitempty"`
+	// Vacant is set for a draining worker that has no runs and gets none before a later
+	// roster says otherwise.
+	Vacant bool `cbor:"6,keyasint,omitempty"`
 }
 
 // JobProgress is the progress of one job.
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -45,9 +45,7 @@
 	w.gone = true
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "process is gone", Runs: len(w.runs)})
 	c.workerCrashed(w, "another process answers")
-	for _, r := range slices.Clone(w.runs) {
-		c.endRun(r, EndedLost, r.latestCheckpoint)
-	}
+	c.loseRuns(w)
 }
 
 // presumeCrash counts the crash of a worker that refuses connections, before it is certain.
--- /dev/null
+++ b/internal/core/cell/evidence.go
@@ -0,0 +1,45 @@
+package cell
+
+import (
+	"slices"
+
+	"coltsfootmux/internal/core/termination"
+)
+
+// observations returns what is known of a worker that bears on whether its runs are over.
+func (c *Core) observations(w *worker) termination.Observations {
+	var out termination.Observations
+	for _, o := range []struct {
+		holds bool
+		is    termination.Observations
+	}{
+		{w.holdFailures > 0, termination.NoAnswer},
+		{w.refusesConns, termination.ConnectionRefused},
+		{!w.listed, termination.Unlisted},
+		{w.Draining, termination.Draining},
+		{w.gone, termination.OtherProcess},
+		{c.now.Mono >= w.leaseEnd, termination.LeasesExpired},
+		{c.now.Mono >= c.previousLeasesEnd, termination.EarlierLeasesExpired},
+		{w.knowsTerm, termination.AnsweredInTerm},
+		{w.vacant, termination.Vacant},
+		{!w.listed && !w.inherited, termination.NeverAssigned},
+	} {
+		if o.holds {
+			out |= o.is
+		}
+	}
+	return out
+}
+
+// mayHaveUnknownRuns reports whether a worker may have runs of earlier owners that this owner
+// does not know of.
+func (c *Core) mayHaveUnknownRuns(w *worker) bool {
+	return c.observations(w).UnknownRuns() == termination.None
+}
+
+// loseRuns ends all runs on a worker. Their end is proven, and their outcome unknown.
+func (c *Core) loseRuns(w *worker) {
+	for _, r := range slices.Clone(w.runs) {
+		c.endRun(r, EndedLost, r.latestCheckpoint)
+	}
+}
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -32,6 +32,9 @@
 	if n.Draining != wasDraining {
 		c.placementDue, c.rosterDirty = true, true
 	}
+	if wasDraining && !n.Draining {
+		w.onRoster = false // it may be stored as vacant
+	}
 }
 
 // workerUnlisted notes that the worker is no longer in the store's worker list. Its
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -146,10 +147,6 @@
 		c.emit(HigherTermSeen{Worker: w.ID})
 		w.nextHoldAt = now + holdRetryDelay
 		return
-	case ev.Failure == FailureConnectionRefused && !w.listed && !w.knowsTerm:
-		c.removeWorker(w) // it is not listed and nothing accepts connections at its address
-		c.placementDue = true
-		return
 	case ev.Failure != FailureNone && ev.Number < w.answeredHold:
 		return // the worker has answered a later hold
 	case ev.Failure != FailureNone || ev.Lists.Refusal != external.RefusedNone:
@@ -230,7 +227,8 @@
 	w.clock, w.processedEnd, w.durableEnd, w.ackedEnd, w.leaseEnd = 0, 0, 0, 0, 0
 	w.reportedStartMS, w.deferredEnds = 0, nil
 	for _, r := range slices.Clone(w.runs) {
-		if r.startedAt != 0 && r.reflectedIn(hold) {
+		state := termination.Run{Reflected: r.reflectedIn(hold), Started: r.startedAt != 0, OtherIncarnation: true}
+		if state.IsOver() {
 			c.endRun(r, EndedLost, "")
 			continue
 		}
@@ -337,18 +335,19 @@
 		if shown[r] || !r.reflectedIn(hold) {
 			continue
 		}
-		switch r.state {
-		case runUnconfirmed:
+		if r.state == runUnconfirmed {
 			c.stopRun(r, ReasonUnconfirmed)
-		case runRunning:
-			r.listsMissing++
-			if r.listsMissing >= maxMissingLists {
-				c.endRun(r, EndedLost, r.latestCheckpoint)
-			}
-		case runStopping:
-			if r.stopAckedAt != 0 {
-				c.endRun(r, EndedBarred, "")
-			}
+			continue
+		}
+		r.listsMissing++
+		stopped := r.state == runStopping && r.stopAckedAt != 0
+		state := termination.Run{Reflected: true, Started: r.state == runRunning, StopAcknowledged: stopped, MissingLists: r.listsMissing}
+		switch {
+		case !state.IsOver():
+		case stopped:
+			c.endRun(r, EndedBarred, "")
+		default:
+			c.endRun(r, EndedLost, r.latestCheckpoint)
 		}
 	}
 }
--- a/internal/core/cell/leaving.go
+++ b/internal/core/cell/leaving.go
@@ -8,22 +8,15 @@
 	// a worker that is cut off expires after three missed heartbeats, 4.5 s, while its
 	// lease may still be valid.
 	departureWindow = 2500 * time.Millisecond
-	// relistTimeout is the time in which entries that expired during an outage of the
-	// store are listed again, about 2 s, plus the time to read them. An entry that is
-	// still missing then belongs to a worker that is gone.
-	relistTimeout = 2500 * time.Millisecond
 )
 
 // hasLeft reports whether a worker is certainly gone: it announced that it would
 // leave, its entry was removed, and it does not answer.
-func (w *worker) hasLeft(now time.Duration) bool {
-	if !w.Draining || w.listed || w.holdFailures == 0 {
+func (w *worker) hasLeft() bool {
+	if !w.Draining || w.listed || w.holdFailures == 0 || !w.knowsTerm {
 		return false
 	}
-	if w.knowsTerm {
-		return w.unlistedAt-w.lastAnswerAt <= departureWindow
-	}
-	return now-w.unlistedAt >= relistTimeout
+	return w.unlistedAt-w.lastAnswerAt <= departureWindow
 }
 
 // markUnlisted records that the list does not contain the worker.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -182,7 +182,10 @@
 				c.followUpStop(r)
 			}
 		}
-		if !w.listed && len(w.runs) == 0 && (!w.mayHaveUnknownRuns(now) || now > c.previousLeasesEnd) {
+		if w.isVacant() != w.storedVacant {
+			c.rosterDirty = true
+		}
+		if !w.listed && len(w.runs) == 0 && !c.mayHaveUnknownRuns(w) {
 			c.removeWorker(w)
 		}
 	}
@@ -200,25 +203,21 @@
 // expireRuns ends all runs on a worker that does not answer and whose lease has
 // certainly expired, or that has left.
 func (c *Core) expireRuns(w *worker) {
-	now := c.now.Mono
 	if w.holdFailures == 0 || len(w.runs) == 0 {
 		return
 	}
-	left := w.hasLeft(now)
-	if !left && now < w.leaseEnd {
-		return
-	}
-	change := "lease has expired"
-	if left {
+	change := string(c.observations(w).KnownRuns())
+	if w.hasLeft() {
 		change = "has left"
 	}
+	if change == "" {
+		return
+	}
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: change, Runs: len(w.runs)})
 	if w.refusesConns && !w.listed {
 		c.workerCrashed(w, "nothing listens at its address")
 	}
-	for _, r := range slices.Clone(w.runs) {
-		c.endRun(r, EndedLost, r.latestCheckpoint)
-	}
+	c.loseRuns(w)
 }
 
 // followUpStop resends a stop that was not answered in time. After an acknowledged
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -49,7 +49,7 @@
 	}
 	if c.rosterDirty {
 		c.rosterDirty = false
-		p.Roster, c.batchRoster = c.currentRoster(), slices.Clone(c.fleet)
+		p.Roster = c.storeRoster()
 	}
 	c.batchJobs, c.dirtyJobs = c.dirtyJobs, nil
 	c.batchEnds = make(map[*worker]endPosition)
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// TestInvariantsHoldWhileWorkersAreCutOff runs scenarios in which workers drain, and in which
+// paths between single machines are cut while entries of the list expire.
+func TestInvariantsHoldWhileWorkersAreCutOff(t *testing.T) {
+	for seed := range uint64(randomScenarios) {
+		if err := runRandomScenario(t, seed, scenario{cuts: true}); err != "" {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestInvariantsHoldForRecurringJobs runs scenarios with jobs that have several occurrences.
 func TestInvariantsHoldForRecurringJobs(t *testing.T) {
 	for seed := range uint64(randomScenarios) {
@@ -55,7 +65,7 @@
 	}
 	_ = flag.Set("rapid.seed", "0") // package testseed has fixed it
 	rapid.Check(t, func(rt *rapid.T) {
-		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains"), crashes: rapid.Bool().Draw(rt, "crashes"), unguarded: rapid.Bool().Draw(rt, "unguarded"), recurring: rapid.Bool().Draw(rt, "recurring")}
+		o := scenario{unreadRate: rapid.SampledFrom([]float64{0, 0.4}).Draw(rt, "unread"), drains: rapid.Bool().Draw(rt, "drains"), crashes: rapid.Bool().Draw(rt, "crashes"), unguarded: rapid.Bool().Draw(rt, "unguarded"), recurring: rapid.Bool().Draw(rt, "recurring"), cuts: rapid.Bool().Draw(rt, "cuts")}
 		if err := runRandomScenario(t, rapid.Uint64().Draw(rt, "seed"), o); err != "" {
 			rt.Fatal(err)
 		}
@@ -91,6 +101,9 @@
 	unguarded bool
 	// recurring says that some jobs have several occurrences.
 	recurring bool
+	// cuts says that workers are cut off from the store or from one owner, refuse connections,
+	// drain and leave.
+	cuts bool
 	// prepare, if set, is called before the first owner takes over.
 	prepare func(*simulation)
 	// stepCore is that of the simulation.
@@ -106,6 +119,7 @@
 		sim.recurrence = rand.New(rand.NewPCG(seed, 4))
 	}
 	drainRNG, crashRNG := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
+	cutRNG := rand.New(rand.NewPCG(seed, 5))
 	if o.prepare != nil {
 		o.prepare(sim)
 	}
@@ -125,9 +139,13 @@
 		if live := sim.fleet.Machines(); o.crashes && len(live) > 0 && crashRNG.IntN(3) == 0 {
 			live[crashRNG.IntN(len(live))].Crash()
 		}
+		if o.cuts {
+			sim.cutOrDrain(cutRNG)
+		}
 	}
 	sim.lossRate, sim.lateRate, sim.storeDown = 0, 0, false
 	clear(sim.unreachable)
+	sim.endCuts()
 	for _, d := range slices.Clone(sim.drained) {
 		sim.toggleDrain(d)
 	}
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -1,10 +1,6 @@
 package cell
 
-import (
-	"time"
-
-	"coltsfootmux/internal/external"
-)
+import "coltsfootmux/internal/external"
 
 // The roster is the durable list of the workers in use. A worker is given work only
 // once the stored roster contains it, so that a later owner asks every worker that
@@ -20,7 +16,7 @@
 			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr, Draining: r.Draining, Machine: r.Machine})
 			w.markUnlisted(c.now.Mono)
 		}
-		w.inherited = true
+		w.inherited, w.vacant = true, r.Vacant
 	}
 }
 
@@ -57,11 +53,19 @@
 	}
 }
 
-// currentRoster returns the workers that are in use or may be used.
-func (c *Core) currentRoster() []RosterEntry {
+// isVacant reports whether the worker is without runs and gets none, as it will leave.
+func (w *worker) isVacant() bool { return w.Draining && w.knowsTerm && len(w.runs) == 0 }
+
+// storeRoster returns the workers that are in use or may be used, for the next batch.
+func (c *Core) storeRoster() []RosterEntry {
 	out := []RosterEntry{}
+	c.batchRoster = nil
 	for _, w := range c.fleet {
-		e := RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining}
+		w.storedVacant = w.isVacant()
+		if !w.storedVacant {
+			c.batchRoster = append(c.batchRoster, w)
+		}
+		e := RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining, Vacant: w.storedVacant}
 		e.Machine, e.SpeedPercent = c.storedSpeed(w)
 		out = append(out, e)
 	}
@@ -76,9 +80,3 @@
 	c.batchRoster = nil
 	c.placementDue = true
 }
-
-// mayHaveUnknownRuns reports whether a worker may have runs of the previous term that
-// this owner does not know of.
-func (w *worker) mayHaveUnknownRuns(now time.Duration) bool {
-	return !w.knowsTerm && !w.gone && (w.listed || w.inherited) && !w.hasLeft(now)
-}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -101,9 +101,6 @@
 	stallShare   = 0.4
 	minStallTime = 1200 * time.Millisecond
 	maxStallTime = 4 * time.Second
-	// maxMissingLists is the number of successive lists without a run after which it
-	// counts as lost.
-	maxMissingLists = 2
 	// runsPerTerm is how many run numbers of a task are set aside for each term.
 	runsPerTerm = 1000
 	// drainDecisionTime is how long after a worker began to drain the runs without
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -39,6 +39,8 @@
 	unreachable map[external.WorkerID]bool
 	// refusing holds the workers that are cut off and whose connections are refused.
 	refusing map[external.WorkerID]bool
+	// expired holds the workers whose entries have expired.
+	expired map[external.WorkerID]bool
 	// unlistedRate is the share of workers that a new owner's list lacks at first.
 	unlistedRate float64
 	// unreadRate is the share of jobs that a new owner can't read at first.
@@ -74,6 +76,8 @@
 	core   *Core
 	term   int64
 	halted bool
+	// unreachable holds the workers that this owner's calls do not reach.
+	unreachable map[external.WorkerID]bool
 }
 
 // scheduledCall is a function that is called at a given time. Calls at the same time
@@ -109,7 +113,7 @@
 	s := &simulation{
 		settings: testSettings(),
 		t:        t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: fleet.New(randomDurations(seed)),
-		progress: make(map[job.ID]job.Progress), unreachable: make(map[external.WorkerID]bool), refusing: make(map[external.WorkerID]bool),
+		progress: make(map[job.ID]job.Progress), unreachable: make(map[external.WorkerID]bool), refusing: make(map[external.WorkerID]bool), expired: make(map[external.WorkerID]bool),
 		stops:  make(map[StopReason]int),
 		policy: &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
 	}
@@ -143,7 +147,7 @@
 		previous := s.current()
 		s.schedule(testSettings().PreviousOwnerGrace, func() { previous.halted = true })
 	}
-	o := &testOwner{term: int64(len(s.owners) + 1)}
+	o := &testOwner{term: int64(len(s.owners) + 1), unreachable: make(map[external.WorkerID]bool)}
 	settings := s.settings
 	if s.adjustSettings != nil {
 		s.adjustSettings(&settings)
@@ -160,7 +164,7 @@
 		s.withholdJobs(o, &ev)
 	}
 	for _, m := range s.workers() {
-		if m.ID == s.departedWorker {
+		if m.ID == s.departedWorker || s.expired[m.ID] {
 			continue
 		}
 		// An entry may be missing for a while because a worker's report was lost.
--- a/internal/core/cell/simulationcalls_test.go
+++ b/internal/core/cell/simulationcalls_test.go
@@ -14,8 +14,8 @@
 
 // call plays a call to a worker: execute carries it out at the worker, and done
 // receives the result at the owner, a failure if there is no answer.
-func (s *simulation) call(id external.WorkerID, timeout time.Duration, execute func(), done func(Failure)) {
-	if s.unreachable[id] {
+func (s *simulation) call(o *testOwner, id external.WorkerID, timeout time.Duration, execute func(), done func(Failure)) {
+	if s.unreachable[id] || o.unreachable[id] {
 		s.schedule(timeout, func() { done(FailureOutcomeUnknown) })
 		return
 	}
@@ -81,7 +81,7 @@
 		var r external.OrderResult
 		var err error
 		execute := s.ifSameIncarnation(a.Order.Worker, func() { r, err = s.fleet.Start(ctx, a.Order) }, func() { err = external.ErrOutcomeUnknown })
-		s.call(a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
+		s.call(o, a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
 			s.step(o, StartAnswered{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	case Stop:
@@ -89,11 +89,11 @@
 		var r external.OrderResult
 		var err error
 		execute := s.ifSameIncarnation(a.Order.Worker, func() { r, err = s.fleet.Stop(ctx, a.Order) }, func() { err = external.ErrOutcomeUnknown })
-		s.call(a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
+		s.call(o, a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
 			s.step(o, StopAnswered{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	case Pace:
-		s.call(a.Order.Worker, 700*time.Millisecond, func() { _, _ = s.fleet.Pace(ctx, a.Order) }, func(Failure) {})
+		s.call(o, a.Order.Worker, 700*time.Millisecond, func() { _, _ = s.fleet.Pace(ctx, a.Order) }, func(Failure) {})
 	case Advise:
 		s.schedule(100*time.Millisecond, func() { s.step(o, s.advice(a)) })
 	case Hold:
@@ -131,7 +131,7 @@
 	}
 	execute = s.ifSameIncarnation(a.Order.Worker, execute, func() { err = external.ErrOutcomeUnknown })
 	s.schedule(wait, func() {
-		s.call(a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
+		s.call(o, a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
 			s.step(o, HoldAnswered{Worker: a.Order.Worker, Number: a.Number, Lists: l, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	})
--- a/internal/core/cell/takeover_test.go
+++ b/internal/core/cell/takeover_test.go
@@ -116,10 +116,10 @@
 	sim.check()
 }
 
-// drain lets a worker announce to an owner that it will leave.
-func (s *simulation) drain(o *testOwner, n int) {
+// drain lets a worker announce to an owner that it will leave after the given time.
+func (s *simulation) drain(o *testOwner, n int, left time.Duration) {
 	m := s.machine(n).Worker
-	m.Draining, m.DrainTimeLeft = true, 2500*time.Millisecond
+	m.Draining, m.DrainTimeLeft = true, left
 	s.machine(n).Worker = m
 	s.step(o, WorkerChanged{Worker: m})
 }
@@ -133,14 +133,14 @@
 	sim.run(200 * time.Millisecond)
 	sim.submit(oneStepJob("before", 44))
 	sim.runUntilDone(20 * time.Second)
-	sim.drain(first, 5)
+	sim.drain(first, 5, 2500*time.Millisecond)
 	sim.run(300 * time.Millisecond)
 	first.halted = true
 	sim.machine(5).Down = true
 	sim.submit(oneStepJob("j", 4))
 	sim.departedWorker = "w05"
 	o := sim.takeOver()
-	sim.run(relistTimeout + 300*time.Millisecond)
+	sim.run(500 * time.Millisecond)
 	if !o.core.Ready() {
 		t.Error("the new owner waits for a drained worker that has left")
 	}
@@ -163,17 +163,14 @@
 	j.Steps[0].EstimateMS = 20_000
 	sim.submit(j)
 	sim.run(2 * time.Second)
-	m := sim.machine(0).Worker
 	if sim.fleet.RunningCount() != 20 {
 		t.Fatalf("%d tasks run, want 20", sim.fleet.RunningCount())
 	}
-	m.Draining, m.DrainTimeLeft = true, time.Minute
-	sim.machine(0).Worker = m
-	sim.step(o, WorkerChanged{Worker: m})
+	sim.drain(o, 0, time.Minute)
 	sim.run(time.Second)
-	sim.unreachable[m.ID] = true
+	sim.unreachable["w00"] = true
 	sim.run(4500 * time.Millisecond)
-	sim.step(o, WorkerUnlisted{ID: m.ID})
+	sim.step(o, WorkerUnlisted{ID: "w00"})
 	sim.run(8 * time.Second)
 	sim.check()
 }
--- /dev/null
+++ b/internal/core/cell/termination_test.go
@@ -0,0 +1,97 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/standin/fleet"
+)
+
+// withLongTasks returns a simulation of six workers on which 20 tasks of 30 s run, and its
+// owner.
+func withLongTasks(t *testing.T, seed uint64) (*simulation, *testOwner) {
+	t.Helper()
+	sim := newSimulation(t, seed, 0)
+	sim.fleet = fleet.New(func(job.TaskID, int64) (time.Duration, bool) { return 30 * time.Second, false })
+	for n := range 6 {
+		sim.fleet.Add(testWorker(n))
+	}
+	o := sim.takeOver()
+	sim.run(200 * time.Millisecond)
+	j := oneStepJob("j", 20)
+	j.Steps[0].EstimateMS, j.Steps[0].Checkpoints = 20_000, false
+	sim.submit(j)
+	sim.run(2 * time.Second)
+	if n := sim.fleet.RunningCount(); n != 20 {
+		t.Fatalf("%d tasks run, want 20", n)
+	}
+	return sim, o
+}
+
+// checkNoPrematureLoss lets time pass and checks that no task was started a second time
+// while its first run was alive, and that the lost ones were started again.
+func (s *simulation) checkNoPrematureLoss() {
+	s.t.Helper()
+	s.run(12 * time.Second)
+	s.check()
+	if n := s.fleet.RunningCount(); n != 20 {
+		s.t.Errorf("%d tasks run 12 s later, want 20", n)
+	}
+}
+
+// TestRefusedConnectionIsNoProofAfterTakeover guards against taking a worker for gone because
+// it is not listed and a new owner's connection to it is refused, as behind a cut: its tasks
+// were started elsewhere while they ran on under the previous owner's lease.
+func TestRefusedConnectionIsNoProofAfterTakeover(t *testing.T) {
+	for n := range 6 {
+		sim, first := withLongTasks(t, uint64(n))
+		id := external.WorkerID(fmt.Sprintf("w%02d", n))
+		first.halted = true
+		sim.refusing[id], sim.departedWorker = true, id
+		sim.takeOver()
+		sim.checkNoPrematureLoss()
+	}
+}
+
+// TestSilentDrainingWorkerIsNotGoneAfterTakeover guards against taking a draining worker for
+// gone because its entry has been missing for a while and it does not answer a new owner.
+func TestSilentDrainingWorkerIsNotGoneAfterTakeover(t *testing.T) {
+	for n := range 6 {
+		sim, first := withLongTasks(t, uint64(n))
+		id := external.WorkerID(fmt.Sprintf("w%02d", n))
+		sim.drain(first, n, time.Minute)
+		sim.run(500 * time.Millisecond)
+		first.halted = true
+		sim.unreachable[id], sim.departedWorker = true, id
+		sim.takeOver()
+		sim.checkNoPrematureLoss()
+	}
+}
+
+// TestVacancyIsWithdrawnBeforeUse guards against starting tasks on a worker of which the
+// stored roster says that it has none: a new owner would not wait for its answer.
+func TestVacancyIsWithdrawnBeforeUse(t *testing.T) {
+	sim := newSimulation(t, 5, 1)
+	o := sim.takeOver()
+	sim.run(200 * time.Millisecond)
+	sim.drain(o, 0, time.Minute)
+	sim.run(500 * time.Millisecond)
+	if !sim.roster[0].Vacant {
+		t.Fatal("a draining worker without runs is not stored as vacant")
+	}
+	sim.storeDown = true
+	m := sim.machine(0)
+	m.Draining = false
+	sim.step(o, WorkerChanged{Worker: m.Worker})
+	sim.submit(oneStepJob("j", 1))
+	sim.run(time.Second)
+	if sim.fleet.Starts > 0 {
+		t.Error("a task was started while the stored roster says that the worker is vacant")
+	}
+	sim.storeDown = false
+	sim.runUntilDone(20 * time.Second)
+	sim.check()
+}
--- a/internal/core/cell/waits.go
+++ b/internal/core/cell/waits.go
@@ -84,7 +84,7 @@
 	c.nextHeldReport = c.now.Mono + minReportedWait
 	h := JobsHeld{Jobs: jobs, MaxWait: c.previousLeasesEnd - c.now.Mono}
 	for _, w := range c.fleet {
-		if w.mayHaveUnknownRuns(c.now.Mono) {
+		if c.mayHaveUnknownRuns(w) {
 			h.Silent++
 		}
 	}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -20,6 +20,10 @@
 	// previous term's roster did.
 	onRoster  bool
 	inherited bool
+	// vacant is set if the previous owner stored that nothing ran on the worker,
+	// storedVacant if this owner has stored so last.
+	vacant       bool
+	storedVacant bool
 	// knowsTerm is set once the worker's current incarnation has answered a hold of
 	// this term. From then on it refuses the orders of earlier terms.
 	knowsTerm bool
