Wait for the lease of a draining worker whose entry has gone

Cause: hasLeft took a draining, unlisted worker for gone at its first failed hold, if its last answer was at most 2.5 s older than the removal of its entry. That was meant to say that it fell silent shortly before; it also held for a worker that had answered since. Even as meant it was no proof: the entry expires 4.5 s after the last heartbeat, while a lease runs up to 6 s.

hasLeft is gone; expireRuns asks core/termination, so that runs of a silent worker end with their lease. Ruled out: a lease that was granted too short or read by the wrong clock; it was not looked at.

Cost: runs on draining workers that do leave wait up to 6.3 s.

--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -44,7 +44,7 @@
 	if w == nil || !w.listed {
 		return
 	}
-	w.markUnlisted(c.now.Mono)
+	w.listed = false
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "removed from the worker list", Runs: len(w.runs)})
 }
 
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -200,20 +201,16 @@
 	}
 }
 
-// expireRuns ends all runs on a worker that does not answer and whose lease has
-// certainly expired, or that has left.
+// expireRuns ends all runs on a worker that does not answer once they are certainly over.
 func (c *Core) expireRuns(w *worker) {
 	if w.holdFailures == 0 || len(w.runs) == 0 {
 		return
 	}
-	change := string(c.observations(w).KnownRuns())
-	if w.hasLeft() {
-		change = "has left"
-	}
-	if change == "" {
+	proof := c.observations(w).KnownRuns()
+	if proof == termination.None {
 		return
 	}
-	c.emit(WorkerStateChanged{Worker: w.ID, Change: change, Runs: len(w.runs)})
+	c.emit(WorkerStateChanged{Worker: w.ID, Change: string(proof), Runs: len(w.runs)})
 	if w.refusesConns && !w.listed {
 		c.workerCrashed(w, "nothing listens at its address")
 	}
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -14,7 +14,7 @@
 		w := c.workers[r.ID]
 		if w == nil {
 			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr, Draining: r.Draining, Machine: r.Machine})
-			w.markUnlisted(c.now.Mono)
+			w.listed = false
 		}
 		w.inherited, w.vacant = true, r.Vacant
 	}
--- a/internal/core/cell/termination_test.go
+++ b/internal/core/cell/termination_test.go
@@ -95,3 +95,21 @@
 	sim.runUntilDone(20 * time.Second)
 	sim.check()
 }
+
+// TestUnlistedDrainingWorkerThatFailsOneHoldIsNotGone guards against taking a draining worker
+// for gone at its first failed hold because its entry has expired: its tasks were started
+// elsewhere while they ran on under their lease.
+func TestUnlistedDrainingWorkerThatFailsOneHoldIsNotGone(t *testing.T) {
+	for n := range 6 {
+		sim, o := withLongTasks(t, uint64(n))
+		id := external.WorkerID(fmt.Sprintf("w%02d", n))
+		sim.drain(o, n, time.Minute)
+		sim.run(entryLifetime)
+		sim.step(o, WorkerUnlisted{ID: id})
+		sim.run(500 * time.Millisecond)
+		sim.unreachable[id] = true
+		sim.run(time.Second)
+		sim.unreachable[id] = false
+		sim.checkNoPrematureLoss()
+	}
+}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -12,10 +12,8 @@
 // worker is what the cell knows of a worker.
 type worker struct {
 	external.Worker
-	// listed is set while the store's list contains the worker; unlistedAt is when it
-	// was removed.
-	listed     bool
-	unlistedAt time.Duration
+	// listed is set while the store's list contains the worker.
+	listed bool
 	// onRoster is set once the stored roster contains the worker, inherited if the
 	// previous term's roster did.
 	onRoster  bool
