A failed hold does not prove that the previous owner started nothing

A new owner holds a job back that it read within a second of its takeover, as the previous owner may have read it too if its peers confirmed its term while the store was away. It started the job once every worker of the roster had answered or failed to answer one hold: a silence taken as proof that nothing runs there.

Such a job now waits like an inherited one, until all runs of the previous owner are known or its leases have expired; one condition in newPass in place of two, and awaitsInherited is gone. Ruled out: that later jobs need the same; by then the previous owner has learned of the new term.

Evidence: in the random scenarios an owner may now be confirmed by its peers right before its successor takes over, read new jobs for a second, and a worker may be cut off from the successor alone.

Why it works: previousRunsKnown asks core/termination for each worker. Related paths that were safe: inherited jobs already waited for it.

--- a/internal/core/cell/cuts_test.go
+++ b/internal/core/cell/cuts_test.go
@@ -31,9 +31,24 @@
 		s.schedule(time.Duration(rng.Int64N(int64(2*entryLifetime))), func() { s.cutForWhile(s.refusing, m, length) })
 	case 4:
 		s.drainAndLeave(rng, m)
+	case 5:
+		s.takeOverFromConfirmedOwner()
+		s.cutForWhile(s.current().unreachable, m, length)
+		s.submit(s.randomJob())
 	}
 }
 
+// takeOverFromConfirmedOwner starts a new owner while the present one has just been confirmed
+// by its peers, as the store was unavailable. It reads and starts jobs until it learns of the
+// new term.
+func (s *simulation) takeOverFromConfirmedOwner() {
+	previous := s.current()
+	s.step(previous, TermConfirmed{At: s.now})
+	s.takeOver()
+	previous.readsUntil = s.now + newTermNoticeTime
+	s.schedule(newTermNoticeTime, func() { previous.halted = true })
+}
+
 func (s *simulation) cutForWhile(from map[external.WorkerID]bool, m *fleet.Machine, length time.Duration) {
 	from[m.ID] = true
 	s.schedule(length, func() { delete(from, m.ID) })
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -54,9 +54,8 @@
 		c.partialGangsStopped = true
 		c.stopPartialGangs()
 	}
-	asking := c.awaitsInherited()
 	for i, e := range c.openJobs {
-		if asking && c.previousOwnerMayHave(e) || e.inherited && !known {
+		if !known && c.previousOwnerMayHave(e) {
 			held++
 			continue
 		}
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -78,6 +78,8 @@
 	halted bool
 	// unreachable holds the workers that this owner's calls do not reach.
 	unreachable map[external.WorkerID]bool
+	// readsUntil is the time until which the owner of an earlier term reads new jobs.
+	readsUntil time.Duration
 }
 
 // scheduledCall is a function that is called at a given time. Calls at the same time
@@ -210,7 +212,13 @@
 	j.SubmittedMS = s.now.Milliseconds()
 	s.jobs = append(s.jobs, j)
 	s.fleet.Submit(&j)
-	s.schedule(5*time.Millisecond, func() { s.step(s.current(), Submitted{Job: j}) })
+	s.schedule(5*time.Millisecond, func() {
+		for _, o := range s.owners {
+			if o == s.current() || s.now < o.readsUntil {
+				s.step(o, Submitted{Job: j})
+			}
+		}
+	})
 }
 
 func (s *simulation) cancel(id job.ID) {
