--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -175,6 +178,8 @@
 	m := c.bed.machines[rng.IntN(len(c.bed.machines))]
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	kills, sent := m.kills.Load(), time.Time{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sent = time.Now() }})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.callerAddr+j.path, bytes.NewReader(body))
 	if err != nil {
 		return 0
@@ -184,11 +189,13 @@
 	req.Header.Set("X-Deadline-Ms", "3000")
 	res, err := c.client.Do(req)
 	if err != nil {
+		c.checkCut(m, kills, sent, err)
 		return 0
 	}
 	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
+		c.checkCut(m, kills, sent, err)
 		return 0
 	}
 	if result != nil && res.StatusCode == http.StatusOK {
@@ -198,3 +205,18 @@
 	}
 	return res.StatusCode
 }
+
+// cutSlack is how long after it was sent a request may be cut that arrives on a connection
+// that is being closed.
+const cutSlack = 200 * time.Millisecond
+
+// checkCut records a request that ended without an answer although nobody killed the process.
+func (c *callers) checkCut(m *machine, kills int64, sent time.Time, err error) {
+	var timeout net.Error
+	if sent.IsZero() || errors.As(err, &timeout) && timeout.Timeout() || m.kills.Load() != kills {
+		return
+	}
+	if open := time.Since(sent); open > cutSlack {
+		c.violationf("a request to %s was cut after %v: %v", m.name, open, err)
+	}
+}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -6,6 +6,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,12 +29,19 @@
 	readyAddr    string
 	storeProxy   *Proxy
 	linkProxy    *Proxy
-	cmd          *exec.Cmd
 	log          *os.File
+	// kills counts the SIGKILLs that the soak has sent.
+	kills atomic.Int64
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
 }
 
+// grace is how long a process may take to end after a SIGTERM.
+const grace = 6 * time.Second
+
 // newMachine writes the settings file of a machine and starts no process.
 func newMachine(dir string, host *loopback.Host, n int, storeAddr string, seeds []string, controlAddr string, linkProxy *Proxy) (*machine, error) {
 	m := &machine{name: fmt.Sprintf("front-%d", n), dir: dir, linkProxy: linkProxy}
@@ -71,10 +80,10 @@
 far_x = 3
 restore_ms = 100
 status_s = 120
-grace_s = 4
+grace_s = %g
 [platform]
 addr = %q
-`, m.name, host.IP(), n%3, metrics, metrics, `"`+strings.Join(seeds, `","`)+`"`, m.callerAddr, m.readyAddr, controlAddr, m.storeProxy.Addr())
+`, m.name, host.IP(), n%3, metrics, metrics, `"`+strings.Join(seeds, `","`)+`"`, m.callerAddr, m.readyAddr, controlAddr, grace.Seconds(), m.storeProxy.Addr())
 	m.settingsFile = filepath.Join(dir, m.name+".toml")
 	if err := os.WriteFile(m.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
@@ -88,6 +97,8 @@
 
 // start starts the machine's process unless it is running.
 func (m *machine) start(program string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.running() {
 		return nil
 	}
@@ -106,6 +117,7 @@
 	return nil
 }
 
+// running reports whether the process runs; m.mu must be held.
 func (m *machine) running() bool {
 	if m.cmd == nil {
 		return false
@@ -120,6 +132,8 @@
 
 // signal sends a signal to the process that the soak started.
 func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.running() {
 		_ = m.cmd.Process.Signal(s)
 	}
@@ -127,14 +141,23 @@
 
 // kill kills the process and waits for its exit.
 func (m *machine) kill() {
-	if !m.running() {
-		return
-	}
+	m.kills.Add(1)
 	m.signal(syscall.SIGCONT)
 	m.signal(syscall.SIGKILL)
+	m.awaitExit(5 * time.Second)
+}
+
+// awaitExit waits until the process has exited, or until the time is over.
+func (m *machine) awaitExit(limit time.Duration) {
+	m.mu.Lock()
+	exited := m.exited
+	m.mu.Unlock()
+	if exited == nil {
+		return
+	}
 	select {
-	case <-m.exited:
-	case <-time.After(5 * time.Second):
+	case <-exited:
+	case <-time.After(limit):
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,8 @@
 	Starts         int
 	// InjectedFaults names the injected faults in order.
 	InjectedFaults []string
+	// Series names the series of planned work in order.
+	Series []string
 	// Violations lists the guarantees that were violated.
 	Violations []string
 }
@@ -45,6 +47,7 @@
 	var load sync.WaitGroup
 	load.Go(func() { c.submitJobs(until) })
 	load.Go(func() { r.BurstJobs = c.submitBursts(until) })
+	load.Go(func() { r.Series = s.injectSeries(until) })
 	r.InjectedFaults = s.injectFaults(until)
 	load.Wait()
 	s.clearFaults()
--- /dev/null
+++ b/internal/soak/shutdown_test.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/standin/store"
+)
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "coltsfootmux-node")
+	if out, err := exec.Command("go", "build", "-o", program, "coltsfootmux/cmd/coltsfootmux-node").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// TestHangupDuringShutdownCutsNoRequest guards against the end of the process by a SIGHUP that
+// comes after a SIGTERM: it cut all open requests, as its handler had been removed when the
+// shutdown began.
+func TestHangupDuringShutdownCutsNoRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts a process")
+	}
+	s, err := newTestbed(Options{Program: buildProgram(t), Dir: t.TempDir(), Seed: 1, Machines: 1, Workers: 1, LoadTime: time.Second, JobsPerSecond: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	time.Sleep(startupTime)
+	m := s.machines[0]
+	s.store.SetFault(store.Fault{Silent: true}) // the request stays open until its deadline
+	c := newCallers(s)
+	status := make(chan int, 1)
+	go func() {
+		rng := rand.New(rand.NewPCG(1, 1))
+		j, body := c.newJob(rng, steadyKey)
+		status <- c.call(rng, http.MethodPost, j, body, nil)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	m.signal(syscall.SIGTERM)
+	for range 5 {
+		time.Sleep(100 * time.Millisecond)
+		m.signal(syscall.SIGHUP)
+	}
+	if got := <-status; got == 0 {
+		t.Error("the open request ended without an answer")
+	}
+	select {
+	case <-m.exited:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the process runs on after its grace period")
+	}
+	if !m.cmd.ProcessState.Success() {
+		t.Errorf("the process ended as %v", m.cmd.ProcessState)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 )
@@ -17,10 +15,7 @@
 	if testing.Short() {
 		t.Skip("takes about 20 s per seed")
 	}
-	program := filepath.Join(t.TempDir(), "coltsfootmux-node")
-	if out, err := exec.Command("go", "build", "-o", program, "coltsfootmux/cmd/coltsfootmux-node").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := buildProgram(t)
 	for _, seed := range append([]uint64{1}, regressionSeeds...) {
 		r, err := Run(Options{
 			Program: program, Dir: t.TempDir(), Seed: seed, Machines: 3, Workers: 8,
@@ -29,7 +24,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("seed %d: %d jobs, %d accepted, %d complete, %d in bursts; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.BurstJobs, r.InjectedFaults)
+		t.Logf("seed %d: %d jobs, %d accepted, %d complete, %d in bursts; %q; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.BurstJobs, r.InjectedFaults, r.Series)
 		for _, f := range r.Violations {
 			t.Errorf("seed %d: %s", seed, f)
 		}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -125,14 +125,17 @@
 }
 
 // register writes a worker's entry to the store, as a real worker does periodically.
-func (s *testbed) register(n int) {
+func (s *testbed) register(n int) { s.registerAs(n, "ready") }
+
+// registerAs writes a worker's entry with the given state.
+func (s *testbed) registerAs(n int, state string) {
 	var born int64
 	var has job.Resources
 	s.fleet.With(func(f *fleet.Fleet) {
 		born, has = f.Machine(workerName(n)).StartedMS, f.Machine(workerName(n)).Capacity
 	})
-	entry := fmt.Sprintf(`{"backend":"p","addr":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"mem_mb":%d,"gpu":%d},"labels":["a","r%d"],"born":%d}`,
-		s.workers[n].Addr(), dataCentre(n), has.CPU, has.MemMB, has.GPU, n/4, born)
+	entry := fmt.Sprintf(`{"backend":"p","addr":%q,"zone":%q,"state":%q,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":%d},"labels":["a","r%d"],"born":%d}`,
+		s.workers[n].Addr(), dataCentre(n), state, has.CPU, has.MemMB, has.GPU, n/4, born)
 	s.store.Put(platform.TopicWorkers, string(workerName(n)), []byte(entry))
 }
 
