--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
@@ -61,3 +62,36 @@
 		t.Errorf("the process ended as %v", m.cmd.ProcessState)
 	}
 }
+
+// TestClosedLogOutputDoesNotEndTheProcess guards against the end of a process by SIGPIPE when
+// whoever reads its log is gone.
+func TestClosedLogOutputDoesNotEndTheProcess(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts a process")
+	}
+	s, err := newTestbed(Options{Program: buildProgram(t), Dir: t.TempDir(), Seed: 1, Machines: 1, Workers: 1, LoadTime: time.Second, JobsPerSecond: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	m := s.machines[0]
+	m.kill()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.log = w
+	if err := m.start(s.opts.Program); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(startupTime)
+	_ = r.Close()
+	c := newCallers(s)
+	for n := range 5 {
+		rng := rand.New(rand.NewPCG(1, uint64(n)))
+		j, body := c.newJob(rng, steadyKey)
+		if got := c.call(rng, http.MethodPost, j, body, nil); got != http.StatusOK {
+			t.Fatalf("submission %d: status %d", n, got)
+		}
+	}
+}
