Give a job up only for crashes at the start of its runs

Cause: core/blame gave a task up at its third crash in any case. It counted crashes late in a run, crashes of workers that the start had never reached, and never took a count back from a task that had survived since.

Now only crashes at the start of a run lead to a verdict: the worker had certainly started it, nothing else had been started there, and the first sign came within 0.25 s, or the worker was on trial, asked every 0.2 s, and lived no 0.25 s longer. Two are needed; three while a fifth of the workers crash for other reasons. 1 s of survival takes these counts back, 3 s all. Tasks that run until they are cancelled get no verdict. A restart is blamed only on runs that it ended, not on one that the new incarnation had just begun.

Ruled out: failed runs that count twice (failed=0 in the job's summary).

Related paths: countFailure (ends that workers list as failed, once a run) and stalled runs (moved, no try) were safe.

--- a/internal/core/blame/crash.go
+++ b/internal/core/blame/crash.go
@@ -1,6 +1,9 @@
 package blame
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// startWindow is the age up to which a run is to blame for a crash even while many
@@ -9,29 +12,33 @@
 	startWindow = 500 * time.Millisecond
 	// youngAge is the same while few workers crash.
 	youngAge = 2 * time.Second
-	// proofWindow is the age up to which a run that was alone proves that its task is to
-	// blame. In a longer time a worker may crash by chance.
+	// proofWindow is the age up to which a run's crash speaks against its task. In a longer
+	// time a worker may crash by chance.
 	proofWindow = 250 * time.Millisecond
-	// SurvivalTime is how long a suspect must run to be cleared.
-	SurvivalTime = 3 * time.Second
+	// ProbeInterval is how often a worker on which a suspect is tried is asked.
+	ProbeInterval = 200 * time.Millisecond
+	// StartSurvivalTime is how long a task must run to show that it does not crash its workers
+	// at its start, SurvivalTime how long to be cleared of all suspicion.
+	StartSurvivalTime = time.Second
+	SurvivalTime      = 3 * time.Second
 	// burstWindow is the time within which the failures of several workers count as a burst,
 	// if they are minBurstWorkers or burstShare of all workers, whichever is more.
 	burstWindow     = 500 * time.Millisecond
 	minBurstWorkers = 4
 	burstShare      = 0.03
-	// unexplainedTime is how long after a crash without a suspect further crashes may have
-	// the same unknown cause.
-	unexplainedTime = 10 * time.Second
 	// failuresKept bounds the failures that are remembered.
 	failuresKept = 256
 )
 
-// Limits of the crashes under one task.
+// Number of crashes at its start at which a task is given up.
 const (
-	// minCrashes is the number of crashes from which on a task may be given up.
-	minCrashes = 2
-	// maxCrashes is the number at which it is given up in any case.
-	maxCrashes = 3
+	maxStartCrashes = 2
+	// maxStartCrashesAmidOthers replaces maxStartCrashes while more than maxBackground of all
+	// workers crashed within BackgroundTime for other reasons: two crashes may then be chance.
+	maxStartCrashesAmidOthers = 3
+	maxBackground             = 0.2
+	// BackgroundTime is the time within which crashes for other reasons count.
+	BackgroundTime = 10 * time.Second
 )
 
 // Run is a run on a worker that has crashed.
@@ -42,16 +49,26 @@
 	Crashes int
 }
 
-// Task is what is known of a task when a worker has crashed under it.
-type Task struct {
-	// Crashes is how many workers have crashed under it.
-	Crashes int
-	// Alone says that no other task ran on the last of them, Age how old its run was.
-	Alone bool
-	Age   time.Duration
+// Crash is the crash of a worker under one of its runs.
+type Crash struct {
+	// Age is how old the run was at the first sign of the crash.
+	Age time.Duration
+	// Lived is how long after the run's start the worker is known to have lived, if Probed: it
+	// was asked every ProbeInterval. A worker that crashes without closing its connections, or
+	// behind a cut, gives the first sign of it much later.
+	Lived  time.Duration
+	Probed bool
 	// Started says that the worker is known to have started the run. Otherwise it may have
 	// crashed before the order arrived.
 	Started bool
+	// Youngest says that no other task had been started lately on the worker.
+	Youngest bool
+}
+
+// IsAtStart reports whether the crash followed the run's start so closely that it is unlikely
+// to be chance, and no other task explains it.
+func (c Crash) IsAtStart() bool {
+	return c.Started && c.Youngest && (c.Age <= proofWindow || c.Probed && c.Lived <= proofWindow)
 }
 
 // History is what is known of the failures of a pool's workers. The zero value is ready for
@@ -59,9 +76,8 @@
 type History struct {
 	// failures holds the first signs of workers that stopped answering, oldest first.
 	failures []time.Duration
-	// unexplainedAt is the last crash without a suspect, if crashed.
-	unexplainedAt time.Duration
-	unexplained   bool
+	// unexplained holds the recent crashes that no task's start explains, oldest first.
+	unexplained []time.Duration
 }
 
 // WorkerFailed records the first sign that a worker has stopped answering.
@@ -75,30 +91,54 @@
 // Crashed records the crash of a worker that stopped answering at the given time, in a pool
 // of so many workers, and returns the indexes of the runs that may be to blame.
 func (h *History) Crashed(failedAt time.Duration, workers int, runs []Run) []int {
-	blamed := indexes(runs, func(r Run) bool { return r.Crashes > 0 })
-	switch {
-	case len(blamed) > 0:
-	case h.isBurst(failedAt, workers):
-		blamed = indexes(runs, func(r Run) bool { return r.Age <= startWindow })
-	default:
-		limit := max(youngAge, youngest(runs))
-		blamed = indexes(runs, func(r Run) bool { return r.Age <= limit })
+	if suspects := indexes(runs, func(r Run) bool { return r.Crashes > 0 }); len(suspects) > 0 {
+		return suspects
+	}
+	limit := max(youngAge, youngest(runs))
+	if h.isBurst(failedAt, workers) {
+		limit = startWindow
+	}
+	return indexes(runs, func(r Run) bool { return r.Age <= limit })
+}
+
+// Unexplained records a crash that no task's start explains.
+func (h *History) Unexplained(at time.Duration) {
+	h.unexplained = slices.DeleteFunc(h.unexplained, func(t time.Duration) bool { return at-t > BackgroundTime })
+	h.unexplained = append(h.unexplained, at)
+}
+
+// Pool is what is known of a pool besides its crashes.
+type Pool struct {
+	// Workers is the number of workers, Started how many of those that earlier owners used have
+	// been started within BackgroundTime, which tells a new owner of crashes before its term.
+	Workers int
+	Started int
+}
+
+// GivesUp reports whether a task is given up after a crash: if so many workers have crashed at
+// the start of its runs, the last one included, that chance is no explanation.
+func (h *History) GivesUp(now time.Duration, p Pool, last Crash, startCrashes int) bool {
+	background := 0
+	for _, at := range h.unexplained {
+		if now-at <= BackgroundTime {
+			background++
+		}
 	}
-	if len(blamed) == 0 {
-		h.unexplained, h.unexplainedAt = true, max(h.unexplainedAt, failedAt)
+	needed := maxStartCrashes
+	if float64(max(background, p.Started)) > maxBackground*float64(p.Workers) {
+		needed = maxStartCrashesAmidOthers
 	}
-	return blamed
+	return last.IsAtStart() && startCrashes >= needed
 }
 
-// GivesUp reports whether a task has crashed so many workers that it is given up. The second
-// crash is enough if the task was alone and had certainly just been started, and no workers
-// crash for reasons of their own.
-func (h *History) GivesUp(now time.Duration, t Task) bool {
-	if t.Crashes >= maxCrashes {
-		return true
+// IsYoungest reports whether none of the other runs on the worker had been started lately.
+func IsYoungest(runs []Run, n int) bool {
+	for i, r := range runs {
+		if i != n && r.Age <= startWindow {
+			return false
+		}
 	}
-	background := h.unexplained && now-h.unexplainedAt <= unexplainedTime
-	return t.Crashes >= minCrashes && t.Alone && t.Started && t.Age <= proofWindow && !background
+	return true
 }
 
 // isBurst reports whether many workers stopped answering at about the same time.
--- a/internal/core/cell/copy.go
+++ b/internal/core/cell/copy.go
@@ -118,7 +118,7 @@
 func (k *copier) fixUnit(u *unit) {
 	u.group = k.groups.of(u.group)
 	u.failedRuns = slices.Clone(u.failedRuns)
-	u.crashes = maps.Clone(u.crashes)
+	u.crashes, u.startCrashes = maps.Clone(u.crashes), maps.Clone(u.startCrashes)
 	u.runs = copySlice(u.runs, &k.runs)
 	u.excludedUntil = maps.Clone(u.excludedUntil)
 	u.plan = k.plans.of(u.plan)
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -44,7 +44,7 @@
 	}
 	w.gone = true
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "process is gone", Runs: len(w.runs)})
-	c.workerCrashed(w, "another process answers")
+	c.workerCrashed(w, w.runs, "another process answers")
 	c.loseRuns(w)
 }
 
@@ -56,7 +56,7 @@
 	}
 	w.crashPresumed = true
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "may have crashed: it refuses connections", Runs: len(w.runs)})
-	w.blamed = c.blameForCrash(w)
+	w.blamed = c.blameForCrash(w, w.runs)
 }
 
 // withdrawCrash takes back what was counted for a worker that has not crashed after all.
@@ -68,18 +68,18 @@
 }
 
 // workerCrashed counts the crash of a worker against the tasks that may have caused it, and
-// gives up those that are to blame for too many. The runs are still on the worker.
-func (c *Core) workerCrashed(w *worker, evidence string) {
+// gives up those that are certainly to blame. The runs that were lost are still on the worker.
+func (c *Core) workerCrashed(w *worker, lost []*run, evidence string) {
 	c.rememberCrash(w)
 	if !w.crashPresumed {
-		w.blamed = c.blameForCrash(w)
+		w.blamed = c.blameForCrash(w, lost)
 	}
 	blamed := w.blamed
 	w.crashPresumed, w.blamed = false, nil
-	if len(w.runs) == 0 {
+	if len(lost) == 0 {
 		return
 	}
-	ev := WorkerCrashed{Worker: w.ID, Evidence: evidence, Runs: len(w.runs)}
+	ev := WorkerCrashed{Worker: w.ID, Evidence: evidence, Runs: len(lost)}
 	for _, r := range blamed {
 		ev.Blamed = append(ev.Blamed, r.task)
 	}
@@ -92,7 +92,7 @@
 // blameForCrash counts a crash of the worker against the tasks that may have caused it, and
 // returns their runs. A worker that was told to leave has not crashed, and nothing is known
 // of what ran on one that has not answered in this term.
-func (c *Core) blameForCrash(w *worker) []*run {
+func (c *Core) blameForCrash(w *worker, lost []*run) []*run {
 	if w.Draining || !w.knowsTerm {
 		return nil
 	}
@@ -102,24 +102,29 @@
 	}
 	var candidates []*run
 	var runs []blame.Run
-	for _, r := range w.runs {
+	for _, r := range lost {
 		if r.unit == nil || c.isInherited(r) && !r.unit.isSuspect() {
 			continue // it survived its start
 		}
 		candidates = append(candidates, r)
 		runs = append(runs, blame.Run{Age: failedAt - r.createdAt, Crashes: r.unit.crashes[r.member()]})
 	}
-	if len(candidates) == 0 && len(w.runs) > 0 {
-		return nil
-	}
 	var blamed []*run
+	atStart := false
 	for _, n := range c.crashes.Crashed(failedAt, len(c.fleet), runs) {
 		r := candidates[n]
-		r.crashAge, r.crashedAlone = runs[n].Age, r.isAlone()
+		r.crash = blame.Crash{
+			Age: runs[n].Age, Lived: max(0, w.lastAnswerAt-r.startedAt), Probed: r.onProbation && r.isAlone(),
+			Started: r.startedAt != 0, Youngest: blame.IsYoungest(runs, n),
+		}
+		atStart = atStart || r.crash.IsAtStart()
 		if c.countCrash(r) {
 			blamed = append(blamed, r)
 		}
 	}
+	if !atStart {
+		c.crashes.Unexplained(failedAt)
+	}
 	return blamed
 }
 
@@ -133,10 +138,12 @@
 		return false
 	}
 	if u.crashes == nil {
-		u.crashes = make(map[int]int)
+		u.crashes, u.startCrashes = make(map[int]int), make(map[int]int)
 	}
 	u.crashes[r.member()]++
-	u.cleared = false
+	if r.crash.IsAtStart() {
+		u.startCrashes[r.member()]++
+	}
 	u.entry().history.Crashed++
 	c.markDirty(u.entry())
 	return true
@@ -144,28 +151,50 @@
 
 func (c *Core) uncountCrash(r *run) {
 	u := r.unit
-	u.crashes[r.member()]--
 	if u.crashes[r.member()] == 0 {
-		delete(u.crashes, r.member())
+		return // another run of the task has survived since
+	}
+	decrement(u.crashes, r.member())
+	if r.crash.IsAtStart() {
+		decrement(u.startCrashes, r.member())
 	}
 	u.entry().history.Crashed--
 	c.markDirty(u.entry())
 }
 
-// judge gives the task of a run up if it is to blame for too many crashes.
+// decrement subtracts 1 from a count and removes it at 0.
+func decrement(counts map[int]int, key int) {
+	counts[key]--
+	if counts[key] <= 0 {
+		delete(counts, key)
+	}
+}
+
+// judge gives the task of a run up if it is certainly to blame for crashes. Long-running tasks
+// are started again however they end.
 func (c *Core) judge(r *run) {
 	u := r.unit
-	if u.state == unitDone || u.entry().outcome != job.Open {
+	if u.state == unitDone || u.entry().outcome != job.Open || u.group.step.LongRunning {
 		return
 	}
-	t := blame.Task{Crashes: u.crashes[r.member()], Alone: r.crashedAlone, Age: r.crashAge, Started: r.startedAt != 0}
-	if !c.crashes.GivesUp(c.now.Mono, t) {
+	if !c.crashes.GivesUp(c.now.Mono, c.crashPool(), r.crash, u.startCrashes[r.member()]) {
 		return
 	}
-	c.emit(TaskGivenUp{Task: r.task, Crashes: t.Crashes, Alone: t.Alone, Age: t.Age})
+	c.emit(TaskGivenUp{Task: r.task, Crashes: u.crashes[r.member()], Alone: r.isAlone(), Age: r.crash.Age})
 	c.finishJob(u.entry(), job.Failed, ReasonFailed)
 }
 
+// crashPool returns what package blame is told of the workers.
+func (c *Core) crashPool() blame.Pool {
+	p := blame.Pool{Workers: len(c.fleet)}
+	for _, w := range c.fleet {
+		if w.inherited && c.now.UnixMS-w.StartedMS <= blame.BackgroundTime.Milliseconds() {
+			p.Started++
+		}
+	}
+	return p
+}
+
 // member returns the index of a run's task within its unit.
 func (r *run) member() int { return r.task.Index - r.unit.index }
 
@@ -174,17 +203,29 @@
 	return !slices.ContainsFunc(r.worker.runs, func(o *run) bool { return o.unit != r.unit })
 }
 
-// isSuspect reports whether a worker has crashed under the unit, and no run of it has shown
-// since that it was not to blame.
-func (u *unit) isSuspect() bool { return len(u.crashes) > 0 && !u.cleared }
+// isSuspect reports whether a worker has crashed under a task of the unit, and no run of that
+// task has shown since that it was not to blame.
+func (u *unit) isSuspect() bool { return len(u.crashes) > 0 }
 
-// clearSuspect clears a suspect whose run has survived for long enough.
+// clearSuspect clears a task of suspicion whose run has survived for long enough.
 func (c *Core) clearSuspect(r *run) {
 	u := r.unit
-	if u == nil || !u.isSuspect() || r.state != runRunning || c.now.Mono-r.startedAt < blame.SurvivalTime {
+	if u == nil || u.crashes[r.member()] == 0 || r.state != runRunning {
+		return
+	}
+	survived := c.now.Mono - r.startedAt
+	if survived >= blame.StartSurvivalTime && u.startCrashes[r.member()] > 0 {
+		delete(u.startCrashes, r.member())
+		c.markDirty(u.entry())
+	}
+	if survived < blame.SurvivalTime {
+		return
+	}
+	delete(u.crashes, r.member())
+	c.markDirty(u.entry())
+	if u.isSuspect() {
 		return
 	}
-	u.cleared = true
 	for _, o := range u.runs {
 		o.worker.leaveProbation(o)
 	}
--- a/internal/core/cell/crash_test.go
+++ b/internal/core/cell/crash_test.go
@@ -175,6 +175,71 @@
 	}
 }
 
+// crashUnder lets the worker of each of a job's first runs crash some time after its start.
+func (s *simulation) crashUnder(id job.ID, runs int, after time.Duration) {
+	seen := make(map[int64]bool)
+	s.onStart = func(o external.StartOrder) {
+		if o.Task.Job == id && !seen[o.Run] && len(seen) < runs {
+			seen[o.Run] = true
+			s.schedule(after, s.fleet.Machine(o.Worker).Crash)
+		}
+	}
+}
+
+// TestSoundJobOutlivesCrashesAroundIt guards against a job that is shown as failed because
+// three workers have crashed while its task ran there, although no run of it has failed.
+func TestSoundJobOutlivesCrashesAroundIt(t *testing.T) {
+	for seed := range uint64(8) {
+		sim := newCrashSimulation(t, seed, 8)
+		sim.takeOver()
+		sim.run(100 * time.Millisecond)
+		j := oneStepJob("j", 1)
+		j.Steps[0].Checkpoints = false
+		sim.submit(j)
+		sim.crashUnder("j", 5, 400*time.Millisecond+time.Duration(seed)*200*time.Millisecond)
+		sim.runUntilDone(90 * time.Second)
+		sim.check()
+		if got := sim.progress["j"].Outcome; got != job.Complete {
+			t.Errorf("seed %d: the job ended as %v", seed, got)
+		}
+	}
+}
+
+// TestLongRunningJobIsNeverGivenUp guards against the end of a job that is to run until it is
+// cancelled, as workers have crashed under its task.
+func TestLongRunningJobIsNeverGivenUp(t *testing.T) {
+	for seed := range uint64(4) {
+		sim := newCrashSimulation(t, seed, 8)
+		sim.takeOver()
+		sim.run(100 * time.Millisecond)
+		j := oneStepJob("j", 1)
+		j.Steps[0].LongRunning = true
+		sim.submit(j)
+		sim.crashUnder("j", 5, 60*time.Millisecond)
+		sim.run(90 * time.Second)
+		sim.check()
+		if got := sim.progress["j"].Outcome; got != job.Open || sim.fleet.RunningCount() != 1 {
+			t.Errorf("seed %d: the job ended as %v, %d runs", seed, got, sim.fleet.RunningCount())
+		}
+	}
+}
+
+// TestSurvivalClearsASuspect guards against counting crashes for ever: two chance crashes in
+// the life of a long task made the next one, at any later time, its end.
+func TestSurvivalClearsASuspect(t *testing.T) {
+	sim := newCrashSimulation(t, 3, 8)
+	o := sim.takeOver()
+	sim.run(100 * time.Millisecond)
+	j := oneStepJob("j", 1)
+	j.Steps[0].LongRunning = true
+	sim.submit(j)
+	sim.crashUnder("j", 2, 400*time.Millisecond)
+	sim.run(60 * time.Second)
+	if u := o.core.jobs["j"].units()[0]; u.isSuspect() || len(sim.progress["j"].Occurrences[0].Steps) > 0 {
+		t.Errorf("crashes are still counted: %v, stored %+v", u.crashes, sim.progress["j"])
+	}
+}
+
 // Connections to a worker were refused for a while, and it ran on.
 func TestWorkerThatRefusedConnectionsHasNotCrashed(t *testing.T) {
 	sim := newSimulation(t, 4, 4)
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -96,10 +96,10 @@
 	failedRuns []int64
 	// failedAt is when this owner counted the last of them.
 	failedAt time.Duration
-	// crashes counts, by member, the workers that have crashed under the unit; cleared is
-	// set once a later run has survived.
-	crashes map[int]int
-	cleared bool
+	// crashes counts, by member, the workers that have crashed under the unit since a run of the
+	// member last survived; startCrashes counts those that crashed at the start of its run.
+	crashes      map[int]int
+	startCrashes map[int]int
 	// checkpoint names the latest checkpoint.
 	checkpoint    string
 	runs          []*run
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/blame"
 	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -45,6 +46,9 @@
 		if w.hasMixedLoad() {
 			wait = min(wait, maxMixedHoldWait)
 		}
+		if w.probationRuns > 0 {
+			wait = min(wait, blame.ProbeInterval)
+		}
 		w.holdSentAt, w.holdMaxWait, w.holdResends = now, wait, 0
 		w.waitingHold = c.sendHold(w, wait)
 	}
@@ -221,14 +225,19 @@
 // its outcome is unknown.
 func (c *Core) workerRestarted(w *worker, hold int64) {
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "has restarted", Runs: len(w.runs)})
-	c.workerCrashed(w, "it has restarted")
+	var lost []*run
+	for _, r := range w.runs {
+		if endsWithIncarnation(r, hold) {
+			lost = append(lost, r)
+		}
+	}
+	c.workerCrashed(w, lost, "it has restarted")
 	w.knowsTerm = false
 	w.incarnation++
 	w.clock, w.processedEnd, w.durableEnd, w.ackedEnd, w.leaseEnd = 0, 0, 0, 0, 0
 	w.reportedStartMS, w.deferredEnds = 0, nil
 	for _, r := range slices.Clone(w.runs) {
-		state := termination.Run{Reflected: r.reflectedIn(hold), Started: r.startedAt != 0, OtherIncarnation: true}
-		if state.IsOver() {
+		if slices.Contains(lost, r) {
 			c.endRun(r, EndedLost, "")
 			continue
 		}
@@ -244,6 +253,12 @@
 	w.nextHoldAt = c.now.Mono
 }
 
+// endsWithIncarnation reports whether a run is over, as a later incarnation of its worker has
+// answered the given hold.
+func endsWithIncarnation(r *run, hold int64) bool {
+	return termination.Run{Reflected: r.reflectedIn(hold), Started: r.startedAt != 0, OtherIncarnation: true}.IsOver()
+}
+
 // longestLeaseEnd returns when any lease that was granted until now has certainly expired.
 func (c *Core) longestLeaseEnd() time.Duration {
 	return c.now.Mono + time.Duration(float64(c.settings.Lease)*clockSlack) + leaseMargin
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -111,7 +111,7 @@
 		for _, u := range o.groups[s.Step].units {
 			u.failedRuns = slices.Clip(s.Failures[u.index]) // the stored progress may be shared
 			u.checkpoint = s.Checkpoints[u.index]
-			u.restoreCrashes(s.Crashes)
+			u.crashes, u.startCrashes = u.ofMembers(s.Crashes), u.ofMembers(s.StartCrashes)
 			if s.IsDone(u.index) {
 				c.finishUnit(u)
 			}
@@ -119,16 +119,15 @@
 	}
 }
 
-// restoreCrashes restores the crashes counted by task.
-func (u *unit) restoreCrashes(byTask map[int]int) {
+// ofMembers returns the counts by member of the unit, of counts by task.
+func (u *unit) ofMembers(byTask map[int]int) map[int]int {
+	out := make(map[int]int)
 	for member := range u.size {
 		if n := byTask[u.index+member]; n > 0 {
-			if u.crashes == nil {
-				u.crashes = make(map[int]int)
-			}
-			u.crashes[member] = n
+			out[member] = n
 		}
 	}
+	return out
 }
 
 // openNextOccurrence opens the next occurrence, or skips it if it has ended.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -212,7 +212,7 @@
 	}
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: string(proof), Runs: len(w.runs)})
 	if w.refusesConns && !w.listed {
-		c.workerCrashed(w, "nothing listens at its address")
+		c.workerCrashed(w, w.runs, "nothing listens at its address")
 	}
 	c.loseRuns(w)
 }
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -152,13 +152,8 @@
 				s.Failures[u.index] = slices.Clone(u.failedRuns)
 				changed = true
 			}
-			for member, n := range u.crashes {
-				if s.Crashes == nil {
-					s.Crashes = make(map[int]int)
-				}
-				s.Crashes[u.index+member] = n
-				changed = true
-			}
+			changed = len(u.crashes) > 0 || changed
+			s.Crashes, s.StartCrashes = u.addByTask(s.Crashes, u.crashes), u.addByTask(s.StartCrashes, u.startCrashes)
 			if u.checkpoint != "" {
 				if s.Checkpoints == nil {
 					s.Checkpoints = make(map[int]string)
@@ -173,3 +168,14 @@
 	}
 	return out
 }
+
+// addByTask adds counts by member of the unit to counts by task, which may be nil.
+func (u *unit) addByTask(byTask, byMember map[int]int) map[int]int {
+	for member, n := range byMember {
+		if byTask == nil {
+			byTask = make(map[int]int)
+		}
+		byTask[u.index+member] = n
+	}
+	return byTask
+}
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/blame"
 	"coltsfootmux/internal/job"
 )
 
@@ -74,10 +75,8 @@
 	// resumed is set for runs that began from a checkpoint or were adopted; their
 	// progress does not show their speed.
 	resumed bool
-	// crashAge and crashedAlone describe the run at the first sign of its worker's crash:
-	// how long ago it was ordered, and whether only its unit had runs there.
-	crashAge     time.Duration
-	crashedAlone bool
+	// crash describes the run at the first sign of its worker's crash.
+	crash blame.Crash
 	// onProbation is set while the run is one of worker.probationRuns.
 	onProbation bool
 	// unidentified is set while the submission of the run's job is not known, or has not
--- a/internal/instance/lastversion_test.go
+++ b/internal/instance/lastversion_test.go
@@ -76,6 +76,7 @@
 func TestNewFieldsAreLeftOutByTheLastVersion(t *testing.T) {
 	p := sampleProgress()
 	p.Occurrences[0].Steps[0].Crashes = map[int]int{2: 1}
+	p.Occurrences[0].Steps[0].StartCrashes = map[int]int{2: 1}
 	leftOut(t, progressRecord{Version: recordVersion{Term: 3, Batch: 7}, Progress: p}, &struct {
 		Version  recordVersion `cbor:"1,keyasint"`
 		Progress struct {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -38,9 +38,11 @@
 	Failures map[int][]int64 `cbor:"3,keyasint,omitempty"`
 	// Checkpoints holds the latest checkpoint by task.
 	Checkpoints map[int]string `cbor:"4,keyasint,omitempty"`
-	// Crashes counts the workers that have crashed under a task, by task. Here each member
-	// of a gang counts as a task.
+	// Crashes counts the workers that have crashed under a task since a run of it last survived,
+	// by task. Here each member of a gang counts as a task.
 	Crashes map[int]int `cbor:"5,keyasint,omitempty"`
+	// StartCrashes counts those of them that crashed at the start of the task's run.
+	StartCrashes map[int]int `cbor:"6,keyasint,omitempty"`
 }
 
 // MarkDone records that a task is done.
