Members of a gang are no explanation of each other's crashes

Runs of one unit are now told apart from those of others.

Ruled out: starts that were never confirmed; the logs show them answered.

--- a/internal/core/blame/crash.go
+++ b/internal/core/blame/crash.go
@@ -47,6 +47,8 @@
 	Age time.Duration
 	// Crashes is how many workers had crashed under the run's task before.
 	Crashes int
+	// Unit tells the tasks and gangs of the runs apart.
+	Unit int
 }
 
 // Crash is the crash of a worker under one of its runs.
@@ -131,10 +133,11 @@
 	return last.IsAtStart() && startCrashes >= needed
 }
 
-// IsYoungest reports whether none of the other runs on the worker had been started lately.
+// IsYoungest reports whether no run of another task or gang had been started lately on the
+// worker.
 func IsYoungest(runs []Run, n int) bool {
-	for i, r := range runs {
-		if i != n && r.Age <= startWindow {
+	for _, r := range runs {
+		if r.Unit != runs[n].Unit && r.Age <= startWindow {
 			return false
 		}
 	}
--- a/internal/core/blame/crash_test.go
+++ b/internal/core/blame/crash_test.go
@@ -79,8 +79,11 @@
 }
 
 func TestIsYoungest(t *testing.T) {
-	runs := []Run{{Age: s / 100}, {Age: 5 * s}}
-	if !IsYoungest(runs, 0) || IsYoungest(runs, 1) || IsYoungest([]Run{{Age: s / 100}, {Age: s / 10}}, 0) {
+	runs := []Run{{Age: s / 100}, {Age: 5 * s, Unit: 1}}
+	if !IsYoungest(runs, 0) || IsYoungest(runs, 1) || IsYoungest([]Run{{Age: s / 100}, {Age: s / 10, Unit: 1}}, 0) {
 		t.Error("a run that was started lately explains the crash as well")
 	}
+	if !IsYoungest([]Run{{Age: s / 100}, {Age: s / 100}}, 0) {
+		t.Error("the members of a gang are started together")
+	}
 }
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -102,12 +102,16 @@
 	}
 	var candidates []*run
 	var runs []blame.Run
+	units := make(map[*unit]int)
 	for _, r := range lost {
 		if r.unit == nil || c.isInherited(r) && !r.unit.isSuspect() {
 			continue // it survived its start
 		}
+		if _, ok := units[r.unit]; !ok {
+			units[r.unit] = len(units)
+		}
 		candidates = append(candidates, r)
-		runs = append(runs, blame.Run{Age: failedAt - r.createdAt, Crashes: r.unit.crashes[r.member()]})
+		runs = append(runs, blame.Run{Age: failedAt - r.createdAt, Crashes: r.unit.crashes[r.member()], Unit: units[r.unit]})
 	}
 	var blamed []*run
 	atStart := false
--- a/internal/core/cell/crash_test.go
+++ b/internal/core/cell/crash_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// TestGangThatCrashesItsWorkersIsGivenUp guards against taking the other members of a gang,
+// which start with it on the same worker, for another explanation of each crash.
+func TestGangThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for seed := range uint64(8) {
+		sim := newCrashSimulation(t, seed, 12)
+		sim.takeOver()
+		sim.run(100 * time.Millisecond)
+		j := oneStepJob("deadly-1", 3)
+		j.Steps[0].Gang = true
+		sim.submit(j)
+		sim.runUntilDone(60 * time.Second)
+		sim.check()
+		if got := sim.progress[j.ID].Outcome; got != job.Failed {
+			t.Errorf("seed %d: the job ended as %v", seed, got)
+		}
+	}
+}
+
 // The count of crashes was lost with the owner.
 func TestCrashesAreCountedOverChangesOfTheOwner(t *testing.T) {
 	for seed := range uint64(8) {
