Check the entries of workers, and believe a worker rather than its entry

What operators of systems like ours saw: one odd entry among those of the workers, deeply nested, with a number too large or a port out of range, ended the machines that read the list, or their following of it. Here no process ended (TestOddWorkerEntriesStopNothing passes before and after), but:

- An unreadable entry in place of a good one was ignored, so that new tasks went on to be started there.
It takes the worker out of use now; what runs there goes on (TestUnreadableEntryTakesAWorkerOutOfUse).
- A start time in the far future hid all answers of the worker.
The incarnation is what the worker answers itself now (TestOddStartTimeDoesNotHideAWorker).
- An entry with the address of another worker made that one's "other process" the proof that the runs were over (TWICE): it now proves an end only at the address at which the worker was used (TestAnswerAtAnotherAddressIsNoProof).

Evidence: all the tests named fail on the old code, but for the first. Ruled out: deep nesting (rejected by the decoder at 10,000 levels) and numbers over range.

--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -37,11 +37,17 @@
 func (TaskGivenUp) action()   {}
 
 // checkProcess ends the runs of a worker whose address refuses an order as another worker.
-// An address has one process at a time, so that the runs need not wait for their lease.
+// An address has one process at a time, so that the runs need not wait for their lease. That
+// says nothing of a worker whose runs are at another address than the one that its entry names.
 func (c *Core) checkProcess(w *worker, refusal external.Refusal) {
 	if refusal != external.RefusedOtherIncarnation || w.gone {
 		return
 	}
+	if w.Addr != w.usedAddr {
+		c.emit(WorkerStateChanged{Worker: w.ID, Change: "its entry names the address of another process", Runs: len(w.runs)})
+		w.nextHoldAt = c.now.Mono + wrongAddrRetryDelay
+		return
+	}
 	w.gone = true
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "process is gone", Runs: len(w.runs)})
 	c.workerCrashed(w, w.runs, "another process answers")
--- a/internal/core/cell/evidence.go
+++ b/internal/core/cell/evidence.go
@@ -22,7 +22,7 @@
 		{c.now.Mono >= c.previousLeasesEnd, termination.EarlierLeasesExpired},
 		{w.knowsTerm, termination.AnsweredInTerm},
 		{w.vacant, termination.Vacant},
-		{!w.listed && !w.inherited, termination.NeverAssigned},
+		{!w.inherited, termination.NeverAssigned},
 	} {
 		if o.holds {
 			out |= o.is
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -6,14 +6,14 @@
 func (c *Core) workerChanged(n external.Worker) {
 	w := c.workers[n.ID]
 	if w == nil {
-		w = c.addWorker(n)
-		w.reportedStartMS = n.StartedMS
+		c.addWorker(n)
 		c.placementDue = true
 		return
 	}
-	wasDraining := w.Draining
+	wasDraining, otherIncarnation := w.Draining, n.StartedMS != w.StartedMS
 	if w.Addr != n.Addr {
 		c.rosterDirty = true
+		w.nextHoldAt = c.now.Mono
 	}
 	w.Worker = n
 	w.placeDrained = c.drained[n.Zone]
@@ -21,7 +21,7 @@
 		w.listed = true
 		c.placementDue = true
 	}
-	if n.StartedMS != 0 && w.reportedStartMS != 0 && n.StartedMS > w.reportedStartMS {
+	if otherIncarnation {
 		w.gone = false
 		w.probeDue = true // the worker's own lists show which runs the new incarnation has
 	}
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -196,6 +196,7 @@
 		c.placementDue = true
 		c.emit(WorkerStateChanged{Worker: w.ID, Change: "answers again", Runs: len(w.runs)})
 	}
+	w.usedAddr = w.Addr
 	w.lastAnswerAt, w.answeredHold = c.now.Mono, max(w.answeredHold, hold)
 	if l.StartedMS != 0 {
 		w.reportedStartMS = l.StartedMS
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -16,7 +16,7 @@
 			w = c.addWorker(external.Worker{ID: r.ID, Addr: r.Addr, Draining: r.Draining, Machine: r.Machine})
 			w.listed = false
 		}
-		w.inherited, w.vacant = true, r.Vacant
+		w.inherited, w.vacant, w.usedAddr = true, r.Vacant, r.Addr
 	}
 }
 
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -62,6 +62,9 @@
 	maxResendsPerTick = 16
 	// holdRetryDelay is the time between two holds of a worker that does not answer.
 	holdRetryDelay = 400 * time.Millisecond
+	// wrongAddrRetryDelay replaces holdRetryDelay if another process answers at the address of
+	// a worker that was never used there. A new address ends it.
+	wrongAddrRetryDelay = 5 * time.Second
 	// maxAckWait is how long a hold is put off until the worker's last ends are
 	// durable, so that it can acknowledge them.
 	maxAckWait = 500 * time.Millisecond
--- a/internal/core/cell/termination_test.go
+++ b/internal/core/cell/termination_test.go
@@ -106,6 +106,37 @@
 	}
 }
 
+// TestAnswerAtAnotherAddressIsNoProof guards against losing the runs of a worker because an entry
+// of another writer names the address of another process.
+func TestAnswerAtAnotherAddressIsNoProof(t *testing.T) {
+	sim, o := withLongTasks(t, 3)
+	runs := len(o.core.workers["w00"].runs)
+	odd := sim.machine(0).Worker
+	odd.Addr = "10.0.0.1:1"
+	sim.step(o, WorkerChanged{Worker: odd})
+	sim.step(o, StopAnswered{Worker: "w00", Refusal: external.RefusedOtherIncarnation})
+	if got := len(o.core.workers["w00"].runs); got != runs {
+		t.Errorf("%d of %d runs are left", got, runs)
+	}
+	sim.step(o, WorkerChanged{Worker: sim.machine(0).Worker})
+	sim.checkNoPrematureLoss()
+}
+
+// TestOddStartTimeDoesNotHideAWorker guards against ignoring all answers of a worker because
+// an entry of another writer names a start in the far future.
+func TestOddStartTimeDoesNotHideAWorker(t *testing.T) {
+	sim := newSimulation(t, 3, 1)
+	o := sim.takeOver()
+	odd := sim.machine(0).Worker
+	odd.ID, odd.StartedMS = "w00", 1<<50
+	o.core.removeWorker(o.core.workers["w00"])
+	sim.step(o, WorkerChanged{Worker: odd})
+	sim.step(o, WorkerChanged{Worker: sim.machine(0).Worker})
+	sim.submit(oneStepJob("j", 1))
+	sim.runUntilDone(20 * time.Second)
+	sim.check()
+}
+
 // TestVacancyIsWithdrawnBeforeUse guards against starting tasks on a worker of which the
 // stored roster says that it has none: a new owner would not wait for its answer.
 func TestVacancyIsWithdrawnBeforeUse(t *testing.T) {
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -25,11 +25,14 @@
 	// knowsTerm is set once the worker's current incarnation has answered a hold of
 	// this term. From then on it refuses the orders of earlier terms.
 	knowsTerm bool
-	// reportedStartMS identifies the worker's current incarnation by its start time,
-	// as last listed or answered; 0 if unknown.
+	// reportedStartMS identifies the worker's current incarnation by its start time, as the
+	// worker last answered; 0 if it has not. Entries of the list may come from other writers.
 	reportedStartMS int64
-	// gone is set once another worker has answered at this worker's address: its process
-	// has ended, and nothing runs there any more.
+	// usedAddr is the address at which the worker last answered, or at which the previous owner
+	// used it.
+	usedAddr string
+	// gone is set once another worker has answered at usedAddr: its process has ended, and
+	// nothing runs there any more.
 	gone bool
 	// incarnation counts the restarts of the worker that this owner has seen.
 	incarnation int
--- a/internal/core/termination/observations.go
+++ b/internal/core/termination/observations.go
@@ -31,8 +31,8 @@
 	// Vacant says that the previous owner stored that the worker was without runs and would
 	// get none.
 	Vacant
-	// NeverAssigned says that no earlier owner can have used the worker: neither its roster
-	// nor the list contains it.
+	// NeverAssigned says that no earlier owner can have used the worker: its roster, which is
+	// stored before a worker is used, does not contain it.
 	NeverAssigned
 )
 
--- a/internal/instance/malformed_test.go
+++ b/internal/instance/malformed_test.go
@@ -51,6 +51,37 @@
 	}
 }
 
+// TestUnreadableEntryTakesAWorkerOutOfUse guards against starting tasks on a worker by an
+// earlier entry after another writer has replaced it by one that can't be read.
+func TestUnreadableEntryTakesAWorkerOutOfUse(t *testing.T) {
+	r := newRig(t, 1)
+	usable := func() int { return len(r.listedWorkers()) }
+	r.waitFor("an owner with its workers", func() bool { return usable() == 4 })
+	r.store.Put(testWorkers, "w0", []byte("odd"))
+	r.store.Put(testWorkers, "another", []byte("odd"))
+	r.waitFor("the list without the worker", func() bool { return usable() == 3 })
+	r.store.Put(testWorkers, "w0", []byte("up"))
+	r.waitFor("the worker back on the list", func() bool { return usable() == 4 })
+}
+
+// listedWorkers returns the workers on the owner's list.
+func (r *rig) listedWorkers() []external.WorkerID {
+	n := r.owner()
+	if n == nil {
+		return nil
+	}
+	o := n.inst.owner.Load()
+	if o == nil {
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil {
+		return nil
+	}
+	return o.core.Listed()
+}
+
 func TestMalformedRecordsDoNotStopAnOwner(t *testing.T) {
 	r := newRig(t, 2)
 	r.waitFor("an owner", func() bool { return r.owner() != nil })
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -182,6 +182,7 @@
 		w, err := o.inst.DecodeWorker(r)
 		if err != nil {
 			evWorkerInvalid.Log(o.ctx, o.inst.logger, slog.String("key", r.Key), slog.Any("error", err))
+			o.step(cell.WorkerUnlisted{ID: external.WorkerID(r.Key)})
 			continue
 		}
 		o.step(cell.WorkerChanged{Worker: w})
