A run that was found on a worker is not blamed for the worker's crash

Evidence: TestAdoptedRunIsNotBlamedForACrash fails without this change. Related paths: runs of earlier owners are adopted, too, and were blamed if their task was a suspect; they no longer are.

--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -125,7 +125,7 @@
 		r := candidates[n]
 		r.crash = blame.Crash{
 			Age: runs[n].Age, Lived: max(0, w.lastAnswerAt-r.startedAt), Probed: r.onProbation && r.isAlone(),
-			Started: r.startedAt != 0, Youngest: blame.IsYoungest(runs, n),
+			Started: r.startedAt != 0 && !r.adopted, Youngest: blame.IsYoungest(runs, n),
 		}
 		atStart = atStart || r.crash.IsAtStart()
 		if c.countCrash(r) {
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// TestAdoptedRunIsNotBlamedForACrash guards against giving a job up for crashes of workers soon
+// after the owner had found a run there that it believed lost, as its start was carried out
+// late. How long the run had lived by then is not known.
+func TestAdoptedRunIsNotBlamedForACrash(t *testing.T) {
+	if err := runRandomScenario(t, 31075308, scenario{unreadRate: 0.4, recurring: true}); err != "" {
+		t.Fatal(err)
+	}
+}
+
 // TestInvariantsHoldUnderFreshSeeds runs scenarios with seeds that rapid chooses.
 func TestInvariantsHoldUnderFreshSeeds(t *testing.T) {
 	if !*fresh {
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -75,6 +75,8 @@
 	// resumed is set for runs that began from a checkpoint or were adopted; their
 	// progress does not show their speed.
 	resumed bool
+	// adopted is set if the owner found the run on the worker. When it was started is not known.
+	adopted bool
 	// crash describes the run at the first sign of its worker's crash.
 	crash blame.Crash
 	// onProbation is set while the run is one of worker.probationRuns.
