Log why a lost run was over; recurring and lasting jobs in the soak

Every eighth job has two to four times, every twentieth runs until it is cancelled; such a job must never be shown as complete or failed.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -75,6 +76,8 @@
 	Run       int64
 	Worker    external.WorkerID
 	EndReason external.EndReason
+	// Proof says why a run with the reason EndedLost is certainly over.
+	Proof termination.Proof
 	// Age is how long ago the run was ordered.
 	Age time.Duration
 }
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -51,7 +51,7 @@
 	w.gone = true
 	c.emit(WorkerStateChanged{Worker: w.ID, Change: "process is gone", Runs: len(w.runs)})
 	c.workerCrashed(w, w.runs, "another process answers")
-	c.loseRuns(w)
+	c.loseRuns(w, c.observations(w).KnownRuns())
 }
 
 // presumeCrash counts the crash of a worker that refuses connections, before it is certain.
--- a/internal/core/cell/evidence.go
+++ b/internal/core/cell/evidence.go
@@ -37,9 +37,15 @@
 	return c.observations(w).UnknownRuns() == termination.None
 }
 
-// loseRuns ends all runs on a worker. Their end is proven, and their outcome unknown.
-func (c *Core) loseRuns(w *worker) {
+// loseRuns ends all runs on a worker.
+func (c *Core) loseRuns(w *worker, proof termination.Proof) {
 	for _, r := range slices.Clone(w.runs) {
-		c.endRun(r, EndedLost, r.latestCheckpoint)
+		c.loseRun(r, proof, r.latestCheckpoint)
 	}
 }
+
+// loseRun ends a run whose end is proven, and whose outcome is unknown.
+func (c *Core) loseRun(r *run, proof termination.Proof, checkpoint string) {
+	r.lostBy = proof
+	c.endRun(r, EndedLost, checkpoint)
+}
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -239,7 +239,7 @@
 	w.reportedStartMS, w.deferredEnds = 0, nil
 	for _, r := range slices.Clone(w.runs) {
 		if slices.Contains(lost, r) {
-			c.endRun(r, EndedLost, "")
+			c.loseRun(r, termination.ByIncarnation, "")
 			continue
 		}
 		r.staleThrough, r.stopAckedAt, w.probeDue = c.lastHold, 0, true
@@ -363,7 +363,7 @@
 		case stopped:
 			c.endRun(r, EndedBarred, "")
 		default:
-			c.endRun(r, EndedLost, r.latestCheckpoint)
+			c.loseRun(r, termination.ByMissingRun, r.latestCheckpoint)
 		}
 	}
 }
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -259,7 +259,7 @@
 	r.detach()
 	c.placementDue = true
 	c.resolveStart(r, reason)
-	c.emit(RunEnded{Task: r.task, Run: r.number, Worker: r.worker.ID, EndReason: reason, Age: c.now.Mono - r.createdAt})
+	c.emit(RunEnded{Task: r.task, Run: r.number, Worker: r.worker.ID, EndReason: reason, Proof: r.lostBy, Age: c.now.Mono - r.createdAt})
 	u := r.unit
 	if u == nil {
 		return
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -214,7 +214,7 @@
 	if w.refusesConns && !w.listed {
 		c.workerCrashed(w, w.runs, "nothing listens at its address")
 	}
-	c.loseRuns(w)
+	c.loseRuns(w, proof)
 }
 
 // followUpStop resends a stop that was not answered in time. After an acknowledged
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/blame"
+	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/job"
 )
 
@@ -77,6 +78,8 @@
 	resumed bool
 	// adopted is set if the owner found the run on the worker. When it was started is not known.
 	adopted bool
+	// lostBy is the proof of the run's end, if its outcome is unknown.
+	lostBy termination.Proof
 	// crash describes the run at the first sign of its worker's crash.
 	crash blame.Crash
 	// onProbation is set while the run is one of worker.probationRuns.
--- a/internal/core/termination/observations.go
+++ b/internal/core/termination/observations.go
@@ -51,6 +51,9 @@
 	ByRoster        Proof = "recorded as vacant"
 	ByNoAssignment  Proof = "never in use"
 	ByEarlierLeases Proof = "leases of earlier owners have expired"
+	// ByIncarnation and ByMissingRun are the proofs of Run.
+	ByIncarnation Proof = "worker has restarted"
+	ByMissingRun  Proof = "lists do not show it"
 )
 
 // KnownRuns returns the proof that all runs of the worker that the owner knows of are over.
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -67,8 +68,14 @@
 	switch a := a.(type) {
 	case cell.RunEnded:
 		mRunsEnded.With(string(a.EndReason)).Inc()
-		evRunEnded.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run),
-			slog.String("worker", string(a.Worker)), slog.String("how", string(a.EndReason)), slog.Duration("age", a.Age))
+		attrs := []slog.Attr{
+			slog.String("task", a.Task.String()), slog.Int64("run", a.Run), slog.String("worker", string(a.Worker)),
+			slog.String("how", string(a.EndReason)), slog.Duration("age", a.Age),
+		}
+		if a.Proof != termination.None {
+			attrs = append(attrs, slog.String("proof", string(a.Proof)))
+		}
+		evRunEnded.Log(o.ctx, l, attrs...)
 	case cell.JobEnded:
 		mJobsEnded.With(a.Outcome.Status().String()).Inc()
 		mJobTime.Update(a.Age.Seconds())
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -44,6 +44,8 @@
 	complete      bool
 	// deadly jobs have a task that crashes its workers. They are to fail.
 	deadly bool
+	// lasting jobs run until they are cancelled.
+	lasting bool
 }
 
 // callers submits jobs, queries them and records the answers.
@@ -88,7 +90,8 @@
 // newJob makes a random job and submits it to the fleet, which checks starts against it.
 func (c *callers) newJob(rng *rand.Rand, key string) (*submittedJob, []byte) {
 	prefix := [...]string{"/q/", "/u/"}[rng.IntN(2)]
-	sent := &submittedJob{id: fmt.Sprintf("%016x", rng.Uint64()), key: key}
+	number := rng.Uint64()
+	sent := &submittedJob{id: fmt.Sprintf("%016x", number), key: key}
 	sent.path = prefix + sent.id
 	type step struct {
 		Count       int   `json:"count"`
@@ -98,6 +101,7 @@
 		Gang        bool  `json:"gang,omitempty"`
 		Checkpoints bool  `json:"checkpoints,omitempty"`
 		After       []int `json:"after,omitempty"`
+		LongRunning bool  `json:"long_running,omitempty"`
 	}
 	steps := []step{{Count: 1 + rng.IntN(5), CPU: 500, GPU: rng.IntN(3), EstMS: 500, Gang: rng.IntN(3) == 0, Checkpoints: rng.IntN(2) == 0}}
 	if rng.IntN(3) == 0 {
@@ -106,12 +110,20 @@
 	if sent.deadly = rng.IntN(deadlyEvery) == 0; sent.deadly {
 		c.bed.deadlyJobs.Store(job.ID(sent.id), true)
 	}
+	repeat := c.drawRepetition(number)
+	if sent.lasting = repeat.lasting && !sent.deadly; sent.lasting {
+		steps = []step{{Count: 1, CPU: 500, EstMS: 500, LongRunning: true}}
+	}
 	j := &job.Job{ID: job.ID(sent.id), Spec: "soak"}
 	for _, s := range steps {
-		j.Steps = append(j.Steps, job.Step{Count: s.Count, CPU: s.CPU, GPU: s.GPU, Gang: s.Gang, Checkpoints: s.Checkpoints, After: s.After})
+		j.Steps = append(j.Steps, job.Step{Count: s.Count, CPU: s.CPU, GPU: s.GPU, Gang: s.Gang, Checkpoints: s.Checkpoints, After: s.After, LongRunning: s.LongRunning})
 	}
 	c.bed.fleet.Submit(j)
-	body, err := json.Marshal(map[string]any{"spec": "soak", "steps": steps})
+	fields := map[string]any{"spec": "soak", "steps": steps}
+	if repeat.times > 0 && !sent.lasting {
+		fields["times"], fields["interval_ms"], fields["start_at_ms"] = repeat.times, repeat.intervalMS, time.Now().UnixMilli()
+	}
+	body, err := json.Marshal(fields)
 	if err != nil {
 		c.violationf("body of %s: %v", sent.id, err)
 	}
@@ -121,6 +133,26 @@
 	return sent, body
 }
 
+// repetition is how often a job runs: times times, or until it is cancelled.
+type repetition struct {
+	times      int
+	intervalMS int
+	lasting    bool
+}
+
+// repeatStream keeps the random numbers of repetitions apart from those of all else.
+const repeatStream = 8
+
+// drawRepetition gives every eighth job several times, and every twentieth no end.
+func (c *callers) drawRepetition(number uint64) repetition {
+	rng := rand.New(rand.NewPCG(c.bed.opts.Seed+repeatStream, number))
+	r := repetition{intervalMS: 300 + rng.IntN(1200), lasting: rng.IntN(20) == 0}
+	if rng.IntN(8) == 0 {
+		r.times = 2 + rng.IntN(3)
+	}
+	return r
+}
+
 // followJob queries the job until it ends, or cancels it, and checks the answers.
 func (c *callers) followJob(rng *rand.Rand, j *submittedJob) {
 	if rng.IntN(8) == 0 {
@@ -138,6 +170,10 @@
 		time.Sleep(time.Duration(300+rng.IntN(900)) * time.Millisecond)
 		c.checkState(rng, j)
 	}
+	for end := time.Now().Add(c.bed.opts.SettleTime); j.lasting && time.Now().Before(end) && !j.cancelled; time.Sleep(retryDelay) {
+		j.cancelUnknown = true
+		j.cancelled = c.call(rng, http.MethodDelete, j, nil, nil) == http.StatusOK
+	}
 }
 
 // checkState queries the job once. It is a violation if an accepted job is unknown
@@ -147,10 +183,12 @@
 	switch status := c.call(rng, http.MethodGet, j, nil, &state); {
 	case status == http.StatusGone && time.Since(j.accepted) > visibleAfter:
 		c.violationf("job %s accepted %v ago is unknown", j.id, time.Since(j.accepted))
-	case status == http.StatusOK && state.State == "failed" && (j.deadly || c.mayBeGivenUp(j)):
+	case status == http.StatusOK && state.State == "failed" && !j.lasting && (j.deadly || c.mayBeGivenUp(j)):
 		j.complete = true
 	case status == http.StatusOK && state.State == "failed":
 		c.violationf("job %s is reported as failed", j.id)
+	case status == http.StatusOK && state.State == "complete" && j.lasting:
+		c.violationf("job %s is reported as complete, and its task has no end", j.id)
 	case status == http.StatusOK && state.State == "complete" && j.deadly:
 		c.violationf("job %s is reported as complete, and its task crashes each worker", j.id)
 	case status == http.StatusOK && state.State == "complete":
--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -22,10 +22,10 @@
 	return program
 }
 
-// TestHangupDuringShutdownCutsNoRequest guards against the end of the process by a SIGHUP that
-// comes after a SIGTERM: it cut all open requests, as its handler had been removed when the
-// shutdown began.
-func TestHangupDuringShutdownCutsNoRequest(t *testing.T) {
+// newSmallTestbed returns a testbed with one machine, whose process has been started, and one
+// worker.
+func newSmallTestbed(t *testing.T) *testbed {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts a process")
 	}
@@ -33,7 +33,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer s.close()
+	t.Cleanup(s.close)
+	return s
+}
+
+// TestHangupDuringShutdownCutsNoRequest guards against the end of the process by a SIGHUP that
+// comes after a SIGTERM: it cut all open requests, as its handler had been removed when the
+// shutdown began.
+func TestHangupDuringShutdownCutsNoRequest(t *testing.T) {
+	s := newSmallTestbed(t)
 	time.Sleep(startupTime)
 	m := s.machines[0]
 	s.store.SetFault(store.Fault{Silent: true}) // the request stays open until its deadline
@@ -66,14 +74,7 @@
 // TestClosedLogOutputDoesNotEndTheProcess guards against the end of a process by SIGPIPE when
 // whoever reads its log is gone.
 func TestClosedLogOutputDoesNotEndTheProcess(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts a process")
-	}
-	s, err := newTestbed(Options{Program: buildProgram(t), Dir: t.TempDir(), Seed: 1, Machines: 1, Workers: 1, LoadTime: time.Second, JobsPerSecond: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.close()
+	s := newSmallTestbed(t)
 	m := s.machines[0]
 	m.kill()
 	r, w, err := os.Pipe()
--- a/internal/standin/fleet/crash.go
+++ b/internal/standin/fleet/crash.go
@@ -38,15 +38,7 @@
 
 // CrashesUnder returns the largest number of machines that have crashed, or were restarted,
 // under one task of a job.
-func (f *Fleet) CrashesUnder(id job.ID) int {
-	n := 0
-	for t, crashes := range f.crashes {
-		if t.Job == id {
-			n = max(n, crashes)
-		}
-	}
-	return n
-}
+func (f *Fleet) CrashesUnder(id job.ID) int { return maxOfJob(f.crashes, id) }
 
 // Revive starts the machine's process again, under its name, after a crash.
 func (m *Machine) Revive() {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -310,11 +310,14 @@
 }
 
 // Failures returns the largest number of failed runs of one task of a job.
-func (f *Fleet) Failures(id job.ID) int {
+func (f *Fleet) Failures(id job.ID) int { return maxOfJob(f.failures, id) }
+
+// maxOfJob returns the largest count of a task of the job.
+func maxOfJob(counts map[job.TaskID]int, id job.ID) int {
 	n := 0
-	for t, failures := range f.failures {
+	for t, count := range counts {
 		if t.Job == id {
-			n = max(n, failures)
+			n = max(n, count)
 		}
 	}
 	return n
