Read again: counts without empty maps, a soak that counts only real kills

Restored units got two empty maps each, also without any crash; they get none now. The soak counted a kill also for a process that had ended by itself, which could hide a request that was cut at that very moment. No decision changes.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -54,8 +54,8 @@
 	batchInFlight int64
 	// lastBatch is the number of the last Persist.
 	lastBatch int64
-	// batchJobs, batchEnds and batchRoster are what the batch in flight covers:
-	// jobs, the last processed end of each worker, and the workers on the roster.
+	// batchJobs, batchEnds and batchRoster are what the batch in flight covers: jobs, the last
+	// processed end of each worker, and the workers that its roster allows to be used.
 	batchJobs   []*jobEntry
 	batchEnds   map[*worker]endPosition
 	batchRoster []*worker
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -147,12 +147,9 @@
 	if u.state == unitDone || u.entry().outcome != job.Open {
 		return false
 	}
-	if u.crashes == nil {
-		u.crashes, u.startCrashes = make(map[int]int), make(map[int]int)
-	}
-	u.crashes[r.member()]++
+	increment(&u.crashes, r.member(), 1)
 	if r.crash.IsAtStart() {
-		u.startCrashes[r.member()]++
+		increment(&u.startCrashes, r.member(), 1)
 	}
 	u.entry().history.Crashed++
 	c.markDirty(u.entry())
@@ -172,6 +169,14 @@
 	c.markDirty(u.entry())
 }
 
+// increment adds to a count of a map, which may be nil.
+func increment(counts *map[int]int, key, n int) {
+	if *counts == nil {
+		*counts = make(map[int]int)
+	}
+	(*counts)[key] += n
+}
+
 // decrement subtracts 1 from a count and removes it at 0.
 func decrement(counts map[int]int, key int) {
 	counts[key]--
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -119,12 +119,13 @@
 	}
 }
 
-// ofMembers returns the counts by member of the unit, of counts by task.
+// ofMembers returns the counts by member of the unit, of counts by task. It returns nil if
+// there are none.
 func (u *unit) ofMembers(byTask map[int]int) map[int]int {
-	out := make(map[int]int)
+	var out map[int]int
 	for member := range u.size {
 		if n := byTask[u.index+member]; n > 0 {
-			out[member] = n
+			increment(&out, member, n)
 		}
 	}
 	return out
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -172,10 +172,7 @@
 // addByTask adds counts by member of the unit to counts by task, which may be nil.
 func (u *unit) addByTask(byTask, byMember map[int]int) map[int]int {
 	for member, n := range byMember {
-		if byTask == nil {
-			byTask = make(map[int]int)
-		}
-		byTask[u.index+member] = n
+		increment(&byTask, u.index+member, n)
 	}
 	return byTask
 }
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -141,7 +141,15 @@
 
 // kill kills the process and waits for its exit.
 func (m *machine) kill() {
-	m.kills.Add(1)
+	m.mu.Lock()
+	running := m.running()
+	if running {
+		m.kills.Add(1)
+	}
+	m.mu.Unlock()
+	if !running {
+		return
+	}
 	m.signal(syscall.SIGCONT)
 	m.signal(syscall.SIGKILL)
 	m.awaitExit(5 * time.Second)
