Two crashes at a task's start are enough while fewer than two fifths crash

At two fifths, chance stays below 1 in 1,000 for a task that is tried twice (0.45 s of exposure at 0.04 crashes a second, squared).

--- a/internal/core/blame/crash.go
+++ b/internal/core/blame/crash.go
@@ -36,7 +36,7 @@
 	// maxStartCrashesAmidOthers replaces maxStartCrashes while more than maxBackground of all
 	// workers crashed within BackgroundTime for other reasons: two crashes may then be chance.
 	maxStartCrashesAmidOthers = 3
-	maxBackground             = 0.2
+	maxBackground             = 0.4
 	// BackgroundTime is the time within which crashes for other reasons count.
 	BackgroundTime = 10 * time.Second
 )
