Stand-in: a waiting hold ends with its process

Traces: the worker had restarted while a hold waited there; the stand-in went on applying that hold, every 10 ms, to the next incarnation, and so acknowledged its ends by the numbers of the one before.

The check is as it was; the stand-in now refuses such a hold, which TestWaitingHoldEndsWithItsProcess shows (before: no error, and the new incarnation's end was gone).

--- a/internal/standin/fleet/live.go
+++ b/internal/standin/fleet/live.go
@@ -67,11 +67,20 @@
 }
 
 // Hold implements external.Workers. Like a real worker it waits up to o.Wait for
-// a run to end.
+// a run to end, and does not outlive its process: a later incarnation neither answers it nor
+// takes its acknowledgement.
 func (l *Live) Hold(ctx context.Context, o external.HoldOrder) (result external.HoldResult, err error) {
-	until := time.Now().Add(o.Wait)
+	until, incarnation := time.Now().Add(o.Wait), int64(0)
 	for {
-		l.With(func(f *Fleet) { result, err = f.Hold(ctx, o) })
+		l.With(func(f *Fleet) {
+			m := f.Machine(o.Worker)
+			if incarnation != 0 && (m == nil || m.StartedMS != incarnation) {
+				err = external.ErrOutcomeUnknown
+				return
+			}
+			result, err = f.Hold(ctx, o)
+			incarnation = result.StartedMS
+		})
 		if err != nil || len(result.Ended) > 0 || !time.Now().Before(until) {
 			return result, err
 		}
