Read once more: one scan of the fleet a crash, one function that counts

judge scanned all workers for each blamed run, at the moment when many workers crash; the pool is now looked at once a crash. isBurst and GivesUp each had the loop that counts times within a window; both call countBetween.

No behaviour changes.

--- a/internal/core/blame/crash.go
+++ b/internal/core/blame/crash.go
@@ -120,12 +120,7 @@
 // GivesUp reports whether a task is given up after a crash: if so many workers have crashed at
 // the start of its runs, the last one included, that chance is no explanation.
 func (h *History) GivesUp(now time.Duration, p Pool, last Crash, startCrashes int) bool {
-	background := 0
-	for _, at := range h.unexplained {
-		if now-at <= BackgroundTime {
-			background++
-		}
-	}
+	background := countBetween(h.unexplained, now-BackgroundTime, now)
 	needed := maxStartCrashes
 	if float64(max(background, p.Started)) > maxBackground*float64(p.Workers) {
 		needed = maxStartCrashesAmidOthers
@@ -146,13 +141,19 @@
 
 // isBurst reports whether many workers stopped answering at about the same time.
 func (h *History) isBurst(at time.Duration, workers int) bool {
+	n := countBetween(h.failures, at-burstWindow, at+burstWindow)
+	return n >= max(minBurstWorkers, int(burstShare*float64(workers)))
+}
+
+// countBetween returns the number of times from first to last, both included.
+func countBetween(times []time.Duration, first, last time.Duration) int {
 	n := 0
-	for _, f := range h.failures {
-		if f >= at-burstWindow && f <= at+burstWindow {
+	for _, t := range times {
+		if t >= first && t <= last {
 			n++
 		}
 	}
-	return n >= max(minBurstWorkers, int(burstShare*float64(workers)))
+	return n
 }
 
 func youngest(runs []Run) time.Duration {
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -90,8 +90,12 @@
 		ev.Blamed = append(ev.Blamed, r.task)
 	}
 	c.emit(ev)
+	if len(blamed) == 0 {
+		return
+	}
+	pool := c.crashPool()
 	for _, r := range blamed {
-		c.judge(r)
+		c.judge(r, pool)
 	}
 }
 
@@ -187,12 +191,12 @@
 
 // judge gives the task of a run up if it is certainly to blame for crashes. Long-running tasks
 // are started again however they end.
-func (c *Core) judge(r *run) {
+func (c *Core) judge(r *run, pool blame.Pool) {
 	u := r.unit
 	if u.state == unitDone || u.entry().outcome != job.Open || u.group.step.LongRunning {
 		return
 	}
-	if !c.crashes.GivesUp(c.now.Mono, c.crashPool(), r.crash, u.startCrashes[r.member()]) {
+	if !c.crashes.GivesUp(c.now.Mono, pool, r.crash, u.startCrashes[r.member()]) {
 		return
 	}
 	c.emit(TaskGivenUp{Task: r.task, Crashes: u.crashes[r.member()], Alone: r.isAlone(), Age: r.crash.Age})
