--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -18,6 +18,8 @@
 	Waited time.Duration
 	// Resends is how many times the order was sent before, without an answer.
 	Resends int
+	// TermAge is how long ago the term was last confirmed.
+	TermAge time.Duration
 }
 
 // Stop asks for a stop order to be sent to a worker.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -41,7 +41,7 @@
 			OrderHeader: c.orderHeader(r.worker), Task: r.task, Run: r.number, Spec: r.unit.entry().job.Spec,
 			LeaseEnd: c.grantLease(r.worker), Checkpoint: r.startCheckpoint, Ticket: ticket,
 		},
-		Waited: r.unit.waited, Resends: r.startResends,
+		Waited: r.unit.waited, Resends: r.startResends, TermAge: c.now.Mono - c.termConfirmedAt,
 	})
 }
 
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -26,6 +26,8 @@
 	// confirmedAt is when the latest confirmed renewal was sent, or when the peers last
 	// reported that none of them can claim.
 	confirmedAt time.Duration
+	// storeConfirmedAt is when the latest renewal that the store confirmed was sent.
+	storeConfirmedAt time.Duration
 	// pendingWrites is the number of unanswered writes.
 	pendingWrites int
 	nextWrite     time.Duration
@@ -55,6 +57,12 @@
 // LatestRecord returns the latest known record, even if its term was released.
 func (c *Core) LatestRecord() Record { return c.latest }
 
+// SinceStored returns how long ago the latest stored renewal of the owned term was sent; ok is
+// false if this instance owns no term.
+func (c *Core) SinceStored(now time.Duration) (since time.Duration, ok bool) {
+	return now - c.storeConfirmedAt, c.ownedTerm != 0
+}
+
 // Step processes an event and returns the resulting actions.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
 	c.now, c.actions = now, nil
@@ -106,7 +114,7 @@
 	if c.ownedTerm == 0 || r.Term != c.ownedTerm || r.Owner != c.self || r.Renewal != c.sentRenewal || c.sentAt <= c.confirmedAt {
 		return
 	}
-	c.confirmedAt = c.sentAt
+	c.confirmedAt, c.storeConfirmedAt = c.sentAt, max(c.storeConfirmedAt, c.sentAt)
 	c.emit(Confirmed{At: c.sentAt})
 	c.nextWrite = c.sentAt + c.settings.RenewInterval
 }
@@ -137,7 +145,7 @@
 	if c.stopping {
 		return
 	}
-	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt = t, t, c.now
+	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt, c.storeConfirmedAt = t, t, c.now, c.now
 	c.nextWrite = c.now + c.settings.RenewInterval
 	c.emit(Gained{Term: t})
 }
@@ -167,7 +175,7 @@
 	c.nextWrite = c.now + c.settings.RenewInterval
 	c.observe(e.Record)
 	if c.ownedTerm == e.Record.Term {
-		c.confirmedAt = max(c.confirmedAt, e.SentAt)
+		c.confirmedAt, c.storeConfirmedAt = max(c.confirmedAt, e.SentAt), max(c.storeConfirmedAt, e.SentAt)
 		c.emit(Confirmed{At: e.SentAt})
 	}
 }
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -29,7 +29,7 @@
 		countStart(a)
 		evStart.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
 			slog.String("worker", string(a.Order.Worker)), slog.Int64("term", o.term),
-			slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited), slog.Int("repeat", a.Resends))
+			slog.Duration("confirmed", a.TermAge), slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited), slog.Int("repeat", a.Resends))
 		o.inst.spawn(func(context.Context) { o.start(a.Order) })
 	case cell.Stop:
 		mStops.Inc()
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -34,6 +34,7 @@
 	evPersistFailed     = logevent.New(2223, slog.LevelWarn, "progress not written or not deleted")
 	evPersisted         = logevent.New(2224, slog.LevelInfo, "progress is durable")
 	evMembersFailed     = logevent.New(2225, slog.LevelInfo, "addresses of instances not written or not read")
+	evTermUnstored      = logevent.New(2226, slog.LevelWarn, "owned term without a stored renewal, or stored again")
 	evAccepted          = logevent.New(2230, slog.LevelInfo, "job accepted")
 	evRefused           = logevent.New(2231, slog.LevelInfo, "job refused")
 	evUnconfirmed       = logevent.New(2232, slog.LevelWarn, "submission or cancellation not confirmed")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -64,10 +64,14 @@
 	policyMu        sync.Mutex
 	policyChanged   broadcast
 
-	termMu   sync.Mutex
-	term     *term.Core
-	owner    atomic.Pointer[owner]
-	stopping atomic.Bool
+	termMu sync.Mutex
+	term   *term.Core
+	// termUnstored says that the owned term has had no stored renewal for a while,
+	// termStoredAge is the time since the latest one at the last step.
+	termUnstored  bool
+	termStoredAge time.Duration
+	owner         atomic.Pointer[owner]
+	stopping      atomic.Bool
 	// storeMonitor wraps StoreClient; store is the same value as an external.Store. All
 	// calls to the store go through them.
 	storeMonitor *storeMonitor
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -63,6 +63,7 @@
 	gauge("coltsfootmux_store_reachable", "0 or 1", "whether the store answers this process for any topic", (*Instance).storeReachable)
 	gauge("coltsfootmux_term_owned", "term", "the term that this process owns, 0 for none", (*Instance).ownedTerm)
 	gauge("coltsfootmux_term_age_seconds", "seconds", "time since the store last answered for the term", func(i *Instance) float64 { return i.sinceAnswer(topicTerm) })
+	gauge("coltsfootmux_term_unstored_seconds", "seconds", "time since the latest stored renewal of the owned term was sent", func(i *Instance) float64 { return i.sinceTermStored().Seconds() })
 	gauge("coltsfootmux_worker_list_age_seconds", "seconds", "time since the store last answered for the list of workers", func(i *Instance) float64 { return i.sinceAnswer(i.WorkerTopic) })
 	gauge("coltsfootmux_open_jobs", "jobs", "jobs of the owned cell that have not ended", func(i *Instance) float64 { return float64(i.cellLoad().OpenJobs) })
 	gauge("coltsfootmux_waiting_units", "tasks", "tasks and gangs waiting in the owned cell", func(i *Instance) float64 { return float64(i.cellLoad().Waiting) })
@@ -90,9 +91,12 @@
 	return 0
 }
 
-func (i *Instance) ownedTerm() float64 {
+func (i *Instance) ownedTerm() float64 { return float64(i.ownedTermNumber()) }
+
+// ownedTermNumber returns the term that this instance owns, 0 for none.
+func (i *Instance) ownedTermNumber() int64 {
 	if o := i.owner.Load(); o != nil {
-		return float64(o.term)
+		return o.term
 	}
 	return 0
 }
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -69,6 +69,7 @@
 func (i *Instance) stepTerm(ev term.Event) {
 	i.termMu.Lock()
 	before, _ := i.term.OwnerRecord()
+	i.reportUnstoredTerm()
 	actions := i.term.Step(boottime(), ev)
 	after, _ := i.term.OwnerRecord()
 	for _, a := range actions {
@@ -92,7 +93,8 @@
 		i.owner.Store(o)
 		i.spawn(o.run)
 	case term.Lost:
-		evTermLost.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.String("reason", string(a.Reason)))
+		evTermLost.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.String("reason", string(a.Reason)),
+			slog.Duration("unstored", i.termStoredAge))
 		if o := i.owner.Swap(nil); o != nil {
 			o.end()
 		}
@@ -144,32 +146,45 @@
 	}
 }
 
+// peerAnswers collects what peers answer to the question whether the store serves them.
+type peerAnswers struct {
+	mu               sync.Mutex
+	answered, served []string
+}
+
+func (p *peerAnswers) add(addr string, served bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = append(p.answered, addr)
+	if served {
+		p.served = append(p.served, addr)
+	}
+}
+
 // askPeersAboutStore asks peers whether the store serves them the term. It notifies the term's
 // core if some peers answer and the store serves none of them, or if the store serves some
 // of them and not this instance.
 func (i *Instance) askPeersAboutStore(ctx context.Context) {
-	var answered, served atomic.Int64
+	var answers peerAnswers
 	var selfServed atomic.Bool
 	var wg sync.WaitGroup
+	began, asked := boottime(), i.peers()
 	wg.Go(func() { selfServed.Store(i.storeMonitor.probe(ctx, topicTerm, probeTimeout) == nil) })
-	for _, addr := range i.peers() {
+	for _, addr := range asked {
 		wg.Go(func() {
-			r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{CheckStore: true, Parts: true})
-			if err != nil {
-				return
-			}
-			answered.Add(1)
-			if r.TermTopicAvailable {
-				served.Add(1)
+			if r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{CheckStore: true, Parts: true}); err == nil {
+				answers.add(addr, r.TermTopicAvailable)
 			}
 		})
 	}
 	wg.Wait()
-	evPeersAsked.Log(ctx, i.logger, slog.Int64("answered", answered.Load()), slog.Int64("served", served.Load()), slog.Bool("self", selfServed.Load()))
+	evPeersAsked.Log(ctx, i.logger, slog.Int64("term", i.ownedTermNumber()), slog.Any("asked", asked), slog.Any("answered", answers.answered),
+		slog.Any("served", answers.served), slog.Bool("self", selfServed.Load()), slog.Duration("took", boottime()-began),
+		slog.Duration("unstored", i.sinceTermStored()))
 	switch {
-	case answered.Load() > 0 && served.Load() == 0:
+	case len(answers.answered) > 0 && len(answers.served) == 0:
 		i.stepTerm(term.PeersCutOff{})
-	case served.Load() > 0 && !selfServed.Load():
+	case len(answers.served) > 0 && !selfServed.Load():
 		i.stepTerm(term.PeersReachStore{})
 	}
 }
