--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -41,12 +41,16 @@
 	// reads of the store.
 	region string
 	link   *narrowLink
+	// work is how long a task runs.
+	work time.Duration
 }
 
 // node is one instance with its own connection to the store.
 type node struct {
 	inst *Instance
 	conn *storeConn
+	// workers is the instance's path to the workers.
+	workers *workerPath
 	stop context.CancelFunc
 	done chan struct{}
 	http *http.Server
@@ -155,8 +159,8 @@
 }
 
 func newRig(t *testing.T, instances int) *rig {
-	r := &rig{t: t, store: store.New(), retention: time.Minute}
-	r.fleet = fleet.NewLive(func(job.TaskID, int64) (time.Duration, bool) { return 200 * time.Millisecond, false })
+	r := &rig{t: t, store: store.New(), retention: time.Minute, work: 200 * time.Millisecond}
+	r.fleet = fleet.NewLive(func(job.TaskID, int64) (time.Duration, bool) { return r.work, false })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go r.fleet.Run(ctx)
@@ -198,14 +202,15 @@
 	if r.refuseNext {
 		close(conn.refused)
 	}
+	paths := &workerPath{Live: r.fleet}
 	inst := New(Options{
-		Settings: s, StoreClient: conn, Workers: r.fleet, PolicyTopic: testPolicies, PolicyKey: "policy", WorkerTopic: testWorkers,
+		Settings: s, StoreClient: conn, Workers: paths, PolicyTopic: testPolicies, PolicyKey: "policy", WorkerTopic: testWorkers,
 		DecodeDrain: decodeTestDrain, DecodePolicy: decodeTestPolicy, DecodeWorker: r.decodeWorker, Logger: slog.New(slog.DiscardHandler),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, inst.LinkServer())
 	ctx, cancel := context.WithCancel(context.Background())
-	nd := &node{inst: inst, conn: conn, stop: cancel, done: make(chan struct{}), http: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}}
+	nd := &node{inst: inst, conn: conn, workers: paths, stop: cancel, done: make(chan struct{}), http: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}}
 	go func() { _ = nd.http.Serve(ln) }()
 	go func() { inst.Run(ctx); close(nd.done) }()
 	r.nodes = append(r.nodes, nd)
