--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -51,9 +51,9 @@
 	conn *storeConn
 	// workers is the instance's path to the workers.
 	workers *workerPath
-	stop context.CancelFunc
-	done chan struct{}
-	http *http.Server
+	stop    context.CancelFunc
+	done    chan struct{}
+	http    *http.Server
 }
 
 // storeConn is an instance's connection to the store, which can be made to refuse calls.
