Keep a term without the store only while witnesses bar the next claim

An owner that the store does not serve kept its term if one of three peers answered that the store does not serve it either. Behind a partition every peer that answers says so, while the other side claims the next term: two owners for as long as the partition lasts. Each counted leases as expired that the other one renewed, and started the tasks of the workers that it did not reach.

Now the term record names up to five witnesses. A promise counts from when it was asked for: an answer that waits in a paused process confirmed the term as of its arrival before.

TestOwnerKeepsItsTermWhileOnlyTheTermTopicIsDown waits for the named witnesses in place of known peers, since only these can confirm the term. Ruled out: asking all known instances (their sets differ between owner and claimant), no keeping at all (each outage above 8 s ends all running work).

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -21,12 +21,36 @@
 }
 
 // Confirmed says that no other instance owned a later term at the time At: the store
-// confirmed a renewal sent then, or no peer could have claimed a term.
+// confirmed a renewal sent then, or enough witnesses have promised that were asked then.
 type Confirmed struct{ At time.Duration }
 
 // QueryPeers asks the peers whether they can reach the store.
 type QueryPeers struct{}
 
+// AskPromises asks witnesses of the owned term for promises, see package witness.
+type AskPromises struct {
+	Term int64
+	// Renewal is the latest renewal that is known to be stored.
+	Renewal   int64
+	Witnesses []Witness
+	// At is the time of the question.
+	At time.Duration
+}
+
+// AskConsents asks the witnesses of a record for their consent to a claim that follows it.
+type AskConsents struct {
+	Term      int64
+	Renewal   int64
+	Witnesses []Witness
+}
+
+// CheckWitnesses asks which of the current witnesses answer, and which other instances could
+// replace the rest.
+type CheckWitnesses struct {
+	Term    int64
+	Current []Witness
+}
+
 // RequestYield asks the owner of a term to release it for this instance.
 type RequestYield struct {
 	Addr string
@@ -36,13 +60,16 @@
 // NotifyPeers sends the peers a record that this instance can't write to the store.
 type NotifyPeers struct{ Record Record }
 
-func (RequestYield) action() {}
-func (NotifyPeers) action()  {}
-func (Write) action()        {}
-func (Gained) action()       {}
-func (Lost) action()         {}
-func (QueryPeers) action()   {}
-func (Confirmed) action()    {}
+func (RequestYield) action()   {}
+func (NotifyPeers) action()    {}
+func (Write) action()          {}
+func (Gained) action()         {}
+func (Lost) action()           {}
+func (QueryPeers) action()     {}
+func (AskPromises) action()    {}
+func (AskConsents) action()    {}
+func (CheckWitnesses) action() {}
+func (Confirmed) action()      {}
 
 // Reason says why a term was lost.
 type Reason string
--- /dev/null
+++ b/internal/core/term/claim.go
@@ -0,0 +1,86 @@
+package term
+
+import (
+	"time"
+
+	"coltsfootmux/internal/core/witness"
+)
+
+const (
+	// consentLead is how long before a claim the witnesses are asked for their consent, so that
+	// it does not wait for their answers.
+	consentLead = 200 * time.Millisecond
+	// otherClaimDelay is how much later than witnesses other instances claim. Witnesses
+	// need fewer consents of others, and the fewer ask, the less they are asked.
+	otherClaimDelay = 250 * time.Millisecond
+)
+
+// needsConsent reports whether the owner of the latest term may still act.
+func (c *Core) needsConsent() bool {
+	return c.latest.Term != 0 && !c.latest.Released && !c.ownerIsPredecessor() && c.latest.Owner != c.self
+}
+
+// claimWait returns how long the latest record must stay unchanged before a claim.
+func (c *Core) claimWait() time.Duration {
+	if !c.needsConsent() {
+		return c.settings.ClaimDelay
+	}
+	wait := c.settings.StaleAfter + c.settings.ClaimDelay
+	if len(c.latest.Witnesses) > 0 && !c.isWitness() {
+		wait += otherClaimDelay
+	}
+	return wait
+}
+
+// isWitness reports whether the latest record names this machine as a witness.
+func (c *Core) isWitness() bool {
+	for _, w := range c.latest.Witnesses {
+		if w.Addr == c.addr {
+			return true
+		}
+	}
+	return false
+}
+
+// unchangedFor returns how long the store has answered without a change of the latest record.
+func (c *Core) unchangedFor() time.Duration { return c.now - max(c.changedAt, c.storeOKSince) }
+
+// canClaim reports whether the owner of the latest term has certainly stopped, or will have by the
+// time that a new owner allows for.
+func (c *Core) canClaim() bool {
+	return c.storeOK && c.unchangedFor() >= c.claimWait() && (!c.needsConsent() || c.hasConsent())
+}
+
+// hasConsent reports whether enough witnesses have consented to a claim. After KeepLimit without a
+// stored renewal, no owner keeps its term, whatever its witnesses say.
+func (c *Core) hasConsent() bool {
+	n := len(c.latest.Witnesses)
+	if n == 0 || c.now-c.changedAt >= c.settings.KeepLimit+c.settings.StaleAfter+c.settings.ClaimDelay {
+		return true
+	}
+	return len(c.consents) >= witness.Consents(n)
+}
+
+// askForConsents asks the witnesses shortly before a claim is due, and again while it is due.
+func (c *Core) askForConsents() {
+	if c.ownedTerm != 0 || c.stopping || !c.storeOK || !c.needsConsent() || c.hasConsent() || c.now < c.nextConsentQuery {
+		return
+	}
+	if c.unchangedFor() < c.claimWait()-consentLead {
+		return
+	}
+	c.nextConsentQuery = c.now + c.settings.RetryInterval
+	c.emit(AskConsents{Term: c.latest.Term, Renewal: c.latest.Renewal, Witnesses: c.latest.Witnesses})
+}
+
+// onConsented records that a witness has consented to a claim that follows the latest record.
+func (c *Core) onConsented(e Consented) {
+	if e.Term != c.latest.Term || e.Renewal != c.latest.Renewal {
+		return
+	}
+	for _, w := range c.latest.Witnesses {
+		if w.ID == e.Witness {
+			c.consents[w.ID] = true
+		}
+	}
+}
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -1,6 +1,10 @@
 package term
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/core/witness"
+)
 
 // Core is one instance's view of the cell's term.
 type Core struct {
@@ -23,16 +27,20 @@
 	// it can't be issued again.
 	ownedTerm     int64
 	lastOwnedTerm int64
-	// confirmedAt is when the latest confirmed renewal was sent, or when the peers last
-	// reported that none of them can claim.
+	// confirmedAt is a time until which no later term was claimed: when the latest stored renewal
+	// was sent, or enough witnesses were asked that have promised.
 	confirmedAt time.Duration
-	// storeConfirmedAt is when the latest renewal that the store confirmed was sent.
-	storeConfirmedAt time.Duration
+	// tenure is what is known of the owned term.
+	tenure tenure
+	// consents holds the witnesses of the latest record that have consented to a claim,
+	// nextConsentQuery is the earliest time at which they are asked again.
+	consents         map[witness.ID]bool
+	nextConsentQuery time.Duration
 	// pendingWrites is the number of unanswered writes.
 	pendingWrites int
 	nextWrite     time.Duration
-	// sentRenewal is the number of the latest renewal sent, sentAt when it was first sent.
-	sentRenewal   int64
+	// sent is the latest record sent, and sentAt when it was first sent.
+	sent          witness.Position
 	sentAt        time.Duration
 	nextPeerQuery time.Duration
 	stopping      bool
@@ -46,7 +54,9 @@
 }
 
 // New returns the state of the instance self, which its peers reach at addr.
-func New(s Settings, self, addr string) *Core { return &Core{settings: s, self: self, addr: addr} }
+func New(s Settings, self, addr string) *Core {
+	return &Core{settings: s, self: self, addr: addr, consents: make(map[witness.ID]bool)}
+}
 
 // OwnerRecord returns the latest known record; ok is false if there is none or its term was
 // released.
@@ -60,7 +70,7 @@
 // SinceStored returns how long ago the latest stored renewal of the owned term was sent; ok is
 // false if this instance owns no term.
 func (c *Core) SinceStored(now time.Duration) (since time.Duration, ok bool) {
-	return now - c.storeConfirmedAt, c.ownedTerm != 0
+	return now - c.tenure.storedAt, c.ownedTerm != 0
 }
 
 // Step processes an event and returns the resulting actions.
@@ -75,9 +85,16 @@
 		c.storeOK = false
 	case WriteResult:
 		c.onWriteResult(e)
-	case PeersCutOff:
-		c.confirmedAt = max(c.confirmedAt, now)
-		c.emit(Confirmed{At: now})
+	case Promised:
+		c.onPromised(e)
+	case Consented:
+		c.onConsented(e)
+	case WitnessesChecked:
+		if e.Term == c.ownedTerm {
+			c.tenure.checked(now, e.Answered)
+		}
+	case MembersChanged:
+		c.tenure.nextCheck = now
 	case PeersReachStore:
 		c.handOver()
 	case HigherTermSeen:
@@ -111,29 +128,35 @@
 // was written even if its answer was lost, so no other instance owned a later term
 // when it was sent.
 func (c *Core) confirmByRead(r Record) {
-	if c.ownedTerm == 0 || r.Term != c.ownedTerm || r.Owner != c.self || r.Renewal != c.sentRenewal || c.sentAt <= c.confirmedAt {
+	if c.ownedTerm == 0 || r.Owner != c.self || r.position() != c.sent || r.Term != c.ownedTerm || c.sentAt <= c.tenure.storedAt {
 		return
 	}
-	c.confirmedAt, c.storeConfirmedAt = c.sentAt, max(c.storeConfirmedAt, c.sentAt)
-	c.emit(Confirmed{At: c.sentAt})
+	c.confirmStored(c.sentAt)
 	c.nextWrite = c.sentAt + c.settings.RenewInterval
 }
 
+// confirmStored records that a renewal that was sent at the given time is stored.
+func (c *Core) confirmStored(sentAt time.Duration) {
+	c.tenure.storedAt = max(c.tenure.storedAt, sentAt)
+	c.confirmedAt = max(c.confirmedAt, sentAt)
+	c.emit(Confirmed{At: sentAt})
+}
+
 // observe adopts a record if it is newer than the latest known one.
 func (c *Core) observe(r Record) {
-	if r.Term < c.latest.Term || (r.Term == c.latest.Term && r == c.latest) {
-		return
-	}
-	if r.Term == c.latest.Term && r.Renewal < c.latest.Renewal {
+	if r.position() == c.latest.position() && r.Released == c.latest.Released || r.position().Before(c.latest.position()) {
 		return
 	}
 	if r.Term != c.latest.Term {
 		c.termSince = c.now
 	}
 	c.latest, c.changedAt = r, c.now
+	clear(c.consents)
 	switch {
 	case r.Owner == c.self && !r.Released && c.lastOwnedTerm < r.Term:
-		c.gain(r.Term)
+		c.gain(r)
+	case c.ownedTerm != 0 && r.Term == c.ownedTerm:
+		c.tenure.stored(r)
 	case c.ownedTerm != 0 && r.Term > c.ownedTerm:
 		c.lose(ReasonHigherTerm)
 	}
@@ -141,13 +164,14 @@
 
 // gain makes this instance the owner. It also handles a claim that was written although
 // its answer was lost.
-func (c *Core) gain(t int64) {
+func (c *Core) gain(r Record) {
 	if c.stopping {
 		return
 	}
-	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt, c.storeConfirmedAt = t, t, c.now, c.now
+	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt = r.Term, r.Term, c.now
+	c.tenure = newTenure(c.now)
 	c.nextWrite = c.now + c.settings.RenewInterval
-	c.emit(Gained{Term: t})
+	c.emit(Gained{Term: r.Term})
 }
 
 func (c *Core) lose(reason Reason) {
@@ -175,8 +199,7 @@
 	c.nextWrite = c.now + c.settings.RenewInterval
 	c.observe(e.Record)
 	if c.ownedTerm == e.Record.Term {
-		c.confirmedAt, c.storeConfirmedAt = max(c.confirmedAt, e.SentAt), max(c.storeConfirmedAt, e.SentAt)
-		c.emit(Confirmed{At: e.SentAt})
+		c.confirmStored(e.SentAt)
 	}
 }
 
@@ -212,17 +235,18 @@
 	if c.ownedTerm != 0 && c.now-c.confirmedAt > c.settings.ConfirmTimeout {
 		c.lose(ReasonUnconfirmed)
 	}
-	if c.ownedTerm != 0 && c.now-c.confirmedAt > c.settings.QueryPeersAfter && c.now >= c.nextPeerQuery {
-		c.nextPeerQuery = c.now + c.settings.RetryInterval
-		c.emit(QueryPeers{})
-	}
+	c.askForPromises()
+	c.checkWitnesses()
+	c.askForConsents()
 	c.requestYield()
 	if c.stopping || c.pendingWrites >= maxPendingWrites || !c.loaded || c.now < c.nextWrite {
 		return
 	}
 	switch {
 	case c.ownedTerm != 0:
-		c.write(c.newRecord(c.ownedTerm, c.latest.Renewal+1))
+		r := c.newRecord(c.ownedTerm, c.latest.Renewal+1)
+		r.Witnesses = c.tenure.named()
+		c.write(r)
 	case c.canClaim():
 		c.write(c.newRecord(c.latest.Term+1, 0))
 	}
@@ -234,24 +258,12 @@
 func (c *Core) write(r Record) {
 	c.pendingWrites++
 	c.nextWrite = c.now + c.settings.HedgeAfter
-	if r.Renewal != c.sentRenewal || c.sentAt == 0 {
-		c.sentRenewal, c.sentAt = r.Renewal, c.now
+	if r.position() != c.sent {
+		c.sent, c.sentAt = r.position(), c.now
 	}
 	c.emit(Write{Record: r, ExpectedEnd: c.end})
 }
 
-// canClaim reports whether the owner of the latest term must be considered gone.
-func (c *Core) canClaim() bool {
-	if !c.storeOK {
-		return false
-	}
-	wait := c.settings.StaleAfter + c.settings.ClaimDelay
-	if c.latest.Term == 0 || c.latest.Released || c.ownerIsPredecessor() || c.latest.Owner == c.self {
-		wait = c.settings.ClaimDelay
-	}
-	return c.now-max(c.changedAt, c.storeOKSince) >= wait
-}
-
 // ownerIsPredecessor reports whether the owner was an earlier incarnation of this
 // process. It is gone, as two processes can't listen on one address.
 func (c *Core) ownerIsPredecessor() bool { return c.latest.Addr == c.addr && c.latest.Owner != c.self }
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -1,6 +1,10 @@
 package term
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/core/witness"
+)
 
 // Event is an input of Step.
 type Event interface{ event() }
@@ -44,14 +48,35 @@
 	WriteOutcomeUnknown
 )
 
-// PeersCutOff says that no peer that answered can reach the store either, so that none
-// of them can claim the term.
-type PeersCutOff struct{}
+// Promised says that a witness has promised not to consent to a claim of a term after Term.
+type Promised struct {
+	Witness witness.ID
+	Term    int64
+	// At is when the witness was asked.
+	At time.Duration
+}
+
+// Consented says that a witness has consented to a claim that follows a record.
+type Consented struct {
+	Witness witness.ID
+	Term    int64
+	Renewal int64
+}
+
+// WitnessesChecked gives the instances that have answered a CheckWitnesses, in the order of
+// preference.
+type WitnessesChecked struct {
+	Term     int64
+	Answered []Witness
+}
 
 // PeersReachStore says that the store refuses this instance but serves some of its
 // peers, one of which will claim the next term.
 type PeersReachStore struct{}
 
+// MembersChanged says that other instances have become known.
+type MembersChanged struct{}
+
 // HigherTermSeen says that a higher term was met elsewhere, for example by a worker.
 type HigherTermSeen struct{}
 
@@ -67,13 +92,16 @@
 	AllTopicsReachable bool
 }
 
-func (ReadResult) event()      {}
-func (PeerRecord) event()      {}
-func (ReadFailed) event()      {}
-func (WriteResult) event()     {}
-func (PeersCutOff) event()     {}
-func (PeersReachStore) event() {}
-func (HigherTermSeen) event()  {}
-func (Stopping) event()        {}
-func (YieldRequested) event()  {}
-func (Tick) event()            {}
+func (ReadResult) event()       {}
+func (PeerRecord) event()       {}
+func (ReadFailed) event()       {}
+func (WriteResult) event()      {}
+func (Promised) event()         {}
+func (Consented) event()        {}
+func (WitnessesChecked) event() {}
+func (PeersReachStore) event()  {}
+func (MembersChanged) event()   {}
+func (HigherTermSeen) event()   {}
+func (Stopping) event()         {}
+func (YieldRequested) event()   {}
+func (Tick) event()             {}
--- a/internal/core/term/handover.go
+++ b/internal/core/term/handover.go
@@ -6,7 +6,7 @@
 // jobs that the owner can't read. Waiting until the owner's record is stale would delay
 // these jobs by another 0.7 s. The owner sends no orders after it has notified the peers.
 func (c *Core) handOver() {
-	if c.ownedTerm == 0 || c.now-c.confirmedAt <= c.settings.QueryPeersAfter {
+	if c.ownedTerm == 0 || c.now-c.tenure.storedAt <= c.settings.QueryPeersAfter {
 		return
 	}
 	r := c.newRecord(c.ownedTerm, c.latest.Renewal+1)
--- a/internal/core/term/record.go
+++ b/internal/core/term/record.go
@@ -1,6 +1,10 @@
 package term
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/core/witness"
+)
 
 // Record is the record of a term in the store.
 type Record struct {
@@ -15,4 +19,12 @@
 	Released bool `cbor:"5,keyasint,omitempty"`
 	// ClaimDelay is the owner's Settings.ClaimDelay; the weaker its machine, the longer.
 	ClaimDelay time.Duration `cbor:"6,keyasint,omitempty"`
+	// Witnesses are those of the term, see package witness. Without any, the owner does not keep
+	// the term while the store is away.
+	Witnesses []Witness `cbor:"7,keyasint,omitempty"`
+}
+
+// position returns the place of the record among all renewals of all terms.
+func (r Record) position() witness.Position {
+	return witness.Position{Term: r.Term, Renewal: r.Renewal}
 }
--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -9,11 +9,14 @@
 	// StaleAfter is how long a record may stay unchanged, while the store answers, before
 	// another instance claims the next term.
 	StaleAfter time.Duration
-	// ConfirmTimeout is how long an owner keeps its term without a confirmed renewal, unless
-	// its peers can't reach the store either.
+	// ConfirmTimeout is how long an owner keeps its term without a confirmation by the store or
+	// by its witnesses.
 	ConfirmTimeout time.Duration
+	// KeepLimit is how long after the latest stored renewal witnesses may confirm a term. A claim
+	// without their consent waits for it.
+	KeepLimit time.Duration
 	// QueryPeersAfter is how long an owner waits for a confirmed renewal before it queries
-	// its peers. Their answers take up to 0.5 s and should arrive before the owner has to
+	// its witnesses and peers. Their answers take up to 0.5 s and should arrive before the owner has to
 	// stop starting tasks.
 	QueryPeersAfter time.Duration
 	// ClaimDelay is added to StaleAfter at this instance. Different delays keep the claims
@@ -38,6 +41,7 @@
 		RenewInterval:   500 * time.Millisecond,
 		StaleAfter:      1500 * time.Millisecond,
 		ConfirmTimeout:  2500 * time.Millisecond,
+		KeepLimit:       20 * time.Second,
 		QueryPeersAfter: 800 * time.Millisecond,
 		// After this time an owner has got the lists of its workers. A change of owner delays
 		// the jobs that arrive then by a second or two.
--- /dev/null
+++ b/internal/core/term/tenure.go
@@ -0,0 +1,128 @@
+package term
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootmux/internal/core/witness"
+)
+
+// maxWitnessSilence is how long an instance that does not answer stays a witness if no other can
+// replace it.
+const maxWitnessSilence = 10 * time.Second
+
+// tenure is what an owner knows of its term in the store and at the witnesses.
+type tenure struct {
+	// storedRenewal is the latest renewal that is known to be stored, storedAt when it was
+	// sent, and witnesses are those that it names.
+	storedRenewal int64
+	storedAt      time.Duration
+	witnesses     []Witness
+	// proposed are the witnesses that later renewals name; nil if they name the same. Until
+	// such a renewal is known to be stored, either record may be the latest.
+	proposed []Witness
+	// promises holds when each witness was last asked that has promised.
+	promises map[witness.ID]time.Duration
+	// silentSince holds since when a witness has not answered, by address.
+	silentSince map[string]time.Duration
+	// nextCheck is when the witnesses are next checked.
+	nextCheck time.Duration
+}
+
+// newTenure returns the tenure of a term whose claim was sent at the given time.
+func newTenure(claimedAt time.Duration) tenure {
+	return tenure{storedAt: claimedAt, promises: make(map[witness.ID]time.Duration), silentSince: make(map[string]time.Duration)}
+}
+
+// named returns the witnesses that the next renewal names.
+func (t *tenure) named() []Witness {
+	if t.proposed != nil {
+		return t.proposed
+	}
+	return t.witnesses
+}
+
+// stored records that a renewal is stored.
+func (t *tenure) stored(r Record) {
+	if r.Renewal < t.storedRenewal {
+		return
+	}
+	t.storedRenewal, t.witnesses = r.Renewal, r.Witnesses
+	if slices.Equal(r.Witnesses, t.proposed) {
+		t.proposed = nil
+	}
+}
+
+// checked has later renewals name the witnesses that have answered, and others that have in
+// place of silent ones. Without a replacement, a witness stays one for maxWitnessSilence: the fewer
+// there are, the sooner a claim depends on one that can't be reached.
+func (t *tenure) checked(now time.Duration, answered []Witness) {
+	if t.proposed != nil {
+		return
+	}
+	chosen, silent := t.choose(now, answered)
+	for _, w := range slices.Concat(answered, silent) {
+		if len(chosen) < witness.MaxWitnesses && !slices.ContainsFunc(chosen, atAddr(w.Addr)) {
+			chosen = append(chosen, w)
+		}
+	}
+	slices.SortFunc(chosen, byAddr)
+	if len(chosen) > 0 && !slices.Equal(chosen, t.witnesses) {
+		t.proposed = chosen
+	}
+}
+
+// choose returns the present witnesses that have answered, perhaps as a later incarnation, and those
+// that have been silent for less than maxWitnessSilence.
+func (t *tenure) choose(now time.Duration, answered []Witness) (chosen, silent []Witness) {
+	for _, w := range t.witnesses {
+		if at := slices.IndexFunc(answered, atAddr(w.Addr)); at >= 0 {
+			chosen = append(chosen, answered[at])
+			delete(t.silentSince, w.Addr)
+			continue
+		}
+		if _, ok := t.silentSince[w.Addr]; !ok {
+			t.silentSince[w.Addr] = now
+		}
+		if now-t.silentSince[w.Addr] < maxWitnessSilence {
+			silent = append(silent, w)
+		}
+	}
+	return chosen, silent
+}
+
+// asked returns the witnesses whose promises count.
+func (t *tenure) asked() []Witness {
+	out := slices.Clone(t.witnesses)
+	for _, w := range t.proposed {
+		if !slices.Contains(out, w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// promisedAt returns the latest time such that enough witnesses have promised who were asked then
+// or later; 0 if there is none.
+func (t *tenure) promisedAt() time.Duration {
+	at := t.promisedBy(t.witnesses)
+	if t.proposed != nil {
+		at = min(at, t.promisedBy(t.proposed))
+	}
+	return at
+}
+
+func (t *tenure) promisedBy(ws []Witness) time.Duration {
+	var asked []time.Duration
+	for _, w := range ws {
+		if at, ok := t.promises[w.ID]; ok {
+			asked = append(asked, at)
+		}
+	}
+	need := witness.Promises(len(ws))
+	if len(ws) == 0 || len(asked) < need {
+		return 0
+	}
+	slices.Sort(asked)
+	return asked[len(asked)-need]
+}
--- /dev/null
+++ b/internal/core/term/witnesses.go
@@ -0,0 +1,19 @@
+package term
+
+import (
+	"cmp"
+
+	"coltsfootmux/internal/core/witness"
+)
+
+// Witness is an instance that a term record names as a witness, see package witness.
+type Witness struct {
+	Addr string     `cbor:"1,keyasint"`
+	ID   witness.ID `cbor:"2,keyasint"`
+}
+
+func atAddr(addr string) func(Witness) bool {
+	return func(w Witness) bool { return w.Addr == addr }
+}
+
+func byAddr(a, b Witness) int { return cmp.Compare(a.Addr, b.Addr) }
--- a/internal/core/term/yield.go
+++ b/internal/core/term/yield.go
@@ -27,7 +27,7 @@
 // yield releases the term to an instance on a stronger machine. It needs a recent
 // confirmation, as the release can't be written otherwise.
 func (c *Core) yield(e YieldRequested) {
-	if c.ownedTerm == 0 || c.ownedTerm != e.Term || c.now-c.termSince < c.settings.MinTenure || c.now-c.confirmedAt > c.settings.QueryPeersAfter {
+	if c.ownedTerm == 0 || c.ownedTerm != e.Term || c.now-c.termSince < c.settings.MinTenure || c.now-c.tenure.storedAt > c.settings.QueryPeersAfter {
 		return
 	}
 	c.release(ReasonYielded)
--- /dev/null
+++ b/internal/core/witness/core.go
@@ -0,0 +1,55 @@
+package witness
+
+import "time"
+
+// Core is the state of one incarnation of an instance as a witness. It is not safe for
+// concurrent use.
+type Core struct {
+	id ID
+	// holdTime is how long a promise holds.
+	holdTime  time.Duration
+	startedAt time.Duration
+	// promisedTerm is the term whose owner got the latest promise, promisedUntil the end of it.
+	promisedTerm  int64
+	promisedUntil time.Duration
+	// consented is the latest record to whose succession this witness has consented.
+	consented Position
+}
+
+// New returns the state of a witness whose process starts now, and whose promises hold for the given
+// time.
+func New(id ID, holdTime, now time.Duration) *Core {
+	return &Core{id: id, holdTime: holdTime, startedAt: now}
+}
+
+// Promise reports whether the witness promises the owner of p.Term not to consent to a claim of
+// a later term for the hold time. p.Renewal is the latest renewal that the owner knows to be stored,
+// and id the incarnation that its record names. A witness that has consented to the
+// succession of that renewal or a later one refuses, as the claim may be under way.
+func (c *Core) Promise(now time.Duration, id ID, p Position) bool {
+	if id != c.id || p.Term < c.promisedTerm || p.compare(c.consented) <= 0 {
+		return false
+	}
+	if p.Term > c.promisedTerm {
+		c.promisedTerm, c.promisedUntil = p.Term, 0
+	}
+	c.promisedUntil = max(c.promisedUntil, now+c.holdTime)
+	return true
+}
+
+// Consent reports whether the witness consents to a claim that follows the stored record p, which
+// names the incarnation id. The consent is for good: the owner of p.Term gets no further
+// promise until it has stored a later renewal, which bars the claim.
+func (c *Core) Consent(now time.Duration, id ID, p Position) bool {
+	if id != c.id {
+		// The incarnation that the record names has ended before this process started.
+		return now-c.startedAt >= c.holdTime
+	}
+	if p.Term < c.promisedTerm || p.Term == c.promisedTerm && now < c.promisedUntil {
+		return false
+	}
+	if p.compare(c.consented) > 0 {
+		c.consented = p
+	}
+	return true
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -11,6 +11,7 @@
 	"coltsfootmux/internal/core/drain"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/upkeep"
+	"coltsfootmux/internal/core/witness"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/link"
@@ -72,6 +73,10 @@
 	termStoredAge time.Duration
 	owner         atomic.Pointer[owner]
 	stopping      atomic.Bool
+	// witness is this instance's state as a witness of others' terms.
+	witnessMu sync.Mutex
+	witness   *witness.Core
+	witnessID witness.ID
 	// storeMonitor wraps StoreClient; store is the same value as an external.Store. All
 	// calls to the store go through them.
 	storeMonitor *storeMonitor
@@ -101,6 +106,8 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	i := &Instance{Options: o, logger: o.Logger, term: term.New(s.Term, s.Incarnation, s.LinkAddr)}
+	i.witnessID = witness.IDOf(s.Incarnation)
+	i.witness = witness.New(i.witnessID, s.Term.StaleAfter, boottime())
 	i.storeMonitor = newStoreMonitor(o.StoreClient, append(slices.Clone(topicsJobs), topicTerm))
 	i.storeMonitor.onChange, i.storeMonitor.onUnreadable = i.logTopicChange, i.logUnreadableRecords
 	i.store = i.storeMonitor
@@ -118,6 +125,7 @@
 	link.Handle(i.server, wire.KindAppended, i.onAppended)
 	link.Handle(i.server, wire.KindYield, i.onYield)
 	link.Handle(i.server, wire.KindTermNotice, i.onTermNotice)
+	link.Handle(i.server, wire.KindWitness, i.onWitness)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	return i
 }
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"coltsfootmux/internal/core/relay"
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/witness"
 	"coltsfootmux/internal/external"
 )
 
@@ -34,6 +36,8 @@
 	// Region and Relay are empty in the records of versions without relays.
 	Region string `cbor:"3,keyasint,omitempty"`
 	Relay  bool   `cbor:"4,keyasint,omitempty"`
+	// DataCentre is empty in the records of versions without witnesses.
+	DataCentre string `cbor:"5,keyasint,omitempty"`
 }
 
 // members holds the addresses of other instances, from the settings and the store.
@@ -45,14 +49,19 @@
 	strongAddrs map[string]bool
 	// forRelays are the members whose records have been read, see package relay.
 	forRelays []relay.Member
+	// forWitnesses are the instances that may become witnesses, see package witness.
+	forWitnesses []witness.Candidate
 	// lastFailure is the boot time at which an instance last failed to answer, by address.
 	lastFailure map[string]time.Duration
 }
 
-// set replaces the addresses by those of the records and of fixed; own is left out.
-func (m *members) set(records []memberRecord, fixed []string, own string) {
+// set replaces the addresses by those of the records and of fixed; own is left out. It reports
+// whether others are known now.
+func (m *members) set(records []memberRecord, fixed []string, own string) (changed bool) {
 	addrs, strong, forRelays := slices.Clone(fixed), make(map[string]bool), []relay.Member(nil)
+	dataCentres := make(map[string]string)
 	for _, r := range records {
+		dataCentres[r.Addr] = r.DataCentre
 		addrs = append(addrs, r.Addr)
 		strong[r.Addr] = r.ClaimDelay == 0
 		forRelays = append(forRelays, relay.Member{Addr: r.Addr, Region: r.Region, Capable: r.Relay})
@@ -65,6 +74,25 @@
 	at, _ := slices.BinarySearch(addrs, own)
 	m.addrs = append(slices.Clone(addrs[at:]), addrs[:at]...)
 	m.addrs = slices.DeleteFunc(m.addrs, func(a string) bool { return a == own })
+	var candidates []witness.Candidate
+	for _, a := range m.addrs {
+		candidates = append(candidates, witness.Candidate{Addr: a, DataCentre: dataCentres[a], Strong: strong[a]})
+	}
+	changed = !slices.Equal(candidates, m.forWitnesses)
+	m.forWitnesses = candidates
+	return changed
+}
+
+// witnessCandidates returns the addresses of the instances that an owner in the given data centre
+// may name as witnesses, in the order of preference, and last those that failed to answer recently.
+func (m *members) witnessCandidates(now time.Duration, ownDataCentre string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addrs []string
+	for _, c := range witness.Rank(ownDataCentre, m.forWitnesses) {
+		addrs = append(addrs, c.Addr)
+	}
+	return m.ordered(now, "", addrs)
 }
 
 // relayPlan returns where an instance gets the policy from.
@@ -180,6 +208,7 @@
 func (i *Instance) announce(ctx context.Context) error {
 	value, err := encodeRecord(memberRecord{
 		Addr: i.Settings.LinkAddr, ClaimDelay: i.Settings.Term.ClaimDelay, Region: i.Settings.Region, Relay: i.Settings.Relay,
+		DataCentre: i.Settings.Zone,
 	})
 	if err == nil {
 		_, err = i.store.Append(ctx, external.Append{
@@ -209,7 +238,9 @@
 		}
 		records = append(records, m)
 	}
-	i.members.set(records, i.Settings.Peers, i.Settings.LinkAddr)
+	if i.members.set(records, i.Settings.Peers, i.Settings.LinkAddr) {
+		i.stepTerm(term.MembersChanged{})
+	}
 	i.membersReadOnce.Do(func() { close(i.membersRead) })
 }
 
--- a/internal/instance/partial_test.go
+++ b/internal/instance/partial_test.go
@@ -21,7 +21,7 @@
 	r := newRig(t, 3)
 	r.waitFor("an owner", func() bool { return r.owner() != nil })
 	first := r.owner()
-	r.waitFor("peers known", func() bool { return len(first.inst.peers()) > 1 })
+	r.waitFor("witnesses named", func() bool { return len(first.inst.latestTermRecord().Witnesses) > 1 })
 	r.store.SetFault(store.Fault{Down: true, Topics: []external.Topic{topicTerm}})
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if r.owner() != first {
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -108,6 +108,12 @@
 		i.spawn(func(ctx context.Context) { i.sendReleasedTerm(ctx, a.Record) })
 	case term.QueryPeers:
 		i.spawn(i.askPeersAboutStore)
+	case term.AskPromises:
+		i.askPromises(i.ctx, a)
+	case term.AskConsents:
+		i.askConsents(i.ctx, a)
+	case term.CheckWitnesses:
+		i.spawn(func(ctx context.Context) { i.checkWitnesses(ctx, a) })
 	}
 }
 
@@ -162,8 +168,7 @@
 }
 
 // askPeersAboutStore asks peers whether the store serves them the term. It notifies the term's
-// core if some peers answer and the store serves none of them, or if the store serves some
-// of them and not this instance.
+// core if the store serves some of them and not this instance.
 func (i *Instance) askPeersAboutStore(ctx context.Context) {
 	var answers peerAnswers
 	var selfServed atomic.Bool
@@ -181,10 +186,7 @@
 	evPeersAsked.Log(ctx, i.logger, slog.Int64("term", i.ownedTermNumber()), slog.Any("asked", asked), slog.Any("answered", answers.answered),
 		slog.Any("served", answers.served), slog.Bool("self", selfServed.Load()), slog.Duration("took", boottime()-began),
 		slog.Duration("unstored", i.sinceTermStored()))
-	switch {
-	case len(answers.answered) > 0 && len(answers.served) == 0:
-		i.stepTerm(term.PeersCutOff{})
-	case len(answers.served) > 0 && !selfServed.Load():
+	if len(answers.served) > 0 && !selfServed.Load() {
 		i.stepTerm(term.PeersReachStore{})
 	}
 }
--- /dev/null
+++ b/internal/instance/witness.go
@@ -0,0 +1,114 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/witness"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/wire"
+)
+
+// onWitness answers as a witness.
+func (i *Instance) onWitness(ctx context.Context, _ link.Peer, q wire.WitnessQuery) (wire.WitnessReply, error) {
+	return i.answerAsWitness(ctx, q), nil
+}
+
+func (i *Instance) answerAsWitness(ctx context.Context, q wire.WitnessQuery) wire.WitnessReply {
+	at := witness.Position{Term: q.Term, Renewal: q.Renewal}
+	r := wire.WitnessReply{ID: uint64(i.witnessID)}
+	i.witnessMu.Lock()
+	switch q.Ask {
+	case wire.AskPromise:
+		r.Granted = i.witness.Promise(boottime(), witness.ID(q.Witness), at)
+	case wire.AskConsent:
+		r.Granted = i.witness.Consent(boottime(), witness.ID(q.Witness), at)
+	}
+	i.witnessMu.Unlock()
+	if q.Ask != wire.AskPresence {
+		evWitnessAnswered.Log(ctx, i.logger, slog.Bool("consent", q.Ask == wire.AskConsent), slog.Int64("term", q.Term),
+			slog.Int64("renewal", q.Renewal), slog.Bool("granted", r.Granted))
+	}
+	return r
+}
+
+// askWitness asks an instance, which may be this one.
+func (i *Instance) askWitness(ctx context.Context, addr string, q wire.WitnessQuery) (wire.WitnessReply, error) {
+	if addr == i.Settings.LinkAddr {
+		return i.answerAsWitness(ctx, q), nil
+	}
+	return askPeer[wire.WitnessQuery, wire.WitnessReply](ctx, i, addr, wire.KindWitness, q)
+}
+
+// askPromises asks the witnesses of the owned term for promises.
+func (i *Instance) askPromises(ctx context.Context, a term.AskPromises) {
+	for _, w := range a.Witnesses {
+		i.spawn(func(context.Context) {
+			q := wire.WitnessQuery{Ask: wire.AskPromise, Term: a.Term, Renewal: a.Renewal, Witness: uint64(w.ID)}
+			r, err := i.askWitness(ctx, w.Addr, q)
+			evPromise.Log(ctx, i.logger, slog.Int64("term", a.Term), slog.Int64("renewal", a.Renewal), slog.String("addr", w.Addr),
+				slog.Bool("granted", r.Granted), slog.Duration("took", boottime()-a.At), slog.Any("error", err))
+			if err == nil && r.Granted {
+				i.stepTerm(term.Promised{Witness: w.ID, Term: a.Term, At: a.At})
+			}
+		})
+	}
+}
+
+// askConsents asks the witnesses of another instance's term for their consent to a claim.
+func (i *Instance) askConsents(ctx context.Context, a term.AskConsents) {
+	for _, w := range a.Witnesses {
+		i.spawn(func(context.Context) {
+			q := wire.WitnessQuery{Ask: wire.AskConsent, Term: a.Term, Renewal: a.Renewal, Witness: uint64(w.ID)}
+			r, err := i.askWitness(ctx, w.Addr, q)
+			evConsent.Log(ctx, i.logger, slog.Int64("term", a.Term), slog.Int64("renewal", a.Renewal), slog.String("addr", w.Addr),
+				slog.Bool("granted", r.Granted), slog.Any("error", err))
+			if err == nil && r.Granted {
+				i.stepTerm(term.Consented{Witness: w.ID, Term: a.Term, Renewal: a.Renewal})
+			}
+		})
+	}
+}
+
+// checkWitnesses asks the current witnesses, and as many others as are missing, whether they
+// answer.
+func (i *Instance) checkWitnesses(ctx context.Context, a term.CheckWitnesses) {
+	var current []string
+	for _, w := range a.Current {
+		current = append(current, w.Addr)
+	}
+	answered := i.present(ctx, current)
+	others := slices.DeleteFunc(i.members.witnessCandidates(boottime(), i.Settings.Zone), func(addr string) bool {
+		return slices.Contains(current, addr)
+	})
+	for len(answered) < witness.MaxWitnesses && len(others) > 0 && ctx.Err() == nil {
+		n := min(witness.MaxWitnesses-len(answered), len(others))
+		answered = append(answered, i.present(ctx, others[:n])...)
+		others = others[n:]
+	}
+	i.stepTerm(term.WitnessesChecked{Term: a.Term, Answered: answered})
+}
+
+// present asks instances whether they answer, and returns those that do.
+func (i *Instance) present(ctx context.Context, addrs []string) []term.Witness {
+	replies := make([]*wire.WitnessReply, len(addrs))
+	var wg sync.WaitGroup
+	for n, addr := range addrs {
+		wg.Go(func() {
+			if r, err := i.askWitness(ctx, addr, wire.WitnessQuery{Ask: wire.AskPresence}); err == nil {
+				replies[n] = &r
+			}
+		})
+	}
+	wg.Wait()
+	var out []term.Witness
+	for n, r := range replies {
+		if r != nil {
+			out = append(out, term.Witness{Addr: addrs[n], ID: witness.ID(r.ID)})
+		}
+	}
+	return out
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -24,6 +24,7 @@
 	KindYield        Kind = 17 // instance to owner: Yield -> Ack
 	KindTermNotice   Kind = 18 // owner to any: TermNotice -> Ack
 	KindPolicyPart   Kind = 19 // instance to any: PolicyPartQuery -> PolicyPartReply
+	KindWitness      Kind = 20 // instance to any: WitnessQuery -> WitnessReply
 )
 
 // String returns the kind's name in metrics and logs.
@@ -67,6 +68,8 @@
 		return "appended"
 	case KindRecord:
 		return "record"
+	case KindWitness:
+		return "witness"
 	}
 	return "other"
 }
