Count a gained term as confirmed from when its claim was sent

An instance whose claim's answer was lost or late, or that was paused, counted the term as confirmed when it learned of it, and the cell's core when the takeover had ended. Both now count from the sending of the claim or of a later stored renewal; a claim that is older than ConfirmTimeout is given up at once.

TestTermCountsAsConfirmedFromItsClaim failed before ("gained as of 2s, want 1ms", "owns a term that was claimed a minute ago").

--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -23,6 +23,9 @@
 	// Incomplete says that some submissions and cancellations could not be read;
 	// JobsLoaded delivers them later.
 	Incomplete bool
+	// TermConfirmedAt is the time as of which the term is confirmed, at least that of the
+	// claim; 0 for the time of the event.
+	TermConfirmedAt time.Duration
 }
 
 // JobsLoaded delivers submissions and cancellations from before the term that could
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -10,6 +10,9 @@
 
 // load applies what the store holds at a takeover.
 func (c *Core) load(e Loaded) {
+	if e.TermConfirmedAt != 0 {
+		c.termConfirmedAt = e.TermConfirmedAt
+	}
 	for _, w := range e.Workers {
 		c.workerChanged(w)
 	}
--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -12,7 +12,11 @@
 }
 
 // Gained says that this instance owns the term from now on.
-type Gained struct{ Term int64 }
+type Gained struct {
+	Term int64
+	// At is when the claim was sent: no other instance owned a later term then.
+	At time.Duration
+}
 
 // Lost says that this instance no longer owns the term.
 type Lost struct {
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -163,15 +163,20 @@
 }
 
 // gain makes this instance the owner. It also handles a claim that was written although
-// its answer was lost.
+// its answer was lost. The term counts as confirmed as of when the claim was sent: others may
+// have claimed the next one since.
 func (c *Core) gain(r Record) {
 	if c.stopping {
 		return
 	}
-	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt = r.Term, r.Term, c.now
-	c.tenure = newTenure(c.now)
-	c.nextWrite = c.now + c.settings.RenewInterval
-	c.emit(Gained{Term: r.Term})
+	var sentAt time.Duration
+	if r.position() == c.sent {
+		sentAt = c.sentAt
+	}
+	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt = r.Term, r.Term, sentAt
+	c.tenure = newTenure(sentAt)
+	c.nextWrite = sentAt + c.settings.RenewInterval
+	c.emit(Gained{Term: r.Term, At: sentAt})
 }
 
 func (c *Core) lose(reason Reason) {
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -28,6 +28,7 @@
 	pending       []Write
 	sentAt        []time.Duration
 	gained        []int64
+	gainedAt      []time.Duration
 	confirmed     []time.Duration
 	ownedTerm     int64
 	yieldRequests []RequestYield
@@ -47,7 +48,7 @@
 		case RequestYield:
 			c.yieldRequests = append(c.yieldRequests, a)
 		case Gained:
-			c.gained, c.ownedTerm = append(c.gained, a.Term), a.Term
+			c.gained, c.gainedAt, c.ownedTerm = append(c.gained, a.Term), append(c.gainedAt, a.At), a.Term
 		case Confirmed:
 			c.confirmed = append(c.confirmed, a.At)
 		case Lost:
--- a/internal/core/term/witness_test.go
+++ b/internal/core/term/witness_test.go
@@ -171,3 +171,28 @@
 		})
 	}
 }
+
+// TestTermCountsAsConfirmedFromItsClaim guards against a confirmation as of the end of the takeover:
+// the next term may have been claimed since.
+func TestTermCountsAsConfirmedFromItsClaim(t *testing.T) {
+	f := &fakeStore{}
+	a := newContender(0)
+	a.readAll(time.Millisecond, f)
+	w, late := a.pending[0], 2*time.Second
+	f.append(w)
+	a.pending = nil
+	a.step(late, WriteResult{Outcome: WriteOutcomeUnknown, SentAt: time.Millisecond, Record: w.Record})
+	a.readAll(late, f)
+	if len(a.gainedAt) != 1 || a.gainedAt[0] != time.Millisecond {
+		t.Errorf("gained as of %v, want 1ms", a.gainedAt)
+	}
+	b := newContender(1)
+	f = &fakeStore{}
+	b.readAll(0, f)
+	b.step(20*time.Millisecond, Tick{})
+	f.append(b.pending[0])
+	b.readAll(time.Minute, f) // the read reaches a process that was paused
+	if b.ownedTerm != 0 {
+		t.Error("owns a term that was claimed a minute ago")
+	}
+}
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -35,11 +35,14 @@
 	lateMu sync.Mutex
 	// lastStep is the boot time of the last step, in ns.
 	lastStep atomic.Int64
+	// confirmedAt is the latest boot time as of which the term is confirmed.
+	confirmedAt time.Duration
 }
 
-func newOwner(i *Instance, t int64) *owner {
+// newOwner returns the owner of a term whose claim was sent at the given boot time.
+func newOwner(i *Instance, t int64, claimedAt time.Duration) *owner {
 	o := &owner{
-		inst: i, term: t,
+		inst: i, term: t, confirmedAt: claimedAt,
 		jobsReadAt: make([]time.Duration, len(topicsJobs)), jobsReadTo: make([]int64, len(topicsJobs)), jobTopics: make(map[job.ID]topicSet),
 		progress: newProgressWriter(i.store, i.storeMonitor.available, t),
 	}
@@ -82,6 +85,14 @@
 	}
 }
 
+// confirmTerm passes on that the term is confirmed as of a boot time.
+func (o *owner) confirmTerm(at time.Duration) {
+	o.mu.Lock()
+	o.confirmedAt = max(o.confirmedAt, at)
+	o.mu.Unlock()
+	o.step(cell.TermConfirmed{At: at})
+}
+
 func (o *owner) tick() { o.step(cell.Tick{}) }
 
 // followJobs follows the submissions and cancellations in topicsJobs[n].
--- a/internal/instance/partial_test.go
+++ b/internal/instance/partial_test.go
@@ -218,7 +218,7 @@
 		return external.Record{Key: "j", Value: v}
 	}
 	r := newRig(t, 1)
-	o := newOwner(r.nodes[0].inst, 9)
+	o := newOwner(r.nodes[0].inst, 9, 0)
 	ev := cell.Loaded{Progress: make(map[job.ID]job.Progress)}
 	o.decodeProgress([]external.Page{
 		{Records: []external.Record{record(2, 7, 27)}},
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/wire"
@@ -88,8 +87,8 @@
 	case term.Write:
 		i.spawn(func(ctx context.Context) { i.writeTerm(ctx, a) })
 	case term.Gained:
-		evTermGained.Log(i.ctx, i.logger, slog.Int64("term", a.Term))
-		o := newOwner(i, a.Term)
+		evTermGained.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.Duration("claimed", boottime()-a.At))
+		o := newOwner(i, a.Term, a.At)
 		i.owner.Store(o)
 		i.spawn(o.run)
 	case term.Lost:
@@ -100,7 +99,7 @@
 		}
 	case term.Confirmed:
 		if o := i.owner.Load(); o != nil {
-			i.spawn(func(context.Context) { o.step(cell.TermConfirmed{At: a.At}) })
+			i.spawn(func(context.Context) { o.confirmTerm(a.At) })
 		}
 	case term.RequestYield:
 		i.spawn(func(ctx context.Context) { i.requestYield(ctx, a) })
