Check the term again right before a start is sent

A start was checked when the cell's core decided it, and sent by a goroutine later. A process that was stopped (SIGSTOP, a starved machine) between the two sent it when it went on, before any timer had noticed that its term was over.

What guards a worker against it is the end of the lease in the order: for a worker that runs on, at most the length of a lease (6 s) after the decision.

The owner now asks its core again when the call begins.

What is left: the wait for a connection of a call that has begun, 0.7 s at most.

TestStartDecidedBeforeAPauseIsNotSentAfterIt failed before: "1 starts were sent 100ms after the term's last confirmation, of which an owner may start tasks for 50ms".

--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -30,10 +30,14 @@
 	}
 }
 
-// mayStart reports whether the term was confirmed recently enough to order starts, and no
-// worker has named a higher one.
-func (c *Core) mayStart() bool {
-	return !c.fenced && c.now.Mono-c.termConfirmedAt <= c.settings.StartGrace
+// mayStart reports whether starts may be ordered now.
+func (c *Core) mayStart() bool { return c.MayStart(c.now) }
+
+// MayStart reports whether, at the given time, the term was confirmed recently enough to order
+// starts, and no worker has named a higher one. It holds for orders that are decided and for
+// those that are sent: between the two the whole process may have been paused.
+func (c *Core) MayStart(now Instant) bool {
+	return !c.fenced && now.Mono-c.termConfirmedAt <= c.settings.StartGrace
 }
 
 // higherTermSeen ends all starts of this owner, as a worker has refused an order for a higher
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -123,9 +123,7 @@
 }
 
 func (o *owner) start(order external.StartOrder) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
-	defer cancel()
-	r, err := o.inst.Workers.Start(ctx, order)
+	r, err := o.sendStart(order)
 	if err != nil || r.Refusal != external.RefusedNone {
 		mStartsFailed.Inc()
 		evStartFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
@@ -137,6 +135,17 @@
 	})
 }
 
+// sendStart sends a start unless the term has become too old since the start was decided.
+// Errors: those of external.Workers.
+func (o *owner) sendStart(order external.StartOrder) (external.OrderResult, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	defer cancel()
+	if !o.mayStart() {
+		return external.OrderResult{}, errTermTooOld
+	}
+	return o.inst.Workers.Start(ctx, order)
+}
+
 func (o *owner) stop(order external.StopOrder) {
 	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
--- a/internal/instance/errors.go
+++ b/internal/instance/errors.go
@@ -1,6 +1,10 @@
 package instance
 
-import "github.com/rotisserie/eris"
+import (
+	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/external"
+)
 
 var (
 	// ErrNoPolicy means that no policy is known yet.
@@ -17,4 +21,7 @@
 	ErrUnavailable = eris.New("temporarily unavailable")
 	// ErrNoJob means that no such job exists.
 	ErrNoJob = eris.New("no such job")
+	// errTermTooOld means that an order was not sent, as the term had not been confirmed for
+	// too long; another instance may own the next one.
+	errTermTooOld = eris.Wrap(external.ErrNotExecuted, "the term was not confirmed recently enough")
 )
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -93,6 +93,14 @@
 	o.step(cell.TermConfirmed{At: at})
 }
 
+// mayStart reports whether the term was confirmed recently enough for orders that the next
+// owner must not give as well.
+func (o *owner) mayStart() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core != nil && o.ctx.Err() == nil && o.core.MayStart(instant())
+}
+
 func (o *owner) tick() { o.step(cell.Tick{}) }
 
 // followJobs follows the submissions and cancellations in topicsJobs[n].
--- /dev/null
+++ b/internal/instance/paused_test.go
@@ -0,0 +1,69 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/standin/store"
+)
+
+// startRecorder counts the starts that reach workers.
+type startRecorder struct {
+	external.Workers
+	starts atomic.Int64
+}
+
+func (r *startRecorder) Start(context.Context, external.StartOrder) (external.OrderResult, error) {
+	r.starts.Add(1)
+	return external.OrderResult{}, nil
+}
+
+// newPausedOwner returns the owner of a term and its workers. The owner may order starts for
+// grace; nothing checks its term, as in a process that is paused.
+func newPausedOwner(t *testing.T, grace time.Duration) (*owner, *startRecorder) {
+	t.Helper()
+	workers := &startRecorder{}
+	inst := New(Options{
+		Settings:    Settings{Name: "n", Incarnation: "n/1", LinkAddr: "127.0.0.1:1", Term: fastTermSettings(0)},
+		StoreClient: store.New(), Workers: workers, Logger: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(inst.Close)
+	o := newOwner(inst, 1, boottime())
+	o.core = cell.New(cell.Settings{Lease: 2 * time.Second, StartGrace: grace}, 1, &job.Policy{}, instant())
+	return o, workers
+}
+
+// A process was stopped (SIGSTOP) between the decision for a start and the call. When it went on,
+// the call was sent before any timer had noticed that the term was over. The end of the lease in
+// the order bars it at a worker that runs on, but not at one that has started again under its
+// identifier: the clock of the new process is far behind.
+func TestStartDecidedBeforeAPauseIsNotSentAfterIt(t *testing.T) {
+	const grace = 50 * time.Millisecond
+	o, workers := newPausedOwner(t, grace)
+	decided := cell.Start{Order: external.StartOrder{Task: job.TaskID{Job: "j"}, Run: 1000, LeaseEnd: time.Hour}}
+	o.inst.wgMu.Lock() // the goroutine of the call does not begin
+	sent := make(chan struct{})
+	go func() { o.perform(decided); close(sent) }()
+	time.Sleep(2 * grace)
+	o.inst.wgMu.Unlock()
+	<-sent
+	o.inst.wg.Wait()
+	if n := workers.starts.Load(); n != 0 {
+		t.Errorf("%d starts were sent %v after the term's last confirmation, of which an owner may start tasks for %v", n, 2*grace, grace)
+	}
+}
+
+func TestStartIsSentWhileItsTermIsConfirmed(t *testing.T) {
+	o, workers := newPausedOwner(t, time.Minute)
+	o.perform(cell.Start{Order: external.StartOrder{Task: job.TaskID{Job: "j"}, Run: 1000, LeaseEnd: time.Hour}})
+	o.inst.wg.Wait()
+	if n := workers.starts.Load(); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
