A new owner waits until its predecessor's machines are back from their upkeep

The state of a wave is kept by its owner's process only. A new owner counted no machine of an open wave as down and ordered the first idle one, while one that the previous owner had ordered was down: more than the wave's cap (LIMIT). That needs no cut: a planned stop of the owner is enough.

The list of workers does not tell in time: a worker that was ended stays listed for three heartbeats. So a new owner orders nothing until the last order of its predecessor has been carried out (two seconds) and the upkeep is over (upkeep_s). Ways weighed: GET /machines gives the states, but not the orders under way, and costs readings at each takeover; it would save some of the wait.

--- a/internal/core/upkeep/core.go
+++ b/internal/core/upkeep/core.go
@@ -10,6 +10,9 @@
 const (
 	// orderInterval is the time between two orders for one machine.
 	orderInterval = 700 * time.Millisecond
+	// earlierOrderTime is how long after a takeover an order of the previous owner may still be
+	// carried out: such a call is given up after two seconds.
+	earlierOrderTime = 2 * time.Second
 	// maxDownTime is the longest time after its order for which a machine counts as down.
 	// The start of a new incarnation of its worker shows its return earlier.
 	maxDownTime = 15 * time.Second
@@ -106,11 +109,17 @@
 // Core is the state of all known waves.
 type Core struct {
 	upkeepTime time.Duration
+	// firstOrder is the earliest time of an order.
+	firstOrder time.Duration
 	waves      []*wave
 }
 
-// New returns a Core; upkeepTime is how long the upkeep of one machine takes.
-func New(upkeepTime time.Duration) *Core { return &Core{upkeepTime: upkeepTime} }
+// New returns the Core of an owner that has just taken over; upkeepTime is how long the upkeep of
+// one machine takes. Which machines the previous owner has ordered is not known, and the list of
+// workers shows it late. So nothing is ordered until these are certainly back.
+func New(now, upkeepTime time.Duration) *Core {
+	return &Core{upkeepTime: upkeepTime, firstOrder: now + earlierOrderTime + upkeepTime}
+}
 
 // Add adds a wave. It ignores a wave whose number is known already.
 func (c *Core) Add(now time.Duration, w Wave) {
@@ -242,6 +251,9 @@
 	timeNeeded := time.Duration(rounds) * (c.upkeepTime + time.Second)
 	includeBusy := now-w.began+timeNeeded > w.Duration || now-w.began > time.Duration(idleOnlyShare*float64(w.Duration))
 	var out []*machine
+	if now < c.firstOrder {
+		return nil
+	}
 	for _, m := range w.machines {
 		k := known[m.name]
 		if m.state != waiting || now < m.nextOrder || k.Protected || (k.RunCount > 0 && !includeBusy) {
--- a/internal/instance/upkeep.go
+++ b/internal/instance/upkeep.go
@@ -55,7 +55,7 @@
 	if o.inst.UpkeepService == nil {
 		return
 	}
-	core := upkeep.New(o.inst.Settings.UpkeepDuration)
+	core := upkeep.New(boottime(), o.inst.Settings.UpkeepDuration)
 	results := make(chan func())
 	t := time.NewTicker(upkeepInterval)
 	defer t.Stop()
