Order the upkeep of machines only while the term is confirmed

An owner whose term was not confirmed stopped starting tasks after StartGrace, and led the waves of upkeep on until it lost the term (ConfirmTimeout, 1.2 s later), or, after a pause of its process, until a timer noticed. Meanwhile the next owner led the same waves.

Orders are now bound as starts are, when they are decided and when the call begins.

TestUpkeepIsNotOrderedWithoutAConfirmedTerm failed before: "result 0 of an order that was decided before a pause", "2 orders, want none".

--- a/internal/instance/paused_test.go
+++ b/internal/instance/paused_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/upkeep"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/standin/store"
@@ -67,3 +68,36 @@
 		t.Errorf("%d starts, want 1", n)
 	}
 }
+
+// upkeepRecorder counts the orders that reach the platform.
+type upkeepRecorder struct{ orders atomic.Int64 }
+
+func (r *upkeepRecorder) Upkeep(context.Context, external.UpkeepOrder) (external.UpkeepResult, error) {
+	r.orders.Add(1)
+	return external.UpkeepBegun, nil
+}
+
+// An owner went on with a wave for up to ConfirmTimeout after its term was last confirmed, and
+// after a pause of its process, while the next owner led the same wave. Each kept to the wave's
+// limit by itself.
+func TestUpkeepIsNotOrderedWithoutAConfirmedTerm(t *testing.T) {
+	const grace, firstOrder = 50 * time.Millisecond, 2 * time.Second
+	o, _ := newPausedOwner(t, grace)
+	service := &upkeepRecorder{}
+	o.inst.UpkeepService = service
+	o.inst.DecodeWave = func(external.Record) (upkeep.Wave, bool, error) {
+		return upkeep.Wave{Number: 1, Machines: []string{"a", "b"}, MaxDown: 1, Duration: time.Second}, true, nil
+	}
+	o.inst.EncodeWave = func(upkeep.Report) (external.Record, error) { return external.Record{Key: "wave/1"}, nil }
+	time.Sleep(2 * grace)
+	if r := o.orderUpkeep(upkeep.Order{Machine: "a", Wave: 1}); r != upkeep.Busy {
+		t.Errorf("result %v of an order that was decided before a pause", r)
+	}
+	o.inst.addWave(external.Record{Key: "wave/1"})
+	o.inst.spawn(func(context.Context) { o.runUpkeep() })
+	time.Sleep(firstOrder + 3*upkeepInterval)
+	o.end()
+	if n := service.orders.Load(); n != 0 {
+		t.Errorf("%d orders, want none", n)
+	}
+}
--- a/internal/instance/upkeep.go
+++ b/internal/instance/upkeep.go
@@ -71,7 +71,7 @@
 		for _, w := range o.inst.knownWaves() {
 			core.Add(boottime(), w)
 		}
-		if !core.HasOpenWaves() {
+		if !core.HasOpenWaves() || !o.mayStart() {
 			continue
 		}
 		now := instant()
@@ -106,11 +106,7 @@
 }
 
 func (o *owner) orderUpkeep(a upkeep.Order) upkeep.Result {
-	ctx, cancel := context.WithTimeout(o.ctx, upkeepOrderTimeout)
-	defer cancel()
-	r, err := o.inst.UpkeepService.Upkeep(ctx, external.UpkeepOrder{
-		Machine: a.Machine, Wave: a.Wave, Holder: o.inst.Settings.Name, FencingToken: o.term,
-	})
+	r, err := o.sendUpkeep(a)
 	evUpkeep.Log(o.ctx, o.inst.logger, slog.String("machine", a.Machine), slog.Int64("wave", a.Wave),
 		slog.Int("result", int(r)), slog.Any("error", err))
 	switch {
@@ -130,6 +126,20 @@
 	}
 }
 
+// sendUpkeep sends an order unless the term has not been confirmed for too long. The platform
+// compares the tokens of one machine only, so that it would carry out the orders of two owners for
+// different ones. Errors: those of external.UpkeepService.
+func (o *owner) sendUpkeep(a upkeep.Order) (external.UpkeepResult, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, upkeepOrderTimeout)
+	defer cancel()
+	if !o.mayStart() {
+		return external.UpkeepBusy, errTermTooOld
+	}
+	return o.inst.UpkeepService.Upkeep(ctx, external.UpkeepOrder{
+		Machine: a.Machine, Wave: a.Wave, Holder: o.inst.Settings.Name, FencingToken: o.term,
+	})
+}
+
 // reportWave writes the status of a wave for operators. It retries until the store has it or
 // the term ends.
 func (o *owner) reportWave(r upkeep.Report) {
