Deny a job only while the term is confirmed

An owner says that a job does not exist, or how many are pending, if it has read the topics of jobs within 2.5 s. A read counts from when its answer was handled. After a pause of the process (SIGSTOP, a starved machine) these were answers from before it, and until a timer noticed that the term was over, the owner told peers that ask for a caller that jobs accepted meanwhile do not exist (410). A peer that reaches everything passes that on.

The term must have been confirmed within the same time now. A confirmation counts from when it was asked for, so that none from before a pause will do.

What is left: within 2.5 s a late answer still counts as fresh. The time at which the read was sent would be exact, but a waiting read of a quiet topic is sent up to 2 s before its record, so that owners would not answer for seconds, or would have to read twice as often.

TestOwnerWhoseTermIsNotConfirmedDoesNotDenyJobs failed before: "known: true, want false", "pending jobs known: true, want false".

--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -40,6 +40,11 @@
 	return !c.fenced && now.Mono-c.termConfirmedAt <= c.settings.StartGrace
 }
 
+// TermConfirmedWithin reports whether the term was confirmed in the time d before now.
+func (c *Core) TermConfirmedWithin(now Instant, d time.Duration) bool {
+	return now.Mono-c.termConfirmedAt < d
+}
+
 // higherTermSeen ends all starts of this owner, as a worker has refused an order for a higher
 // term. The next owner decides what is started.
 func (c *Core) higherTermSeen(w *worker) {
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -170,9 +170,13 @@
 	return wire.PendingReply{Known: true, Jobs: o.core.Pending(queue)}
 }
 
-// jobsReadRecently reports whether each of topicsJobs was read to its end within
-// jobsReadMaxAge.
+// jobsReadRecently reports whether each of topicsJobs was read to its end, and the term
+// confirmed, within jobsReadMaxAge. After a pause of the process reads may end with answers from
+// before it; a confirmation counts from when it was asked for.
 func (o *owner) jobsReadRecently() bool {
 	now := boottime()
+	if !o.core.TermConfirmedWithin(instant(), jobsReadMaxAge) {
+		return false
+	}
 	return !slices.ContainsFunc(o.jobsReadAt, func(at time.Duration) bool { return now-at >= jobsReadMaxAge })
 }
