Check the term after a pause before any order to a worker

The term was checked after a pause of the whole process before the next step of the cell's core, not before orders that had been decided: their goroutines sent stops, paces and holds of a term that was over, at workers that the next owner had not asked yet. A stop then ends a task that the next owner counts as at work (AVAIL); holds are barred by the end of the lease that they carry.

All orders now check first, as steps do. The time of the last step is stored after the check; it was swapped before, so that a second goroutine went on while the first was still checking.

TestOrderDecidedBeforeAPauseIsNotSentIfTheTermIsOver failed before for a stop, a pace and a hold: "1 orders were sent in a term that was not confirmed for ConfirmTimeout".

--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -138,7 +138,7 @@
 // sendStart sends a start unless the term has become too old since the start was decided.
 // Errors: those of external.Workers.
 func (o *owner) sendStart(order external.StartOrder) (external.OrderResult, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	ctx, cancel := o.orderContext(orderTimeout)
 	defer cancel()
 	if !o.mayStart() {
 		return external.OrderResult{}, errTermTooOld
@@ -147,7 +147,7 @@
 }
 
 func (o *owner) stop(order external.StopOrder) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	ctx, cancel := o.orderContext(orderTimeout)
 	defer cancel()
 	r, err := o.inst.Workers.Stop(ctx, order)
 	if err != nil || r.Refusal != external.RefusedNone {
@@ -160,7 +160,7 @@
 // pace sends one order. It does not retry: the core repeats the orders that the worker's
 // measurements still call for.
 func (o *owner) pace(order external.PaceOrder) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	ctx, cancel := o.orderContext(orderTimeout)
 	defer cancel()
 	r, err := o.inst.Workers.Pace(ctx, order)
 	if err != nil || r.Refusal != external.RefusedNone {
@@ -187,7 +187,7 @@
 }
 
 func (o *owner) hold(a cell.Hold) {
-	ctx, cancel := context.WithTimeout(o.ctx, a.Order.Wait+holdTimeout)
+	ctx, cancel := o.orderContext(a.Order.Wait + holdTimeout)
 	defer cancel()
 	l, err := o.inst.Workers.Hold(ctx, a.Order)
 	if err != nil {
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -72,9 +72,7 @@
 // step passes an event to the core and performs its actions. After a pause of the whole
 // process the term is checked first.
 func (o *owner) step(ev cell.Event) {
-	if now := int64(boottime()); time.Duration(now-o.lastStep.Swap(now)) > pauseThreshold {
-		o.inst.stepTerm(term.Tick{})
-	}
+	o.checkTermAfterPause()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.core == nil || o.ctx.Err() != nil {
@@ -93,6 +91,24 @@
 	o.step(cell.TermConfirmed{At: at})
 }
 
+// checkTermAfterPause ends the owner if the whole process was paused for so long that the term is
+// over. The time of the last step is replaced after the check, so that others that find the pause
+// at the same time wait for it.
+func (o *owner) checkTermAfterPause() {
+	now := boottime()
+	if now-time.Duration(o.lastStep.Load()) > pauseThreshold {
+		o.inst.stepTerm(term.Tick{})
+	}
+	o.lastStep.Store(int64(now))
+}
+
+// orderContext returns the context of an order to a worker that may take the given time. It has
+// ended if the term has.
+func (o *owner) orderContext(timeout time.Duration) (context.Context, context.CancelFunc) {
+	o.checkTermAfterPause()
+	return context.WithTimeout(o.ctx, timeout)
+}
+
 // mayStart reports whether the term was confirmed recently enough for orders that the next
 // owner must not give as well.
 func (o *owner) mayStart() bool {
--- a/internal/instance/paused_test.go
+++ b/internal/instance/paused_test.go
@@ -8,28 +8,49 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/upkeep"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/standin/store"
 )
 
-// startRecorder counts the starts that reach workers.
-type startRecorder struct {
+// orderRecorder counts the orders that reach workers.
+type orderRecorder struct {
 	external.Workers
-	starts atomic.Int64
+	starts, others atomic.Int64
 }
 
-func (r *startRecorder) Start(context.Context, external.StartOrder) (external.OrderResult, error) {
+func (r *orderRecorder) count(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return external.ErrNotExecuted
+	}
+	r.others.Add(1)
+	return nil
+}
+
+func (r *orderRecorder) Stop(ctx context.Context, _ external.StopOrder) (external.OrderResult, error) {
+	return external.OrderResult{}, r.count(ctx)
+}
+
+func (r *orderRecorder) Pace(ctx context.Context, _ external.PaceOrder) (external.OrderResult, error) {
+	return external.OrderResult{}, r.count(ctx)
+}
+
+func (r *orderRecorder) Hold(ctx context.Context, _ external.HoldOrder) (external.HoldResult, error) {
+	return external.HoldResult{}, r.count(ctx)
+}
+
+func (r *orderRecorder) Start(context.Context, external.StartOrder) (external.OrderResult, error) {
 	r.starts.Add(1)
 	return external.OrderResult{}, nil
 }
 
 // newPausedOwner returns the owner of a term and its workers. The owner may order starts for
 // grace; nothing checks its term, as in a process that is paused.
-func newPausedOwner(t *testing.T, grace time.Duration) (*owner, *startRecorder) {
+func newPausedOwner(t *testing.T, grace time.Duration) (*owner, *orderRecorder) {
 	t.Helper()
-	workers := &startRecorder{}
+	workers := &orderRecorder{}
 	inst := New(Options{
 		Settings:    Settings{Name: "n", Incarnation: "n/1", LinkAddr: "127.0.0.1:1", Term: fastTermSettings(0)},
 		StoreClient: store.New(), Workers: workers, Logger: slog.New(slog.DiscardHandler),
@@ -69,6 +90,37 @@
 	}
 }
 
+// The same for the other orders: a stop that was sent after a pause ended a task that the next owner
+// counted as at work.
+func TestOrderDecidedBeforeAPauseIsNotSentIfTheTermIsOver(t *testing.T) {
+	for name, action := range map[string]cell.Action{
+		"a stop": cell.Stop{Order: external.StopOrder{Task: job.TaskID{Job: "j"}, Run: 1000}},
+		"a pace": cell.Pace{Order: external.PaceOrder{Task: job.TaskID{Job: "j"}, Run: 1000}},
+		"a hold": cell.Hold{Order: external.HoldOrder{LeaseEnd: time.Hour}, Number: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			paused, workers := newPausedOwner(t, time.Second)
+			inst := paused.inst
+			inst.stepTerm(term.ReadResult{})
+			inst.stepTerm(term.Tick{}) // claims, and is the last tick
+			for end := time.Now().Add(5 * time.Second); inst.owner.Load() == nil && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			o := inst.owner.Load()
+			if o == nil {
+				t.Fatal("no term")
+			}
+			time.Sleep(inst.Settings.Term.ConfirmTimeout + 50*time.Millisecond)
+			before := workers.others.Load()
+			o.perform(action)
+			time.Sleep(100 * time.Millisecond)
+			if n := workers.others.Load() - before; n != 0 {
+				t.Errorf("%d orders were sent in a term that was not confirmed for ConfirmTimeout", n)
+			}
+		})
+	}
+}
+
 // upkeepRecorder counts the orders that reach the platform.
 type upkeepRecorder struct{ orders atomic.Int64 }
 
