Test: a takeover longer than the claim's confirmation

A new owner whose takeover took longer than StartGrace, and whose renewals were refused, started tasks until it lost the term.

--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -43,6 +44,10 @@
 	link   *narrowLink
 	// work is how long a task runs.
 	work time.Duration
+	// wrapStore, if set, returns what stands between the next instance and the store.
+	wrapStore func(external.Store) external.Store
+	// advertise, if set, is the address that the next instance gives its peers as its own.
+	advertise string
 }
 
 // node is one instance with its own connection to the store.
@@ -198,7 +203,11 @@
 		s.Peers = []string{r.nodes[0].inst.Settings.LinkAddr}
 	}
 	s.Region, s.Relay = r.region, n%3 == 0
+	s.LinkAddr = cmp.Or(r.advertise, s.LinkAddr)
 	conn := &storeConn{Store: r.store, refused: make(chan struct{}), link: r.link}
+	if r.wrapStore != nil {
+		conn.Store = r.wrapStore(r.store)
+	}
 	if r.refuseNext {
 		close(conn.refused)
 	}
