Take an owner for an earlier incarnation only on the same machine

An instance claims the term of its own earlier incarnation at once, which it knew by the address. The same assumption stood behind a witness' successor. Both now ask for the machine's name as well, and a process that has been asked to stop promises nothing more as a witness.

The listeners are open before the first claim, and a stopped process keeps its own (tried: "Address already in use", free after SIGKILL).

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -270,5 +270,8 @@
 }
 
 // ownerIsPredecessor reports whether the owner was an earlier incarnation of this
-// process. It is gone, as two processes can't listen on one address.
-func (c *Core) ownerIsPredecessor() bool { return c.latest.Addr == c.addr && c.latest.Owner != c.self }
+// process. It is gone, as two processes can't listen on one address. Several machines may have
+// one address if it is that of a forwarder.
+func (c *Core) ownerIsPredecessor() bool {
+	return c.latest.Addr == c.addr && c.latest.Owner != c.self && witness.MachineOf(c.latest.Owner) == witness.MachineOf(c.self)
+}
--- a/internal/core/witness/core.go
+++ b/internal/core/witness/core.go
@@ -12,6 +12,9 @@
 	// promisedTerm is the term whose owner got the latest promise, promisedUntil the end of it.
 	promisedTerm  int64
 	promisedUntil time.Duration
+	// stopping is set once the process has begun to end. The next one on its machine relies on it
+	// to promise nothing more.
+	stopping bool
 	// consented is the latest record to whose succession this witness has consented.
 	consented Position
 }
@@ -22,12 +25,15 @@
 	return &Core{id: id, holdTime: holdTime, startedAt: now}
 }
 
+// Stop ends the promises of this witness.
+func (c *Core) Stop() { c.stopping = true }
+
 // Promise reports whether the witness promises the owner of p.Term not to consent to a claim of
 // a later term for the hold time. p.Renewal is the latest renewal that the owner knows to be stored,
 // and id the incarnation that its record names. A witness that has consented to the
 // succession of that renewal or a later one refuses, as the claim may be under way.
 func (c *Core) Promise(now time.Duration, id ID, p Position) bool {
-	if id != c.id || p.Term < c.promisedTerm || p.compare(c.consented) <= 0 {
+	if c.stopping || id != c.id || p.Term < c.promisedTerm || p.compare(c.consented) <= 0 {
 		return false
 	}
 	if p.Term > c.promisedTerm {
@@ -42,8 +48,8 @@
 // promise until it has stored a later renewal, which bars the claim.
 func (c *Core) Consent(now time.Duration, id ID, p Position) bool {
 	if id != c.id {
-		// The incarnation that the record names has ended before this process started.
-		return now-c.startedAt >= c.holdTime
+		// An earlier incarnation on this machine had ended before this one started.
+		return sameMachine(id, c.id) && now-c.startedAt >= c.holdTime
 	}
 	if p.Term < c.promisedTerm || p.Term == c.promisedTerm && now < c.promisedUntil {
 		return false
--- a/internal/core/witness/id.go
+++ b/internal/core/witness/id.go
@@ -1,9 +1,28 @@
 package witness
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strings"
 
-// ID identifies an incarnation of an instance.
+	"github.com/cespare/xxhash/v2"
+)
+
+// ID identifies an incarnation of an instance. Its upper half identifies the machine.
 type ID uint64
 
-// IDOf returns the ID of an incarnation.
-func IDOf(incarnation string) ID { return ID(xxhash.Sum64String(incarnation)) }
+// machineShift is the number of bits of an ID that do not identify the machine.
+const machineShift = 32
+
+// IDOf returns the ID of an incarnation, which is named MACHINE/START.
+func IDOf(incarnation string) ID {
+	machine := xxhash.Sum64String(MachineOf(incarnation)) >> machineShift << machineShift
+	return ID(machine | xxhash.Sum64String(incarnation)>>machineShift)
+}
+
+// MachineOf returns the machine of an incarnation.
+func MachineOf(incarnation string) string {
+	machine, _, _ := strings.Cut(incarnation, "/")
+	return machine
+}
+
+// sameMachine reports whether two IDs are of incarnations on one machine.
+func sameMachine(a, b ID) bool { return a>>machineShift == b>>machineShift }
--- a/internal/core/witness/witness_test.go
+++ b/internal/core/witness/witness_test.go
@@ -1,6 +1,7 @@
 package witness
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 }
 
 func TestWitness(t *testing.T) {
-	const self, earlier = ID(1), ID(2)
+	self, earlier, other := IDOf("m/2"), IDOf("m/1"), IDOf("n/1")
 	at := func(term, renewal int64) Position { return Position{term, renewal} }
 	for name, c := range map[string]struct {
 		prepare func(w *Core)
@@ -78,6 +79,13 @@
 			ask:  func(w *Core) bool { return w.Consent(testHold, earlier, at(3, 7)) },
 			want: true,
 		},
+		"consent for an incarnation on another machine": {
+			ask: func(w *Core) bool { return w.Consent(time.Hour, other, at(3, 7)) },
+		},
+		"a promise of a process that stops": {
+			prepare: func(w *Core) { w.Stop() },
+			ask:     func(w *Core) bool { return w.Promise(0, self, at(3, 7)) },
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := New(self, testHold, 0)
@@ -99,7 +107,7 @@
 		n := rapid.IntRange(1, MaxWitnesses).Draw(t, "witnesses")
 		ids, live := make([]ID, n), make([]*Core, n)
 		for w := range n {
-			ids[w] = ID(w + 1)
+			ids[w] = IDOf(fmt.Sprintf("m%d/1", w))
 			live[w] = New(ids[w], testHold, 0)
 		}
 		asked, consented := make([]time.Duration, n), make([]bool, n)
@@ -115,7 +123,7 @@
 			case 3, 4, 5:
 				consented[w] = live[w].Consent(now, ids[w], owner) || consented[w]
 			case 6:
-				live[w] = New(ID(100+w), testHold, now)
+				live[w] = New(IDOf(fmt.Sprintf("m%d/%d", w, now)), testHold, now)
 			}
 			kept, consents := 0, 0
 			for w := range n {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -147,6 +147,9 @@
 	<-ctx.Done()
 	evStopping.Log(ctx, i.logger)
 	i.stopping.Store(true)
+	i.witnessMu.Lock()
+	i.witness.Stop()
+	i.witnessMu.Unlock()
 	i.stepTerm(term.Stopping{})
 }
 
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -9,7 +9,7 @@
 
 // Settings are the identity, addresses and limits of an instance.
 type Settings struct {
-	// Name is the machine's name; Incarnation names this start of the process.
+	// Name is the machine's name; Incarnation names this start of the process, as NAME/START.
 	Name        string
 	Incarnation string
 	Zone        string
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/witness"
 	"coltsfootmux/internal/link"
@@ -14,6 +16,9 @@
 
 // onWitness answers as a witness.
 func (i *Instance) onWitness(ctx context.Context, _ link.Peer, q wire.WitnessQuery) (wire.WitnessReply, error) {
+	if q.Ask == wire.AskPresence && i.stopping.Load() {
+		return wire.WitnessReply{}, eris.Wrap(ErrUnavailable, "stopping")
+	}
 	return i.answerAsWitness(ctx, q), nil
 }
 
