Hand a kept term over when an instance that the store serves wants to claim it

An owner that the store turns away asks three peers whether the store serves them, the same three each time. With witnesses it kept its term for the whole of a partial outage if the instances that the store served were not among these three: their claims waited for its promises.

A witness that refuses its consent because of a promise now makes no further one for as long as a promise holds, and says so to the owner, which hands its term over if the store does not serve it. Consent is asked for only while the store serves the asker, since it is for good. Ruled out: asking all peers in each round.

--- a/internal/core/witness/core.go
+++ b/internal/core/witness/core.go
@@ -12,6 +12,10 @@
 	// promisedTerm is the term whose owner got the latest promise, promisedUntil the end of it.
 	promisedTerm  int64
 	promisedUntil time.Duration
+	// contested is the record to whose succession consent was last refused because of a promise,
+	// at contestedAt.
+	contested   Position
+	contestedAt time.Duration
 	// stopping is set once the process has begun to end. The next one on its machine relies on it
 	// to promise nothing more.
 	stopping bool
@@ -31,9 +35,10 @@
 // Promise reports whether the witness promises the owner of p.Term not to consent to a claim of
 // a later term for the hold time. p.Renewal is the latest renewal that the owner knows to be stored,
 // and id the incarnation that its record names. A witness that has consented to the
-// succession of that renewal or a later one refuses, as the claim may be under way.
+// succession of that renewal or a later one refuses, as the claim may be under way. So does one
+// that has been asked for it lately: an instance that the store serves wants to claim.
 func (c *Core) Promise(now time.Duration, id ID, p Position) bool {
-	if c.stopping || id != c.id || p.Term < c.promisedTerm || p.compare(c.consented) <= 0 {
+	if c.stopping || id != c.id || p.Term < c.promisedTerm || p.compare(c.consented) <= 0 || c.Contested(now, p) {
 		return false
 	}
 	if p.Term > c.promisedTerm {
@@ -51,7 +56,11 @@
 		// An earlier incarnation on this machine had ended before this one started.
 		return sameMachine(id, c.id) && now-c.startedAt >= c.holdTime
 	}
-	if p.Term < c.promisedTerm || p.Term == c.promisedTerm && now < c.promisedUntil {
+	switch {
+	case p.Term < c.promisedTerm:
+		return false
+	case p.Term == c.promisedTerm && now < c.promisedUntil:
+		c.contested, c.contestedAt = p, now
 		return false
 	}
 	if p.compare(c.consented) > 0 {
@@ -59,3 +68,9 @@
 	}
 	return true
 }
+
+// Contested reports whether the witness has lately refused its consent to a claim that follows p or
+// a later renewal, because it had promised.
+func (c *Core) Contested(now time.Duration, p Position) bool {
+	return p.compare(c.contested) <= 0 && now-c.contestedAt < c.holdTime
+}
--- a/internal/core/witness/witness_test.go
+++ b/internal/core/witness/witness_test.go
@@ -63,6 +63,29 @@
 			ask:     func(w *Core) bool { return w.Promise(1, self, at(3, 8)) },
 			want:    true,
 		},
+		"a promise while another wants to claim": {
+			prepare: func(w *Core) {
+				w.Promise(0, self, at(3, 7))
+				w.Consent(testHold-1, self, at(3, 7))
+			},
+			ask: func(w *Core) bool { return w.Promise(2*testHold-2, self, at(3, 7)) },
+		},
+		"a promise when nobody wants to claim any more": {
+			prepare: func(w *Core) {
+				w.Promise(0, self, at(3, 7))
+				w.Consent(testHold-1, self, at(3, 7))
+			},
+			ask:  func(w *Core) bool { return w.Promise(2*testHold-1, self, at(3, 7)) },
+			want: true,
+		},
+		"a promise while another wants to claim, to an owner that has stored a renewal": {
+			prepare: func(w *Core) {
+				w.Promise(0, self, at(3, 7))
+				w.Consent(1, self, at(3, 7))
+			},
+			ask:  func(w *Core) bool { return w.Promise(2, self, at(3, 8)) },
+			want: true,
+		},
 		"a promise to the next owner": {
 			prepare: func(w *Core) { w.Consent(0, self, at(3, 7)) },
 			ask:     func(w *Core) bool { return w.Promise(1, self, at(4, 0)) },
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -110,7 +110,7 @@
 	case term.AskPromises:
 		i.askPromises(i.ctx, a)
 	case term.AskConsents:
-		i.askConsents(i.ctx, a)
+		i.spawn(func(ctx context.Context) { i.askConsents(ctx, a) })
 	case term.CheckWitnesses:
 		i.spawn(func(ctx context.Context) { i.checkWitnesses(ctx, a) })
 	}
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -29,13 +29,14 @@
 	switch q.Ask {
 	case wire.AskPromise:
 		r.Granted = i.witness.Promise(boottime(), witness.ID(q.Witness), at)
+		r.Contested = i.witness.Contested(boottime(), at)
 	case wire.AskConsent:
 		r.Granted = i.witness.Consent(boottime(), witness.ID(q.Witness), at)
 	}
 	i.witnessMu.Unlock()
 	if q.Ask != wire.AskPresence {
 		evWitnessAnswered.Log(ctx, i.logger, slog.Bool("consent", q.Ask == wire.AskConsent), slog.Int64("term", q.Term),
-			slog.Int64("renewal", q.Renewal), slog.Bool("granted", r.Granted))
+			slog.Int64("renewal", q.Renewal), slog.Bool("granted", r.Granted), slog.Bool("contested", r.Contested))
 	}
 	return r
 }
@@ -55,16 +56,24 @@
 			q := wire.WitnessQuery{Ask: wire.AskPromise, Term: a.Term, Renewal: a.Renewal, Witness: uint64(w.ID)}
 			r, err := i.askWitness(ctx, w.Addr, q)
 			evPromise.Log(ctx, i.logger, slog.Int64("term", a.Term), slog.Int64("renewal", a.Renewal), slog.String("addr", w.Addr),
-				slog.Bool("granted", r.Granted), slog.Duration("took", boottime()-a.At), slog.Any("error", err))
-			if err == nil && r.Granted {
+				slog.Bool("granted", r.Granted), slog.Bool("contested", r.Contested), slog.Duration("took", boottime()-a.At), slog.Any("error", err))
+			switch {
+			case err != nil:
+			case r.Granted:
 				i.stepTerm(term.Promised{Witness: w.ID, Term: a.Term, At: a.At})
+			case r.Contested && i.storeMonitor.probe(ctx, topicTerm, probeTimeout) != nil:
+				i.stepTerm(term.PeersReachStore{})
 			}
 		})
 	}
 }
 
-// askConsents asks the witnesses of another instance's term for their consent to a claim.
+// askConsents asks the witnesses of another instance's term for their consent to a claim. Consent is
+// for good, so that they are asked only while the store serves this instance.
 func (i *Instance) askConsents(ctx context.Context, a term.AskConsents) {
+	if i.storeMonitor.probe(ctx, topicTerm, probeTimeout) != nil {
+		return
+	}
 	for _, w := range a.Witnesses {
 		i.spawn(func(context.Context) {
 			q := wire.WitnessQuery{Ask: wire.AskConsent, Term: a.Term, Renewal: a.Renewal, Witness: uint64(w.ID)}
--- a/internal/wire/witness.go
+++ b/internal/wire/witness.go
@@ -29,4 +29,6 @@
 	ID uint64 `cbor:"1,keyasint"`
 	// Granted says that the receiver promises, or consents.
 	Granted bool `cbor:"2,keyasint,omitempty"`
+	// Contested says that an instance that the store serves wants to claim the next term.
+	Contested bool `cbor:"3,keyasint,omitempty"`
 }
