Witnesses claim 0.4 s before other instances

At 0.25 s the others would ask the witnesses for their consent 0.05 s after a claim is due, before they can have read of it: five questions each, by reading.

--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -12,7 +12,7 @@
 	consentLead = 200 * time.Millisecond
 	// otherClaimDelay is how much later than witnesses other instances claim. Witnesses
 	// need fewer consents of others, and the fewer ask, the less they are asked.
-	otherClaimDelay = 250 * time.Millisecond
+	otherClaimDelay = 400 * time.Millisecond
 )
 
 // needsConsent reports whether the owner of the latest term may still act.
