Simulate instances, their store and workers beside partitions

The random scenarios of core/cell can't find it, as they decide themselves when an owner is replaced and for how long the old one goes on.

internal/partitionsim joins the cores of core/term, core/witness and core/cell of three to six instances with a simulated store, the stand-in fleet and a network that is divided, cut, lossy and late, in virtual time. Questions to peers and witnesses are translated from package instance. Besides the fleet's rules it checks its own: after the claim of a later term no owner orders a start or could, and none renews leases for longer than the later owner allows for.

--- /dev/null
+++ b/internal/partitionsim/instance_test.go
@@ -0,0 +1,213 @@
+package partitionsim
+
+import (
+	"fmt"
+	"time"
+
+	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/witness"
+)
+
+// instance is a process that may own the cell. The process at a host may be killed and
+// started again as another incarnation.
+type instance struct {
+	sim        *simulation
+	host       host
+	settings   term.Settings
+	dataCentre string
+	// clockOffset is the difference between this host's clock and the simulation's.
+	clockOffset time.Duration
+	incarnation int
+	alive       bool
+	// paused processes handle nothing; backlog holds what they have to handle then.
+	paused  bool
+	backlog []func()
+
+	term *term.Core
+	// witness is the state of this incarnation as a witness.
+	witness   *witness.Core
+	witnessID witness.ID
+	owner     *owner
+	// storeAvailable is set while the store answers this instance.
+	storeAvailable bool
+	readers        []*reader
+	// lastFailure is when a peer last failed to answer.
+	lastFailure map[host]time.Duration
+}
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// weakTermReadInterval is the least time between two reads of the term by an instance
+	// with a claim delay.
+	weakTermReadInterval = time.Second
+)
+
+func newInstance(s *simulation, n int) *instance {
+	return &instance{
+		sim: s, host: host(fmt.Sprintf("i%d", n)), settings: s.termSettings(), dataCentre: dataCentreOf(n),
+		clockOffset: s.between(0, time.Hour),
+	}
+}
+
+// name returns the name of the present incarnation.
+func (i *instance) name() string { return fmt.Sprintf("%s#%d", i.host, i.incarnation) }
+
+// clock returns the time of the host's clock.
+func (i *instance) clock() time.Duration { return i.sim.now + i.clockOffset }
+
+func (i *instance) instant() cell.Instant {
+	return cell.Instant{Mono: i.clock(), UnixMS: i.sim.now.Milliseconds()}
+}
+
+// deliver calls do after the given time if this incarnation is still alive then, and not
+// before the end of a pause.
+func (i *instance) deliver(after time.Duration, do func()) {
+	incarnation := i.incarnation
+	run := func() {
+		if i.alive && i.incarnation == incarnation {
+			do()
+		}
+	}
+	i.sim.schedule(after, func() {
+		if i.paused {
+			i.backlog = append(i.backlog, run)
+			return
+		}
+		run()
+	})
+}
+
+// start starts a new incarnation.
+func (i *instance) start() {
+	if i.alive {
+		return
+	}
+	i.incarnation++
+	delete(i.sim.net.hostsDown, i.host)
+	i.alive, i.paused, i.backlog = true, false, nil
+	i.storeAvailable, i.owner = true, nil
+	i.lastFailure = make(map[host]time.Duration)
+	i.term = term.New(i.settings, i.name(), string(i.host))
+	i.witnessID = witness.IDOf(i.name())
+	i.witness = witness.New(i.witnessID, i.settings.StaleAfter, i.clock())
+	r := &reader{
+		inst: i, topic: &i.sim.store.terms, next: unread, onPage: i.handleTermRecords, ended: i.endedFunc(),
+		onError: func() { i.stepTerm(term.ReadFailed{}) },
+	}
+	if i.settings.ClaimDelay > 0 {
+		r.minInterval = weakTermReadInterval
+	}
+	i.readers = []*reader{r}
+	r.read(0)
+	i.tick()
+	i.probeWhileUnavailable()
+	i.pollPeers()
+}
+
+// endedFunc returns a function that reports whether the present incarnation has ended.
+func (i *instance) endedFunc() func() bool {
+	incarnation := i.incarnation
+	return func() bool { return !i.alive || i.incarnation != incarnation }
+}
+
+// kill ends the process.
+func (i *instance) kill() {
+	if i.owner != nil {
+		i.owner.end()
+	}
+	i.alive, i.paused, i.backlog, i.owner, i.readers = false, false, nil, nil, nil
+}
+
+// pause stops the process for a while. Then it handles what has arrived, in any order if
+// shuffled.
+func (i *instance) pause(d time.Duration, shuffled bool) {
+	i.paused = true
+	incarnation := i.incarnation
+	i.sim.tracef("%s paused for %v", i.name(), d)
+	i.sim.schedule(d, func() {
+		if i.alive && i.paused && i.incarnation == incarnation {
+			i.resume(shuffled)
+		}
+	})
+}
+
+func (i *instance) resume(shuffled bool) {
+	i.sim.tracef("%s resumes", i.name())
+	i.paused = false
+	backlog := i.backlog
+	i.backlog = nil
+	if shuffled {
+		i.sim.rng.Shuffle(len(backlog), func(a, b int) { backlog[a], backlog[b] = backlog[b], backlog[a] })
+	}
+	for _, do := range backlog {
+		do()
+	}
+}
+
+// tick passes the time to the cores.
+func (i *instance) tick() {
+	i.stepTerm(term.Tick{AllTopicsReachable: i.storeAvailable})
+	if i.owner != nil {
+		i.owner.step(cell.Tick{})
+	}
+	i.deliver(tickInterval, i.tick)
+}
+
+func (i *instance) handleTermRecords(records []any, next int64) {
+	ev := term.ReadResult{End: next}
+	for _, r := range records {
+		ev.Records = append(ev.Records, r.(term.Record))
+	}
+	i.stepTerm(ev)
+}
+
+// stepTerm passes an event to the term's core and performs its actions.
+func (i *instance) stepTerm(ev term.Event) {
+	for _, a := range i.term.Step(i.clock(), ev) {
+		i.performTermAction(a)
+	}
+}
+
+func (i *instance) performTermAction(a term.Action) {
+	switch a := a.(type) {
+	case term.Write:
+		i.writeTerm(a)
+	case term.Gained:
+		i.sim.tracef("%s gains term %d", i.name(), a.Term)
+		i.sim.ownerships++
+		i.owner = newOwner(i, a.Term, a.At)
+		i.deliver(0, i.owner.takeOver)
+	case term.Lost:
+		i.sim.tracef("%s loses term %d: %s", i.name(), a.Term, a.Reason)
+		if i.owner != nil {
+			i.owner.end()
+			i.owner = nil
+		}
+	case term.Confirmed:
+		if o := i.owner; o != nil {
+			i.deliver(0, func() { o.confirmTerm(a.At) })
+		}
+	default:
+		i.performPeerAction(a)
+	}
+}
+
+// writeTerm appends a term record on the core's condition.
+func (i *instance) writeTerm(a term.Write) {
+	w := term.WriteResult{Record: a.Record, SentAt: i.clock()}
+	execute := func(reply func()) {
+		w.Outcome = i.sim.appendTerm(a.Record, a.ExpectedEnd)
+		w.End = i.sim.store.terms.end()
+		reply()
+	}
+	i.callStore(i.sim.appendTimeout(), execute, func(r callResult) {
+		switch r {
+		case callRefused:
+			w.Outcome = term.WriteFailed
+		case callUnknown:
+			w.Outcome = term.WriteOutcomeUnknown
+		}
+		i.stepTerm(w)
+	})
+}
--- /dev/null
+++ b/internal/partitionsim/witness_test.go
@@ -0,0 +1,191 @@
+package partitionsim
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/witness"
+)
+
+// witnessAsk says what an instance is asked as a witness.
+type witnessAsk int
+
+const (
+	askPresence witnessAsk = iota
+	askPromise
+	askConsent
+)
+
+// witnessQuery asks an instance as a witness of a record.
+type witnessQuery struct {
+	ask     witnessAsk
+	at      witness.Position
+	witness witness.ID
+}
+
+// witnessReply answers a witnessQuery.
+type witnessReply struct {
+	id      witness.ID
+	granted bool
+}
+
+// answerAsWitness does what instance.answerAsWitness does.
+func (i *instance) answerAsWitness(q witnessQuery) witnessReply {
+	r := witnessReply{id: i.witnessID}
+	switch q.ask {
+	case askPromise:
+		r.granted = i.witness.Promise(i.clock(), q.witness, q.at)
+	case askConsent:
+		r.granted = i.witness.Consent(i.clock(), q.witness, q.at)
+		i.sim.tracef("%s asked for its consent to follow %v: %v", i.name(), q.at, r.granted)
+	}
+	return r
+}
+
+// askWitness asks an instance, which may be this one.
+func (i *instance) askWitness(addr string, q witnessQuery, done func(r witnessReply, ok bool)) {
+	if addr == string(i.host) {
+		done(i.answerAsWitness(q), true)
+		return
+	}
+	p := i.sim.instanceAt(addr)
+	var r witnessReply
+	execute := func(reply func()) {
+		r = p.answerAsWitness(q)
+		reply()
+	}
+	i.callPeer(p, askTimeout, execute, func(res callResult) { done(r, res == callAnswered) })
+}
+
+// performWitnessAction performs an action of the term's core that concerns witnesses.
+func (i *instance) performWitnessAction(a term.Action) {
+	switch a := a.(type) {
+	case term.AskPromises:
+		i.askPromises(a)
+	case term.AskConsents:
+		i.askConsents(a)
+	case term.CheckWitnesses:
+		i.checkWitnesses(a)
+	default:
+		i.sim.t.Fatalf("unknown action %T", a)
+	}
+}
+
+func (i *instance) askPromises(a term.AskPromises) {
+	q := witnessQuery{ask: askPromise, at: witness.Position{Term: a.Term, Renewal: a.Renewal}}
+	for _, w := range a.Witnesses {
+		q.witness = w.ID
+		i.deliver(0, func() {
+			i.askWitness(w.Addr, q, func(r witnessReply, ok bool) {
+				if ok && r.granted {
+					i.stepTerm(term.Promised{Witness: w.ID, Term: a.Term, At: a.At})
+				}
+			})
+		})
+	}
+}
+
+func (i *instance) askConsents(a term.AskConsents) {
+	q := witnessQuery{ask: askConsent, at: witness.Position{Term: a.Term, Renewal: a.Renewal}}
+	for _, w := range a.Witnesses {
+		q.witness = w.ID
+		i.deliver(0, func() {
+			i.askWitness(w.Addr, q, func(r witnessReply, ok bool) {
+				if ok && r.granted {
+					i.stepTerm(term.Consented{Witness: w.ID, Term: a.Term, Renewal: a.Renewal})
+				}
+			})
+		})
+	}
+}
+
+// checkWitnesses asks the current witnesses, and as many others as are missing, whether they
+// answer.
+func (i *instance) checkWitnesses(a term.CheckWitnesses) {
+	var current []string
+	for _, w := range a.Current {
+		current = append(current, w.Addr)
+	}
+	i.present(current, func(answered []term.Witness) {
+		others := slices.DeleteFunc(i.witnessCandidates(), func(addr string) bool { return slices.Contains(current, addr) })
+		i.askOthers(a.Term, answered, others)
+	})
+}
+
+// askOthers asks further instances until there are enough witnesses.
+func (i *instance) askOthers(t int64, answered []term.Witness, others []string) {
+	n := min(witness.MaxWitnesses-len(answered), len(others))
+	if n <= 0 {
+		i.sim.tracef("%s found as witnesses for term %d: %v", i.name(), t, answered)
+		i.stepTerm(term.WitnessesChecked{Term: t, Answered: answered})
+		return
+	}
+	i.present(others[:n], func(more []term.Witness) {
+		i.askOthers(t, append(answered, more...), others[n:])
+	})
+}
+
+// present asks instances whether they answer, and passes on those that do.
+func (i *instance) present(addrs []string, done func([]term.Witness)) {
+	replies := make([]*witnessReply, len(addrs))
+	pending := len(addrs)
+	finish := func() {
+		var out []term.Witness
+		for n, r := range replies {
+			if r != nil {
+				out = append(out, term.Witness{Addr: addrs[n], ID: r.id})
+			}
+		}
+		done(out)
+	}
+	if pending == 0 {
+		finish()
+		return
+	}
+	for n, addr := range addrs {
+		i.askWitness(addr, witnessQuery{ask: askPresence}, func(r witnessReply, ok bool) {
+			if ok {
+				replies[n] = &r
+			}
+			if pending--; pending == 0 {
+				finish()
+			}
+		})
+	}
+}
+
+// witnessCandidates returns the addresses of the instances that this one may name, in the
+// order of preference, and last those that failed to answer recently.
+func (i *instance) witnessCandidates() []string {
+	var all []witness.Candidate
+	for _, p := range i.sim.instances {
+		if p != i {
+			all = append(all, witness.Candidate{Addr: string(p.host), DataCentre: p.dataCentre, Strong: p.settings.ClaimDelay == 0})
+		}
+	}
+	var out []string
+	for _, c := range witness.Rank(i.dataCentre, all) {
+		out = append(out, c.Addr)
+	}
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(i.demoted(host(a)), i.demoted(host(b))) })
+	return out
+}
+
+// demoted returns 1 if a peer failed to answer recently, else 0.
+func (i *instance) demoted(h host) int {
+	if failedAt, ok := i.lastFailure[h]; ok && i.sim.now-failedAt < memberDemotion {
+		return 1
+	}
+	return 0
+}
+
+// instanceAt returns the instance at an address.
+func (s *simulation) instanceAt(addr string) *instance {
+	at := slices.IndexFunc(s.instances, func(p *instance) bool { return string(p.host) == addr })
+	return s.instances[at]
+}
+
+// dataCentreOf returns the data centre of the n-th instance.
+func dataCentreOf(n int) string { return fmt.Sprintf("d%d", n%dataCentres) }
