Soak: partitions with machines and workers on both sides

Callers saw tasks run twice when a network cut left an owner with a peer and some workers on one side and the store with the rest on the other. The soak could not find it: one proxy before each worker and each machine served all callers, so it cut a process off from everybody or from nobody.

A proxy now knows which machine calls (the kernel names the socket at the other end, and /proc the process that has it), and a network knows which calls a partition cuts. Islands of some machines and workers, half of the time with the store, silent or refused, follow each other for 1 to 12 s beside all other faults.

faults.log has each fault with the fleet's time.

--- a/cmd/coltsfootmux-soak/main.go
+++ b/cmd/coltsfootmux-soak/main.go
@@ -52,8 +52,8 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(cmd.Root().Writer, "seed %d: %d jobs, %d accepted, %d complete, %d unclear, %d starts, %d faults injected, %d guarantees violated\n",
-			r.Seed, r.Jobs, r.Accepted, r.Complete, r.OutcomeUnknown, r.Starts, len(r.InjectedFaults), len(r.Violations))
+		_, _ = fmt.Fprintf(cmd.Root().Writer, "seed %d: %d jobs, %d accepted, %d complete, %d unclear, %d starts, %d faults injected, %d partitions, %d guarantees violated\n",
+			r.Seed, r.Jobs, r.Accepted, r.Complete, r.OutcomeUnknown, r.Starts, len(r.InjectedFaults), len(r.Partitions), len(r.Violations))
 		for _, f := range r.Violations {
 			violations++
 			_, _ = fmt.Fprintln(cmd.Root().Writer, "  "+f)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -138,6 +138,7 @@
 // clearFaults ends every fault that may be in force.
 func (s *testbed) clearFaults() {
 	s.store.SetFault(store.Fault{})
+	s.network.partition(Pass, nil)
 	for n, w := range s.workers {
 		s.takeBack(dataCentre(n))
 		w.SetMode(Pass)
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -42,13 +42,11 @@
 // grace is how long a process may take to end after a SIGTERM.
 const grace = 6 * time.Second
 
+func machineName(n int) string { return fmt.Sprintf("front-%d", n) }
+
 // newMachine writes the settings file of a machine and starts no process.
-func newMachine(dir string, host *loopback.Host, n int, storeAddr string, seeds []string, controlAddr string, linkProxy *Proxy) (*machine, error) {
-	m := &machine{name: fmt.Sprintf("front-%d", n), dir: dir, linkProxy: linkProxy}
-	var err error
-	if m.storeProxy, err = NewProxy(host, storeAddr); err != nil {
-		return nil, eris.Wrap(ErrSetup, err.Error())
-	}
+func newMachine(dir string, host *loopback.Host, n int, seeds []string, controlAddr string, storeProxy, linkProxy *Proxy) (*machine, error) {
+	m := &machine{name: machineName(n), dir: dir, storeProxy: storeProxy, linkProxy: linkProxy}
 	var ports []string
 	for range 3 {
 		a, err := host.FreeAddr()
@@ -88,6 +86,7 @@
 	if err := os.WriteFile(m.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
 	}
+	var err error
 	m.log, err = os.OpenFile(filepath.Join(dir, m.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -31,19 +31,30 @@
 type Proxy struct {
 	ln     net.Listener
 	target string
+	route  route
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[net.Conn]bool
+	mu   sync.Mutex
+	mode Mode
+	// conns holds the open connections and who called.
+	conns map[net.Conn]string
+}
+
+// route is the way through the network that the connections of a proxy take.
+type route struct {
+	network *network
+	// caller names who opened a connection; target names the other end.
+	caller func(net.Conn) string
+	target string
 }
 
 // NewProxy starts a proxy to a target address, on a port of host.
-func NewProxy(host *loopback.Host, target string) (*Proxy, error) {
+func NewProxy(host *loopback.Host, target string, r route) (*Proxy, error) {
 	ln, err := host.Listen()
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{ln: ln, target: target, conns: make(map[net.Conn]bool)}
+	p := &Proxy{ln: ln, target: target, route: r, conns: make(map[net.Conn]string)}
+	r.network.join(p)
 	go p.serve()
 	return p, nil
 }
@@ -55,23 +66,39 @@
 // in later modes, as it does when a device on the path has lost its state.
 func (p *Proxy) SetMode(m Mode) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.mode = m
-	if m != Reset {
-		return
-	}
-	for c := range p.conns {
+	p.mu.Unlock()
+	p.resetConns()
+}
+
+// resetConns resets the connections for which mode Reset holds.
+func (p *Proxy) resetConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, caller := range p.conns {
+		if p.modeFor(caller) != Reset {
+			continue
+		}
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
 		_ = c.Close()
+		delete(p.conns, c)
 	}
-	clear(p.conns)
 }
 
-func (p *Proxy) currentMode() Mode {
+func (p *Proxy) currentMode(caller string) Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.modeFor(caller)
+}
+
+// modeFor returns the mode that holds for a caller; p.mu must be held. A partition takes
+// precedence over the proxy's own mode.
+func (p *Proxy) modeFor(caller string) Mode {
+	if m := p.route.network.modeBetween(caller, p.route.target); m != Pass {
+		return m
+	}
 	return p.mode
 }
 
@@ -92,7 +119,8 @@
 }
 
 func (p *Proxy) connect(c net.Conn) {
-	if p.currentMode() == Reset {
+	caller := p.route.caller(c)
+	if p.currentMode(caller) == Reset {
 		_ = c.Close()
 		return
 	}
@@ -102,10 +130,11 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[c], p.conns[t] = true, true
+	p.conns[c], p.conns[t] = caller, caller
 	p.mu.Unlock()
-	go p.forward(t, c, false)
-	p.forward(c, t, true)
+	p.resetConns() // the mode may have changed meanwhile
+	go p.forward(t, c, caller, false)
+	p.forward(c, t, caller, true)
 	p.mu.Lock()
 	delete(p.conns, c)
 	delete(p.conns, t)
@@ -113,7 +142,7 @@
 }
 
 // forward copies one direction, in the mode that holds for each chunk.
-func (p *Proxy) forward(to, from net.Conn, replies bool) {
+func (p *Proxy) forward(to, from net.Conn, caller string, replies bool) {
 	defer func() { _, _ = to.Close(), from.Close() }()
 	buf := make([]byte, 32<<10)
 	discard := false
@@ -122,7 +151,7 @@
 		if err != nil {
 			return
 		}
-		m := p.currentMode()
+		m := p.currentMode(caller)
 		if m == Delay {
 			time.Sleep(delayTime)
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,8 @@
 	InjectedFaults []string
 	// Series names the series of planned work in order.
 	Series []string
+	// Partitions names the partitions of the network in order.
+	Partitions []string
 	// Violations lists the guarantees that were violated.
 	Violations []string
 }
@@ -48,6 +50,7 @@
 	load.Go(func() { c.submitJobs(until) })
 	load.Go(func() { r.BurstJobs = c.submitBursts(until) })
 	load.Go(func() { r.Series = s.injectSeries(until) })
+	load.Go(func() { r.Partitions = s.injectPartitions(until) })
 	r.InjectedFaults = s.injectFaults(until)
 	load.Wait()
 	s.clearFaults()
@@ -80,11 +83,11 @@
 	for time.Now().Before(until) {
 		f := s.randomFault(s.rng)
 		names = append(names, f.name)
-		f.begin()
+		s.beginFault(f)
 		duration := time.Duration(s.rng.Int64N(int64(maxFaultTime)))
 		inForce.Go(func() {
 			time.Sleep(duration)
-			f.end()
+			s.endFault(f)
 		})
 		time.Sleep(time.Duration(s.rng.Int64N(int64(2 * meanFaultGap))))
 	}
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -40,7 +40,11 @@
 		}
 		name, play := s.randomSeries(rng)
 		names = append(names, name)
-		inForce.Go(play)
+		inForce.Go(func() {
+			s.logFault("begins", name)
+			play()
+			s.logFault("ends", name)
+		})
 	}
 	inForce.Wait()
 	return names
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("seed %d: %d jobs, %d accepted, %d complete, %d in bursts; %q; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.BurstJobs, r.InjectedFaults, r.Series)
+		t.Logf("seed %d: %d jobs, %d accepted, %d complete, %d in bursts; %q; %q; %q", r.Seed, r.Jobs, r.Accepted, r.Complete, r.BurstJobs, r.InjectedFaults, r.Series, r.Partitions)
 		for _, f := range r.Violations {
 			t.Errorf("seed %d: %s", seed, f)
 		}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -49,6 +51,9 @@
 	workers  []*Proxy
 	machines []*machine
 	servers  []*http.Server
+	network  network
+	faults   *slog.Logger
+	faultLog *os.File
 	stop     context.CancelFunc
 	// deadlyJobs holds the IDs of jobs whose first task crashes its workers.
 	deadlyJobs sync.Map
@@ -61,6 +66,9 @@
 	s.fleet = fleet.NewLive(func(t job.TaskID, _ int64) (time.Duration, bool) {
 		return time.Duration(100+37*(t.Index+len(t.Job)*t.Step)%900) * time.Millisecond, false
 	})
+	if err := s.openFaultLog(); err != nil {
+		return nil, err
+	}
 	s.setUpCrashes()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
@@ -105,7 +113,7 @@
 func dataCentre(n int) string { return fmt.Sprintf("z%d", n%2) }
 
 func (s *testbed) addWorker(n int, addr string) error {
-	p, err := NewProxy(s.host, addr)
+	p, err := NewProxy(s.host, addr, route{network: &s.network, caller: s.network.callerName, target: string(workerName(n))})
 	if err != nil {
 		return eris.Wrap(ErrSetup, err.Error())
 	}
@@ -142,23 +150,31 @@
 func (s *testbed) addMachines(storeAddr string) error {
 	var controls, seeds []string
 	var links []*Proxy
-	for range s.opts.Machines {
+	for n := range s.opts.Machines {
 		a, err := s.host.FreeAddr()
 		if err != nil {
 			return err
 		}
-		p, err := NewProxy(s.host, a)
+		p, err := NewProxy(s.host, a, route{network: &s.network, caller: s.network.callerName, target: machineName(n)})
 		if err != nil {
 			return eris.Wrap(ErrSetup, err.Error())
 		}
 		controls, links, seeds = append(controls, a), append(links, p), append(seeds, p.Addr())
 	}
 	for n, control := range controls {
-		m, err := newMachine(s.opts.Dir, s.host, n, storeAddr, seeds[:min(3, len(seeds))], control, links[n])
+		caller := func(net.Conn) string { return machineName(n) }
+		p, err := NewProxy(s.host, storeAddr, route{network: &s.network, caller: caller, target: storeName})
+		if err != nil {
+			return eris.Wrap(ErrSetup, err.Error())
+		}
+		m, err := newMachine(s.opts.Dir, s.host, n, seeds[:min(3, len(seeds))], control, p, links[n])
 		if err != nil {
 			return err
 		}
 		s.machines = append(s.machines, m)
+		s.network.addMachine(m)
+	}
+	for _, m := range s.machines {
 		if err := m.start(s.opts.Program); err != nil {
 			return err
 		}
@@ -177,4 +193,5 @@
 		_ = srv.Close()
 	}
 	s.stop()
+	_ = s.faultLog.Close()
 }
