Model check: terms that are kept without the store

The term specification had a renewal and a claim as one step each and nothing by which an owner keeps its term without the store, so it could not show it.

It now has witnesses with promises and consents, records that name sets of witnesses, a limit after which claims need no consent, claims, renewals and questions that arrive or are answered late or never, restarts of witnesses, releases, and cuts between instances, workers, witnesses and the store. New invariants, checked in the sizes without them as well: no owner may start tasks after a later term was claimed, and no term is confirmed for a time later than the staleness of its record before that claim.

The mutations of the existing test are still required to break the invariants on runs (RunsOnly), as strict as before.

--- a/internal/modelcheck/otherspec_test.go
+++ b/internal/modelcheck/otherspec_test.go
@@ -35,6 +35,7 @@
 		"owner starts tasks without a recent confirmation":  func(k *TermSpec) { k.StartUnconfirmed = true },
 	} {
 		k := termSpec()
+		k.RunsOnly = true // the fault must be seen in the runs themselves
 		mutate(&k)
 		if r := Explore(k, 20_000_000); r.Violation == "" {
 			t.Errorf("%s: no violation found in %s", name, r)
--- a/internal/modelcheck/termspec.go
+++ b/internal/modelcheck/termspec.go
@@ -15,11 +15,38 @@
 	TermAcknowledgeEnd
 	TermPartition
 	TermRestart
+	// TermSplit parts the network, or heals it.
+	TermSplit
+	// TermPeerWord confirms a term on a peer's word that the store does not serve it.
+	TermPeerWord
+	TermRelease
+	TermSendClaim
+	TermStoreClaim
+	TermGain
+	TermSendRenewal
+	TermStoreRenewal
+	TermRenewalAnswer
+	TermAskPromise
+	TermPromise
+	TermPromiseAnswer
+	TermConsent
+	TermWitnessRestart
+	// The same three exchanges, answered within the tick.
+	TermClaimAnswered
+	TermRenewalAnswered
+	TermPromiseAnswered
 )
 
+// firstKeepingAction is the first action of doKeeping. Their Worker is the number of a
+// witness, or in those on renewals the set of witnesses that the renewal names.
+const firstKeepingAction = TermSplit
+
 var termActionNames = [...]string{
 	"tick", "claim", "renew", "hold", "start", "start delivered", "start lost", "stop", "task ends",
 	"end recorded", "end acknowledged", "worker partitioned or reconnected", "worker restarts",
+	"network parted or healed", "kept on a peer's word", "term released", "claim sent", "claim stored", "term gained",
+	"renewal sent", "renewal stored", "renewal answered", "promise asked", "promised", "promise answered",
+	"consent", "witness restarts", "claim stored and answered", "renewal stored and answered", "promise asked and answered",
 }
 
 // TermSpec is the specification of terms, takeovers and single runs.
@@ -42,16 +69,34 @@
 	// StartUnconfirmed lets an owner start tasks however old its last confirmation
 	// is.
 	StartUnconfirmed bool
+	// Keeping is what lets an owner keep its term while the store does not answer. With
+	// its zero value a renewal and a claim are one step each, and no record names
+	// witnesses.
+	Keeping Keeping
+	// TermsOnly leaves the workers and the task out.
+	TermsOnly bool
+	// RunsOnly checks the invariants on runs only, to show what a fault leads to.
+	RunsOnly bool
 }
 
 // Initial returns the state in which no instance owns the cell.
-func (k TermSpec) Initial() TermState { return TermState{renewalAge: renewalStaleTicks} }
+func (k TermSpec) Initial() TermState {
+	return TermState{renewalAge: renewalStaleTicks, keeping: keepingState{splitsLeft: k.Keeping.MaxSplits}}
+}
 
 // Transitions appends all transitions that change the state.
 func (k TermSpec) Transitions(s TermState, out []Transition[TermState]) []Transition[TermState] {
-	for v := TermTick; v <= TermRestart; v++ {
-		for h := range uint8(instances) {
-			for w := range uint8(termWorkers) {
+	last := TermPromiseAnswered
+	if k.Keeping.isZero() {
+		last = TermRestart
+	}
+	for v := TermTick; v <= last; v++ {
+		if k.TermsOnly && v >= TermHold && v < firstKeepingAction {
+			continue
+		}
+		hosts, workers := rangeOf(v)
+		for h := range hosts {
+			for w := range workers {
 				a := Action{Kind: v, Host: h, Worker: w}
 				if n := k.Do(s, a); n != s {
 					out = append(out, Transition[TermState]{a, n})
@@ -62,6 +107,21 @@
 	return out
 }
 
+// rangeOf returns the numbers of values that the Host and the Worker of an action take.
+func rangeOf(v ActionKind) (hosts, workers uint8) {
+	switch v {
+	case TermTick, TermStartDelivered, TermStartLost:
+		return 1, 1
+	case TermTaskEnd, TermPartition, TermRestart, TermSplit, TermWitnessRestart:
+		return 1, termWorkers
+	case TermClaim, TermRenew, TermRecordEnd, TermRelease, TermSendClaim, TermStoreClaim, TermGain, TermClaimAnswered:
+		return instances, 1
+	case TermSendRenewal, TermStoreRenewal, TermRenewalAnswer, TermRenewalAnswered:
+		return instances, witnessSets
+	}
+	return instances, termWorkers
+}
+
 // Check returns the invariant that the state violates, or "".
 func (k TermSpec) Check(s TermState) string {
 	switch {
@@ -69,41 +129,24 @@
 		return "two runs of a task at the same time"
 	case s.restartedAfterEnd:
 		return "a task started again after its end was acknowledged"
+	case k.RunsOnly:
+		return ""
 	}
-	return ""
+	return s.checkOwners()
 }
 
-// The scenarios that an exploration of the term specification must reach.
-const (
-	ScenarioTwoOwners      = "an earlier owner continues beside a later one"
-	ScenarioSilentWorker   = "a new owner can't reach a worker that runs the task"
-	ScenarioEarlierStart   = "a start of an earlier term is in flight"
-	ScenarioAdoptedRun     = "a new owner finds the task running"
-	ScenarioNewIncarnation = "an earlier owner can reach a restarted worker that knows no term"
-)
-
-// Scenarios reports the scenarios that a state is in.
-func (k TermSpec) Scenarios(s TermState, report func(string)) {
-	if s.instance[0].term != 0 && s.instance[1].term != 0 {
-		report(ScenarioTwoOwners)
-	}
-	if s.startTerm != 0 && s.startTerm < s.term {
-		report(ScenarioEarlierStart)
-	}
+// checkOwners returns the violation by an owner that does not know of a later term. A
+// later term is claimed when a confirmation has become stale, so that owner starts
+// nothing any more, and the wait of the later one covers the leases that it renews.
+func (s TermState) checkOwners() string {
 	for _, i := range s.instance {
-		if i.term == 0 {
-			continue
-		}
-		for w, ws := range s.worker {
-			if ws.partitioned && ws.runTerm != 0 && ws.runTerm < i.term && i.answeredWorkers&bit(uint8(w)) == 0 {
-				report(ScenarioSilentWorker)
-			}
-			if i.task == taskRunning && ws.runTerm != 0 && ws.runTerm < i.term && i.taskWorker == uint8(w) {
-				report(ScenarioAdoptedRun)
-			}
-			if s.restarts > 0 && ws.knownTerm == 0 && i.term < s.term {
-				report(ScenarioNewIncarnation)
-			}
+		switch {
+		case i.term == 0 || i.term == s.term:
+		case i.confirmationAge <= startGraceTicks:
+			return "an owner may start tasks after a later term was claimed"
+		case i.confirmationAge < renewalStaleTicks+i.outdatedAge:
+			return "a term was confirmed for a time after a later one was claimed"
 		}
 	}
+	return ""
 }
--- a/internal/modelcheck/termstate.go
+++ b/internal/modelcheck/termstate.go
@@ -55,6 +55,10 @@
 	taskWorker      uint8
 	// startBarred says that the start that was sent has been barred at its worker.
 	startBarred bool
+	// outdatedAge is the time since a later term was claimed, and keeping what the
+	// instance knows as an owner that keeps its term without the store.
+	outdatedAge uint8
+	keeping     keepingView
 }
 
 // workerState is the state of one worker.
@@ -93,19 +97,8 @@
 	endAcknowledged bool
 	restarts        uint8
 	partitions      uint8
+	keeping         keepingState
 	// ranTwice and restartedAfterEnd record violations.
 	ranTwice          bool
 	restartedAfterEnd bool
 }
-
-// Append appends the encoded state.
-func (s TermState) Append(b []byte) []byte {
-	for _, i := range s.instance {
-		b = append(b, i.term|i.confirmationAge<<4, i.termAge|i.answeredWorkers<<4, uint8(i.task)|i.taskWorker<<3|b2u(i.startBarred)<<6)
-	}
-	for _, w := range s.worker {
-		b = append(b, w.knownTerm|w.runTerm<<4, w.leaseLeft|w.barredTerm<<4, b2u(w.endListed)|b2u(w.partitioned)<<1|b2u(w.expiredSinceEnd)<<2)
-	}
-	b = append(b, s.term|s.owner<<4|s.renewalAge<<5, s.startTerm|s.startWorker<<4|s.startLeaseLeft<<5)
-	return append(b, b2u(s.endRecorded)|b2u(s.endAcknowledged)<<1|b2u(s.ranTwice)<<2|b2u(s.restartedAfterEnd)<<3, s.restarts|s.partitions<<4)
-}
--- a/internal/modelcheck/termsteps.go
+++ b/internal/modelcheck/termsteps.go
@@ -3,6 +3,13 @@
 // Do returns the state after an action, which is the same state if the action is not
 // possible.
 func (k TermSpec) Do(s TermState, a Action) TermState {
+	if a.Kind >= firstKeepingAction {
+		return k.doKeeping(s, a)
+	}
+	return k.doTask(s, a)
+}
+
+func (k TermSpec) doTask(s TermState, a Action) TermState {
 	i, w := &s.instance[a.Host], &s.worker[a.Worker]
 	switch a.Kind {
 	case TermTick:
@@ -10,11 +17,11 @@
 	case TermClaim:
 		k.claim(&s, a.Host)
 	case TermRenew:
-		if i.term != 0 && i.term == s.term {
+		if i.term != 0 && i.term == s.term && k.Keeping.Sets == 0 && s.reachesStore(a.Host) {
 			s.renewalAge, i.confirmationAge = 0, 0
 		}
 	case TermHold:
-		k.hold(i, w, a.Worker)
+		k.hold(&s, a)
 	case TermStart:
 		k.start(&s, a)
 	case TermStartDelivered:
@@ -22,7 +29,7 @@
 	case TermStartLost:
 		s.startTerm, s.startWorker, s.startLeaseLeft = 0, 0, 0
 	case TermStop:
-		k.stop(i, w, a.Worker)
+		k.stop(&s, a)
 	case TermTaskEnd:
 		if w.runTerm != 0 {
 			w.runTerm, w.endListed, w.expiredSinceEnd = 0, true, false
@@ -32,7 +39,7 @@
 			s.endRecorded = true
 		}
 	case TermAcknowledgeEnd:
-		if i.term != 0 && w.endListed && k.acceptsTerm(w, i.term) && !w.partitioned && i.task == taskEnded && (s.endRecorded || k.AckBeforeRecord) {
+		if i.term != 0 && w.endListed && k.acceptsTerm(w, i.term) && s.reachesWorker(a) && i.task == taskEnded && (s.endRecorded || k.AckBeforeRecord) {
 			s.endAcknowledged = s.endAcknowledged || !w.expiredSinceEnd
 			w.endListed, w.expiredSinceEnd, w.leaseLeft = false, false, 0
 		}
@@ -62,10 +69,14 @@
 			continue
 		}
 		i.confirmationAge, i.termAge = min(i.confirmationAge+1, maxAge), min(i.termAge+1, maxAge)
+		if k.TermsOnly {
+			i.termAge = 0 // bears on starts only
+		}
 		if i.confirmationAge > ownerGraceTicks && !k.RenewUnconfirmed {
 			*i = instanceState{}
 		}
 	}
+	k.tickKeeping(s)
 	for n := range s.worker {
 		w := &s.worker[n]
 		if w.leaseLeft == 0 {
@@ -81,6 +92,9 @@
 // claim takes over the next term if the last renewal of the current one is too old.
 // The new owner reads what is durable and asks the workers later.
 func (k TermSpec) claim(s *TermState, h uint8) {
+	if k.Keeping.Sets != 0 || !s.reachesStore(h) {
+		return
+	}
 	if s.renewalAge < renewalStaleTicks || s.term >= k.MaxTerms || (s.instance[h].term != 0 && s.instance[h].term == s.term) {
 		return
 	}
@@ -98,8 +112,9 @@
 }
 
 // hold fences a worker, renews its lease and reads its lists.
-func (k TermSpec) hold(i *instanceState, w *workerState, n uint8) {
-	if i.term == 0 || w.partitioned {
+func (k TermSpec) hold(s *TermState, a Action) {
+	i, w, n := &s.instance[a.Host], &s.worker[a.Worker], a.Worker
+	if i.term == 0 || !s.reachesWorker(a) {
 		return
 	}
 	if !k.acceptsTerm(w, i.term) {
@@ -157,8 +172,9 @@
 
 // stop bars the start of the owner's term at a worker, and ends the run if it has
 // begun.
-func (k TermSpec) stop(i *instanceState, w *workerState, n uint8) {
-	if i.term == 0 || w.partitioned || i.task != taskStartSent || i.taskWorker != n || !k.acceptsTerm(w, i.term) {
+func (k TermSpec) stop(s *TermState, a Action) {
+	i, w, n := &s.instance[a.Host], &s.worker[a.Worker], a.Worker
+	if i.term == 0 || !s.reachesWorker(a) || i.task != taskStartSent || i.taskWorker != n || !k.acceptsTerm(w, i.term) {
 		return
 	}
 	w.barredTerm = max(w.barredTerm, i.term)
