Soak: look for a caller's socket without holding up kills

A machine's lock was held while the open files of its process were read, so that on a busy computer a SIGKILL came up to 1.7 s after the kill was counted, and requests sent meanwhile were reported as cut without a kill.

--- a/internal/soak/callername.go
+++ b/internal/soak/callername.go
@@ -76,13 +76,12 @@
 
 // hasSocket reports whether the machine's process has the socket with an inode open.
 func (m *machine) hasSocket(inode uint32) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.running() {
+	pid := m.pid()
+	if pid == 0 {
 		return false
 	}
 	name := fmt.Sprintf("socket:[%d]", inode)
-	dir := fmt.Sprintf("/proc/%d/fd", m.cmd.Process.Pid)
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return false
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// pid returns the id of the process, or 0 if there is none.
+func (m *machine) pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.running() {
+		return 0
+	}
+	return m.cmd.Process.Pid
+}
+
 // signal sends a signal to the process that the soak started.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
