Simulated witnesses are asked by their own IDs

The simulation of partitions asked all witnesses of a record with the ID of the last one, as the queries of a loop shared one variable, so that all but one refused: promises and consents were hardly ever given, and a fault of their rules could hardly be found. It also named incarnations without the slash by which package witness knows the machine.

Now starts and leases are checked when they are sent too, as the process may be paused before, and TestTermsExcludeEachOther runs the term alone, without workers: two to eight instances, with partitions, links cut one by one, pauses, crashes and outages that overlap.

--- a/internal/partitionsim/faults_test.go
+++ b/internal/partitionsim/faults_test.go
@@ -7,38 +7,86 @@
 	"coltsfootmux/internal/core/term"
 )
 
-// faults says which faults a scenario has.
-type faults struct {
-	partitions, cuts, pauses, kills, outages bool
-}
-
-// allFaults are the faults of a scenario unless a test says otherwise.
-func allFaults() faults {
-	return faults{partitions: true, cuts: true, pauses: true, kills: true, outages: true}
-}
-
 // faultOrJob submits or cancels a job, or brings about a fault.
-func (s *simulation) faultOrJob(f faults) {
+func (s *simulation) faultOrJob(withoutPartitions bool) {
 	switch n := s.rng.IntN(16); {
 	case n < 6:
 		s.submit()
 	case n == 6:
 		s.cancel()
-	case n < 10 && f.partitions:
+	case n < 10:
+		if !withoutPartitions {
+			s.partition()
+		}
+	case n < 12:
+		s.cutLink()
+	case n == 12:
+		s.pauseInstance()
+	case n == 13:
+		s.killInstance()
+	case n == 14:
+		s.stopInstance()
+	case n == 15:
+		s.storeOutage()
+	}
+}
+
+// termFault brings about a fault that concerns the term.
+func (s *simulation) termFault() {
+	switch n := s.rng.IntN(20); {
+	case n < 5:
 		s.partition()
-	case n < 12 && f.cuts:
+	case n < 7:
+		s.cutMostLinks()
+	case n == 7:
+		s.leaveOneWithStore()
+	case n < 11:
 		s.cutLink()
-	case n == 12 && f.pauses:
+	case n < 14:
 		s.pauseInstance()
-	case n == 13 && f.kills:
+	case n < 16:
 		s.killInstance()
-	case n == 14 && f.kills:
+	case n == 16:
 		s.stopInstance()
-	case n == 15 && f.outages:
+	default:
 		s.storeOutage()
 	}
 }
 
+// cutMostLinks cuts many of the links between instances and the store for a while, each by
+// itself.
+func (s *simulation) cutMostLinks() {
+	share, length := s.rng.Float64(), s.faultLength()
+	var cuts []direction
+	for _, a := range s.instances {
+		for _, b := range s.instances {
+			if a != b && s.chance(share/2) {
+				cuts = append(cuts, direction{a.host, b.host})
+			}
+		}
+		if s.chance(share) {
+			cuts = append(cuts, direction{a.host, storeHost})
+		}
+	}
+	s.cut(length, s.randomCutState(), cuts)
+}
+
+// leaveOneWithStore puts all but one or two instances on an island without the store, often for
+// longer than a term is kept without it.
+func (s *simulation) leaveOneWithStore() {
+	if s.net.island != nil {
+		return
+	}
+	island := make(map[host]bool)
+	for _, i := range s.instances {
+		island[i.host] = true
+	}
+	for range 1 + s.rng.IntN(2) {
+		delete(island, s.randomInstance().host)
+	}
+	s.isolate(island, linkSilent, s.between(2*time.Second, 30*time.Second))
+}
+
 // randomCutState returns how a cut link behaves.
 func (s *simulation) randomCutState() linkState {
 	if s.chance(0.7) {
@@ -76,8 +124,12 @@
 			island[host(h.machine.ID)] = true
 		}
 	}
-	s.net.island, s.net.islandState = island, s.randomCutState()
-	length := s.faultLength()
+	s.isolate(island, s.randomCutState(), s.faultLength())
+}
+
+// isolate puts hosts on an island without the store for a while.
+func (s *simulation) isolate(island map[host]bool, state linkState, length time.Duration) {
+	s.net.island, s.net.islandState = island, state
 	s.tracef("partition for %v, state %d, without the store: %v", length, s.net.islandState, s.net.islandNames())
 	s.schedule(length, func() {
 		if !s.healed {
@@ -97,6 +149,11 @@
 		at := s.rng.IntN(2)
 		cuts = cuts[at : at+1]
 	}
+	s.cut(length, state, cuts)
+}
+
+// cut cuts links for a while.
+func (s *simulation) cut(length time.Duration, state linkState, cuts []direction) {
 	s.tracef("links cut for %v, state %d: %v", length, state, cuts)
 	for _, d := range cuts {
 		s.net.cuts[d] = state
@@ -112,10 +169,10 @@
 
 // randomHost returns a peer, a worker or the store.
 func (s *simulation) randomHost() host {
-	switch s.rng.IntN(3) {
-	case 0:
+	switch n := s.rng.IntN(3); {
+	case n == 0:
 		return storeHost
-	case 1:
+	case n == 1 || len(s.heartbeats) == 0:
 		return s.randomInstance().host
 	default:
 		return host(s.heartbeats[s.rng.IntN(len(s.heartbeats))].machine.ID)
@@ -145,6 +202,7 @@
 		return
 	}
 	s.tracef("%s stops", i.name())
+	i.witness.Stop()
 	i.stepTerm(term.Stopping{})
 	i.deliver(s.between(0, time.Second), func() {
 		i.kill()
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// name returns the name of the present incarnation.
-func (i *instance) name() string { return fmt.Sprintf("%s#%d", i.host, i.incarnation) }
+// name returns the name of the present incarnation, as MACHINE/START.
+func (i *instance) name() string { return fmt.Sprintf("%s/%d", i.host, i.incarnation) }
 
 // clock returns the time of the host's clock.
 func (i *instance) clock() time.Duration { return i.sim.now + i.clockOffset }
--- a/internal/partitionsim/orders_test.go
+++ b/internal/partitionsim/orders_test.go
@@ -17,16 +17,11 @@
 	switch a := a.(type) {
 	case cell.Start:
 		o.inst.sim.checkStart(o, a.Order)
-		o.inst.sim.checkLease(o, a.Order.Worker)
-		o.inst.sim.tracef("%s orders start of %v run %d on %s, resends %d", o.inst.name(), a.Order.Task, a.Order.Run, a.Order.Worker, a.Resends)
-		o.start(a.Order)
+		o.sendLater(func() { o.start(a.Order) })
 	case cell.Stop:
-		o.stop(a.Order)
+		o.sendLater(func() { o.stop(a.Order) })
 	case cell.Hold:
-		if a.Order.LeaseEnd > 0 {
-			o.inst.sim.checkLease(o, a.Order.Worker)
-		}
-		o.hold(a)
+		o.sendLater(func() { o.hold(a) })
 	case cell.Pace:
 		o.callWorker(a.Order.Worker, orderTimeout, func(reply func()) {
 			_, _ = o.inst.sim.fleet.Pace(context.Background(), a.Order)
@@ -41,6 +36,20 @@
 	}
 }
 
+// maxSendDelay is the longest time between the decision of an order and its call, in which the
+// process may be paused.
+const maxSendDelay = 2 * time.Millisecond
+
+// sendLater sends an order unless the term is over by then.
+func (o *owner) sendLater(send func()) {
+	o.inst.deliver(o.inst.sim.between(0, maxSendDelay), func() {
+		o.checkTermAfterPause()
+		if !o.ended() {
+			send()
+		}
+	})
+}
+
 // callWorker plays a call to a worker. A call does not outlive the process that it reached.
 func (o *owner) callWorker(id external.WorkerID, timeout time.Duration, execute func(reply func()), done func(cell.Failure)) {
 	o.inst.sim.send(call{from: o.inst, to: host(id), timeout: timeout, execute: execute, done: func(r callResult) {
@@ -56,6 +65,13 @@
 }
 
 func (o *owner) start(order external.StartOrder) {
+	if !o.core.MayStart(o.inst.instant()) {
+		o.step(cell.StartAnswered{Task: order.Task, Run: order.Run, Worker: order.Worker, Failure: cell.FailureNotExecuted})
+		return
+	}
+	o.inst.sim.checkStart(o, order)
+	o.inst.sim.checkLease(o, order.Worker)
+	o.inst.sim.tracef("%s orders start of %v run %d on %s", o.inst.name(), order.Task, order.Run, order.Worker)
 	var r external.OrderResult
 	var err error
 	execute := func(reply func()) {
@@ -83,6 +99,9 @@
 // after a random part of that time, as a run may end at any moment.
 func (o *owner) hold(a cell.Hold) {
 	s := o.inst.sim
+	if a.Order.LeaseEnd > 0 {
+		s.checkLease(o, a.Order.Worker)
+	}
 	var l external.HoldResult
 	var err error
 	carryOut := func() { l, err = s.fleet.Hold(context.Background(), a.Order) }
--- a/internal/partitionsim/owner_test.go
+++ b/internal/partitionsim/owner_test.go
@@ -157,12 +157,7 @@
 // step passes an event to the core and performs its actions. After a pause of the whole
 // process the term is checked first.
 func (o *owner) step(ev cell.Event) {
-	now := o.inst.clock()
-	paused := now-o.lastStep > pauseThreshold
-	o.lastStep = now
-	if paused && !o.ended() {
-		o.inst.stepTerm(term.Tick{})
-	}
+	o.checkTermAfterPause()
 	if o.core == nil || o.ended() {
 		return
 	}
@@ -171,6 +166,16 @@
 	}
 }
 
+// checkTermAfterPause ends the owner if the process was paused for so long that the term is over.
+func (o *owner) checkTermAfterPause() {
+	now := o.inst.clock()
+	paused := now-o.lastStep > pauseThreshold
+	o.lastStep = now
+	if paused && !o.ended() {
+		o.inst.stepTerm(term.Tick{})
+	}
+}
+
 // confirmTerm passes on that the term is confirmed as of a time.
 func (o *owner) confirmTerm(at time.Duration) {
 	if at > o.confirmedAt && !o.ended() {
--- a/internal/partitionsim/partition_test.go
+++ b/internal/partitionsim/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,18 +27,24 @@
 
 // TestOneOwnerStartsTasksBesidePartitions runs random scenarios in which partitions, cuts,
 // pauses, crashes and outages come at any time.
-func TestOneOwnerStartsTasksBesidePartitions(t *testing.T) { runSeeds(t, allFaults()) }
+func TestOneOwnerStartsTasksBesidePartitions(t *testing.T) {
+	runSeeds(t, func(seed uint64) *simulation { return runJobs(t, seed, false) })
+}
 
 // TestOneOwnerStartsTasksWithoutPartitions runs the same without partitions.
 func TestOneOwnerStartsTasksWithoutPartitions(t *testing.T) {
-	f := allFaults()
-	f.partitions = false
-	runSeeds(t, f, regressionSeeds...)
+	runSeeds(t, func(seed uint64) *simulation { return runJobs(t, seed, true) }, regressionSeeds...)
+}
+
+// TestTermsExcludeEachOther runs scenarios without workers, with more faults of all that an owner
+// needs to keep its term, and with two to eight instances.
+func TestTermsExcludeEachOther(t *testing.T) {
+	runSeeds(t, func(seed uint64) *simulation { return runTerms(t, seed) })
 }
 
 // runSeeds runs the scenarios of the fixed seeds and of some others, or of those that the
 // flags name. It ends with the first that fails unless the results of all are asked for.
-func runSeeds(t *testing.T, f faults, others ...uint64) {
+func runSeeds(t *testing.T, run func(seed uint64) *simulation, others ...uint64) {
 	var seeds []uint64
 	if *seedCount == fixedSeeds {
 		seeds = others
@@ -46,7 +53,7 @@
 		seeds = append(seeds, *firstSeed+n)
 	}
 	for _, seed := range seeds {
-		s := runScenario(t, seed, f)
+		s := run(seed)
 		failure := s.failure()
 		if failure == "" {
 			continue
@@ -61,13 +68,13 @@
 	}
 }
 
-// runScenario runs the scenario of a seed until all jobs have ended.
-func runScenario(t *testing.T, seed uint64, f faults) *simulation {
-	s := newSimulation(t, seed)
+// runJobs runs the scenario of a seed until all jobs have ended.
+func runJobs(t *testing.T, seed uint64, withoutPartitions bool) *simulation {
+	s := newSimulation(t, seed, 3+int(seed%4), 5)
 	s.run(2 * time.Second)
 	for range 36 {
 		s.run(s.between(100*time.Millisecond, 1200*time.Millisecond))
-		s.faultOrJob(f)
+		s.faultOrJob(withoutPartitions)
 	}
 	s.heal()
 	for range 120 {
@@ -79,6 +86,32 @@
 	return s
 }
 
+// runTerms runs the scenario of a seed without workers. In the end one instance owns the cell.
+func runTerms(t *testing.T, seed uint64) *simulation {
+	s := newSimulation(t, seed, 2+int(seed%7), 0)
+	s.run(2 * time.Second)
+	for range 12 {
+		s.run(s.between(time.Second, 5*time.Second))
+		for range 1 + s.rng.IntN(6) {
+			s.termFault()
+			s.run(s.between(0, time.Second))
+		}
+		s.run(s.between(0, 4*time.Second))
+		if s.chance(0.7) {
+			s.net.heal()
+		}
+	}
+	s.heal()
+	s.run(ownerDeadline)
+	if !slices.ContainsFunc(s.instances, func(i *instance) bool { return i.owner != nil && i.owner.core != nil }) {
+		s.violationf("no instance owns the cell")
+	}
+	return s
+}
+
+// ownerDeadline is the time after the last fault within which an instance must own the cell.
+const ownerDeadline = 10 * time.Second
+
 // failure describes what went wrong, "" for nothing.
 func (s *simulation) failure() string {
 	var out []string
--- a/internal/partitionsim/simulation_test.go
+++ b/internal/partitionsim/simulation_test.go
@@ -49,8 +49,9 @@
 	ownerships int
 }
 
-// newSimulation returns a simulation in which all instances have started.
-func newSimulation(t *testing.T, seed uint64) *simulation {
+// newSimulation returns a simulation in which all instances start, with the given number of
+// instances, and with some more than the given number of workers, or none.
+func newSimulation(t *testing.T, seed uint64, instances, workers int) *simulation {
 	s := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 41)),
 		net:        network{cuts: make(map[direction]linkState), hostsDown: make(map[host]bool)},
@@ -64,10 +65,13 @@
 	if s.chance(0.15) {
 		s.storeDelay = s.between(30*time.Millisecond, 200*time.Millisecond)
 	}
-	for n := range 5 + s.rng.IntN(5) {
+	if workers > 0 {
+		workers += s.rng.IntN(5)
+	}
+	for n := range workers {
 		s.addWorker(n)
 	}
-	for n := range 3 + s.rng.IntN(4) {
+	for n := range instances {
 		s.instances = append(s.instances, newInstance(s, n))
 	}
 	for _, i := range s.instances {
--- a/internal/partitionsim/witness_test.go
+++ b/internal/partitionsim/witness_test.go
@@ -74,9 +74,8 @@
 }
 
 func (i *instance) askPromises(a term.AskPromises) {
-	q := witnessQuery{ask: askPromise, at: witness.Position{Term: a.Term, Renewal: a.Renewal}}
 	for _, w := range a.Witnesses {
-		q.witness = w.ID
+		q := witnessQuery{ask: askPromise, at: witness.Position{Term: a.Term, Renewal: a.Renewal}, witness: w.ID}
 		i.deliver(0, func() {
 			i.askWitness(w.Addr, q, func(r witnessReply, ok bool) {
 				if ok && r.granted {
@@ -88,9 +87,8 @@
 }
 
 func (i *instance) askConsents(a term.AskConsents) {
-	q := witnessQuery{ask: askConsent, at: witness.Position{Term: a.Term, Renewal: a.Renewal}}
 	for _, w := range a.Witnesses {
-		q.witness = w.ID
+		q := witnessQuery{ask: askConsent, at: witness.Position{Term: a.Term, Renewal: a.Renewal}, witness: w.ID}
 		i.deliver(0, func() {
 			i.askWitness(w.Addr, q, func(r witnessReply, ok bool) {
 				if ok && r.granted {
