--- a/internal/modelcheck/termcuts.go
+++ b/internal/modelcheck/termcuts.go
@@ -17,7 +17,13 @@
 
 // reachesStore says whether the store serves an instance.
 func (s TermState) reachesStore(h uint8) bool {
-	return s.keeping.split == 0 || s.keeping.split == splitIsland && h != 0
+	switch s.keeping.split {
+	case splitIsland:
+		return h != 0
+	case splitStore:
+		return false
+	}
+	return true
 }
 
 // reachesWorker says whether the host and the worker of an action reach each other.
