--- a/internal/modelcheck/termkeeping_test.go
+++ b/internal/modelcheck/termkeeping_test.go
@@ -51,15 +51,17 @@
 			}
 		})
 	}
-	for _, scenario := range []string{
-		ScenarioKeptTerm, ScenarioTwoSets, ScenarioSlowClaim, ScenarioConsentGiven, ScenarioKeepLimit, ScenarioIsland,
-		ScenarioTwoOwners, ScenarioAdoptedRun, ScenarioEarlierStart,
-	} {
-		t.Logf("%8d states: %s", reached[scenario], scenario)
-		if reached[scenario] == 0 {
-			t.Errorf("scenario not reached: %s", scenario)
+	t.Run("scenarios", func(t *testing.T) {
+		for _, scenario := range []string{
+			ScenarioKeptTerm, ScenarioTwoSets, ScenarioSlowClaim, ScenarioConsentGiven, ScenarioKeepLimit, ScenarioIsland,
+			ScenarioTwoOwners, ScenarioAdoptedRun, ScenarioEarlierStart,
+		} {
+			t.Logf("%8d states: %s", reached[scenario], scenario)
+			if reached[scenario] == 0 {
+				t.Errorf("scenario not reached: %s", scenario)
+			}
 		}
-	}
+	})
 }
 
 // TestEachKeepingMutationIsFound puts one fault at a time into the protocol by which a
