Count a repeated claim from its own sending

A claim that a renewal of the owner had barred, and that was made again later for the same term, counted from the first attempt if its record was read before its answer. The term was then lost as soon as it was gained, and the takeover made twice.

TestRepeatedClaimCountsFromItsOwnSending failed before: "gained as of [1.5s], want 3s".

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -39,8 +39,10 @@
 	// pendingWrites is the number of unanswered writes.
 	pendingWrites int
 	nextWrite     time.Duration
-	// sent is the latest record sent, and sentAt when it was first sent.
+	// sent is the latest record sent, sentEnd the end that it expected, and sentAt when it was
+	// first sent so.
 	sent          witness.Position
+	sentEnd       int64
 	sentAt        time.Duration
 	nextPeerQuery time.Duration
 	stopping      bool
@@ -263,8 +265,8 @@
 func (c *Core) write(r Record) {
 	c.pendingWrites++
 	c.nextWrite = c.now + c.settings.HedgeAfter
-	if r.position() != c.sent {
-		c.sent, c.sentAt = r.position(), c.now
+	if r.position() != c.sent || c.end != c.sentEnd {
+		c.sent, c.sentEnd, c.sentAt = r.position(), c.end, c.now
 	}
 	c.emit(Write{Record: r, ExpectedEnd: c.end})
 }
