A process that stops consents to nothing for another incarnation

A witness' successor consents in the place of the incarnation that the record names. A process that had been asked to stop, but still answered on an open link, did so for its successor as well, while that one promised: promises and consents of one witness. Found while the model check's specification was compared with the code; the case in TestWitness failed before ("got true, want false").

--- a/internal/core/witness/core.go
+++ b/internal/core/witness/core.go
@@ -53,8 +53,9 @@
 // promise until it has stored a later renewal, which bars the claim.
 func (c *Core) Consent(now time.Duration, id ID, p Position) bool {
 	if id != c.id {
-		// An earlier incarnation on this machine had ended before this one started.
-		return sameMachine(id, c.id) && now-c.startedAt >= c.holdTime
+		// An earlier incarnation on this machine had ended before this one started. One that stops
+		// may have been replaced by a later one.
+		return !c.stopping && sameMachine(id, c.id) && now-c.startedAt >= c.holdTime
 	}
 	switch {
 	case p.Term < c.promisedTerm:
--- a/internal/core/witness/witness_test.go
+++ b/internal/core/witness/witness_test.go
@@ -105,6 +105,10 @@
 		"consent for an incarnation on another machine": {
 			ask: func(w *Core) bool { return w.Consent(time.Hour, other, at(3, 7)) },
 		},
+		"consent of a process that stops for another incarnation": {
+			prepare: func(w *Core) { w.Stop() },
+			ask:     func(w *Core) bool { return w.Consent(time.Hour, earlier, at(3, 7)) },
+		},
 		"a promise of a process that stops": {
 			prepare: func(w *Core) { w.Stop() },
 			ask:     func(w *Core) bool { return w.Promise(0, self, at(3, 7)) },
