Claims without consent allow for clocks of other rates

An owner's 20 s without the store and a claimant's wait for them were equal, so that clocks that differ by 1 % let the claim come before the owner's last start; design 0708 takes 10 % for granted. The claimant now waits a tenth longer.

TestKeptTermEndsBeforeClaimsAtClocksOfOtherRates failed before.

--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// clockTolerance divides a time to give the difference that two clocks may show in it.
+	clockTolerance = 10
 	// consentLead is how long before a claim the witnesses are asked for their consent, so that
 	// it does not wait for their answers.
 	consentLead = 200 * time.Millisecond
@@ -55,7 +57,8 @@
 // stored renewal, no owner keeps its term, whatever its witnesses say.
 func (c *Core) hasConsent() bool {
 	n := len(c.latest.Witnesses)
-	if n == 0 || c.now-c.changedAt >= c.settings.KeepLimit+c.settings.StaleAfter+c.settings.ClaimDelay {
+	keepLimit := c.settings.KeepLimit + c.settings.KeepLimit/clockTolerance
+	if n == 0 || c.now-c.changedAt >= keepLimit+c.settings.StaleAfter+c.settings.ClaimDelay {
 		return true
 	}
 	return len(c.consents) >= witness.Consents(n)
