Ask for consents while the store is slow

A claimant probed the store for 0.5 s before it asked the witnesses. A store that serves each call after 0.6 s left the cell without an owner once that was lost. The probe now takes as long as appends do at present.

--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -44,6 +44,8 @@
 	link   *narrowLink
 	// work is how long a task runs.
 	work time.Duration
+	// platformTerm gives instances the times of the platform instead of short ones.
+	platformTerm bool
 	// wrapStore, if set, returns what stands between the next instance and the store.
 	wrapStore func(external.Store) external.Store
 	// advertise, if set, is the address that the next instance gives its peers as its own.
@@ -197,6 +199,9 @@
 	if r.staleAfter > 0 {
 		s.Term.StaleAfter, s.Term.ConfirmTimeout, s.Term.ClaimDelay = r.staleAfter, r.staleAfter, 0
 	}
+	if r.platformTerm {
+		s.Term = term.DefaultSettings()
+	}
 	s.Term.MinTenure = r.minTenure
 	s.Cell = cell.Settings{Lease: 2 * time.Second, StartGrace: 500 * time.Millisecond, PreviousOwnerGrace: 500 * time.Millisecond, RemoteDataFactor: 3, Retention: r.retention}
 	if len(r.nodes) > 0 {
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -61,7 +61,7 @@
 			case err != nil:
 			case r.Granted:
 				i.stepTerm(term.Promised{Witness: w.ID, Term: a.Term, At: a.At})
-			case r.Contested && i.storeMonitor.probe(ctx, topicTerm, probeTimeout) != nil:
+			case r.Contested && !i.storeServesTerm(ctx):
 				i.stepTerm(term.PeersReachStore{})
 			}
 		})
@@ -71,7 +71,7 @@
 // askConsents asks the witnesses of another instance's term for their consent to a claim. Consent is
 // for good, so that they are asked only while the store serves this instance.
 func (i *Instance) askConsents(ctx context.Context, a term.AskConsents) {
-	if i.storeMonitor.probe(ctx, topicTerm, probeTimeout) != nil {
+	if !i.storeServesTerm(ctx) {
 		return
 	}
 	for _, w := range a.Witnesses {
@@ -87,6 +87,12 @@
 	}
 }
 
+// storeServesTerm asks the store for the term, and reports whether it answers within the time that
+// it takes at present.
+func (i *Instance) storeServesTerm(ctx context.Context) bool {
+	return i.storeMonitor.probe(ctx, topicTerm, i.storeMonitor.appendTimeout()) == nil
+}
+
 // checkWitnesses asks the current witnesses, and as many others as are missing, whether they
 // answer.
 func (i *Instance) checkWitnesses(ctx context.Context, a term.CheckWitnesses) {
