Test: an owner that has enough witnesses on its side of a partition

The other half of TestPartitionedOwnerDoesNotRunTasksTwice, which now cuts the links between the instances as well: closing the HTTP server left the open ones.

--- a/internal/instance/island_test.go
+++ b/internal/instance/island_test.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		n.workers.cutOff("w0", "w2")
-		_ = n.http.Close()
+		n.disconnect()
 	}
 }
 
