Name witnesses beside many instances that are gone

Records of members are never removed. An owner asked as many candidates at a time as witnesses were missing, and named none before it had asked all: 60 instances that are gone kept three that live from being named for longer than the interval between two checks. It asks 16 at a time now, passes on each find, and makes one check at a time.

TestWitnessesAreNamedBesideManyInstancesThatAreGone failed before. Left: thousands of records of gone members would still delay it, and they delay other questions to peers as well.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -77,6 +77,8 @@
 	witnessMu sync.Mutex
 	witness   *witness.Core
 	witnessID witness.ID
+	// checkingWitnesses is set while this instance asks others whether they answer.
+	checkingWitnesses atomic.Bool
 	// storeMonitor wraps StoreClient; store is the same value as an external.Store. All
 	// calls to the store go through them.
 	storeMonitor *storeMonitor
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -93,23 +93,34 @@
 	return i.storeMonitor.probe(ctx, topicTerm, i.storeMonitor.appendTimeout()) == nil
 }
 
-// checkWitnesses asks the current witnesses, and as many others as are missing, whether they
-// answer.
+// maxPresenceQuestions is how many instances are asked at once whether they answer. Most of those
+// that ever announced themselves may be gone.
+const maxPresenceQuestions = 16
+
+// checkWitnesses asks the current witnesses whether they answer, and others until there are enough
+// that do. It passes on what it has found out so far whenever one has.
 func (i *Instance) checkWitnesses(ctx context.Context, a term.CheckWitnesses) {
+	if !i.checkingWitnesses.CompareAndSwap(false, true) {
+		return
+	}
+	defer i.checkingWitnesses.Store(false)
 	var current []string
 	for _, w := range a.Current {
 		current = append(current, w.Addr)
 	}
 	answered := i.present(ctx, current)
+	i.stepTerm(term.WitnessesChecked{Term: a.Term, Answered: answered})
 	others := slices.DeleteFunc(i.members.witnessCandidates(boottime(), i.Settings.Zone), func(addr string) bool {
 		return slices.Contains(current, addr)
 	})
 	for len(answered) < witness.MaxWitnesses && len(others) > 0 && ctx.Err() == nil {
-		n := min(witness.MaxWitnesses-len(answered), len(others))
-		answered = append(answered, i.present(ctx, others[:n])...)
+		n := min(maxPresenceQuestions, len(others))
+		if found := i.present(ctx, others[:n]); len(found) > 0 {
+			answered = append(answered, found...)
+			i.stepTerm(term.WitnessesChecked{Term: a.Term, Answered: answered})
+		}
 		others = others[n:]
 	}
-	i.stepTerm(term.WitnessesChecked{Term: a.Term, Answered: answered})
 }
 
 // present asks instances whether they answer, and returns those that do.
