Simulated terms: restarts at once, long islands, pauses as a cut ends

Now processes are also restarted within 0.3 s, all but one or two instances are on an island for up to 30 s, and owners are paused just as a cut ends.

--- a/internal/partitionsim/faults_test.go
+++ b/internal/partitionsim/faults_test.go
@@ -48,6 +48,8 @@
 		s.killInstance()
 	case n == 16:
 		s.stopInstance()
+	case n == 17:
+		s.restartInstance()
 	default:
 		s.storeOutage()
 	}
@@ -84,7 +86,11 @@
 	for range 1 + s.rng.IntN(2) {
 		delete(island, s.randomInstance().host)
 	}
-	s.isolate(island, linkSilent, s.between(2*time.Second, 30*time.Second))
+	length := s.between(2*time.Second, 30*time.Second)
+	s.isolate(island, linkSilent, length)
+	if s.chance(0.5) {
+		s.run(length)
+	}
 }
 
 // randomCutState returns how a cut link behaves.
@@ -185,6 +191,24 @@
 	}
 }
 
+// restartInstance kills any process and starts another at its host at once.
+func (s *simulation) restartInstance() {
+	if i := s.randomInstance(); i.alive {
+		s.tracef("%s is restarted", i.name())
+		i.kill()
+		s.schedule(s.between(10*time.Millisecond, 300*time.Millisecond), i.start)
+	}
+}
+
+// healNetwork ends all cuts at once, sometimes while an owner is paused for about as long as it
+// keeps its term.
+func (s *simulation) healNetwork() {
+	s.net.heal()
+	if i := s.ownerOrAny(); s.chance(0.3) && i.alive && !i.paused {
+		i.pause(s.between(time.Second, 2800*time.Millisecond), s.chance(0.5))
+	}
+}
+
 // killInstance kills a process, sometimes with its host, and starts another there.
 func (s *simulation) killInstance() {
 	if i := s.ownerOrAny(); i.alive {
--- a/internal/partitionsim/partition_test.go
+++ b/internal/partitionsim/partition_test.go
@@ -90,27 +90,44 @@
 func runTerms(t *testing.T, seed uint64) *simulation {
 	s := newSimulation(t, seed, 2+int(seed%7), 0)
 	s.run(2 * time.Second)
-	for range 12 {
+	for range 10 {
 		s.run(s.between(time.Second, 5*time.Second))
 		for range 1 + s.rng.IntN(6) {
 			s.termFault()
 			s.run(s.between(0, time.Second))
 		}
 		s.run(s.between(0, 4*time.Second))
-		if s.chance(0.7) {
-			s.net.heal()
+		if s.chance(0.6) {
+			s.healNetwork()
 		}
 	}
 	s.heal()
-	s.run(ownerDeadline)
-	if !slices.ContainsFunc(s.instances, func(i *instance) bool { return i.owner != nil && i.owner.core != nil }) {
-		s.violationf("no instance owns the cell")
-	}
+	s.awaitOwner()
 	return s
 }
 
-// ownerDeadline is the time after the last fault within which an instance must own the cell.
-const ownerDeadline = 10 * time.Second
+// The time after the last fault within which an instance must own the cell, and that before
+// which it need not.
+const (
+	ownerDeadline = 10 * time.Second
+	ownerSettles  = 5 * time.Second
+)
+
+// awaitOwner runs until an instance owns the cell, and records that none does by the deadline.
+func (s *simulation) awaitOwner() {
+	end := s.now + ownerDeadline
+	for s.run(ownerSettles); s.now < end; s.run(100 * time.Millisecond) {
+		if slices.ContainsFunc(s.instances, s.ownsCell) {
+			return
+		}
+	}
+	s.violationf("no instance owns the cell")
+}
+
+// ownsCell reports whether an instance has taken over with the latest term.
+func (s *simulation) ownsCell(i *instance) bool {
+	return i.owner != nil && i.owner.core != nil && i.owner.term == s.claimed
+}
 
 // failure describes what went wrong, "" for nothing.
 func (s *simulation) failure() string {
