Simulated witnesses follow the shell of package instance, with clocks of other rates

The simulation asks the store before witnesses are asked for consents, hands over when a promise is contested, and names witnesses as they are found. In the scenarios without workers the hosts' clocks run up to 4 % fast or slow, which the term must allow for.

--- a/internal/partitionsim/faults_test.go
+++ b/internal/partitionsim/faults_test.go
@@ -226,6 +226,7 @@
 		return
 	}
 	s.tracef("%s stops", i.name())
+	i.stopping = true
 	i.witness.Stop()
 	i.stepTerm(term.Stopping{})
 	i.deliver(s.between(0, time.Second), func() {
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -16,8 +16,10 @@
 	host       host
 	settings   term.Settings
 	dataCentre string
-	// clockOffset is the difference between this host's clock and the simulation's.
+	// clockOffset is the difference between this host's clock and the simulation's at its
+	// start, clockRate its speed, 1 for true time.
 	clockOffset time.Duration
+	clockRate   float64
 	incarnation int
 	alive       bool
 	// paused processes handle nothing; backlog holds what they have to handle then.
@@ -28,7 +30,10 @@
 	// witness is the state of this incarnation as a witness.
 	witness   *witness.Core
 	witnessID witness.ID
-	owner     *owner
+	// checkingWitnesses is set while others are asked whether they answer, stopping once the
+	// process has begun to stop.
+	checkingWitnesses, stopping bool
+	owner                       *owner
 	// storeAvailable is set while the store answers this instance.
 	storeAvailable bool
 	readers        []*reader
@@ -46,7 +51,7 @@
 func newInstance(s *simulation, n int) *instance {
 	return &instance{
 		sim: s, host: host(fmt.Sprintf("i%d", n)), settings: s.termSettings(), dataCentre: dataCentreOf(n),
-		clockOffset: s.between(0, time.Hour),
+		clockOffset: s.between(time.Minute, time.Hour), clockRate: 1,
 	}
 }
 
@@ -54,7 +59,14 @@
 func (i *instance) name() string { return fmt.Sprintf("%s/%d", i.host, i.incarnation) }
 
 // clock returns the time of the host's clock.
-func (i *instance) clock() time.Duration { return i.sim.now + i.clockOffset }
+func (i *instance) clock() time.Duration {
+	return i.clockOffset + time.Duration(float64(i.sim.now)*i.clockRate)
+}
+
+// trueTime returns the simulation's time at a time of the host's clock.
+func (i *instance) trueTime(clock time.Duration) time.Duration {
+	return time.Duration(float64(clock-i.clockOffset) / i.clockRate)
+}
 
 func (i *instance) instant() cell.Instant {
 	return cell.Instant{Mono: i.clock(), UnixMS: i.sim.now.Milliseconds()}
@@ -87,6 +99,7 @@
 	delete(i.sim.net.hostsDown, i.host)
 	i.alive, i.paused, i.backlog = true, false, nil
 	i.storeAvailable, i.owner = true, nil
+	i.checkingWitnesses, i.stopping = false, false
 	i.lastFailure = make(map[host]time.Duration)
 	i.term = term.New(i.settings, i.name(), string(i.host))
 	i.witnessID = witness.IDOf(i.name())
--- a/internal/partitionsim/owner_test.go
+++ b/internal/partitionsim/owner_test.go
@@ -113,7 +113,7 @@
 func (o *owner) begin(ev cell.Loaded) {
 	i := o.inst
 	o.core = newCell(i, o.term)
-	i.sim.tookOverAt[o.term] = i.sim.now
+	i.sim.renewalsEnd[o.term] = i.trueTime(i.clock() + previousOwnerGrace())
 	i.sim.checkTakeover()
 	i.sim.tracef("%s has taken over with term %d: %d jobs, %d workers listed, %d on the roster", i.name(), o.term, len(ev.Jobs), len(ev.Workers), len(ev.Roster))
 	ev.TermConfirmedAt = o.confirmedAt
--- a/internal/partitionsim/partition_test.go
+++ b/internal/partitionsim/partition_test.go
@@ -89,6 +89,9 @@
 // runTerms runs the scenario of a seed without workers. In the end one instance owns the cell.
 func runTerms(t *testing.T, seed uint64) *simulation {
 	s := newSimulation(t, seed, 2+int(seed%7), 0)
+	for _, i := range s.instances {
+		i.clockRate = 0.96 + 0.08*s.rng.Float64()
+	}
 	s.run(2 * time.Second)
 	for range 10 {
 		s.run(s.between(time.Second, 5*time.Second))
--- a/internal/partitionsim/simulation_test.go
+++ b/internal/partitionsim/simulation_test.go
@@ -25,13 +25,13 @@
 	net       network
 	store     store
 	// claimed is the highest term of which a claim has been carried out in the store, and
-	// tookOverAt holds when the cell's core of each term began.
-	claimed    int64
-	tookOverAt map[int64]time.Duration
-	fleet      *fleet.Fleet
-	heartbeats []*heartbeat
-	instances  []*instance
-	policy     *job.Policy
+	// renewalsEnd holds when the owner of each term expects earlier owners to renew no more leases.
+	claimed     int64
+	renewalsEnd map[int64]time.Duration
+	fleet       *fleet.Fleet
+	heartbeats  []*heartbeat
+	instances   []*instance
+	policy      *job.Policy
 	// submitted holds the jobs that callers submitted.
 	submitted []job.Job
 	// lossRate is the share of calls whose answer is lost, lateRate of those that are
@@ -54,11 +54,11 @@
 func newSimulation(t *testing.T, seed uint64, instances, workers int) *simulation {
 	s := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 41)),
-		net:        network{cuts: make(map[direction]linkState), hostsDown: make(map[host]bool)},
-		store:      store{progress: make(map[job.ID]job.Progress)},
-		tookOverAt: make(map[int64]time.Duration),
-		fleet:      fleet.New(randomDurations(seed)),
-		policy:     &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
+		net:         network{cuts: make(map[direction]linkState), hostsDown: make(map[host]bool)},
+		store:       store{progress: make(map[job.ID]job.Progress)},
+		renewalsEnd: make(map[int64]time.Duration),
+		fleet:       fleet.New(randomDurations(seed)),
+		policy:      &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
 	}
 	s.lossRate, s.lateRate = s.rng.Float64()*0.06, s.rng.Float64()*0.06
 	s.maxDelay = s.between(3*time.Millisecond, 40*time.Millisecond)
@@ -163,7 +163,7 @@
 // checkMayStart records an owner whose confirmation lets it start tasks after the claim of a
 // later term.
 func (s *simulation) checkMayStart(o *owner) {
-	until := o.confirmedAt - o.inst.clockOffset + cellSettings().StartGrace
+	until := o.inst.trueTime(o.confirmedAt + cellSettings().StartGrace)
 	if s.claimed > o.term && until > s.now {
 		s.violationf("%s may start tasks under term %d for %v after the claim of term %d", o.inst.name(), o.term, until-s.now, s.claimed)
 	}
@@ -182,10 +182,10 @@
 // checkMayRenew records an owner whose confirmation lets it renew leases for longer than the
 // owner of a later term allows for.
 func (s *simulation) checkMayRenew(o *owner) {
-	until := o.confirmedAt - o.inst.clockOffset + o.inst.settings.ConfirmTimeout
+	until := o.inst.trueTime(o.confirmedAt + o.inst.settings.ConfirmTimeout)
 	for t := o.term + 1; t <= s.claimed; t++ {
-		if began, ok := s.tookOverAt[t]; ok && until > began+previousOwnerGrace() {
-			s.violationf("%s may renew leases under term %d until %v, and term %d took over at %v", o.inst.name(), o.term, until, t, began)
+		if end, ok := s.renewalsEnd[t]; ok && until > end {
+			s.violationf("%s may renew leases under term %d until %v, and the owner of term %d expects that until %v", o.inst.name(), o.term, until, t, end)
 		}
 	}
 }
@@ -193,8 +193,8 @@
 // checkLease records a lease that is granted when the next owner no longer expects it.
 func (s *simulation) checkLease(o *owner, worker external.WorkerID) {
 	for t := o.term + 1; t <= s.claimed; t++ {
-		if began, ok := s.tookOverAt[t]; ok && s.now > began+previousOwnerGrace() {
-			s.violationf("%s grants %s a lease under term %d, %v after term %d took over", o.inst.name(), worker, o.term, s.now-began, t)
+		if end, ok := s.renewalsEnd[t]; ok && s.now > end {
+			s.violationf("%s grants %s a lease under term %d, and the owner of term %d expected that until %v", o.inst.name(), worker, o.term, t, end)
 			return
 		}
 	}
--- a/internal/partitionsim/witness_test.go
+++ b/internal/partitionsim/witness_test.go
@@ -27,8 +27,9 @@
 
 // witnessReply answers a witnessQuery.
 type witnessReply struct {
-	id      witness.ID
-	granted bool
+	id        witness.ID
+	granted   bool
+	contested bool
 }
 
 // answerAsWitness does what instance.answerAsWitness does.
@@ -37,6 +38,7 @@
 	switch q.ask {
 	case askPromise:
 		r.granted = i.witness.Promise(i.clock(), q.witness, q.at)
+		r.contested = i.witness.Contested(i.clock(), q.at)
 	case askConsent:
 		r.granted = i.witness.Consent(i.clock(), q.witness, q.at)
 		i.sim.tracef("%s asked for its consent to follow %v: %v", i.name(), q.at, r.granted)
@@ -53,6 +55,9 @@
 	p := i.sim.instanceAt(addr)
 	var r witnessReply
 	execute := func(reply func()) {
+		if q.ask == askPresence && p.stopping {
+			return
+		}
 		r = p.answerAsWitness(q)
 		reply()
 	}
@@ -78,15 +83,37 @@
 		q := witnessQuery{ask: askPromise, at: witness.Position{Term: a.Term, Renewal: a.Renewal}, witness: w.ID}
 		i.deliver(0, func() {
 			i.askWitness(w.Addr, q, func(r witnessReply, ok bool) {
-				if ok && r.granted {
+				switch {
+				case !ok:
+				case r.granted:
 					i.stepTerm(term.Promised{Witness: w.ID, Term: a.Term, At: a.At})
+				case r.contested:
+					i.handOverUnlessServed()
 				}
 			})
 		})
 	}
 }
 
+// handOverUnlessServed hands the term over if the store does not serve this instance.
+func (i *instance) handOverUnlessServed() {
+	i.probeStore(i.sim.appendTimeout(), func(served bool) {
+		if !served {
+			i.stepTerm(term.PeersReachStore{})
+		}
+	})
+}
+
+// askConsents asks the witnesses of a record if the store serves this instance.
 func (i *instance) askConsents(a term.AskConsents) {
+	i.probeStore(i.sim.appendTimeout(), func(served bool) {
+		if served {
+			i.askServedConsents(a)
+		}
+	})
+}
+
+func (i *instance) askServedConsents(a term.AskConsents) {
 	for _, w := range a.Witnesses {
 		q := witnessQuery{ask: askConsent, at: witness.Position{Term: a.Term, Renewal: a.Renewal}, witness: w.ID}
 		i.deliver(0, func() {
@@ -99,29 +126,42 @@
 	}
 }
 
-// checkWitnesses asks the current witnesses, and as many others as are missing, whether they
-// answer.
+// maxPresenceQuestions is how many instances are asked at once whether they answer.
+const maxPresenceQuestions = 16
+
+// checkWitnesses asks the current witnesses whether they answer, and others until there are enough
+// that do.
 func (i *instance) checkWitnesses(a term.CheckWitnesses) {
+	if i.checkingWitnesses {
+		return
+	}
+	i.checkingWitnesses = true
 	var current []string
 	for _, w := range a.Current {
 		current = append(current, w.Addr)
 	}
 	i.present(current, func(answered []term.Witness) {
+		i.stepTerm(term.WitnessesChecked{Term: a.Term, Answered: answered})
 		others := slices.DeleteFunc(i.witnessCandidates(), func(addr string) bool { return slices.Contains(current, addr) })
 		i.askOthers(a.Term, answered, others)
 	})
 }
 
-// askOthers asks further instances until there are enough witnesses.
+// askOthers asks further instances until there are enough witnesses. It passes on what it has
+// found out so far whenever one has answered.
 func (i *instance) askOthers(t int64, answered []term.Witness, others []string) {
-	n := min(witness.MaxWitnesses-len(answered), len(others))
-	if n <= 0 {
+	if len(answered) >= witness.MaxWitnesses || len(others) == 0 {
 		i.sim.tracef("%s found as witnesses for term %d: %v", i.name(), t, answered)
-		i.stepTerm(term.WitnessesChecked{Term: t, Answered: answered})
+		i.checkingWitnesses = false
 		return
 	}
-	i.present(others[:n], func(more []term.Witness) {
-		i.askOthers(t, append(answered, more...), others[n:])
+	n := min(maxPresenceQuestions, len(others))
+	i.present(others[:n], func(found []term.Witness) {
+		answered = append(answered, found...)
+		if len(found) > 0 {
+			i.stepTerm(term.WitnessesChecked{Term: t, Answered: answered})
+		}
+		i.askOthers(t, answered, others[n:])
 	})
 }
 
