Spread witnesses over data centres before strength

Strong machines came first in all data centres. If only those of the owner's were strong, all witnesses were there, and with the data centre a claim waited for the limit of keeping a term. The order of two candidates in TestRankTakesDataCentresInTurn changes with the rule.

--- a/internal/core/witness/rank.go
+++ b/internal/core/witness/rank.go
@@ -14,24 +14,24 @@
 	Strong bool
 }
 
-// Rank returns the candidates in the order in which an owner asks them: strong ones
-// first, and data centres in turn, its own last, so that no data centre holds more witnesses than
-// it must.
+// Rank returns the candidates in the order in which an owner asks them: data centres in turn, its
+// own last, so that none holds more witnesses than it must. Of a data centre strong machines come
+// first.
 func Rank(ownDataCentre string, candidates []Candidate) []Candidate {
 	out := slices.Clone(candidates)
-	turn := make(map[string]int)
 	slices.SortFunc(out, func(a, b Candidate) int {
-		return cmp.Or(compareBool(b.Strong, a.Strong), cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Addr, b.Addr))
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), compareBool(b.Strong, a.Strong), cmp.Compare(a.Addr, b.Addr))
 	})
-	turns := make(map[string]int, len(out))
+	turn, taken := make(map[string]int, len(out)), make(map[string]int)
 	for _, c := range out {
-		turns[c.Addr] = turn[c.DataCentre]
-		turn[c.DataCentre]++
+		turn[c.Addr] = taken[c.DataCentre]
+		taken[c.DataCentre]++
 	}
 	slices.SortStableFunc(out, func(a, b Candidate) int {
 		return cmp.Or(
-			compareBool(b.Strong, a.Strong), cmp.Compare(turns[a.Addr], turns[b.Addr]),
+			cmp.Compare(turn[a.Addr], turn[b.Addr]),
 			compareBool(a.DataCentre == ownDataCentre, b.DataCentre == ownDataCentre),
+			compareBool(b.Strong, a.Strong),
 		)
 	})
 	return out
--- a/internal/core/witness/witness_test.go
+++ b/internal/core/witness/witness_test.go
@@ -177,7 +177,7 @@
 		{"c1", "c", true},
 		{"c2", "c", false},
 	})
-	want := []string{"b1", "c1", "a1", "b2", "a2", "c2"}
+	want := []string{"b1", "c1", "a1", "b2", "c2", "a2"}
 	for n, c := range got {
 		if c.Addr != want[n] {
 			t.Fatalf("order %v, want %v", got, want)
