Name an instance with two addresses once as a witness

An instance that is known by the address in others' settings and by the one that it announces could be named twice. Its promise then counted twice and its consent once, so that sets of promises and consents need not meet, and a claim needed the consent of all.

--- a/internal/core/term/tenure.go
+++ b/internal/core/term/tenure.go
@@ -62,7 +62,7 @@
 	}
 	chosen, silent := t.choose(now, answered)
 	for _, w := range slices.Concat(answered, silent) {
-		if len(chosen) < witness.MaxWitnesses && !slices.ContainsFunc(chosen, atAddr(w.Addr)) {
+		if len(chosen) < witness.MaxWitnesses && !slices.ContainsFunc(chosen, sameAs(w)) {
 			chosen = append(chosen, w)
 		}
 	}
@@ -77,7 +77,9 @@
 func (t *tenure) choose(now time.Duration, answered []Witness) (chosen, silent []Witness) {
 	for _, w := range t.witnesses {
 		if at := slices.IndexFunc(answered, atAddr(w.Addr)); at >= 0 {
-			chosen = append(chosen, answered[at])
+			if !slices.ContainsFunc(chosen, sameAs(answered[at])) {
+				chosen = append(chosen, answered[at])
+			}
 			delete(t.silentSince, w.Addr)
 			continue
 		}
--- a/internal/core/term/witnesses.go
+++ b/internal/core/term/witnesses.go
@@ -16,4 +16,9 @@
 	return func(w Witness) bool { return w.Addr == addr }
 }
 
+// sameAs matches an instance by its address and, as it may have several, by its ID.
+func sameAs(other Witness) func(Witness) bool {
+	return func(w Witness) bool { return w.Addr == other.Addr || w.ID == other.ID }
+}
+
 func byAddr(a, b Witness) int { return cmp.Compare(a.Addr, b.Addr) }
