Count a claim that is made again after a refusal from its new sending

A claim that the store had refused and that was made again later, at the same end of the topic, counted from the refused attempt: read before its answer, the term was lost at once as unconfirmed. Attempts now begin anew once none of the earlier ones can have succeeded.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -39,11 +39,8 @@
 	// pendingWrites is the number of unanswered writes.
 	pendingWrites int
 	nextWrite     time.Duration
-	// sent is the latest record sent, sentEnd the end that it expected, and sentAt when it was
-	// first sent so.
-	sent          witness.Position
-	sentEnd       int64
-	sentAt        time.Duration
+	// attempts are those to write the latest record that was sent.
+	attempts      attempts
 	nextPeerQuery time.Duration
 	stopping      bool
 	// termSince is when the present term was first seen, nextYieldRequest the earliest
@@ -130,11 +127,11 @@
 // was written even if its answer was lost, so no other instance owned a later term
 // when it was sent.
 func (c *Core) confirmByRead(r Record) {
-	if c.ownedTerm == 0 || r.Owner != c.self || r.position() != c.sent || r.Term != c.ownedTerm || c.sentAt <= c.tenure.storedAt {
+	if c.ownedTerm == 0 || r.Owner != c.self || !c.attempts.of(r) || r.Term != c.ownedTerm || c.attempts.sentAt <= c.tenure.storedAt {
 		return
 	}
-	c.confirmStored(c.sentAt)
-	c.nextWrite = c.sentAt + c.settings.RenewInterval
+	c.confirmStored(c.attempts.sentAt)
+	c.nextWrite = c.attempts.sentAt + c.settings.RenewInterval
 }
 
 // confirmStored records that a renewal that was sent at the given time is stored.
@@ -172,8 +169,8 @@
 		return
 	}
 	var sentAt time.Duration
-	if r.position() == c.sent {
-		sentAt = c.sentAt
+	if c.attempts.of(r) {
+		sentAt = c.attempts.sentAt
 	}
 	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt = r.Term, r.Term, sentAt
 	c.tenure = newTenure(sentAt)
@@ -188,6 +185,7 @@
 
 func (c *Core) onWriteResult(e WriteResult) {
 	c.pendingWrites--
+	c.attempts.answered(e)
 	if c.ownedTerm == 0 && (e.Outcome == WriteOutcomeUnknown || e.Outcome == WriteFailed) {
 		// A pending long poll may not have noticed that the store is unreachable.
 		// Without this, the instances that notice it last would claim first once the
@@ -265,9 +263,7 @@
 func (c *Core) write(r Record) {
 	c.pendingWrites++
 	c.nextWrite = c.now + c.settings.HedgeAfter
-	if r.position() != c.sent || c.end != c.sentEnd {
-		c.sent, c.sentEnd, c.sentAt = r.position(), c.end, c.now
-	}
+	c.attempts.add(c.now, r, c.end)
 	c.emit(Write{Record: r, ExpectedEnd: c.end})
 }
 
