Name all witnesses that a check finds with one renewal

An owner that had found a first witness named it alone until the next check, 4 s later, and the first check of a new term was dropped while one of the term before was under way. A proposal is now replaced until a renewal that carries it is sent.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -250,7 +250,7 @@
 	switch {
 	case c.ownedTerm != 0:
 		r := c.newRecord(c.ownedTerm, c.latest.Renewal+1)
-		r.Witnesses = c.tenure.named()
+		r.Witnesses, c.tenure.proposalSent = c.tenure.named(), true
 		c.write(r)
 	case c.canClaim():
 		c.write(c.newRecord(c.latest.Term+1, 0))
--- a/internal/core/term/tenure.go
+++ b/internal/core/term/tenure.go
@@ -21,6 +21,8 @@
 	// proposed are the witnesses that later renewals name; nil if they name the same. Until
 	// such a renewal is known to be stored, either record may be the latest.
 	proposed []Witness
+	// proposalSent says that a renewal that names the proposed ones was sent.
+	proposalSent bool
 	// promises holds when each witness was last asked that has promised.
 	promises map[witness.ID]time.Duration
 	// silentSince holds since when a witness has not answered, by address.
@@ -57,7 +59,7 @@
 // place of silent ones. Without a replacement, a witness stays one for maxWitnessSilence: the fewer
 // there are, the sooner a claim depends on one that can't be reached.
 func (t *tenure) checked(now time.Duration, answered []Witness) {
-	if t.proposed != nil {
+	if t.proposed != nil && t.proposalSent {
 		return
 	}
 	chosen, silent := t.choose(now, answered)
@@ -67,6 +69,7 @@
 		}
 	}
 	slices.SortFunc(chosen, byAddr)
+	t.proposed, t.proposalSent = nil, false
 	if len(chosen) > 0 && !slices.Equal(chosen, t.witnesses) {
 		t.proposed = chosen
 	}
--- a/internal/core/term/witness_test.go
+++ b/internal/core/term/witness_test.go
@@ -222,3 +222,23 @@
 		t.Errorf("gained as of %v, want %v, when the second claim was sent", b.gainedAt, sent)
 	}
 }
+
+// TestWitnessesAreNamedTogether guards against an owner that names the first instance that answers
+// as its only witness, and the others at the next check.
+func TestWitnessesAreNamedTogether(t *testing.T) {
+	f := &fakeStore{}
+	a := newContender(0)
+	a.readAll(0, f)
+	a.answer(0, f)
+	a.step(time.Millisecond, WitnessesChecked{Term: 1, Answered: []Witness{testWitness(1)}})
+	a.step(2*time.Millisecond, WitnessesChecked{Term: 1, Answered: []Witness{testWitness(1), testWitness(2), testWitness(3)}})
+	a.step(time.Second, Tick{})
+	a.step(time.Second, WitnessesChecked{Term: 1, Answered: []Witness{testWitness(4)}}) // the renewal is under way
+	a.answer(time.Second, f)
+	if got := f.records[len(f.records)-1].Witnesses; len(got) != 3 {
+		t.Errorf("named %v", got)
+	}
+	if got := a.core.tenure.witnesses; len(got) != 3 || a.core.tenure.proposed != nil {
+		t.Errorf("named %v, and proposed %v", got, a.core.tenure.proposed)
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -77,8 +77,8 @@
 	witnessMu sync.Mutex
 	witness   *witness.Core
 	witnessID witness.ID
-	// checkingWitnesses is set while this instance asks others whether they answer.
-	checkingWitnesses atomic.Bool
+	// checkedTerm is the owned term whose witnesses are being checked, 0 for none.
+	checkedTerm atomic.Int64
 	// storeMonitor wraps StoreClient; store is the same value as an external.Store. All
 	// calls to the store go through them.
 	storeMonitor *storeMonitor
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -100,10 +100,10 @@
 // checkWitnesses asks the current witnesses whether they answer, and others until there are enough
 // that do. It passes on what it has found out so far whenever one has.
 func (i *Instance) checkWitnesses(ctx context.Context, a term.CheckWitnesses) {
-	if !i.checkingWitnesses.CompareAndSwap(false, true) {
-		return
+	if i.checkedTerm.Swap(a.Term) == a.Term {
+		return // a check of this term is under way
 	}
-	defer i.checkingWitnesses.Store(false)
+	defer i.checkedTerm.CompareAndSwap(a.Term, 0)
 	var current []string
 	for _, w := range a.Current {
 		current = append(current, w.Addr)
