--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -12,6 +12,10 @@
 	// consentLead is how long before a claim the witnesses are asked for their consent, so that
 	// it does not wait for their answers.
 	consentLead = 200 * time.Millisecond
+	// maxConsentInterval is the longest time between two questions to the witnesses; it doubles from
+	// RetryInterval. It is shorter than a promise, after which a witness that is not asked promises
+	// again.
+	maxConsentInterval = time.Second
 	// otherClaimDelay is how much later than witnesses other instances claim. Witnesses
 	// need fewer consents of others, and the fewer ask, the less they are asked.
 	otherClaimDelay = 400 * time.Millisecond
@@ -72,7 +76,8 @@
 	if c.unchangedFor() < c.claimWait()-consentLead {
 		return
 	}
-	c.nextConsentQuery = c.now + c.settings.RetryInterval
+	c.consentInterval = min(max(2*c.consentInterval, c.settings.RetryInterval), maxConsentInterval)
+	c.nextConsentQuery = c.now + c.consentInterval
 	c.emit(AskConsents{Term: c.latest.Term, Renewal: c.latest.Renewal, Witnesses: c.latest.Witnesses})
 }
 
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -34,8 +34,10 @@
 	tenure tenure
 	// consents holds the witnesses of the latest record that have consented to a claim,
 	// nextConsentQuery is the earliest time at which they are asked again.
+	// consentInterval is the time between the two latest questions.
 	consents         map[witness.ID]bool
 	nextConsentQuery time.Duration
+	consentInterval  time.Duration
 	// pendingWrites is the number of unanswered writes.
 	pendingWrites int
 	nextWrite     time.Duration
@@ -151,6 +153,7 @@
 	}
 	c.latest, c.changedAt = r, c.now
 	clear(c.consents)
+	c.consentInterval = 0
 	switch {
 	case r.Owner == c.self && !r.Released && c.lastOwnedTerm < r.Term:
 		c.gain(r)
