Count the write of a release as pending

Its answer took one off the number of unanswered writes, which it had not raised, so that each release let one more write be under way than the bound says. TestReleaseCountsAsAPendingWrite failed before ("-1 pending writes").

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -230,6 +230,7 @@
 	r := c.newRecord(c.ownedTerm, c.latest.Renewal+1)
 	r.Released = true
 	c.lose(reason)
+	c.pendingWrites++
 	c.emit(Write{Record: r, ExpectedEnd: c.end})
 }
 
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -436,3 +436,17 @@
 		t.Errorf("owns %d, want the next term", a.ownedTerm)
 	}
 }
+
+// TestReleaseCountsAsAPendingWrite guards against a bound on unanswered writes that each release
+// raises by one.
+func TestReleaseCountsAsAPendingWrite(t *testing.T) {
+	f := &fakeStore{}
+	a := newContender(0)
+	a.readAll(0, f)
+	a.answer(0, f)
+	a.step(time.Millisecond, Stopping{})
+	a.answer(2*time.Millisecond, f)
+	if n := a.core.pendingWrites; n != 0 {
+		t.Errorf("%d pending writes after all were answered", n)
+	}
+}
