--- a/internal/partitionsim/partition_test.go
+++ b/internal/partitionsim/partition_test.go
@@ -18,7 +18,8 @@
 	traceSeed = flag.Bool("partition.trace", false, "log the trace of the first seed that fails, and the results of all")
 )
 
-// regressionSeeds are seeds that failed before, besides those that are always run.
+// regressionSeeds are seeds that failed at f6b3275 with the rules of 699f28c, besides those that
+// are always run. What they draw has changed since.
 var regressionSeeds = []uint64{
 	317,  // a lease granted on the word of peers that was handled after a pause
 	1289, // a claim carried out just after peers confirmed the owner, with a slow store
@@ -39,7 +40,8 @@
 // TestTermsExcludeEachOther runs scenarios without workers, with more faults of all that an owner
 // needs to keep its term, and with two to eight instances.
 func TestTermsExcludeEachOther(t *testing.T) {
-	runSeeds(t, func(seed uint64) *simulation { return runTerms(t, seed) })
+	const restartedWitness = 622 // fails if a restarted witness consents at once
+	runSeeds(t, func(seed uint64) *simulation { return runTerms(t, seed) }, restartedWitness)
 }
 
 // runSeeds runs the scenarios of the fixed seeds and of some others, or of those that the
