--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -77,8 +77,10 @@
 	witnessMu sync.Mutex
 	witness   *witness.Core
 	witnessID witness.ID
-	// checkedTerm is the owned term whose witnesses are being checked, 0 for none.
+	// checkedTerm is the owned term whose witnesses are being checked, 0 for none; checkAgain says
+	// that another check was asked for meanwhile.
 	checkedTerm atomic.Int64
+	checkAgain  atomic.Bool
 	// storeMonitor wraps StoreClient; store is the same value as an external.Store. All
 	// calls to the store go through them.
 	storeMonitor *storeMonitor
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -101,9 +101,15 @@
 // that do. It passes on what it has found out so far whenever one has.
 func (i *Instance) checkWitnesses(ctx context.Context, a term.CheckWitnesses) {
 	if i.checkedTerm.Swap(a.Term) == a.Term {
-		return // a check of this term is under way
+		i.checkAgain.Store(true) // a check of this term is under way
+		return
 	}
-	defer i.checkedTerm.CompareAndSwap(a.Term, 0)
+	defer func() {
+		i.checkedTerm.CompareAndSwap(a.Term, 0)
+		if i.checkAgain.Swap(false) {
+			i.stepTerm(term.MembersChanged{})
+		}
+	}()
 	var current []string
 	for _, w := range a.Current {
 		current = append(current, w.Addr)
