Tell attempts to write a term's record apart by the end they expect

The result of an attempt at an earlier end, sent late by a paused process, could count for a later series, so that the next attempt counted as its first: the record's confirmation would be later than the attempt that was stored. TestAttemptsOfAnEarlierSeriesEndNoLaterOne fails if attempts are told apart by when they were sent.

--- a/internal/core/term/attempts.go
+++ b/internal/core/term/attempts.go
@@ -30,9 +30,9 @@
 	a.pending++
 }
 
-// answered records the result of an attempt. Those of earlier series were sent before.
+// answered records the result of an attempt.
 func (a *attempts) answered(e WriteResult) {
-	if !a.of(e.Record) || e.SentAt < a.sentAt {
+	if !a.of(e.Record) || e.ExpectedEnd != a.end {
 		return
 	}
 	a.pending = max(0, a.pending-1)
--- a/internal/core/term/attempts_test.go
+++ b/internal/core/term/attempts_test.go
@@ -73,3 +73,17 @@
 		t.Errorf("%d pending writes after all were answered", n)
 	}
 }
+
+// TestAttemptsOfAnEarlierSeriesEndNoLaterOne guards against a record that counts from its last attempt
+// while an earlier one is under way, as the result of one at an earlier end of the topic came late.
+func TestAttemptsOfAnEarlierSeriesEndNoLaterOne(t *testing.T) {
+	var a attempts
+	r := Record{Term: 2}
+	a.add(time.Second, r, 7)
+	a.add(2*time.Second, r, 8) // the earlier attempt can't succeed any more
+	a.answered(WriteResult{Outcome: WriteConflict, Record: r, ExpectedEnd: 7, SentAt: 3 * time.Second})
+	a.add(4*time.Second, r, 8)
+	if a.sentAt != 2*time.Second {
+		t.Errorf("counts from %v, want 2s", a.sentAt)
+	}
+}
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -29,8 +29,9 @@
 	End int64
 	// SentAt is when the write was sent.
 	SentAt time.Duration
-	// Record is the record that was to be written.
-	Record Record
+	// Record is the record that was to be written, and ExpectedEnd its condition.
+	Record      Record
+	ExpectedEnd int64
 }
 
 // WriteOutcome says what is known of a write.
--- a/internal/core/term/term_test.go
+++ b/internal/core/term/term_test.go
@@ -66,7 +66,7 @@
 	w, at := c.pending[0], c.sentAt[0]
 	c.pending, c.sentAt = c.pending[1:], c.sentAt[1:]
 	r, end := f.append(w)
-	c.step(now, WriteResult{Outcome: r, End: end, SentAt: at, Record: w.Record})
+	c.step(now, WriteResult{Outcome: r, End: end, SentAt: at, Record: w.Record, ExpectedEnd: w.ExpectedEnd})
 }
 
 func TestClaimThatConflictsIsNotRepeatedForTheSameTerm(t *testing.T) {
@@ -112,7 +112,7 @@
 					w, at := c.pending[0], c.sentAt[0]
 					c.pending, c.sentAt = c.pending[1:], c.sentAt[1:]
 					late = append(late, w)
-					c.step(now, WriteResult{Outcome: WriteOutcomeUnknown, SentAt: at, Record: w.Record})
+					c.step(now, WriteResult{Outcome: WriteOutcomeUnknown, SentAt: at, Record: w.Record, ExpectedEnd: w.ExpectedEnd})
 				}
 			case 6:
 				if len(late) > 0 {
@@ -310,11 +310,11 @@
 						written, answered = lose(writes)
 						writes++
 					}
-					res := pendingAnswer{at + giveUp, WriteResult{Outcome: WriteOutcomeUnknown, SentAt: at, Record: w.Record}}
+					res := pendingAnswer{at + giveUp, WriteResult{Outcome: WriteOutcomeUnknown, SentAt: at, Record: w.Record, ExpectedEnd: w.ExpectedEnd}}
 					if written {
 						r, end := f.append(w)
 						if answered {
-							res = pendingAnswer{at + answerTime, WriteResult{Outcome: r, End: end, SentAt: at, Record: w.Record}}
+							res = pendingAnswer{at + answerTime, WriteResult{Outcome: r, End: end, SentAt: at, Record: w.Record, ExpectedEnd: w.ExpectedEnd}}
 						}
 					}
 					answers = append(answers, res)
--- a/internal/core/term/witness_test.go
+++ b/internal/core/term/witness_test.go
@@ -13,7 +13,7 @@
 	for len(c.pending) > 0 {
 		w := c.pending[0]
 		c.pending, c.sentAt = c.pending[1:], c.sentAt[1:]
-		c.step(now, WriteResult{Outcome: WriteFailed, Record: w.Record})
+		c.step(now, WriteResult{Outcome: WriteFailed, Record: w.Record, ExpectedEnd: w.ExpectedEnd})
 	}
 }
 
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -117,7 +117,7 @@
 }
 
 func (i *Instance) writeTerm(ctx context.Context, a term.Write) {
-	w := term.WriteResult{Record: a.Record, SentAt: boottime()}
+	w := term.WriteResult{Record: a.Record, ExpectedEnd: a.ExpectedEnd, SentAt: boottime()}
 	value, err := encodeRecord(a.Record)
 	if err != nil {
 		evTermWriteFailed.Log(ctx, i.logger, slog.Any("error", err))
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -209,7 +209,7 @@
 
 // writeTerm appends a term record on the core's condition.
 func (i *instance) writeTerm(a term.Write) {
-	w := term.WriteResult{Record: a.Record, SentAt: i.clock()}
+	w := term.WriteResult{Record: a.Record, ExpectedEnd: a.ExpectedEnd, SentAt: i.clock()}
 	execute := func(reply func()) {
 		w.Outcome = i.sim.appendTerm(a.Record, a.ExpectedEnd)
 		w.End = i.sim.store.terms.end()
