--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -13,11 +13,11 @@
 	// it does not wait for their answers.
 	consentLead = 200 * time.Millisecond
 	// maxConsentInterval is the longest time between two questions to the witnesses; it doubles from
-	// RetryInterval. It is shorter than a promise, after which a witness that is not asked promises
-	// again.
+	// RetryInterval. It is shorter than a promise holds, so that a witness which refused its consent
+	// is asked again before it would make the owner another promise.
 	maxConsentInterval = time.Second
-	// otherClaimDelay is how much later than witnesses other instances claim. Witnesses
-	// need fewer consents of others, and the fewer ask, the less they are asked.
+	// otherClaimDelay is how much later than witnesses other instances claim. They mostly learn of
+	// the new term before they would ask, so that a claim costs few questions in a large fleet.
 	otherClaimDelay = 400 * time.Millisecond
 )
 
--- a/internal/core/term/tenure.go
+++ b/internal/core/term/tenure.go
@@ -56,8 +56,8 @@
 }
 
 // checked has later renewals name the witnesses that have answered, and others that have in
-// place of silent ones. Without a replacement, a witness stays one for maxWitnessSilence: the fewer
-// there are, the sooner a claim depends on one that can't be reached.
+// place of silent ones. Without a replacement, a silent witness stays for maxWitnessSilence: the
+// fewer witnesses there are, the more a claim depends on each of them.
 func (t *tenure) checked(now time.Duration, answered []Witness) {
 	if t.proposed != nil && t.proposalSent {
 		return
--- a/internal/core/witness/core.go
+++ b/internal/core/witness/core.go
@@ -49,7 +49,7 @@
 }
 
 // Consent reports whether the witness consents to a claim that follows the stored record p, which
-// names the incarnation id. The consent is for good: the owner of p.Term gets no further
+// names the incarnation id. The consent does not expire: the owner of p.Term gets no further
 // promise until it has stored a later renewal, which bars the claim.
 func (c *Core) Consent(now time.Duration, id ID, p Position) bool {
 	if id != c.id {
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// askConsents asks the witnesses of another instance's term for their consent to a claim. Consent is
-// for good, so that they are asked only while the store serves this instance.
+// askConsents asks the witnesses of another instance's term for their consent to a claim. A consent
+// does not expire, so they are asked only while the store serves this instance.
 func (i *Instance) askConsents(ctx context.Context, a term.AskConsents) {
 	if !i.storeServesTerm(ctx) {
 		return
