Jobs count as begun once a worker has started one of their tasks

Cause: a job counted as begun when its first start was ordered; a refusal did not take that back. Class: an order taken for its effect. Change: a job counts as begun when a worker confirms a start, lists a run or lists an end of it.

--- a/internal/core/cell/adopt.go
+++ b/internal/core/cell/adopt.go
@@ -35,7 +35,7 @@
 		c.stopRun(r, ReasonTaskEnded)
 	default:
 		r.unit = u
-		u.entry().started = true
+		r.markStarted()
 		u.lastRunNumber = max(u.lastRunNumber, r.number)
 		c.dropPlan(u)
 		r.attach()
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -281,6 +281,7 @@
 			c.processUnknownEnd(e)
 			continue
 		}
+		r.markStarted()
 		c.endRun(r, e.Reason, e.Checkpoint)
 	}
 }
@@ -291,6 +292,7 @@
 	if u == nil || u.state == unitDone {
 		return
 	}
+	u.entry().started = true
 	if e.Checkpoint != "" && u.checkpoint == "" {
 		u.checkpoint = e.Checkpoint
 		c.markDirty(u.entry())
@@ -332,6 +334,7 @@
 			r.state = runRunning
 			r.staleThrough = c.lastHold
 			r.startedAt = now
+			r.markStarted()
 		}
 		c.resolveStart(r, ResolvedRunning)
 		c.clearSuspect(r)
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -14,7 +14,6 @@
 	now := c.now.Mono
 	number := max(u.lastRunNumber+1, c.term*runsPerTerm)
 	u.lastRunNumber = number
-	u.entry().started = true
 	waited := now - u.waitingSince
 	u.nextWaitReport, u.waited = 0, waited
 	u.entry().history.MaxWait = max(u.entry().history.MaxWait, waited)
@@ -81,6 +80,7 @@
 	if r.state == runStarting || r.state == runUnconfirmed {
 		r.state = runRunning
 		r.startedAt = c.now.Mono
+		r.markStarted()
 		c.resolveStart(r, ResolvedRunning)
 	}
 	r.staleThrough = max(r.staleThrough, c.lastHold)
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -157,3 +157,10 @@
 // reflectedIn reports whether the lists that answer the given hold reflect the
 // run's current state.
 func (r *run) reflectedIn(hold int64) bool { return hold > r.staleThrough }
+
+// markStarted records that a worker has started a task of the run's job.
+func (r *run) markStarted() {
+	if r.unit != nil {
+		r.unit.entry().started = true
+	}
+}
