--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -96,3 +97,42 @@
 		}
 	}
 }
+
+// TestPauseDuringShutdownCutsNoRequest guards against a process that is paused after a SIGTERM
+// and, as it goes on, closes connections with requests that it has not read.
+func TestPauseDuringShutdownCutsNoRequest(t *testing.T) {
+	s := newSmallTestbed(t)
+	time.Sleep(startupTime)
+	m, c := s.machines[0], newCallers(s)
+	const calls = 20
+	submit := func(n uint64) int {
+		rng := rand.New(rand.NewPCG(2, n))
+		j, body := c.newJob(rng, steadyKey)
+		return c.call(rng, http.MethodPost, j, body, nil)
+	}
+	submitAll := func() []int {
+		out := make([]int, calls)
+		var wg sync.WaitGroup
+		for n := range out {
+			wg.Go(func() { out[n] = submit(uint64(n)) })
+		}
+		wg.Wait()
+		return out
+	}
+	submitAll() // leaves open connections
+	m.signal(syscall.SIGTERM)
+	time.Sleep(1500 * time.Millisecond)
+	m.signal(syscall.SIGSTOP)
+	statuses := make(chan []int, 1)
+	go func() { statuses <- submitAll() }()
+	time.Sleep(1500 * time.Millisecond)
+	m.signal(syscall.SIGCONT)
+	for n, status := range <-statuses {
+		if status == 0 {
+			t.Errorf("request %d ended without an answer", n)
+		}
+	}
+	for _, v := range c.violations {
+		t.Error(v)
+	}
+}
