Show how many workers an owner reaches, and how late it runs

Event 2275 says so when a quarter of the workers lately tried become silent, every 5 s while they are, and when it is over; 2276 says that a tick came late by 0.5 s or more.

Idle workers are not asked anything: a cut is learnt worker by worker, as work is placed on them.

--- a/internal/core/cell/alarms.go
+++ b/internal/core/cell/alarms.go
@@ -9,8 +9,8 @@
 // AlarmCode names a condition that needs an operator.
 type AlarmCode string
 
-// The alarms. One about a job is raised once for each job; AlarmGuaranteeUnmet is
-// raised again only after the guarantees have been met in between.
+// The alarms. One about a job is raised once for each job; AlarmGuaranteeUnmet and
+// AlarmWorkersUnreached are raised again only after they were over in between.
 const (
 	// AlarmReclaimLate means that urgent work within its account's guarantee has
 	// waited longer than Settings.ReclaimWithin.
@@ -22,6 +22,9 @@
 	AlarmNoWorkerFits AlarmCode = "no_worker_fits"
 	// AlarmJobLate means that a job is so late that its completion is of no more use.
 	AlarmJobLate AlarmCode = "job_late"
+	// AlarmWorkersUnreached means that a quarter or more of the workers that the owner has lately
+	// tried don't answer it.
+	AlarmWorkersUnreached AlarmCode = "workers_unreached"
 )
 
 // Alarm notifies operators of a condition.
@@ -31,7 +34,8 @@
 	Account string
 	// Waited is how long ago the job was submitted.
 	Waited time.Duration
-	// Have and Need are numbers of accelerators, for AlarmGuaranteeUnmet.
+	// Have and Need are numbers of accelerators, for AlarmGuaranteeUnmet, or of workers that
+	// answer and that were tried, for AlarmWorkersUnreached.
 	Have int
 	Need int
 }
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -99,6 +99,7 @@
 	nextGuaranteeCheck time.Duration
 	shortageSince      time.Duration
 	shortageReported   bool
+	reach              reachState
 	// claimedPools holds the pools in which gangs claimed room in the last pass.
 	claimedPools map[string]bool
 	// shares is what is known of the accounts' shares of the workers.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -193,6 +193,7 @@
 	c.moveStragglers()
 	c.refreshSpeeds()
 	c.checkGuarantees()
+	c.checkReach()
 	c.readUsage()
 	c.judgeInterference()
 	if now >= c.nextPeriodicPlacement {
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -74,6 +74,8 @@
 	evSpeedLearned      = logevent.New(2269, slog.LevelInfo, "worker's speed learned")
 	evPairNamed         = logevent.New(2270, slog.LevelInfo, "tasks slow each other down")
 	evPairForgotten     = logevent.New(2271, slog.LevelInfo, "tasks no longer slow each other down")
+	evReach             = logevent.New(2275, slog.LevelWarn, "owner reaches few workers, or enough again")
+	evTickLate          = logevent.New(2276, slog.LevelWarn, "tick came late")
 	evGangsClaimRoom    = logevent.New(2274, slog.LevelInfo, "work with slack leaves room to waiting gangs, or no longer")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -97,6 +97,8 @@
 	waves  map[int64]upkeep.Wave
 
 	explanations explanations
+	// tickDelay is how late the latest tick came, in ns.
+	tickDelay atomic.Int64
 
 	// ctx ends when the instance is closed. wgMu keeps goroutines from being added to wg
 	// after that.
@@ -192,15 +194,20 @@
 func (i *Instance) tick(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	last := boottime()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		now := boottime()
+		i.recordTick(last, now)
+		last = now
 		i.stepTerm(term.Tick{AllTopicsReachable: i.storeMonitor.noTopicUnavailable()})
 		if o := i.owner.Load(); o != nil {
 			o.tick()
+			o.checkReach()
 		}
 	}
 }
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -39,6 +39,8 @@
 	// once a worker has named a higher term. Orders read them while the core decides.
 	confirmedAt atomic.Int64
 	fenced      atomic.Bool
+	// reach is used by the instance's ticks alone.
+	reach reachReport
 }
 
 // newOwner returns the owner of a term whose claim was sent at the given boot time.
