Release a term to a named successor

An owner that finds that a peer should own the cell releases its term as for a stronger machine, and names the peer. The others claim 1.2 s later, so that it comes first and is replaced if it is gone. Claims remain conditional appends, so naming one does not let two act. The former owner claims nothing for 10 s, and nobody requests a term for a stronger machine until a minute has passed since the last such release: the stronger machine may be the one that is cut off.

A release that was barred by a renewal in flight is written again after it; others had to wait until the record was stale (TestReleaseAfterARenewalInFlightIsStored).

Records carry the successor and the number of such releases, which is forgotten after a minute of tenure.

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -85,5 +85,6 @@
 	ReasonUnconfirmed Reason = "no renewal was confirmed in time"
 	ReasonReleased    Reason = "given up on leaving"
 	ReasonYielded     Reason = "a stronger instance takes over"
+	ReasonUnreached   Reason = "a peer reaches more workers"
 	ReasonCutOff      Reason = "the store turns this instance away and serves its peers"
 )
--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -29,7 +29,7 @@
 // claimWait returns how long the latest record must stay unchanged before a claim.
 func (c *Core) claimWait() time.Duration {
 	if !c.needsConsent() {
-		return c.settings.ClaimDelay
+		return c.releasedClaimWait()
 	}
 	wait := c.settings.StaleAfter + c.settings.ClaimDelay
 	if len(c.latest.Witnesses) > 0 && !c.isWitness() {
@@ -54,7 +54,7 @@
 // canClaim reports whether the owner of the latest term has certainly stopped, or will have by the
 // time that a new owner allows for.
 func (c *Core) canClaim() bool {
-	return c.storeOK && c.unchangedFor() >= c.claimWait() && (!c.needsConsent() || c.hasConsent())
+	return c.storeOK && c.now >= c.unfitUntil && c.unchangedFor() >= c.claimWait() && (!c.needsConsent() || c.hasConsent())
 }
 
 // hasConsent reports whether enough witnesses have consented to a claim. After KeepLimit without a
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -50,8 +50,11 @@
 	termSince          time.Duration
 	nextYieldRequest   time.Duration
 	allTopicsReachable bool
-	now                time.Duration
-	actions            []Action
+	// unfitUntil is until when this instance claims no term, as it has released one as unfit.
+	unfitUntil     time.Duration
+	pendingRelease *pendingRelease
+	now            time.Duration
+	actions        []Action
 }
 
 // New returns the state of the instance self, which its peers reach at addr.
@@ -104,6 +107,8 @@
 		c.stop()
 	case YieldRequested:
 		c.yield(e)
+	case Unfit:
+		c.onUnfit(e)
 	case Tick:
 		c.allTopicsReachable = e.AllTopicsReachable
 	}
@@ -236,7 +241,7 @@
 
 // newRecord returns a record of this instance.
 func (c *Core) newRecord(t, renewal int64) Record {
-	return Record{Term: t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay}
+	return Record{Term: t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay, Handovers: c.handovers()}
 }
 
 // advance does what has become due.
@@ -248,6 +253,7 @@
 	c.checkWitnesses()
 	c.askForConsents()
 	c.requestYield()
+	c.retryRelease()
 	if c.stopping || c.pendingWrites >= maxPendingWrites || !c.loaded || c.now < c.nextWrite {
 		return
 	}
--- a/internal/core/term/record.go
+++ b/internal/core/term/record.go
@@ -22,6 +22,10 @@
 	// Witnesses are those of the term, see package witness. Without any, the owner does not keep
 	// the term while the store is away.
 	Witnesses []Witness `cbor:"7,keyasint,omitempty"`
+	// Successor is the address of the instance for which the term was released, if it was for one.
+	Successor string `cbor:"8,keyasint,omitempty"`
+	// Handovers counts the releases by unfit owners since one has last kept its term for long.
+	Handovers int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // position returns the place of the record among all renewals of all terms.
--- a/internal/core/term/yield.go
+++ b/internal/core/term/yield.go
@@ -8,7 +8,8 @@
 
 // requestYield requests the term of an owner on a weaker machine once it has held the
 // term for MinTenure. Only an instance without a claim delay requests it, as any other
-// would see the release too late: the former owner may claim again by then.
+// would see the release too late: the former owner may claim again by then. After releases by unfit
+// owners none does: the stronger machine may be the one that was unfit.
 func (c *Core) requestYield() {
 	minTenure := c.settings.MinTenure
 	if minTenure == 0 || c.stopping || c.ownedTerm != 0 || !c.storeOK || !c.allTopicsReachable || c.now < c.nextYieldRequest {
@@ -17,7 +18,7 @@
 	if c.latest.Term == 0 || c.latest.Released || c.settings.ClaimDelay != 0 || c.latest.ClaimDelay < minYieldDelay {
 		return
 	}
-	if c.now-max(c.termSince, c.storeOKSince) < minTenure {
+	if c.now-max(c.termSince, c.storeOKSince) < minTenure || c.latest.Handovers > 0 {
 		return
 	}
 	c.nextYieldRequest = c.now + minTenure
