An owner that reaches too few workers gives its term to a peer that reaches more

Cause: storing renewals was the only proof that an owner can do its work.

An owner now counts the silent ones among the workers that it has lately tried, and compares by package core/fitness what it reaches of 16 listed workers with what five peers reach, others in each turn. A worker is reached if anything answers at its address within 0.5 s, asked twice; the platform's client uses its health call, which carries no fence and has no effect. An instance that could not own the cell does not answer, and one probe at a time is made.

The term stays where two instances reach half each, and where nobody reaches anything.

--- a/internal/core/cell/reach.go
+++ b/internal/core/cell/reach.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/external"
+)
 
 const (
 	// recentAnswer is how long after its last answer a worker counts as one that was lately
@@ -86,6 +90,24 @@
 	return longest
 }
 
+// Sample returns up to limit listed workers, evenly spaced in the order of their IDs.
+func (c *Core) Sample(limit int) []external.Worker {
+	var listed []external.Worker
+	for _, w := range c.fleet {
+		if w.listed && !w.gone {
+			listed = append(listed, w.Worker)
+		}
+	}
+	if len(listed) <= limit {
+		return listed
+	}
+	out := make([]external.Worker, limit)
+	for n := range out {
+		out[n] = listed[n*len(listed)/limit]
+	}
+	return out
+}
+
 // waitingSince returns since when the group's longest waiting unit waits; ok is false if none does.
 func (g *taskGroup) waitingSince() (since time.Duration, ok bool) {
 	for _, u := range g.units {
--- a/internal/external/worker.go
+++ b/internal/external/worker.go
@@ -175,6 +175,8 @@
 	Stop(ctx context.Context, o StopOrder) (OrderResult, error)
 	Hold(ctx context.Context, o HoldOrder) (HoldResult, error)
 	Pace(ctx context.Context, o PaceOrder) (OrderResult, error)
+	// Probe returns nil if anything answers at a worker's address. It has no effect on the worker.
+	Probe(ctx context.Context, id WorkerID, addr string) error
 }
 
 // AdviceService decides which workers may run a step of a queue that needs advice. Its
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -99,6 +99,10 @@
 	explanations explanations
 	// tickDelay is how late the latest tick came, in ns.
 	tickDelay atomic.Int64
+	// reachMu is held while workers are probed for an owner; reachedAt is the boot time at which
+	// they last were.
+	reachMu   sync.Mutex
+	reachedAt time.Duration
 
 	// ctx ends when the instance is closed. wgMu keeps goroutines from being added to wg
 	// after that.
@@ -132,6 +136,7 @@
 	link.Handle(i.server, wire.KindYield, i.onYield)
 	link.Handle(i.server, wire.KindTermNotice, i.onTermNotice)
 	link.Handle(i.server, wire.KindWitness, i.onWitness)
+	link.Handle(i.server, wire.KindReach, i.onReach)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	return i
 }
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/fitness"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -41,6 +42,9 @@
 	fenced      atomic.Bool
 	// reach is used by the instance's ticks alone.
 	reach reachReport
+	// fitness is the owner's judgement of itself.
+	fitnessMu sync.Mutex
+	fitness   *fitness.Core
 }
 
 // newOwner returns the owner of a term whose claim was sent at the given boot time.
@@ -52,6 +56,7 @@
 	}
 	o.confirmedAt.Store(int64(claimedAt))
 	o.lastStep.Store(int64(boottime()))
+	o.fitness = fitness.New(boottime(), i.term.LatestRecord().Handovers)
 	o.ctx, o.cancel = context.WithCancel(i.ctx)
 	return o
 }
--- a/internal/instance/reach.go
+++ b/internal/instance/reach.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/fitness"
 )
 
 const (
@@ -63,6 +64,7 @@
 	}
 	o.reach.nextCheck = now + reachInterval
 	r := o.inst.cellReach()
+	o.stepFitness(fitness.Observed{Poor: r.Poor()})
 	if poor := r.Poor(); poor != o.reach.poor || poor && now >= o.reach.nextReport {
 		o.reach.poor, o.reach.nextReport = poor, now+reachReportInterval
 		evReach.Log(o.ctx, o.inst.logger, slog.Int64("term", o.term), slog.Bool("few", poor), slog.Int("tried", r.Tried), slog.Int("silent", r.Silent),
--- a/internal/instance/workerpath_test.go
+++ b/internal/instance/workerpath_test.go
@@ -17,6 +17,8 @@
 type workerPath struct {
 	*fleet.Live
 	cut atomic.Pointer[map[external.WorkerID]bool]
+	// probes counts the probes of workers by this instance.
+	probes atomic.Int64
 }
 
 func (p *workerPath) cutOff(ids ...external.WorkerID) {
@@ -54,6 +56,14 @@
 	return p.Live.Stop(ctx, o)
 }
 
+func (p *workerPath) Probe(ctx context.Context, id external.WorkerID, addr string) error {
+	p.probes.Add(1)
+	if p.blocked(ctx, id) {
+		return external.ErrOutcomeUnknown
+	}
+	return p.Live.Probe(ctx, id, addr)
+}
+
 func (p *workerPath) Hold(ctx context.Context, o external.HoldOrder) (external.HoldResult, error) {
 	if p.blocked(ctx, o.Worker) {
 		return external.HoldResult{}, external.ErrOutcomeUnknown
--- a/internal/standin/fleet/live.go
+++ b/internal/standin/fleet/live.go
@@ -66,6 +66,12 @@
 	return r, err
 }
 
+// Probe implements external.Workers.
+func (l *Live) Probe(ctx context.Context, id external.WorkerID, addr string) (err error) {
+	l.With(func(f *Fleet) { err = f.Probe(ctx, id, addr) })
+	return err
+}
+
 // Hold implements external.Workers. Like a real worker it waits up to o.Wait for
 // a run to end, and does not outlive its process: a later incarnation neither answers it nor
 // takes its acknowledgement.
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -150,6 +150,17 @@
 	return m.orderResult(external.RefusedNone), nil
 }
 
+// Probe implements external.Workers.
+func (f *Fleet) Probe(_ context.Context, id external.WorkerID, _ string) error {
+	switch m := f.byID[id]; {
+	case m == nil || m.Down:
+		return external.ErrOutcomeUnknown
+	case m.crashed:
+		return external.ErrConnectionRefused
+	}
+	return nil
+}
+
 // Hold implements external.Workers; it never waits.
 func (f *Fleet) Hold(_ context.Context, o external.HoldOrder) (external.HoldResult, error) {
 	m, r, err := f.machineFor(o.OrderHeader)
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -25,6 +25,7 @@
 	KindTermNotice   Kind = 18 // owner to any: TermNotice -> Ack
 	KindPolicyPart   Kind = 19 // instance to any: PolicyPartQuery -> PolicyPartReply
 	KindWitness      Kind = 20 // instance to any: WitnessQuery -> WitnessReply
+	KindReach        Kind = 21 // owner to any: ReachQuery -> ReachReply
 )
 
 // String returns the kind's name in metrics and logs.
@@ -70,6 +71,8 @@
 		return "record"
 	case KindWitness:
 		return "witness"
+	case KindReach:
+		return "reach"
 	}
 	return "other"
 }
