--- a/internal/link/fuzz_test.go
+++ b/internal/link/fuzz_test.go
@@ -38,7 +38,7 @@
 				t.Fatalf("%+v became %+v: %v", sub, again, err)
 			}
 		}
-		for _, v := range []any{&wire.SubmitReply{}, &wire.StatusReply{}, &wire.Heartbeat{}, &wire.PlaceReply{}, &wire.ConfigPush{}} {
+		for _, v := range []any{&wire.SubmitReply{}, &wire.StatusReply{}, &wire.Heartbeat{}, &wire.PlaceReply{}, &wire.ConfigPush{}, &wire.ReachQuery{}, &wire.ReachReply{}} {
 			_ = decodeBody(b, v) // must return
 		}
 	})
