Claims: report what a claim waits for

While a cell has no owner, the logs said that witnesses were asked (2229) and not why no claim follows: how many consents are needed, which witnesses have consented, refused or not answered, and until when at the latest. core/term reports it when a claim is due and has too few consents, again at each change of the answers (event 2285, counter coltsfootmux_claim_waits_total).

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -48,6 +48,19 @@
 	Witnesses []Witness
 }
 
+// ClaimWaits reports that a claim is due and has too few consents, each time that the witnesses'
+// answers have changed, for the log.
+type ClaimWaits struct {
+	Term    int64
+	Renewal int64
+	// Consented, Refused and Silent are the addresses of the witnesses by their answers, and Needed is
+	// how many must consent.
+	Consented, Refused, Silent []string
+	Needed                     int
+	// MaxWait is how long the claim waits at most if the store goes on answering.
+	MaxWait time.Duration
+}
+
 // CheckWitnesses asks which of the current witnesses answer, and which other instances could
 // replace the rest.
 type CheckWitnesses struct {
@@ -72,6 +85,7 @@
 func (QueryPeers) action()     {}
 func (AskPromises) action()    {}
 func (AskConsents) action()    {}
+func (ClaimWaits) action()     {}
 func (CheckWitnesses) action() {}
 func (Confirmed) action()      {}
 
--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -16,6 +16,9 @@
 	// RetryInterval. It is shorter than a promise holds, so that a witness which refused its consent
 	// is asked again before it would make the owner another promise.
 	maxConsentInterval = time.Second
+	// consentReportDelay is how long after a claim is due it is reported that it waits: the witnesses'
+	// answers have mostly arrived by then.
+	consentReportDelay = 300 * time.Millisecond
 	// otherClaimDelay is how much later than witnesses other instances claim. They mostly learn of
 	// the new term before they would ask, so that a claim costs few questions in a large fleet.
 	otherClaimDelay = 400 * time.Millisecond
@@ -26,8 +29,8 @@
 	return c.latest.Term != 0 && !c.latest.Released && !c.ownerIsPredecessor() && c.latest.Owner != c.self
 }
 
-// claimWait returns how long the latest record must stay unchanged before a claim.
-func (c *Core) claimWait() time.Duration {
+// staleAfter returns how long the latest record must stay unchanged before a claim.
+func (c *Core) staleAfter() time.Duration {
 	if !c.needsConsent() {
 		return c.releasedClaimWait()
 	}
@@ -54,18 +57,20 @@
 // canClaim reports whether the owner of the latest term has certainly stopped, or will have by the
 // time that a new owner allows for.
 func (c *Core) canClaim() bool {
-	return c.storeOK && c.now >= c.unfitUntil && c.unchangedFor() >= c.claimWait() && (!c.needsConsent() || c.hasConsent())
+	return c.storeOK && c.now >= c.unfitUntil && c.unchangedFor() >= c.staleAfter() && (!c.needsConsent() || c.hasConsent())
 }
 
 // hasConsent reports whether enough witnesses have consented to a claim. After KeepLimit without a
 // stored renewal, no owner keeps its term, whatever its witnesses say.
 func (c *Core) hasConsent() bool {
 	n := len(c.latest.Witnesses)
+	return n == 0 || c.unneededConsentIn() <= 0 || len(c.consents) >= witness.Consents(n)
+}
+
+// unneededConsentIn returns the time after which a claim needs no consent.
+func (c *Core) unneededConsentIn() time.Duration {
 	keepLimit := c.settings.KeepLimit + c.settings.KeepLimit/clockTolerance
-	if n == 0 || c.now-c.changedAt >= keepLimit+c.settings.StaleAfter+c.settings.ClaimDelay {
-		return true
-	}
-	return len(c.consents) >= witness.Consents(n)
+	return c.changedAt + keepLimit + c.settings.StaleAfter + c.settings.ClaimDelay - c.now
 }
 
 // askForConsents asks the witnesses shortly before a claim is due, and again while it is due.
@@ -73,7 +78,7 @@
 	if c.ownedTerm != 0 || c.stopping || !c.storeOK || !c.needsConsent() || c.hasConsent() || c.now < c.nextConsentQuery {
 		return
 	}
-	if c.unchangedFor() < c.claimWait()-consentLead {
+	if c.unchangedFor() < c.staleAfter()-consentLead {
 		return
 	}
 	c.consentInterval = min(max(2*c.consentInterval, c.settings.RetryInterval), maxConsentInterval)
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -36,6 +36,7 @@
 	// nextConsentQuery is the earliest time at which they are asked again.
 	// consentInterval is the time between the two latest questions.
 	consents         map[witness.ID]bool
+	wait             claimWait
 	nextConsentQuery time.Duration
 	consentInterval  time.Duration
 	// pendingWrites is the number of unanswered writes.
@@ -93,6 +94,8 @@
 		c.onPromised(e)
 	case Consented:
 		c.onConsented(e)
+	case ConsentRefused:
+		c.onConsentRefused(e)
 	case WitnessesChecked:
 		if e.Term == c.ownedTerm {
 			c.tenure.checked(now, e.Answered)
@@ -158,6 +161,7 @@
 	}
 	c.latest, c.changedAt = r, c.now
 	clear(c.consents)
+	c.wait = claimWait{}
 	c.consentInterval = 0
 	switch {
 	case r.Owner == c.self && !r.Released && c.lastOwnedTerm < r.Term:
@@ -252,6 +256,7 @@
 	c.askForPromises()
 	c.checkWitnesses()
 	c.askForConsents()
+	c.reportWait()
 	c.requestYield()
 	c.retryRelease()
 	if c.stopping || c.pendingWrites >= maxPendingWrites || !c.loaded || c.now < c.nextWrite {
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -64,6 +64,13 @@
 	Renewal int64
 }
 
+// ConsentRefused says that a witness does not consent to a claim that follows a record.
+type ConsentRefused struct {
+	Witness witness.ID
+	Term    int64
+	Renewal int64
+}
+
 // WitnessesChecked gives the instances that have answered a CheckWitnesses, in the order of
 // preference.
 type WitnessesChecked struct {
@@ -99,6 +106,7 @@
 func (WriteResult) event()      {}
 func (Promised) event()         {}
 func (Consented) event()        {}
+func (ConsentRefused) event()   {}
 func (WitnessesChecked) event() {}
 func (PeersReachStore) event()  {}
 func (MembersChanged) event()   {}
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -38,6 +38,7 @@
 	evWitnessAnswered   = logevent.New(2227, slog.LevelInfo, "answered as a witness of a term")
 	evPromise           = logevent.New(2228, slog.LevelInfo, "witness asked for a promise to keep the term")
 	evConsent           = logevent.New(2229, slog.LevelInfo, "witness asked for its consent to a claim")
+	evClaimWaits        = logevent.New(2285, slog.LevelWarn, "claim of the next term waits for consents")
 	evAccepted          = logevent.New(2230, slog.LevelInfo, "job accepted")
 	evRefused           = logevent.New(2231, slog.LevelInfo, "job refused")
 	evUnconfirmed       = logevent.New(2232, slog.LevelWarn, "submission or cancellation not confirmed")
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -17,6 +17,8 @@
 	mStatusUnavailable = metric.NewCounter("coltsfootmux_states_unavailable_total", "calls", "requests for a job's status that could not be answered")
 	mAcceptTime        = metric.NewHistogram("coltsfootmux_accept_seconds", "seconds", "time from a submission to its acceptance")
 
+	mClaimWaits = metric.NewCounter("coltsfootmux_claim_waits_total", "reports", "reports that a claim of the next term waits for consents")
+
 	mPolicyReadTime    = metric.NewHistogram("coltsfootmux_policy_read_seconds", "seconds", "time of a read of the policy's topic that returned records, with the wait for them")
 	mPolicyReadsFailed = metric.NewCounter("coltsfootmux_policy_reads_failed_total", "reads", "reads of the policy's topic that failed")
 	mDenied            = metric.NewCounterVec("coltsfootmux_requests_denied_total", "requests", "reason", "requests refused because the policy has no such route or key")
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -111,6 +111,8 @@
 		i.askPromises(i.ctx, a)
 	case term.AskConsents:
 		i.spawn(func(ctx context.Context) { i.askConsents(ctx, a) })
+	case term.ClaimWaits:
+		i.reportClaimWait(a)
 	case term.CheckWitnesses:
 		i.spawn(func(ctx context.Context) { i.checkWitnesses(ctx, a) })
 	}
--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -80,13 +80,24 @@
 			r, err := i.askWitness(ctx, w.Addr, q)
 			evConsent.Log(ctx, i.logger, slog.Int64("term", a.Term), slog.Int64("renewal", a.Renewal), slog.String("addr", w.Addr),
 				slog.Bool("granted", r.Granted), slog.Any("error", err))
-			if err == nil && r.Granted {
+			switch {
+			case err != nil:
+			case r.Granted:
 				i.stepTerm(term.Consented{Witness: w.ID, Term: a.Term, Renewal: a.Renewal})
+			default:
+				i.stepTerm(term.ConsentRefused{Witness: w.ID, Term: a.Term, Renewal: a.Renewal})
 			}
 		})
 	}
 }
 
+// reportClaimWait logs and counts that a claim waits for consents.
+func (i *Instance) reportClaimWait(a term.ClaimWaits) {
+	mClaimWaits.Inc()
+	evClaimWaits.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.Int64("renewal", a.Renewal), slog.Any("consented", a.Consented),
+		slog.Any("refused", a.Refused), slog.Any("silent", a.Silent), slog.Int("needed", a.Needed), slog.Duration("until", a.MaxWait))
+}
+
 // storeServesTerm asks the store for the term, and reports whether it answers within the time that
 // it takes at present.
 func (i *Instance) storeServesTerm(ctx context.Context) bool {
--- a/internal/partitionsim/witness_test.go
+++ b/internal/partitionsim/witness_test.go
@@ -73,6 +73,8 @@
 		i.askConsents(a)
 	case term.CheckWitnesses:
 		i.checkWitnesses(a)
+	case term.ClaimWaits:
+		i.sim.tracef("%s waits with the claim that follows term %d for at most %v: consented %v, refused %v, silent %v", i.name(), a.Term, a.MaxWait, a.Consented, a.Refused, a.Silent)
 	default:
 		i.sim.t.Fatalf("unknown action %T", a)
 	}
@@ -118,8 +120,12 @@
 		q := witnessQuery{ask: askConsent, at: witness.Position{Term: a.Term, Renewal: a.Renewal}, witness: w.ID}
 		i.deliver(0, func() {
 			i.askWitness(w.Addr, q, func(r witnessReply, ok bool) {
-				if ok && r.granted {
+				switch {
+				case !ok:
+				case r.granted:
 					i.stepTerm(term.Consented{Witness: w.ID, Term: a.Term, Renewal: a.Renewal})
+				default:
+					i.stepTerm(term.ConsentRefused{Witness: w.ID, Term: a.Term, Renewal: a.Renewal})
 				}
 			})
 		})
