Claims after a loss of most hosts no longer wait for the end of a kept term (LOST)

What callers saw: after the loss of the owner with most of its witnesses no instance owned the cell for 23.5 s; jobs stood still, and no one told their state. A claim needs the consent of two of five witnesses, or that no owner can act any more, and an owner could start tasks until KeepLimit.

Cause: one limit for two powers. Starting a task needs that no one else does; renewing a lease only needs that the next owner allows for it. Only the first has to be over before a claim.

Change: witnesses confirm a term for starts for StartLimit (5 s) after its latest stored renewal, for leases for KeepLimit (20 s) as before. A claim needs no consent after StartLimit, a tenth more for clocks, and StaleAfter. Its record says for how long the earlier owner may still renew leases; renewals and later claims pass that on, counted down, and each owner in the chain waits so long for the runs on workers that it does not reach. Workers that answer it refuse the earlier owner, so they need no wait. Records say their owner's StartLimit: one of an earlier version, which starts tasks until KeepLimit, is waited for as before. Consents are asked for as before, as with them the next owner need not allow for the earlier one.

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -16,6 +16,9 @@
 	Term int64
 	// At is when the claim was sent: no other instance owned a later term then.
 	At time.Duration
+	// EarlierUntil is until when owners of earlier terms may still renew leases, besides one that had
+	// lost its term by the consent of its witnesses.
+	EarlierUntil time.Duration
 }
 
 // Lost says that this instance no longer owns the term.
@@ -24,8 +27,9 @@
 	Reason Reason
 }
 
-// Confirmed says that no other instance owned a later term at the time At: the store
-// confirmed a renewal sent then, or enough witnesses have promised that were asked then.
+// Confirmed says that no other instance owned a later term at the time At, so that tasks may be
+// started: the store confirmed a renewal sent then, or enough witnesses have promised that were asked
+// then, within StartLimit after a stored renewal.
 type Confirmed struct{ At time.Duration }
 
 // QueryPeers asks the peers whether they can reach the store.
--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -9,6 +9,9 @@
 const (
 	// clockTolerance divides a time to give the difference that two clocks may show in it.
 	clockTolerance = 10
+	// earlierOwnerMargin is added to the time for which an earlier owner may renew leases, for its timers
+	// and calls in progress.
+	earlierOwnerMargin = 300 * time.Millisecond
 	// consentLead is how long before a claim the witnesses are asked for their consent, so that
 	// it does not wait for their answers.
 	consentLead = 200 * time.Millisecond
@@ -60,22 +63,35 @@
 	return c.storeOK && c.now >= c.unfitUntil && c.unchangedFor() >= c.staleAfter() && (!c.needsConsent() || c.hasConsent())
 }
 
-// hasConsent reports whether enough witnesses have consented to a claim. After KeepLimit without a
-// stored renewal, no owner keeps its term, whatever its witnesses say.
+// hasConsent reports whether the owner of the latest term certainly starts no more tasks: enough
+// witnesses have consented to a claim, or its StartLimit is over, whatever they say.
 func (c *Core) hasConsent() bool {
+	return c.ownerHasEnded() || c.unneededConsentIn() <= 0
+}
+
+// ownerHasEnded reports whether witnesses no longer confirm the latest term, and renewals of leases end
+// with it as well.
+func (c *Core) ownerHasEnded() bool {
 	n := len(c.latest.Witnesses)
-	return n == 0 || c.unneededConsentIn() <= 0 || len(c.consents) >= witness.Consents(n)
+	return n == 0 || len(c.consents) >= witness.Consents(n)
 }
 
 // unneededConsentIn returns the time after which a claim needs no consent.
 func (c *Core) unneededConsentIn() time.Duration {
-	keepLimit := c.settings.KeepLimit + c.settings.KeepLimit/clockTolerance
-	return c.changedAt + keepLimit + c.settings.StaleAfter + c.settings.ClaimDelay - c.now
+	limit := c.latest.StartLimit
+	if limit == 0 {
+		limit = c.settings.KeepLimit
+	}
+	return c.changedAt + byAnyClock(limit) + c.settings.StaleAfter + c.settings.ClaimDelay - c.now
 }
 
-// askForConsents asks the witnesses shortly before a claim is due, and again while it is due.
+// byAnyClock returns the time that passes on this clock at most while d passes on another.
+func byAnyClock(d time.Duration) time.Duration { return d + d/clockTolerance }
+
+// askForConsents asks the witnesses shortly before a claim is due, and again while it is due, even if
+// the claim does not need their consent: with it, the next owner need not allow for the earlier one.
 func (c *Core) askForConsents() {
-	if c.ownedTerm != 0 || c.stopping || !c.storeOK || !c.needsConsent() || c.hasConsent() || c.now < c.nextConsentQuery {
+	if c.ownedTerm != 0 || c.stopping || !c.storeOK || !c.needsConsent() || c.ownerHasEnded() || c.now < c.nextConsentQuery {
 		return
 	}
 	if c.unchangedFor() < c.staleAfter()-consentLead {
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -30,6 +30,10 @@
 	// confirmedAt is a time until which no later term was claimed: when the latest stored renewal
 	// was sent, or enough witnesses were asked that have promised.
 	confirmedAt time.Duration
+	// startConfirmedAt is the latest time of a Confirmed of the owned term.
+	startConfirmedAt time.Duration
+	// earlierUntil is until when owners of terms before the latest one may renew leases.
+	earlierUntil time.Duration
 	// tenure is what is known of the owned term.
 	tenure tenure
 	// consents holds the witnesses of the latest record that have consented to a claim,
@@ -148,6 +152,7 @@
 func (c *Core) confirmStored(sentAt time.Duration) {
 	c.tenure.storedAt = max(c.tenure.storedAt, sentAt)
 	c.confirmedAt = max(c.confirmedAt, sentAt)
+	c.startConfirmedAt = max(c.startConfirmedAt, sentAt)
 	c.emit(Confirmed{At: sentAt})
 }
 
@@ -159,6 +164,7 @@
 	if r.Term != c.latest.Term {
 		c.termSince = c.now
 	}
+	c.observeEarlierOwners(r)
 	c.latest, c.changedAt = r, c.now
 	clear(c.consents)
 	c.wait = claimWait{}
@@ -184,10 +190,10 @@
 	if c.attempts.of(r) {
 		sentAt = c.attempts.sentAt
 	}
-	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt = r.Term, r.Term, sentAt
+	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt, c.startConfirmedAt = r.Term, r.Term, sentAt, sentAt
 	c.tenure = newTenure(sentAt)
 	c.nextWrite = sentAt + c.settings.RenewInterval
-	c.emit(Gained{Term: r.Term, At: sentAt})
+	c.emit(Gained{Term: r.Term, At: sentAt, EarlierUntil: c.earlierUntil})
 }
 
 func (c *Core) lose(reason Reason) {
@@ -245,7 +251,10 @@
 
 // newRecord returns a record of this instance.
 func (c *Core) newRecord(t, renewal int64) Record {
-	return Record{Term: t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay, Handovers: c.handovers()}
+	return Record{
+		Term: t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay,
+		Handovers: c.handovers(), EarlierOwners: max(0, c.earlierUntil-c.now), StartLimit: c.settings.StartLimit,
+	}
 }
 
 // advance does what has become due.
@@ -268,7 +277,7 @@
 		r.Witnesses, c.tenure.proposalSent = c.tenure.named(), true
 		c.write(r)
 	case c.canClaim():
-		c.write(c.newRecord(c.latest.Term+1, 0))
+		c.write(c.newClaim())
 	}
 }
 
--- a/internal/core/term/keep.go
+++ b/internal/core/term/keep.go
@@ -28,16 +28,27 @@
 }
 
 // onPromised confirms the term if enough witnesses have promised. It is confirmed as of the time
-// when they were asked, and not for longer than KeepLimit after a stored renewal, as a claim
-// needs no consent any more then.
+// when they were asked: for starts not for longer than StartLimit after a stored renewal, as a claim
+// needs no consent any more then, and for leases not for longer than KeepLimit, which the next owner
+// allows for.
 func (c *Core) onPromised(e Promised) {
 	if c.ownedTerm == 0 || e.Term != c.ownedTerm {
 		return
 	}
 	c.tenure.promises[e.Witness] = max(c.tenure.promises[e.Witness], e.At)
-	at := min(c.tenure.promisedAt(), c.tenure.storedAt+c.settings.KeepLimit)
-	if at > c.confirmedAt {
-		c.confirmedAt = at
+	promisedAt := c.tenure.promisedAt()
+	c.confirmedAt = max(c.confirmedAt, min(promisedAt, c.tenure.storedAt+c.settings.KeepLimit))
+	if at := min(promisedAt, c.tenure.storedAt+c.settings.StartLimit); at > c.startConfirmedAt {
+		c.startConfirmedAt = at
 		c.emit(Confirmed{At: at})
 	}
 }
+
+// KeptUntil returns until when the owned term is kept, and leases are renewed, if nothing confirms it
+// again; 0 if none is owned.
+func (c *Core) KeptUntil() time.Duration {
+	if c.ownedTerm == 0 {
+		return 0
+	}
+	return c.confirmedAt + c.settings.ConfirmTimeout
+}
--- a/internal/core/term/record.go
+++ b/internal/core/term/record.go
@@ -26,6 +26,10 @@
 	Successor string `cbor:"8,keyasint,omitempty"`
 	// Handovers counts the releases by unfit owners since one has last kept its term for long.
 	Handovers int64 `cbor:"9,keyasint,omitempty"`
+	// EarlierOwners is how long after this record the owners of earlier terms may still renew leases.
+	EarlierOwners time.Duration `cbor:"11,keyasint,omitempty"`
+	// StartLimit is the owner's Settings.StartLimit. Versions without it start tasks until KeepLimit.
+	StartLimit time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // position returns the place of the record among all renewals of all terms.
--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -12,8 +12,11 @@
 	// ConfirmTimeout is how long an owner keeps its term without a confirmation by the store or
 	// by its witnesses.
 	ConfirmTimeout time.Duration
-	// KeepLimit is how long after the latest stored renewal witnesses may confirm a term. A claim
-	// without their consent waits for it.
+	// StartLimit is how long after the latest stored renewal witnesses may confirm a term for starts
+	// of tasks. A claim without their consent waits for it.
+	StartLimit time.Duration
+	// KeepLimit is how long after the latest stored renewal witnesses may confirm a term, for renewals
+	// of leases. An owner that claimed without their consent allows for it.
 	KeepLimit time.Duration
 	// QueryPeersAfter is how long an owner waits for a confirmed renewal before it queries
 	// its witnesses and peers. Their answers take up to 0.5 s and should arrive before the owner has to
@@ -41,6 +44,7 @@
 		RenewInterval:   500 * time.Millisecond,
 		StaleAfter:      1500 * time.Millisecond,
 		ConfirmTimeout:  2500 * time.Millisecond,
+		StartLimit:      5 * time.Second,
 		KeepLimit:       20 * time.Second,
 		QueryPeersAfter: 800 * time.Millisecond,
 		// After this time an owner has got the lists of its workers. A change of owner delays
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -20,6 +20,8 @@
 	term   int64
 	ctx    context.Context
 	cancel context.CancelFunc
+	// earlierUntil is the boot time until which owners of earlier terms may renew leases.
+	earlierUntil time.Duration
 
 	mu   sync.Mutex
 	core *cell.Core
@@ -47,14 +49,14 @@
 	fitness   *fitness.Core
 }
 
-// newOwner returns the owner of a term whose claim was sent at the given boot time.
-func newOwner(i *Instance, t int64, claimedAt time.Duration) *owner {
+// newOwner returns the owner of a term.
+func newOwner(i *Instance, g term.Gained) *owner {
 	o := &owner{
-		inst: i, term: t,
+		inst: i, term: g.Term, earlierUntil: g.EarlierUntil,
 		jobsReadAt: make([]time.Duration, len(topicsJobs)), jobsReadTo: make([]int64, len(topicsJobs)), jobTopics: make(map[job.ID]topicSet),
-		progress: newProgressWriter(i.store, i.storeMonitor.available, t),
+		progress: newProgressWriter(i.store, i.storeMonitor.available, g.Term),
 	}
-	o.confirmedAt.Store(int64(claimedAt))
+	o.confirmedAt.Store(int64(g.At))
 	o.lastStep.Store(int64(boottime()))
 	o.fitness = fitness.New(boottime(), i.term.LatestRecord().Handovers)
 	o.ctx, o.cancel = context.WithCancel(i.ctx)
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -49,7 +49,9 @@
 	if p := o.inst.policy.Load(); p != nil {
 		policy = p.policy
 	}
-	o.core = cell.New(o.inst.Settings.Cell, o.term, policy, instant())
+	settings := o.inst.Settings.Cell
+	settings.PreviousOwnerGrace = max(settings.PreviousOwnerGrace, o.earlierUntil-boottime())
+	o.core = cell.New(settings, o.term, policy, instant())
 	ev.TermConfirmedAt = time.Duration(o.confirmedAt.Load())
 	for n := range o.jobsReadAt {
 		if !o.unreadTopics.has(n) {
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -87,8 +87,9 @@
 	case term.Write:
 		i.spawn(func(ctx context.Context) { i.writeTerm(ctx, a) })
 	case term.Gained:
-		evTermGained.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.Duration("claimed", boottime()-a.At))
-		o := newOwner(i, a.Term, a.At)
+		evTermGained.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.Duration("claimed", boottime()-a.At),
+			slog.Duration("earlier", max(0, a.EarlierUntil-boottime())))
+		o := newOwner(i, a)
 		i.owner.Store(o)
 		i.spawn(o.run)
 	case term.Lost:
