Owners that may order no start stop no run to move it

Load pattern: the store is away for longer than StartLimit, and witnesses confirm the term for renewals of leases only. Runs that are slow or make no progress were stopped all the same, and could not be started elsewhere: their work was lost. Now stragglers and stalled runs are left alone until starts may be ordered. Preemption and moves off draining workers are part of placement and waited already.

TestInvariantsHoldBesideAKeptPredecessor runs random scenarios with an owner on an island that renews leases for up to 20 s beside its successors.

--- a/internal/core/cell/cuts_test.go
+++ b/internal/core/cell/cuts_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/standin/fleet"
 )
 
@@ -38,9 +39,39 @@
 		s.takeOverFromConfirmedOwner()
 		s.cutForWhile(s.current().unreachable, m, length)
 		s.submit(s.randomJob())
+	case 6:
+		if s.keptOwners {
+			s.takeOverFromIsland(rng)
+		}
 	}
 }
 
+// takeOverFromIsland starts a new owner while the present one is on an island with some of the workers
+// and the witnesses of its term, which confirm it for renewals of leases and no longer for starts.
+func (s *simulation) takeOverFromIsland(rng *rand.Rand) {
+	previous := s.current()
+	if previous.halted || s.now < s.earlierUntil {
+		return
+	}
+	length := time.Duration(1+rng.IntN(20)) * time.Second
+	s.island = make(map[external.WorkerID]bool)
+	for _, m := range s.fleet.Machines() {
+		s.island[m.ID] = rng.IntN(2) == 0
+	}
+	previous.onIsland, s.earlierUntil = true, s.now+length
+	s.termUnconfirmed = true
+	s.run(s.settings.StartGrace + tickTime)
+	s.termUnconfirmed = false
+	previous.startsEnded, previous.keepsUntil = true, s.earlierUntil
+	s.takeOver()
+	s.submit(s.randomJob())
+}
+
+// isSeparated reports whether the edge of an island is between an owner and a worker.
+func (s *simulation) isSeparated(o *testOwner, id external.WorkerID) bool {
+	return s.now < s.earlierUntil && o.onIsland != s.island[id]
+}
+
 // takeOverFromConfirmedOwner starts a new owner as soon as core/term allows a claim after the last
 // confirmation of the present one, whose witnesses confirmed it while the store was unavailable.
 // It reads jobs, and renews leases, until it learns of the new term.
@@ -110,3 +141,18 @@
 		s.listAgain(m)
 	}
 }
+
+// prolongTasks has every second task run for 5 s to 20 s. It must be called before the first owner.
+func (s *simulation) prolongTasks() {
+	machines := s.fleet.Machines()
+	s.fleet = fleet.New(func(t job.TaskID, run int64) (time.Duration, bool) {
+		d, fails := randomDurations(0)(t, run)
+		if t.Index%2 == 0 {
+			d = 5*time.Second + 5*d
+		}
+		return d, fails
+	})
+	for n := range machines {
+		s.fleet.Add(testWorker(n))
+	}
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -237,11 +237,11 @@
 }
 
 // stopIfStalled stops a running run that has made no progress for too long, so that
-// it is started on another worker. In a stalled gang it is unknown which worker is
+// it is started on another worker, while that may be ordered. In a stalled gang it is unknown which worker is
 // at fault, so the unit avoids the workers of all members.
 func (c *Core) stopIfStalled(r *run) {
 	now := c.now.Mono
-	if r.state != runRunning || r.unit == nil || r.unit.group.step.LongRunning || r.pace < fullPace {
+	if r.state != runRunning || r.unit == nil || r.unit.group.step.LongRunning || r.pace < fullPace || !c.mayStart() {
 		return
 	}
 	if now-r.progressedAt < stallTimeout(r.unit.group.step) || r.percent >= 100 {
--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -64,6 +64,20 @@
 	}
 }
 
+// TestInvariantsHoldBesideAKeptPredecessor runs the same with owners that renew leases on an island for
+// up to 20 s after their successor has begun, and perhaps its successors.
+func TestInvariantsHoldBesideAKeptPredecessor(t *testing.T) {
+	for seed := range uint64(randomScenarios) {
+		o := scenario{cuts: true, prepare: func(s *simulation) {
+			s.keptOwners = true
+			s.prolongTasks()
+		}}
+		if err := runRandomScenario(t, seed, o); err != "" {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestInvariantsHoldForRecurringJobs runs scenarios with jobs that have several occurrences, or
 // run until they are cancelled, while workers crash.
 func TestInvariantsHoldForRecurringJobs(t *testing.T) {
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -11,7 +11,7 @@
 	// confirmed. It is shorter than the time after which others claim the next term,
 	// so that no start of a previous owner reaches a worker that knows no term yet.
 	StartGrace time.Duration
-	// PreviousOwnerGrace is how long after a takeover the previous owner may still
+	// PreviousOwnerGrace is how long after a takeover owners of earlier terms may still
 	// renew leases.
 	PreviousOwnerGrace time.Duration
 	// RestoreTime is how long a run takes to resume from a checkpoint.
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -39,6 +39,11 @@
 	unreachable map[external.WorkerID]bool
 	// confirmedOwners says that cutOrDrain replaces owners that their peers have just confirmed.
 	confirmedOwners bool
+	// keptOwners says that cutOrDrain replaces owners that go on renewing leases on an island.
+	// island holds the workers on it, earlierUntil is until when it exists.
+	keptOwners   bool
+	island       map[external.WorkerID]bool
+	earlierUntil time.Duration
 	// refusing holds the workers that are cut off and whose connections are refused.
 	refusing map[external.WorkerID]bool
 	// expired holds the workers whose entries have expired.
@@ -82,6 +87,9 @@
 	unreachable map[external.WorkerID]bool
 	// startsEnded says that the owner must not order starts any more, as the next term was claimed.
 	startsEnded bool
+	// onIsland says that the owner is on the island, where it keeps its term until keepsUntil.
+	onIsland   bool
+	keepsUntil time.Duration
 	// readsUntil is the time until which the owner of an earlier term reads new jobs.
 	readsUntil time.Duration
 }
@@ -154,13 +162,14 @@
 func (s *simulation) takeOver() *testOwner {
 	if len(s.owners) > 0 {
 		previous := s.current()
-		s.schedule(testSettings().PreviousOwnerGrace, func() { previous.halted = true })
+		s.schedule(max(testSettings().PreviousOwnerGrace, previous.keepsUntil-s.now), func() { previous.halted = true })
 	}
 	o := &testOwner{term: int64(len(s.owners) + 1), unreachable: make(map[external.WorkerID]bool)}
 	settings := s.settings
 	if s.adjustSettings != nil {
 		s.adjustSettings(&settings)
 	}
+	settings.PreviousOwnerGrace = max(settings.PreviousOwnerGrace, s.earlierUntil-s.now)
 	o.core = New(settings, o.term, s.policy, s.instant())
 	s.storeTerm = o.term
 	s.owners = append(s.owners, o)
--- a/internal/core/cell/simulationcalls_test.go
+++ b/internal/core/cell/simulationcalls_test.go
@@ -15,7 +15,7 @@
 // call plays a call to a worker: execute carries it out at the worker, and done
 // receives the result at the owner, a failure if there is no answer.
 func (s *simulation) call(o *testOwner, id external.WorkerID, timeout time.Duration, execute func(), done func(Failure)) {
-	if s.unreachable[id] || o.unreachable[id] {
+	if s.unreachable[id] || o.unreachable[id] || s.isSeparated(o, id) {
 		s.schedule(timeout, func() { done(FailureOutcomeUnknown) })
 		return
 	}
@@ -144,7 +144,7 @@
 // the store is down.
 func (s *simulation) writeBatch(o *testOwner, a Persist) {
 	s.schedule(s.delay(), func() {
-		if s.storeDown {
+		if s.storeDown || o.onIsland && s.now < s.earlierUntil {
 			s.writeBatch(o, a)
 			return
 		}
--- a/internal/core/cell/stragglers.go
+++ b/internal/core/cell/stragglers.go
@@ -27,9 +27,9 @@
 )
 
 // moveStragglers stops the runs that would end sooner if they were started again on
-// another worker.
+// another worker, while that may be ordered.
 func (c *Core) moveStragglers() {
-	if c.now.Mono < c.nextStragglerCheck {
+	if c.now.Mono < c.nextStragglerCheck || !c.mayStart() {
 		return
 	}
 	c.nextStragglerCheck = c.now.Mono + stragglerInterval
