Name the owner and all instances asked in a status that is not available

Callers of instances that the owner did not answer got 503, and the log (2235) gave the error of one call only: neither whom it went to nor what the other instances said. So logs did not tell an owner that nobody reaches from one that is not known, or from an instance that is cut off itself.

2235 and 2263 name the owner that was asked first and the answer of each instance in the order in which they came. No decision changes.

--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -122,10 +122,11 @@
 
 // Status returns the status of a job. Errors: ErrNoJob, ErrUnavailable.
 func (i *Instance) Status(ctx context.Context, id job.ID) (job.Status, error) {
-	r, err := i.askJob(ctx, id)
+	var q inquiry
+	r, err := i.askJob(ctx, &q, id)
 	if err != nil || !r.Known {
 		mStatusUnavailable.Inc()
-		evStatusUnavailable.Log(ctx, i.logger, slog.String("job", string(id)), slog.Any("error", err))
+		evStatusUnavailable.Log(ctx, i.logger, append(q.attrs(), slog.String("job", string(id)), slog.Any("error", err))...)
 		return job.Unknown, ErrUnavailable
 	}
 	mStatusAnswered.Inc()
@@ -139,9 +140,10 @@
 // Pending returns the number of a queue's jobs that have not started. Error:
 // ErrUnavailable.
 func (i *Instance) Pending(ctx context.Context, queue string) (int, error) {
-	r, err := i.askPending(ctx, queue)
+	var q inquiry
+	r, err := i.askPending(ctx, &q, queue)
 	if err != nil || !r.Known {
-		evStatusUnavailable.Log(ctx, i.logger, slog.String("queue", queue), slog.Any("error", err))
+		evStatusUnavailable.Log(ctx, i.logger, append(q.attrs(), slog.String("queue", queue), slog.Any("error", err))...)
 		return 0, ErrUnavailable
 	}
 	return r.Jobs, nil
--- a/internal/instance/ask.go
+++ b/internal/instance/ask.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -14,27 +15,33 @@
 // askTimeout bounds one question to a peer; a call has time for several.
 const askTimeout = 500 * time.Millisecond
 
-func (i *Instance) askJob(ctx context.Context, id job.ID) (wire.JobReply, error) {
+func (i *Instance) askJob(ctx context.Context, q *inquiry, id job.ID) (wire.JobReply, error) {
 	if o := i.owner.Load(); o != nil {
-		return o.job(id), nil
+		r := o.job(id)
+		q.ownAnswer(i, r.Known)
+		return r, nil
 	}
 	known := func(r wire.JobReply) bool { return r.Known }
-	return askCell(ctx, i, wire.KindJob, wire.JobQuery{ID: id}, wire.JobQuery{ID: id, Forward: true}, known)
+	return askCell(ctx, i, q, wire.KindJob, wire.JobQuery{ID: id}, wire.JobQuery{ID: id, Forward: true}, known)
 }
 
-func (i *Instance) askPending(ctx context.Context, queue string) (wire.PendingReply, error) {
+func (i *Instance) askPending(ctx context.Context, q *inquiry, queue string) (wire.PendingReply, error) {
 	if o := i.owner.Load(); o != nil {
-		return o.pending(queue), nil
+		r := o.pending(queue)
+		q.ownAnswer(i, r.Known)
+		return r, nil
 	}
 	known := func(r wire.PendingReply) bool { return r.Known }
-	return askCell(ctx, i, wire.KindPending, wire.PendingQuery{Queue: queue}, wire.PendingQuery{Queue: queue, Forward: true}, known)
+	return askCell(ctx, i, q, wire.KindPending, wire.PendingQuery{Queue: queue}, wire.PendingQuery{Queue: queue, Forward: true}, known)
 }
 
 // askCell asks the cell's owner. If the owner does not know or can't be reached, it asks
 // other instances to ask the owner that they know of: this one may have missed a change
 // of the term.
-func askCell[Req, Rep any](ctx context.Context, i *Instance, k wire.Kind, q, forward Req, known func(Rep) bool) (Rep, error) {
-	rep, err := askOwner[Req, Rep](ctx, i, k, q)
+func askCell[Req, Rep any](ctx context.Context, i *Instance, q *inquiry, k wire.Kind, direct, forward Req, known func(Rep) bool) (Rep, error) {
+	q.owner = i.ownerAddr()
+	rep, err := askOwner[Req, Rep](ctx, i, k, direct)
+	q.add(cmp.Or(q.owner, "owner"), err == nil && known(rep), err)
 	if err == nil && known(rep) {
 		return rep, nil
 	}
@@ -43,6 +50,7 @@
 			break
 		}
 		r, e := askPeer[Req, Rep](ctx, i, addr, k, forward)
+		q.add(addr, e == nil && known(r), e)
 		if e == nil && known(r) {
 			return r, nil
 		}
--- a/internal/instance/recordcommit.go
+++ b/internal/instance/recordcommit.go
@@ -85,11 +85,12 @@
 // askOwner asks the cell's owner whether it has read the record, and how fast the store answers
 // there. Without an answer, nothing changes.
 func (c *recordCommit) askOwner() {
-	rep, err := c.inst.askJob(c.ctx, c.id)
+	var q inquiry
+	rep, err := c.inst.askJob(c.ctx, &q, c.id)
 	answer := commit.OwnerAnswer{IsRead: err == nil && rep.Known && c.isRead(rep.Status), StoreTime: rep.StoreTime}
 	switch {
 	case err != nil && c.ctx.Err() == nil:
-		evOwnerQueryFailed.Log(c.ctx, c.inst.logger, slog.String("job", string(c.id)), slog.Any("error", err))
+		evOwnerQueryFailed.Log(c.ctx, c.inst.logger, append(q.attrs(), slog.String("job", string(c.id)), slog.Any("error", err))...)
 	case answer.IsRead:
 		evConfirmedByOwner.Log(c.ctx, c.inst.logger, slog.String("job", string(c.id)), slog.String("state", rep.Status.String()))
 	}
