Votes against the owner of a term

An owner was kept for as long as the store stored its renewals. A vote is a record in the topic of the term, appended without a condition. A renewal is conditional on the end that its owner has read, so none is stored over a vote that its owner has not read. An owner that reads votes of most of its witnesses within 10 s releases its term; one that does not read can't renew it, and its record gets stale as before. Claims need what they needed before.

A renewal that a vote has barred is sent again as soon as the vote is read, and a release that one has barred is repeated. The record counts such releases in a row (Handovers): the least tenure before the next one doubles with it.

An instance on a stronger machine whose request to yield is not answered may make it by the same kind of record.

The properties: a term has one owner, and no record is stored that was decided on before its writer had read all votes before it (20,000 draws by hand: go test -run 'Votes|Renews' -rapid.checks=20000 ./internal/core/term).

--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -81,6 +81,10 @@
 // NotifyPeers sends the peers a record that this instance can't write to the store.
 type NotifyPeers struct{ Record Record }
 
+// WriteVote appends a vote without a condition.
+type WriteVote struct{ Vote Vote }
+
+func (WriteVote) action()      {}
 func (RequestYield) action()   {}
 func (NotifyPeers) action()    {}
 func (Write) action()          {}
@@ -105,4 +109,5 @@
 	ReasonYielded     Reason = "a stronger instance takes over"
 	ReasonUnreached   Reason = "a peer reaches more workers"
 	ReasonCutOff      Reason = "the store turns this instance away and serves its peers"
+	ReasonVotedOut    Reason = "most of its witnesses get no answer from this instance"
 )
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -56,10 +56,15 @@
 	nextYieldRequest   time.Duration
 	allTopicsReachable bool
 	// unfitUntil is until when this instance claims no term, as it has released one as unfit.
-	unfitUntil     time.Duration
+	unfitUntil time.Duration
+	// pendingRelease is the release that is not known to be stored, nil if there is none.
 	pendingRelease *pendingRelease
-	now            time.Duration
-	actions        []Action
+	// votes are those against the owner of the latest term, yieldVotes the requests to yield that this
+	// instance has made by the store.
+	votes      votes
+	yieldVotes yieldVotes
+	now        time.Duration
+	actions    []Action
 }
 
 // New returns the state of the instance self, which its peers reach at addr.
@@ -116,6 +121,8 @@
 		c.yield(e)
 	case Unfit:
 		c.onUnfit(e)
+	case YieldUnanswered:
+		c.requestYieldByVote(e)
 	case Tick:
 		c.allTopicsReachable = e.AllTopicsReachable
 	}
@@ -130,11 +137,14 @@
 		c.storeOK, c.storeOKSince = true, c.now
 	}
 	c.loaded = true
+	readTo := c.end
 	c.end = max(c.end, e.End)
 	for _, r := range e.Records {
 		c.observe(r)
 		c.confirmByRead(r)
 	}
+	c.onVotes(readTo, e.Votes)
+	c.repeatBarredRenewal()
 }
 
 // confirmByRead handles a read that shows this instance's latest renewal. The renewal
@@ -214,6 +224,9 @@
 	case WriteDone:
 	case WriteOutcomeUnknown:
 		return // already sent again, or read later if it was written after all
+	case WriteConflict:
+		c.onConflict()
+		return
 	default:
 		c.nextWrite = c.now + c.settings.RetryInterval
 		return // a conflicting record is read next
@@ -245,8 +258,7 @@
 	r := c.newRecord(c.ownedTerm, c.latest.Renewal+1)
 	r.Released = true
 	c.lose(reason)
-	c.pendingWrites++
-	c.emit(Write{Record: r, ExpectedEnd: c.end})
+	c.sendRelease(r)
 }
 
 // newRecord returns a record of this instance.
@@ -262,6 +274,7 @@
 	if c.ownedTerm != 0 && c.now-c.confirmedAt > c.settings.ConfirmTimeout {
 		c.lose(ReasonUnconfirmed)
 	}
+	c.followVotes()
 	c.askForPromises()
 	c.checkWitnesses()
 	c.askForConsents()
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -12,6 +12,8 @@
 // ReadResult holds the records of a successful read.
 type ReadResult struct {
 	Records []Record
+	// Votes are those among the records, see Vote.
+	Votes []Vote
 	// End is the offset up to which everything has been read.
 	End int64
 }
@@ -94,6 +96,13 @@
 // YieldRequested says that an instance on a stronger machine requests the given term.
 type YieldRequested struct{ Term int64 }
 
+// YieldUnanswered says that the owner of a term has not answered a RequestYield.
+type YieldUnanswered struct {
+	Term int64
+	// Asked is the number of the other witnesses that were asked then, Answered of those that answered.
+	Asked, Answered int
+}
+
 // Tick says that time has passed.
 type Tick struct {
 	// AllTopicsReachable says that this process can reach every topic of the store.
@@ -113,4 +122,5 @@
 func (HigherTermSeen) event()   {}
 func (Stopping) event()         {}
 func (YieldRequested) event()   {}
+func (YieldUnanswered) event()  {}
 func (Tick) event()             {}
--- a/internal/core/term/successor_test.go
+++ b/internal/core/term/successor_test.go
@@ -95,7 +95,7 @@
 	x := newTrio(t)
 	x.down[x.instances[1]], x.down[x.instances[2]] = true, true
 	x.release(1)
-	x.run(unfitRest - 100*time.Millisecond)
+	x.run(unfitClaimDelay - 100*time.Millisecond)
 	if x.instances[0].ownedTerm != 0 {
 		t.Error("claimed again at once")
 	}
@@ -137,7 +137,7 @@
 func TestHandoversAreForgotten(t *testing.T) {
 	x := newTrio(t)
 	x.release(1)
-	x.run(handoversKept - time.Second)
+	x.run(handoverMemory - time.Second)
 	if n := x.instances[2].core.LatestRecord().Handovers; n != 1 {
 		t.Errorf("%d hand-overs just after one", n)
 	}
--- a/internal/core/term/witnesses.go
+++ b/internal/core/term/witnesses.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"coltsfootmux/internal/core/witness"
 )
@@ -16,6 +17,11 @@
 	return func(w Witness) bool { return w.Addr == addr }
 }
 
+// contains reports whether an incarnation is one of the witnesses.
+func contains(ws []Witness, id witness.ID) bool {
+	return slices.ContainsFunc(ws, func(w Witness) bool { return w.ID == id })
+}
+
 // sameAs matches an instance by its address and, as it may have several, by its ID.
 func sameAs(other Witness) func(Witness) bool {
 	return func(w Witness) bool { return w.Addr == other.Addr || w.ID == other.ID }
