Witnesses check the owner of their term and say when it does not answer

Nothing told that peers get no answer from an owner: each instance logs its own links (1002), and those that call the owner seldom log nothing.

The witnesses of the latest record, five at most, call the owner once a second with a new kind of call. The owner answers through the lock of its cell's state, so that one that hardly runs answers late. Each witness reports on change (2280) and as a metric for how long the owner has not answered. An owner of a version without this kind answers with an error, which counts as an answer. No decision changes.

--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -81,6 +81,7 @@
 	evReachAnswered     = logevent.New(2278, slog.LevelInfo, "workers probed for the owner")
 	evUnfit             = logevent.New(2279, slog.LevelWarn, "owner gives its term to a peer that reaches more workers")
 	evGangsClaimRoom    = logevent.New(2274, slog.LevelInfo, "work with slack leaves room to waiting gangs, or no longer")
+	evOwnerSilent       = logevent.New(2280, slog.LevelWarn, "owner does not answer this witness of its term, or answers again")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
 )
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootmux/internal/core/confidence"
 	"coltsfootmux/internal/core/drain"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/upkeep"
@@ -81,6 +82,9 @@
 	// that another check was asked for meanwhile.
 	checkedTerm atomic.Int64
 	checkAgain  atomic.Bool
+	// confidence is this instance's judgement, as a witness, of the owner of the latest term.
+	confidenceMu sync.Mutex
+	confidence   *confidence.Core
 	// storeMonitor wraps StoreClient; store is the same value as an external.Store. All
 	// calls to the store go through them.
 	storeMonitor *storeMonitor
@@ -118,6 +122,7 @@
 	i := &Instance{Options: o, logger: o.Logger, term: term.New(s.Term, s.Incarnation, s.LinkAddr)}
 	i.witnessID = witness.IDOf(s.Incarnation)
 	i.witness = witness.New(i.witnessID, s.Term.StaleAfter, boottime())
+	i.confidence = confidence.New()
 	i.storeMonitor = newStoreMonitor(o.StoreClient, append(slices.Clone(topicsJobs), topicTerm))
 	i.storeMonitor.onChange, i.storeMonitor.onUnreadable = i.logTopicChange, i.logUnreadableRecords
 	i.store = i.storeMonitor
@@ -137,6 +142,7 @@
 	link.Handle(i.server, wire.KindTermNotice, i.onTermNotice)
 	link.Handle(i.server, wire.KindWitness, i.onWitness)
 	link.Handle(i.server, wire.KindReach, i.onReach)
+	link.Handle(i.server, wire.KindOwnerCheck, i.onOwnerCheck)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	return i
 }
@@ -214,5 +220,6 @@
 			o.tick()
 			o.checkReach()
 		}
+		i.stepConfidence(confidence.Tick{View: i.ownerView()})
 	}
 }
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -66,6 +66,7 @@
 	gauge("coltsfootmux_term_owned", "term", "the term that this process owns, 0 for none", (*Instance).ownedTerm)
 	gauge("coltsfootmux_term_age_seconds", "seconds", "time since the store last answered for the term", func(i *Instance) float64 { return i.sinceAnswer(topicTerm) })
 	gauge("coltsfootmux_term_unstored_seconds", "seconds", "time since the latest stored renewal of the owned term was sent", func(i *Instance) float64 { return i.sinceTermStored().Seconds() })
+	gauge("coltsfootmux_owner_silent_seconds", "seconds", "time since the latest check of the owner by this witness that the owner answered, 0 if it answered the last", func(i *Instance) float64 { return i.ownerSilentFor().Seconds() })
 	gauge("coltsfootmux_worker_list_age_seconds", "seconds", "time since the store last answered for the list of workers", func(i *Instance) float64 { return i.sinceAnswer(i.WorkerTopic) })
 	gauge("coltsfootmux_open_jobs", "jobs", "jobs of the owned cell that have not ended", func(i *Instance) float64 { return float64(i.cellLoad().OpenJobs) })
 	gauge("coltsfootmux_waiting_units", "tasks", "tasks and gangs waiting in the owned cell", func(i *Instance) float64 { return float64(i.cellLoad().Waiting) })
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -47,6 +47,8 @@
 	// fitness is the owner's judgement of itself.
 	fitnessMu sync.Mutex
 	fitness   *fitness.Core
+	// waitingChecks is the number of checks by witnesses that wait for mu.
+	waitingChecks atomic.Int32
 }
 
 // newOwner returns the owner of a term.
--- /dev/null
+++ b/internal/instance/ownercheck.go
@@ -0,0 +1,114 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"coltsfootmux/internal/core/confidence"
+	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/link"
+	"coltsfootmux/internal/wire"
+)
+
+// maxWaitingChecks bounds the checks that wait for the state of the owned cell.
+const maxWaitingChecks = 16
+
+// onOwnerCheck answers a witness. The answer takes as long as the state of the cell is locked.
+func (i *Instance) onOwnerCheck(_ context.Context, _ link.Peer, q wire.OwnerCheck) (wire.OwnerCheckReply, error) {
+	o := i.owner.Load()
+	if o == nil || o.term != q.Term {
+		return wire.OwnerCheckReply{}, nil
+	}
+	return wire.OwnerCheckReply{Owns: true, Locked: !o.waitForState()}, nil
+}
+
+// waitForState waits until the state of the cell is not locked. It returns false if maxWaitingChecks
+// wait already.
+func (o *owner) waitForState() bool {
+	defer o.waitingChecks.Add(-1)
+	if o.waitingChecks.Add(1) > maxWaitingChecks {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return true
+}
+
+// maxTermAge is the age of the store's last answer for the term up to which the store counts as
+// serving it. A read of an instance without news takes readWait.
+const maxTermAge = readWait + readTimeout
+
+// ownerView returns what this instance knows of the latest term.
+func (i *Instance) ownerView() confidence.View {
+	i.termMu.Lock()
+	rec := i.term.LatestRecord()
+	v := confidence.View{
+		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), LeastTenure: i.term.LeastTenure(),
+	}
+	i.termMu.Unlock()
+	v.Witness = i.isWitnessOf(rec) && !i.stopping.Load()
+	v.Others = i.otherWitnesses(rec)
+	since, ok := i.storeMonitor.sinceAnswer(topicTerm)
+	v.StoreServes = ok && since <= maxTermAge && i.storeMonitor.available(topicTerm)
+	return v
+}
+
+// isWitnessOf reports whether a term that another instance owns names this one as a witness.
+func (i *Instance) isWitnessOf(r term.Record) bool {
+	if r.Released || r.Owner == i.Settings.Incarnation || r.Addr == i.Settings.LinkAddr {
+		return false
+	}
+	for _, w := range r.Witnesses {
+		if w.ID == i.witnessID {
+			return true
+		}
+	}
+	return false
+}
+
+// otherWitnesses returns the addresses of the other witnesses of a term.
+func (i *Instance) otherWitnesses(r term.Record) []string {
+	var out []string
+	for _, w := range r.Witnesses {
+		if w.ID != i.witnessID {
+			out = append(out, w.Addr)
+		}
+	}
+	return out
+}
+
+// stepConfidence passes an event to the core that judges the owner, and performs its actions.
+func (i *Instance) stepConfidence(ev confidence.Event) {
+	i.confidenceMu.Lock()
+	actions := i.confidence.Step(boottime(), ev)
+	i.confidenceMu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case confidence.Check:
+			i.spawn(func(ctx context.Context) { i.checkOwner(ctx, a) })
+		case confidence.Changed:
+			evOwnerSilent.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.String("addr", a.Addr), slog.Bool("silent", a.Silent), slog.Duration("for", a.For))
+		}
+	}
+}
+
+// checkOwner asks the owner of a term for an answer.
+func (i *Instance) checkOwner(ctx context.Context, a confidence.Check) {
+	sentAt := boottime()
+	r, err := askPeer[wire.OwnerCheck, wire.OwnerCheckReply](ctx, i, a.Addr, wire.KindOwnerCheck, wire.OwnerCheck{Term: a.Term})
+	if ctx.Err() != nil {
+		return
+	}
+	// An owner of a version without checks answers that it does not know them.
+	answered := err == nil && !r.Locked || errors.Is(err, link.ErrRemote)
+	i.stepConfidence(confidence.Checked{Term: a.Term, SentAt: sentAt, Answered: answered})
+}
+
+// ownerSilentFor returns for how long the owner has not answered this witness, 0 if it does.
+func (i *Instance) ownerSilentFor() time.Duration {
+	i.confidenceMu.Lock()
+	defer i.confidenceMu.Unlock()
+	return i.confidence.SilentFor(boottime())
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -26,6 +26,7 @@
 	KindPolicyPart   Kind = 19 // instance to any: PolicyPartQuery -> PolicyPartReply
 	KindWitness      Kind = 20 // instance to any: WitnessQuery -> WitnessReply
 	KindReach        Kind = 21 // owner to any: ReachQuery -> ReachReply
+	KindOwnerCheck   Kind = 22 // witness to owner: OwnerCheck -> OwnerCheckReply
 )
 
 // String returns the kind's name in metrics and logs.
@@ -73,6 +74,8 @@
 		return "witness"
 	case KindReach:
 		return "reach"
+	case KindOwnerCheck:
+		return "owner_check"
 	}
 	return "other"
 }
