An owner that most of its witnesses get no answer from releases its term

Callers of other instances were told nothing of their jobs (503 for 12 s watched, and for as long as it lasts), and jobs that they had submitted did not show, while an owner that no peer reaches renewed its term in the store.

Cause: an owner was kept for as long as the store stored its renewals; nobody could end its term but itself.

A witness that gets no answer from the owner writes a vote into the topic of the term, on the terms of core/confidence. An owner that reads votes of most of its witnesses releases its term; one that does not read them can't renew it, as a renewal is conditional on the end of the topic that it has read. Claims need what they needed, so the exclusion is as it was (docs/design/0710-votes-against-an-owner.md). A weak instance reads the topic of the term without pauses while it is the owner.

--- a/internal/core/term/vote.go
+++ b/internal/core/term/vote.go
@@ -25,13 +25,13 @@
 	VoteStronger VoteReason = 2
 )
 
-// String returns the reason as logs show it.
+// String returns the reason's name in logs and metrics.
 func (r VoteReason) String() string {
 	switch r {
 	case VoteSilent:
-		return "the owner does not answer"
+		return "silent"
 	case VoteStronger:
-		return "a stronger instance requests the term"
+		return "stronger"
 	}
-	return "not known"
+	return "unknown"
 }
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -40,6 +40,8 @@
 	mWorkerCrashes     = metric.NewCounter("coltsfootmux_worker_crashes_total", "workers", "workers that have crashed while they had runs")
 	mTasksGivenUp      = metric.NewCounter("coltsfootmux_tasks_given_up_total", "tasks", "tasks whose job failed because workers crashed under them")
 	mPlacedApart       = metric.NewCounter("coltsfootmux_placed_apart_total", "placements", "placements elsewhere because tasks slow each other down")
+	mVotesWritten      = metric.NewCounterVec("coltsfootmux_votes_written_total", "votes", "reason", "votes of this instance against owners of a term")
+	mVotesRead         = metric.NewCounterVec("coltsfootmux_votes_read_total", "votes", "reason", "votes against a term that this instance owned")
 	mAlarms            = metric.NewCounterVec("coltsfootmux_cell_alarms_total", "alarms", "code", "alarms raised, by code")
 	mProgressWriteTime = metric.NewHistogram("coltsfootmux_progress_write_seconds", "seconds", "time until progress is durable")
 )
--- a/internal/instance/ownercheck.go
+++ b/internal/instance/ownercheck.go
@@ -88,6 +88,11 @@
 		switch a := a.(type) {
 		case confidence.Check:
 			i.spawn(func(ctx context.Context) { i.checkOwner(ctx, a) })
+		case confidence.AskOthers:
+			i.spawn(func(ctx context.Context) { i.askOtherWitnesses(ctx, a) })
+		case confidence.Vote:
+			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent}
+			i.spawn(func(ctx context.Context) { i.writeVote(ctx, v) })
 		case confidence.Changed:
 			evOwnerSilent.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.String("addr", a.Addr), slog.Bool("silent", a.Silent), slog.Duration("for", a.For))
 		}
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -16,18 +16,23 @@
 func (i *Instance) followTerm(ctx context.Context) {
 	r := &topicReader{
 		store: i.storeMonitor, topic: topicTerm, minInterval: i.termReadInterval(),
-		onSnapshot: i.handleTermRecords, onPage: i.handleTermRecords,
 		onError: func(error) { i.stepTerm(term.ReadFailed{}) },
 	}
+	r.onPage = func(p external.Page) {
+		i.handleTermRecords(p)
+		r.minInterval = i.termReadInterval()
+	}
+	r.onSnapshot = r.onPage
 	r.run(ctx, -1)
 }
 
 // weakTermReadInterval is the least time between two reads of the term by an instance
-// that claims later than others; it need not see each renewal.
+// that claims later than others; it need not see each renewal. An owner must see votes soon, as it
+// can't renew its term before.
 const weakTermReadInterval = time.Second
 
 func (i *Instance) termReadInterval() time.Duration {
-	if i.Settings.Term.ClaimDelay > 0 {
+	if i.Settings.Term.ClaimDelay > 0 && i.owner.Load() == nil {
 		return weakTermReadInterval
 	}
 	return 0
@@ -36,6 +41,9 @@
 func (i *Instance) handleTermRecords(p external.Page) {
 	ev := term.ReadResult{End: p.Next}
 	for _, r := range p.Records {
+		if v, ok := i.decodeVote(r); ok {
+			ev.Votes = append(ev.Votes, v)
+		}
 		if r.Key != keyTerm || len(r.Value) == 0 {
 			continue
 		}
@@ -102,6 +110,8 @@
 		if o := i.owner.Load(); o != nil {
 			i.spawn(func(context.Context) { o.confirmTerm(a.At) })
 		}
+	case term.WriteVote:
+		i.spawn(func(ctx context.Context) { i.writeVote(ctx, a.Vote) })
 	case term.RequestYield:
 		i.spawn(func(ctx context.Context) { i.requestYield(ctx, a) })
 	case term.NotifyPeers:
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -43,6 +43,8 @@
 	keySubmission   = "j/"
 	keyCancellation = "c/"
 	keyTerm         = "cell-0"
+	// keyVote, followed by the name of an instance, is the key of its latest vote against an owner.
+	keyVote = "vote/"
 	// keyRoster is the key of the list of workers in use; jobs use their IDs as keys.
 	keyRoster = "/roster"
 	// keyFence is the key of the term that may write progress.
