--- a/internal/instance/ownercheck_test.go
+++ b/internal/instance/ownercheck_test.go
@@ -18,11 +18,13 @@
 
 // Nothing told that an owner does not answer its peers: each instance logged the state of its own links.
 func TestWitnessesTellForHowLongTheOwnerDoesNotAnswer(t *testing.T) {
+	t.Parallel()
 	for name, cut := range map[string]func(*node){
 		"without links":         (*node).disconnect,
 		"with its state locked": func(n *node) { n.inst.owner.Load().mu.Lock() },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			r, owner := witnessedRig(t, 4)
 			time.Sleep(1500 * time.Millisecond)
 			for _, n := range r.nodes {
--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -58,9 +58,11 @@
 	conn *storeConn
 	// workers is the instance's path to the workers.
 	workers *workerPath
-	stop    context.CancelFunc
-	done    chan struct{}
-	http    *http.Server
+	// gate stands before its server of links.
+	gate *linkGate
+	stop context.CancelFunc
+	done chan struct{}
+	http *http.Server
 }
 
 // storeConn is an instance's connection to the store, which can be made to refuse calls.
@@ -222,9 +224,10 @@
 		DecodeDrain: decodeTestDrain, DecodePolicy: decodeTestPolicy, DecodeWorker: r.decodeWorker, Logger: slog.New(slog.DiscardHandler),
 	})
 	mux := http.NewServeMux()
-	mux.Handle(link.Path, inst.LinkServer())
+	gate := newLinkGate(inst.LinkServer())
+	mux.Handle(link.Path, gate)
 	ctx, cancel := context.WithCancel(context.Background())
-	nd := &node{inst: inst, conn: conn, workers: paths, stop: cancel, done: make(chan struct{}), http: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}}
+	nd := &node{inst: inst, conn: conn, workers: paths, gate: gate, stop: cancel, done: make(chan struct{}), http: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}}
 	go func() { _ = nd.http.Serve(ln) }()
 	go func() { inst.Run(ctx); close(nd.done) }()
 	r.nodes = append(r.nodes, nd)
