Calls for the state of a job do not wait for an owner that has just been silent

Each call of an instance that the owner does not answer spent its first 0.5 s on the owner before it asked others, and half of the second on the instance that passed it on: callers waited, and some ran out of time (503).

An owner that failed to answer within the last 3 s is asked beside the others, and the first answer that tells the state counts. An instance that passes a question on gives up before the one that asked it.

--- a/internal/instance/ask.go
+++ b/internal/instance/ask.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -12,8 +11,13 @@
 	"coltsfootmux/internal/wire"
 )
 
-// askTimeout bounds one question to a peer; a call has time for several.
-const askTimeout = 500 * time.Millisecond
+const (
+	// askTimeout bounds one question to a peer; a call has time for several.
+	askTimeout = 500 * time.Millisecond
+	// forwardTimeout bounds a question that is passed on to the owner, so that whoever asked learns
+	// within askTimeout that the owner does not answer.
+	forwardTimeout = 350 * time.Millisecond
+)
 
 func (i *Instance) askJob(ctx context.Context, q *inquiry, id job.ID) (wire.JobReply, error) {
 	if o := i.owner.Load(); o != nil {
@@ -21,8 +25,11 @@
 		q.ownAnswer(i, r.Known)
 		return r, nil
 	}
-	known := func(r wire.JobReply) bool { return r.Known }
-	return askCell(ctx, i, q, wire.KindJob, wire.JobQuery{ID: id}, wire.JobQuery{ID: id, Forward: true}, known)
+	c := &cellQuestion[wire.JobQuery, wire.JobReply]{
+		inst: i, kind: wire.KindJob, direct: wire.JobQuery{ID: id}, forward: wire.JobQuery{ID: id, Forward: true},
+		known: func(r wire.JobReply) bool { return r.Known }, asked: q,
+	}
+	return c.put(ctx)
 }
 
 func (i *Instance) askPending(ctx context.Context, q *inquiry, queue string) (wire.PendingReply, error) {
@@ -31,31 +38,11 @@
 		q.ownAnswer(i, r.Known)
 		return r, nil
 	}
-	known := func(r wire.PendingReply) bool { return r.Known }
-	return askCell(ctx, i, q, wire.KindPending, wire.PendingQuery{Queue: queue}, wire.PendingQuery{Queue: queue, Forward: true}, known)
-}
-
-// askCell asks the cell's owner. If the owner does not know or can't be reached, it asks
-// other instances to ask the owner that they know of: this one may have missed a change
-// of the term.
-func askCell[Req, Rep any](ctx context.Context, i *Instance, q *inquiry, k wire.Kind, direct, forward Req, known func(Rep) bool) (Rep, error) {
-	q.owner = i.ownerAddr()
-	rep, err := askOwner[Req, Rep](ctx, i, k, direct)
-	q.add(cmp.Or(q.owner, "owner"), err == nil && known(rep), err)
-	if err == nil && known(rep) {
-		return rep, nil
-	}
-	for _, addr := range i.peers() {
-		if ctx.Err() != nil {
-			break
-		}
-		r, e := askPeer[Req, Rep](ctx, i, addr, k, forward)
-		q.add(addr, e == nil && known(r), e)
-		if e == nil && known(r) {
-			return r, nil
-		}
+	c := &cellQuestion[wire.PendingQuery, wire.PendingReply]{
+		inst: i, kind: wire.KindPending, direct: wire.PendingQuery{Queue: queue}, forward: wire.PendingQuery{Queue: queue, Forward: true},
+		known: func(r wire.PendingReply) bool { return r.Known }, asked: q,
 	}
-	return rep, err
+	return c.put(ctx)
 }
 
 // askOwner asks the owner that this instance knows of.
@@ -83,6 +70,8 @@
 	if !q.Forward {
 		return wire.JobReply{}, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
 	return askOwner[wire.JobQuery, wire.JobReply](ctx, i, wire.KindJob, wire.JobQuery{ID: q.ID})
 }
 
@@ -93,5 +82,7 @@
 	if !q.Forward {
 		return wire.PendingReply{}, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
 	return askOwner[wire.PendingQuery, wire.PendingReply](ctx, i, wire.KindPending, wire.PendingQuery{Queue: q.Queue})
 }
--- a/internal/instance/linkgate_test.go
+++ b/internal/instance/linkgate_test.go
@@ -20,13 +20,14 @@
 	mu sync.Mutex
 	// refused are the names of the instances whose links are refused.
 	refused map[string]bool
-	conns   map[*gatedConn]string
-	// stoppedFor, if set, says how long the process is stopped from now on; 0 if it runs.
-	stoppedFor func() time.Duration
+	conns   map[*gatedConn]bool
+	// stoppedFor, if set, says for how long from now on the process is stopped, as far as the links
+	// of the named instance show; 0 if it runs.
+	stoppedFor func(name string) time.Duration
 }
 
 func newLinkGate(server http.Handler) *linkGate {
-	return &linkGate{server: server, refused: make(map[string]bool), conns: make(map[*gatedConn]string)}
+	return &linkGate{server: server, refused: make(map[string]bool), conns: make(map[*gatedConn]bool)}
 }
 
 // refuse ends the links of an instance and refuses new ones, or admits them again.
@@ -34,8 +35,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refused[name] = refused
-	for c, from := range g.conns {
-		if refused && from == name {
+	for c := range g.conns {
+		if refused && c.name == name {
 			_ = c.Close()
 			delete(g.conns, c)
 		}
@@ -43,25 +44,25 @@
 }
 
 // stop stops the process, as far as links show it, for the times that f gives.
-func (g *linkGate) stop(f func() time.Duration) {
+func (g *linkGate) stop(f func(name string) time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stoppedFor = f
 }
 
-func (g *linkGate) waitWhileStopped() {
+func (g *linkGate) waitWhileStopped(name string) {
 	g.mu.Lock()
 	f := g.stoppedFor
 	g.mu.Unlock()
 	if f != nil {
-		time.Sleep(f())
+		time.Sleep(f(name))
 	}
 }
 
 // ServeHTTP serves a link unless it is refused.
 func (g *linkGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.waitWhileStopped()
 	name := r.Header.Get(hostHeader)
+	g.waitWhileStopped(name)
 	g.mu.Lock()
 	refused := g.refused[name]
 	g.mu.Unlock()
@@ -88,9 +89,9 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "take over the connection")
 	}
-	c := &gatedConn{Conn: conn, gate: w.gate}
+	c := &gatedConn{Conn: conn, gate: w.gate, name: w.name}
 	w.gate.mu.Lock()
-	w.gate.conns[c] = w.name
+	w.gate.conns[c] = true
 	w.gate.mu.Unlock()
 	return c, bufio.NewReadWriter(rw.Reader, bufio.NewWriter(c)), nil
 }
@@ -99,15 +100,16 @@
 type gatedConn struct {
 	net.Conn
 	gate *linkGate
+	name string
 }
 
 func (c *gatedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.gate.waitWhileStopped()
+	c.gate.waitWhileStopped(c.name)
 	return n, err
 }
 
 func (c *gatedConn) Write(b []byte) (int, error) {
-	c.gate.waitWhileStopped()
+	c.gate.waitWhileStopped(c.name)
 	return c.Conn.Write(b)
 }
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -169,6 +169,14 @@
 	return append(responsive, unresponsive...)
 }
 
+// failedLately reports whether an instance failed to answer recently.
+func (m *members) failedLately(now time.Duration, addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	failedAt, ok := m.lastFailure[addr]
+	return ok && now-failedAt < memberDemotion
+}
+
 // recordAnswer records whether an instance answered.
 func (m *members) recordAnswer(addr string, ok bool) {
 	m.mu.Lock()
--- a/internal/instance/votedout_test.go
+++ b/internal/instance/votedout_test.go
@@ -131,7 +131,7 @@
 	t.Parallel()
 	r, owner := witnessedRig(t, 5)
 	began := time.Now()
-	owner.gate.stop(func() time.Duration {
+	owner.gate.stop(func(string) time.Duration {
 		at := time.Since(began) % (3 * time.Second)
 		return max(0, 3*time.Second-400*time.Millisecond-at)
 	})
@@ -145,7 +145,7 @@
 	for name, disturb := range map[string]func(r *rig, owner *node){
 		"it was stopped for 2 s": func(_ *rig, owner *node) {
 			until := time.Now().Add(2 * time.Second)
-			owner.gate.stop(func() time.Duration { return time.Until(until) })
+			owner.gate.stop(func(string) time.Duration { return time.Until(until) })
 		},
 		"it refused links for 2 s": func(r *rig, owner *node) {
 			for _, n := range r.nodes {
