Checks of an owner dial it at once

After failed dials a pool waits up to 2 s before it dials again, and calls fail meanwhile. A check that fails for that says nothing about the owner: one that was cut off for 2 s could be voted out when it had long been back.

A check, one a second, has the pool dial at once. TestProcessThatAnswersAgainIsDialledAtOnce shows a call that fails with "waiting to dial it again" and then passes with DialAtOnce.

--- a/internal/instance/ownercheck.go
+++ b/internal/instance/ownercheck.go
@@ -102,6 +102,7 @@
 // checkOwner asks the owner of a term for an answer.
 func (i *Instance) checkOwner(ctx context.Context, a confidence.Check) {
 	sentAt := boottime()
+	i.pool.DialAtOnce(a.Addr)
 	r, err := askPeer[wire.OwnerCheck, wire.OwnerCheckReply](ctx, i, a.Addr, wire.KindOwnerCheck, wire.OwnerCheck{Term: a.Term})
 	if ctx.Err() != nil {
 		return
