An unfit owner with a slow store releases its term at its next stored renewal

Callers saw what they saw before: jobs that stood still while the owner reached no workers, if its store was slow as well. Cause: the release needs a renewal that was sent within the last 0.8 s and is stored. With a slow store one is confirmed every 0.9 s, and the verdict, which comes at any time between, was dropped; the next came 3 s later.

The verdict now holds for 3 s, and the term is released at the step in which the store confirms a renewal. Without an answer of the store the owner keeps its term as before: a release could not be written either. TestUnfitOwnerWaitsForASlowStore fails without this ("the owner stays although a renewal is stored").

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -59,6 +59,8 @@
 	unfitUntil time.Duration
 	// pendingRelease is the release that is not known to be stored, nil if there is none.
 	pendingRelease *pendingRelease
+	// verdict says that this instance is unfit for its term.
+	verdict verdict
 	// votes are those against the owner of the latest term, yieldVotes the requests to yield that this
 	// instance has made by the store.
 	votes      votes
@@ -161,6 +163,7 @@
 // confirmStored records that a renewal that was sent at the given time is stored.
 func (c *Core) confirmStored(sentAt time.Duration) {
 	c.tenure.storedAt = max(c.tenure.storedAt, sentAt)
+	c.tenure.answeredAt = c.now
 	c.confirmedAt = max(c.confirmedAt, sentAt)
 	c.startConfirmedAt = max(c.startConfirmedAt, sentAt)
 	c.emit(Confirmed{At: sentAt})
@@ -274,6 +277,7 @@
 	if c.ownedTerm != 0 && c.now-c.confirmedAt > c.settings.ConfirmTimeout {
 		c.lose(ReasonUnconfirmed)
 	}
+	c.followVerdict()
 	c.followVotes()
 	c.askForPromises()
 	c.checkWitnesses()
--- a/internal/core/term/successor.go
+++ b/internal/core/term/successor.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// successorLead is how much later than a named successor other instances claim. Instances on weak
-// machines read the term once a second.
-const successorLead = 1200 * time.Millisecond
+const (
+	// successorLead is how much later than a named successor other instances claim. Instances on
+	// weak machines read the term once a second.
+	successorLead = 1200 * time.Millisecond
+	// verdictValidity is how long an owner that was found unfit waits for a stored renewal.
+	verdictValidity = 3 * time.Second
+)
 
 // Unfit says that a peer should own the term in place of this instance, which reaches fewer workers.
 type Unfit struct {
@@ -15,12 +19,28 @@
 
 func (Unfit) event() {}
 
-// onUnfit releases the term. It needs a recent confirmation, as the release can't be written otherwise.
+// verdict is an Unfit that holds until a time.
+type verdict struct {
+	Unfit
+	until time.Duration
+}
+
+// onUnfit has the term released once that can be written.
 func (c *Core) onUnfit(e Unfit) {
-	if c.ownedTerm == 0 || c.ownedTerm != e.Term || c.now-c.tenure.storedAt > c.settings.QueryPeersAfter {
+	c.verdict = verdict{Unfit: e, until: c.now + verdictValidity}
+}
+
+// followVerdict releases the term of an unfit owner. The store must have confirmed a renewal just now,
+// or one that was sent lately: without it, the release could be as late as the store.
+func (c *Core) followVerdict() {
+	v := c.verdict
+	if c.ownedTerm == 0 || c.ownedTerm != v.Term || c.now >= v.until {
 		return
 	}
-	c.releaseUnfit(ReasonUnreached, e.Successor)
+	if c.tenure.confirmedNow(c.now) || c.now-c.tenure.storedAt <= c.settings.QueryPeersAfter {
+		c.verdict = verdict{}
+		c.releaseUnfit(ReasonUnreached, v.Successor)
+	}
 }
 
 // releasedClaimWait returns how long the record of a released term must stay unchanged before a
--- a/internal/core/term/successor_test.go
+++ b/internal/core/term/successor_test.go
@@ -120,19 +120,51 @@
 	}
 }
 
+// stopConfirming leaves the owner's renewals unanswered until none was stored lately.
+func (x *trio) stopConfirming() *contender {
+	owner := x.instances[0]
+	for end := x.now + DefaultSettings().QueryPeersAfter + 600*time.Millisecond; x.now < end; x.now += 50 * time.Millisecond {
+		owner.step(x.now, Tick{})
+	}
+	return owner
+}
+
 func TestReleaseNeedsARecentRenewal(t *testing.T) {
 	x := newTrio(t)
-	x.now += DefaultSettings().QueryPeersAfter + 600*time.Millisecond
+	owner := x.stopConfirming()
 	x.release(2)
-	if x.instances[0].ownedTerm != 1 {
+	if owner.ownedTerm != 1 {
 		t.Error("released a term without a recent renewal")
 	}
-	x.instances[0].step(x.now, Unfit{Term: 7, Successor: "x"})
-	if x.instances[0].ownedTerm != 1 {
+	x.now += verdictValidity
+	owner.core.confirmedAt = x.now
+	owner.answer(x.now, x.store)
+	if owner.ownedTerm != 1 {
+		t.Error("released a term for a verdict of long ago")
+	}
+	owner.step(x.now, Unfit{Term: 7, Successor: "x"})
+	if owner.ownedTerm != 1 {
 		t.Error("released another term than the one meant")
 	}
 }
 
+// TestUnfitOwnerWaitsForASlowStore guards against an owner that stays because its store is slow: between
+// two renewals none was sent lately, and the verdict was dropped each time.
+func TestUnfitOwnerWaitsForASlowStore(t *testing.T) {
+	x := newTrio(t)
+	owner := x.stopConfirming()
+	x.release(2)
+	x.now += 100 * time.Millisecond
+	owner.answer(x.now, x.store)
+	if owner.ownedTerm != 0 {
+		t.Fatal("the owner stays although a renewal is stored")
+	}
+	x.run(600 * time.Millisecond)
+	if x.instances[2].ownedTerm != 2 {
+		t.Errorf("the successor owns term %d", x.instances[2].ownedTerm)
+	}
+}
+
 // TestHandoversAreForgotten guards against a least tenure that stays long after a single change.
 func TestHandoversAreForgotten(t *testing.T) {
 	x := newTrio(t)
--- a/internal/core/term/tenure.go
+++ b/internal/core/term/tenure.go
@@ -18,6 +18,8 @@
 	storedRenewal int64
 	storedAt      time.Duration
 	witnesses     []Witness
+	// answeredAt is when the store last confirmed a renewal.
+	answeredAt time.Duration
 	// proposed are the witnesses that later renewals name; nil if they name the same. Until
 	// such a renewal is known to be stored, either record may be the latest.
 	proposed []Witness
@@ -36,6 +38,11 @@
 	return tenure{storedAt: claimedAt, promises: make(map[witness.ID]time.Duration), silentSince: make(map[string]time.Duration)}
 }
 
+// confirmedNow reports whether the store confirms a renewal at the time now.
+func (t *tenure) confirmedNow(now time.Duration) bool {
+	return t.answeredAt != 0 && t.answeredAt == now
+}
+
 // named returns the witnesses that the next renewal names.
 func (t *tenure) named() []Witness {
 	if t.proposed != nil {
