Tests of a term that stays use the times of the platform

With the short times of other tests a term also ends when the process gets no processor time for 0.9 s, so that TestTermStaysWhenEachInstanceReachesHalf and TestTermStaysWhenNobodyReachesAnyWorker could fail on a busy machine for a reason that is not theirs. They still fail on any change of the term.

--- a/internal/instance/reach_test.go
+++ b/internal/instance/reach_test.go
@@ -26,6 +26,19 @@
 	r.checkFleet()
 }
 
+// newTrio returns three instances with the times of the platform: the short ones of tests also end
+// a term when the process gets no processor time for a second.
+func newTrio(t *testing.T) *rig {
+	r := newRig(t, 0)
+	r.platformTerm = true
+	for n := range 3 {
+		r.addInstance(n)
+	}
+	r.waitFor("an owner", func() bool { return r.owner() != nil })
+	time.Sleep(2 * time.Second)
+	return r
+}
+
 // checkTermStays submits a job, and fails if the term changes within the given time.
 func checkTermStays(t *testing.T, r *rig, d time.Duration) {
 	t.Helper()
@@ -45,9 +58,7 @@
 
 // TestTermStaysWhenEachInstanceReachesHalf guards against two half-fit instances that trade the term.
 func TestTermStaysWhenEachInstanceReachesHalf(t *testing.T) {
-	r := newRig(t, 3)
-	r.waitFor("an owner", func() bool { return r.owner() != nil })
-	time.Sleep(2 * time.Second)
+	r := newTrio(t)
 	for _, n := range r.nodes {
 		n.workers.cutOff("w0", "w1")
 	}
@@ -58,9 +69,7 @@
 // TestTermStaysWhenNobodyReachesAnyWorker guards against a term that moves about because all workers
 // are silent.
 func TestTermStaysWhenNobodyReachesAnyWorker(t *testing.T) {
-	r := newRig(t, 3)
-	r.waitFor("an owner", func() bool { return r.owner() != nil })
-	time.Sleep(2 * time.Second)
+	r := newTrio(t)
 	for _, n := range r.nodes {
 		n.workers.cutOff(everyWorker...)
 	}
