Model check of terms: starts end before leases, and later owners allow for that

The specification follows core/term: promises confirm a term for starts for startLimitTicks and for renewals of leases for keepLimitTicks after its last stored renewal; a claim needs no consent after the first, and its record says for how long earlier owners may renew leases; later claims pass it on. A new owner waits so long for workers that do not answer.

The invariant on starts is as before. That on leases was that no term is confirmed for a time after a later claim; now it allows for what all later owners allow for, and for nothing else.

--- a/internal/modelcheck/termencode.go
+++ b/internal/modelcheck/termencode.go
@@ -52,5 +52,5 @@
 	if i.term != 0 && worker != noWorker {
 		worker ^= workerSwap
 	}
-	return append(b, i.term|i.confirmationAge<<4, i.termAge|answered<<4, uint8(i.task)|worker<<3|b2u(i.startBarred)<<6)
+	return append(b, i.term|i.confirmationAge<<4, i.silentLeft|answered<<4, uint8(i.task)|worker<<3|b2u(i.startBarred)<<6)
 }
--- a/internal/modelcheck/termstate.go
+++ b/internal/modelcheck/termstate.go
@@ -21,7 +21,7 @@
 	ownerGraceTicks = 3
 	leaseTicks      = 2
 	// silentWorkerTicks is how long a new owner waits for a worker that does not
-	// answer.
+	// answer, if no earlier owner may renew leases for longer than usual.
 	silentWorkerTicks = ownerGraceTicks - renewalStaleTicks + leaseTicks + 1
 	maxAge            = silentWorkerTicks + 1
 )
@@ -44,10 +44,10 @@
 type instanceState struct {
 	// term is the term that the instance believes to own; 0 for none.
 	term uint8
-	// confirmationAge is the age of the last confirmation of its term, and termAge
-	// the time since its takeover.
+	// confirmationAge is the age of the last confirmation of its term, and silentLeft
+	// how long it still waits for workers that do not answer.
 	confirmationAge uint8
-	termAge         uint8
+	silentLeft      uint8
 	// answeredWorkers is a bit set of the workers that have answered a hold of this
 	// term.
 	answeredWorkers uint8
--- a/internal/modelcheck/termticks.go
+++ b/internal/modelcheck/termticks.go
@@ -1,6 +1,7 @@
 package modelcheck
 
-// maxOutdatedAge is the time since a later claim after which no owner renews leases.
+// maxOutdatedAge is the time since a later claim after which no owner renews leases for which that claim
+// need not allow.
 const maxOutdatedAge = ownerGraceTicks + 1 - renewalStaleTicks
 
 // tickKeeping advances the time of owners, writes and witnesses.
@@ -8,6 +9,7 @@
 	if k.Keeping.Sets == 0 {
 		return
 	}
+	s.keeping.earlier = max(s.keeping.earlier, 1) - 1
 	for h := range s.instance {
 		s.tickOwner(&s.instance[h])
 		s.keeping.claim[h].tick()
@@ -33,6 +35,7 @@
 		i.outdatedAge = min(i.outdatedAge+1, maxOutdatedAge)
 	}
 	v := &i.keeping
+	v.earlier = max(v.earlier, 1) - 1
 	v.storedAge = min(v.storedAge+1, maxStoredAge)
 	for x := range witnesses {
 		if v.ask[x] != askNone {
@@ -47,6 +50,7 @@
 func (w *write) tick() {
 	if w.phase != writeNone {
 		w.age = min(w.age+1, maxStoredAge)
+		w.earlier = max(w.earlier, 1) - 1
 	}
 }
 
