New owners learn when an owner that they had to allow for has ended

A claim without consents allows for the earlier owner's renewals of leases for up to 18 s, and inherited jobs wait so long, and a lease more, for each worker that is silent. After a loss of many hosts most witnesses are back within seconds and would consent: before StartLimit the claim waited for them, and jobs went on earlier in that case. Now the new owner goes on asking the witnesses of the record that it followed, once a second. With enough of them that owner was last confirmed StaleAfter before, so it ends ConfirmTimeout later; the record and the cell's core are told (event 2286). Still earlier owners are counted as before.

The cell's core is created and gets the stored state in one step: another event in between found a core without workers, which took all earlier runs as known.

Tests: TestConsentsAfterAClaimShortenTheAllowance, TestInheritedJobsGoOnOnceEarlierOwnersHaveEnded.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -121,10 +121,16 @@
 		contactWindow:   contact.New(), crashedAddrs: make(map[string]time.Duration), failuresByPool: make(map[string]*retry.Pool), runTimesByQueue: make(map[string]*predict.Queue),
 	}
 	c.interference = newInterferenceState(s)
-	c.previousLeasesEnd = now.Mono + s.PreviousOwnerGrace + time.Duration(float64(s.Lease)*clockSlack) + leaseMargin
+	c.earlierOwnersEnd(0)
 	return c
 }
 
+// earlierOwnersEnd records until when owners of earlier terms may renew leases.
+func (c *Core) earlierOwnersEnd(at time.Duration) {
+	last := max(at, c.startedAt+c.settings.PreviousOwnerGrace)
+	c.previousLeasesEnd = last + time.Duration(float64(c.settings.Lease)*clockSlack) + leaseMargin
+}
+
 // Step processes an event and returns the actions to be carried out, in order.
 func (c *Core) Step(now Instant, ev Event) []Action {
 	c.now = now
@@ -169,6 +175,9 @@
 	case TermConfirmed:
 		c.termConfirmedAt = max(c.termConfirmedAt, e.At)
 		c.placementDue = true
+	case EarlierOwnersEnd:
+		c.earlierOwnersEnd(e.At)
+		c.placementDue = true
 	case Tick:
 		c.tick()
 	}
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -26,6 +26,8 @@
 	// TermConfirmedAt is the time as of which the term is confirmed, at least that of the
 	// claim; 0 for the time of the event.
 	TermConfirmedAt time.Duration
+	// EarlierUntil is until when owners of earlier terms may renew leases, as in EarlierOwnersEnd.
+	EarlierUntil time.Duration
 }
 
 // JobsLoaded delivers submissions and cancellations from before the term that could
@@ -89,23 +91,28 @@
 // Persisted reports that the batch of a Persist is durable.
 type Persisted struct{ Batch int64 }
 
+// EarlierOwnersEnd says that owners of earlier terms renew leases no longer than until At, or until
+// PreviousOwnerGrace after the takeover if that is later. The latest one counts.
+type EarlierOwnersEnd struct{ At time.Duration }
+
 // TermConfirmed reports that no later term existed at the time At.
 type TermConfirmed struct{ At time.Duration }
 
 // Tick reports only that time has passed. Timeouts are processed on ticks.
 type Tick struct{}
 
-func (Loaded) event()          {}
-func (JobsLoaded) event()      {}
-func (Submitted) event()       {}
-func (CancelRequested) event() {}
-func (WorkerChanged) event()   {}
-func (WorkerUnlisted) event()  {}
-func (PolicyChanged) event()   {}
-func (DrainsChanged) event()   {}
-func (StartAnswered) event()   {}
-func (StopAnswered) event()    {}
-func (HoldAnswered) event()    {}
-func (Persisted) event()       {}
-func (TermConfirmed) event()   {}
-func (Tick) event()            {}
+func (Loaded) event()           {}
+func (JobsLoaded) event()       {}
+func (Submitted) event()        {}
+func (CancelRequested) event()  {}
+func (WorkerChanged) event()    {}
+func (WorkerUnlisted) event()   {}
+func (PolicyChanged) event()    {}
+func (DrainsChanged) event()    {}
+func (StartAnswered) event()    {}
+func (StopAnswered) event()     {}
+func (HoldAnswered) event()     {}
+func (Persisted) event()        {}
+func (TermConfirmed) event()    {}
+func (EarlierOwnersEnd) event() {}
+func (Tick) event()             {}
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -13,6 +13,7 @@
 	if e.TermConfirmedAt != 0 {
 		c.termConfirmedAt = e.TermConfirmedAt
 	}
+	c.earlierOwnersEnd(e.EarlierUntil)
 	for _, w := range e.Workers {
 		c.workerChanged(w)
 	}
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -12,7 +12,7 @@
 	// so that no start of a previous owner reaches a worker that knows no term yet.
 	StartGrace time.Duration
 	// PreviousOwnerGrace is how long after a takeover owners of earlier terms may still
-	// renew leases.
+	// renew leases, unless an EarlierOwnersEnd says that it is longer.
 	PreviousOwnerGrace time.Duration
 	// RestoreTime is how long a run takes to resume from a checkpoint.
 	RestoreTime time.Duration
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -169,11 +169,10 @@
 	if s.adjustSettings != nil {
 		s.adjustSettings(&settings)
 	}
-	settings.PreviousOwnerGrace = max(settings.PreviousOwnerGrace, s.earlierUntil-s.now)
 	o.core = New(settings, o.term, s.policy, s.instant())
 	s.storeTerm = o.term
 	s.owners = append(s.owners, o)
-	ev := Loaded{Jobs: slices.Clone(s.jobs), Cancels: slices.Clone(s.cancels), Progress: make(map[job.ID]job.Progress)}
+	ev := Loaded{EarlierUntil: s.earlierUntil, Jobs: slices.Clone(s.jobs), Cancels: slices.Clone(s.cancels), Progress: make(map[job.ID]job.Progress)}
 	for id, p := range s.progress {
 		ev.Progress[id] = p
 	}
--- a/internal/core/cell/takeover_test.go
+++ b/internal/core/cell/takeover_test.go
@@ -57,6 +57,32 @@
 	sim.check()
 }
 
+// TestInheritedJobsGoOnOnceEarlierOwnersHaveEnded guards against jobs that wait for a lost worker for as
+// long as an earlier owner might have kept its term, although that one is known to have ended.
+func TestInheritedJobsGoOnOnceEarlierOwnersHaveEnded(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		sim := newSimulation(t, 8, 4)
+		first := sim.takeOver()
+		sim.run(100 * time.Millisecond)
+		sim.submit(oneStepJob("j", 12))
+		sim.run(300 * time.Millisecond)
+		first.halted = true
+		sim.unreachable["w00"] = true
+		sim.earlierUntil = sim.now + 20*time.Second
+		o := sim.takeOver()
+		sim.run(3 * time.Second)
+		if ended {
+			sim.step(o, EarlierOwnersEnd{At: sim.now})
+		}
+		sim.run(12 * time.Second)
+		if got := sim.ended("j"); got != ended {
+			t.Errorf("the earlier owner has ended: %v; the job is complete 15 s after the takeover: %v", ended, got)
+		}
+		sim.runUntilDone(60 * time.Second)
+		sim.check()
+	}
+}
+
 func TestFrozenOwnerResumesSafely(t *testing.T) {
 	sim := newSimulation(t, 9, 6)
 	first := sim.takeOver()
--- a/internal/core/term/action.go
+++ b/internal/core/term/action.go
@@ -21,6 +21,10 @@
 	EarlierUntil time.Duration
 }
 
+// EarlierOwnersEnd says that owners of earlier terms renew leases no longer than until At, which is
+// earlier than what Gained or the action before it said.
+type EarlierOwnersEnd struct{ At time.Duration }
+
 // Lost says that this instance no longer owns the term.
 type Lost struct {
 	Term   int64
@@ -84,18 +88,19 @@
 // WriteVote appends a vote without a condition.
 type WriteVote struct{ Vote Vote }
 
-func (WriteVote) action()      {}
-func (RequestYield) action()   {}
-func (NotifyPeers) action()    {}
-func (Write) action()          {}
-func (Gained) action()         {}
-func (Lost) action()           {}
-func (QueryPeers) action()     {}
-func (AskPromises) action()    {}
-func (AskConsents) action()    {}
-func (ClaimWaits) action()     {}
-func (CheckWitnesses) action() {}
-func (Confirmed) action()      {}
+func (WriteVote) action()        {}
+func (RequestYield) action()     {}
+func (NotifyPeers) action()      {}
+func (Write) action()            {}
+func (Gained) action()           {}
+func (EarlierOwnersEnd) action() {}
+func (Lost) action()             {}
+func (QueryPeers) action()       {}
+func (AskPromises) action()      {}
+func (AskConsents) action()      {}
+func (ClaimWaits) action()       {}
+func (CheckWitnesses) action()   {}
+func (Confirmed) action()        {}
 
 // Reason says why a term was lost.
 type Reason string
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -34,6 +34,8 @@
 	startConfirmedAt time.Duration
 	// earlierUntil is until when owners of terms before the latest one may renew leases.
 	earlierUntil time.Duration
+	// followed is the record that the latest claim of this instance follows, if it had no consents.
+	followed followed
 	// tenure is what is known of the owned term.
 	tenure tenure
 	// consents holds the witnesses of the latest record that have consented to a claim,
@@ -105,6 +107,7 @@
 		c.onPromised(e)
 	case Consented:
 		c.onConsented(e)
+		c.onLateConsent(e)
 	case ConsentRefused:
 		c.onConsentRefused(e)
 	case WitnessesChecked:
@@ -282,6 +285,7 @@
 	c.askForPromises()
 	c.checkWitnesses()
 	c.askForConsents()
+	c.askEarlierWitnesses()
 	c.reportWait()
 	c.requestYield()
 	c.retryRelease()
--- a/internal/core/term/earlier_test.go
+++ b/internal/core/term/earlier_test.go
@@ -92,3 +92,65 @@
 		}
 	}
 }
+
+// TestConsentsAfterAClaimShortenTheAllowance gives for how long a new owner allows for earlier ones once
+// witnesses of the record before have consented, and guards against forgetting still earlier owners.
+func TestConsentsAfterAClaimShortenTheAllowance(t *testing.T) {
+	s := DefaultSettings()
+	const after = 1100 * time.Millisecond // from the claim to the consents
+	soon := byAnyClock(s.ConfirmTimeout) - s.StaleAfter + s.StaleAfter/clockTolerance + earlierOwnerMargin
+	claimAfter := byAnyClock(s.StartLimit) + s.StaleAfter
+	atMost := byAnyClock(s.KeepLimit+s.ConfirmTimeout) + earlierOwnerMargin - claimAfter - after
+	for name, c := range map[string]struct {
+		before, later []int
+		renewal       int64
+		earlier       time.Duration
+		allows        time.Duration
+	}{
+		"none consents":                        {nil, nil, 3, 0, atMost},
+		"one consents":                         {nil, []int{1}, 3, 0, atMost},
+		"the same one consents again":          {[]int{1}, []int{1}, 3, 0, atMost},
+		"another one consents after the claim": {[]int{1}, []int{4}, 3, 0, soon},
+		"two consent after the claim":          {nil, []int{2, 3}, 3, 0, soon},
+		"strangers consent":                    {nil, []int{7, 8, 9}, 3, 0, atMost},
+		"consents to an earlier claim":         {nil, []int{2, 3}, 2, 0, atMost},
+		"the term before it was kept as well":  {nil, []int{2, 3}, 3, 15 * time.Second, 15*time.Second - claimAfter - after},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := Record{Term: 1, Owner: "node-0/1", Addr: "10.0.0.0:1", Renewal: 3, StartLimit: s.StartLimit, EarlierOwners: c.earlier}
+			for w := range 5 {
+				r.Witnesses = append(r.Witnesses, testWitness(w+1))
+			}
+			f := &fakeStore{records: []Record{r}}
+			b := newContender(9)
+			b.core = New(s, "node-1/1", testWitness(1).Addr)
+			b.readAll(time.Second, f)
+			for _, w := range c.before {
+				b.step(time.Second, Consented{Witness: testWitness(w).ID, Term: 1, Renewal: 3})
+			}
+			now := time.Second + claimAfter
+			b.step(now, Tick{})
+			b.answer(now, f)
+			if b.ownedTerm != 2 {
+				t.Fatal("not claimed")
+			}
+			asked := 0
+			for end := now + after; now < end; now += 50 * time.Millisecond {
+				for _, a := range b.core.Step(now, Tick{}) {
+					if a, ok := a.(AskConsents); ok && a.Term == 1 && a.Renewal == 3 {
+						asked++
+					}
+				}
+			}
+			if asked != 1 {
+				t.Errorf("asked %d times after the claim, want once more", asked)
+			}
+			for _, w := range c.later {
+				b.step(now, Consented{Witness: testWitness(w).ID, Term: 1, Renewal: c.renewal})
+			}
+			if got := b.core.earlierUntil - now; got != c.allows {
+				t.Errorf("allows earlier owners %v, want %v", got, c.allows)
+			}
+		})
+	}
+}
--- a/internal/core/term/islands_test.go
+++ b/internal/core/term/islands_test.go
@@ -23,6 +23,8 @@
 	down    bool
 	// allowsUntil is the true time until which it allows for owners of earlier terms.
 	allowsUntil time.Duration
+	// ownGrace is the time of its clock until which it allows for them in any case.
+	ownGrace time.Duration
 }
 
 // islands is a cell in which instances are put on an island, killed and restarted.
@@ -64,7 +66,11 @@
 			s.write(i, a)
 		case Gained:
 			i.ownedTerm = a.Term
-			i.allowsUntil = s.trueTime(i, max(a.EarlierUntil, s.clock(i)+1300*time.Millisecond)) // as in package platform
+			i.ownGrace = s.clock(i) + 1300*time.Millisecond // as in package platform
+			i.allowsUntil = s.trueTime(i, max(a.EarlierUntil, i.ownGrace))
+		case EarlierOwnersEnd:
+			i.allowsUntil = s.trueTime(i, max(a.At, i.ownGrace))
+			s.check()
 		case Lost:
 			i.ownedTerm = 0
 		case AskPromises:
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -20,11 +20,11 @@
 	term   int64
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	mu sync.Mutex
 	// earlierUntil is the boot time until which owners of earlier terms may renew leases.
 	earlierUntil time.Duration
-
-	mu   sync.Mutex
-	core *cell.Core
+	core         *cell.Core
 	// jobsReadAt is the boot time at which each of topicsJobs was last read to its end.
 	jobsReadAt []time.Duration
 	// jobsReadTo is the offset up to which each of topicsJobs has been read.
@@ -89,6 +89,11 @@
 	o.checkTermAfterPause()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.stepLocked(ev)
+}
+
+// stepLocked is step for callers that hold o.mu and have checked the term.
+func (o *owner) stepLocked(ev cell.Event) {
 	if o.core == nil || o.ctx.Err() != nil {
 		return
 	}
@@ -108,6 +113,15 @@
 	o.step(cell.TermConfirmed{At: at})
 }
 
+// endEarlierOwners passes on that owners of earlier terms renew leases no longer than until a boot time.
+func (o *owner) endEarlierOwners(at time.Duration) {
+	o.mu.Lock()
+	o.earlierUntil = at
+	o.mu.Unlock()
+	evEarlierOwners.Log(o.ctx, o.inst.logger, slog.Int64("term", o.term), slog.Duration("earlier", max(0, at-boottime())))
+	o.step(cell.EarlierOwnersEnd{At: at})
+}
+
 // checkTermAfterPause ends the owner if the whole process was paused for so long that the term is
 // over. The time of the last step is replaced after the check, so that others that find the pause
 // at the same time wait for it.
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -44,24 +44,24 @@
 // initCore creates the core and passes it the stored state. From then on this instance
 // decides for the cell.
 func (o *owner) initCore(ev cell.Loaded) {
+	o.checkTermAfterPause()
 	o.mu.Lock()
 	policy := &job.Policy{}
 	if p := o.inst.policy.Load(); p != nil {
 		policy = p.policy
 	}
-	settings := o.inst.Settings.Cell
-	settings.PreviousOwnerGrace = max(settings.PreviousOwnerGrace, o.earlierUntil-boottime())
-	o.core = cell.New(settings, o.term, policy, instant())
+	o.core = cell.New(o.inst.Settings.Cell, o.term, policy, instant())
 	ev.TermConfirmedAt = time.Duration(o.confirmedAt.Load())
 	for n := range o.jobsReadAt {
 		if !o.unreadTopics.has(n) {
 			o.jobsReadAt[n] = boottime()
 		}
 	}
-	o.mu.Unlock()
+	ev.EarlierUntil = o.earlierUntil
 	// No worker has answered in this term yet, so that nothing is started before the
 	// drains are known.
-	o.step(ev)
+	o.stepLocked(ev)
+	o.mu.Unlock()
 	o.inst.passDrains(o)
 }
 
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -112,6 +112,10 @@
 		}
 	case term.WriteVote:
 		i.spawn(func(ctx context.Context) { i.writeVote(ctx, a.Vote) })
+	case term.EarlierOwnersEnd:
+		if o := i.owner.Load(); o != nil {
+			i.spawn(func(context.Context) { o.endEarlierOwners(a.At) })
+		}
 	case term.RequestYield:
 		i.spawn(func(ctx context.Context) { i.requestYield(ctx, a) })
 	case term.NotifyPeers:
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -201,6 +201,11 @@
 			i.owner.end()
 			i.owner = nil
 		}
+	case term.EarlierOwnersEnd:
+		if o := i.owner; o != nil {
+			i.sim.tracef("%s: earlier owners end in %v", i.name(), a.At-i.clock())
+			i.deliver(0, func() { o.endEarlierOwners(a.At) })
+		}
 	case term.Confirmed:
 		if o := i.owner; o != nil {
 			i.deliver(0, func() { o.confirmTerm(a.At) })
--- a/internal/partitionsim/owner_test.go
+++ b/internal/partitionsim/owner_test.go
@@ -20,6 +20,8 @@
 	confirmedAt time.Duration
 	// earlierUntil is until when owners of earlier terms may renew leases.
 	earlierUntil time.Duration
+	// takenOver is when the core began.
+	takenOver time.Duration
 	// lastStep is the time of the last step.
 	lastStep time.Duration
 	// jobsNext and workersNext are the offsets from which the owner reads on.
@@ -114,20 +116,34 @@
 // begin creates the cell's core and follows submissions and workers from then on.
 func (o *owner) begin(ev cell.Loaded) {
 	i := o.inst
-	settings := cellSettings()
-	settings.PreviousOwnerGrace = max(settings.PreviousOwnerGrace, o.earlierUntil-i.clock())
-	o.core = newCell(i, o.term, settings)
-	i.sim.renewalsEnd[o.term] = i.trueTime(i.clock() + settings.PreviousOwnerGrace)
-	i.sim.checkTakeover()
+	o.core = newCell(i, o.term)
+	o.takenOver = i.clock()
+	o.allowForEarlierOwners(o.earlierUntil)
 	i.sim.tracef("%s has taken over with term %d: %d jobs, %d workers listed, %d on the roster", i.name(), o.term, len(ev.Jobs), len(ev.Workers), len(ev.Roster))
-	ev.TermConfirmedAt = o.confirmedAt
+	ev.TermConfirmedAt, ev.EarlierUntil = o.confirmedAt, o.earlierUntil
 	o.step(ev)
 	o.follow(&reader{topic: &i.sim.store.jobs, next: o.jobsNext, onPage: o.handleJobs})
 	o.follow(&reader{topic: &i.sim.store.workers, next: o.workersNext, minInterval: workersReadInterval, onPage: o.handleWorkers})
 }
 
-func newCell(i *instance, t int64, s cell.Settings) *cell.Core {
-	return cell.New(s, t, i.sim.policy, i.instant())
+func newCell(i *instance, t int64) *cell.Core {
+	return cell.New(cellSettings(), t, i.sim.policy, i.instant())
+}
+
+// endEarlierOwners passes on that owners of earlier terms renew leases no longer than until a time.
+func (o *owner) endEarlierOwners(at time.Duration) {
+	o.earlierUntil = at
+	if o.core == nil || o.ended() {
+		return
+	}
+	o.allowForEarlierOwners(at)
+	o.step(cell.EarlierOwnersEnd{At: at})
+}
+
+// allowForEarlierOwners records until when this owner expects earlier ones to renew leases.
+func (o *owner) allowForEarlierOwners(at time.Duration) {
+	o.inst.sim.renewalsEnd[o.term] = o.inst.trueTime(max(at, o.takenOver+previousOwnerGrace()))
+	o.inst.sim.checkTakeover()
 }
 
 func (o *owner) follow(r *reader) {
