--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -44,7 +44,7 @@
 		RenewInterval:   500 * time.Millisecond,
 		StaleAfter:      1500 * time.Millisecond,
 		ConfirmTimeout:  2500 * time.Millisecond,
-		StartLimit:      5 * time.Second,
+		StartLimit:      3 * time.Second,
 		KeepLimit:       20 * time.Second,
 		QueryPeersAfter: 800 * time.Millisecond,
 		// After this time an owner has got the lists of its workers. A change of owner delays
