An instance that is paused in series leaves the term to others after its second short one

Cause: an instance whose own term is over claims the next one at once, as the latest record is its own, and each claim renews the record that weaker ones wait for to get stale. It needs no consent, and a term so short names no witnesses that could vote.

An instance that loses two terms in a row for want of a confirmation, each within 5 s of its claim, now claims none for 2 * StaleAfter, 3 s. A first loss, as in an outage of the store, keeps its quick claim (TestOwnerClaimsAtOnceAfterAnOutage, TestLostTermIsNotGainedAgain).

TestOwnerPausedInSeriesLeavesTheTermToOthers failed before: 14 terms of the paused instance in 40 s, and none of the others. Now it gains two after its first, and the other one the next, 3.3 s later.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -57,8 +57,11 @@
 	termSince          time.Duration
 	nextYieldRequest   time.Duration
 	allTopicsReachable bool
-	// unfitUntil is until when this instance claims no term, as it has released one as unfit.
+	// unfitUntil is until when this instance claims no term, as it has not been fit for one.
 	unfitUntil time.Duration
+	// shortTerms is the number of terms in a row that this instance has lost without a confirmation
+	// soon after it gained them.
+	shortTerms int
 	// pendingRelease is the release that is not known to be stored, nil if there is none.
 	pendingRelease *pendingRelease
 	// verdict says that this instance is unfit for its term.
@@ -278,7 +281,7 @@
 // advance does what has become due.
 func (c *Core) advance() {
 	if c.ownedTerm != 0 && c.now-c.confirmedAt > c.settings.ConfirmTimeout {
-		c.lose(ReasonUnconfirmed)
+		c.loseUnconfirmed()
 	}
 	c.followVerdict()
 	c.followVotes()
