--- a/internal/partitionsim/jobs_test.go
+++ b/internal/partitionsim/jobs_test.go
@@ -18,7 +18,10 @@
 	if s.net.storeDown != linkOK {
 		return
 	}
-	j := s.randomJob()
+	s.submitJob(s.randomJob())
+}
+
+func (s *simulation) submitJob(j job.Job) {
 	s.submitted = append(s.submitted, j)
 	s.fleet.Submit(&j)
 	s.tracef("job %s submitted, %d tasks", j.ID, j.Steps[0].Count)
--- a/internal/partitionsim/partition_test.go
+++ b/internal/partitionsim/partition_test.go
@@ -54,6 +54,12 @@
 	for n := range *seedCount {
 		seeds = append(seeds, *firstSeed+n)
 	}
+	runEachSeed(t, run, seeds)
+}
+
+// runEachSeed runs the scenarios of seeds.
+func runEachSeed(t *testing.T, run func(seed uint64) *simulation, seeds []uint64) {
+	t.Helper()
 	for _, seed := range seeds {
 		s := run(seed)
 		failure := s.failure()
