Simulation: an owner's judgement of itself, as package instance joins it

The simulated owner counts the workers that it reaches, has a sample probed by itself and by peers, and releases its term to the one that core/fitness finds; workers answer probes, peers answer as owners ask them.

--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -38,6 +38,8 @@
 	// storeAvailable is set while the store answers this instance.
 	storeAvailable bool
 	readers        []*reader
+	// reachedAt is when workers were last probed for an owner.
+	reachedAt time.Duration
 	// lastFailure is when a peer last failed to answer.
 	lastFailure map[host]time.Duration
 }
@@ -100,7 +102,7 @@
 	delete(i.sim.net.hostsDown, i.host)
 	i.alive, i.paused, i.backlog = true, false, nil
 	i.storeAvailable, i.owner = true, nil
-	i.checkedTerm, i.stopping = 0, false
+	i.checkedTerm, i.stopping, i.reachedAt = 0, false, 0
 	i.lastFailure = make(map[host]time.Duration)
 	i.term = term.New(i.settings, i.name(), string(i.host))
 	i.witnessID = witness.IDOf(i.name())
@@ -164,6 +166,7 @@
 	i.stepTerm(term.Tick{AllTopicsReachable: i.storeAvailable})
 	if i.owner != nil {
 		i.owner.step(cell.Tick{})
+		i.owner.checkReach()
 	}
 	i.deliver(tickInterval, i.tick)
 }
--- a/internal/partitionsim/owner_test.go
+++ b/internal/partitionsim/owner_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/fitness"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/job"
 )
@@ -22,6 +23,10 @@
 	earlierUntil time.Duration
 	// takenOver is when the core began.
 	takenOver time.Duration
+	// fitness is the owner's judgement of itself, nextReachCheck the time of its next look at the
+	// workers that it reaches.
+	fitness        *fitness.Core
+	nextReachCheck time.Duration
 	// lastStep is the time of the last step.
 	lastStep time.Duration
 	// jobsNext and workersNext are the offsets from which the owner reads on.
@@ -40,6 +45,7 @@
 // newOwner returns the owner of a term.
 func newOwner(i *instance, g term.Gained) *owner {
 	o := &owner{inst: i, term: g.Term, confirmedAt: g.At, earlierUntil: g.EarlierUntil, lastStep: i.clock()}
+	o.fitness = fitness.New(i.clock(), i.term.LatestRecord().Handovers)
 	died := i.endedFunc()
 	o.ended = func() bool { return o.over || died() }
 	return o
