--- a/internal/partitionsim/simulation_test.go
+++ b/internal/partitionsim/simulation_test.go
@@ -84,7 +84,7 @@
 func (s *simulation) termSettings() term.Settings {
 	t := term.DefaultSettings()
 	if s.chance(0.3) {
-		t.ClaimDelay = s.between(0, 800*time.Millisecond)
+		t.ClaimDelay = s.between(0, maxClaimDelay)
 	}
 	return t
 }
