Simulation: witnesses vote against an owner, as package instance joins it

Each simulated instance judges the owner as a witness, asks other witnesses, and appends votes to the topic of the term; the owner reads them with its record. A request to yield without an answer goes by the store. An owner that has lately not answered is asked beside others for a job's state, and what is passed on to it has less time.

--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/confidence"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/witness"
 )
@@ -35,9 +36,12 @@
 	// stopping is set once the process has begun to stop.
 	stopping bool
 	owner    *owner
-	// storeAvailable is set while the store answers this instance.
-	storeAvailable bool
-	readers        []*reader
+	// confidence is this incarnation's judgement of the owner.
+	confidence *confidence.Core
+	// storeAvailable is set while the store answers this instance, storeAnsweredAt when it last did.
+	storeAvailable  bool
+	storeAnsweredAt time.Duration
+	readers         []*reader
 	// reachedAt is when workers were last probed for an owner.
 	reachedAt time.Duration
 	// lastFailure is when a peer last failed to answer.
@@ -107,12 +111,14 @@
 	i.term = term.New(i.settings, i.name(), string(i.host))
 	i.witnessID = witness.IDOf(i.name())
 	i.witness = witness.New(i.witnessID, i.settings.StaleAfter, i.clock())
+	i.confidence = confidence.New()
 	r := &reader{
-		inst: i, topic: &i.sim.store.terms, next: unread, onPage: i.handleTermRecords, ended: i.endedFunc(),
+		inst: i, topic: &i.sim.store.terms, next: unread, ended: i.endedFunc(), minInterval: i.termReadInterval(),
 		onError: func() { i.stepTerm(term.ReadFailed{}) },
 	}
-	if i.settings.ClaimDelay > 0 {
-		r.minInterval = weakTermReadInterval
+	r.onPage = func(records []any, next int64) {
+		i.handleTermRecords(records, next)
+		r.minInterval = i.termReadInterval()
 	}
 	i.readers = []*reader{r}
 	r.read(0)
@@ -168,13 +174,19 @@
 		i.owner.step(cell.Tick{})
 		i.owner.checkReach()
 	}
+	i.stepConfidence(confidence.Tick{View: i.ownerView()})
 	i.deliver(tickInterval, i.tick)
 }
 
 func (i *instance) handleTermRecords(records []any, next int64) {
 	ev := term.ReadResult{End: next}
 	for _, r := range records {
-		ev.Records = append(ev.Records, r.(term.Record))
+		switch r := r.(type) {
+		case term.Record:
+			ev.Records = append(ev.Records, r)
+		case term.Vote:
+			ev.Votes = append(ev.Votes, r)
+		}
 	}
 	i.stepTerm(ev)
 }
--- a/internal/partitionsim/monitor_test.go
+++ b/internal/partitionsim/monitor_test.go
@@ -17,6 +17,7 @@
 		i.storeAvailable = false
 		return
 	}
+	i.storeAnsweredAt = i.sim.now
 	if i.storeAvailable {
 		return
 	}
--- a/internal/partitionsim/peers_test.go
+++ b/internal/partitionsim/peers_test.go
@@ -64,6 +64,8 @@
 		i.notifyPeers(a.Record)
 	case term.RequestYield:
 		i.requestYield(a)
+	case term.WriteVote:
+		i.deliver(i.sim.between(0, maxSendDelay), func() { i.writeVote(a.Vote) })
 	default:
 		i.performWitnessAction(a)
 	}
@@ -145,7 +147,11 @@
 	i.callPeer(p, askTimeout, func(reply func()) {
 		p.stepTerm(term.YieldRequested{Term: a.Term})
 		reply()
-	}, func(callResult) {})
+	}, func(r callResult) {
+		if r != callAnswered {
+			i.requestYieldByVote(a)
+		}
+	})
 }
 
 // pollPeers asks peers for their latest term record while the store does not answer, as an
--- a/internal/partitionsim/reader_test.go
+++ b/internal/partitionsim/reader_test.go
@@ -35,12 +35,25 @@
 // pageFrom returns the records from an offset on.
 func (t *topic) pageFrom(offset int64) page {
 	if offset == unread {
-		offset = max(t.end()-1, 0)
+		return page{records: t.newest(), next: t.end()}
 	}
 	offset = min(offset, t.end())
 	return page{records: slices.Clone(t.records[offset:]), next: t.end()}
 }
 
+// newest returns the newest record of each key.
+func (t *topic) newest() []any {
+	seen := make(map[any]bool)
+	var out []any
+	for _, r := range slices.Backward(t.records) {
+		if k := t.key(r); !seen[k] {
+			seen[k] = true
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // abort makes the read that is under way, or to be made again, at once.
 func (r *reader) abort() {
 	if r.busy {
--- a/internal/partitionsim/simulation_test.go
+++ b/internal/partitionsim/simulation_test.go
@@ -55,7 +55,7 @@
 	s := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 41)),
 		net:         network{cuts: make(map[direction]linkState), hostsDown: make(map[host]bool)},
-		store:       store{progress: make(map[job.ID]job.Progress)},
+		store:       store{terms: topic{key: termKey}, progress: make(map[job.ID]job.Progress)},
 		renewalsEnd: make(map[int64]time.Duration),
 		fleet:       fleet.New(randomDurations(seed)),
 		policy:      &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
--- a/internal/partitionsim/status_test.go
+++ b/internal/partitionsim/status_test.go
@@ -1,19 +1,34 @@
 package partitionsim
 
-// askCell asks for a job's state as instance.askCell does: the owner, and else other instances, which ask
-// the owner that they know of.
+import (
+	"slices"
+	"time"
+)
+
+// askCell asks for a job's state as instance.cellQuestion does: the owner, and else other instances, which
+// ask the owner that they know of. An owner that has lately not answered is asked beside the others.
+//
+// done may be called for each of the two.
 func (i *instance) askCell(done func(known bool)) {
 	if i.isOwner() {
 		done(true)
 		return
 	}
-	i.askOwner(func(known bool) {
+	rec, ok := i.term.OwnerRecord()
+	asked := i.peers()
+	asked = asked[:min(len(asked), maxPeersPerCall)]
+	asked = slices.DeleteFunc(asked, func(p *instance) bool { return ok && string(p.host) == rec.Addr })
+	if ok && i.demoted(host(rec.Addr)) > 0 {
+		i.askOwner(askTimeout, done)
+		i.askForward(asked, done)
+		return
+	}
+	i.askOwner(askTimeout, func(known bool) {
 		if known {
 			done(true)
 			return
 		}
-		asked := i.peers()
-		i.askForward(asked[:min(len(asked), maxPeersPerCall)], done)
+		i.askForward(asked, done)
 	})
 }
 
@@ -31,7 +46,7 @@
 			reply()
 			return
 		}
-		p.askOwner(func(k bool) {
+		p.askOwner(forwardTimeout, func(k bool) {
 			known = k
 			reply()
 		})
@@ -45,8 +60,11 @@
 	})
 }
 
+// forwardTimeout bounds a question that is passed on to the owner, as in package instance.
+const forwardTimeout = 350 * time.Millisecond
+
 // askOwner asks the owner of the latest term that this instance knows of, if it is another.
-func (i *instance) askOwner(done func(known bool)) {
+func (i *instance) askOwner(timeout time.Duration, done func(known bool)) {
 	rec, ok := i.term.OwnerRecord()
 	if !ok || rec.Addr == string(i.host) {
 		done(false)
@@ -58,7 +76,7 @@
 		known = o.isOwner()
 		reply()
 	}
-	i.callPeer(o, askTimeout, execute, func(r callResult) { done(r == callAnswered && known) })
+	i.callPeer(o, timeout, execute, func(r callResult) { done(r == callAnswered && known) })
 }
 
 // isOwner reports whether this instance believes to own the cell and has taken it over.
--- a/internal/partitionsim/store_test.go
+++ b/internal/partitionsim/store_test.go
@@ -13,6 +13,8 @@
 // topic is a topic of the simulated store.
 type topic struct {
 	records []any
+	// key returns the key of a record; nil if the records have none.
+	key func(record any) any
 	// waiting holds the reads that wait for a record.
 	waiting []func()
 }
