A voted-out owner releases its term to a witness that has voted

The release now names a voter as the successor: a witness votes only after most of the others have answered it. Failed before: TestVotedOutOwnerNamesAVoterAsSuccessor, "no release for a voter".

--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -1,6 +1,7 @@
 package term
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootmux/internal/core/witness"
@@ -80,6 +81,17 @@
 	return v.term == c.latest.Term && len(v.silent) > 0 && (v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate))
 }
 
+// voter returns the address of a witness that has voted against the owner. It has found that most of the
+// others answer it, which another instance that claims first may not be able to say.
+func (c *Core) voter() string {
+	for _, w := range slices.Concat(c.latest.Witnesses, c.votes.electorate) {
+		if _, ok := c.votes.silent[w.ID]; ok {
+			return w.Addr
+		}
+	}
+	return ""
+}
+
 // followVotes releases the owned term if there are votes enough, or an instance on a stronger machine
 // has requested it by the store.
 func (c *Core) followVotes() {
@@ -88,7 +100,7 @@
 		return
 	}
 	if c.VotedOut() && c.now-c.termSince >= c.LeastTenure() {
-		c.releaseUnfit(ReasonVotedOut, "")
+		c.releaseUnfit(ReasonVotedOut, c.voter())
 		return
 	}
 	if c.votes.yieldRequested && c.settings.ClaimDelay >= minYieldDelay {
