An owner that names no witnesses can be voted out

None answers such an owner, so its record names no witnesses, and only named ones voted.

It is released to a voter, so votes give their address. With a single other instance the term stays, as the two would trade it. Until an owner has had the time to find witnesses nobody checks it, so a claim in a large fleet costs nothing more.

--- a/internal/core/confidence/view.go
+++ b/internal/core/confidence/view.go
@@ -9,10 +9,10 @@
 	Renewal int64
 	// OwnerAddr is the address of the owner.
 	OwnerAddr string
-	// Witness says that the record names this instance as a witness and another as the owner, which
-	// has not released the term.
+	// Witness says that this instance judges the owner of the term, which is another and has not released
+	// it: the record names it as a witness, or names none.
 	Witness bool
-	// Others are the addresses of the other witnesses.
+	// Others are the addresses of the other witnesses, or of some instances if there are none.
 	Others []string
 	// StoreServes says that the store serves this instance the topic of terms.
 	StoreServes bool
--- a/internal/core/term/vote.go
+++ b/internal/core/term/vote.go
@@ -10,6 +10,8 @@
 	// Voter is the incarnation that votes.
 	Voter  witness.ID `cbor:"2,keyasint"`
 	Reason VoteReason `cbor:"3,keyasint"`
+	// Addr is the address at which the voter of a VoteSilent serves its peers.
+	Addr string `cbor:"4,keyasint,omitempty"`
 	// Offset is the vote's place in the topic.
 	Offset int64 `cbor:"-"`
 }
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -7,14 +7,23 @@
 	"coltsfootmux/internal/core/witness"
 )
 
-// voteValidity is how long a vote counts after it has been read.
-const voteValidity = 10 * time.Second
+const (
+	// voteValidity is how long a vote counts after it has been read.
+	voteValidity = 10 * time.Second
+	// minUnnamedVotes is the number of votes against an owner that names no witnesses. With a single other
+	// instance it keeps its term: the two would hand it to each other.
+	minUnnamedVotes = 2
+	// unnamedAfter is how long an owner has named no witnesses when others than witnesses judge it.
+	unnamedAfter = witnessCheckInterval
+)
 
 // votes are the votes against the owner of one term.
 type votes struct {
 	term int64
-	// silent holds when the latest vote of each voter was read that the owner does not answer.
+	// silent holds when the latest vote of each voter was read that the owner does not answer, and from
+	// where the voters serve their peers.
 	silent map[witness.ID]time.Duration
+	addrs  map[witness.ID]string
 	// electorate are the witnesses that the record named when the first vote was read that still
 	// counts. An owner replaces witnesses that do not answer it.
 	electorate []Witness
@@ -37,7 +46,7 @@
 				c.votes.electorate = c.latest.Witnesses
 			}
 			if c.votes.mayVote(c.latest.Witnesses, v.Voter) {
-				c.votes.silent[v.Voter] = c.now
+				c.votes.silent[v.Voter], c.votes.addrs[v.Voter] = c.now, v.Addr
 			}
 		case VoteStronger:
 			c.votes.yieldRequested, c.votes.yieldAt = true, c.now
@@ -49,7 +58,7 @@
 func (c *Core) dropVotes() {
 	v := &c.votes
 	if v.term != c.latest.Term || v.silent == nil {
-		*v = votes{term: c.latest.Term, silent: make(map[witness.ID]time.Duration)}
+		*v = votes{term: c.latest.Term, silent: make(map[witness.ID]time.Duration), addrs: make(map[witness.ID]string)}
 	}
 	for voter, at := range v.silent {
 		if c.now-at >= voteValidity {
@@ -59,9 +68,10 @@
 	v.yieldRequested = v.yieldRequested && c.now-v.yieldAt < voteValidity
 }
 
-// mayVote reports whether a voter is a witness, now or when the first vote was read.
+// mayVote reports whether a voter is a witness, now or when the first vote was read. Against an owner
+// that names none everybody may vote.
 func (v *votes) mayVote(now []Witness, voter witness.ID) bool {
-	return contains(now, voter) || contains(v.electorate, voter)
+	return len(now) == 0 && len(v.electorate) == 0 || contains(now, voter) || contains(v.electorate, voter)
 }
 
 // mostOf reports whether most of the given witnesses have voted.
@@ -75,10 +85,17 @@
 	return 2*n > len(ws)
 }
 
-// VotedOut reports whether most witnesses of the latest term have voted against its owner.
+// VotedOut reports whether most witnesses of the latest term have voted against its owner, or, if it
+// names none, minUnnamedVotes instances.
 func (c *Core) VotedOut() bool {
 	v := &c.votes
-	return v.term == c.latest.Term && len(v.silent) > 0 && (v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate))
+	switch {
+	case v.term != c.latest.Term || len(v.silent) == 0:
+		return false
+	case len(c.latest.Witnesses) == 0 && len(v.electorate) == 0:
+		return len(v.silent) >= minUnnamedVotes
+	}
+	return v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate)
 }
 
 // voter returns the address of a witness that has voted against the owner. It has found that most of the
@@ -89,7 +106,11 @@
 			return w.Addr
 		}
 	}
-	return ""
+	var addrs []string
+	for voter := range c.votes.silent {
+		addrs = append(addrs, c.votes.addrs[voter])
+	}
+	return slices.Min(addrs)
 }
 
 // followVotes releases the owned term if there are votes enough, or an instance on a stronger machine
@@ -107,3 +128,10 @@
 		c.yield(YieldRequested{Term: c.votes.term})
 	}
 }
+
+// JudgesUnnamed reports whether this instance judges another that has owned the latest term for a while
+// without naming witnesses, as none answers it. Only instances without a claim delay do.
+func (c *Core) JudgesUnnamed() bool {
+	rec, ok := c.OwnerRecord()
+	return ok && len(rec.Witnesses) == 0 && rec.Owner != c.self && rec.Addr != c.addr && c.settings.ClaimDelay == 0 && c.now-max(c.termSince, c.storeOKSince) >= unnamedAfter
+}
--- a/internal/instance/ownercheck.go
+++ b/internal/instance/ownercheck.go
@@ -8,6 +8,7 @@
 
 	"coltsfootmux/internal/core/confidence"
 	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/witness"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/wire"
 )
@@ -47,9 +48,13 @@
 	v := confidence.View{
 		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), LeastTenure: i.term.LeastTenure(),
 	}
+	unnamed := i.term.JudgesUnnamed()
 	i.termMu.Unlock()
-	v.Witness = i.isWitnessOf(rec) && !i.stopping.Load()
+	v.Witness = (i.isWitnessOf(rec) || unnamed) && !i.stopping.Load()
 	v.Others = i.otherWitnesses(rec)
+	if unnamed {
+		v.Others = i.otherJudges(rec)
+	}
 	since, ok := i.storeMonitor.sinceAnswer(topicTerm)
 	v.StoreServes = ok && since <= maxTermAge && i.storeMonitor.available(topicTerm)
 	return v
@@ -68,6 +73,17 @@
 	return false
 }
 
+// otherJudges returns the addresses of instances that could be witnesses of a term that names none.
+func (i *Instance) otherJudges(r term.Record) []string {
+	var out []string
+	for _, addr := range i.members.witnessCandidates(boottime(), i.Settings.Zone) {
+		if addr != r.Addr && len(out) < witness.MaxWitnesses-1 {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // otherWitnesses returns the addresses of the other witnesses of a term.
 func (i *Instance) otherWitnesses(r term.Record) []string {
 	var out []string
@@ -91,7 +107,7 @@
 		case confidence.AskOthers:
 			i.spawn(func(ctx context.Context) { i.askOtherWitnesses(ctx, a) })
 		case confidence.Vote:
-			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent}
+			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent, Addr: i.Settings.LinkAddr}
 			i.spawn(func(ctx context.Context) { i.writeVote(ctx, v) })
 		case confidence.Changed:
 			evOwnerSilent.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.String("addr", a.Addr), slog.Bool("silent", a.Silent), slog.Duration("for", a.For))
--- a/internal/partitionsim/votes_test.go
+++ b/internal/partitionsim/votes_test.go
@@ -5,6 +5,7 @@
 
 	"coltsfootmux/internal/core/confidence"
 	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/core/witness"
 )
 
 // maxTermAge is how long ago the store may have last answered to count as serving an instance.
@@ -12,10 +13,14 @@
 
 // ownerView does what instance.ownerView does.
 func (i *instance) ownerView() confidence.View {
-	rec := i.term.LatestRecord()
+	rec, unnamed := i.term.LatestRecord(), i.term.JudgesUnnamed()
+	others := i.otherWitnesses(rec)
+	if unnamed {
+		others = i.otherJudges(rec)
+	}
 	return confidence.View{
 		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), LeastTenure: i.term.LeastTenure(),
-		Witness: i.isWitnessOf(rec) && !i.stopping, Others: i.otherWitnesses(rec),
+		Witness: (i.isWitnessOf(rec) || unnamed) && !i.stopping, Others: others,
 		StoreServes: i.storeAvailable && i.sim.now-i.storeAnsweredAt <= maxTermAge,
 	}
 }
@@ -33,6 +38,17 @@
 	return false
 }
 
+// otherJudges returns the addresses of instances that could be witnesses of a term that names none.
+func (i *instance) otherJudges(r term.Record) []string {
+	var out []string
+	for _, addr := range i.witnessCandidates() {
+		if addr != r.Addr && len(out) < witness.MaxWitnesses-1 {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // otherWitnesses returns the addresses of the other witnesses of a term.
 func (i *instance) otherWitnesses(r term.Record) []string {
 	var out []string
@@ -53,7 +69,7 @@
 		case confidence.AskOthers:
 			i.deliver(0, func() { i.askOtherWitnesses(a) })
 		case confidence.Vote:
-			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent}
+			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent, Addr: string(i.host)}
 			i.deliver(i.sim.between(0, maxSendDelay), func() { i.writeVote(v) })
 		case confidence.Changed:
 			i.sim.tracef("%s: owner %s of term %d silent: %v, for %v", i.name(), a.Addr, a.Term, a.Silent, a.For)
