Model check: progress after the loss of the owner with all witnesses

With starts that end before the renewals of leases, a claim without consents comes startLimitTicks after staleness.

--- a/internal/modelcheck/termcalm.go
+++ b/internal/modelcheck/termcalm.go
@@ -68,7 +68,10 @@
 	case h == c.affected && c.barredFor > 0:
 		return nil
 	}
-	out := []Action{{Kind: TermClaimAnswered, Host: h}}
+	var out []Action
+	if !k.ClaimAfterLeases || c.term.renewalAge >= keepLimitTicks+renewalStaleTicks || v.released || k.hasConsents(&c.term) {
+		out = append(out, Action{Kind: TermClaimAnswered, Host: h})
+	}
 	if !k.hasWitnesses(c, h) {
 		return out
 	}
--- a/internal/modelcheck/termprogress.go
+++ b/internal/modelcheck/termprogress.go
@@ -43,6 +43,8 @@
 	KeepUnfit bool
 	// NoVotes lets an owner that its witnesses don't reach keep its term.
 	NoVotes bool
+	// ClaimAfterLeases has a claim without consent wait until the earlier owner renews no more leases.
+	ClaimAfterLeases bool
 	// VotesOfWitnessesOnly gives no vote against an owner whose record names no witnesses.
 	VotesOfWitnessesOnly bool
 
@@ -61,7 +63,7 @@
 func (f LastingFault) within() uint8 {
 	switch f {
 	case FaultAllGone:
-		return keepLimitTicks + renewalStaleTicks - 1 // a claim does not wait for the leases
+		return startLimitTicks + renewalStaleTicks
 	case FaultNoWorkers, FaultNoPeers:
 		return renewalStaleTicks + unfitTicks
 	}
--- a/internal/modelcheck/termprogress_test.go
+++ b/internal/modelcheck/termprogress_test.go
@@ -18,7 +18,7 @@
 }
 
 // progressFaults are the faults beside which a fit instance must get the term.
-var progressFaults = []LastingFault{FaultNone, FaultGone, FaultNoWorkers, FaultNoPeers}
+var progressFaults = []LastingFault{FaultNone, FaultGone, FaultAllGone, FaultNoWorkers, FaultNoPeers}
 
 // TestFitInstanceOwnsTermBesideLastingFault guards against rules of terms that are safe and by which the
 // cell stays without an owner, or with one that can't do its work.
@@ -47,7 +47,7 @@
 		"an owner that reaches no workers keeps its term":              {FaultNoWorkers, func(k *ProgressSpec) { k.KeepUnfit = true }},
 		"an owner that its witnesses don't reach keeps its term":       {FaultNoPeers, func(k *ProgressSpec) { k.NoVotes = true }},
 		"an owner that names no witnesses keeps its term":              {FaultNoPeers, func(k *ProgressSpec) { k.VotesOfWitnessesOnly = true }},
-		"a claim after the loss of all witnesses waits for the leases": {FaultAllGone, func(*ProgressSpec) {}},
+		"a claim after the loss of all witnesses waits for the leases": {FaultAllGone, func(k *ProgressSpec) { k.ClaimAfterLeases = true }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			k := NewProgressSpec(spec, c.fault)
