One dead worker of an idle fleet is no sign that its owner is cut off

Cause: workers without runs are not asked anything, so after 5 s only the dead one counted as tried. Workers that have answered since the latest one became silent count now as well. TestOneDeadWorkerOfAnIdleFleetIsNotSuspicious failed before.

--- a/internal/core/cell/reach.go
+++ b/internal/core/cell/reach.go
@@ -29,22 +29,38 @@
 func (r Reach) Poor() bool { return r.Silent > 0 && r.Silent*SilentShare >= r.Tried }
 
 // Reach returns the present state of the contact with workers. Idle workers are not asked
-// anything, and count only for a while after their last answer.
+// anything: they count for a while after their last answer, and if they have answered since the
+// latest worker became silent.
 func (c *Core) Reach(now time.Duration) Reach {
 	var r Reach
+	since := now - recentAnswer
+	if latest := c.latestSilence(); latest > 0 {
+		since = min(since, latest)
+	}
 	for _, w := range c.fleet {
 		switch {
 		case !w.listed || w.gone:
 		case w.holdFailures > 0:
 			r.Tried++
 			r.Silent++
-		case w.lastAnswerAt > 0 && now-w.lastAnswerAt <= recentAnswer:
+		case w.lastAnswerAt > 0 && w.lastAnswerAt >= since:
 			r.Tried++
 		}
 	}
 	return r
 }
 
+// latestSilence returns since when the worker is silent that became so last, 0 if none is.
+func (c *Core) latestSilence() time.Duration {
+	var at time.Duration
+	for _, w := range c.fleet {
+		if w.listed && !w.gone && w.holdFailures > 0 {
+			at = max(at, w.firstHoldFailureAt)
+		}
+	}
+	return at
+}
+
 // checkReach raises an alarm once many workers have been silent for minShortageTime.
 func (c *Core) checkReach() {
 	now := c.now.Mono
