An owner that reaches few workers asks its witnesses first what they reach

Records of members are never removed, and strong ones were asked first, gone or not. Three of the five that are asked are now witnesses of the term, which have answered lately. TestOwnerAsksPeersThatAnswerWhatTheyReach failed before.

--- a/internal/instance/reachprobe.go
+++ b/internal/instance/reachprobe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,10 @@
 	probeAgainAfter    = 200 * time.Millisecond
 	// reachAskTimeout bounds the question to a peer, which probes workers before it answers.
 	reachAskTimeout = workerProbeTimeout + 400*time.Millisecond
-	// probedPeers is the number of peers that are asked at once what they reach.
-	probedPeers = 5
+	// probedPeers is the number of peers that are asked at once what they reach, probedWitnesses how many
+	// of them are witnesses of the term if there are so many.
+	probedPeers     = 5
+	probedWitnesses = 3
 	// minReachInterval is the least time between two probes that an instance makes for owners.
 	minReachInterval = 250 * time.Millisecond
 )
@@ -66,14 +69,33 @@
 	o.stepFitness(result)
 }
 
+// reachCandidates returns the addresses of the peers to ask in a turn: some of the owned term's witnesses,
+// which have answered lately, and some others, of which most that ever announced themselves may be gone.
+func (i *Instance) reachCandidates(turn int) []string {
+	var witnesses []string
+	for _, w := range i.latestTermRecord().Witnesses {
+		witnesses = append(witnesses, w.Addr)
+	}
+	others := slices.DeleteFunc(i.members.witnessCandidates(boottime(), i.Settings.Zone), func(addr string) bool {
+		return slices.Contains(witnesses, addr)
+	})
+	out := inTurn(witnesses, turn, probedWitnesses)
+	return append(out, inTurn(others, turn, probedPeers-len(out))...)
+}
+
+// inTurn returns up to limit of some addresses, others in each turn.
+func inTurn(addrs []string, turn, limit int) []string {
+	var out []string
+	for n := range min(limit, len(addrs)) {
+		out = append(out, addrs[(turn*limit+n)%len(addrs)])
+	}
+	return out
+}
+
 // askReach asks some peers, others in each turn, which of some workers they reach, and returns those
 // that answered, in the order of preference.
 func (i *Instance) askReach(ctx context.Context, turn int, q wire.ReachQuery) []fitness.Peer {
-	addrs := i.members.witnessCandidates(boottime(), i.Settings.Zone)
-	asked := make([]string, 0, probedPeers)
-	for n := range min(probedPeers, len(addrs)) {
-		asked = append(asked, addrs[(turn*probedPeers+n)%len(addrs)])
-	}
+	asked := i.reachCandidates(turn)
 	ctx, cancel := context.WithTimeout(ctx, reachAskTimeout)
 	defer cancel()
 	replies := make([]*wire.ReachReply, len(asked))
