Records of earlier versions do not end the wait for owners on islands

During an upgrade the record of an owner of an earlier version, which does not know EarlierOwners, made later owners forget one that may renew leases on an island ("allows earlier owners 0s, and one may renew leases for 14 s"). Such records now leave the time as it is. The owner of the earlier version itself still does not wait.

--- a/internal/core/term/earlier.go
+++ b/internal/core/term/earlier.go
@@ -38,8 +38,11 @@
 }
 
 // observeEarlierOwners counts the time in a record from now on. Renewals of a term can only shorten it:
-// each counts from when it was sent.
+// each counts from when it was sent. Records of earlier versions say nothing of it.
 func (c *Core) observeEarlierOwners(r Record) {
+	if r.StartLimit == 0 && r.EarlierOwners == 0 {
+		return
+	}
 	until := c.now + r.EarlierOwners
 	if r.Term == c.latest.Term {
 		until = min(until, c.earlierUntil)
