Owners on islands: late writes, and releases of every kind

The property of owners on islands draws writes and answers that arrive up to 2 s late, notices of released terms up to 3 s late, and releases to a successor, by request and because peers reach the store.

--- a/internal/core/term/islands_test.go
+++ b/internal/core/term/islands_test.go
@@ -35,6 +35,43 @@
 	all   []*islander
 	// starts counts the processes.
 	starts int
+	// late are calls that are on their way.
+	late []lateCall
+}
+
+// lateCall is something that happens at a true time.
+type lateCall struct {
+	at time.Duration
+	do func()
+}
+
+// later calls do after up to the given number of ticks.
+func (s *islands) later(most int, do func()) {
+	at := s.now + time.Duration(s.draw("ticks late", most))*50*time.Millisecond
+	s.late = append(s.late, lateCall{at: at, do: do})
+}
+
+// doLate makes the calls that are due.
+func (s *islands) doLate() {
+	calls := s.late
+	s.late = nil
+	for _, c := range calls {
+		if c.at <= s.now {
+			c.do()
+		} else {
+			s.late = append(s.late, c)
+		}
+	}
+}
+
+// stepLater passes an event to a process after up to the given number of ticks, if it runs by then.
+func (s *islands) stepLater(i *islander, most int, ev func() Event) {
+	process := i.core
+	s.later(most, func() {
+		if !i.down && i.core == process {
+			s.step(i, ev())
+		}
+	})
 }
 
 func (s *islands) start(i *islander, n int) {
@@ -86,6 +123,12 @@
 					s.step(i, Consented{Witness: named, Term: a.Term, Renewal: a.Renewal})
 				}
 			}
+		case NotifyPeers:
+			for _, o := range s.all {
+				if o != i && s.reaches(i, o) {
+					s.stepLater(o, 60, func() Event { return PeerRecord(a) })
+				}
+			}
 		case CheckWitnesses:
 			s.step(i, WitnessesChecked{Term: a.Term, Answered: s.present(i)})
 		}
@@ -120,19 +163,34 @@
 	return out
 }
 
-// write carries out a write. Its answer is lost now and then, and read later.
+// write carries out a write. Some arrive late, whatever has become of their sender, and some answers are
+// late or lost; what was written is read in the end.
 func (s *islands) write(i *islander, w Write) {
 	res := WriteResult{Outcome: WriteFailed, SentAt: s.clock(i), Record: w.Record, ExpectedEnd: w.ExpectedEnd}
-	if !i.island {
-		claims := len(s.store.records) == 0 || w.Record.Term > s.store.records[len(s.store.records)-1].Term
-		if res.Outcome, res.End = s.store.append(w); res.Outcome == WriteDone && claims {
-			s.checkClaim(w.Record.Term)
-		}
-		if s.draw("lost", 9) == 0 {
-			res.Outcome = WriteOutcomeUnknown
-		}
+	switch {
+	case i.island:
+		s.step(i, res)
+	case s.draw("late", 5) > 0:
+		s.step(i, s.executed(i, res))
+	default:
+		s.later(40, func() {
+			res = s.executed(i, res)
+			s.stepLater(i, 40, func() Event { return res })
+		})
 	}
-	s.step(i, res)
+}
+
+// executed returns the result of a write that is carried out now.
+func (s *islands) executed(i *islander, res WriteResult) WriteResult {
+	claims := len(s.store.records) == 0 || res.Record.Term > s.store.records[len(s.store.records)-1].Term
+	res.Outcome, res.End = s.store.append(Write{Record: res.Record, ExpectedEnd: res.ExpectedEnd})
+	if res.Outcome == WriteDone && claims {
+		s.checkClaim(res.Record.Term)
+	}
+	if i.island || s.draw("lost", 9) == 0 {
+		res.Outcome = WriteOutcomeUnknown
+	}
+	return res
 }
 
 func (s *islands) draw(label string, most int) int {
@@ -166,6 +224,7 @@
 // tick lets time pass at all instances.
 func (s *islands) tick() {
 	s.now += 50 * time.Millisecond
+	s.doLate()
 	for _, i := range s.all {
 		if i.down {
 			continue
@@ -186,7 +245,8 @@
 }
 
 // TestOwnersOnIslandsAreAllowedFor puts owners on islands with any of their witnesses, one after the
-// other, at clocks of which the fastest runs 10 % faster than the slowest. No owner may start tasks after
+// other, at clocks of which the fastest runs 10 % faster than the slowest. Owners release their terms in every
+// way, also by a notice that is not stored, and writes and notices arrive up to 3 s late. No owner may start tasks after
 // a later claim, nor renew leases for longer than any later owner allows for.
 func TestOwnersOnIslandsAreAllowedFor(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -201,7 +261,7 @@
 		}
 		for range 1 + s.draw("steps", 12) {
 			n := s.draw("who", len(s.all)-1)
-			switch i := s.all[n]; s.draw("what", 5) {
+			switch i := s.all[n]; s.draw("what", 8) {
 			case 0, 1, 2:
 				s.divide()
 			case 3:
@@ -211,6 +271,12 @@
 			case 5:
 				s.step(i, Stopping{})
 				s.start(i, n)
+			case 6:
+				s.eachOwner(func(o *islander) Event { return Unfit{Term: o.ownedTerm, Successor: i.addr} })
+			case 7:
+				s.eachOwner(func(*islander) Event { return PeersReachStore{} })
+			case 8:
+				s.eachOwner(func(o *islander) Event { return YieldRequested{Term: o.ownedTerm} })
 			}
 			for range 1 + s.draw("ticks", 200) {
 				s.tick()
@@ -219,6 +285,15 @@
 	})
 }
 
+// eachOwner passes an event to all that own a term.
+func (s *islands) eachOwner(ev func(*islander) Event) {
+	for _, o := range s.all {
+		if !o.down && o.ownedTerm != 0 {
+			s.step(o, ev(o))
+		}
+	}
+}
+
 // divide puts the owner on an island with random others, or ends the island.
 func (s *islands) divide() {
 	heals := s.draw("heals", 3) == 0
