An instance that was unfit replaces its successor, and least tenures stay long

It now only leaves the claim after its own term to others. - Hand-overs that get faster again: a tenure of a minute, which is the longest least tenure, forgot all releases before (5, 10, 20, 40, 60, 10 s). An owner now forgets one release a minute. - An owner that nobody answers went on naming its witnesses, so that nobody else could judge it. After 8 s it names none.

--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -60,7 +60,7 @@
 // canClaim reports whether the owner of the latest term has certainly stopped, or will have by the
 // time that a new owner allows for.
 func (c *Core) canClaim() bool {
-	return c.storeOK && c.now >= c.unfitUntil && c.unchangedFor() >= c.staleAfter() && (!c.needsConsent() || c.hasConsent())
+	return c.storeOK && c.mayClaimAgain() && c.unchangedFor() >= c.staleAfter() && (!c.needsConsent() || c.hasConsent())
 }
 
 // hasConsent reports whether the owner of the latest term certainly starts no more tasks: enough
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -57,8 +57,10 @@
 	termSince          time.Duration
 	nextYieldRequest   time.Duration
 	allTopicsReachable bool
-	// unfitUntil is until when this instance claims no term, as it has not been fit for one.
-	unfitUntil time.Duration
+	// unfitUntil is until when this instance leaves the claim after its own latest term to others, as it
+	// was unfit for it, and pausedUntil is until when it claims nothing, as it is paused in series.
+	unfitUntil  time.Duration
+	pausedUntil time.Duration
 	// shortTerms is the number of terms in a row that this instance has lost without a confirmation
 	// soon after it gained them.
 	shortTerms int
@@ -66,6 +68,8 @@
 	pendingRelease *pendingRelease
 	// verdict says that this instance is unfit for its term.
 	verdict verdict
+	// unnamedSince is since when the latest record names no witnesses.
+	unnamedSince time.Duration
 	// votes are those against the owner of the latest term, yieldVotes the requests to yield that this
 	// instance has made by the store.
 	votes      votes
@@ -183,6 +187,9 @@
 	if r.Term != c.latest.Term {
 		c.termSince = c.now
 	}
+	if r.Term != c.latest.Term || len(c.latest.Witnesses) > 0 {
+		c.unnamedSince = c.now
+	}
 	c.observeEarlierOwners(r)
 	c.latest, c.changedAt = r, c.now
 	clear(c.consents)
@@ -211,6 +218,7 @@
 	}
 	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt, c.startConfirmedAt = r.Term, r.Term, sentAt, sentAt
 	c.tenure = newTenure(sentAt)
+	c.tenure.handovers = r.Handovers
 	c.nextWrite = sentAt + c.settings.RenewInterval
 	c.emit(Gained{Term: r.Term, At: sentAt, EarlierUntil: c.earlierUntil})
 }
--- a/internal/core/term/tenure.go
+++ b/internal/core/term/tenure.go
@@ -7,9 +7,13 @@
 	"coltsfootmux/internal/core/witness"
 )
 
-// maxWitnessSilence is how long an instance that does not answer stays a witness if no other can
-// replace it.
-const maxWitnessSilence = 10 * time.Second
+const (
+	// maxWitnessSilence is how long an instance that does not answer stays a witness if no other can
+	// replace it.
+	maxWitnessSilence = 10 * time.Second
+	// maxUnanswered is how long an owner goes on naming witnesses if no instance answers it.
+	maxUnanswered = 2 * witnessCheckInterval
+)
 
 // tenure is what an owner knows of its term in the store and at the witnesses.
 type tenure struct {
@@ -29,6 +33,11 @@
 	promises map[witness.ID]time.Duration
 	// silentSince holds since when a witness has not answered, by address.
 	silentSince map[string]time.Duration
+	// handovers is Record.Handovers of the claim.
+	handovers int64
+	// unansweredSince is since when no instance has answered a check; unanswered says that it is so.
+	unansweredSince time.Duration
+	unanswered      bool
 	// nextCheck is when the witnesses are next checked.
 	nextCheck time.Duration
 }
@@ -64,12 +73,17 @@
 
 // checked has later renewals name the witnesses that have answered, and others that have in
 // place of silent ones. Without a replacement, a silent witness stays for maxWitnessSilence: the
-// fewer witnesses there are, the more a claim depends on each of them.
+// fewer witnesses there are, the more a claim depends on each of them. An owner that nobody answers for
+// maxUnanswered names none, so that other instances judge it.
 func (t *tenure) checked(now time.Duration, answered []Witness) {
+	t.recordAnswers(now, len(answered) > 0)
 	if t.proposed != nil && t.proposalSent {
 		return
 	}
 	chosen, silent := t.choose(now, answered)
+	if t.unanswered && now-t.unansweredSince >= maxUnanswered {
+		silent = nil
+	}
 	for _, w := range slices.Concat(answered, silent) {
 		if len(chosen) < witness.MaxWitnesses && !slices.ContainsFunc(chosen, sameAs(w)) {
 			chosen = append(chosen, w)
@@ -77,9 +91,17 @@
 	}
 	slices.SortFunc(chosen, byAddr)
 	t.proposed, t.proposalSent = nil, false
-	if len(chosen) > 0 && !slices.Equal(chosen, t.witnesses) {
-		t.proposed = chosen
+	if !slices.Equal(chosen, t.witnesses) {
+		t.proposed = append([]Witness{}, chosen...) // not nil
+	}
+}
+
+// recordAnswers records whether any instance has answered a check.
+func (t *tenure) recordAnswers(now time.Duration, any bool) {
+	if !any && !t.unanswered {
+		t.unansweredSince = now
 	}
+	t.unanswered = !any
 }
 
 // choose returns the present witnesses that have answered, perhaps as a later incarnation, and those
