Witnesses that restarted, or were replaced, can vote an owner out

Causes: votes counted by incarnation, and an owner that nobody answers can't name later ones; a witness asked others that were gone; votes grew rarer than they count; a late tick was taken for a pause. Change: a later incarnation on a witness's machine checks and votes for it. An owner that names no witnesses is judged by all instances, weak ones 2 s later and by their claim delay; after 10 s one vote is enough, and nobody need be asked before. A witness votes again after 10 s if others have voted. Ticks are late up to 1.5 s.

--- a/internal/core/confidence/core.go
+++ b/internal/core/confidence/core.go
@@ -16,10 +16,11 @@
 	// renewedWithin is how recent the latest renewal has to be for a vote. An owner that does not
 	// renew its term is replaced without one. A weak instance reads the topic once a second.
 	renewedWithin = 2500 * time.Millisecond
-	// maxTickGap is a time without a tick after which this process must have been paused.
-	maxTickGap = 500 * time.Millisecond
+	// maxTickGap is a time without a tick after which this process must have been paused. Ticks come
+	// late on weak machines under load.
+	maxTickGap = 1500 * time.Millisecond
 	// firstVoteInterval and maxVoteInterval bound the time between two votes against one term; it
-	// doubles. A vote counts for the first.
+	// doubles. A vote counts for the first, so a witness votes again after that time if others have voted.
 	firstVoteInterval = 10 * time.Second
 	maxVoteInterval   = 5 * time.Minute
 )
@@ -159,10 +160,15 @@
 // mayVote reports whether a vote could change anything that a claim does not.
 func (c *Core) mayVote() bool {
 	v := c.view
-	return c.silent && v.Witness && v.StoreServes && !v.VotedOut && c.now >= c.nextVote &&
+	return c.silent && v.Witness && v.StoreServes && !v.VotedOut && c.voteIsDue() &&
 		c.now-c.termSince >= v.LeastTenure && c.now-c.renewedAt <= renewedWithin
 }
 
+// voteIsDue reports whether enough time has passed since the latest vote.
+func (c *Core) voteIsDue() bool {
+	return c.now >= c.nextVote || c.view.OthersVote && c.now >= c.nextVote-c.voteInterval+firstVoteInterval
+}
+
 // onOthersAsked votes if this instance and the witnesses that answer it are most of all.
 func (c *Core) onOthersAsked(e OthersAsked) {
 	if e.Term == c.view.Term && c.mayVote() && 2*(e.Answered+1) > e.Asked+1 {
--- a/internal/core/confidence/view.go
+++ b/internal/core/confidence/view.go
@@ -16,6 +16,8 @@
 	Others []string
 	// StoreServes says that the store serves this instance the topic of terms.
 	StoreServes bool
+	// OthersVote says that votes of other instances against the owner count at present.
+	OthersVote bool
 	// VotedOut says that there are votes enough.
 	VotedOut bool
 	// LeastTenure is how long the term has to last before a vote.
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -10,11 +10,14 @@
 const (
 	// voteValidity is how long a vote counts after it has been read.
 	voteValidity = 10 * time.Second
-	// minUnnamedVotes is the number of votes against an owner that names no witnesses. With a single other
-	// instance it keeps its term: the two would hand it to each other.
+	// minUnnamedVotes is the number of votes against an owner that names no witnesses. After
+	// singleVoteAfter one is enough: it may be the only other instance.
 	minUnnamedVotes = 2
+	singleVoteAfter = 10 * time.Second
 	// unnamedAfter is how long an owner has named no witnesses when others than witnesses judge it.
-	unnamedAfter = witnessCheckInterval
+	// Instances with a claim delay follow later, so that in a large fleet few do.
+	unnamedAfter     = witnessCheckInterval
+	weakUnnamedAfter = unnamedAfter + 2*time.Second
 )
 
 // votes are the votes against the owner of one term.
@@ -71,20 +74,30 @@
 // mayVote reports whether a voter is a witness, now or when the first vote was read. Against an owner
 // that names none everybody may vote.
 func (v *votes) mayVote(now []Witness, voter witness.ID) bool {
-	return len(now) == 0 && len(v.electorate) == 0 || contains(now, voter) || contains(v.electorate, voter)
+	return len(now) == 0 || contains(now, voter) || contains(v.electorate, voter)
 }
 
 // mostOf reports whether most of the given witnesses have voted.
 func (v *votes) mostOf(ws []Witness) bool {
 	n := 0
 	for _, w := range ws {
-		if _, ok := v.silent[w.ID]; ok {
+		if v.has(w) {
 			n++
 		}
 	}
 	return 2*n > len(ws)
 }
 
+// has reports whether a witness, or a later incarnation on its machine, has voted.
+func (v *votes) has(w Witness) bool {
+	for voter := range v.silent {
+		if witness.SameMachine(voter, w.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // VotedOut reports whether most witnesses of the latest term have voted against its owner, or, if it
 // names none, minUnnamedVotes instances.
 func (c *Core) VotedOut() bool {
@@ -92,8 +105,8 @@
 	switch {
 	case v.term != c.latest.Term || len(v.silent) == 0:
 		return false
-	case len(c.latest.Witnesses) == 0 && len(v.electorate) == 0:
-		return len(v.silent) >= minUnnamedVotes
+	case len(c.latest.Witnesses) == 0 && (len(v.silent) >= minUnnamedVotes || c.unnamedFor() >= singleVoteAfter):
+		return true
 	}
 	return v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate)
 }
@@ -102,7 +115,7 @@
 // others answer it, which another instance that claims first may not be able to say.
 func (c *Core) voter() string {
 	for _, w := range slices.Concat(c.latest.Witnesses, c.votes.electorate) {
-		if _, ok := c.votes.silent[w.ID]; ok {
+		if c.votes.has(w) {
 			return w.Addr
 		}
 	}
@@ -113,6 +126,21 @@
 	return slices.Min(addrs)
 }
 
+// OthersVote reports whether votes of other instances against the owner of the latest term count at
+// present.
+func (c *Core) OthersVote() bool {
+	if c.votes.term != c.latest.Term {
+		return false
+	}
+	self := witness.IDOf(c.self)
+	for voter, at := range c.votes.silent {
+		if !witness.SameMachine(voter, self) && c.now-at < voteValidity {
+			return true
+		}
+	}
+	return false
+}
+
 // followVotes releases the owned term if there are votes enough, or an instance on a stronger machine
 // has requested it by the store.
 func (c *Core) followVotes() {
@@ -130,8 +158,28 @@
 }
 
 // JudgesUnnamed reports whether this instance judges another that has owned the latest term for a while
-// without naming witnesses, as none answers it. Only instances without a claim delay do.
+// without naming witnesses, as none answers it.
 func (c *Core) JudgesUnnamed() bool {
 	rec, ok := c.OwnerRecord()
-	return ok && len(rec.Witnesses) == 0 && rec.Owner != c.self && rec.Addr != c.addr && c.settings.ClaimDelay == 0 && c.now-max(c.termSince, c.storeOKSince) >= unnamedAfter
+	if !ok || len(rec.Witnesses) > 0 || rec.Owner == c.self || rec.Addr == c.addr {
+		return false
+	}
+	if d := c.settings.ClaimDelay; d > 0 {
+		return c.unnamedFor() > weakUnnamedAfter+4*d
+	}
+	return c.unnamedFor() >= unnamedAfter
+}
+
+// JudgesAlone reports whether this instance need not ask others before it votes: the owner has long
+// reached no instance at all.
+func (c *Core) JudgesAlone() bool {
+	return c.JudgesUnnamed() && c.unnamedFor() >= singleVoteAfter
+}
+
+// unnamedFor returns how long the latest record has named no witnesses while the store has answered.
+func (c *Core) unnamedFor() time.Duration {
+	if len(c.latest.Witnesses) > 0 {
+		return 0
+	}
+	return c.now - max(c.unnamedSince, c.storeOKSince)
 }
--- a/internal/core/term/witnesses.go
+++ b/internal/core/term/witnesses.go
@@ -17,9 +17,9 @@
 	return func(w Witness) bool { return w.Addr == addr }
 }
 
-// contains reports whether an incarnation is one of the witnesses.
+// contains reports whether an incarnation, or an earlier one on its machine, is one of the witnesses.
 func contains(ws []Witness, id witness.ID) bool {
-	return slices.ContainsFunc(ws, func(w Witness) bool { return w.ID == id })
+	return slices.ContainsFunc(ws, func(w Witness) bool { return witness.SameMachine(w.ID, id) })
 }
 
 // sameAs matches an instance by its address and, as it may have several, by its ID.
--- a/internal/core/witness/core.go
+++ b/internal/core/witness/core.go
@@ -55,7 +55,7 @@
 	if id != c.id {
 		// An earlier incarnation on this machine had ended before this one started. One that stops
 		// may have been replaced by a later one.
-		return !c.stopping && sameMachine(id, c.id) && now-c.startedAt >= c.holdTime
+		return !c.stopping && SameMachine(id, c.id) && now-c.startedAt >= c.holdTime
 	}
 	switch {
 	case p.Term < c.promisedTerm:
--- a/internal/core/witness/id.go
+++ b/internal/core/witness/id.go
@@ -24,5 +24,5 @@
 	return machine
 }
 
-// sameMachine reports whether two IDs are of incarnations on one machine.
-func sameMachine(a, b ID) bool { return a>>machineShift == b>>machineShift }
+// SameMachine reports whether two IDs are of incarnations on one machine.
+func SameMachine(a, b ID) bool { return a>>machineShift == b>>machineShift }
--- a/internal/instance/ownercheck.go
+++ b/internal/instance/ownercheck.go
@@ -46,13 +46,16 @@
 	i.termMu.Lock()
 	rec := i.term.LatestRecord()
 	v := confidence.View{
-		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), LeastTenure: i.term.LeastTenure(),
+		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), OthersVote: i.term.OthersVote(), LeastTenure: i.term.LeastTenure(),
 	}
-	unnamed := i.term.JudgesUnnamed()
+	unnamed, alone := i.term.JudgesUnnamed(), i.term.JudgesAlone()
 	i.termMu.Unlock()
 	v.Witness = (i.isWitnessOf(rec) || unnamed) && !i.stopping.Load()
 	v.Others = i.otherWitnesses(rec)
-	if unnamed {
+	switch {
+	case alone:
+		v.Others = nil
+	case unnamed:
 		v.Others = i.otherJudges(rec)
 	}
 	since, ok := i.storeMonitor.sinceAnswer(topicTerm)
@@ -60,13 +63,14 @@
 	return v
 }
 
-// isWitnessOf reports whether a term that another instance owns names this one as a witness.
+// isWitnessOf reports whether a term that another instance owns names this one as a witness, or an earlier
+// incarnation: an owner that reaches nobody can't name the present one.
 func (i *Instance) isWitnessOf(r term.Record) bool {
 	if r.Released || r.Owner == i.Settings.Incarnation || r.Addr == i.Settings.LinkAddr {
 		return false
 	}
 	for _, w := range r.Witnesses {
-		if w.ID == i.witnessID {
+		if witness.SameMachine(w.ID, i.witnessID) {
 			return true
 		}
 	}
@@ -88,7 +92,7 @@
 func (i *Instance) otherWitnesses(r term.Record) []string {
 	var out []string
 	for _, w := range r.Witnesses {
-		if w.ID != i.witnessID {
+		if !witness.SameMachine(w.ID, i.witnessID) {
 			out = append(out, w.Addr)
 		}
 	}
