Soak: accepted work goes on, also beside an owner that can't work

The soak checked safety and completion at the end of a run. It passed a cell whose owner reached no worker, or was reached by no peer, for as long as the fault lasted, and had no fault that cuts one machine's paths alone.

Liveness: with no fault in force and 5 s to recover, a job must not stand for over 3 s with room for a task whose turn has come, and no machine may tell no job's state for over 3 s. Beside faults that last with all else calm (--unfit-alone), the bound is 10 s; 12 s after the loss of most machines. The machine that such a fault concerns need not tell states meanwhile.

Faults: a rule of the network gives the mode of the connections from one named end to another, so partitions, an owner that reaches few workers, one that few peers reach, and one-way loss are rules. A path may be narrow for all connections of an end together. Processes are stopped in duty cycles; the owner and most of its peers are killed for 20 s; machines join (--later).

--- a/cmd/coltsfootmux-soak/main.go
+++ b/cmd/coltsfootmux-soak/main.go
@@ -31,6 +31,10 @@
 			&cli.IntFlag{Name: "machines", Value: 4, Usage: "number of processes of the node program"},
 			&cli.IntFlag{Name: "workers", Value: 12, Usage: "number of workers"},
 			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "duration of load and faults"},
+			&cli.BoolFlag{Name: "unfit", Usage: "beside all other faults, faults that last 20 s and by which the owner can't do its work"},
+			&cli.BoolFlag{Name: "unfit-alone", Usage: "faults as with --unfit in place of all others; work has to go on beside them"},
+			&cli.IntFlag{Name: "unfit-kind", Usage: "with these, only faults of one kind: 1 workers, 2 peers, 3 one-way loss, 4 narrow path, 5 stopped in a cycle, 6 most machines down; 0 for all"},
+			&cli.IntFlag{Name: "later", Usage: "with these, number of machines that are added during the run"},
 			&cli.FloatFlag{Name: "rate", Value: 6, Usage: "jobs submitted per second"},
 		},
 		Action: run,
@@ -48,12 +52,16 @@
 		r, err := soak.Run(soak.Options{
 			Program: cmd.String("program"), Dir: dir, Seed: seed, Machines: cmd.Int("machines"), Workers: cmd.Int("workers"),
 			LoadTime: cmd.Duration("for"), SettleTime: 40 * time.Second, JobsPerSecond: cmd.Float("rate"),
+			Unfit: cmd.Bool("unfit"), UnfitAlone: cmd.Bool("unfit-alone"), UnfitKind: cmd.Int("unfit-kind"), Later: cmd.Int("later"),
 		})
 		if err != nil {
 			return err
 		}
 		_, _ = fmt.Fprintf(cmd.Root().Writer, "seed %d: %d jobs, %d accepted, %d complete, %d unclear, %d starts, %d faults injected, %d partitions, %d guarantees violated\n",
 			r.Seed, r.Jobs, r.Accepted, r.Complete, r.OutcomeUnknown, r.Starts, len(r.InjectedFaults), len(r.Partitions), len(r.Violations))
+		for _, f := range r.Unfit {
+			_, _ = fmt.Fprintln(cmd.Root().Writer, "  "+f)
+		}
 		for _, f := range r.Violations {
 			violations++
 			_, _ = fmt.Fprintln(cmd.Root().Writer, "  "+f)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -50,8 +50,9 @@
 
 // callers submits jobs, queries them and records the answers.
 type callers struct {
-	bed    *testbed
-	client *http.Client
+	bed      *testbed
+	client   *http.Client
+	liveness *liveness
 
 	mu         sync.Mutex
 	jobs       []*submittedJob
@@ -60,7 +61,9 @@
 }
 
 func newCallers(bed *testbed) *callers {
-	return &callers{bed: bed, client: &http.Client{Timeout: callTimeout}}
+	c := &callers{bed: bed, client: &http.Client{Timeout: callTimeout}}
+	c.liveness = newLiveness(c)
+	return c
 }
 
 func (c *callers) violationf(format string, args ...any) {
@@ -78,6 +81,7 @@
 		switch {
 		case status == http.StatusOK:
 			j.accepted = time.Now()
+			c.watch(j)
 			c.followJob(rng, j)
 			return
 		case status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable:
@@ -107,7 +111,7 @@
 	if rng.IntN(3) == 0 {
 		steps = append(steps, step{Count: 2, CPU: 200, EstMS: 300, After: []int{0}})
 	}
-	if sent.deadly = rng.IntN(deadlyEvery) == 0; sent.deadly {
+	if sent.deadly = rng.IntN(deadlyEvery) == 0 && !c.bed.opts.UnfitAlone; sent.deadly {
 		c.bed.deadlyJobs.Store(job.ID(sent.id), true)
 	}
 	repeat := c.drawRepetition(number)
@@ -153,10 +157,18 @@
 	return r
 }
 
+// watch has an accepted job go on without delay, unless its task crashes its workers.
+func (c *callers) watch(j *submittedJob) {
+	if !j.deadly {
+		c.liveness.accepted(j)
+	}
+}
+
 // followJob queries the job until it ends, or cancels it, and checks the answers.
 func (c *callers) followJob(rng *rand.Rand, j *submittedJob) {
 	if rng.IntN(8) == 0 {
 		time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
+		c.liveness.over(j)
 		switch c.call(rng, http.MethodDelete, j, nil, nil) {
 		case http.StatusOK:
 			j.cancelled = true
@@ -166,11 +178,16 @@
 			j.cancelUnknown = true
 		}
 	}
-	for end := time.Now().Add(c.bed.opts.LoadTime); time.Now().Before(end) && !j.complete && !j.cancelled; {
+	followTime := c.bed.opts.LoadTime
+	if j.lasting && c.bed.opts.UnfitAlone {
+		followTime = min(followTime, unfitTime)
+	}
+	for end := time.Now().Add(followTime); time.Now().Before(end) && !j.complete && !j.cancelled; {
 		time.Sleep(time.Duration(300+rng.IntN(900)) * time.Millisecond)
 		c.checkState(rng, j)
 	}
 	for end := time.Now().Add(c.bed.opts.SettleTime); j.lasting && time.Now().Before(end) && !j.cancelled; time.Sleep(retryDelay) {
+		c.liveness.over(j)
 		j.cancelUnknown = true
 		j.cancelled = c.call(rng, http.MethodDelete, j, nil, nil) == http.StatusOK
 	}
@@ -180,6 +197,11 @@
 // or failed, or if it is cancelled without a request.
 func (c *callers) checkState(rng *rand.Rand, j *submittedJob) {
 	var state struct{ State string }
+	defer func() {
+		if j.complete || j.cancelled {
+			c.liveness.over(j)
+		}
+	}()
 	switch status := c.call(rng, http.MethodGet, j, nil, &state); {
 	case status == http.StatusGone && time.Since(j.accepted) > visibleAfter:
 		c.violationf("job %s accepted %v ago is unknown", j.id, time.Since(j.accepted))
@@ -210,10 +232,14 @@
 	return ok
 }
 
-// call makes a call to a random machine and returns its status, or 0 if there was
-// no complete answer.
+// call makes a call to a random machine.
 func (c *callers) call(rng *rand.Rand, method string, j *submittedJob, body []byte, result any) int {
-	m := c.bed.machines[rng.IntN(len(c.bed.machines))]
+	machines := c.bed.inService()
+	return c.callMachine(machines[rng.IntN(len(machines))], method, j, body, result)
+}
+
+// callMachine makes a call and returns its status, or 0 if there was no complete answer.
+func (c *callers) callMachine(m *machine, method string, j *submittedJob, body []byte, result any) int {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	kills, sent := m.kills.Load(), time.Time{}
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -19,7 +19,9 @@
 			return deadly && t.Step == 0 && t.Index == 0
 		}
 		f.OnCrash = func(m *fleet.Machine) {
+			s.calm.begin()
 			time.AfterFunc(crashedTime, func() {
+				defer s.calm.end()
 				s.fleet.With(func(*fleet.Fleet) { m.Revive() })
 				s.register(s.workerNumber(m))
 			})
--- a/internal/soak/faultlog.go
+++ b/internal/soak/faultlog.go
@@ -23,11 +23,13 @@
 
 func (s *testbed) beginFault(f fault) {
 	s.logFault("begins", f.name)
+	s.calm.begin()
 	f.begin()
 }
 
 func (s *testbed) endFault(f fault) {
 	f.end()
+	s.calm.end()
 	s.logFault("ends", f.name)
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,7 +26,7 @@
 
 // randomFault returns a random fault. Faults of several kinds may overlap.
 func (s *testbed) randomFault(rng *rand.Rand) fault {
-	m := s.machines[rng.IntN(len(s.machines))]
+	m := s.inService()[rng.IntN(len(s.inService()))]
 	n := rng.IntN(len(s.workers))
 	w := s.workers[n]
 	restart := func() { _ = m.start(s.opts.Program) }
@@ -40,9 +40,9 @@
 	case 2:
 		return fault{"stop " + m.name, func() { m.signal(syscall.SIGTERM) }, func() { m.kill(); restart() }}
 	case 3:
-		return fault{fmt.Sprintf("store of %s, mode %d", m.name, mode), func() { m.storeProxy.SetMode(mode) }, func() { m.storeProxy.SetMode(Pass) }}
+		return fault{fmt.Sprintf("store of %s %v", m.name, mode), func() { m.storeProxy.SetMode(mode) }, func() { m.storeProxy.SetMode(Pass) }}
 	case 4:
-		return fault{fmt.Sprintf("worker %d, mode %d", n, mode), func() { w.SetMode(mode) }, func() { w.SetMode(Pass) }}
+		return fault{fmt.Sprintf("worker %d %v", n, mode), func() { w.SetMode(mode) }, func() { w.SetMode(Pass) }}
 	case 5:
 		return fault{fmt.Sprintf("worker %d crashes", n), func() { s.crashWorker(n) }, func() { s.restartWorker(n) }}
 	case 6:
@@ -53,7 +53,7 @@
 	case 8:
 		return fault{"all machines killed", s.killAll, s.startAll}
 	case 9:
-		return fault{fmt.Sprintf("links of %s, mode %d", m.name, mode), func() { m.linkProxy.SetMode(mode) }, func() { m.linkProxy.SetMode(Pass) }}
+		return fault{fmt.Sprintf("links of %s, %v", m.name, mode), func() { m.linkProxy.SetMode(mode) }, func() { m.linkProxy.SetMode(Pass) }}
 	case 10:
 		f := storeFaults[rng.IntN(len(storeFaults))]
 		for _, t := range s.store.Topics() {
@@ -124,13 +124,13 @@
 }
 
 func (s *testbed) killAll() {
-	for _, m := range s.machines {
+	for _, m := range s.inService() {
 		m.kill()
 	}
 }
 
 func (s *testbed) startAll() {
-	for _, m := range s.machines {
+	for _, m := range s.inService() {
 		_ = m.start(s.opts.Program)
 	}
 }
@@ -145,7 +145,7 @@
 		s.setWorkerMode(n, fleet.Healthy)
 		s.fleet.With(func(f *fleet.Fleet) { f.Machine(workerName(n)).Down = false })
 	}
-	for _, m := range s.machines {
+	for _, m := range s.inService() {
 		m.storeProxy.SetMode(Pass)
 		m.linkProxy.SetMode(Pass)
 		m.signal(syscall.SIGCONT)
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -51,7 +51,7 @@
 	}
 	mode := [...]Mode{DropAll, Reset}[rng.IntN(2)]
 	return fault{
-		name:  fmt.Sprintf("island of %s, mode %d", strings.Join(sortedNames(island), " "), mode),
+		name:  fmt.Sprintf("island of %s, %v", strings.Join(sortedNames(island), " "), mode),
 		begin: func() { s.network.partition(mode, island) },
 		end:   func() { s.network.partition(Pass, nil) },
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,12 +19,22 @@
 	Delay
 	// DropAll drops all bytes in both directions and keeps connections open.
 	DropAll
+	// DropRequests drops only the bytes to the target.
+	DropRequests
 	// DropReplies drops only the bytes from the target.
 	DropReplies
 	// Reset resets connections and accepts no new ones.
 	Reset
 )
 
+// modeNames are the modes in words, in their order.
+var modeNames = [...]string{"passes", "delays", "drops all", "drops requests", "drops replies", "resets"}
+
+func (m Mode) String() string { return modeNames[m] }
+
+// readBufferBytes bounds what a proxy takes from a sender before it passes it on.
+const readBufferBytes = 64 << 10
+
 // delayTime is how long a proxy in mode Delay holds a chunk.
 const delayTime = 150 * time.Millisecond
 
@@ -129,6 +140,9 @@
 		_ = c.Close()
 		return
 	}
+	for _, end := range []net.Conn{c, t} {
+		_ = end.(*net.TCPConn).SetReadBuffer(readBufferBytes)
+	}
 	p.mu.Lock()
 	p.conns[c], p.conns[t] = caller, caller
 	p.mu.Unlock()
@@ -155,12 +169,30 @@
 		if m == Delay {
 			time.Sleep(delayTime)
 		}
-		discard = discard || m == DropAll || (m == DropReplies && replies)
+		discard = discard || m == DropAll || (m == DropReplies && replies) || (m == DropRequests && !replies)
 		if discard {
 			continue
 		}
-		if _, err := to.Write(buf[:n]); err != nil {
+		if err := p.write(to, buf[:n], caller, replies); err != nil {
 			return
 		}
 	}
 }
+
+// segmentBytes is the size of the pieces in which connections share a narrow path.
+const segmentBytes = 4 << 10
+
+// write writes what was read, no faster than the paths of both ends allow.
+func (p *Proxy) write(to net.Conn, b []byte, caller string, replies bool) error {
+	sender, receiver := caller, p.route.target
+	if replies {
+		sender, receiver = receiver, sender
+	}
+	for piece := range slices.Chunk(b, segmentBytes) {
+		p.route.network.awaitTurn(sender, receiver, len(piece))
+		if _, err := to.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	Series []string
 	// Partitions names the partitions of the network in order.
 	Partitions []string
+	// Unfit names the faults by which an owner could not do its work, with what came of each.
+	Unfit []string
 	// Violations lists the guarantees that were violated.
 	Violations []string
 }
@@ -45,17 +48,24 @@
 	time.Sleep(startupTime)
 	c := newCallers(s)
 	r := Report{Seed: o.Seed}
+	stopChecks := c.checkLiveness()
 	until := time.Now().Add(o.LoadTime)
 	var load sync.WaitGroup
 	load.Go(func() { c.submitJobs(until) })
 	load.Go(func() { r.BurstJobs = c.submitBursts(until) })
-	load.Go(func() { r.Series = s.injectSeries(until) })
-	load.Go(func() { r.Partitions = s.injectPartitions(until) })
-	r.InjectedFaults = s.injectFaults(until)
+	if o.Unfit || o.UnfitAlone {
+		load.Go(func() { r.Unfit = s.injectUnfit(until, c.liveness) })
+	}
+	if !o.UnfitAlone {
+		load.Go(func() { r.Series = s.injectSeries(until) })
+		load.Go(func() { r.Partitions = s.injectPartitions(until) })
+		r.InjectedFaults = s.injectFaults(until)
+	}
 	load.Wait()
 	s.clearFaults()
 	c.wg.Wait()
 	c.awaitCompletion()
+	stopChecks()
 	c.checkOutcomes()
 	s.fleet.With(func(f *fleet.Fleet) {
 		r.Starts = f.Starts
@@ -65,6 +75,19 @@
 	return r, nil
 }
 
+// checkLiveness checks that accepted work goes on, until the function that it returns is called.
+func (c *callers) checkLiveness() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.bed.calm.begin() // the start of all machines
+	c.bed.calm.end()
+	var checks sync.WaitGroup
+	checks.Go(func() { c.liveness.run(ctx) })
+	return func() {
+		cancel()
+		checks.Wait()
+	}
+}
+
 // submitJobs submits jobs at random times until the load ends.
 func (c *callers) submitJobs(until time.Time) {
 	rng := rand.New(rand.NewPCG(c.bed.opts.Seed, 1))
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -41,9 +41,10 @@
 		name, play := s.randomSeries(rng)
 		names = append(names, name)
 		inForce.Go(func() {
-			s.logFault("begins", name)
+			f := fault{name, func() {}, func() {}}
+			s.beginFault(f)
 			play()
-			s.logFault("ends", name)
+			s.endFault(f)
 		})
 	}
 	inForce.Wait()
@@ -52,7 +53,7 @@
 
 // randomSeries returns a random series. All that it draws is drawn before it plays.
 func (s *testbed) randomSeries(rng *rand.Rand) (name string, play func()) {
-	m := s.machines[rng.IntN(len(s.machines))]
+	m := s.inService()[rng.IntN(len(s.inService()))]
 	n := rng.IntN(len(s.workers))
 	hangups, gap := rng.IntN(6), time.Duration(1+rng.Int64N(int64(maxSignalGap)))
 	delay := time.Duration(rng.Int64N(int64(maxDrainDelay)))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,11 +47,12 @@
 		mode Mode
 		want string
 	}{
-		"passes":        {Pass, "echo"},
-		"drops all":     {DropAll, ""},
-		"drops replies": {DropReplies, ""},
-		"resets":        {Reset, ""},
-		"delays":        {Delay, "echo"},
+		"passes":         {Pass, "echo"},
+		"drops all":      {DropAll, ""},
+		"drops requests": {DropRequests, ""},
+		"drops replies":  {DropReplies, ""},
+		"resets":         {Reset, ""},
+		"delays":         {Delay, "echo"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := echoThroughProxy(t, c.mode); got != c.want {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,6 +38,14 @@
 	SettleTime time.Duration
 	// JobsPerSecond is the rate at which jobs are submitted.
 	JobsPerSecond float64
+	// Unfit adds faults that last and by which an owner can't do its work. UnfitAlone has them
+	// one at a time in place of all others; work then has to go on beside them. UnfitKind, if
+	// positive, has those of one kind only.
+	Unfit      bool
+	UnfitAlone bool
+	UnfitKind  int
+	// Later is the number of machines that come into service during the soak.
+	Later int
 }
 
 // testbed is a set of machines with stand-ins for the platform around them.
@@ -52,6 +61,9 @@
 	machines []*machine
 	servers  []*http.Server
 	network  network
+	calm     calm
+	// started is the number of machines that are or have been in service, the first ones.
+	started  atomic.Int64
 	faults   *slog.Logger
 	faultLog *os.File
 	stop     context.CancelFunc
@@ -174,14 +186,27 @@
 		s.machines = append(s.machines, m)
 		s.network.addMachine(m)
 	}
-	for _, m := range s.machines {
-		if err := m.start(s.opts.Program); err != nil {
+	for range s.opts.Machines - s.opts.Later {
+		if err := s.addToService(); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// addToService starts the next machine, if there is one left.
+func (s *testbed) addToService() error {
+	n := int(s.started.Load())
+	if n == len(s.machines) {
+		return nil
+	}
+	s.started.Add(1)
+	return s.machines[n].start(s.opts.Program)
+}
+
+// inService returns the machines that have been started, and may be down.
+func (s *testbed) inService() []*machine { return s.machines[:s.started.Load()] }
+
 func (s *testbed) close() {
 	for _, m := range s.machines {
 		m.close()
