--- a/internal/partitionsim/votes_test.go
+++ b/internal/partitionsim/votes_test.go
@@ -15,11 +15,14 @@
 func (i *instance) ownerView() confidence.View {
 	rec, unnamed := i.term.LatestRecord(), i.term.JudgesUnnamed()
 	others := i.otherWitnesses(rec)
-	if unnamed {
+	switch {
+	case i.term.JudgesAlone():
+		others = nil
+	case unnamed:
 		others = i.otherJudges(rec)
 	}
 	return confidence.View{
-		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), LeastTenure: i.term.LeastTenure(),
+		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), OthersVote: i.term.OthersVote(), LeastTenure: i.term.LeastTenure(),
 		Witness: (i.isWitnessOf(rec) || unnamed) && !i.stopping, Others: others,
 		StoreServes: i.storeAvailable && i.sim.now-i.storeAnsweredAt <= maxTermAge,
 	}
@@ -31,7 +34,7 @@
 		return false
 	}
 	for _, w := range r.Witnesses {
-		if w.ID == i.witnessID {
+		if witness.SameMachine(w.ID, i.witnessID) {
 			return true
 		}
 	}
@@ -53,7 +56,7 @@
 func (i *instance) otherWitnesses(r term.Record) []string {
 	var out []string
 	for _, w := range r.Witnesses {
-		if w.ID != i.witnessID {
+		if !witness.SameMachine(w.ID, i.witnessID) {
 			out = append(out, w.Addr)
 		}
 	}
