An owner that few instances reach can be voted out by others than its witnesses

An owner names those that answer it, and only they judged it. Change: if a record has named fewer than three witnesses for 4 s, other instances judge the owner too, and three votes of any end its term. A small cell names all its instances anyway. TestOwnerThatNamesItsOnlyPeerIsVotedOut fails with votes of witnesses only.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -68,8 +68,9 @@
 	pendingRelease *pendingRelease
 	// verdict says that this instance is unfit for its term.
 	verdict verdict
-	// unnamedSince is since when the latest record names no witnesses.
-	unnamedSince time.Duration
+	// unnamedSince and fewNamedSince are since when the latest record names no witnesses, or too few.
+	unnamedSince  time.Duration
+	fewNamedSince time.Duration
 	// votes are those against the owner of the latest term, yieldVotes the requests to yield that this
 	// instance has made by the store.
 	votes      votes
@@ -190,6 +191,9 @@
 	if r.Term != c.latest.Term || len(c.latest.Witnesses) > 0 {
 		c.unnamedSince = c.now
 	}
+	if r.Term != c.latest.Term || len(c.latest.Witnesses) >= minNamed {
+		c.fewNamedSince = c.now
+	}
 	c.observeEarlierOwners(r)
 	c.latest, c.changedAt = r, c.now
 	clear(c.consents)
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -14,7 +14,10 @@
 	// singleVoteAfter one is enough: it may be the only other instance.
 	minUnnamedVotes = 2
 	singleVoteAfter = 10 * time.Second
-	// unnamedAfter is how long an owner has named no witnesses when others than witnesses judge it.
+	// minNamed is the number of witnesses below which others judge an owner as well, and so many of them
+	// are enough: an owner that few instances reach names only these.
+	minNamed = witness.MaxWitnesses/2 + 1
+	// unnamedAfter is how long an owner has named too few witnesses when others than witnesses judge it.
 	// Instances with a claim delay follow later, so that in a large fleet few do.
 	unnamedAfter     = witnessCheckInterval
 	weakUnnamedAfter = unnamedAfter + 2*time.Second
@@ -72,9 +75,9 @@
 }
 
 // mayVote reports whether a voter is a witness, now or when the first vote was read. Against an owner
-// that names none everybody may vote.
+// that names too few everybody may vote.
 func (v *votes) mayVote(now []Witness, voter witness.ID) bool {
-	return len(now) == 0 || contains(now, voter) || contains(v.electorate, voter)
+	return len(now) < minNamed || contains(now, voter) || contains(v.electorate, voter)
 }
 
 // mostOf reports whether most of the given witnesses have voted.
@@ -99,7 +102,7 @@
 }
 
 // VotedOut reports whether most witnesses of the latest term have voted against its owner, or, if it
-// names none, minUnnamedVotes instances.
+// names too few, minNamed instances, or, if it names none, minUnnamedVotes.
 func (c *Core) VotedOut() bool {
 	v := &c.votes
 	switch {
@@ -107,6 +110,8 @@
 		return false
 	case len(c.latest.Witnesses) == 0 && (len(v.silent) >= minUnnamedVotes || c.unnamedFor() >= singleVoteAfter):
 		return true
+	case len(c.latest.Witnesses) < minNamed && len(v.silent) >= minNamed:
+		return true
 	}
 	return v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate)
 }
@@ -158,16 +163,16 @@
 }
 
 // JudgesUnnamed reports whether this instance judges another that has owned the latest term for a while
-// without naming witnesses, as none answers it.
+// and names too few witnesses, as few instances answer it. This instance is none of them.
 func (c *Core) JudgesUnnamed() bool {
 	rec, ok := c.OwnerRecord()
-	if !ok || len(rec.Witnesses) > 0 || rec.Owner == c.self || rec.Addr == c.addr {
+	if !ok || len(rec.Witnesses) >= minNamed || c.isWitness() || rec.Owner == c.self || rec.Addr == c.addr {
 		return false
 	}
 	if d := c.settings.ClaimDelay; d > 0 {
-		return c.unnamedFor() > weakUnnamedAfter+4*d
+		return c.fewNamedFor() > weakUnnamedAfter+4*d
 	}
-	return c.unnamedFor() >= unnamedAfter
+	return c.fewNamedFor() >= unnamedAfter
 }
 
 // JudgesAlone reports whether this instance need not ask others before it votes: the owner has long
@@ -176,6 +181,14 @@
 	return c.JudgesUnnamed() && c.unnamedFor() >= singleVoteAfter
 }
 
+// fewNamedFor returns how long the latest record has named too few witnesses while the store has answered.
+func (c *Core) fewNamedFor() time.Duration {
+	if len(c.latest.Witnesses) >= minNamed {
+		return 0
+	}
+	return c.now - max(c.fewNamedSince, c.storeOKSince)
+}
+
 // unnamedFor returns how long the latest record has named no witnesses while the store has answered.
 func (c *Core) unnamedFor() time.Duration {
 	if len(c.latest.Witnesses) > 0 {
