--- a/internal/instance/gonemembers_test.go
+++ b/internal/instance/gonemembers_test.go
@@ -7,23 +7,29 @@
 	"time"
 )
 
-// TestWitnessesAreNamedBesideManyInstancesThatAreGone guards against a search for witnesses that
-// names nobody before it has asked all instances that ever announced themselves: records of members
-// are never removed.
-func TestWitnessesAreNamedBesideManyInstancesThatAreGone(t *testing.T) {
-	r := newRig(t, 0)
-	for n := range 60 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0") // answers nothing
+// announceGoneMembers adds records of instances that accept connections and answer nothing.
+func (r *rig) announceGoneMembers(number int) {
+	r.t.Helper()
+	for n := range number {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			t.Fatal(err)
+			r.t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = ln.Close() })
+		r.t.Cleanup(func() { _ = ln.Close() })
 		v, err := encodeRecord(memberRecord{Addr: ln.Addr().String()})
 		if err != nil {
-			t.Fatal(err)
+			r.t.Fatal(err)
 		}
 		r.store.Put(topicMembers, fmt.Sprintf("gone-%d", n), v)
 	}
+}
+
+// TestWitnessesAreNamedBesideManyInstancesThatAreGone guards against a search for witnesses that
+// names nobody before it has asked all instances that ever announced themselves: records of members
+// are never removed.
+func TestWitnessesAreNamedBesideManyInstancesThatAreGone(t *testing.T) {
+	r := newRig(t, 0)
+	r.announceGoneMembers(60)
 	for n := range 3 {
 		r.addInstance(n)
 	}
--- a/internal/instance/reachgone_test.go
+++ b/internal/instance/reachgone_test.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -13,18 +11,7 @@
 // minutes because it asks instances that are gone first: records of members are never removed.
 func TestOwnerAsksPeersThatAnswerWhatTheyReach(t *testing.T) {
 	r := newRig(t, 0)
-	for n := range 60 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0") // answers nothing
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = ln.Close() })
-		v, err := encodeRecord(memberRecord{Addr: ln.Addr().String()})
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.store.Put(topicMembers, fmt.Sprintf("gone-%d", n), v)
-	}
+	r.announceGoneMembers(60)
 	for n := range 7 {
 		r.addInstance(n)
 	}
