--- a/internal/core/term/fewnamed_test.go
+++ b/internal/core/term/fewnamed_test.go
@@ -11,8 +11,8 @@
 	p := newUnnamedPlay(t, 5, time.Second)
 	p.owner().step(p.now, WitnessesChecked{Term: 1, Answered: p.witnesses(5, 1)})
 	p.runFor(6 * time.Second)
-	if r := p.topic.latest(); len(r.Witnesses) != 1 || !p.all[1].core.JudgesUnnamed() || p.all[5].core.JudgesUnnamed() {
-		t.Fatalf("witnesses %v; instance 1 judges: %v; the witness does: %v", r.Witnesses, p.all[1].core.JudgesUnnamed(), p.all[5].core.JudgesUnnamed())
+	if r := p.topic.latest(); len(r.Witnesses) != 1 || !p.all[1].core.JudgesFewNamed() || p.all[5].core.JudgesFewNamed() {
+		t.Fatalf("witnesses %v; instance 1 judges: %v; the witness does: %v", r.Witnesses, p.all[1].core.JudgesFewNamed(), p.all[5].core.JudgesFewNamed())
 	}
 	for n := 1; n <= minNamed; n++ {
 		if p.owner().ownedTerm != 1 {
--- a/internal/core/term/unnamed_test.go
+++ b/internal/core/term/unnamed_test.go
@@ -25,10 +25,10 @@
 // released term and keeps it: it names no witnesses, as none answers it.
 func TestOwnerThatNamesNoWitnessesIsVotedOut(t *testing.T) {
 	p := newUnnamedPlay(t, 3, 6*time.Second)
-	if !p.all[1].core.JudgesUnnamed() {
+	if !p.all[1].core.JudgesFewNamed() {
 		t.Error("a strong instance does not judge the owner")
 	}
-	if p.owner().core.JudgesUnnamed() || p.all[2].core.JudgesUnnamed() {
+	if p.owner().core.JudgesFewNamed() || p.all[2].core.JudgesFewNamed() {
 		t.Error("the owner, or a weak instance, does")
 	}
 	p.votes(1)
@@ -46,13 +46,13 @@
 // TestNewOwnerIsNotJudgedByAll guards against checks by a whole fleet after each claim: the first renewals
 // name no witnesses yet.
 func TestNewOwnerIsNotJudgedByAll(t *testing.T) {
-	p := newUnnamedPlay(t, 2, unnamedAfter-100*time.Millisecond)
-	if p.all[1].core.JudgesUnnamed() {
+	p := newUnnamedPlay(t, 2, fewNamedAfter-100*time.Millisecond)
+	if p.all[1].core.JudgesFewNamed() {
 		t.Error("judged before it could find witnesses")
 	}
 	p.owner().step(p.now, WitnessesChecked{Term: 1, Answered: p.witnesses(1, 2)})
 	p.runFor(time.Minute)
-	if p.all[1].core.JudgesUnnamed() {
+	if p.all[1].core.JudgesFewNamed() {
 		t.Error("judged although it names witnesses")
 	}
 }
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -17,10 +17,10 @@
 	// minNamed is the number of witnesses below which others judge an owner as well, and so many of them
 	// are enough: an owner that few instances reach names only these.
 	minNamed = witness.MaxWitnesses/2 + 1
-	// unnamedAfter is how long an owner has named too few witnesses when others than witnesses judge it.
+	// fewNamedAfter is how long an owner has named too few witnesses when others than witnesses judge it.
 	// Instances with a claim delay follow later, so that in a large fleet few do.
-	unnamedAfter     = witnessCheckInterval
-	weakUnnamedAfter = unnamedAfter + 2*time.Second
+	fewNamedAfter     = witnessCheckInterval
+	weakFewNamedAfter = fewNamedAfter + 2*time.Second
 )
 
 // votes are the votes against the owner of one term.
@@ -162,23 +162,23 @@
 	}
 }
 
-// JudgesUnnamed reports whether this instance judges another that has owned the latest term for a while
+// JudgesFewNamed reports whether this instance judges another that has owned the latest term for a while
 // and names too few witnesses, as few instances answer it. This instance is none of them.
-func (c *Core) JudgesUnnamed() bool {
+func (c *Core) JudgesFewNamed() bool {
 	rec, ok := c.OwnerRecord()
 	if !ok || len(rec.Witnesses) >= minNamed || c.isWitness() || rec.Owner == c.self || rec.Addr == c.addr {
 		return false
 	}
 	if d := c.settings.ClaimDelay; d > 0 {
-		return c.fewNamedFor() > weakUnnamedAfter+4*d
+		return c.fewNamedFor() > weakFewNamedAfter+4*d
 	}
-	return c.fewNamedFor() >= unnamedAfter
+	return c.fewNamedFor() >= fewNamedAfter
 }
 
 // JudgesAlone reports whether this instance need not ask others before it votes: the owner has long
 // reached no instance at all.
 func (c *Core) JudgesAlone() bool {
-	return c.JudgesUnnamed() && c.unnamedFor() >= singleVoteAfter
+	return c.JudgesFewNamed() && c.unnamedFor() >= singleVoteAfter
 }
 
 // fewNamedFor returns how long the latest record has named too few witnesses while the store has answered.
--- a/internal/instance/ownercheck.go
+++ b/internal/instance/ownercheck.go
@@ -48,14 +48,14 @@
 	v := confidence.View{
 		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), OthersVote: i.term.OthersVote(), LeastTenure: i.term.LeastTenure(),
 	}
-	unnamed, alone := i.term.JudgesUnnamed(), i.term.JudgesAlone()
+	fewNamed, alone := i.term.JudgesFewNamed(), i.term.JudgesAlone()
 	i.termMu.Unlock()
-	v.Witness = (i.isWitnessOf(rec) || unnamed) && !i.stopping.Load()
+	v.Witness = (i.isWitnessOf(rec) || fewNamed) && !i.stopping.Load()
 	v.Others = i.otherWitnesses(rec)
 	switch {
 	case alone:
 		v.Others = nil
-	case unnamed:
+	case fewNamed:
 		v.Others = i.otherJudges(rec)
 	}
 	since, ok := i.storeMonitor.sinceAnswer(topicTerm)
@@ -77,7 +77,7 @@
 	return false
 }
 
-// otherJudges returns the addresses of instances that could be witnesses of a term that names none.
+// otherJudges returns the addresses of instances that could be witnesses of a term that names too few.
 func (i *Instance) otherJudges(r term.Record) []string {
 	var out []string
 	for _, addr := range i.members.witnessCandidates(boottime(), i.Settings.Zone) {
--- a/internal/partitionsim/votes_test.go
+++ b/internal/partitionsim/votes_test.go
@@ -13,17 +13,17 @@
 
 // ownerView does what instance.ownerView does.
 func (i *instance) ownerView() confidence.View {
-	rec, unnamed := i.term.LatestRecord(), i.term.JudgesUnnamed()
+	rec, fewNamed := i.term.LatestRecord(), i.term.JudgesFewNamed()
 	others := i.otherWitnesses(rec)
 	switch {
 	case i.term.JudgesAlone():
 		others = nil
-	case unnamed:
+	case fewNamed:
 		others = i.otherJudges(rec)
 	}
 	return confidence.View{
 		Term: rec.Term, Renewal: rec.Renewal, OwnerAddr: rec.Addr, VotedOut: i.term.VotedOut(), OthersVote: i.term.OthersVote(), LeastTenure: i.term.LeastTenure(),
-		Witness: (i.isWitnessOf(rec) || unnamed) && !i.stopping, Others: others,
+		Witness: (i.isWitnessOf(rec) || fewNamed) && !i.stopping, Others: others,
 		StoreServes: i.storeAvailable && i.sim.now-i.storeAnsweredAt <= maxTermAge,
 	}
 }
@@ -41,7 +41,7 @@
 	return false
 }
 
-// otherJudges returns the addresses of instances that could be witnesses of a term that names none.
+// otherJudges returns the addresses of instances that could be witnesses of a term that names too few.
 func (i *instance) otherJudges(r term.Record) []string {
 	var out []string
 	for _, addr := range i.witnessCandidates() {
