Halves of a split network do not vote out each other's owner

The owner of one half names its two peers, fewer than three, so the three instances of the other half judged it, and three votes were enough; then the other way round, with doubled tenures. Introduced with votes against owners that name few witnesses, and not by load. Now more votes are needed than the owner has on its side, itself and its witnesses: four against an owner with two. TestOwnerOfOneHalfKeepsItsTerm fails without this ("voted out by 3 instances").

--- a/internal/core/term/fewnamed_test.go
+++ b/internal/core/term/fewnamed_test.go
@@ -14,7 +14,21 @@
 	if r := p.topic.latest(); len(r.Witnesses) != 1 || !p.all[1].core.JudgesFewNamed() || p.all[5].core.JudgesFewNamed() {
 		t.Fatalf("witnesses %v; instance 1 judges: %v; the witness does: %v", r.Witnesses, p.all[1].core.JudgesFewNamed(), p.all[5].core.JudgesFewNamed())
 	}
-	for n := 1; n <= minNamed; n++ {
+	checkVotesNeeded(t, p, 3)
+}
+
+// TestOwnerOfOneHalfKeepsItsTerm guards against halves of a split network that vote out each other's owner.
+func TestOwnerOfOneHalfKeepsItsTerm(t *testing.T) {
+	p := newUnnamedPlay(t, 6, time.Second)
+	p.owner().step(p.now, WitnessesChecked{Term: 1, Answered: p.witnesses(5, 2)})
+	p.runFor(6 * time.Second)
+	checkVotesNeeded(t, p, 4)
+}
+
+// checkVotesNeeded has instances 1, 2, ... vote, and fails if the owner is not voted out by just so many.
+func checkVotesNeeded(t *testing.T, p *votePlay, needed int) {
+	t.Helper()
+	for n := 1; n <= needed; n++ {
 		if p.owner().ownedTerm != 1 {
 			t.Fatalf("voted out by %d instances", n-1)
 		}
@@ -22,6 +36,6 @@
 		p.runFor(time.Second)
 	}
 	if p.owner().ownedTerm != 0 {
-		t.Errorf("not voted out by %d instances", minNamed)
+		t.Errorf("not voted out by %d instances", needed)
 	}
 }
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -10,12 +10,11 @@
 const (
 	// voteValidity is how long a vote counts after it has been read.
 	voteValidity = 10 * time.Second
-	// minUnnamedVotes is the number of votes against an owner that names no witnesses. After
-	// singleVoteAfter one is enough: it may be the only other instance.
-	minUnnamedVotes = 2
+	// singleVoteAfter is how long an owner has named no witnesses when one vote is enough: it may be that
+	// of the only other instance.
 	singleVoteAfter = 10 * time.Second
-	// minNamed is the number of witnesses below which others judge an owner as well, and so many of them
-	// are enough: an owner that few instances reach names only these.
+	// minNamed is the number of witnesses below which others judge an owner as well: an owner that few
+	// instances reach names only these.
 	minNamed = witness.MaxWitnesses/2 + 1
 	// fewNamedAfter is how long an owner has named too few witnesses when others than witnesses judge it.
 	// Instances with a claim delay follow later, so that in a large fleet few do.
@@ -102,15 +101,15 @@
 }
 
 // VotedOut reports whether most witnesses of the latest term have voted against its owner, or, if it
-// names too few, minNamed instances, or, if it names none, minUnnamedVotes.
+// names too few, more instances than it has on its side.
 func (c *Core) VotedOut() bool {
 	v := &c.votes
 	switch {
 	case v.term != c.latest.Term || len(v.silent) == 0:
 		return false
-	case len(c.latest.Witnesses) == 0 && (len(v.silent) >= minUnnamedVotes || c.unnamedFor() >= singleVoteAfter):
+	case c.unnamedFor() >= singleVoteAfter:
 		return true
-	case len(c.latest.Witnesses) < minNamed && len(v.silent) >= minNamed:
+	case len(c.latest.Witnesses) < minNamed && len(v.silent) > 1+len(c.latest.Witnesses):
 		return true
 	}
 	return v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate)
