--- a/internal/standin/fleet/waiting.go
+++ b/internal/standin/fleet/waiting.go
@@ -15,7 +15,7 @@
 // fleet's capacity is in use. It returns false if there is none.
 func (f *Fleet) Waiting(id job.ID) (job.TaskID, bool) {
 	j := f.submitted[id]
-	if j == nil || f.isRunning(id) || f.halfInUse() {
+	if j == nil || f.IsRunning(id) || f.halfInUse() {
 		return job.TaskID{}, false
 	}
 	for n := range j.Steps {
@@ -27,12 +27,6 @@
 	return job.TaskID{}, false
 }
 
-func (f *Fleet) isRunning(id job.ID) bool {
-	return slices.ContainsFunc(f.machines, func(m *Machine) bool {
-		return slices.ContainsFunc(m.runs, func(r *taskRun) bool { return r.task.Job == id })
-	})
-}
-
 // dueTask returns a task of a step that has not ended, if all steps before it have.
 func (f *Fleet) dueTask(j *job.Job, step int) (job.TaskID, bool) {
 	for _, a := range j.Steps[step].After {
