--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -13,6 +13,7 @@
 	}
 	c.placementDue = false
 	c.nextPlacement = c.now.Mono + minPassInterval
+	c.passes++
 	c.stopRunsOnDraining()
 	p := c.newPass()
 	c.trace.passBegan(p)
@@ -29,6 +30,9 @@
 	}
 }
 
+// Passes returns the number of placement passes that were made.
+func (c *Core) Passes() int64 { return c.passes }
+
 // mayStart reports whether starts may be ordered now.
 func (c *Core) mayStart() bool { return c.MayStart(c.now) }
 
--- /dev/null
+++ b/internal/core/lag/core_test.go
@@ -0,0 +1,50 @@
+package lag
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func TestLagIsThatOfTheTimeAskedFor(t *testing.T) {
+	c := &Core{}
+	for n := range 100 { // 5 s of ticks; late between 1 s and 2 s
+		now := time.Duration(n) * 50 * ms
+		late := 2 * ms
+		if now >= time.Second && now < 2*time.Second {
+			late = 700 * ms
+		}
+		c.Observe(now, late)
+	}
+	for name, want := range map[string]struct {
+		from time.Duration
+		late time.Duration
+	}{
+		"since before the lag": {500 * ms, 700 * ms},
+		"since within the lag": {1500 * ms, 700 * ms},
+		"since after the lag":  {2 * time.Second, 2 * ms},
+		"in the future":        {9 * time.Second, 0},
+	} {
+		if got := c.Since(want.from); got != want.late {
+			t.Errorf("%s: %v, want %v", name, got, want.late)
+		}
+	}
+	if got := c.Now(4950 * ms); got != 2*ms {
+		t.Errorf("at present: %v", got)
+	}
+}
+
+func TestLagIsForgotten(t *testing.T) {
+	c := &Core{}
+	c.Observe(time.Second, 3*time.Second)
+	for n := range 200 {
+		c.Observe(time.Second+time.Duration(n+1)*50*ms, 0)
+	}
+	if got := c.Since(0); got != 0 {
+		t.Errorf("after 10 s: %v", got)
+	}
+	if n := len(c.observations); n > 130 {
+		t.Errorf("%d observations kept", n)
+	}
+}
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -153,13 +153,18 @@
 	if !o.mayStart() {
 		return external.OrderResult{}, errTermTooOld
 	}
-	return o.inst.Workers.Start(ctx, order)
+	ended := o.work.callBegan()
+	r, err := o.inst.Workers.Start(ctx, order)
+	ended(err)
+	return r, err
 }
 
 func (o *owner) stop(order external.StopOrder) {
 	ctx, cancel := o.orderContext(orderTimeout)
 	defer cancel()
+	ended := o.work.callBegan()
 	r, err := o.inst.Workers.Stop(ctx, order)
+	ended(err)
 	if err != nil || r.Refusal != external.RefusedNone {
 		evStopFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
 			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
@@ -199,7 +204,9 @@
 func (o *owner) hold(a cell.Hold) {
 	ctx, cancel := o.orderContext(a.Order.Wait + holdTimeout)
 	defer cancel()
+	ended := o.work.callBegan()
 	l, err := o.inst.Workers.Hold(ctx, a.Order)
+	ended(err)
 	if err != nil {
 		mHoldsFailed.Inc()
 		evHoldFailed.Log(o.ctx, o.inst.logger, slog.String("worker", string(a.Order.Worker)), slog.Any("error", err))
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -82,6 +82,7 @@
 	evSpeedLearned      = logevent.New(2269, slog.LevelInfo, "worker's speed learned")
 	evPairNamed         = logevent.New(2270, slog.LevelInfo, "tasks slow each other down")
 	evPairForgotten     = logevent.New(2271, slog.LevelInfo, "tasks no longer slow each other down")
+	evProcessLate       = logevent.New(2296, slog.LevelWarn, "process runs its own work late, or in time again")
 	evReach             = logevent.New(2275, slog.LevelWarn, "owner reaches few workers, or enough again")
 	evTickLate          = logevent.New(2276, slog.LevelWarn, "tick came late")
 	evReachCompared     = logevent.New(2277, slog.LevelInfo, "workers that the owner and its peers reach compared")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -102,6 +102,8 @@
 
 	explanations explanations
 	admission    admission
+	// lag is how late this process runs its own work.
+	lag lagMeter
 	// tickDelay is how late the latest tick came, in ns.
 	tickDelay atomic.Int64
 	// reachMu is held while workers are probed for an owner; reachedAt is the boot time at which
@@ -161,6 +163,7 @@
 	i.spawn(i.followPolicy)
 	i.spawn(i.followTerm)
 	i.spawn(i.tick)
+	i.spawn(i.measureLag)
 	i.spawn(i.askPeersForPolicy)
 	i.spawn(i.followMembers)
 	i.spawn(i.storeMonitor.runProbes)
--- /dev/null
+++ b/internal/instance/lag.go
@@ -0,0 +1,95 @@
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"coltsfootmux/internal/core/lag"
+)
+
+const (
+	// lateProcess is the lag from which on it is reported.
+	lateProcess = 200 * time.Millisecond
+	// lagReportInterval is the time between two reports of a process that runs late.
+	lagReportInterval = time.Second
+)
+
+func init() {
+	gauge("coltsfootmux_lag_seconds", "seconds", "how late this process runs its own work", func(i *Instance) float64 { return i.lag.now().Seconds() })
+}
+
+// lagMeter measures how late this process runs its own work.
+type lagMeter struct {
+	mu   sync.Mutex
+	core lag.Core
+}
+
+func (m *lagMeter) observe(late time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.core.Observe(boottime(), late)
+}
+
+// now returns the present lag.
+func (m *lagMeter) now() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Now(boottime())
+}
+
+// since returns the greatest lag since a boot time.
+func (m *lagMeter) since(from time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Since(from)
+}
+
+// measureLag observes the lag of this process and reports it until ctx ends. Waits for the state of
+// an owned cell are no part of it.
+func (i *Instance) measureLag(ctx context.Context) {
+	latency := newSchedLatency()
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	last, report := boottime(), lagReport{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := boottime()
+		i.lag.observe(max(now-last-tickInterval, latency.read()))
+		last = now
+		report.step(i, now)
+	}
+}
+
+// lagReport is what has last been reported of the lag.
+type lagReport struct {
+	late bool
+	next time.Duration
+	work workTotals
+}
+
+// step logs the lag, when it begins, now and then while it lasts, and when it is over.
+func (r *lagReport) step(i *Instance, now time.Duration) {
+	if now < r.next {
+		return
+	}
+	late := i.lag.since(now - lagReportInterval)
+	if late < lateProcess && !r.late {
+		return
+	}
+	r.next = now + lagReportInterval
+	attrs := []slog.Attr{slog.Bool("late", late >= lateProcess), slog.Duration("lag", late)}
+	if o := i.owner.Load(); o != nil {
+		w := o.work.totals()
+		attrs = append(attrs, slog.Int64("term", o.term))
+		attrs = append(attrs, w.minus(r.work).attrs()...)
+		r.work = w
+	}
+	r.late = late >= lateProcess
+	evProcessLate.Log(i.ctx, i.logger, attrs...)
+}
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -50,6 +50,8 @@
 	// fitness is the owner's judgement of itself.
 	fitnessMu sync.Mutex
 	fitness   *fitness.Core
+	// work counts what the owner spends its time on.
+	work ownerWork
 	// waitingChecks is the number of checks by witnesses that wait for mu.
 	waitingChecks atomic.Int32
 }
@@ -90,8 +92,10 @@
 // process the term is checked first.
 func (o *owner) step(ev cell.Event) {
 	o.checkTermAfterPause()
+	began := boottime()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.work.lockTime.Add(int64(boottime() - began))
 	o.stepLocked(ev)
 }
 
@@ -100,7 +104,10 @@
 	if o.core == nil || o.ctx.Err() != nil {
 		return
 	}
-	for _, a := range o.core.Step(instant(), ev) {
+	began, passes := boottime(), o.core.Passes()
+	actions := o.core.Step(instant(), ev)
+	o.work.stepped(boottime()-began, o.core.Passes() != passes)
+	for _, a := range actions {
 		o.perform(a)
 	}
 }
