--- a/internal/instance/ownerwork.go
+++ b/internal/instance/ownerwork.go
@@ -8,12 +8,12 @@
 
 // ownerWork counts what an owner spends its time on.
 type ownerWork struct {
-	steps, stepTime   atomic.Int64
-	passes, passTime  atomic.Int64
-	lockTime          atomic.Int64
-	callsOpen         atomic.Int64
-	calls             atomic.Int64
-	callsFailed       atomic.Int64
+	steps, stepTime  atomic.Int64
+	passes, passTime atomic.Int64
+	lockTime         atomic.Int64
+	callsOpen        atomic.Int64
+	calls            atomic.Int64
+	callsFailed      atomic.Int64
 }
 
 // workTotals are the counts of an ownerWork at one moment.
