--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -18,9 +18,9 @@
 		s.tally.addStop(a)
 		s.stop(a.Order)
 	case cell.Hold:
-		s.hold(a, s.now+a.Order.Wait)
+		s.hold(a)
 	case cell.Persist:
-		s.after(appendLatency, func() { s.step(cell.Persisted{Batch: a.Batch}) })
+		s.after(appendLatency, func() { s.due(cell.Persisted{Batch: a.Batch}, answerCost) })
 	case cell.JobStands:
 		s.standing.addReason(a)
 	case cell.JobEnded:
@@ -30,38 +30,72 @@
 	}
 }
 
+// call sends a call to a worker. It passes the result to the core, as an event, once there is
+// processor time to read it; a call that took longer than its limit was given up.
+func (s *simulator) call(limit time.Duration, send func(answer func(event func(cell.Failure) cell.Event))) {
+	began := s.now
+	s.cpu.add(s.now, func() time.Duration {
+		send(func(event func(cell.Failure) cell.Event) {
+			s.after(oneWayLatency, func() {
+				s.cpu.add(s.now, func() time.Duration {
+					if s.now-began > limit {
+						return answerCost + dialCost + s.step(event(cell.FailureOutcomeUnknown))
+					}
+					return answerCost + s.step(event(cell.FailureNone))
+				})
+			})
+		})
+		return callCost
+	})
+}
+
+// failureOf returns why a call failed: it was given up, or has an error.
+func failureOf(given cell.Failure, err error) cell.Failure {
+	if given != cell.FailureNone {
+		return given
+	}
+	return cell.FailureOf(err)
+}
+
 func (s *simulator) start(o external.StartOrder) {
-	s.after(oneWayLatency, func() {
-		r, err := s.fleet.Start(context.Background(), o)
-		if err == nil && r.Refusal == external.RefusedNone {
-			s.standing.started(o.Task.Job)
-		}
+	s.call(callLimit, func(answer func(func(cell.Failure) cell.Event)) {
 		s.after(oneWayLatency, func() {
-			s.step(cell.StartAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cell.FailureOf(err)})
+			r, err := s.fleet.Start(context.Background(), o)
+			if err == nil && r.Refusal == external.RefusedNone {
+				s.standing.started(o.Task.Job)
+			}
+			answer(func(f cell.Failure) cell.Event {
+				return cell.StartAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(f, err)}
+			})
 		})
 	})
 }
 
 func (s *simulator) stop(o external.StopOrder) {
-	s.after(oneWayLatency, func() {
-		r, err := s.fleet.Stop(context.Background(), o)
+	s.call(callLimit, func(answer func(func(cell.Failure) cell.Event)) {
 		s.after(oneWayLatency, func() {
-			s.step(cell.StopAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Failure: cell.FailureOf(err)})
+			r, err := s.fleet.Stop(context.Background(), o)
+			answer(func(f cell.Failure) cell.Event {
+				return cell.StopAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Failure: failureOf(f, err)}
+			})
 		})
 	})
 }
 
-// hold polls the worker every time step until it lists an ended run or the wait is
-// over.
-func (s *simulator) hold(a cell.Hold, until time.Duration) {
+func (s *simulator) hold(a cell.Hold) {
+	s.call(callLimit+a.Order.Wait, func(answer func(func(cell.Failure) cell.Event)) { s.await(a, s.now+a.Order.Wait, answer) })
+}
+
+// await polls the worker every time step until it lists an ended run or the wait is over.
+func (s *simulator) await(a cell.Hold, until time.Duration, answer func(func(cell.Failure) cell.Event)) {
 	s.after(oneWayLatency, func() {
 		l, err := s.fleet.Hold(context.Background(), a.Order)
 		if err == nil && len(l.Ended) == 0 && s.now < until {
-			s.hold(a, until)
+			s.await(a, until, answer)
 			return
 		}
-		s.after(oneWayLatency, func() {
-			s.step(cell.HoldAnswered{Worker: a.Order.Worker, Number: a.Number, Lists: l, Failure: cell.FailureOf(err)})
+		answer(func(f cell.Failure) cell.Event {
+			return cell.HoldAnswered{Worker: a.Order.Worker, Number: a.Number, Lists: l, Failure: failureOf(f, err)}
 		})
 	})
 }
--- a/internal/cellplay/simulator.go
+++ b/internal/cellplay/simulator.go
@@ -49,6 +49,7 @@
 // simulator runs one core against the stand-in fleet.
 type simulator struct {
 	timeline
+	cpu      processor
 	trace    Trace
 	core     *cell.Core
 	fleet    *fleet.Fleet
@@ -71,7 +72,7 @@
 	for _, t := range s.trace.Faults {
 		s.injectFault(t)
 	}
-	for s.now < s.trace.Params.ArrivalPeriod || s.unfinished > 0 && s.now < s.trace.Params.ArrivalPeriod+drainTimeout {
+	for s.now < s.trace.Params.ArrivalPeriod || s.unfinished > 0 && s.now < s.trace.Params.ArrivalPeriod+s.drainTime() {
 		s.advance()
 	}
 	out := s.tally.result(&t, r.Name, s.unfinished, s.fleet.Violations())
@@ -79,9 +80,17 @@
 	return out
 }
 
+// drainTime returns how long the simulation waits for unfinished jobs.
+func (s *simulator) drainTime() time.Duration {
+	if s.trace.Params.DrainTime > 0 {
+		return s.trace.Params.DrainTime
+	}
+	return drainTimeout
+}
+
 func newSimulator(t Trace) *simulator {
 	t.Policy.Index()
-	s := &simulator{trace: t, runTimes: make(map[job.ID][]time.Duration), failureShares: make(map[job.ID]float64), tally: newTally(&t), standing: newStanding(&t)}
+	s := &simulator{trace: t, cpu: processor{speed: t.Params.ProcessorSpeed}, runTimes: make(map[job.ID][]time.Duration), failureShares: make(map[job.ID]float64), tally: newTally(&t), standing: newStanding(&t)}
 	s.fleet = fleet.New(s.runTimeOf)
 	for _, w := range t.Workers {
 		s.fleet.Add(w)
@@ -115,7 +124,7 @@
 	s.standing.submitted(a.Job.ID)
 	s.fleet.Submit(&a.Job)
 	s.tally.addJob(&a)
-	s.step(cell.Submitted{Job: a.Job})
+	s.due(cell.Submitted{Job: a.Job}, answerCost)
 }
 
 // advance moves virtual time forward by one time step.
@@ -123,18 +132,28 @@
 	s.now += timeStep
 	s.fleet.Advance(s.now)
 	s.runDue()
+	s.cpu.run(s.now)
 	if s.now%tickInterval == 0 {
-		s.step(cell.TermConfirmed{At: s.now})
-		s.step(cell.Tick{})
+		s.cpu.observe(s.now)
+		s.cpu.spend(s.now, s.step(cell.TermConfirmed{At: s.now}))
+		s.cpu.spend(s.now, s.step(cell.Tick{}))
 		s.tally.addSample(s.core.Load().Runs)
 		s.standing.check(s.now, s.fleet)
 	}
 }
 
-func (s *simulator) step(ev cell.Event) {
+// due queues an event that costs processor time before the core gets it.
+func (s *simulator) due(ev cell.Event, cost time.Duration) {
+	s.cpu.add(s.now, func() time.Duration { return cost + s.step(ev) })
+}
+
+// step passes an event to the core at once, and returns the processor time that the step takes.
+func (s *simulator) step(ev cell.Event) time.Duration {
+	examined := s.core.Examined()
 	for _, a := range s.core.Step(s.instant(), ev) {
 		s.perform(a)
 	}
+	return stepCost + time.Duration(s.core.Examined()-examined)*lookCost
 }
 
 // SimulateEach runs a trace under each of the rankings.
--- /dev/null
+++ b/internal/cellplay/slowowner_test.go
@@ -0,0 +1,47 @@
+package cellplay
+
+import (
+	"testing"
+	"time"
+)
+
+// Speeds of an owner's processor: all of it, half and a quarter. All of it is enough for the load
+// of slowOwnerTrace, with little to spare.
+const (
+	fullSpeed    = 0.2
+	halfSpeed    = fullSpeed / 2
+	quarterSpeed = fullSpeed / 4
+)
+
+// maxLossAtHalf is the part of its jobs that a kind may lose in addition at half of the speed.
+const maxLossAtHalf = 0.05
+
+// slowOwnerTrace draws a trace in which urgent jobs come twice as often for a while, for an owner
+// whose processor has the given speed.
+func slowOwnerTrace(seed uint64, speed float64) Trace {
+	m := LargeCooperative()
+	return Draw(&m, Params{
+		Workers: 350, Load: 1.2, ArrivalPeriod: 20 * time.Second, Seed: seed, ProcessorSpeed: speed, Burst: 2, DrainTime: 20 * time.Second,
+	})
+}
+
+// inTime returns the part of the jobs of each kind that were done within their objective.
+func inTime(r Result) map[string]float64 {
+	out := make(map[string]float64)
+	for _, k := range r.Kinds {
+		out[k.Kind] = k.WithinObjective
+	}
+	return out
+}
+
+// TestOwnerAtHalfOfItsProcessorKeepsUrgentWorkInTime guards against a congestion collapse: at half of
+// the processor time that the load needs, half of the urgent jobs were late, and at half of it 0.7.
+func TestOwnerAtHalfOfItsProcessorKeepsUrgentWorkInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		full, half := Simulate(slowOwnerTrace(seed, fullSpeed), Rankings()[0]), Simulate(slowOwnerTrace(seed, halfSpeed), Rankings()[0])
+		a, b := inTime(full)["dewar-reserve"], inTime(half)["dewar-reserve"]
+		if b < a-maxLossAtHalf || len(full.Violations)+len(half.Violations) > 0 {
+			t.Errorf("seed %d: %.3f of the urgent jobs in time at full speed, %.3f at half; violations %v %v", seed, a, b, full.Violations, half.Violations)
+		}
+	}
+}
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -48,6 +48,13 @@
 	// RejectingShare is the fraction of the workers that fail every task they are
 	// given in the middle third of ArrivalPeriod.
 	RejectingShare float64
+	// DrainTime is how long a simulation waits for unfinished jobs, if not 0.
+	DrainTime time.Duration
+	// ProcessorSpeed is that of the owner's processor, relative to the costs of its work that the
+	// simulation knows; 0 means that its work takes no time.
+	ProcessorSpeed float64
+	// Burst multiplies the arrivals of urgent jobs in the second fifth of ArrivalPeriod, if above 1.
+	Burst float64
 }
 
 // Draw returns a random trace of a mix.
@@ -77,7 +84,11 @@
 	between := float64(time.Second) / (k.JobsPerSecond * s.Load * float64(s.Workers))
 	var out []Arrival
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * between)
+		gap := rng.ExpFloat64() * between
+		if k.Queue.Priority == 0 && s.Burst > 1 && at >= s.ArrivalPeriod/5 && at < 2*s.ArrivalPeriod/5 {
+			gap /= s.Burst
+		}
+		at += time.Duration(gap)
 		if at >= s.ArrivalPeriod {
 			return out
 		}
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -113,8 +113,9 @@
 	shortageSince      time.Duration
 	shortageReported   bool
 	reach              reachState
-	// passes is the number of placement passes.
-	passes int64
+	// passes is the number of placement passes, examined how often they have looked at a worker.
+	passes   int64
+	examined int64
 	// nextStandLook is when jobs that stand are next looked for.
 	nextStandLook time.Duration
 	// disturbedAt is when a worker last failed, came back or began to leave, or the term began.
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -33,6 +33,9 @@
 // Passes returns the number of placement passes that were made.
 func (c *Core) Passes() int64 { return c.passes }
 
+// Examined returns how often placement has looked at a worker, a measure of its cost.
+func (c *Core) Examined() int64 { return c.examined }
+
 // mayStart reports whether starts may be ordered now.
 func (c *Core) mayStart() bool { return c.MayStart(c.now) }
 
@@ -162,6 +165,7 @@
 
 // fits reports whether one more task of the group may start on the worker now.
 func (c *Core) fits(w *worker, g *taskGroup, u *unit) bool {
+	c.examined++
 	return c.canUse(w, g) && c.allowed(w, g, u) && w.roomFor(g).Covers(g.step.Resources())
 }
 
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -120,6 +120,7 @@
 // in turn where it costs the least.
 func (c *Core) planEviction(p *pass, workers []*worker, g *rankedGroup, u *unit) eviction {
 	var candidates []*evictionCandidate
+	c.examined += int64(len(workers) * (1 + u.size))
 	for _, w := range workers {
 		if w.usable(c.now.Mono) && c.allowed(w, g.taskGroup, u) {
 			candidates = append(candidates, &evictionCandidate{w: w, free: w.available(g.rank.Priority), victims: c.cachedVictims(p, w, g)})
--- a/internal/core/cell/stands.go
+++ b/internal/core/cell/stands.go
@@ -203,6 +203,7 @@
 
 func (c *Core) countFits(p *pass, g *rankedGroup, u *unit, times int) bool {
 	left := times * u.size
+	c.examined += int64(len(p.pool(g.pool).workers))
 	for _, w := range p.pool(g.pool).workers {
 		n := tasksThatFit(w.freeNow(), g.step)
 		if n == 0 || !w.mayHold(g.step) {
