An owner's own lag is not taken for the store's refusal

A probe that timed out says nothing while four waits for the processor explain it; a refusal that was read counts as before, and the bound without any confirmation is unchanged.

--- a/internal/instance/lag.go
+++ b/internal/instance/lag.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"coltsfootmux/internal/core/lag"
 )
 
@@ -93,3 +95,25 @@
 	r.late = late >= lateProcess
 	evProcessLate.Log(i.ctx, i.logger, attrs...)
 }
+
+// errTimeLimit is the cause of the end of a context of lagMeter.limit.
+var errTimeLimit = eris.New("time limit of the call")
+
+// limit returns a context for a call that may take d, and longer by what the lag of this process
+// allows for: an answer that waits here to be read is not taken for silence.
+func (m *lagMeter) limit(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	began := boottime()
+	giveUp := func() { cancel(errTimeLimit) }
+	t := time.AfterFunc(d, func() {
+		if more := lag.Allowance(m.since(began)); more > 0 {
+			time.AfterFunc(more, giveUp)
+			return
+		}
+		giveUp()
+	})
+	return ctx, func() {
+		t.Stop()
+		cancel(nil)
+	}
+}
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -5,9 +5,9 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"coltsfootmux/internal/core/lag"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/wire"
@@ -187,14 +187,20 @@
 	}
 }
 
+// isOwnLag reports whether a call within a time limit may have failed for the lag of this process. A
+// refusal was read, so that it counts.
+func isOwnLag(err error, limit, late time.Duration) bool {
+	return !errors.Is(err, external.ErrNotExecuted) && lag.Explains(limit, late)
+}
+
 // askPeersAboutStore asks peers whether the store serves them the term. It notifies the term's
 // core if the store serves some of them and not this instance.
 func (i *Instance) askPeersAboutStore(ctx context.Context) {
 	var answers peerAnswers
-	var selfServed atomic.Bool
+	var ownErr error
 	var wg sync.WaitGroup
 	began, asked := boottime(), i.peers()
-	wg.Go(func() { selfServed.Store(i.storeMonitor.probe(ctx, topicTerm, probeTimeout) == nil) })
+	wg.Go(func() { ownErr = i.storeMonitor.probe(ctx, topicTerm, probeTimeout) })
 	for _, addr := range asked {
 		wg.Go(func() {
 			if r, err := i.askPolicy(ctx, addr, wire.PolicyQuery{CheckStore: true, Parts: true}); err == nil {
@@ -203,10 +209,11 @@
 		})
 	}
 	wg.Wait()
+	late := i.lag.since(began)
 	evPeersAsked.Log(ctx, i.logger, slog.Int64("term", i.ownedTermNumber()), slog.Any("asked", asked), slog.Any("answered", answers.answered),
-		slog.Any("served", answers.served), slog.Bool("self", selfServed.Load()), slog.Duration("took", boottime()-began),
+		slog.Any("served", answers.served), slog.Bool("self", ownErr == nil), slog.Duration("took", boottime()-began), slog.Duration("lag", late),
 		slog.Duration("unstored", i.sinceTermStored()))
-	if len(answers.served) > 0 && !selfServed.Load() {
+	if len(answers.served) > 0 && ownErr != nil && !isOwnLag(ownErr, probeTimeout, late) {
 		i.stepTerm(term.PeersReachStore{})
 	}
 }
