Own lag is not taken for the silence of workers

Callers saw jobs late or failed: an owner short of processor time read answers after their limit. Each such call cost a connection, an order made again, a probe, a stop, and took its worker for silent, so that being late made it later.

--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/lag"
 	"coltsfootmux/internal/external"
 )
 
@@ -30,7 +31,7 @@
 	}
 }
 
-// call sends a call to a worker. It passes the result to the core, as an event, once there is
+// call sends a call to a worker, with a limit that the owner's own lag extends. It passes the result to the core, as an event, once there is
 // processor time to read it; a call that took longer than its limit was given up.
 func (s *simulator) call(limit time.Duration, send func(answer func(event func(cell.Failure) cell.Event))) {
 	began := s.now
@@ -38,7 +39,7 @@
 		send(func(event func(cell.Failure) cell.Event) {
 			s.after(oneWayLatency, func() {
 				s.cpu.add(s.now, func() time.Duration {
-					if s.now-began > limit {
+					if s.now-began > limit+lag.Allowance(s.cpu.lag.Since(began)) {
 						return answerCost + dialCost + s.step(event(cell.FailureOutcomeUnknown))
 					}
 					return answerCost + s.step(event(cell.FailureNone))
--- a/internal/cellplay/simulator.go
+++ b/internal/cellplay/simulator.go
@@ -134,9 +134,9 @@
 	s.runDue()
 	s.cpu.run(s.now)
 	if s.now%tickInterval == 0 {
-		s.cpu.observe(s.now)
+		late := s.cpu.observe(s.now)
 		s.cpu.spend(s.now, s.step(cell.TermConfirmed{At: s.now}))
-		s.cpu.spend(s.now, s.step(cell.Tick{}))
+		s.cpu.spend(s.now, s.step(cell.Tick{Lag: late}))
 		s.tally.addSample(s.core.Load().Runs)
 		s.standing.check(s.now, s.fleet)
 	}
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -116,6 +116,8 @@
 	// passes is the number of placement passes, examined how often they have looked at a worker.
 	passes   int64
 	examined int64
+	// lag is how late the process runs its own work, as of the last tick.
+	lag time.Duration
 	// nextStandLook is when jobs that stand are next looked for.
 	nextStandLook time.Duration
 	// disturbedAt is when a worker last failed, came back or began to leave, or the term began.
@@ -204,6 +206,7 @@
 		c.earlierOwnersEnd(e.At)
 		c.placementDue = true
 	case Tick:
+		c.lag = e.Lag
 		c.tick()
 	}
 }
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -98,8 +98,11 @@
 // TermConfirmed reports that no later term existed at the time At.
 type TermConfirmed struct{ At time.Duration }
 
-// Tick reports only that time has passed. Timeouts are processed on ticks.
-type Tick struct{}
+// Tick reports that time has passed. Timeouts are processed on ticks.
+type Tick struct {
+	// Lag is how late this process runs its own work at present.
+	Lag time.Duration
+}
 
 func (Loaded) event()           {}
 func (JobsLoaded) event()       {}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -224,14 +224,14 @@
 func (c *Core) followUpStop(r *run) {
 	now := c.now.Mono
 	switch {
-	case r.stopAckedAt == 0 && r.stopResends < maxResends && now-r.stopSentAt > resendAfter && c.takeResend():
+	case r.stopAckedAt == 0 && r.stopResends < maxResends && now-r.stopSentAt > c.answerTime(resendAfter) && c.takeResend():
 		r.stopResends++
 		c.sendStop(r)
-	case r.stopAckedAt == 0 && now-r.stopSentAt > stopRetryDelay:
+	case r.stopAckedAt == 0 && now-r.stopSentAt > c.answerTime(stopRetryDelay):
 		c.sendStop(r)
-	case r.stopAckedAt != 0 && now-r.stopAckedAt > stopCheckDelay && r.staleThrough == c.lastHold:
+	case r.stopAckedAt != 0 && now-r.stopAckedAt > c.answerTime(stopCheckDelay) && r.staleThrough == c.lastHold:
 		r.worker.probeDue = true
-	case r.stopAckedAt != 0 && now-r.stopAckedAt > stopRetryDelay:
+	case r.stopAckedAt != 0 && now-r.stopAckedAt > c.answerTime(stopRetryDelay):
 		r.worker.probeDue = true
 		r.stopAckedAt = now
 	}
@@ -245,7 +245,7 @@
 	if r.state != runRunning || r.unit == nil || r.unit.group.step.LongRunning || r.pace < fullPace || !c.mayStart() {
 		return
 	}
-	if now-r.progressedAt < stallTimeout(r.unit.group.step) || r.percent >= 100 {
+	if now-r.progressedAt < c.answerTime(stallTimeout(r.unit.group.step)) || r.percent >= 100 {
 		return
 	}
 	r.worker.suspect(now)
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -66,9 +66,10 @@
 // unansweredStarts counts the recent starts that have no answer yet.
 func (c *Core) unansweredStarts() int {
 	n := 0
+	timeout := c.answerTime(startAnswerTimeout)
 	for _, w := range c.fleet {
 		for _, r := range w.runs {
-			if r.state == runStarting && c.now.Mono-r.createdAt < startAnswerTimeout {
+			if r.state == runStarting && c.now.Mono-r.createdAt < timeout {
 				n++
 			}
 		}
--- a/internal/core/cell/resend.go
+++ b/internal/core/cell/resend.go
@@ -23,7 +23,7 @@
 
 // followUpStart resends a start that was not answered in time.
 func (c *Core) followUpStart(r *run) {
-	if r.startResends < maxResends && c.now.Mono-r.startSentAt > resendAfter && r.worker.holdFailures == 0 && c.mayStart() && c.takeResend() {
+	if r.startResends < maxResends && c.now.Mono-r.startSentAt > c.answerTime(resendAfter) && r.worker.holdFailures == 0 && c.mayStart() && c.takeResend() {
 		r.startResends++
 		c.sendStart(r)
 	}
@@ -68,7 +68,7 @@
 	if w.holdResends > 0 {
 		since = w.holdResentAt
 	}
-	if c.now.Mono-since <= resendAfter || !c.takeResend() {
+	if c.now.Mono-since <= c.answerTime(resendAfter) || !c.takeResend() {
 		return
 	}
 	w.holdResends++
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -144,10 +144,10 @@
 }
 
 // orderContext returns the context of an order to a worker that may take the given time. It has
-// ended if the term has.
+// ended if the term has. The lag of this process extends the time.
 func (o *owner) orderContext(timeout time.Duration) (context.Context, context.CancelFunc) {
 	o.checkTermAfterPause()
-	return context.WithTimeout(o.ctx, timeout)
+	return o.inst.lag.limit(o.ctx, timeout)
 }
 
 // mayStart reports whether the term was confirmed recently enough for orders that the next
@@ -157,7 +157,7 @@
 	return o.ctx.Err() == nil && !o.fenced.Load() && age <= o.inst.Settings.Cell.StartGrace
 }
 
-func (o *owner) tick() { o.step(cell.Tick{}) }
+func (o *owner) tick() { o.step(cell.Tick{Lag: o.inst.lag.now()}) }
 
 // followJobs follows the submissions and cancellations in topicsJobs[n].
 func (o *owner) followJobs(n int, from int64) {
