Placement passes leave most of the processor to calls and answers

Callers waited seconds for work that had room: with a backlog a pass takes longer and was made as often as before, up to every 15 ms. A pass is now followed by three times its own time for other work, and looks at a worker's room first, which most workers of a full pool lack.

--- a/internal/cellplay/processor.go
+++ b/internal/cellplay/processor.go
@@ -63,10 +63,18 @@
 // spend takes the time that work costs, which began at the latest at now.
 func (p *processor) spend(now, cost time.Duration) {
 	if p.speed > 0 {
-		p.freeAt = max(p.freeAt, now-timeStep) + time.Duration(float64(cost)/p.speed)
+		p.freeAt = max(p.freeAt, now-timeStep) + p.timeFor(cost)
 	}
 }
 
+// timeFor returns how long work of a cost takes.
+func (p *processor) timeFor(cost time.Duration) time.Duration {
+	if p.speed == 0 {
+		return 0
+	}
+	return time.Duration(float64(cost) / p.speed)
+}
+
 // observe returns the lag, which counts work that still waits.
 func (p *processor) observe(now time.Duration) time.Duration {
 	if len(p.queue) > 0 {
--- a/internal/cellplay/simulator.go
+++ b/internal/cellplay/simulator.go
@@ -149,11 +149,16 @@
 
 // step passes an event to the core at once, and returns the processor time that the step takes.
 func (s *simulator) step(ev cell.Event) time.Duration {
-	examined := s.core.Examined()
-	for _, a := range s.core.Step(s.instant(), ev) {
+	examined, passes := s.core.Examined(), s.core.Passes()
+	actions := s.core.Step(s.instant(), ev)
+	cost := stepCost + time.Duration(s.core.Examined()-examined)*lookCost
+	if s.core.Passes() != passes {
+		s.core.PassTook(s.cpu.timeFor(cost))
+	}
+	for _, a := range actions {
 		s.perform(a)
 	}
-	return stepCost + time.Duration(s.core.Examined()-examined)*lookCost
+	return cost
 }
 
 // SimulateEach runs a trace under each of the rankings.
--- a/internal/core/cell/ownlag.go
+++ b/internal/core/cell/ownlag.go
@@ -6,6 +6,12 @@
 	"coltsfootmux/internal/core/lag"
 )
 
+// PassTook says how long the latest step took if it made a placement pass. It puts off the next
+// pass, so that passes leave the processor to calls and answers however much waits.
+func (c *Core) PassTook(took time.Duration) {
+	c.nextPlacement = max(c.nextPlacement, c.now.Mono+lag.PassInterval(took))
+}
+
 // answerTime returns the time within which an answer that usually takes up to a time has been acted
 // on, as the process runs late. Orders that are made again before add to the lag.
 func (c *Core) answerTime(usual time.Duration) time.Duration { return usual + lag.Allowance(c.lag) }
--- /dev/null
+++ b/internal/core/cell/ownlag_test.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPassesLeaveTheProcessorToCalls guards against an owner whose placement passes take all of its
+// processor: with 12,700 waiting tasks they took two thirds of it, and answers were read a second late.
+func TestPassesLeaveTheProcessorToCalls(t *testing.T) {
+	const took, span = 30 * time.Millisecond, 3 * time.Second
+	c := fullCell(50, 200)
+	now, before := c.now, c.Passes()
+	for end := now.Mono + span; now.Mono < end; now.Mono += 5 * time.Millisecond {
+		c.termConfirmedAt = now.Mono
+		made := c.Passes()
+		c.Step(now, Submitted{Job: oneStepJob("late"+now.Mono.String(), 4)})
+		if c.Passes() != made {
+			c.PassTook(took)
+			now.Mono += took
+		}
+	}
+	inPasses := time.Duration(c.Passes()-before) * took
+	if inPasses > span*3/10 {
+		t.Errorf("%v of %v in passes", inPasses, span)
+	}
+	if c.Passes()-before < 10 {
+		t.Errorf("%d passes in %v", c.Passes()-before, span)
+	}
+}
+
+// TestOrdersAreNotMadeAgainBesideOwnLag guards against orders that are made again because their answers
+// wait here to be read; they made the owner later still.
+func TestOrdersAreNotMadeAgainBesideOwnLag(t *testing.T) {
+	for name, c := range map[string]struct {
+		lag   time.Duration
+		again bool
+	}{
+		"in time":     {0, true},
+		"runs late":   {200 * time.Millisecond, false},
+		"a bit later": {20 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := fullCell(4, 0)
+			w := core.fleet[0]
+			r := &run{task: w.runs[0].task, worker: w, state: runStopping, stopSentAt: core.now.Mono}
+			r.attach()
+			now := core.now
+			now.Mono += 400 * time.Millisecond
+			again := false
+			for _, a := range core.Step(now, Tick{Lag: c.lag}) {
+				_, stop := a.(Stop)
+				again = again || stop
+			}
+			if again != c.again {
+				t.Errorf("made again: %v", again)
+			}
+		})
+	}
+}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -164,10 +164,11 @@
 	return best
 }
 
-// fits reports whether one more task of the group may start on the worker now.
+// fits reports whether one more task of the group may start on the worker now. In a full pool most
+// workers have no room, so that this is looked at first.
 func (c *Core) fits(w *worker, g *taskGroup, u *unit) bool {
 	c.examined++
-	return c.canUse(w, g) && c.allowed(w, g, u) && w.roomFor(g).Covers(g.step.Resources())
+	return w.roomFor(g).Covers(g.step.Resources()) && c.canUse(w, g) && c.allowed(w, g, u)
 }
 
 // allowed reports whether the worker may run a task of the unit, apart from its
--- /dev/null
+++ b/internal/core/lag/pass.go
@@ -0,0 +1,13 @@
+package lag
+
+import "time"
+
+// passShare divides the time to give the part of it that placement passes may take. The rest is for
+// the calls and answers without which a pass decides nothing new.
+const passShare = 4
+
+// PassInterval returns the time from the begin of a placement pass to that of the next one.
+//
+// Load pattern: a backlog makes passes longer. Made as often as before, they would take all of the
+// processor, and the backlog would grow by what is not done meanwhile.
+func PassInterval(took time.Duration) time.Duration { return passShare * took }
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -106,7 +106,11 @@
 	}
 	began, passes := boottime(), o.core.Passes()
 	actions := o.core.Step(instant(), ev)
-	o.work.stepped(boottime()-began, o.core.Passes() != passes)
+	took, passed := boottime()-began, o.core.Passes() != passes
+	o.work.stepped(took, passed)
+	if passed {
+		o.core.PassTook(took)
+	}
 	for _, a := range actions {
 		o.perform(a)
 	}
