An owner collects garbage less often

An owner short of processor time spent an eighth of it on collections: garbage of each call, and thousands of stacks of calls that wait. The heap of an owner may now grow to four times what is live before the next collection; the memory limit of its process has it collect earlier where there is less memory. Other instances stay as they are.

--- a/internal/instance/rig_test.go
+++ b/internal/instance/rig_test.go
@@ -32,6 +32,8 @@
 	nodes []*node
 	// memory is what the jobs of the cell may take at the next instance.
 	memory budget.Limit
+	// memoryLimited says that the processes of the next instances have a bound of their memory.
+	memoryLimited bool
 	// retention is how long ended jobs are kept.
 	retention time.Duration
 	// staleAfter, if set, is how long a term record may stay unchanged before others claim the
@@ -200,6 +202,7 @@
 	}
 	addr := ln.Addr().String()
 	s := Settings{Name: fmt.Sprintf("n%d", n), Incarnation: fmt.Sprintf("n%d/%d", n, len(r.nodes)), LinkAddr: addr, Term: fastTermSettings(n)}
+	s.MemoryLimited = r.memoryLimited
 	s.Term.ClaimDelay += r.claimDelay
 	if r.staleAfter > 0 {
 		s.Term.StaleAfter, s.Term.ConfirmTimeout, s.Term.ClaimDelay = r.staleAfter, r.staleAfter, 0
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -19,6 +19,8 @@
 	Relay bool
 	// LinkAddr is the address at which peers reach this instance.
 	LinkAddr string
+	// MemoryLimited says that the memory limit of the Go runtime is set for this process.
+	MemoryLimited bool
 	// LinkMemoryBytes bounds what the calls of links from peers hold; 0 means 32 MiB.
 	LinkMemoryBytes int
 	// Peers are the addresses of some other instances; they may be out of date.
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -97,6 +97,7 @@
 	case term.Gained:
 		evTermGained.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.Duration("claimed", boottime()-a.At),
 			slog.Duration("earlier", max(0, a.EarlierUntil-boottime())))
+		i.collectGarbage(ownerGCPercent)
 		o := newOwner(i, a)
 		i.owner.Store(o)
 		i.spawn(o.run)
@@ -105,6 +106,7 @@
 			slog.Duration("unstored", i.termStoredAge))
 		if o := i.owner.Swap(nil); o != nil {
 			o.end()
+			i.collectGarbage(idleGCPercent)
 		}
 	case term.Confirmed:
 		if o := i.owner.Load(); o != nil {
