Connections that are opened late are not refusals

An owner at a quarter of the processor gave its term up, "the store turns this instance away", 3.2 s after the latest stored renewal: its probe of the store had not opened a connection within 0.5 s, by its own lag of 1.6 s, and that counted as a refusal that was read. Connections, appends and probes get the time that the own lag takes as well, and a connection that was not opened is told from a refusal (ErrUnreached).

--- a/internal/external/errors.go
+++ b/internal/external/errors.go
@@ -11,6 +11,8 @@
 	ErrNotExecuted = eris.New("call was not executed")
 	// ErrConnectionRefused wraps ErrNotExecuted: nothing listens at the address.
 	ErrConnectionRefused = eris.Wrap(ErrNotExecuted, "connection refused")
+	// ErrUnreached wraps ErrNotExecuted: no connection could be opened, which is no answer of the other side.
+	ErrUnreached = eris.Wrap(ErrNotExecuted, "no connection")
 	// ErrRateLimited wraps ErrNotExecuted: all clients together call too often.
 	ErrRateLimited = eris.Wrap(ErrNotExecuted, "rate limit")
 	// ErrOutcomeUnknown means that no usable answer came: the call may have been
--- a/internal/instance/lag.go
+++ b/internal/instance/lag.go
@@ -99,6 +99,11 @@
 // errTimeLimit is the cause of the end of a context of lagMeter.limit.
 var errTimeLimit = eris.New("time limit of the call")
 
+// LimitCall returns a context for a call that may take d, and longer while this process runs late.
+func (i *Instance) LimitCall(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return i.lag.limit(ctx, d)
+}
+
 // limit returns a context for a call that may take d, and longer by what the lag of this process
 // allows for: an answer that waits here to be read is not taken for silence.
 func (m *lagMeter) limit(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/instance/storemonitor.go
+++ b/internal/instance/storemonitor.go
@@ -34,6 +34,9 @@
 	// probedTopics are the topics that are probed while they are not available.
 	probedTopics []external.Topic
 
+	// limitCall returns a context for a call that may take a time.
+	limitCall func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+
 	mu     sync.Mutex
 	health storeHealth
 	// responseTimes estimates how long the store takes to answer calls that don't wait.
@@ -51,6 +54,7 @@
 func newStoreMonitor(l external.Store, probed []external.Topic) *storeMonitor {
 	return &storeMonitor{
 		Store: l, probedTopics: probed,
+		limitCall:    context.WithTimeout,
 		onChange:     func(external.Topic, bool, error) {},
 		onUnreadable: func(external.Topic, int64, int) {},
 		health:       make(storeHealth), reads: make(map[int]activeRead), probeNow: make(chan struct{}, 1),
@@ -93,7 +97,7 @@
 
 // Append implements external.Store. It takes appendTimeout at most.
 func (s *storeMonitor) Append(ctx context.Context, a external.Append) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.appendTimeout())
+	ctx, cancel := s.limitCall(ctx, s.appendTimeout())
 	defer cancel()
 	began := boottime()
 	end, err := s.Store.Append(ctx, a)
@@ -210,7 +214,7 @@
 // recordResult records what a call says about its topic. A call that its caller
 // cancelled says nothing.
 func (s *storeMonitor) recordResult(ctx context.Context, t external.Topic, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStalled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStalled) && !errors.Is(context.Cause(ctx), errTimeLimit) {
 		return
 	}
 	mStoreCalls.With(resultName(err)).Inc()
--- a/internal/instance/storeprobe.go
+++ b/internal/instance/storeprobe.go
@@ -87,7 +87,7 @@
 
 // probe makes a new call for a topic. It returns an error if the store did not serve it.
 func (s *storeMonitor) probe(ctx context.Context, t external.Topic, within time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, within)
+	ctx, cancel := s.limitCall(ctx, within)
 	defer cancel()
 	_, err := s.Store.Read(ctx, t, probeOffset, 0)
 	s.recordResult(ctx, t, err)
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -192,7 +192,8 @@
 // isOwnLag reports whether a call within a time limit may have failed for the lag of this process. A
 // refusal was read, so that it counts.
 func isOwnLag(err error, limit, late time.Duration) bool {
-	return !errors.Is(err, external.ErrNotExecuted) && lag.Explains(limit, late)
+	refused := errors.Is(err, external.ErrNotExecuted) && !errors.Is(err, external.ErrUnreached)
+	return !refused && lag.Explains(limit, late)
 }
 
 // askPeersAboutStore asks peers whether the store serves them the term. It notifies the term's
