--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -128,7 +128,7 @@
 	i.confidence = confidence.New()
 	i.storeMonitor = newStoreMonitor(o.StoreClient, append(slices.Clone(topicsJobs), topicTerm))
 	i.storeMonitor.onChange, i.storeMonitor.onUnreadable = i.logTopicChange, i.logUnreadableRecords
-	i.storeMonitor.limitCall = i.LimitCall
+	i.storeMonitor.limitCall = i.lag.limit
 	i.store = i.storeMonitor
 	i.members.lastFailure = make(map[string]time.Duration)
 	i.members.set(nil, s.Peers, s.LinkAddr)
--- a/internal/instance/lag.go
+++ b/internal/instance/lag.go
@@ -99,19 +99,25 @@
 // errTimeLimit is the cause of the end of a context of lagMeter.limit.
 var errTimeLimit = eris.New("time limit of the call")
 
-// LimitCall returns a context for a call that may take d, and longer while this process runs late.
-func (i *Instance) LimitCall(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	return i.lag.limit(ctx, d)
+// LimitDial returns a context for the opening of a connection that may take d, and longer while this
+// process runs late.
+func (i *Instance) LimitDial(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return i.lag.limitBy(ctx, d, lag.DialAllowance)
 }
 
-// limit returns a context for a call that may take d, and longer by what the lag of this process
-// allows for: an answer that waits here to be read is not taken for silence.
+// limit returns a context for a call that may take d, and longer while this process runs late: an
+// answer that waits here to be read is not taken for silence.
 func (m *lagMeter) limit(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return m.limitBy(ctx, d, lag.Allowance)
+}
+
+// limitBy returns a context that ends after d and what is allowed for the lag since its begin.
+func (m *lagMeter) limitBy(ctx context.Context, d time.Duration, allowance func(late time.Duration) time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	began := boottime()
 	giveUp := func() { cancel(errTimeLimit) }
 	t := time.AfterFunc(d, func() {
-		if more := lag.Allowance(m.since(began)); more > 0 {
+		if more := allowance(m.since(began)); more > 0 {
 			time.AfterFunc(more, giveUp)
 			return
 		}
