Work does not stand for lag in a pool that is not half in use

In a pool of which less than half is in use it now has all of the window. TestWorkDoesNotStandForLagInAHalfEmptyPool.

--- a/cmd/coltsfootmux-soak/main.go
+++ b/cmd/coltsfootmux-soak/main.go
@@ -40,7 +40,7 @@
 			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "duration of load and faults"},
 			&cli.BoolFlag{Name: "unfit", Usage: "beside all other faults, faults that last 20 s and by which the owner can't do its work"},
 			&cli.BoolFlag{Name: "unfit-alone", Usage: "faults as with --unfit in place of all others; work has to go on beside them"},
-			&cli.IntFlag{Name: "unfit-kind", Usage: "with these, only faults of one kind: 1 workers, 2 peers, 3 one-way loss, 4 narrow path, 5 stopped in a cycle, 6 most machines down; 0 for all"},
+			&cli.IntFlag{Name: "unfit-kind", Usage: "with these, only faults of one kind: 1 workers, 2 peers, 3 one-way loss, 4 narrow path, 5 stopped in a cycle, 6 most machines down, 7 all machines short of processor time; 0 for all but the last"},
 			&cli.BoolFlag{Name: "pauses", Usage: "single faults of the owner in place of all others, each followed by a quiet time"},
 			&cli.BoolFlag{Name: "calm", Usage: "no faults"},
 			&cli.IntFlag{Name: "pause-kind", Usage: "with these, only faults of one kind: 1 pause, 2 pause and another machine killed, 3 pause and a slow store, 4 no path to the advice service; 0 for all"},
--- a/internal/core/cell/ownlag_test.go
+++ b/internal/core/cell/ownlag_test.go
@@ -58,3 +58,46 @@
 		})
 	}
 }
+
+// TestWorkDoesNotStandForLagInAHalfEmptyPool guards against jobs that have nothing running beside free
+// workers, as an owner that runs late keeps the window of its starts for urgent work.
+func TestWorkDoesNotStandForLagInAHalfEmptyPool(t *testing.T) {
+	for name, c := range map[string]struct {
+		busy   int
+		starts int
+	}{
+		"idle pool": {0, 64},
+		"busy pool": {60, 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := fullCell(100, 0)
+			for n, w := range core.fleet {
+				if n >= c.busy {
+					for _, r := range w.runs {
+						w.used = w.used.Minus(r.resources)
+					}
+					w.runs = nil
+				} else {
+					w.used.CPU = w.Capacity.CPU
+				}
+			}
+			now := core.now
+			now.Mono += time.Second
+			core.termConfirmedAt = now.Mono
+			core.Step(now, Tick{Lag: 300 * time.Millisecond})
+			j := oneStepJob("wide", 200)
+			j.Queue.Priority = 2
+			starts := 0
+			now.Mono += time.Second
+			core.termConfirmedAt = now.Mono
+			for _, a := range core.Step(now, Submitted{Job: j}) {
+				if _, ok := a.(Start); ok {
+					starts++
+				}
+			}
+			if starts != c.starts {
+				t.Errorf("%d starts, want %d", starts, c.starts)
+			}
+		})
+	}
+}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"coltsfootmux/internal/core/lag"
 )
 
 // place makes a placement pass if one is due: it starts the waiting units that
@@ -23,7 +21,7 @@
 	defer c.reportStands(p)
 	unanswered := c.unansweredStarts()
 	for _, g := range p.ready {
-		maxStarts := lag.StartWindow(c.maxUnansweredStarts(), c.lag, g.rank.Priority == 0) - unanswered
+		maxStarts := c.startWindow(p, g) - unanswered
 		if p.starts >= maxStarts {
 			c.placementDue = true
 			c.nextPlacement = c.now.Mono + unansweredPause
--- a/internal/soak/unfit.go
+++ b/internal/soak/unfit.go
@@ -89,6 +89,8 @@
 		return s.narrowPath(owner, [...]int{1, 2, 5, 10}[rng.IntN(4)])
 	case 4:
 		return s.dutyCycle(owner, time.Duration(100+rng.IntN(1400))*time.Millisecond, 0.5+0.48*rng.Float64())
+	case kindShortOfTime:
+		return s.shortOfTime(0.5 + 0.45*rng.Float64())
 	default:
 		return s.mostDown(owner, others, 1+rng.IntN(max(1, len(others)/4)))
 	}
@@ -103,8 +105,12 @@
 	return kind
 }
 
-// unfitKinds is the number of kinds of randomUnfit.
-const unfitKinds = 6
+// unfitKinds is the number of kinds of which randomUnfit draws one. kindShortOfTime is played only if the
+// options ask for it, so that seeds draw the faults that they did before.
+const (
+	unfitKinds      = 6
+	kindShortOfTime = unfitKinds
+)
 
 // cutFrom is a rule for the paths between one end and some others: out holds for connections
 // that it opens, in for those that it accepts.
@@ -171,6 +177,31 @@
 	}, unfitBound}
 }
 
+// shareTime is the period in which a machine that is short of processor time gets its share; answers
+// are read late, while no link or term ends for one period.
+const shareTime = 25 * time.Millisecond
+
+// shortOfTime leaves the processes of all machines a part of their processor time.
+func (s *testbed) shortOfTime(stopped float64) lastingFault {
+	var cycles []lastingFault
+	for _, m := range s.inService() {
+		cycles = append(cycles, s.dutyCycle(m, shareTime, stopped))
+	}
+	return lastingFault{fault{
+		fmt.Sprintf("all machines get %.0f %% of their processor time", 100*(1-stopped)),
+		func() {
+			for _, c := range cycles {
+				c.begin()
+			}
+		},
+		func() {
+			for _, c := range cycles {
+				c.end()
+			}
+		},
+	}, unfitBound}
+}
+
 // mostDown kills the owner and all of its peers but some, and starts them again at the end.
 func (s *testbed) mostDown(owner *machine, others []string, kept int) lastingFault {
 	down := append([]string{owner.name}, others[min(kept, len(others)):]...)
