--- a/internal/cellplay/slowowner_test.go
+++ b/internal/cellplay/slowowner_test.go
@@ -45,3 +45,18 @@
 		}
 	}
 }
+
+// floorAtQuarter is the part of the urgent jobs that has to be in time at a quarter of the speed: the
+// users' floor of a kind.
+const floorAtQuarter = 0.43
+
+// TestOwnerAtAQuarterOfItsProcessorServesUrgentWorkFirst guards against an owner that serves nobody as it
+// can't serve all: at a quarter of the processor time that the load needs no urgent job was in time.
+func TestOwnerAtAQuarterOfItsProcessorServesUrgentWorkFirst(t *testing.T) {
+	for seed := range uint64(3) {
+		r := Simulate(slowOwnerTrace(seed, quarterSpeed), Rankings()[0])
+		if got := inTime(r)["dewar-reserve"]; got < floorAtQuarter || len(r.Violations) > 0 {
+			t.Errorf("seed %d: %.3f of the urgent jobs in time, violations %v", seed, got, r.Violations)
+		}
+	}
+}
