--- a/internal/cellplay/processor.go
+++ b/internal/cellplay/processor.go
@@ -6,7 +6,7 @@
 	"coltsfootmux/internal/core/lag"
 )
 
-// Processor time of an owner's work at speed 1, as profiles of the process show it.
+// Processor time of an owner's work at speed 1: estimates, of the order that profiles of the process show.
 const (
 	// stepCost is that of a step of the core without a placement pass, lookCost that of each look
 	// of a pass at a worker.
--- a/internal/soak/unfit.go
+++ b/internal/soak/unfit.go
@@ -90,7 +90,7 @@
 	case 4:
 		return s.dutyCycle(owner, time.Duration(100+rng.IntN(1400))*time.Millisecond, 0.5+0.48*rng.Float64())
 	case kindShortOfTime:
-		return s.shortOfTime(0.5 + 0.45*rng.Float64())
+		return s.shortOfTime(0.85 + 0.12*rng.Float64())
 	default:
 		return s.mostDown(owner, others, 1+rng.IntN(max(1, len(others)/4)))
 	}
