--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -31,12 +31,15 @@
 	}
 }
 
-// call sends a call to a worker, with a limit that the owner's own lag extends. It passes the result to the core, as an event, once there is
-// processor time to read it; a call that took longer than its limit was given up.
-func (s *simulator) call(limit time.Duration, send func(answer func(event func(cell.Failure) cell.Event))) {
+// result returns the event of a call that was answered, or that failed.
+type result func(cell.Failure) cell.Event
+
+// call sends a call to a worker, with a limit that the owner's own lag extends. The core gets the event
+// once there is processor time to read the answer; a call that took longer than its limit was given up.
+func (s *simulator) call(limit time.Duration, send func(answer func(result))) {
 	began := s.now
 	s.cpu.add(s.now, func() time.Duration {
-		send(func(event func(cell.Failure) cell.Event) {
+		send(func(event result) {
 			s.after(oneWayLatency, func() {
 				s.cpu.add(s.now, func() time.Duration {
 					if s.now-began > limit+lag.Allowance(s.cpu.lag.Since(began)) {
@@ -59,7 +62,7 @@
 }
 
 func (s *simulator) start(o external.StartOrder) {
-	s.call(callLimit, func(answer func(func(cell.Failure) cell.Event)) {
+	s.call(callLimit, func(answer func(result)) {
 		s.after(oneWayLatency, func() {
 			r, err := s.fleet.Start(context.Background(), o)
 			if err == nil && r.Refusal == external.RefusedNone {
@@ -73,7 +76,7 @@
 }
 
 func (s *simulator) stop(o external.StopOrder) {
-	s.call(callLimit, func(answer func(func(cell.Failure) cell.Event)) {
+	s.call(callLimit, func(answer func(result)) {
 		s.after(oneWayLatency, func() {
 			r, err := s.fleet.Stop(context.Background(), o)
 			answer(func(f cell.Failure) cell.Event {
@@ -84,11 +87,11 @@
 }
 
 func (s *simulator) hold(a cell.Hold) {
-	s.call(callLimit+a.Order.Wait, func(answer func(func(cell.Failure) cell.Event)) { s.await(a, s.now+a.Order.Wait, answer) })
+	s.call(callLimit+a.Order.Wait, func(answer func(result)) { s.await(a, s.now+a.Order.Wait, answer) })
 }
 
 // await polls the worker every time step until it lists an ended run or the wait is over.
-func (s *simulator) await(a cell.Hold, until time.Duration, answer func(func(cell.Failure) cell.Event)) {
+func (s *simulator) await(a cell.Hold, until time.Duration, answer func(result)) {
 	s.after(oneWayLatency, func() {
 		l, err := s.fleet.Hold(context.Background(), a.Order)
 		if err == nil && len(l.Ended) == 0 && s.now < until {
