--- a/internal/core/cell/ownlag_test.go
+++ b/internal/core/cell/ownlag_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -101,3 +102,35 @@
 		})
 	}
 }
+
+// TestInvariantsHoldForOwnersThatRunLate runs scenarios with owners that run late by up to a second, for
+// spans of time, and whose placement passes take up to 60 ms. Late orders and late judgement of silence
+// must bring no second run of a task.
+func TestInvariantsHoldForOwnersThatRunLate(t *testing.T) {
+	for seed := range uint64(randomScenarios) {
+		rng := rand.New(rand.NewPCG(seed, 50))
+		o := scenario{cuts: true, crashes: seed%2 == 0, recurring: seed%3 == 0}
+		o.prepare = func(s *simulation) { s.keptOwners, s.confirmedOwners = seed%4 == 0, seed%4 == 1 }
+		var late, until time.Duration
+		o.stepCore = func(o *testOwner, now Instant, ev Event) []Action {
+			if now.Mono >= until {
+				late, until = time.Duration(rng.Int64N(int64(time.Second))), now.Mono+time.Duration(rng.Int64N(int64(2*time.Second)))
+				if rng.IntN(2) == 0 {
+					late = 0
+				}
+			}
+			if _, ok := ev.(Tick); ok {
+				ev = Tick{Lag: late}
+			}
+			passes := o.core.Passes()
+			actions := o.core.Step(now, ev)
+			if o.core.Passes() != passes && late > 0 {
+				o.core.PassTook(time.Duration(rng.Int64N(int64(60 * time.Millisecond))))
+			}
+			return actions
+		}
+		if err := runRandomScenario(t, seed, o); err != "" {
+			t.Fatal(err)
+		}
+	}
+}
