The partition simulation knows processes that are short of processor time

Each event of an instance now may take time, in the order in which events became due; answers wait four times, calls and the verdict on the store allow for the lag as package instance does.

--- a/internal/partitionsim/faults_test.go
+++ b/internal/partitionsim/faults_test.go
@@ -272,6 +272,7 @@
 	s.net.heal()
 	s.lossRate, s.lateRate = 0, 0
 	for _, i := range s.instances {
+		i.processor.cost = 0
 		switch {
 		case !i.alive:
 			i.start()
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -26,6 +26,8 @@
 	// paused processes handle nothing; backlog holds what they have to handle then.
 	paused  bool
 	backlog []func()
+	// processor is that of the host.
+	processor processor
 
 	term *term.Core
 	// witness is the state of this incarnation as a witness.
@@ -82,7 +84,7 @@
 }
 
 // deliver calls do after the given time if this incarnation is still alive then, and not
-// before the end of a pause.
+// before the end of a pause or before it has time for it.
 func (i *instance) deliver(after time.Duration, do func()) {
 	incarnation := i.incarnation
 	run := func() {
@@ -90,13 +92,7 @@
 			do()
 		}
 	}
-	i.sim.schedule(after, func() {
-		if i.paused {
-			i.backlog = append(i.backlog, run)
-			return
-		}
-		run()
-	})
+	i.sim.schedule(after, func() { i.handle(run) })
 }
 
 // start starts a new incarnation.
@@ -173,7 +169,7 @@
 func (i *instance) tick() {
 	i.stepTerm(term.Tick{AllTopicsReachable: i.storeAvailable})
 	if i.owner != nil {
-		i.owner.step(cell.Tick{})
+		i.owner.step(cell.Tick{Lag: i.processor.lag.Now(i.sim.now)})
 		i.owner.checkReach()
 	}
 	i.stepConfidence(confidence.Tick{View: i.ownerView()})
--- a/internal/partitionsim/network_test.go
+++ b/internal/partitionsim/network_test.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"coltsfootmux/internal/core/lag"
 )
 
 // host is the name of a machine in the network: an instance's, a worker's or the store's.
@@ -114,15 +116,22 @@
 // send plays a call: it is lost, late or answered.
 func (s *simulation) send(c call) {
 	finished := false
+	end := func(r callResult) {
+		if !finished {
+			finished = true
+			c.done(r)
+		}
+	}
 	finish := func(after time.Duration, r callResult) {
 		c.from.deliver(after, func() {
-			if !finished {
-				finished = true
-				c.done(r)
+			if r != callAnswered {
+				end(r)
+				return
 			}
+			c.from.handleAnswer(answerWakeUps, func() { end(r) })
 		})
 	}
-	finish(c.timeout, callUnknown)
+	s.limit(c, func() { end(callUnknown) })
 	switch s.net.state(c.from.host, c.to) {
 	case linkRefused:
 		finish(s.delay(), callRefused)
@@ -143,6 +152,20 @@
 	}
 }
 
+// limit ends a call after its time limit and, if it is not to a peer, after what the caller allows for its
+// own lag.
+func (s *simulation) limit(c call, end func()) {
+	began := s.now
+	c.from.deliver(c.timeout, func() {
+		more := lag.Allowance(c.from.processor.lag.Since(began))
+		if more == 0 || s.isInstance(c.to) {
+			end()
+			return
+		}
+		c.from.deliver(more, end)
+	})
+}
+
 // carryOut carries a call out if it reaches its target.
 func (s *simulation) carryOut(c call, reply func(), finish func(time.Duration, callResult)) {
 	switch state := s.net.state(c.from.host, c.to); {
--- a/internal/partitionsim/peers_test.go
+++ b/internal/partitionsim/peers_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/lag"
 	"coltsfootmux/internal/core/term"
 )
 
@@ -104,7 +105,7 @@
 func (i *instance) askPeersAboutStore() {
 	var answered, served int
 	var selfServed bool
-	asked := i.peers()
+	began, asked := i.sim.now, i.peers()
 	asked = asked[:min(len(asked), maxPeersPerCall)]
 	pending := 1 + len(asked)
 	done := func() {
@@ -112,7 +113,7 @@
 			return
 		}
 		i.sim.tracef("%s asked %d peers: %d answered, the store serves %d of them and itself: %v", i.name(), len(asked), answered, served, selfServed)
-		if served > 0 && !selfServed {
+		if served > 0 && !selfServed && !lag.Explains(probeTimeout, i.processor.lag.Since(began)) {
 			i.stepTerm(term.PeersReachStore{})
 		}
 	}
--- /dev/null
+++ b/internal/partitionsim/shortoftime_test.go
@@ -0,0 +1,44 @@
+package partitionsim
+
+import (
+	"testing"
+	"time"
+)
+
+// TestOneOwnerStartsTasksBesideInstancesShortOfTime guards against a process that acts on answers and
+// confirmations which it reads seconds late.
+func TestOneOwnerStartsTasksBesideInstancesShortOfTime(t *testing.T) {
+	runSeeds(t, func(seed uint64) *simulation {
+		s := newSimulation(t, seed, 3+int(seed%4), 5)
+		s.run(2 * time.Second)
+		for range 36 {
+			s.run(s.between(100*time.Millisecond, 1200*time.Millisecond))
+			if s.chance(0.3) {
+				s.slowInstance()
+				continue
+			}
+			s.faultOrJob(s.chance(0.5))
+		}
+		s.heal()
+		for range 120 {
+			s.run(time.Second)
+			if len(s.openJobs()) == 0 {
+				break
+			}
+		}
+		return s
+	})
+}
+
+// TestWorkGoesOnBesideOwnerShortOfTime guards against an owner that keeps its term and has too little
+// processor time for it.
+func TestWorkGoesOnBesideOwnerShortOfTime(t *testing.T) {
+	runLastingFaults(t, minorityOf, shortOfTimeForGood)
+}
+
+// shortOfTimeForGood leaves the instances short of processor time, each by its own amount.
+func shortOfTimeForGood(s *simulation, affected []*instance) {
+	for _, i := range affected {
+		i.shortOfTime(s.between(minEventCost, maxEventCost))
+	}
+}
--- a/internal/partitionsim/witness_test.go
+++ b/internal/partitionsim/witness_test.go
@@ -270,5 +270,10 @@
 	return s.instances[at]
 }
 
+// isInstance reports whether a host is an instance's.
+func (s *simulation) isInstance(h host) bool {
+	return slices.ContainsFunc(s.instances, func(p *instance) bool { return p.host == h })
+}
+
 // dataCentreOf returns the data centre of the n-th instance.
 func dataCentreOf(n int) string { return fmt.Sprintf("d%d", n%dataCentres) }
