A busy pool does not end the pass for an idle one

Callers of a pool with free workers could wait while the owner was short of processor time: the placement pass ended at the first group whose part of the window of starts was used up, also before groups of pools that are not half in use and have all of the window.

--- a/internal/core/cell/ownlag_test.go
+++ b/internal/core/cell/ownlag_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"coltsfootmux/internal/job"
 )
 
 // TestPassesLeaveTheProcessorToCalls guards against an owner whose placement passes take all of its
@@ -103,6 +105,42 @@
 	}
 }
 
+// TestBusyPoolDoesNotEndPassForIdlePool guards against jobs that stand beside the free workers of their
+// pool, as the pass of an owner that runs late ends at the work of another pool that is busy.
+func TestBusyPoolDoesNotEndPassForIdlePool(t *testing.T) {
+	const busy, kept = 60, 6
+	core := fullCell(100, 0)
+	for n, w := range core.fleet {
+		left := w.runs[:kept]
+		if n >= busy {
+			w.Pool, left = "idle", nil
+		}
+		for _, r := range w.runs[len(left):] {
+			w.used = w.used.Minus(r.resources)
+		}
+		w.runs = left
+	}
+	now := core.now
+	core.Step(now, Tick{Lag: 300 * time.Millisecond})
+	last := oneStepJob("idle", 20)
+	last.Queue.Pool, last.Queue.Priority = "idle", 2
+	started := make(map[job.ID]int)
+	for _, j := range []job.Job{oneStepJob("busy", 100), oneStepJob("busy2", 100), last} {
+		core.nextPlacement = now.Mono + time.Second // all jobs wait for one pass
+		core.Step(now, Submitted{Job: j})
+	}
+	now.Mono += time.Second
+	core.termConfirmedAt = now.Mono
+	for _, a := range core.Step(now, Tick{Lag: 300 * time.Millisecond}) {
+		if s, ok := a.(Start); ok {
+			started[s.Order.Task.Job]++
+		}
+	}
+	if started["idle"] != 20 || started["busy"] == 0 {
+		t.Errorf("starts: %v", started)
+	}
+}
+
 // TestInvariantsHoldForOwnersThatRunLate runs scenarios with owners that run late by up to a second, for
 // spans of time, and whose placement passes take up to 60 ms. Late orders and late judgement of silence
 // must bring no second run of a task.
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -22,12 +22,15 @@
 	unanswered := c.unansweredStarts()
 	for _, g := range p.ready {
 		maxStarts := c.startWindow(p, g) - unanswered
-		if p.starts >= maxStarts {
-			c.placementDue = true
-			c.nextPlacement = c.now.Mono + unansweredPause
+		if p.starts < maxStarts {
+			c.placeGroup(p, g, maxStarts)
+			continue
+		}
+		c.placementDue = true
+		c.nextPlacement = c.now.Mono + unansweredPause
+		if p.starts >= c.maxUnansweredStarts()-unanswered {
 			return
 		}
-		c.placeGroup(p, g, maxStarts)
 	}
 }
 
