A refused head is not answered twice

What callers saw: after "431 Request Header Fields Too Large" a second answer, "400 Bad Request", on the same connection; a client that keeps connections could take it for the answer to its next request.

Cause: the head is refused inside Read, whose error net/http does not answer. But if an earlier Read ended within a line, bufio returns that part as a line without the error, and net/http answers the malformed line itself.

Change: nothing is written after a refusal.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -50,8 +50,12 @@
 	_, _ = io.WriteString(c.Conn, headRefusal)
 }
 
-// Write implements net.Conn. An answer waits for its peer to take it.
+// Write implements net.Conn. An answer waits for its peer to take it. Nothing follows the refusal of a head:
+// net/http takes a line that was read in part for a whole one, and would refuse it as well.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.refused {
+		return 0, errRefused
+	}
 	if !c.hijacked {
 		c.step(admission.Waiting)
 	}
@@ -97,7 +101,7 @@
 // headRefusal answers a head beyond the limits.
 const headRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// errRefused is of the type after which net/http closes a connection without an answer.
+// errRefused ends a connection after the refusal of a head. net/http does not answer errors of its type.
 var errRefused = &net.OpError{Op: "read", Err: eris.New("head of a request is beyond its limits")}
 
 type connKey struct{}
--- a/internal/inbound/head_test.go
+++ b/internal/inbound/head_test.go
@@ -1,9 +1,11 @@
 package inbound
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestHeadBeyondTheLimitsIsRefused(t *testing.T) {
@@ -34,6 +36,22 @@
 	}
 }
 
+// TestRefusedHeadGetsOneAnswer guards against a 400 after the refusal of a head of which a part of a line
+// had been read before.
+func TestRefusedHeadGetsOneAnswer(t *testing.T) {
+	s := newTestServer(t, 1)
+	c := s.dial(t)
+	c.send("GET / HTTP/1.1\r\nHost: x\r\nA")
+	time.Sleep(50 * time.Millisecond) // the part is read by itself
+	c.send(": b\r\n" + strings.Repeat("A: b\r\n", 200))
+	if status := c.answer(); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d", status)
+	}
+	if rest, err := io.ReadAll(c.in); len(rest) > 0 {
+		t.Errorf("%q follows the refusal (%v)", rest, err)
+	}
+}
+
 func TestHeadsWithinTheLimitsAreServed(t *testing.T) {
 	s := newTestServer(t, 1)
 	c := s.dial(t)
