--- a/internal/cellplay/slowowner_test.go
+++ b/internal/cellplay/slowowner_test.go
@@ -60,3 +60,14 @@
 		}
 	}
 }
+
+// TestOwnerAtASixthOfItsProcessorServesWhatIsAccepted guards against jobs that are accepted although the
+// owner can't start them in time: what can't be served should be refused at once.
+func TestOwnerAtASixthOfItsProcessorServesWhatIsAccepted(t *testing.T) {
+	for seed := range uint64(3) {
+		r := Simulate(slowOwnerTrace(seed, fullSpeed/6), Rankings()[0])
+		if got := inTime(r)["dewar-reserve"]; got < floorAtQuarter || len(r.Violations) > 0 {
+			t.Errorf("seed %d: %.3f of the urgent jobs in time, violations %v", seed, got, r.Violations)
+		}
+	}
+}
--- a/internal/partitionsim/shortoftime_test.go
+++ b/internal/partitionsim/shortoftime_test.go
@@ -42,3 +42,29 @@
 		i.shortOfTime(s.between(minEventCost, maxEventCost))
 	}
 }
+
+// TestOwnerThatRunsLateKeepsItsTerm guards against renewals that wait behind all other work of an owner
+// which is a little short of processor time, while its store and its peers are calm.
+func TestOwnerThatRunsLateKeepsItsTerm(t *testing.T) {
+	const cost = 11 * time.Millisecond
+	runProgressSeeds(t, func(seed uint64) *simulation {
+		s := newLastingFaults(t, seed)
+		owners := s.ownerAnd(0)
+		if owners == nil {
+			s.violationf("no instance owns the cell")
+			return s
+		}
+		term := owners[0].owner.term
+		owners[0].shortOfTime(cost)
+		for range 16 {
+			s.submitSmall()
+			s.run(500 * time.Millisecond)
+		}
+		if o := owners[0].owner; o == nil || o.term != term {
+			s.violationf("the term is lost")
+		}
+		s.heal()
+		s.endJobs()
+		return s
+	})
+}
