Leases of calls to a worker's former life are allowed for

Cause: a call under way to the worker's former life reaches the new one. It names the end of the lease on the old clock, which the new clock does not reach for long, so that the worker grants its longest lease: 10 s there, in place of the 6 s that the owner took for the longest.

Change: the longest lease of workers is a setting of its own; an owner allows for it after a restart that it has seen, its successor after one that the worker's entry shows.

--- a/internal/core/cell/adopt.go
+++ b/internal/core/cell/adopt.go
@@ -13,7 +13,7 @@
 		task: listed.Task, number: listed.Run, worker: w, state: runRunning,
 		createdAt: c.now.Mono, startedAt: c.now.Mono, staleThrough: c.lastHold, progressedAt: c.now.Mono, percent: listed.Percent, resumed: true, adopted: true, pace: fullPace,
 	}
-	w.leaseEnd = max(w.leaseEnd, c.longestLeaseEnd())
+	w.leaseEnd = max(w.leaseEnd, c.longestLeaseEnd(), c.earlierLeasesEnd(w))
 	c.identify(r)
 	return r
 }
--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -153,7 +153,7 @@
 	c.previousLeasesEnd = last + time.Duration(float64(c.settings.Lease)*clockSlack) + leaseMargin
 	for _, w := range c.fleet {
 		if w.runsKnown {
-			w.leaseEnd = c.previousLeasesEnd
+			w.leaseEnd = c.earlierLeasesEnd(w)
 		}
 	}
 }
--- a/internal/core/cell/evidence.go
+++ b/internal/core/cell/evidence.go
@@ -19,7 +19,7 @@
 		{w.Draining, termination.Draining},
 		{w.gone, termination.OtherProcess},
 		{c.now.Mono >= w.leaseEnd, termination.LeasesExpired},
-		{c.now.Mono >= c.previousLeasesEnd, termination.EarlierLeasesExpired},
+		{c.now.Mono >= c.earlierLeasesEnd(w), termination.EarlierLeasesExpired},
 		{w.knowsTerm, termination.AnsweredInTerm},
 		{w.vacant, termination.Vacant},
 		{!w.inherited, termination.NeverAssigned},
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -240,7 +240,10 @@
 	c.workerCrashed(w, lost, "it has restarted")
 	w.knowsTerm = false
 	w.incarnation++
-	w.clock, w.processedEnd, w.durableEnd, w.ackedEnd, w.leaseEnd = 0, 0, 0, 0, 0
+	if w.leaseEnd > 0 {
+		w.leaseEnd = c.misdirectedLeaseEnd(c.now.Mono)
+	}
+	w.clock, w.processedEnd, w.durableEnd, w.ackedEnd = 0, 0, 0, 0
 	w.reportedStartMS, w.deferredEnds = 0, nil
 	for _, r := range slices.Clone(w.runs) {
 		if slices.Contains(lost, r) {
@@ -254,7 +257,7 @@
 	}
 	if len(w.runs) > 0 {
 		// The starts of these runs may have granted the new incarnation a lease.
-		w.leaseEnd = c.longestLeaseEnd()
+		w.leaseEnd = max(w.leaseEnd, c.longestLeaseEnd())
 	}
 	w.nextHoldAt = c.now.Mono
 }
--- a/internal/core/cell/inheritedruns.go
+++ b/internal/core/cell/inheritedruns.go
@@ -63,7 +63,7 @@
 		if !w.runsKnown {
 			continue
 		}
-		w.leaseEnd = c.previousLeasesEnd
+		w.leaseEnd = c.earlierLeasesEnd(w)
 		for _, k := range e.Runs {
 			c.inheritRun(w, k)
 		}
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -137,7 +137,7 @@
 // alive are known: every worker that may have one has answered, or all leases of
 // those terms have expired.
 func (c *Core) previousRunsKnown() bool {
-	return c.now.Mono >= c.previousLeasesEnd || !slices.ContainsFunc(c.fleet, c.mayHaveUnknownRuns)
+	return c.earlierLeasesOver() || !slices.ContainsFunc(c.fleet, c.mayHaveUnknownRuns)
 }
 
 // entitlements returns the jobs of priority 0 that fit into their account's
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -11,6 +11,8 @@
 	// Lease is how long a worker continues its runs without hearing from the owner;
 	// workers must grant leases of this length.
 	Lease time.Duration
+	// MaxLease is the longest lease that workers grant; at least Lease, 0 for Lease.
+	MaxLease time.Duration
 	// StartGrace is how long an owner may start runs after its term was last
 	// confirmed. It is shorter than the time after which others claim the next term,
 	// so that no start of a previous owner reaches a worker that knows no term yet.
@@ -52,6 +54,8 @@
 	clockSlack = 1.03
 	// leaseMargin is added before a lease counts as expired, as timers may fire late.
 	leaseMargin = 100 * time.Millisecond
+	// lateCallTime is how long after it was given up a call to a worker may still be carried out.
+	lateCallTime = 6 * time.Second
 	// maxHoldWait is how long a worker may delay its answer to a hold until a run
 	// ends; leases are renewed at least this often.
 	maxHoldWait = 1800 * time.Millisecond
