A worker's first start is not taken for a restart

The roster now has the first start that was known of a worker; another start in its entry tells that it has restarted.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -64,6 +64,9 @@
 	// before a later roster says otherwise.
 	RunsKnown bool        `cbor:"7,keyasint,omitempty"`
 	Runs      []RosterRun `cbor:"8,keyasint,omitempty"`
+	// FirstStartedMS is the start, in Unix milliseconds, of the first incarnation of the worker that was known;
+	// 0 if none was. Another start in the worker's own entry tells that it has restarted.
+	FirstStartedMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // RosterRun is a run that a worker may have.
--- a/internal/core/cell/fleet.go
+++ b/internal/core/cell/fleet.go
@@ -1,6 +1,10 @@
 package cell
 
-import "coltsfootmux/internal/external"
+import (
+	"cmp"
+
+	"coltsfootmux/internal/external"
+)
 
 // workerChanged applies a worker's new entry in the store's worker list.
 func (c *Core) workerChanged(n external.Worker) {
@@ -16,6 +20,7 @@
 		w.nextHoldAt = c.now.Mono
 	}
 	w.Worker = n
+	w.firstStartedMS = cmp.Or(w.firstStartedMS, n.StartedMS)
 	w.placeDrained = c.drained[n.Zone]
 	if !w.listed {
 		w.listed = true
--- a/internal/core/cell/misdirected.go
+++ b/internal/core/cell/misdirected.go
@@ -15,7 +15,7 @@
 
 // earlierLeasesEnd returns when the leases that earlier owners granted on a worker have certainly expired.
 func (c *Core) earlierLeasesEnd(w *worker) time.Duration {
-	if w.StartedMS == 0 {
+	if w.StartedMS == 0 || w.StartedMS == w.firstStartedMS {
 		return c.previousLeasesEnd
 	}
 	age := time.Duration(max(0, c.now.UnixMS-w.StartedMS)) * time.Millisecond
--- a/internal/core/cell/restartedlease_test.go
+++ b/internal/core/cell/restartedlease_test.go
@@ -62,10 +62,12 @@
 func TestHeirAllowsForTheLeaseOfAWorkerThatHasRestarted(t *testing.T) {
 	const longest = 10 * time.Second
 	for name, c := range map[string]struct {
-		age, least, most time.Duration
+		age, first  time.Duration
+		least, most time.Duration
 	}{
-		"restarted just before": {100 * time.Millisecond, longest - 100*time.Millisecond, 17 * time.Second},
-		"runs for a minute":     {time.Minute, 6 * time.Second, 10 * time.Second},
+		"restarted just before": {100 * time.Millisecond, time.Minute, longest - 100*time.Millisecond, 17 * time.Second},
+		"restarted long before": {time.Minute, 30 * time.Minute, 6 * time.Second, 10 * time.Second},
+		"first start":           {100 * time.Millisecond, 100 * time.Millisecond, 6 * time.Second, 10 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			settings := testSettings()
@@ -75,7 +77,7 @@
 			silent.StartedMS = (time.Hour - c.age).Milliseconds()
 			ev := Loaded{
 				Workers: []external.Worker{silent, other}, Jobs: []job.Job{oneStepJob("inherited", 1)},
-				Roster: []RosterEntry{{ID: silent.ID, Addr: silent.Addr}, {ID: other.ID, Addr: other.Addr}},
+				Roster: []RosterEntry{{ID: silent.ID, Addr: silent.Addr, FirstStartedMS: (time.Hour - c.first).Milliseconds()}, {ID: other.ID, Addr: other.Addr}},
 			}
 			startedAfter := time.Duration(0)
 			var answers []Event
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -1,6 +1,10 @@
 package cell
 
-import "coltsfootmux/internal/external"
+import (
+	"cmp"
+
+	"coltsfootmux/internal/external"
+)
 
 // The roster is the durable list of the workers in use. A worker is given work only
 // once the stored roster contains it, so that a later owner asks every worker that
@@ -17,6 +21,7 @@
 			w.listed = false
 		}
 		w.inherited, w.vacant, w.usedAddr, w.runsKnown = true, r.Vacant, r.Addr, r.RunsKnown
+		w.firstStartedMS = cmp.Or(r.FirstStartedMS, w.firstStartedMS)
 	}
 }
 
@@ -67,7 +72,7 @@
 		if !w.storedVacant && !w.storedRuns {
 			c.batchRoster = append(c.batchRoster, w)
 		}
-		e := RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining, Vacant: w.storedVacant, RunsKnown: w.storedRuns}
+		e := RosterEntry{ID: w.ID, Addr: w.Addr, Draining: w.Draining, Vacant: w.storedVacant, RunsKnown: w.storedRuns, FirstStartedMS: w.firstStartedMS}
 		if w.storedRuns {
 			e.Runs = w.rosterRuns()
 		}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -41,6 +41,8 @@
 	// clock is the worker's clock as it was at clockReadAt on the owner's clock.
 	clock       time.Duration
 	clockReadAt time.Duration
+	// firstStartedMS is the start of the first incarnation that is known, also of earlier owners.
+	firstStartedMS int64
 	// leaseEnd is when every lease that the worker was granted has certainly expired.
 	leaseEnd time.Duration
 	runs     []*run
@@ -131,7 +133,7 @@
 }
 
 func newWorker(w external.Worker) *worker {
-	return &worker{Worker: w, listed: true, failedJobs: make(map[job.ID]bool), plannedTasks: make(map[*taskGroup]int)}
+	return &worker{Worker: w, listed: true, firstStartedMS: w.StartedMS, failedJobs: make(map[job.ID]bool), plannedTasks: make(map[*taskGroup]int)}
 }
 
 // available returns the resources that work of the given priority may take: those
