--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -26,7 +26,7 @@
 // endsScenario: many short tasks end while the store is down.
 var endsScenario = scenario{
 	setUp: func(r *rig) { addWorkers(r, 2) },
-	queue: []queue{{"route-plan", "/plan/", 1}},
+	queue: []queue{{name: "route-plan", prefix: "/plan/", priority: 1}},
 	play: func(r *rig, trouble bool) ([]string, bool) {
 		const (
 			path     = "/plan/00000000000000a1"
@@ -147,7 +147,7 @@
 // preemptScenario: an urgent job within its tenant's guarantee needs a whole worker.
 var preemptScenario = scenario{
 	setUp:      func(r *rig) { addWorkers(r, 3) },
-	queue:      []queue{{"standing-check", "/check/", 2}, {"dewar-reserve", "/reserve/", 0}},
+	queue:      []queue{{name: "standing-check", prefix: "/check/", priority: 2}, {name: "dewar-reserve", prefix: "/reserve/", priority: 0}},
 	guaranteed: 8,
 	play: func(r *rig, trouble bool) ([]string, bool) {
 		a := availability{job: "00000000000000b1", count: 4, mayMiss: 1, startup: startupTime}
@@ -182,7 +182,7 @@
 			r.cloud.add(w)
 		}
 	},
-	queue: []queue{{"standing-check", "/check/", 2}},
+	queue: []queue{{name: "standing-check", prefix: "/check/", priority: 2}},
 	play: func(r *rig, trouble bool) ([]string, bool) {
 		a := availability{job: "00000000000000c1", count: 3, mayMiss: 1, startup: startupTime}
 		time.Sleep(leadTime)
@@ -205,7 +205,7 @@
 // recordScenario: a job has many occurrences, which all are due. Afterwards other clients' jobs come.
 var recordScenario = scenario{
 	setUp: func(r *rig) { addWorkers(r, 4) },
-	queue: []queue{{"standing-check", "/check/", 2}, {"route-plan", "/plan/", 1}},
+	queue: []queue{{name: "standing-check", prefix: "/check/", priority: 2}, {name: "route-plan", prefix: "/plan/", priority: 1}},
 	play: func(r *rig, trouble bool) ([]string, bool) {
 		const (
 			path     = "/check/00000000000000d1"
@@ -260,3 +260,72 @@
 		return broken, true
 	},
 }
+
+// adviceScenario: the settings files change, as the advice service has a new address.
+var adviceScenario = scenario{
+	setUp: func(r *rig) {
+		addWorkers(r, 4)
+		r.advice = newAdvice(r)
+	},
+	queue: []queue{{name: "dewar-reserve", prefix: "/reserve/", priority: 0, advice: true}},
+	play: func(r *rig, trouble bool) ([]string, bool) {
+		const (
+			overlap = 10 * time.Second
+			finish  = 14 * time.Second
+		)
+		time.Sleep(leadTime)
+		need := resources{CPU: 3700, MemMB: 20000, GPU: 1}
+		job := map[string]any{"spec": text(spec{Need: need, WorkMS: 1000, Advice: true}), "steps": []any{step(3, need, 1000)}}
+		if !r.submit("/reserve/00000000000000e1", job) || !r.await(10*time.Second, func() bool { return r.state(0, "/reserve/00000000000000e1") == "complete" }) {
+			return nil, false
+		}
+		r.log.note("job    the first one is complete")
+		if trouble {
+			r.moveAdvice(overlap)
+		}
+		time.Sleep(overlap + 2*time.Second)
+		if !r.submit("/reserve/00000000000000e2", job) {
+			return nil, false
+		}
+		time.Sleep(finish)
+		state := r.state(0, "/reserve/00000000000000e2")
+		r.log.note("job    the second one is %s", state)
+		if ends := r.log.ends("00000000000000e2", "done"); ends < 3 {
+			return []string{fmt.Sprintf("for %.0f s a job (%s) has nothing running, its turn has come, all 4 workers are idle; %d of its 3 tasks have ended as done", finish.Seconds(), state, ends)}, true
+		}
+		return nil, true
+	},
+}
+
+// crashScenario: a task crashes each worker that starts it, a while after its start.
+var crashScenario = scenario{
+	setUp: func(r *rig) { addWorkers(r, 8) },
+	queue: []queue{{name: "route-plan", prefix: "/plan/", priority: 1}},
+	play: func(r *rig, trouble bool) ([]string, bool) {
+		const (
+			path        = "/plan/00000000000000f1"
+			task        = "00000000000000f1.0.0.0"
+			work        = 6800 * time.Millisecond
+			crashAfter  = 800 * time.Millisecond
+			maxCrashes  = 3
+			moreStarts  = 3
+			observeTime = 45 * time.Second
+		)
+		time.Sleep(leadTime)
+		need := resources{CPU: 13000, MemMB: 53000, GPU: 1}
+		s := spec{Need: need, WorkMS: int(work.Milliseconds())}
+		if trouble {
+			s.CrashMS = int(crashAfter.Milliseconds())
+		}
+		if !r.submit(path, map[string]any{"spec": text(s), "steps": []any{step(1, need, int(work.Milliseconds()))}}) {
+			return nil, false
+		}
+		time.Sleep(observeTime)
+		starts, state := r.log.startsOf(task), r.state(0, path)
+		r.log.note("job    is %s, its task was started %d times", state, starts)
+		if starts >= maxCrashes+moreStarts {
+			return []string{fmt.Sprintf("the task was started %d times, and crashed its worker each time; the job is shown as %s", starts, state)}, true
+		}
+		return nil, true
+	},
+}
--- a/review/rig-2/cloud.go
+++ b/review/rig-2/cloud.go
@@ -100,7 +100,7 @@
 		m.token, m.up, m.had[wave] = token, false, true
 		c.begun(m.name)
 		old := m.worker
-		old.vanish()
+		_ = old.vanish()
 		c.rig.store.put("keyed.servers", old.id, nil)
 		time.AfterFunc(upkeepTime, func() { c.back(m) })
 		return http.StatusOK, ""
--- a/review/rig-2/log.go
+++ b/review/rig-2/log.go
@@ -145,6 +145,13 @@
 	return n
 }
 
+// startsOf returns how often a task was started.
+func (l *logbook) startsOf(task string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.tasks[task])
+}
+
 // twice returns the tasks that break the rule TWICE, with a text each: two runs at the same time, or
 // a start after a run has ended as done whose end was acknowledged. Every worker is up all the time,
 // and no lease lapses.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -30,6 +30,8 @@
 	"preempt": preemptScenario,
 	"upkeep":  upkeepScenario,
 	"record":  recordScenario,
+	"advice":  adviceScenario,
+	"crash":   crashScenario,
 }
 
 func main() {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -34,10 +34,11 @@
 
 // node is one process of the project's program.
 type node struct {
-	name, front, ready string
-	settings           string
-	cmd                *exec.Cmd
-	exited             chan struct{}
+	name, front, ready, control string
+	port                        int
+	settings                    string
+	cmd                         *exec.Cmd
+	exited                      chan struct{}
 }
 
 // queue is a route of the configuration.
@@ -45,6 +46,8 @@
 	name     string
 	prefix   string
 	priority int
+	// advice says that a step runs only where the advice service allows it.
+	advice bool
 }
 
 // rig is a small deployment: the project's processes, and stand-ins around them.
@@ -56,10 +59,17 @@
 	mu      sync.Mutex
 	workers []*worker
 	cloud   *cloud
+	advice  *advice
 	nodes   []*node
 	queues  []queue
 	client  *http.Client
 	stopped chan struct{}
+	// adviceServer serves the advice service at adviceAddr.
+	adviceServer *http.Server
+	adviceAddr   string
+	storeAddr    string
+	cloudAddr    string
+	seeds        []byte
 }
 
 func newRig(root, record string) (*rig, error) {
@@ -98,10 +108,14 @@
 func (r *rig) configure(guaranteed int) {
 	var routes []map[string]any
 	for _, q := range r.queues {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": q.name, "host": hostName, "path_prefix": q.prefix, "timeout_ms": 3000, "slo_ms": 1000,
 			"priority": q.priority, "backend": poolName, "max_tries": 4, "stretch": 3.0,
-		})
+		}
+		if q.advice {
+			route["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": 0, "valid_ms": ticketTime.Milliseconds()}
+		}
+		routes = append(routes, route)
 	}
 	r.store.put("keyed.op", "config", map[string]any{
 		"version": 1, "routes": routes, "limits": map[string]any{},
@@ -136,7 +150,35 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range r.workers {
-		r.store.put("keyed.servers", w.id, w.entry())
+		if e := w.entry(); e != nil {
+			r.store.put("keyed.servers", w.id, e)
+		}
+	}
+}
+
+// replace lets the successor of a worker join at the same address.
+func (r *rig) replace(old *worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n, w := range r.workers {
+		if w != old {
+			continue
+		}
+		ln, err := net.Listen("tcp", old.addr)
+		if err != nil {
+			r.log.note("worker %s can't come back: %v", old.id, err)
+			return
+		}
+		next := &worker{
+			rig: r, id: old.id + "n", machine: old.machine, rack: old.rack, kind: old.kind, cap: old.cap, addr: old.addr, born: time.Now(),
+			runs: make(map[string]*run), barred: make(map[string]int64), changed: make(chan struct{}),
+		}
+		next.server = &http.Server{Handler: next}
+		go func() { _ = next.server.Serve(ln) }()
+		r.workers[n] = next
+		r.store.put("keyed.servers", next.id, next.entry())
+		r.log.note("worker %s is back as %s", old.id, next.id)
+		return
 	}
 }
 
@@ -176,31 +218,41 @@
 	return words, env, nil
 }
 
+func localAddr() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
+
+// writeSettings writes the settings file of a node.
+func (r *rig) writeSettings(n *node) {
+	text := fmt.Sprintf(settingsText, n.name, zoneName, n.port, n.port, r.seeds, r.adviceAddr, zoneName, n.front, n.ready, n.control, r.storeAddr, r.cloudAddr)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+}
+
+func (n *node) hangUp() { _ = n.cmd.Process.Signal(syscall.SIGHUP) }
+
 // startNodes starts the project's processes.
 func (r *rig) startNodes() error {
 	words, env, err := r.command()
 	if err != nil {
 		return err
 	}
-	_, storeAddr := r.serve(r.store)
-	cloudAddr := ""
+	_, r.storeAddr = r.serve(r.store)
 	if r.cloud != nil {
-		_, cloudAddr = r.serve(r.cloud)
+		_, r.cloudAddr = r.serve(r.cloud)
+	}
+	if r.advice != nil {
+		r.adviceServer, r.adviceAddr = r.serve(r.advice)
 	}
 	var controls []string
 	for range nodes {
-		controls = append(controls, fmt.Sprintf("127.0.0.1:%d", freePort()))
+		controls = append(controls, localAddr())
 	}
-	seeds, _ := json.Marshal(controls)
+	r.seeds, _ = json.Marshal(controls)
 	for n := range nodes {
 		name := fmt.Sprintf("front-%s-%d", zoneName, n+1)
-		x := &node{name: name, front: fmt.Sprintf("127.0.0.1:%d", freePort()), ready: fmt.Sprintf("127.0.0.1:%d", freePort()), exited: make(chan struct{})}
-		port := freePort()
+		x := &node{name: name, front: localAddr(), ready: localAddr(), control: controls[n], port: freePort(), exited: make(chan struct{})}
 		x.settings = filepath.Join(r.dir, name+".toml")
-		text := fmt.Sprintf(settingsText, name, zoneName, port, port, seeds, zoneName, x.front, x.ready, controls[n], storeAddr, cloudAddr)
-		if err := os.WriteFile(x.settings, []byte(text), 0o600); err != nil {
-			return err
-		}
+		r.writeSettings(x)
 		out, err := os.Create(filepath.Join(r.dir, name+".log"))
 		if err != nil {
 			return err
@@ -239,6 +291,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","platform","advice","upkeep","sharing"]
 control_mode = "call"
+advice = %q
 [zones]
 %s = "vidzeme"
 [listen]
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -38,6 +38,10 @@
 	// Lasts says that the task works until it is stopped. It is at work after StartupMS.
 	Lasts     bool `json:"lasts,omitempty"`
 	StartupMS int  `json:"startup_ms,omitempty"`
+	// CrashMS is how long after its start a task crashes its worker, if it does.
+	CrashMS int `json:"crash_ms,omitempty"`
+	// Advice says that a start needs a ticket of the advice service.
+	Advice bool `json:"advice,omitempty"`
 }
 
 type run struct {
@@ -90,10 +94,29 @@
 	return w
 }
 
-// entry returns the worker's report about itself.
+// backAfter is how long a crashed worker is away, and entryTime how long its entry outlives it.
+const (
+	backAfter = 3 * time.Second
+	entryTime = 3 * heartbeat
+)
+
+// crash ends the worker. Its successor comes at the same address, under another id.
+func (w *worker) crash(task string) {
+	if !w.vanish() {
+		return
+	}
+	w.rig.log.note("worker %s crashes under %s", w.id, task)
+	time.AfterFunc(entryTime, func() { w.rig.store.put("keyed.servers", w.id, nil) })
+	time.AfterFunc(backAfter, func() { w.rig.replace(w) })
+}
+
+// entry returns the worker's report about itself, nil if it is gone.
 func (w *worker) entry() map[string]any {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.gone {
+		return nil
+	}
 	w.seq++
 	return map[string]any{
 		"backend": poolName, "addr": w.addr, "zone": zoneName, "version": "1", "slots": 8, "state": "ready", "cold_ms": 0, "seq": w.seq,
@@ -108,9 +131,13 @@
 	w.changed = make(chan struct{})
 }
 
-// vanish ends all that runs there and answers nothing more.
-func (w *worker) vanish() {
+// vanish ends all that runs there and answers nothing more. It reports whether the worker was there.
+func (w *worker) vanish() bool {
 	w.mu.Lock()
+	if w.gone {
+		w.mu.Unlock()
+		return false
+	}
 	w.gone = true
 	for _, x := range w.runs {
 		w.rig.log.ended(w.id, x.task, x.number, "gone")
@@ -120,12 +147,14 @@
 	w.wake()
 	w.mu.Unlock()
 	_ = w.server.Close()
+	return true
 }
 
 type order struct {
 	Task       string `json:"task"`
 	Run        int64  `json:"run"`
 	Spec       string `json:"spec"`
+	Ticket     string `json:"ticket"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	FenceToken int64  `json:"fence_token"`
 	AckCursor  int64  `json:"ack_cursor"`
@@ -226,6 +255,10 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.Advice && !w.rig.advice.valid(o.Ticket, o.Task, w.id) {
+		w.answer(rw, http.StatusConflict, map[string]any{"reason": "ticket"})
+		return
+	}
 	w.renew(o.DeadlineMS)
 	if x != nil || !w.cap.covers(w.used().plus(s.Need)) {
 		w.answer(rw, http.StatusConflict, map[string]any{"reason": "room"})
@@ -243,6 +276,9 @@
 		w.end(n, "done")
 	})
 	w.rig.log.started(w.id, o.Task, o.Run, o.FenceToken)
+	if s.CrashMS > 0 {
+		time.AfterFunc(time.Duration(s.CrashMS)*time.Millisecond, func() { w.crash(o.Task) })
+	}
 	w.answer(rw, http.StatusOK, map[string]any{})
 }
 
