--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -329,3 +329,38 @@
 		return nil, true
 	},
 }
+
+// kindScenario: the only worker of a kind crashes and starts again under its id, as another kind.
+var kindScenario = scenario{
+	setUp: func(r *rig) {
+		addWorkers(r, 4)
+		r.workers[0].kind = "large"
+	},
+	queue: []queue{{name: "route-plan", prefix: "/plan/", priority: 1}},
+	play: func(r *rig, trouble bool) ([]string, bool) {
+		const path = "/plan/0000000000000011"
+		time.Sleep(leadTime)
+		need := resources{CPU: 13000, MemMB: 53000, GPU: 8}
+		s := step(1, need, 2000)
+		s["required_label"] = "large"
+		job := map[string]any{"spec": text(spec{Need: need, WorkMS: 2000, Label: "large"}), "steps": []any{s}}
+		if !r.submit("/plan/0000000000000010", job) || !r.await(10*time.Second, func() bool { return r.state(0, "/plan/0000000000000010") == "complete" }) {
+			return nil, false
+		}
+		first, kind := r.workers[0], "large"
+		if trouble {
+			kind = "plain"
+		}
+		_ = first.vanish()
+		r.log.note("worker %s has crashed", first.id)
+		time.Sleep(time.Second)
+		if !r.submit(path, job) {
+			return nil, false
+		}
+		time.Sleep(2 * time.Second)
+		r.replace(first, first.id, kind, heartbeat)
+		time.Sleep(8 * time.Second)
+		r.log.note("job    is %s", r.state(0, path))
+		return r.log.misplacements(), true
+	},
+}
--- a/review/rig-2/log.go
+++ b/review/rig-2/log.go
@@ -37,6 +37,8 @@
 	tasks   map[string][]*history
 	starts  int
 	done    int
+	// misplaced holds a text for each start on a worker without the required label.
+	misplaced []string
 }
 
 func newLogbook(path string) (*logbook, error) {
@@ -78,6 +80,20 @@
 	l.detail("run    %s starts %s run %d token %d", worker, task, number, token)
 }
 
+// misplace records a start on a worker without the required label.
+func (l *logbook) misplace(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.misplaced = append(l.misplaced, text)
+}
+
+// misplacements returns what misplace has recorded.
+func (l *logbook) misplacements() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.misplaced)
+}
+
 func (l *logbook) find(worker, task string, number int64) *history {
 	for _, h := range l.tasks[task] {
 		if h.worker == worker && h.number == number {
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -32,6 +32,7 @@
 	"record":  recordScenario,
 	"advice":  adviceScenario,
 	"crash":   crashScenario,
+	"kind":    kindScenario,
 }
 
 func main() {
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -84,8 +84,11 @@
 	return &rig{log: log, dir: dir, root: root, store: newStore(), client: &http.Client{Timeout: 4 * time.Second}, stopped: make(chan struct{})}, nil
 }
 
+// loopback is a loopback address that no other process uses, so that none takes a port that was found free.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&63, os.Getpid()>>8&255, 1+os.Getpid()&127)
+
 func (r *rig) serve(h http.Handler) (*http.Server, string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		panic(err)
 	}
@@ -94,9 +97,21 @@
 	return s, ln.Addr().String()
 }
 
-// freePort returns a port on which nothing listens.
+// freePort returns a port on which nothing listens, each time another.
 func freePort() int {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for {
+		if p := findPort(); !portsUsed[p] {
+			portsUsed[p] = true
+			return p
+		}
+	}
+}
+
+// portsUsed are the ports that freePort has returned.
+var portsUsed = make(map[int]bool)
+
+func findPort() int {
+	ln, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		panic(err)
 	}
@@ -156,30 +171,32 @@
 	}
 }
 
-// replace lets the successor of a worker join at the same address.
-func (r *rig) replace(old *worker) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for n, w := range r.workers {
-		if w != old {
-			continue
-		}
-		ln, err := net.Listen("tcp", old.addr)
-		if err != nil {
-			r.log.note("worker %s can't come back: %v", old.id, err)
-			return
-		}
-		next := &worker{
-			rig: r, id: old.id + "n", machine: old.machine, rack: old.rack, kind: old.kind, cap: old.cap, addr: old.addr, born: time.Now(),
-			runs: make(map[string]*run), barred: make(map[string]int64), changed: make(chan struct{}),
-		}
-		next.server = &http.Server{Handler: next}
-		go func() { _ = next.server.Serve(ln) }()
-		r.workers[n] = next
-		r.store.put("keyed.servers", next.id, next.entry())
-		r.log.note("worker %s is back as %s", old.id, next.id)
+// replace lets the successor of a worker join at the same address, under an id and of a kind. Its entry is
+// first written after a time.
+func (r *rig) replace(old *worker, id, kind string, entryAfter time.Duration) {
+	ln, err := net.Listen("tcp", old.addr)
+	if err != nil {
+		r.log.note("worker %s can't come back: %v", old.id, err)
 		return
 	}
+	next := &worker{
+		rig: r, id: id, machine: old.machine, rack: old.rack, kind: kind, cap: old.cap, addr: old.addr, born: time.Now(),
+		runs: make(map[string]*run), barred: make(map[string]int64), changed: make(chan struct{}),
+	}
+	next.server = &http.Server{Handler: next}
+	go func() { _ = next.server.Serve(ln) }()
+	r.log.note("worker %s is back as %s of kind %s", old.id, id, kind)
+	time.AfterFunc(entryAfter, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for n, w := range r.workers {
+			if w == old {
+				r.workers[n] = next
+			}
+		}
+		r.store.put("keyed.servers", id, next.entry())
+		r.log.note("worker %s has written its entry: kind %s", id, kind)
+	})
 }
 
 // add lets a further worker join the pool.
@@ -218,11 +235,11 @@
 	return words, env, nil
 }
 
-func localAddr() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
+func localAddr() string { return fmt.Sprintf("%s:%d", loopback, freePort()) }
 
 // writeSettings writes the settings file of a node.
 func (r *rig) writeSettings(n *node) {
-	text := fmt.Sprintf(settingsText, n.name, zoneName, n.port, n.port, r.seeds, r.adviceAddr, zoneName, n.front, n.ready, n.control, r.storeAddr, r.cloudAddr)
+	text := fmt.Sprintf(settingsText, n.name, loopback, zoneName, n.port, n.port, r.seeds, r.adviceAddr, zoneName, n.front, n.ready, n.control, r.storeAddr, r.cloudAddr)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
@@ -279,7 +296,7 @@
 role = "node"
 class = "front"
 serves = ["front","control"]
-ip = "127.0.0.1"
+ip = %q
 zone = %q
 region = "vidzeme"
 port_range = [%d,%d]
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -42,6 +43,8 @@
 	CrashMS int `json:"crash_ms,omitempty"`
 	// Advice says that a start needs a ticket of the advice service.
 	Advice bool `json:"advice,omitempty"`
+	// Label is the required_label of its step.
+	Label string `json:"label,omitempty"`
 }
 
 type run struct {
@@ -107,7 +110,7 @@
 	}
 	w.rig.log.note("worker %s crashes under %s", w.id, task)
 	time.AfterFunc(entryTime, func() { w.rig.store.put("keyed.servers", w.id, nil) })
-	time.AfterFunc(backAfter, func() { w.rig.replace(w) })
+	time.AfterFunc(backAfter, func() { w.rig.replace(w, w.id+"n", w.kind, 0) })
 }
 
 // entry returns the worker's report about itself, nil if it is gone.
@@ -276,6 +279,9 @@
 		w.end(n, "done")
 	})
 	w.rig.log.started(w.id, o.Task, o.Run, o.FenceToken)
+	if s.Label != "" && s.Label != w.kind && s.Label != w.rack {
+		w.rig.log.misplace(fmt.Sprintf("%s run %d was started on %s, whose labels are %s and %s; the step requires %s", o.Task, o.Run, w.id, w.kind, w.rack, s.Label))
+	}
 	if s.CrashMS > 0 {
 		time.AfterFunc(time.Duration(s.CrashMS)*time.Millisecond, func() { w.crash(o.Task) })
 	}
