A run that a cut list of ended runs leaves out is neither lost nor over

Cause: a worker lists all active runs, but only the first 500 ends after the acknowledged one. What neither list shows was taken for over: a started run after two lists, a stopped one after one, and, by a new owner, all runs of its predecessors at the first answer.

Change: platform decodes that a list may be cut (HoldResult.MoreEnds), and termination.EndsRead tells how far the ends of a worker have been read: to a complete list, or beyond the end of a run that an earlier answer showed as active, so that nothing is hidden for good on a busy worker. A new owner holds only the inherited groups that can have run on a worker with unread ends. Rosters, upkeep, blame, preemption, stragglers and may_miss no longer take such a list for complete. A hold that acknowledges ends of a cut list does not wait.

Our checks missed it since no generator had over 500 ends on a worker, and the stand-in fleet counted only starts after an acknowledged end. It now remembers starts after any end as done and counts them once the end is acknowledged; the fleet can list fewer ends, the model of the cell has outages of the store, and the soak has backlogs.

--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -21,7 +21,7 @@
 	case cell.Hold:
 		s.hold(a)
 	case cell.Persist:
-		s.after(appendLatency, func() { s.due(cell.Persisted{Batch: a.Batch}, answerCost) })
+		s.after(s.appendTime(), func() { s.due(cell.Persisted{Batch: a.Batch}, answerCost) })
 	case cell.JobStands:
 		s.standing.addReason(a)
 	case cell.JobEnded:
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -21,6 +21,8 @@
 	Jobs    []Arrival
 	// Faults are injected into workers while jobs arrive.
 	Faults []WorkerFault
+	// Outages are the times in which the store takes nothing.
+	Outages []StoreOutage
 	// RemoteDataFactor and GangYieldRunTimes are those of the mix.
 	RemoteDataFactor  float64
 	GangYieldRunTimes float64
--- a/internal/core/cell/availability.go
+++ b/internal/core/cell/availability.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	for _, r := range u.runs {
-		if r.state != runRunning || r.percent < 100 {
+		if r.state != runRunning || r.absentSince != 0 || r.percent < 100 {
 			return false
 		}
 	}
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -115,8 +115,8 @@
 	var runs []blame.Run
 	units := make(map[*unit]int)
 	for _, r := range lost {
-		if r.unit == nil || c.isInherited(r) && !r.unit.isSuspect() {
-			continue // it survived its start
+		if r.unit == nil || r.absentSince != 0 || c.isInherited(r) && !r.unit.isSuspect() {
+			continue // it survived its start, or had ended before
 		}
 		if _, ok := units[r.unit]; !ok {
 			units[r.unit] = len(units)
--- a/internal/core/cell/evidence.go
+++ b/internal/core/cell/evidence.go
@@ -17,6 +17,7 @@
 		{w.refusesConns, termination.ConnectionRefused},
 		{!w.listed, termination.Unlisted},
 		{w.Draining, termination.Draining},
+		{w.hasUnreadEnds(), termination.EndsUnread},
 		{w.gone, termination.OtherProcess},
 		{c.now.Mono >= w.leaseEnd, termination.LeasesExpired},
 		{c.now.Mono >= c.earlierLeasesEnd(w), termination.EarlierLeasesExpired},
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -38,7 +38,7 @@
 			contacts++
 		}
 		wait := maxHoldWait
-		if !w.knowsTerm || w.holdFailures > 0 || len(w.runs) == 0 {
+		if !w.knowsTerm || w.holdFailures > 0 || len(w.runs) == 0 || w.hasNextEnds() {
 			wait = 0
 		}
 		if w.hasUrgentRun() && !lag.IsShort(c.lag) {
@@ -164,7 +164,7 @@
 	}
 	c.recordAnswer(w, ev.Number, ev.Lists)
 	c.processEnds(w, ev.Lists.Ended)
-	c.processRunning(w, ev.Lists.Running)
+	c.processRunning(w, ev.Number, ev.Lists.Running)
 	c.processMissing(w, ev.Number, ev.Lists)
 	c.pace(w)
 }
@@ -205,6 +205,7 @@
 		w.reportedStartMS = l.StartedMS
 	}
 	c.updateClock(w, l.Clock)
+	c.readLists(w, hold, l.MoreEnds)
 	c.runsUnrecorded(w)
 	if !w.knowsTerm {
 		w.knowsTerm = true
@@ -245,12 +246,13 @@
 	}
 	w.clock, w.processedEnd, w.durableEnd, w.ackedEnd = 0, 0, 0, 0
 	w.reportedStartMS, w.deferredEnds = 0, nil
+	w.ends, w.unreadSince = termination.EndsRead{}, 0
 	for _, r := range slices.Clone(w.runs) {
 		if slices.Contains(lost, r) {
 			c.loseRun(r, termination.ByIncarnation, "")
 			continue
 		}
-		r.staleThrough, r.stopAckedAt, w.probeDue = c.lastHold, 0, true
+		r.staleThrough, r.absentSince, r.stopAckedAt, w.probeDue = c.lastHold, 0, 0, true
 		if r.state != runStopping {
 			c.markUnconfirmed(r)
 		}
@@ -281,6 +283,9 @@
 		}
 		w.processedEnd = e.Number
 		r := w.findRun(e.Task, e.Run)
+		if r != nil {
+			w.ends.Listed(r.listedIn)
+		}
 		if c.isMissing(e.Task.Job) {
 			c.deferEnd(w, r, e)
 			continue
@@ -320,14 +325,15 @@
 }
 
 // processRunning processes the list of the active runs of a worker.
-func (c *Core) processRunning(w *worker, list []external.ActiveRun) {
+func (c *Core) processRunning(w *worker, hold int64, list []external.ActiveRun) {
 	now := c.now.Mono
 	for _, listed := range list {
 		r := w.findRun(listed.Task, listed.Run)
 		if r == nil {
 			r = c.adopt(w, listed)
 		}
-		r.listsMissing, r.listedAt, r.measurement = 0, now, listed.Measurement
+		r.listsMissing, r.absentSince, r.listedIn = 0, 0, max(r.listedIn, hold)
+		r.listedAt, r.measurement = now, listed.Measurement
 		if listed.Percent != r.percent || r.progressedAt == 0 {
 			r.percent, r.progressedAt = listed.Percent, now
 			if now-r.createdAt >= minProgressAge {
@@ -366,9 +372,15 @@
 			c.stopRun(r, ReasonUnconfirmed)
 			continue
 		}
-		r.listsMissing++
+		if r.absentSince == 0 {
+			r.absentSince = c.lastHold
+		}
+		unread := l.MoreEnds && !w.ends.Since(r.absentSince)
+		if !unread {
+			r.listsMissing++
+		}
 		stopped := r.state == runStopping && r.stopAckedAt != 0
-		state := termination.Run{Reflected: true, Started: r.state == runRunning, StopAcknowledged: stopped, MissingLists: r.listsMissing}
+		state := termination.Run{Reflected: true, Started: r.state == runRunning, StopAcknowledged: stopped, EndsUnread: unread, MissingLists: r.listsMissing}
 		switch {
 		case !state.IsOver():
 		case stopped:
--- a/internal/core/cell/inheritedruns.go
+++ b/internal/core/cell/inheritedruns.go
@@ -33,7 +33,7 @@
 	if !w.knowsTerm {
 		return w.runsKnown
 	}
-	return !w.gone && len(w.deferredEnds) == 0 && w.holdFailures > 0 && c.now.Mono-w.firstHoldFailureAt >= minRecordedSilence
+	return !w.gone && len(w.deferredEnds) == 0 && !w.hasUnreadEnds() && w.holdFailures > 0 && c.now.Mono-w.firstHoldFailureAt >= minRecordedSilence
 }
 
 // rosterRuns returns the worker's runs as the roster records them.
--- a/internal/core/cell/machines.go
+++ b/internal/core/cell/machines.go
@@ -10,6 +10,9 @@
 			continue
 		}
 		m := upkeep.Machine{Name: w.Machine, RunCount: len(w.runs), WorkerStartedMS: max(w.reportedStartMS, w.StartedMS)}
+		if w.hasUnreadEnds() {
+			m.RunCount++ // the ends are lost with the worker
+		}
 		seen := make(map[*unit]bool)
 		for _, r := range w.runs {
 			if r.unit == nil || seen[r.unit] || r.unit.state == unitDone {
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -160,7 +160,7 @@
 		c.higherTermSeen(w)
 	case ev.Failure == FailureNone && ev.Refusal == external.RefusedNone:
 		r.stopAckedAt = c.now.Mono
-		r.staleThrough = c.lastHold
+		r.staleThrough, r.absentSince = c.lastHold, 0
 	case ev.Failure == FailureNone:
 		w.probeDue = true
 	}
--- a/internal/core/cell/overview.go
+++ b/internal/core/cell/overview.go
@@ -81,6 +81,8 @@
 		return ""
 	case e.inherited && !c.previousRunsKnown():
 		return "workers of the previous term have not answered yet"
+	case e.inherited && len(c.workersWithUnreadEnds()) > 0:
+		return "workers have ended runs of the previous term that they have not listed yet"
 	case !ready:
 		return "earlier steps have not ended"
 	case reserved:
--- a/internal/core/cell/pass.go
+++ b/internal/core/cell/pass.go
@@ -57,7 +57,8 @@
 	}
 	p.entitled = c.entitlements()
 	known, held := c.previousRunsKnown(), 0
-	if known && !c.partialGangsStopped {
+	unread := c.workersWithUnreadEnds()
+	if known && len(unread) == 0 && !c.partialGangsStopped {
 		c.partialGangsStopped = true
 		c.stopPartialGangs()
 	}
@@ -68,7 +69,9 @@
 			p.held = append(p.held, e.heldGroups()...)
 			continue
 		}
-		c.addReadyGroups(p, e, i)
+		if c.addReadyGroups(p, e, i, unread) {
+			held++
+		}
 	}
 	c.reportHeld(held)
 	c.rankByShare(p)
@@ -90,8 +93,9 @@
 	return out
 }
 
-// addReadyGroups adds the groups of a job that may start.
-func (c *Core) addReadyGroups(p *pass, e *jobEntry, order int) {
+// addReadyGroups adds the groups of a job that may start. It reports whether some are held, as
+// their tasks may have ended on workers whose ended runs have not all been read.
+func (c *Core) addReadyGroups(p *pass, e *jobEntry, order int, unread []*worker) (held bool) {
 	for _, o := range e.occurrences {
 		if o.unfinished == 0 || !c.isDue(e, o.index) {
 			continue
@@ -103,6 +107,11 @@
 			if !g.dependenciesDone() {
 				continue
 			}
+			if c.mayHaveEndedOn(unread, g) {
+				held = true
+				p.held = append(p.held, &rankedGroup{taskGroup: g, pool: e.job.Queue.Pool})
+				continue
+			}
 			c.markReady(g)
 			rank := queue.Rank{
 				Entitled: p.entitled[e], Priority: e.job.Queue.Priority, Arrival: order,
@@ -112,6 +121,7 @@
 			p.ready = append(p.ready, &rankedGroup{taskGroup: g, pool: e.job.Queue.Pool, rank: rank})
 		}
 	}
+	return held
 }
 
 func (c *Core) markReady(g *taskGroup) {
@@ -137,7 +147,9 @@
 // alive are known: every worker that may have one has answered, or all leases of
 // those terms have expired.
 func (c *Core) previousRunsKnown() bool {
-	return c.earlierLeasesOver() || !slices.ContainsFunc(c.fleet, c.mayHaveUnknownRuns)
+	return c.earlierLeasesOver() || !slices.ContainsFunc(c.fleet, func(w *worker) bool {
+		return !w.hasUnreadEnds() && c.mayHaveUnknownRuns(w)
+	})
 }
 
 // entitlements returns the jobs of priority 0 that fit into their account's
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -184,7 +184,7 @@
 func (c *Core) findVictims(w *worker, g *rankedGroup) []*run {
 	var out []*run
 	for _, r := range w.runs {
-		if r.unit == nil || r.unit.state != unitActive || (r.state != runRunning && r.state != runStarting) {
+		if r.unit == nil || r.unit.state != unitActive || r.absentSince != 0 || (r.state != runRunning && r.state != runStarting) {
 			continue
 		}
 		if r.unit.entry().job.Queue.Priority <= g.rank.Priority || !r.unit.mayInterrupt() {
--- a/internal/core/cell/roster.go
+++ b/internal/core/cell/roster.go
@@ -60,7 +60,7 @@
 
 // isVacant reports whether the worker is without runs and gets none, as it will leave.
 func (w *worker) isVacant() bool {
-	return w.Draining && w.knowsTerm && len(w.runs) == 0 && len(w.deferredEnds) == 0
+	return w.Draining && w.knowsTerm && len(w.runs) == 0 && len(w.deferredEnds) == 0 && !w.hasUnreadEnds()
 }
 
 // storeRoster returns the workers that are in use or may be used, for the next batch.
--- a/internal/core/cell/run.go
+++ b/internal/core/cell/run.go
@@ -62,6 +62,10 @@
 	// listsMissing counts the consecutive lists that should have shown the run and
 	// did not.
 	listsMissing int
+	// listedIn is the latest hold whose answer showed the run as active. absentSince, if not 0, is
+	// the last hold before the first answer that should have shown it and did not.
+	listedIn    int64
+	absentSince int64
 	// measurement is the worker's measurement of the run over the last half second,
 	// see external.ActiveRun.
 	measurement int
--- a/internal/core/cell/status.go
+++ b/internal/core/cell/status.go
@@ -33,7 +33,7 @@
 
 // Ready reports whether all runs of previous terms are known, so that the jobs
 // accepted then may be started.
-func (c *Core) Ready() bool { return c.previousRunsKnown() }
+func (c *Core) Ready() bool { return c.previousRunsKnown() && len(c.workersWithUnreadEnds()) == 0 }
 
 // Load is a summary of the cell for metrics.
 type Load struct {
--- a/internal/core/cell/stragglers.go
+++ b/internal/core/cell/stragglers.go
@@ -86,7 +86,7 @@
 // if that is not possible.
 func (r *run) estimateDuration() (d time.Duration, ok bool) {
 	age := r.listedAt - r.startedAt
-	if r.state != runRunning || r.startedAt == 0 || age < stragglerMinAge || r.resumed {
+	if r.state != runRunning || r.absentSince != 0 || r.startedAt == 0 || age < stragglerMinAge || r.resumed {
 		return 0, false
 	}
 	return age * 100 / time.Duration(max(r.percent, 1)), true
--- a/internal/core/cell/waits.go
+++ b/internal/core/cell/waits.go
@@ -32,8 +32,10 @@
 // may have started them on workers that have not answered this owner.
 type JobsHeld struct {
 	Jobs int
-	// Silent counts the workers whose answer is awaited.
+	// Silent counts the workers whose answer is awaited, Unread those that have answered and have
+	// more ended runs than they have listed.
 	Silent int
+	Unread int
 	// MaxWait is how long the jobs are held at most.
 	MaxWait time.Duration
 }
@@ -84,7 +86,11 @@
 	c.nextHeldReport = c.now.Mono + minReportedWait
 	h := JobsHeld{Jobs: jobs, MaxWait: c.previousLeasesEnd - c.now.Mono}
 	for _, w := range c.fleet {
-		if c.mayHaveUnknownRuns(w) {
+		switch {
+		case !c.mayHaveUnknownRuns(w):
+		case w.hasUnreadEnds():
+			h.Unread++
+		default:
 			h.Silent++
 		}
 	}
--- a/internal/core/cell/worker.go
+++ b/internal/core/cell/worker.go
@@ -5,6 +5,7 @@
 
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/core/speed"
+	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -18,6 +19,12 @@
 	// previous term's roster did.
 	onRoster  bool
 	inherited bool
+	// ends is how far the ended runs of the worker's present incarnation have been read. unreadSince,
+	// if not 0, is the last hold before an answer that may have left some of earlier owners out.
+	// listsCut is set if its latest answer may have left out ended runs.
+	ends        termination.EndsRead
+	unreadSince int64
+	listsCut    bool
 	// vacant is set if the previous owner stored that nothing ran on the worker,
 	// storedVacant if this owner has stored so last.
 	vacant       bool
--- a/internal/core/termination/observations.go
+++ b/internal/core/termination/observations.go
@@ -13,6 +13,9 @@
 	Unlisted
 	// Draining says that the worker has announced that it will leave.
 	Draining
+	// EndsUnread says that the worker's present incarnation may list ended runs of earlier owners
+	// only once others are acknowledged.
+	EndsUnread
 )
 
 // Observations that are evidence.
@@ -72,11 +75,16 @@
 	return None
 }
 
+// MayHideEnds reports whether a worker that has ended runs which it does not list yet may have
+// such of earlier owners.
+func (o Observations) MayHideEnds() bool { return !o.has(NeverAssigned | Vacant | RunsRecorded) }
+
 // UnknownRuns returns the proof that the worker has no run of an earlier owner that this
-// owner does not know of.
+// owner does not know of, whether active or ended.
 func (o Observations) UnknownRuns() Proof {
+	unread := o.has(EndsUnread)
 	switch {
-	case o.has(AnsweredInTerm):
+	case o.has(AnsweredInTerm) && !unread:
 		return ByLists
 	case o.has(OtherProcess):
 		return ByOtherProcess
@@ -86,6 +94,8 @@
 		return ByRoster
 	case o.has(RunsRecorded):
 		return ByRecordedRuns
+	case unread && !(o.has(NoAnswer) && o.has(LeasesExpired)):
+		return None
 	case o.has(EarlierLeasesExpired):
 		return ByEarlierLeases
 	}
--- a/internal/core/termination/run.go
+++ b/internal/core/termination/run.go
@@ -17,8 +17,11 @@
 	StopAcknowledged bool
 	// OtherIncarnation says that a later incarnation of the worker made the lists.
 	OtherIncarnation bool
+	// EndsUnread says that the worker may have listed only a part of its ended runs, so that the
+	// run may be one of the others.
+	EndsUnread bool
 	// MissingLists is the number of successive lists, this one included, that should have
-	// shown the run.
+	// shown the run, as active or as ended.
 	MissingLists int
 }
 
@@ -30,6 +33,8 @@
 		return false
 	case r.OtherIncarnation:
 		return r.Started
+	case r.EndsUnread:
+		return false
 	case r.StopAcknowledged:
 		return true
 	}
--- a/internal/core/termination/termination_test.go
+++ b/internal/core/termination/termination_test.go
@@ -22,6 +22,11 @@
 		"a vacancy on the roster":                 {Vacant | NoAnswer | Unlisted, None, ByRoster},
 		"runs that the roster names":              {RunsRecorded | NoAnswer | Unlisted, None, ByRecordedRuns},
 		"a worker that nobody used":               {NeverAssigned | NoAnswer, None, ByNoAssignment},
+		"an answer that leaves out ended runs":    {AnsweredInTerm | EndsUnread, None, None},
+		"the end of earlier leases beside it":     {AnsweredInTerm | EndsUnread | LeasesExpired | EarlierLeasesExpired, None, None},
+		"a silence after it":                      {AnsweredInTerm | EndsUnread | NoAnswer | EarlierLeasesExpired, None, None},
+		"a silence beyond all leases after it":    {AnsweredInTerm | EndsUnread | NoAnswer | LeasesExpired | EarlierLeasesExpired, ByLease, ByEarlierLeases},
+		"such an answer of a worker nobody used":  {AnsweredInTerm | EndsUnread | NeverAssigned, None, ByNoAssignment},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := c.observed.KnownRuns(); got != c.known {
@@ -44,6 +49,8 @@
 		"two lists without it":                             {Run{Reflected: true, Started: true, MissingLists: 2}, true},
 		"a start without an answer may still arrive":       {Run{Reflected: true, MissingLists: 9}, false},
 		"an acknowledged stop bars it":                     {Run{Reflected: true, StopAcknowledged: true, MissingLists: 1}, true},
+		"lists that leave out ended runs show nothing":     {Run{Reflected: true, Started: true, StopAcknowledged: true, EndsUnread: true, MissingLists: 9}, false},
+		"a restart ends it, whatever the new lists hold":   {Run{Reflected: true, Started: true, OtherIncarnation: true, EndsUnread: true}, true},
 		"a started run ends with its incarnation":          {Run{Reflected: true, Started: true, OtherIncarnation: true}, true},
 		"a start under way may reach the next incarnation": {Run{Reflected: true, OtherIncarnation: true, StopAcknowledged: true}, false},
 	} {
--- a/internal/external/worker.go
+++ b/internal/external/worker.go
@@ -164,8 +164,12 @@
 	Clock     time.Duration
 	StartedMS int64
 	Refusal   Refusal
-	Running   []ActiveRun
-	Ended     []EndedRun
+	// Running holds all active runs. Ended holds the ended runs after HoldOrder.Acknowledge, in
+	// the order of their numbers; MoreEnds says that the worker may have ended runs after the
+	// last of them, which it lists once these are acknowledged.
+	Running  []ActiveRun
+	Ended    []EndedRun
+	MoreEnds bool
 }
 
 // Workers sends orders to workers. Errors: ErrFenced, ErrOutcomeUnknown, and
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -114,7 +114,7 @@
 	case cell.JobsDeferred:
 		evJobsDeferred.Log(o.ctx, l, slog.Int("jobs", a.Jobs), slog.Int("open_tasks", a.OpenUnits), slog.Int64("bytes", a.Used))
 	case cell.JobsHeld:
-		evHeld.Log(o.ctx, l, slog.Int("jobs", a.Jobs), slog.Int("silent", a.Silent), slog.Duration("until", a.MaxWait))
+		evHeld.Log(o.ctx, l, slog.Int("jobs", a.Jobs), slog.Int("silent", a.Silent), slog.Int("unread", a.Unread), slog.Duration("until", a.MaxWait))
 	case cell.StartResolved:
 		mUnconfirmedStarts.With(string(a.Result)).Inc()
 		evStartResolved.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run),
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -78,19 +78,26 @@
 func (c *callers) runCaller(rng *rand.Rand, key string) {
 	defer c.wg.Done()
 	j, body := c.newJob(rng, key)
+	if c.submit(rng, j, body) {
+		c.followJob(rng, j)
+	}
+}
+
+// submit submits a job, retrying if needed, and reports whether it was accepted.
+func (c *callers) submit(rng *rand.Rand, j *submittedJob, body []byte) bool {
 	for range maxAttempts {
 		status := c.call(rng, http.MethodPost, j, body, nil)
 		switch {
 		case status == http.StatusOK:
 			j.accepted = time.Now()
 			c.watch(j)
-			c.followJob(rng, j)
-			return
+			return true
 		case status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable:
 			j.outcomeUnknown = true
 		}
 		time.Sleep(retryDelay)
 	}
+	return false
 }
 
 // watch has an accepted job go on without delay, unless its task crashes its workers.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -61,6 +61,9 @@
 	if o.Pauses {
 		load.Go(func() { r.Unfit = s.injectPauses(until, c.liveness) })
 	}
+	if o.Backlogs {
+		load.Go(func() { r.Unfit = c.injectBacklogs(until) })
+	}
 	if o.PolicyEvery > 0 {
 		load.Go(func() { s.changePolicy(until) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,16 @@
 	{Seed: 520, Machines: 5, Workers: 12, LoadTime: 15 * time.Second, JobsPerSecond: 6},
 }
 
+// backlogSoaks are run by TestSoakWithBacklogs.
+var backlogSoaks = []Options{
+	// In the first backlog, the owner is killed before the tasks end; in the second, the store is down.
+	{Seed: 3, Machines: 3, Workers: 4, LoadTime: 40 * time.Second, JobsPerSecond: 2, Backlogs: true},
+}
+
+// TestSoakWithBacklogs guards against tasks that are started again although they are done, as their
+// ends are not among those that a worker lists.
+func TestSoakWithBacklogs(t *testing.T) { runSoaks(t, backlogSoaks) }
+
 // TestShortSoak runs the short soaks.
 func TestShortSoak(t *testing.T) { runSoaks(t, shortSoaks) }
 
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -48,6 +48,9 @@
 	// process, each followed by a quiet time. PauseKind, if positive, has those of one kind only.
 	Pauses    bool
 	PauseKind int
+	// Backlogs has, in place of all other faults, the ends of many tasks pile up on their workers
+	// while the store takes no progress, or the owner is replaced.
+	Backlogs bool
 	// Calm has no faults at all.
 	Calm bool
 	// PolicyEvery, if positive, is the time between changes of the policy beside all faults.
@@ -63,7 +66,7 @@
 }
 
 // calmLoad reports whether only single faults are injected, each followed by a quiet time.
-func (o *Options) calmLoad() bool { return o.UnfitAlone || o.Pauses || o.Calm }
+func (o *Options) calmLoad() bool { return o.UnfitAlone || o.Pauses || o.Backlogs || o.Calm }
 
 // testbed is a set of machines with stand-ins for the platform around them.
 type testbed struct {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -18,6 +18,8 @@
 	GangTimeout = 3 * time.Second
 	// checkpointInterval is the amount of work between two checkpoints of a run.
 	checkpointInterval = 500 * time.Millisecond
+	// maxListedEnds is the default of Fleet.MaxListedEnds.
+	maxListedEnds = 500
 )
 
 // WorkFunc returns how long a run of a task takes at full speed, and whether the
@@ -45,7 +47,11 @@
 	acknowledgedDone map[job.TaskID]bool
 	everDone         map[job.TaskID]bool
 	listedDone       map[job.TaskID]*Machine
-	violations       []string
+	// doneEnds holds, by task, the ends as done that have not been acknowledged.
+	doneEnds   map[job.TaskID][]*doneEnd
+	violations []string
+	// MaxListedEnds is the number of ended runs that a machine lists in one answer at most.
+	MaxListedEnds int
 	// startedJobs holds the jobs of which a task was started.
 	startedJobs map[job.ID]bool
 	// Deadly, if set, says whether a task crashes each machine that starts it. OnCrash, if
@@ -89,7 +95,7 @@
 // New returns a fleet without machines.
 func New(w WorkFunc) *Fleet {
 	return &Fleet{
-		work: w, crashes: make(map[job.TaskID]int), startsAfterCrashes: make(map[job.TaskID]int), failures: make(map[job.TaskID]int), acknowledgedFailures: make(map[job.TaskID]int), lastEnd: make(map[job.TaskID]time.Duration), tickets: make(map[stepOn][]ticket), byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*taskRun),
+		work: w, MaxListedEnds: maxListedEnds, doneEnds: make(map[job.TaskID][]*doneEnd), crashes: make(map[job.TaskID]int), startsAfterCrashes: make(map[job.TaskID]int), failures: make(map[job.TaskID]int), acknowledgedFailures: make(map[job.TaskID]int), lastEnd: make(map[job.TaskID]time.Duration), tickets: make(map[stepOn][]ticket), byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*taskRun),
 		drainedAfter: make(map[string]time.Duration), noStartsAfter: make(map[job.ID]time.Duration), startedJobs: make(map[job.ID]bool), acknowledgedDone: make(map[job.TaskID]bool), everDone: make(map[job.TaskID]bool), listedDone: make(map[job.TaskID]*Machine),
 	}
 }
@@ -123,6 +129,7 @@
 }
 
 func (m *Machine) reset() {
+	m.fleet.removeDoneEnds(m, m.lastEndNumber)
 	m.startedAt, m.advancedTo = m.fleet.now, m.fleet.now
 	m.StartedMS = 1 + int64(m.fleet.now/time.Millisecond)
 	m.fencingToken, m.leaseEnd, m.runs, m.ended, m.lastEndNumber = 0, 0, nil, nil, 0
@@ -187,6 +194,7 @@
 func (m *Machine) advance(now time.Duration) {
 	passed := now - m.advancedTo
 	m.advancedTo = now
+	m.checkLease(now)
 	if m.Down {
 		return
 	}
@@ -326,6 +334,7 @@
 	case external.EndedDone:
 		f.listedDone[run.task] = m
 		f.everDone[run.task] = true
+		f.addDoneEnd(m, run)
 	case external.EndedFailed:
 		f.failures[run.task]++
 	}
--- a/internal/standin/fleet/machine.go
+++ b/internal/standin/fleet/machine.go
@@ -58,6 +58,8 @@
 	runs          []*taskRun
 	ended         []external.EndedRun
 	lastEndNumber int64
+	// doneEnds holds the machine's part of Fleet.doneEnds, in the order of their numbers.
+	doneEnds []*doneEnd
 	// barredRuns holds, by task, the highest run that has ended or was stopped; it
 	// and all earlier runs are not started again.
 	barredRuns map[job.TaskID]int64
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -10,9 +10,6 @@
 
 var _ external.Workers = (*Fleet)(nil)
 
-// maxEndedRuns limits the ended runs in one answer.
-const maxEndedRuns = 500
-
 // Start implements external.Workers at the fleet's current time.
 func (f *Fleet) Start(_ context.Context, o external.StartOrder) (external.OrderResult, error) {
 	m, r, err := f.machineFor(o.OrderHeader)
@@ -83,6 +80,7 @@
 	if at, ok := f.drainedAfter[m.Zone]; ok && f.now > at && !f.OrderDelayed {
 		f.violationf("start of %v on %s in a drained data centre", o.Task, m.ID)
 	}
+	f.recordRepeat(m, o, step)
 	f.checkTries(j, o.Task)
 	if o.Spec != j.Spec {
 		f.violationf("start of %v with another spec", o.Task)
@@ -174,6 +172,7 @@
 	if o.LeaseEnd > 0 {
 		m.extendLease(o.LeaseEnd)
 	}
+	f.acknowledgeEnds(m, o.Acknowledge)
 	for _, e := range m.ended {
 		switch {
 		case e.Number > o.Acknowledge:
@@ -188,7 +187,8 @@
 	for _, run := range m.runs {
 		out.Running = append(out.Running, external.ActiveRun{Task: run.task, Run: run.number, Checkpoint: run.checkpoint(), Percent: run.percentDone(), Measurement: m.measurement(run)})
 	}
-	out.Ended = append(out.Ended, m.ended[:min(len(m.ended), maxEndedRuns)]...)
+	out.Ended = append(out.Ended, m.ended[:min(len(m.ended), f.MaxListedEnds)]...)
+	out.MoreEnds = len(out.Ended) >= f.MaxListedEnds
 	return out, nil
 }
 
