--- a/cmd/coltsfootmux-soak/main.go
+++ b/cmd/coltsfootmux-soak/main.go
@@ -43,6 +43,7 @@
 			&cli.IntFlag{Name: "unfit-kind", Usage: "with these, only faults of one kind: 1 workers, 2 peers, 3 one-way loss, 4 narrow path, 5 stopped in a cycle, 6 most machines down, 7 all machines short of processor time; 0 for all but the last"},
 			&cli.BoolFlag{Name: "pauses", Usage: "single faults of the owner in place of all others, each followed by a quiet time"},
 			&cli.BoolFlag{Name: "backlogs", Usage: "in place of all faults, ends of many tasks that workers can't list at once, while the store takes no progress or the owner is replaced"},
+			&cli.BoolFlag{Name: "small-records", Usage: "a store that takes small records and appends only, and jobs with many occurrences"},
 			&cli.BoolFlag{Name: "calm", Usage: "no faults"},
 			&cli.IntFlag{Name: "pause-kind", Usage: "with these, only faults of one kind: 1 pause, 2 pause and another machine killed, 3 pause and a slow store, 4 no path to the advice service; 0 for all"},
 			&cli.BoolFlag{Name: "mixed", Usage: "a load of gangs, labels, data on racks, runs that fail and tasks that need advice"},
@@ -71,7 +72,7 @@
 			Program: cmd.String("program"), Dir: dir, Seed: seed, Machines: cmd.Int("machines"), Workers: cmd.Int("workers"),
 			LoadTime: cmd.Duration("for"), SettleTime: settle, JobsPerSecond: cmd.Float("rate"),
 			Unfit: cmd.Bool("unfit"), UnfitAlone: cmd.Bool("unfit-alone"), UnfitKind: cmd.Int("unfit-kind"), Later: cmd.Int("later"),
-			Pauses: cmd.Bool("pauses"), Calm: cmd.Bool("calm"), Backlogs: cmd.Bool("backlogs"), PauseKind: cmd.Int("pause-kind"), PolicyEvery: cmd.Duration("policy-every"),
+			Pauses: cmd.Bool("pauses"), Calm: cmd.Bool("calm"), Backlogs: cmd.Bool("backlogs"), SmallRecords: cmd.Bool("small-records"), PauseKind: cmd.Int("pause-kind"), PolicyEvery: cmd.Duration("policy-every"),
 			Mixed: cmd.Bool("mixed"), WidthFactor: cmd.Float("width"), WorkFactor: cmd.Float("work"),
 		})
 		if err != nil {
--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -135,6 +135,7 @@
 const (
 	ReasonCancelled   StopReason = "job cancelled"
 	ReasonFailed      StopReason = "job failed"
+	ReasonUnstorable  StopReason = "progress of the job can't be stored"
 	ReasonUnconfirmed StopReason = "start without an answer"
 	ReasonUnknownTask StopReason = "unknown task"
 	ReasonTaskEnded   StopReason = "task ended elsewhere"
--- a/internal/core/cell/advice.go
+++ b/internal/core/cell/advice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/room"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -97,7 +98,7 @@
 		}
 	}
 	slices.SortStableFunc(ws, func(a, b *worker) int {
-		return cmp.Compare(tasksThatFit(b.available(g.rank.Priority), g.step), tasksThatFit(a.available(g.rank.Priority), g.step))
+		return cmp.Compare(room.Tasks(b.available(g.rank.Priority), g.step), room.Tasks(a.available(g.rank.Priority), g.step))
 	})
 	var out []external.WorkerID
 	for _, w := range ws[:min(len(ws), maxAdviceWorkers)] {
--- a/internal/core/cell/alarms.go
+++ b/internal/core/cell/alarms.go
@@ -27,6 +27,8 @@
 	AlarmWorkersUnreached AlarmCode = "workers_unreached"
 	// AlarmCellFull means that tasks of accepted jobs are put off for want of memory.
 	AlarmCellFull AlarmCode = "cell_full"
+	// AlarmProgressRefused means that a job was ended as failed, as the store refuses its progress.
+	AlarmProgressRefused AlarmCode = "progress_refused"
 )
 
 // Alarm notifies operators of a condition.
--- a/internal/core/cell/copy.go
+++ b/internal/core/cell/copy.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"coltsfootmux/internal/core/clone"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
 	"coltsfootmux/internal/core/speed"
@@ -16,17 +17,17 @@
 // that is shared by mistake fails TestCopySharesNothing, which holds the list of what is
 // shared on purpose.
 type copier struct {
-	entries     copies[jobEntry]
-	occurrences copies[occurrence]
-	groups      copies[taskGroup]
-	units       copies[unit]
-	plans       copies[plan]
-	runs        copies[run]
-	workers     copies[worker]
-	pools       copies[retry.Pool]
-	queues      copies[predict.Queue]
-	speeds      copies[speed.Worker]
-	speedPools  copies[speedPool]
+	entries     clone.Copies[jobEntry]
+	occurrences clone.Copies[occurrence]
+	groups      clone.Copies[taskGroup]
+	units       clone.Copies[unit]
+	plans       clone.Copies[plan]
+	runs        clone.Copies[run]
+	workers     clone.Copies[worker]
+	pools       clone.Copies[retry.Pool]
+	queues      clone.Copies[predict.Queue]
+	speeds      clone.Copies[speed.Worker]
+	speedPools  clone.Copies[speedPool]
 }
 
 // copy returns a copy of the core that steps like the original. Nothing that is done
@@ -43,31 +44,31 @@
 // fixMade fixes the copies that were made so far. It reports whether there were any; a
 // fix may make further ones.
 func (k *copier) fixMade() bool {
-	n := k.entries.fix(k.fixEntry) + k.occurrences.fix(k.fixOccurrence) + k.groups.fix(k.fixGroup) + k.units.fix(k.fixUnit) +
-		k.plans.fix(k.fixPlan) + k.runs.fix(k.fixRun) + k.workers.fix(k.fixWorker) + k.pools.fix(fixPool) + k.speedPools.fix(fixSpeedPool)
+	n := k.entries.Fix(k.fixEntry) + k.occurrences.Fix(k.fixOccurrence) + k.groups.Fix(k.fixGroup) + k.units.Fix(k.fixUnit) +
+		k.plans.Fix(k.fixPlan) + k.runs.Fix(k.fixRun) + k.workers.Fix(k.fixWorker) + k.pools.Fix(fixPool) + k.speedPools.Fix(fixSpeedPool)
 	return n > 0
 }
 
 func (k *copier) fixCore(c *Core) {
 	c.actions, c.trace = nil, nil
 	c.drained = maps.Clone(c.drained)
-	c.jobs = copyValues(c.jobs, &k.entries)
-	c.openJobs = copySlice(c.openJobs, &k.entries)
-	c.workers = copyValues(c.workers, &k.workers)
-	c.fleet = copySlice(c.fleet, &k.workers)
-	c.failuresByPool = copyValues(c.failuresByPool, &k.pools)
+	c.jobs = clone.Values(c.jobs, &k.entries)
+	c.openJobs = clone.Slice(c.openJobs, &k.entries)
+	c.workers = clone.Values(c.workers, &k.workers)
+	c.fleet = clone.Slice(c.fleet, &k.workers)
+	c.failuresByPool = clone.Values(c.failuresByPool, &k.pools)
 	c.crashes = c.crashes.Clone()
 	c.crashedAddrs = maps.Clone(c.crashedAddrs)
-	c.runTimesByQueue = copyValues(c.runTimesByQueue, &k.queues)
-	c.batchJobs = copySlice(c.batchJobs, &k.entries)
-	c.batchEnds = copyKeys(c.batchEnds, &k.workers)
-	c.batchRoster = copySlice(c.batchRoster, &k.workers)
-	c.dirtyJobs = copySlice(c.dirtyJobs, &k.entries)
-	c.endedJobs = copySlice(c.endedJobs, &k.entries)
+	c.runTimesByQueue = clone.Values(c.runTimesByQueue, &k.queues)
+	c.batchJobs = clone.Slice(c.batchJobs, &k.entries)
+	c.batchEnds = clone.Keys(c.batchEnds, &k.workers)
+	c.batchRoster = clone.Slice(c.batchRoster, &k.workers)
+	c.dirtyJobs = clone.Slice(c.dirtyJobs, &k.entries)
+	c.endedJobs = clone.Slice(c.endedJobs, &k.entries)
 	c.cancels = maps.Clone(c.cancels)
 	c.claimedPools = maps.Clone(c.claimedPools)
-	c.speeds.byMachine = copyValues(c.speeds.byMachine, &k.speeds)
-	c.speeds.pools = copyValues(c.speeds.pools, &k.speedPools)
+	c.speeds.byMachine = clone.Values(c.speeds.byMachine, &k.speeds)
+	c.speeds.pools = clone.Values(c.speeds.pools, &k.speedPools)
 	c.speeds.stored = maps.Clone(c.speeds.stored)
 	c.shares.accounts = c.shares.accounts.Clone()
 	c.interference.model = c.interference.model.Clone()
@@ -78,53 +79,53 @@
 }
 
 func (k *copier) fixWorker(w *worker) {
-	w.runs = copySlice(w.runs, &k.runs)
-	w.blamed = copySlice(w.blamed, &k.runs)
-	w.vacatedFor = k.units.of(w.vacatedFor)
+	w.runs = clone.Slice(w.runs, &k.runs)
+	w.blamed = clone.Slice(w.blamed, &k.runs)
+	w.vacatedFor = k.units.Of(w.vacatedFor)
 	w.cooldowns = slices.Clone(w.cooldowns)
 	w.deferredEnds = slices.Clone(w.deferredEnds)
 	w.failedJobs = maps.Clone(w.failedJobs)
-	w.plannedTasks = copyKeys(w.plannedTasks, &k.groups)
+	w.plannedTasks = clone.Keys(w.plannedTasks, &k.groups)
 	w.pastRuns.stays = slices.Clone(w.pastRuns.stays)
 }
 
 func (k *copier) fixRun(r *run) {
-	r.unit = k.units.of(r.unit)
-	r.worker = k.workers.of(r.worker)
+	r.unit = k.units.Of(r.unit)
+	r.worker = k.workers.Of(r.worker)
 }
 
 func (k *copier) fixEntry(e *jobEntry) {
-	e.occurrences = copySlice(e.occurrences, &k.occurrences)
-	e.doneOccurrences, e.openedAhead = maps.Clone(e.doneOccurrences), maps.Clone(e.openedAhead)
+	e.occurrences = clone.Slice(e.occurrences, &k.occurrences)
+	e.doneOccurrences, e.openedAhead = slices.Clone(e.doneOccurrences), maps.Clone(e.openedAhead)
 	e.raisedAlarms = maps.Clone(e.raisedAlarms)
-	e.poolFailures = k.pools.of(e.poolFailures)
-	e.runTimes = k.queues.of(e.runTimes)
+	e.poolFailures = k.pools.Of(e.poolFailures)
+	e.runTimes = k.queues.Of(e.runTimes)
 }
 
 func (k *copier) fixOccurrence(o *occurrence) {
-	o.entry = k.entries.of(o.entry)
-	o.groups = copySlice(o.groups, &k.groups)
+	o.entry = k.entries.Of(o.entry)
+	o.groups = clone.Slice(o.groups, &k.groups)
 }
 
 func (k *copier) fixGroup(g *taskGroup) {
-	g.occ = k.occurrences.of(g.occ)
-	g.units = copySlice(g.units, &k.units)
+	g.occ = k.occurrences.Of(g.occ)
+	g.units = clone.Slice(g.units, &k.units)
 	g.tickets = maps.Clone(g.tickets)
 	g.deniedUntil = maps.Clone(g.deniedUntil)
-	g.speeds = g.speeds.Clone(k.speeds.of)
+	g.speeds = g.speeds.Clone(k.speeds.Of)
 	g.endedRuns = slices.Clone(g.endedRuns)
 }
 
 func (k *copier) fixUnit(u *unit) {
-	u.group = k.groups.of(u.group)
+	u.group = k.groups.Of(u.group)
 	u.failedRuns = slices.Clone(u.failedRuns)
 	u.crashes, u.startCrashes = maps.Clone(u.crashes), maps.Clone(u.startCrashes)
-	u.runs = copySlice(u.runs, &k.runs)
+	u.runs = clone.Slice(u.runs, &k.runs)
 	u.excludedUntil = maps.Clone(u.excludedUntil)
-	u.plan = k.plans.of(u.plan)
+	u.plan = k.plans.Of(u.plan)
 }
 
-func (k *copier) fixPlan(p *plan) { p.on = copySlice(p.on, &k.workers) }
+func (k *copier) fixPlan(p *plan) { p.on = clone.Slice(p.on, &k.workers) }
 
 func fixPool(p *retry.Pool) { *p = p.Clone() }
 
--- a/internal/core/cell/crash.go
+++ b/internal/core/cell/crash.go
@@ -152,9 +152,9 @@
 	if u.state == unitDone || u.entry().outcome != job.Open {
 		return false
 	}
-	increment(&u.crashes, r.member(), 1)
+	blame.Increment(&u.crashes, r.member(), 1)
 	if r.crash.IsAtStart() {
-		increment(&u.startCrashes, r.member(), 1)
+		blame.Increment(&u.startCrashes, r.member(), 1)
 	}
 	u.entry().history.Crashed++
 	c.markDirty(u.entry())
@@ -166,30 +166,14 @@
 	if u.crashes[r.member()] == 0 {
 		return // another run of the task has survived since
 	}
-	decrement(u.crashes, r.member())
+	blame.Decrement(u.crashes, r.member())
 	if r.crash.IsAtStart() {
-		decrement(u.startCrashes, r.member())
+		blame.Decrement(u.startCrashes, r.member())
 	}
 	u.entry().history.Crashed--
 	c.markDirty(u.entry())
 }
 
-// increment adds to a count of a map, which may be nil.
-func increment(counts *map[int]int, key, n int) {
-	if *counts == nil {
-		*counts = make(map[int]int)
-	}
-	(*counts)[key] += n
-}
-
-// decrement subtracts 1 from a count and removes it at 0.
-func decrement(counts map[int]int, key int) {
-	counts[key]--
-	if counts[key] <= 0 {
-		delete(counts, key)
-	}
-}
-
 // judge gives the task of a run up if it is certainly to blame for crashes. Long-running tasks
 // are started again however they end.
 func (c *Core) judge(r *run, pool blame.Pool) {
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -37,7 +37,7 @@
 	// dirty is set while progress has changed that no Persist has taken up.
 	dirty bool
 	// doneOccurrences holds the indexes of the occurrences that have ended.
-	doneOccurrences map[int]bool
+	doneOccurrences job.Intervals
 	// inherited jobs were accepted before this term; their tasks may be running on
 	// workers that have not answered yet.
 	inherited bool
@@ -169,7 +169,7 @@
 
 // newJobEntry returns the record of a new job, without any occurrence.
 func newJobEntry(j *job.Job) *jobEntry {
-	return &jobEntry{job: j, doneOccurrences: make(map[int]bool), units: budget.UnitsOf(j), cost: budget.CostOf(j)}
+	return &jobEntry{job: j, units: budget.UnitsOf(j), cost: budget.CostOf(j)}
 }
 
 // openOccurrence creates the tasks of an occurrence.
@@ -203,7 +203,7 @@
 }
 
 // done reports whether all occurrences of the job have ended.
-func (e *jobEntry) done() bool { return len(e.doneOccurrences) >= e.job.OccurrenceCount() }
+func (e *jobEntry) done() bool { return e.doneOccurrences.Count() >= e.job.OccurrenceCount() }
 
 // dependenciesDone reports whether all steps that the group depends on have ended.
 func (g *taskGroup) dependenciesDone() bool {
--- a/internal/core/cell/event.go
+++ b/internal/core/cell/event.go
@@ -88,8 +88,14 @@
 	Failure Failure
 }
 
-// Persisted reports that the batch of a Persist is durable.
-type Persisted struct{ Batch int64 }
+// Persisted reports that the batch of a Persist is durable, but for what the store will never take.
+type Persisted struct {
+	Batch int64
+	// Refused lists the jobs whose progress the store refuses, whatever else it takes.
+	Refused []job.ID
+	// RosterRefused says that it refuses the roster.
+	RosterRefused bool
+}
 
 // EarlierOwnersEnd says that owners of earlier terms renew leases no longer than until At, or until
 // PreviousOwnerGrace after the takeover if that is later. The latest one counts.
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"coltsfootmux/internal/job"
+	"coltsfootmux/internal/core/room"
 )
 
 // findGang returns a worker for each member of a gang, or nil. It prefers one
@@ -72,7 +72,7 @@
 		n := 0
 		for _, w := range p.racks[k].workers {
 			if w.usable(c.now.Mono) && (g.step.Label == "" || w.hasLabel(g.step.Label)) {
-				n += tasksThatFit(w.Capacity, g.step)
+				n += room.Tasks(w.Capacity, g.step)
 			}
 		}
 		if n >= u.size {
@@ -82,26 +82,6 @@
 	return false
 }
 
-// tasksThatFit returns how many tasks of the step fit into an amount of resources
-// on one worker.
-func tasksThatFit(r job.Resources, s *job.Step) int {
-	need := s.Resources()
-	n := 1 << 30
-	if need.CPU > 0 {
-		n = min(n, r.CPU/need.CPU)
-	}
-	if need.MemMB > 0 {
-		n = min(n, r.MemMB/need.MemMB)
-	}
-	if need.GPU > 0 {
-		n = min(n, r.GPU/need.GPU)
-	}
-	if s.MaxPerWorker > 0 {
-		n = min(n, s.MaxPerWorker)
-	}
-	return max(n, 0)
-}
-
 // packGang places a gang's members on as few of the workers as possible, those to
 // be avoided last. It returns nil if they don't fit.
 func (c *Core) packGang(workers []*worker, g *taskGroup, u *unit) []*worker {
@@ -119,7 +99,7 @@
 		if !c.fits(w, g, u) {
 			continue
 		}
-		n := tasksThatFit(w.roomFor(g), g.step)
+		n := room.Tasks(w.roomFor(g), g.step)
 		if g.step.MaxPerWorker > 0 {
 			n = min(n, g.step.MaxPerWorker-w.taskCount(g))
 		}
--- a/internal/core/cell/interference.go
+++ b/internal/core/cell/interference.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/interference"
+	"coltsfootmux/internal/core/lag"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/overview"
 )
@@ -110,7 +111,7 @@
 	if s.model == nil || c.now.Mono < s.nextJudge {
 		return
 	}
-	s.nextJudge = c.now.Mono + c.reviewInterval(judgeInterval)
+	s.nextJudge = c.now.Mono + lag.ReviewInterval(len(c.fleet), judgeInterval)
 	for _, change := range s.model.Judge(c.now.Mono) {
 		c.emit(PairChanged{change})
 	}
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/blame"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -86,18 +87,17 @@
 		c.closeJob(e)
 		return
 	}
-	e.started = len(p.Occurrences) > 0
+	e.started = p.HasBegun()
+	p = p.Compact(e.job.OccurrenceCount())
+	e.doneOccurrences = p.Ended
 	for _, o := range p.Occurrences {
-		if o.Done {
-			e.doneOccurrences[o.Index] = true
+		if e.isUnopened(o.Index) {
+			c.restoreOccurrence(c.openAhead(e, o.Index), o)
 		}
 	}
-	for _, o := range p.Occurrences {
-		if !e.isUnopened(o.Index) {
-			continue
-		}
-		if len(o.Steps) > 0 || !c.isDue(e, o.Index) || e.mayOpen() && c.mayOpen(e) {
-			c.restoreOccurrence(c.openAhead(e, o.Index), o)
+	for index := range p.Opened.All() {
+		if e.isUnopened(index) && (!c.isDue(e, index) || e.mayOpen() && c.mayOpen(e)) {
+			c.openAhead(e, index)
 		}
 	}
 }
@@ -125,7 +125,7 @@
 	var out map[int]int
 	for member := range u.size {
 		if n := byTask[u.index+member]; n > 0 {
-			increment(&out, member, n)
+			blame.Increment(&out, member, n)
 		}
 	}
 	return out
@@ -206,7 +206,7 @@
 		return
 	}
 	e := u.entry()
-	e.doneOccurrences[g.occ.index] = true
+	e.doneOccurrences.Add(g.occ.index)
 	if e.done() && e.outcome == job.Open {
 		c.finishJob(e, job.Complete, ReasonTaskEnded)
 	}
--- a/internal/core/cell/occurrences.go
+++ b/internal/core/cell/occurrences.go
@@ -34,7 +34,7 @@
 // isUnopened reports whether the job has an occurrence of that index that is neither open nor
 // has ended.
 func (e *jobEntry) isUnopened(index int) bool {
-	return index >= e.nextOccurrence && index < e.job.OccurrenceCount() && !e.openedAhead[index] && !e.doneOccurrences[index]
+	return index >= e.nextOccurrence && index < e.job.OccurrenceCount() && !e.openedAhead[index] && !e.doneOccurrences.Has(index)
 }
 
 // openAhead opens an occurrence whose tasks have run, whatever is open.
--- a/internal/core/cell/overview.go
+++ b/internal/core/cell/overview.go
@@ -22,6 +22,13 @@
 		}
 		out.Jobs = append(out.Jobs, c.jobOverview(e))
 	}
+	for _, e := range c.endedJobs {
+		if e.raisedAlarms[AlarmProgressRefused] {
+			j := c.jobOverview(e)
+			j.WaitReason = "ended as failed: the store refuses its progress"
+			out.Jobs = append(out.Jobs, j)
+		}
+	}
 	c.addInterference(out)
 	return out
 }
--- a/internal/core/cell/persist.go
+++ b/internal/core/cell/persist.go
@@ -1,10 +1,10 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/blame"
 	"coltsfootmux/internal/job"
 )
 
@@ -79,18 +79,37 @@
 	for _, e := range c.batchJobs {
 		// A job that changed after the batch was made is dirty again; its outcome may
 		// not be durable yet.
-		if !e.dirty {
+		if !e.dirty && !slices.Contains(ev.Refused, e.job.ID) {
 			e.durableOutcome = e.outcome
 		}
 	}
+	for _, id := range ev.Refused {
+		c.progressRefused(c.jobs[id])
+	}
 	for w, end := range c.batchEnds {
-		// A new incarnation numbers its ended runs from 1.
-		if w.incarnation == end.incarnation {
+		// A new incarnation numbers its ended runs from 1. Ends of a job whose progress was refused
+		// are durable with its outcome only.
+		if w.incarnation == end.incarnation && len(ev.Refused) == 0 {
 			w.durableEnd = max(w.durableEnd, end.number)
 		}
 	}
-	c.rosterPersisted()
-	c.batchJobs, c.batchEnds = nil, nil
+	if !ev.RosterRefused {
+		c.rosterPersisted()
+	}
+	c.batchJobs, c.batchEnds, c.batchRoster = nil, nil, nil
+}
+
+// progressRefused ends a job whose progress the store will never take: without it, no end of a run
+// on the same workers could be acknowledged any more. Its outcome takes little room.
+func (c *Core) progressRefused(e *jobEntry) {
+	if e == nil {
+		return
+	}
+	c.alarm(e, AlarmProgressRefused)
+	if e.outcome == job.Open {
+		c.finishJob(e, job.Failed, ReasonUnstorable)
+	}
+	c.markDirty(e)
 }
 
 // removeExpiredJobs removes the jobs whose retention time is over and returns their
@@ -121,15 +140,16 @@
 	if e.outcome != job.Open {
 		return p
 	}
-	for index := range e.doneOccurrences {
-		p.Occurrences = append(p.Occurrences, job.Occurrence{Index: index, Done: true})
-	}
+	p.Ended = slices.Clone(e.doneOccurrences)
 	for _, o := range e.occurrences {
-		if !e.doneOccurrences[o.index] {
-			p.Occurrences = append(p.Occurrences, job.Occurrence{Index: o.index, Steps: o.progress()})
+		switch steps := o.progress(); {
+		case o.unfinished == 0:
+		case len(steps) == 0:
+			p.Opened.Add(o.index)
+		default:
+			p.Occurrences = append(p.Occurrences, job.Occurrence{Index: o.index, Steps: steps})
 		}
 	}
-	slices.SortFunc(p.Occurrences, func(a, b job.Occurrence) int { return cmp.Compare(a.Index, b.Index) })
 	return p
 }
 
@@ -173,7 +193,7 @@
 // addByTask adds counts by member of the unit to counts by task, which may be nil.
 func (u *unit) addByTask(byTask, byMember map[int]int) map[int]int {
 	for member, n := range byMember {
-		increment(&byTask, u.index+member, n)
+		blame.Increment(&byTask, u.index+member, n)
 	}
 	return byTask
 }
--- a/internal/core/cell/preempt.go
+++ b/internal/core/cell/preempt.go
@@ -48,7 +48,7 @@
 func (c *Core) cheapestEviction(p *pass, g *rankedGroup, u *unit) eviction {
 	best := eviction{}
 	for _, set := range c.candidateSets(p, g) {
-		if !set.preemptable.mayFit(g.step, u.size) {
+		if !set.preemptable.MayFit(g.step, u.size) {
 			continue
 		}
 		e := c.planEvictionBySpeed(p, set.workers, g, u)
--- a/internal/core/cell/shares.go
+++ b/internal/core/cell/shares.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/lag"
 	"coltsfootmux/internal/core/share"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/overview"
@@ -38,7 +39,7 @@
 	if c.settings.AccountOveruse == 0 || c.now.Mono < s.nextRead {
 		return
 	}
-	s.nextRead = c.now.Mono + c.reviewInterval(usageInterval)
+	s.nextRead = c.now.Mono + lag.ReviewInterval(len(c.fleet), usageInterval)
 	if s.accounts == nil {
 		s.accounts = share.New(c.now.Mono)
 	}
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -61,6 +61,8 @@
 	// roster is the stored roster.
 	roster    []RosterEntry
 	storeDown bool
+	// refuses is a job whose progress the store refuses, but for its outcome.
+	refuses job.ID
 	// termUnconfirmed keeps the current owner's term from being confirmed.
 	termUnconfirmed bool
 	// reports holds the actions that are only logged.
--- a/internal/core/cell/speeds.go
+++ b/internal/core/cell/speeds.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/lag"
 	"coltsfootmux/internal/core/speed"
 	"coltsfootmux/internal/external"
 )
@@ -156,7 +157,7 @@
 	if !c.learnsSpeeds() || now < c.speeds.nextRefresh {
 		return
 	}
-	c.speeds.nextRefresh = now + c.reviewInterval(speedInterval)
+	c.speeds.nextRefresh = now + lag.ReviewInterval(len(c.fleet), speedInterval)
 	for _, p := range c.speeds.pools {
 		p.estimates = p.estimates[:0]
 	}
--- a/internal/core/cell/stands.go
+++ b/internal/core/cell/stands.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/room"
 	"coltsfootmux/internal/job"
 )
 
@@ -205,7 +206,7 @@
 	left := times * u.size
 	c.examined += int64(len(p.pool(g.pool).workers))
 	for _, w := range p.pool(g.pool).workers {
-		n := tasksThatFit(w.freeNow(), g.step)
+		n := room.Tasks(w.freeNow(), g.step)
 		if n == 0 || !w.mayHold(g.step) {
 			continue
 		}
--- a/internal/core/cell/workerset.go
+++ b/internal/core/cell/workerset.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/room"
 	"coltsfootmux/internal/job"
 )
 
@@ -18,38 +19,17 @@
 type workerSet struct {
 	workers []*worker
 	// urgentFree bounds the room for urgent work, otherFree that for all other work.
-	urgentFree, otherFree roomBound
+	urgentFree, otherFree room.Bound
 	// preemptable bounds the room for urgent work if it preempted all other work.
-	preemptable roomBound
-}
-
-// roomBound is an upper bound on what a set of workers can hold.
-type roomBound struct {
-	// perWorker holds, for each resource, the largest amount on any worker.
-	perWorker job.Resources
-	// totalGPU is the number of accelerators of all workers.
-	totalGPU int
-}
-
-func (b *roomBound) add(r job.Resources) {
-	b.perWorker.CPU = max(b.perWorker.CPU, r.CPU)
-	b.perWorker.MemMB = max(b.perWorker.MemMB, r.MemMB)
-	b.perWorker.GPU = max(b.perWorker.GPU, r.GPU)
-	b.totalGPU += max(r.GPU, 0)
-}
-
-// mayFit reports whether size tasks of a step may fit; false is certain.
-func (b *roomBound) mayFit(s *job.Step, size int) bool {
-	need := s.Resources()
-	return b.perWorker.Covers(need) && b.totalGPU >= size*need.GPU
+	preemptable room.Bound
 }
 
 // mayFit reports whether a group's unit may fit into the set; false is certain.
 func (s *workerSet) mayFit(g *rankedGroup, u *unit) bool {
 	if g.rank.Priority == 0 || !g.observes(keepsRoom) {
-		return s.urgentFree.mayFit(g.step, u.size)
+		return s.urgentFree.MayFit(g.step, u.size)
 	}
-	return s.otherFree.mayFit(g.step, u.size)
+	return s.otherFree.MayFit(g.step, u.size)
 }
 
 // pool returns the workers of a pool.
@@ -89,9 +69,9 @@
 	free, other := w.available(0), w.available(1)
 	withPreempted := free.Plus(w.preemptableRoom())
 	for _, s := range []*workerSet{pool, rack} {
-		s.urgentFree.add(free)
-		s.otherFree.add(other)
-		s.preemptable.add(withPreempted)
+		s.urgentFree.Add(free)
+		s.otherFree.Add(other)
+		s.preemptable.Add(withPreempted)
 	}
 }
 
--- a/internal/core/cell/copies.go
+++ b/internal/core/clone/copies.go
@@ -1,7 +1,8 @@
-package cell
+// Package clone copies graphs of objects that refer to each other by pointers.
+package clone
 
-// copies holds the copies of the objects of one type. The zero value holds none.
-type copies[T any] struct {
+// Copies holds the copies of the objects of one type. The zero value holds none.
+type Copies[T any] struct {
 	made map[*T]*T
 	// unfixed holds the copies whose fields are still those of the originals. It replaces a
 	// recursion, as chains of runs, units and workers are as long as the cell is large.
@@ -14,8 +15,8 @@
 // maxCopyBlock is the largest number of objects in one block.
 const maxCopyBlock = 256
 
-// of returns the copy of from, which it makes at the first call; nil for nil.
-func (c *copies[T]) of(from *T) *T {
+// Of returns the copy of from, which it makes at the first call; nil for nil.
+func (c *Copies[T]) Of(from *T) *T {
 	if from == nil {
 		return nil
 	}
@@ -36,8 +37,8 @@
 	return to
 }
 
-// fix calls f with the copies that were made since the last call and returns their number.
-func (c *copies[T]) fix(f func(*T)) int {
+// Fix calls f with the copies that were made since the last call and returns their number.
+func (c *Copies[T]) Fix(f func(*T)) int {
 	now := c.unfixed
 	c.unfixed = nil
 	for _, to := range now {
@@ -46,35 +47,38 @@
 	return len(now)
 }
 
-func copySlice[T any](from []*T, c *copies[T]) []*T {
+// Slice returns a slice of the copies; nil for nil.
+func Slice[T any](from []*T, c *Copies[T]) []*T {
 	if from == nil {
 		return nil
 	}
 	to := make([]*T, len(from))
 	for n, v := range from {
-		to[n] = c.of(v)
+		to[n] = c.Of(v)
 	}
 	return to
 }
 
-func copyValues[K comparable, T any](from map[K]*T, c *copies[T]) map[K]*T {
+// Values returns a map with copies of the values; nil for nil.
+func Values[K comparable, T any](from map[K]*T, c *Copies[T]) map[K]*T {
 	if from == nil {
 		return nil
 	}
 	to := make(map[K]*T, len(from))
 	for key, v := range from {
-		to[key] = c.of(v)
+		to[key] = c.Of(v)
 	}
 	return to
 }
 
-func copyKeys[T, V any](from map[*T]V, c *copies[T]) map[*T]V {
+// Keys returns a map with copies of the keys; nil for nil.
+func Keys[T, V any](from map[*T]V, c *Copies[T]) map[*T]V {
 	if from == nil {
 		return nil
 	}
 	to := make(map[*T]V, len(from))
 	for key, v := range from {
-		to[c.of(key)] = v
+		to[c.Of(key)] = v
 	}
 	return to
 }
--- /dev/null
+++ b/internal/core/room/doc.go
@@ -0,0 +1,2 @@
+// Package room compares what tasks need with the free room of workers.
+package room
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -213,57 +212,3 @@
 	}
 	o.step(cell.HoldAnswered{Worker: a.Order.Worker, Number: a.Number, Lists: l, Failure: cell.FailureOf(err)})
 }
-
-// persist writes progress until the store confirms it or refuses the term.
-func (o *owner) persist(p cell.Persist) {
-	deleted := o.deleteSubmissions(p.Delete)
-	records, err := progressRecords(recordVersion{Term: o.term, Batch: p.Batch}, p)
-	if err != nil {
-		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Any("error", err))
-		o.giveUpTerm()
-		return
-	}
-	began := boottime()
-	for o.ctx.Err() == nil {
-		err := o.progress.write(o.ctx, p.Batch, records)
-		if err == nil {
-			break
-		}
-		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Any("error", err))
-		if errors.Is(err, external.ErrFenced) {
-			o.giveUpTerm()
-			return
-		}
-		sleep(o.ctx, persistRetryDelay)
-	}
-	if deleted {
-		o.deleteProgress(p)
-	}
-	if o.ctx.Err() != nil {
-		return
-	}
-	mProgressWriteTime.Update((boottime() - began).Seconds())
-	evPersisted.Log(o.ctx, o.inst.logger, slog.Int64("batch", p.Batch), slog.Int("jobs", len(p.Progress)),
-		slog.Duration("took", boottime()-began))
-	o.step(cell.Persisted{Batch: p.Batch})
-}
-
-// progressRecords returns the records of a batch.
-func progressRecords(s recordVersion, p cell.Persist) ([]external.Record, error) {
-	var out []external.Record
-	for _, j := range p.Progress {
-		v, err := encodeRecord(progressRecord{Version: s, Progress: j.Progress})
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, external.Record{Key: string(j.ID), Value: v})
-	}
-	if p.Roster != nil {
-		v, err := encodeRecord(rosterRecord{Version: s, Workers: p.Roster})
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, external.Record{Key: keyRoster, Value: v})
-	}
-	return out, nil
-}
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"coltsfootmux/internal/core/recordset"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/wire"
@@ -75,6 +76,12 @@
 		i.recordRefusal(ctx, j, err)
 		return eris.Wrap(job.ErrInvalid, err.Error())
 	}
+	record := external.Record{Key: keySubmission + string(j.ID), Value: value}
+	if !recordset.FitsRecord(i.Settings.Store, record) {
+		err := eris.Wrapf(job.ErrInvalid, "the job takes %d bytes of a record, the store takes %d", external.RecordSize(record), i.Settings.Store.RecordBytes)
+		i.recordRefusal(ctx, j, err)
+		return err
+	}
 	known, err := i.admit(ctx, j)
 	if err != nil {
 		i.recordRefusal(ctx, j, err)
@@ -84,7 +91,7 @@
 		return nil
 	}
 	began := boottime()
-	err = i.writeJobRecord(ctx, j.ID, external.Record{Key: keySubmission + string(j.ID), Value: value}, isSubmitted)
+	err = i.writeJobRecord(ctx, j.ID, record, isSubmitted)
 	i.admission.written(i, j.ID, err)
 	took := slog.Duration("took", boottime()-began)
 	switch {
--- a/internal/instance/deletion.go
+++ b/internal/instance/deletion.go
@@ -17,7 +17,7 @@
 		if len(records) == 0 {
 			continue
 		}
-		if err := o.appendTombstones(topicsJobs[n], records); err != nil {
+		if err := o.inst.appendChunks(o.ctx, topicsJobs[n], records); err != nil {
 			evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int("forgotten", len(ids)), slog.Any("error", err))
 			done = false
 		}
@@ -41,17 +41,12 @@
 	return out
 }
 
-func (o *owner) appendTombstones(t external.Topic, records []external.Record) error {
-	_, err := o.inst.store.Append(o.ctx, external.Append{Topic: t, Records: records})
-	return err
-}
-
 // deleteProgress deletes the progress of jobs whose submissions have been deleted.
 func (o *owner) deleteProgress(p cell.Persist) {
 	if len(p.Delete) == 0 {
 		return
 	}
-	if err := o.progress.deleteJobs(o.ctx, p.Batch, p.Delete); err != nil {
+	if err := o.progress.deleteJobs(o.ctx, o.inst.Settings.Store, p.Batch, p.Delete); err != nil {
 		evPersistFailed.Log(o.ctx, o.inst.logger, slog.Int("forgotten", len(p.Delete)), slog.Any("error", err))
 	}
 	o.mu.Lock()
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -94,5 +94,7 @@
 	evVoteWritten       = logevent.New(2282, slog.LevelWarn, "vote against the owner of a term, written or not")
 	evVoteRead          = logevent.New(2283, slog.LevelWarn, "vote against this owner read")
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
+	evItemRefused       = logevent.New(2297, slog.LevelError, "the store will never take the progress of a job, or the roster")
+	evCheckpointsLeft   = logevent.New(2298, slog.LevelWarn, "checkpoints of a job left out of its stored progress")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
 )
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -66,6 +66,9 @@
 	policyMu        sync.Mutex
 	policyChanged   broadcast
 
+	// readsIntervals is set while all members are of versions that read progress with intervals.
+	readsIntervals atomic.Bool
+
 	termMu sync.Mutex
 	term   *term.Core
 	// termUnstored says that the owned term has had no stored renewal for a while,
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -42,6 +42,8 @@
 	// CellMemory is how many bytes the jobs of a cell may take on the machine, 0 if it sets no
 	// limit or the version of the record has none.
 	CellMemory budget.Limit `cbor:"6,keyasint,omitempty"`
+	// ReadsIntervals says that the version of the instance reads job.Progress.Ended.
+	ReadsIntervals bool `cbor:"7,keyasint,omitempty"`
 }
 
 // members holds the addresses of other instances, from the settings and the store.
@@ -220,7 +222,7 @@
 func (i *Instance) announce(ctx context.Context) error {
 	value, err := encodeRecord(memberRecord{
 		Addr: i.Settings.LinkAddr, ClaimDelay: i.Settings.Term.ClaimDelay, Region: i.Settings.Region, Relay: i.Settings.Relay,
-		DataCentre: i.Settings.Zone, CellMemory: i.Settings.Cell.Memory,
+		DataCentre: i.Settings.Zone, CellMemory: i.Settings.Cell.Memory, ReadsIntervals: true,
 	})
 	if err == nil {
 		_, err = i.store.Append(ctx, external.Append{
@@ -254,6 +256,7 @@
 		i.stepTerm(term.MembersChanged{})
 	}
 	i.setCellLimit(records)
+	i.readsIntervals.Store(len(records) > 0 && !slices.ContainsFunc(records, func(r memberRecord) bool { return !r.ReadsIntervals }))
 	i.membersReadOnce.Do(func() { close(i.membersRead) })
 }
 
--- a/internal/instance/progresswriter.go
+++ b/internal/instance/progresswriter.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"coltsfootmux/internal/core/recordset"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -19,6 +20,14 @@
 	writers   []*topicWriter
 }
 
+// appendID tells the appends of an owner apart: the batch and a number within it. Deletions that go
+// with a batch have numbers of their own.
+type appendID struct {
+	batch    int64
+	number   int
+	deletion bool
+}
+
 // firstSeq is the sequence number of an epoch's first append.
 const firstSeq = 1
 
@@ -27,11 +36,10 @@
 	store    external.Store
 	topic    external.Topic
 	producer external.Producer
-	// unconfirmed is an append without an answer, of batch unconfirmedBatch, which is
-	// negative for the deletions that go with a batch. Its sequence number can't be used
-	// for anything else, as the append may still be carried out.
-	unconfirmed      []external.Record
-	unconfirmedBatch int64
+	// unconfirmed is an append without an answer, the one with unconfirmedID. Its sequence
+	// number can't be used for anything else, as the append may still be carried out.
+	unconfirmed   []external.Record
+	unconfirmedID appendID
 	// keys are those with a record in the topic.
 	keys map[string]bool
 }
@@ -56,19 +64,22 @@
 	return g.Wait()
 }
 
-// write makes a batch durable in one of the topics. It returns the error of the last topic
-// tried, and ErrFenced at once.
-func (p *progressWriter) write(ctx context.Context, batch int64, records []external.Record) error {
+// write makes an append durable in one of the topics. It returns the error of the last topic
+// tried, and ErrFenced and ErrInvalidRequest at once.
+func (p *progressWriter) write(ctx context.Context, id appendID, records []external.Record) error {
 	var err error
 	for _, w := range p.byAvailability() {
-		err = w.write(ctx, batch, records)
-		if err == nil || errors.Is(err, external.ErrFenced) {
+		err = w.write(ctx, id, records)
+		if err == nil || errors.Is(err, external.ErrFenced) || errors.Is(err, external.ErrInvalidRequest) {
 			return err
 		}
 	}
 	return err
 }
 
+// fenceRecord returns a small record that every owner writes when it begins.
+func (p *progressWriter) fenceRecord() external.Record { return p.writers[0].fenceRecord() }
+
 // byAvailability returns the writers, those of available topics first.
 func (p *progressWriter) byAvailability() []*topicWriter {
 	var available, unavailable []*topicWriter
@@ -84,51 +95,68 @@
 
 // deleteJobs deletes the records of jobs from every topic that holds any. A record that
 // can't be deleted does no harm: without a submission it has no effect.
-func (p *progressWriter) deleteJobs(ctx context.Context, batch int64, ids []job.ID) error {
+func (p *progressWriter) deleteJobs(ctx context.Context, l external.StoreLimits, batch int64, ids []job.ID) error {
 	var errs []error
 	for _, w := range p.writers {
-		var records []external.Record
-		for _, id := range ids {
-			if w.keys[string(id)] {
-				records = append(records, external.Record{Key: string(id)})
-			}
-		}
-		if len(records) > 0 {
-			errs = append(errs, w.write(ctx, -batch, records)) // distinct from the batch itself
+		for n, records := range recordset.Chunks(l, w.tombstones(ids)) {
+			errs = append(errs, w.write(ctx, appendID{batch: batch, number: n, deletion: true}, records))
 		}
 	}
 	return errors.Join(errs...)
 }
 
+// tombstones returns the records that delete those of the jobs.
+func (w *topicWriter) tombstones(ids []job.ID) []external.Record {
+	var out []external.Record
+	for _, id := range ids {
+		key := string(id)
+		if w.keys[key] {
+			out = append(out, external.Record{Key: key})
+		}
+		for n := 1; w.keys[partKey(key, n)]; n++ {
+			out = append(out, external.Record{Key: partKey(key, n)})
+		}
+	}
+	return out
+}
+
 // fence makes the first append of the epoch. The append holds a record: without one, it
 // would set the sequence number back if the store carried it out again after later appends.
 func (w *topicWriter) fence(ctx context.Context) error {
 	w.producer.Seq = firstSeq
-	value := strconv.FormatInt(w.producer.Epoch, 10)
-	return w.append(ctx, []external.Record{{Key: keyFence, Value: []byte(value)}})
+	return w.append(ctx, []external.Record{w.fenceRecord()})
+}
+
+func (w *topicWriter) fenceRecord() external.Record {
+	return external.Record{Key: keyFence, Value: []byte(strconv.FormatInt(w.producer.Epoch, 10))}
 }
 
-// write makes one batch durable in the topic.
-func (w *topicWriter) write(ctx context.Context, batch int64, records []external.Record) error {
+// write makes one append durable in the topic.
+func (w *topicWriter) write(ctx context.Context, id appendID, records []external.Record) error {
 	if w.unconfirmed != nil {
-		if err := w.append(ctx, w.unconfirmed); err != nil {
+		err := w.append(ctx, w.unconfirmed)
+		refused := errors.Is(err, external.ErrInvalidRequest)
+		if err != nil && !refused {
 			return err
 		}
 		w.unconfirmed = nil
-		if w.unconfirmedBatch == batch {
-			return nil
+		if refused {
+			w.producer.Seq-- // it was never carried out
+		}
+		if w.unconfirmedID == id {
+			return err
 		}
 	}
 	w.producer.Seq++
 	err := w.append(ctx, records)
-	if errors.Is(err, external.ErrNotExecuted) {
+	if errors.Is(err, external.ErrNotExecuted) || errors.Is(err, external.ErrInvalidRequest) {
 		w.producer.Seq-- // still unused
 		return err
 	}
 	w.trackKeys(records)
 	var gap *external.SequenceError
 	if errors.Is(err, external.ErrOutcomeUnknown) || errors.As(err, &gap) {
-		w.unconfirmed, w.unconfirmedBatch = records, batch
+		w.unconfirmed, w.unconfirmedID = records, id
 	}
 	return err
 }
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -5,6 +5,7 @@
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
+	"coltsfootmux/internal/external"
 )
 
 // Settings are the identity, addresses and limits of an instance.
@@ -27,6 +28,8 @@
 	Peers []string
 	Term  term.Settings
 	Cell  cell.Settings
+	// Store holds the largest sizes that the store takes.
+	Store external.StoreLimits
 	// UpkeepDuration is how long the upkeep of a machine takes.
 	UpkeepDuration time.Duration
 }
--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -2,11 +2,14 @@
 
 import (
 	"log/slog"
+	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/recordset"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -155,17 +158,20 @@
 	newest := make(map[job.ID]recordVersion)
 	var roster rosterRecord
 	for n, p := range pages {
+		parts := partsOf(p)
 		for _, r := range p.Records {
+			if len(r.Value) == 0 || r.Key == keyFence {
+				continue
+			}
+			o.progress.writers[n].keys[r.Key] = true
 			var err error
 			switch {
-			case len(r.Value) == 0 || r.Key == keyFence:
-				continue
+			case strings.HasPrefix(r.Key, keyPart):
 			case r.Key == keyRoster:
-				err = roster.replaceIfNewer(r)
+				err = roster.replaceIfNewer(r, parts)
 			default:
-				err = decodeJobProgress(r, newest, ev)
+				err = decodeJobProgress(r, parts, newest, ev)
 			}
-			o.progress.writers[n].keys[r.Key] = true
 			if err != nil {
 				o.logInvalidRecord(topicsProgress[n], r, err)
 			}
@@ -174,28 +180,73 @@
 	ev.Roster = roster.Workers
 }
 
+// recordParts holds the further records of items in one topic, by key.
+type recordParts map[string]external.Record
+
+func partsOf(p external.Page) recordParts {
+	out := make(recordParts)
+	for _, r := range p.Records {
+		if strings.HasPrefix(r.Key, keyPart) && len(r.Value) > 0 {
+			out[r.Key] = r
+		}
+	}
+	return out
+}
+
+// decode decodes the n-th further record of an item. All records of an item are written by the same
+// append, so that those in a topic have the same version.
+func (p recordParts) decode(key string, n int, into any) error {
+	r, ok := p[partKey(key, n)]
+	if !ok {
+		return eris.Wrapf(errInvalidRecord, "part %d is missing", n)
+	}
+	return decodeRecord(r.Value, into)
+}
+
 // replaceIfNewer replaces the list by that of a record if the record is newer.
-func (roster *rosterRecord) replaceIfNewer(r external.Record) error {
+func (roster *rosterRecord) replaceIfNewer(r external.Record, parts recordParts) error {
 	var rec rosterRecord
 	if err := decodeRecord(r.Value, &rec); err != nil {
 		return err
 	}
-	if rec.Version.compare(roster.Version) > 0 {
-		*roster = rec
+	if rec.Version.compare(roster.Version) <= 0 {
+		return nil
 	}
+	for n := 1; n <= rec.Parts; n++ {
+		var part rosterRecord
+		if err := parts.decode(r.Key, n, &part); err != nil {
+			return err
+		}
+		if part.Version != rec.Version {
+			return eris.Wrapf(errInvalidRecord, "part %d is of another version", n)
+		}
+		rec.Workers = append(rec.Workers, part.Workers...)
+	}
+	*roster = rec
 	return nil
 }
 
 // decodeJobProgress uses a record of a job's progress if it is newer than those read before.
-func decodeJobProgress(r external.Record, newest map[job.ID]recordVersion, ev *cell.Loaded) error {
+func decodeJobProgress(r external.Record, parts recordParts, newest map[job.ID]recordVersion, ev *cell.Loaded) error {
 	var rec progressRecord
 	if err := decodeRecord(r.Value, &rec); err != nil {
 		return err
 	}
 	id := job.ID(r.Key)
-	if rec.Version.compare(newest[id]) > 0 {
-		newest[id], ev.Progress[id] = rec.Version, rec.Progress
+	if rec.Version.compare(newest[id]) <= 0 {
+		return nil
+	}
+	for n := 1; n <= rec.Parts; n++ {
+		var part progressRecord
+		if err := parts.decode(r.Key, n, &part); err != nil {
+			return err
+		}
+		if part.Version != rec.Version {
+			return eris.Wrapf(errInvalidRecord, "part %d is of another version", n)
+		}
+		recordset.Merge(&rec.Progress, part.Progress)
 	}
+	newest[id], ev.Progress[id] = rec.Version, rec.Progress
 	return nil
 }
 
--- a/internal/instance/topics.go
+++ b/internal/instance/topics.go
@@ -47,6 +47,8 @@
 	keyVote = "vote/"
 	// keyRoster is the key of the list of workers in use; jobs use their IDs as keys.
 	keyRoster = "/roster"
+	// keyPart, followed by the key of an item and a number, is the key of a further record of it.
+	keyPart = "/part/"
 	// keyFence is the key of the term that may write progress.
 	keyFence      = "/fence"
 	producerOwner = "owner-0"
@@ -82,16 +84,19 @@
 	return cmp.Or(cmp.Compare(v.Term, o.Term), cmp.Compare(v.Batch, o.Batch))
 }
 
-// progressRecord is a job's progress as stored.
+// progressRecord is a job's progress as stored. If it does not fit into one record, the first one
+// says how many others of the same version hold the rest.
 type progressRecord struct {
 	Version  recordVersion `cbor:"1,keyasint"`
 	Progress job.Progress  `cbor:"2,keyasint"`
+	Parts    int           `cbor:"3,keyasint,omitempty"`
 }
 
-// rosterRecord is the list of workers in use as stored.
+// rosterRecord is the list of workers in use as stored, divided as progressRecord is.
 type rosterRecord struct {
 	Version recordVersion      `cbor:"1,keyasint"`
 	Workers []cell.RosterEntry `cbor:"2,keyasint"`
+	Parts   int                `cbor:"3,keyasint,omitempty"`
 }
 
 // errInvalidRecord means that a record in one of the product's own topics can't be read.
--- a/internal/instance/upkeep.go
+++ b/internal/instance/upkeep.go
@@ -155,6 +155,9 @@
 			return
 		}
 		evWaveReportFailed.Log(o.ctx, o.inst.logger, slog.Int64("wave", r.Wave), slog.Any("error", err))
+		if errors.Is(err, external.ErrInvalidRequest) {
+			return // a repeat would be refused as well
+		}
 		sleep(o.ctx, persistRetryDelay)
 	}
 }
--- a/internal/soak/jobs.go
+++ b/internal/soak/jobs.go
@@ -46,6 +46,9 @@
 		steps = append(steps, stepBody{Count: 2, CPU: 200, EstMS: 300, After: []int{0}})
 	}
 	repeat := c.drawRepetition(number)
+	if repeat.times == manyTimes {
+		steps = []stepBody{{Count: 1, CPU: 50, EstMS: 500}}
+	}
 	if c.bed.opts.Mixed {
 		m := c.bed.drawMixed(number)
 		prefix, steps, repeat.repetition, sent.failing = m.class.prefix, m.steps, m.repeat, m.poison
@@ -53,7 +56,7 @@
 		c.bed.mixedJobs.Store(job.ID(sent.id), m)
 	}
 	sent.path = prefix + sent.id
-	if sent.deadly = rng.IntN(deadlyEvery) == 0 && !c.bed.opts.calmLoad() && !sent.failing; sent.deadly {
+	if sent.deadly = rng.IntN(deadlyEvery) == 0 && !c.bed.opts.calmLoad() && !sent.failing && repeat.times != manyTimes; sent.deadly {
 		c.bed.deadlyJobs.Store(job.ID(sent.id), true)
 	}
 	if sent.lasting = repeat.lasting && !sent.deadly; sent.lasting {
@@ -102,6 +105,12 @@
 	lasting bool
 }
 
+// Occurrences of jobs whose progress outgrows a small record, and the time between two in milliseconds.
+const (
+	manyTimes    = 300
+	manyInterval = 20
+)
+
 // repeatStream keeps the random numbers of repetitions apart from those of all else.
 const repeatStream = 8
 
@@ -112,5 +121,8 @@
 	if rng.IntN(8) == 0 {
 		r.times = 2 + rng.IntN(3)
 	}
+	if c.bed.opts.SmallRecords && rng.IntN(4) == 0 {
+		r.times, r.intervalMS = manyTimes, manyInterval
+	}
 	return r
 }
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -126,7 +126,9 @@
 grace_s = %g
 [platform]
 addr = %q
-`, m.name, host.IP(), n%3, metrics, metrics, `"`+strings.Join(seeds, `","`)+`"`, top, m.callerAddr, m.readyAddr, controlAddr, limits, farFactor, grace.Seconds(), m.storeProxy.Addr())
+record_bytes = %d
+call_bytes = %d
+`, m.name, host.IP(), n%3, metrics, metrics, `"`+strings.Join(seeds, `","`)+`"`, top, m.callerAddr, m.readyAddr, controlAddr, limits, farFactor, grace.Seconds(), m.storeProxy.Addr(), storeLimits(o).RecordBytes, storeLimits(o).AppendBytes)
 	m.settingsFile = filepath.Join(m.dir, m.name+".toml")
 	if err := os.WriteFile(m.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, eris.Wrap(ErrSetup, err.Error())
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -83,6 +84,9 @@
 		r.Starts = f.Starts
 		r.Violations = append(r.Violations, f.Violations()...)
 	})
+	if _, largest, refused := s.store.Sizes(); refused > 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("%d appends were refused for their size, the largest record has %d bytes", refused, largest))
+	}
 	c.fillReport(&r)
 	return r, nil
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,14 @@
 // ends are not among those that a worker lists.
 func TestSoakWithBacklogs(t *testing.T) { runSoaks(t, backlogSoaks) }
 
+// smallRecordSoaks are run by TestSoakWithSmallRecords.
+var smallRecordSoaks = []Options{
+	{Seed: 1, Machines: 3, Workers: 8, LoadTime: 12 * time.Second, JobsPerSecond: 3, SmallRecords: true},
+}
+
+// TestSoakWithSmallRecords guards against progress that the store refuses for its size.
+func TestSoakWithSmallRecords(t *testing.T) { runSoaks(t, smallRecordSoaks) }
+
 // TestShortSoak runs the short soaks.
 func TestShortSoak(t *testing.T) { runSoaks(t, shortSoaks) }
 
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -51,6 +51,9 @@
 	// Backlogs has, in place of all other faults, the ends of many tasks pile up on their workers
 	// while the store takes no progress, or the owner is replaced.
 	Backlogs bool
+	// SmallRecords has a store that takes small records and appends only, and jobs with many
+	// occurrences.
+	SmallRecords bool
 	// Calm has no faults at all.
 	Calm bool
 	// PolicyEvery, if positive, is the time between changes of the policy beside all faults.
@@ -68,6 +71,17 @@
 // calmLoad reports whether only single faults are injected, each followed by a quiet time.
 func (o *Options) calmLoad() bool { return o.UnfitAlone || o.Pauses || o.Backlogs || o.Calm }
 
+// smallLimits are sizes that the progress of some jobs and most batches exceed.
+var smallLimits = external.StoreLimits{RecordBytes: 1000, AppendBytes: 3000}
+
+// storeLimits returns the sizes that the store takes.
+func storeLimits(o Options) external.StoreLimits {
+	if o.SmallRecords {
+		return smallLimits
+	}
+	return store.Limits
+}
+
 // testbed is a set of machines with stand-ins for the platform around them.
 type testbed struct {
 	opts Options
@@ -106,6 +120,7 @@
 	if o.Mixed {
 		s.setUpMixed()
 	}
+	s.store.SetLimits(storeLimits(o))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	go s.fleet.Run(ctx)
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -45,13 +45,19 @@
 	return f
 }
 
+// Limits are the largest sizes that the platform's store takes.
+var Limits = external.StoreLimits{RecordBytes: 262_144, AppendBytes: 2_097_152}
+
 // Store is a stand-in store. It is safe for concurrent use.
 type Store struct {
 	mu     sync.Mutex
+	limits external.StoreLimits
 	topics map[external.Topic]*topic
 	fault  Fault
 	// changed is closed when records are appended or the faults change.
 	changed chan struct{}
+	// refused is the number of appends that were refused for their size.
+	refused int
 	// calls is the number of calls to the external.Log methods.
 	calls int
 	// second is the second in which the reads counted in readsInSecond were made.
@@ -61,7 +67,42 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{topics: make(map[external.Topic]*topic), changed: make(chan struct{})}
+	return &Store{limits: Limits, topics: make(map[external.Topic]*topic), changed: make(chan struct{})}
+}
+
+// SetLimits replaces Limits.
+func (s *Store) SetLimits(l external.StoreLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+// Sizes returns the limits, the size of the largest record in the store and the number of appends
+// that were refused for their size.
+func (s *Store) Sizes() (l external.StoreLimits, largest, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		for _, r := range t.newest {
+			largest = max(largest, external.RecordSize(r))
+		}
+	}
+	return s.limits, largest, s.refused
+}
+
+// checkSize refuses an append of which a record, or all together, are too large.
+func (s *Store) checkSize(a external.Append) error {
+	for _, r := range a.Records {
+		if n := external.RecordSize(r); n > s.limits.RecordBytes {
+			s.refused++
+			return eris.Wrapf(external.ErrInvalidRequest, "record %s has %d bytes", r.Key, n)
+		}
+	}
+	if n := external.AppendSize(a.Records); n > s.limits.AppendBytes {
+		s.refused++
+		return eris.Wrapf(external.ErrInvalidRequest, "%d records have %d bytes", len(a.Records), n)
+	}
+	return nil
 }
 
 // SetFault replaces the current faults.
@@ -164,6 +205,9 @@
 func (s *Store) append(a external.Append) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkSize(a); err != nil {
+		return 0, err
+	}
 	end, err := s.topic(a.Topic).append(a)
 	s.wakeReaders()
 	return end, err
