--- a/internal/core/recordset/plan.go
+++ b/internal/core/recordset/plan.go
@@ -56,17 +56,8 @@
 // NewPlan returns the plan for the items of a batch.
 func NewPlan(l external.StoreLimits, items []Item) *Plan {
 	p := &Plan{}
-	begin, size := 0, 0
-	for n, i := range items {
-		s := external.AppendSize(i.Records)
-		if n > begin && !fits(size+s, l.AppendBytes) {
-			p.steps = append(p.steps, p.step(items[begin:n]))
-			begin, size = n, 0
-		}
-		size += s
-	}
-	if begin < len(items) {
-		p.steps = append(p.steps, p.step(items[begin:]))
+	for _, group := range pack(l, items, func(i Item) int { return external.AppendSize(i.Records) }) {
+		p.steps = append(p.steps, p.step(group))
 	}
 	return p
 }
--- a/internal/core/recordset/size.go
+++ b/internal/core/recordset/size.go
@@ -17,18 +17,23 @@
 
 // Chunks divides records that need not be written together into appends.
 func Chunks(l external.StoreLimits, records []external.Record) [][]external.Record {
-	var out [][]external.Record
+	return pack(l, records, func(r external.Record) int { return external.AppendSize([]external.Record{r}) })
+}
+
+// pack divides a list, in order, into groups of which each fits into one append, or has one element.
+func pack[T any](l external.StoreLimits, list []T, sizeOf func(T) int) [][]T {
+	var out [][]T
 	begin, size := 0, 0
-	for n := range records {
-		s := external.AppendSize(records[n : n+1])
+	for n, v := range list {
+		s := sizeOf(v)
 		if n > begin && !fits(size+s, l.AppendBytes) {
-			out = append(out, records[begin:n])
+			out = append(out, list[begin:n])
 			begin, size = n, 0
 		}
 		size += s
 	}
-	if begin < len(records) {
-		out = append(out, records[begin:])
+	if begin < len(list) {
+		out = append(out, list[begin:])
 	}
 	return out
 }
