--- a/internal/instance/takeover.go
+++ b/internal/instance/takeover.go
@@ -193,14 +193,24 @@
 	return out
 }
 
-// decode decodes the n-th further record of an item. All records of an item are written by the same
-// append, so that those in a topic have the same version.
-func (p recordParts) decode(key string, n int, into any) error {
-	r, ok := p[partKey(key, n)]
-	if !ok {
-		return eris.Wrapf(errInvalidRecord, "part %d is missing", n)
+// decodeParts decodes the further records of an item, and passes each to add. All records of an item
+// are written by the same append, so that those in a topic have the same version.
+func decodeParts[T any](parts recordParts, key string, count int, v recordVersion, versionOf func(T) recordVersion, add func(T)) error {
+	for n := 1; n <= count; n++ {
+		r, ok := parts[partKey(key, n)]
+		if !ok {
+			return eris.Wrapf(errInvalidRecord, "part %d is missing", n)
+		}
+		var part T
+		if err := decodeRecord(r.Value, &part); err != nil {
+			return err
+		}
+		if versionOf(part) != v {
+			return eris.Wrapf(errInvalidRecord, "part %d is of another version", n)
+		}
+		add(part)
 	}
-	return decodeRecord(r.Value, into)
+	return nil
 }
 
 // replaceIfNewer replaces the list by that of a record if the record is newer.
@@ -212,15 +222,9 @@
 	if rec.Version.compare(roster.Version) <= 0 {
 		return nil
 	}
-	for n := 1; n <= rec.Parts; n++ {
-		var part rosterRecord
-		if err := parts.decode(r.Key, n, &part); err != nil {
-			return err
-		}
-		if part.Version != rec.Version {
-			return eris.Wrapf(errInvalidRecord, "part %d is of another version", n)
-		}
-		rec.Workers = append(rec.Workers, part.Workers...)
+	add := func(part rosterRecord) { rec.Workers = append(rec.Workers, part.Workers...) }
+	if err := decodeParts(parts, r.Key, rec.Parts, rec.Version, func(p rosterRecord) recordVersion { return p.Version }, add); err != nil {
+		return err
 	}
 	*roster = rec
 	return nil
@@ -236,15 +240,9 @@
 	if rec.Version.compare(newest[id]) <= 0 {
 		return nil
 	}
-	for n := 1; n <= rec.Parts; n++ {
-		var part progressRecord
-		if err := parts.decode(r.Key, n, &part); err != nil {
-			return err
-		}
-		if part.Version != rec.Version {
-			return eris.Wrapf(errInvalidRecord, "part %d is of another version", n)
-		}
-		recordset.Merge(&rec.Progress, part.Progress)
+	add := func(part progressRecord) { recordset.Merge(&rec.Progress, part.Progress) }
+	if err := decodeParts(parts, r.Key, rec.Parts, rec.Version, func(p progressRecord) recordVersion { return p.Version }, add); err != nil {
+		return err
 	}
 	newest[id], ev.Progress[id] = rec.Version, rec.Progress
 	return nil
