A process that is too late to observe its lag is late

Callers saw the owner's calls to sound workers fail by their time limits, orders made again, and terms lost as "the store turns this instance away", beside a lag that was shown as small.

The lag is observed every 50 ms, by a goroutine that waits for the processor like all others. While it waits for seconds nothing is observed, the latest observation leaves the window of "now", and the process counts as in time just when it is latest: limits are not extended, orders are made again after 0.2 s, nothing is put off. A feedback between load and delay that the allowances were to break.

A process that observes its lag periodically now counts a missing observation as lag.

--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -42,7 +42,7 @@
 		send(func(event result) {
 			s.after(oneWayLatency, func() {
 				s.cpu.add(s.now, func() time.Duration {
-					if s.now-began > limit+lag.Allowance(s.cpu.lag.Since(began)) {
+					if s.now-began > limit+lag.Allowance(s.cpu.lag.Since(s.now, began)) {
 						return answerCost + dialCost + s.step(event(cell.FailureOutcomeUnknown))
 					}
 					return answerCost + s.step(event(cell.FailureNone))
--- a/internal/instance/lag.go
+++ b/internal/instance/lag.go
@@ -28,6 +28,13 @@
 	core lag.Core
 }
 
+// begin says that the lag is observed at each tick from now on.
+func (m *lagMeter) begin() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.core = lag.NewPeriodic(tickInterval)
+}
+
 func (m *lagMeter) observe(late time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -45,13 +52,14 @@
 func (m *lagMeter) since(from time.Duration) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.Since(from)
+	return m.core.Since(boottime(), from)
 }
 
 // measureLag observes the lag of this process and reports it until ctx ends. Waits for the state of
 // an owned cell are no part of it.
 func (i *Instance) measureLag(ctx context.Context) {
 	latency := newSchedLatency()
+	i.lag.begin()
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	last, report := boottime(), lagReport{}
--- a/internal/partitionsim/network_test.go
+++ b/internal/partitionsim/network_test.go
@@ -157,7 +157,7 @@
 func (s *simulation) limit(c call, end func()) {
 	began := s.now
 	c.from.deliver(c.timeout, func() {
-		more := lag.Allowance(c.from.processor.lag.Since(began))
+		more := lag.Allowance(c.from.processor.lag.Since(c.from.sim.now, began))
 		if more == 0 || s.isInstance(c.to) {
 			end()
 			return
--- a/internal/partitionsim/peers_test.go
+++ b/internal/partitionsim/peers_test.go
@@ -113,7 +113,7 @@
 			return
 		}
 		i.sim.tracef("%s asked %d peers: %d answered, the store serves %d of them and itself: %v", i.name(), len(asked), answered, served, selfServed)
-		if served > 0 && !selfServed && !lag.Explains(probeTimeout, i.processor.lag.Since(began)) {
+		if served > 0 && !selfServed && !lag.Explains(probeTimeout, i.processor.lag.Since(i.sim.now, began)) {
 			i.stepTerm(term.PeersReachStore{})
 		}
 	}
