A gang's orders leave in time, or the gang is stopped whole

The core orders all members in one step. Then each order is a call of its own, among hundreds of others, and a late owner sends and repeats them over seconds. Nothing bounded the time between the first and the last start, and nothing stopped a gang that could not be complete in time.

An order of a gang that is not sent within a quarter of it after the decision is not sent, which ends its run as certainly not begun, without blame of the worker; if a member is not known to run after half of it, all are stopped, with the other half for the stops to arrive. Both counted from the decision, before which no member can start. The decisions are package gangstart; the shell reports a call that it did not send (ErrNotSent), which the checks of the term's age do as well.

--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -14,7 +14,7 @@
 	switch a := a.(type) {
 	case cell.Start:
 		s.tally.addStart(a)
-		s.start(a.Order)
+		s.start(a)
 	case cell.Stop:
 		s.tally.addStop(a)
 		s.stop(a.Order)
@@ -61,8 +61,15 @@
 	return cell.FailureOf(err)
 }
 
-func (s *simulator) start(o external.StartOrder) {
+func (s *simulator) start(a cell.Start) {
+	o := a.Order
 	s.call(callLimit, func(answer func(result)) {
+		if a.SendBy > 0 && s.now > a.SendBy {
+			answer(func(cell.Failure) cell.Event {
+				return cell.StartAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Failure: cell.FailureNotSent}
+			})
+			return
+		}
 		s.after(oneWayLatency, func() {
 			r, err := s.fleet.Start(context.Background(), o)
 			if err == nil && r.Refusal == external.RefusedNone {
--- a/internal/cellplay/result.go
+++ b/internal/cellplay/result.go
@@ -24,6 +24,8 @@
 	// Violations are the breaches of the workers' protocol that the stand-in fleet
 	// detected.
 	Violations []string
+	// IncompleteGangs is the number of runs that ended as the rest of their gang did not start in time.
+	IncompleteGangs int
 	// Standing is how long jobs had nothing running although there was room.
 	Standing StandingResult
 }
--- a/internal/cellplay/simulator.go
+++ b/internal/cellplay/simulator.go
@@ -32,7 +32,7 @@
 func settings() cell.Settings {
 	return cell.Settings{
 		Lease: fleet.MaxLease - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, PreviousOwnerGrace: 3 * time.Second,
-		RestoreTime: 600 * time.Millisecond, RemoteDataFactor: 1, OpenEarly: 250 * time.Millisecond, Retention: 2 * time.Minute,
+		GangTimeout: fleet.GangTimeout, RestoreTime: 600 * time.Millisecond, RemoteDataFactor: 1, OpenEarly: 250 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
 
@@ -77,6 +77,7 @@
 	}
 	out := s.tally.result(&t, r.Name, s.unfinished, s.fleet.Violations())
 	out.Standing = s.standing.result()
+	out.IncompleteGangs = s.fleet.IncompleteGangs
 	return out
 }
 
--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -14,6 +14,8 @@
 // Start asks for a start order to be sent to a worker.
 type Start struct {
 	Order external.StartOrder
+	// SendBy is the time until which the order may be sent, 0 for no bound.
+	SendBy time.Duration
 	// Waited is how long the task waited after it became ready to run.
 	Waited time.Duration
 	// Resends is how many times the order was sent before, without an answer.
@@ -140,6 +142,7 @@
 	ReasonUnknownTask StopReason = "unknown task"
 	ReasonTaskEnded   StopReason = "task ended elsewhere"
 	ReasonGangBroken  StopReason = "another member of the gang ended"
+	ReasonGangLate    StopReason = "gang not complete in time"
 	ReasonPreempted   StopReason = "preempted by other work"
 	ReasonStalled     StopReason = "no progress"
 	ReasonDraining    StopReason = "worker is draining"
--- a/internal/core/cell/entry.go
+++ b/internal/core/cell/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/budget"
+	"coltsfootmux/internal/core/gangstart"
 	"coltsfootmux/internal/core/interference"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
@@ -136,6 +137,8 @@
 	roomSince time.Duration
 	// nextRelaxed is the earliest time of the next attempt without soft constraints.
 	nextRelaxed time.Duration
+	// start bounds the start of the current runs of a gang.
+	start gangstart.Start
 	// waited is how long the unit waited before its current runs were started.
 	waited time.Duration
 	// runTime is how long the successful run took, moves how often the unit was
--- a/internal/core/cell/failure.go
+++ b/internal/core/cell/failure.go
@@ -14,6 +14,8 @@
 	FailureNone Failure = iota
 	// FailureNotExecuted means that the call was certainly not carried out.
 	FailureNotExecuted
+	// FailureNotSent means that this process did not send the call.
+	FailureNotSent
 	// FailureOutcomeUnknown means that the call may have been carried out or may still
 	// be.
 	FailureOutcomeUnknown
@@ -32,6 +34,8 @@
 		return FailureFenced
 	case errors.Is(err, external.ErrConnectionRefused):
 		return FailureConnectionRefused
+	case errors.Is(err, external.ErrNotSent):
+		return FailureNotSent
 	case errors.Is(err, external.ErrNotExecuted):
 		return FailureNotExecuted
 	default:
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -133,3 +133,24 @@
 	}
 	return on
 }
+
+// stopLateGangs stops the gangs of which a member is still not known to run, before the others have
+// waited for it to the workers' limit.
+func (c *Core) stopLateGangs() {
+	for _, w := range c.fleet {
+		for _, r := range w.runs {
+			if r.unit != nil && r.isUnanswered() && r.unit.start.IsOverdue(c.now.Mono) {
+				c.stopRuns(r.unit, ReasonGangLate)
+			}
+		}
+	}
+}
+
+// isUnanswered reports whether it is not known that the run was started.
+func (r *run) isUnanswered() bool { return r.state == runStarting || r.state == runUnconfirmed }
+
+func (c *Core) stopRuns(u *unit, reason StopReason) {
+	for _, r := range slices.Clone(u.runs) {
+		c.stopRun(r, reason)
+	}
+}
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/gangstart"
 	"coltsfootmux/internal/core/termination"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -17,6 +18,9 @@
 	waited := now - u.waitingSince
 	u.nextWaitReport, u.waited = 0, waited
 	u.entry().history.MaxWait = max(u.entry().history.MaxWait, waited)
+	if u.group.step.Gang {
+		u.start = gangstart.New(now, c.settings.GangTimeout)
+	}
 	for i, w := range workers {
 		r := &run{
 			task: u.taskID(i), number: number, unit: u, worker: w, state: runStarting,
@@ -40,7 +44,7 @@
 			OrderHeader: c.orderHeader(r.worker), Task: r.task, Run: r.number, Spec: r.unit.entry().job.Spec,
 			LeaseEnd: c.grantLease(r.worker), Checkpoint: r.startCheckpoint, Ticket: ticket,
 		},
-		Waited: r.unit.waited, Resends: r.startResends, TermAge: c.now.Mono - c.termConfirmedAt,
+		SendBy: r.unit.start.SendBy(), Waited: r.unit.waited, Resends: r.startResends, TermAge: c.now.Mono - c.termConfirmedAt,
 	})
 }
 
@@ -65,6 +69,8 @@
 		c.startConfirmed(r)
 	case r.startResends > 0:
 		c.resentStartFailed(r, ev)
+	case ev.Failure == FailureNotSent:
+		c.endRun(r, EndedRefused, "")
 	case ev.Failure == FailureNotExecuted || ev.Failure == FailureConnectionRefused:
 		w.pauseUntil = max(w.pauseUntil, now+refusalPause)
 		c.endRun(r, EndedRefused, "")
@@ -190,6 +196,7 @@
 			c.removeWorker(w)
 		}
 	}
+	c.stopLateGangs()
 	c.chooseRecordedRuns()
 	c.moveStragglers()
 	c.refreshSpeeds()
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -20,6 +20,8 @@
 	// PreviousOwnerGrace is how long after a takeover owners of earlier terms may still
 	// renew leases, unless an EarlierOwnersEnd says that it is longer.
 	PreviousOwnerGrace time.Duration
+	// GangTimeout is how long workers let the members of a gang wait for the rest; 0 for no bound.
+	GangTimeout time.Duration
 	// RestoreTime is how long a run takes to resume from a checkpoint.
 	RestoreTime time.Duration
 	// RemoteDataFactor is how many times longer a task runs outside its data's rack.
--- a/internal/external/errors.go
+++ b/internal/external/errors.go
@@ -13,6 +13,8 @@
 	ErrConnectionRefused = eris.Wrap(ErrNotExecuted, "connection refused")
 	// ErrUnreached wraps ErrNotExecuted: no connection could be opened, which is no answer of the other side.
 	ErrUnreached = eris.Wrap(ErrNotExecuted, "no connection")
+	// ErrNotSent wraps ErrNotExecuted: this process did not send the call.
+	ErrNotSent = eris.Wrap(ErrNotExecuted, "not sent")
 	// ErrRateLimited wraps ErrNotExecuted: all clients together call too often.
 	ErrRateLimited = eris.Wrap(ErrNotExecuted, "rate limit")
 	// ErrOutcomeUnknown means that no usable answer came: the call may have been
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -29,7 +29,7 @@
 		evStart.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
 			slog.String("worker", string(a.Order.Worker)), slog.Int64("term", o.term),
 			slog.Duration("confirmed", a.TermAge), slog.String("checkpoint", a.Order.Checkpoint), slog.Duration("waited", a.Waited), slog.Int("repeat", a.Resends))
-		o.inst.spawn(func(context.Context) { o.start(a.Order) })
+		o.inst.spawn(func(context.Context) { o.start(a) })
 	case cell.Stop:
 		mStops.Inc()
 		evStop.Log(o.ctx, l, slog.String("task", a.Order.Task.String()), slog.Int64("run", a.Order.Run),
@@ -131,8 +131,9 @@
 	}
 }
 
-func (o *owner) start(order external.StartOrder) {
-	r, err := o.sendStart(order)
+func (o *owner) start(a cell.Start) {
+	order := a.Order
+	r, err := o.sendStart(a)
 	if err != nil || r.Refusal != external.RefusedNone {
 		mStartsFailed.Inc()
 		evStartFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
@@ -144,16 +145,19 @@
 	})
 }
 
-// sendStart sends a start unless the term has become too old since the start was decided.
-// Errors: those of external.Workers.
-func (o *owner) sendStart(order external.StartOrder) (external.OrderResult, error) {
+// sendStart sends a start unless the term, or the start of its gang, has become too old since it was
+// decided. Errors: those of external.Workers.
+func (o *owner) sendStart(a cell.Start) (external.OrderResult, error) {
 	ctx, cancel := o.orderContext(orderTimeout)
 	defer cancel()
 	if !o.mayStart() {
 		return external.OrderResult{}, errTermTooOld
 	}
+	if a.SendBy != 0 && boottime() > a.SendBy {
+		return external.OrderResult{}, errGangTooLate
+	}
 	ended := o.work.callBegan()
-	r, err := o.inst.Workers.Start(ctx, order)
+	r, err := o.inst.Workers.Start(ctx, a.Order)
 	ended(err)
 	return r, err
 }
--- a/internal/instance/errors.go
+++ b/internal/instance/errors.go
@@ -26,5 +26,8 @@
 	ErrNoJob = eris.New("no such job")
 	// errTermTooOld means that an order was not sent, as the term had not been confirmed for
 	// too long; another instance may own the next one.
-	errTermTooOld = eris.Wrap(external.ErrNotExecuted, "the term was not confirmed recently enough")
+	errTermTooOld = eris.Wrap(external.ErrNotSent, "the term was not confirmed recently enough")
+	// errGangTooLate means that an order was not sent, as the members of its gang that have started
+	// would wait too long for it.
+	errGangTooLate = eris.Wrap(external.ErrNotSent, "the start of the gang is too long ago")
 )
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -85,6 +85,8 @@
 	AdviceCut     bool
 	tickets       map[stepOn][]ticket
 	ticketsIssued int
+	// IncompleteGangs is the number of runs that ended as the rest of their gang did not start.
+	IncompleteGangs int
 	// Starts is the number of runs that were started.
 	Starts int
 	// OrderDelayed is set while an order is carried out that was delayed by the
@@ -219,6 +221,7 @@
 	f := m.fleet
 	if run.step.Gang && !f.gangComplete(run) {
 		if f.now-run.startedAt > GangTimeout {
+			f.IncompleteGangs++
 			m.end(run, external.EndedGangIncomplete)
 			f.stopRestOfGang(run)
 		}
