Starts without an answer follow the time that answers take

Callers saw an owner that was short of processor time order more starts than it could send: each waited behind all others, answers were read late, orders were made again, and members of a gang started seconds apart.

The bound was the same for every machine and lag: 64 starts, or a fifth of the workers, of which those older than 0.25 s and the lag ceased to count. Now it is a window that shrinks by a factor for a late answer, once for all starts in progress together, and grows while answers are prompt, up to the former bound (package startwindow). What is not ordered waits in the order of its urgency.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -9,6 +9,7 @@
 	"coltsfootmux/internal/core/contact"
 	"coltsfootmux/internal/core/predict"
 	"coltsfootmux/internal/core/retry"
+	"coltsfootmux/internal/core/startwindow"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
 )
@@ -40,6 +41,8 @@
 	// contactWindow limits how many workers are sent their first hold at the same
 	// time.
 	contactWindow contact.Window
+	// starts limits the starts without an answer.
+	starts startwindow.Window
 	// resendsLeft is how many unanswered calls the current tick may still resend.
 	resendsLeft int
 	// nextContact is the first worker that the contact window left out; the next
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -61,6 +61,9 @@
 		return
 	}
 	now := c.now.Mono
+	if r.state == runStarting && r.startResends == 0 {
+		c.starts.Answered(now, r.createdAt, c.maxUnansweredStarts())
+	}
 	switch {
 	case ev.Failure == FailureFenced:
 		c.higherTermSeen(w)
--- a/internal/core/cell/ownlag.go
+++ b/internal/core/cell/ownlag.go
@@ -17,7 +17,7 @@
 // must not stand.
 func (c *Core) startWindow(p *pass, g *rankedGroup) int {
 	first := g.rank.Priority == 0 || p.usedShare(g.pool) < maxRelaxedShare
-	return lag.StartWindow(c.maxUnansweredStarts(), c.lag, first)
+	return lag.StartWindow(c.starts.Size(c.maxUnansweredStarts()), c.lag, first)
 }
 
 // answerTime returns the time within which an answer that usually takes up to a time has been acted
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -28,7 +28,7 @@
 		}
 		c.placementDue = true
 		c.nextPlacement = c.now.Mono + unansweredPause
-		if p.starts >= c.maxUnansweredStarts()-unanswered {
+		if p.starts >= c.starts.Size(c.maxUnansweredStarts())-unanswered {
 			return
 		}
 	}
