A late owner asks workers without news less often

An owner asks each worker with runs again as soon as it has answered. At 350 workers that is 200 calls a second that bring nothing, more than half of what an owner with 0.08 cores can send, and they do not become fewer as it runs late.

While it does, it pauses for up to a second after an answer if all ends that the worker has listed are acknowledged.

--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -25,7 +25,7 @@
 		if w.waitingHold != 0 || now < w.nextHoldAt || !c.needsHold(w) {
 			continue
 		}
-		if c.shouldAwaitPersist(w) {
+		if c.shouldAwaitPersist(w) || w.hasNothingNew() && now < w.lastAnswerAt+lag.HoldPause(c.lag) {
 			continue
 		}
 		if !w.knowsTerm {
@@ -90,6 +90,12 @@
 	return c.now.Mono < w.nextHoldAt+maxAckWait
 }
 
+// hasNothingNew reports whether the worker has answered in this term, and all ends that it has listed are
+// acknowledged. A hold that acknowledges must follow the answer at once, see maxAckAge.
+func (w *worker) hasNothingNew() bool {
+	return w.knowsTerm && w.holdFailures == 0 && w.processedEnd == w.ackedEnd
+}
+
 // needsHold reports whether a worker has to be asked: it has runs, it does not answer
 // or has not answered in this term, or ended runs can be acknowledged.
 func (c *Core) needsHold(w *worker) bool {
