Test of explanations waits for the policy

The owner of a cell may be known before the first policy is. It now waits for the policy, as TestOnlyTheOwnerExplains does; all that it requires stays.

--- a/internal/instance/explain_test.go
+++ b/internal/instance/explain_test.go
@@ -53,6 +53,7 @@
 	r := newRig(t, 2)
 	r.waitFor("the owner", func() bool { return r.owner() != nil })
 	n := r.owner()
+	r.waitFor("a policy", func() bool { _, err := n.inst.ExplainedJob("q", "a"); return err == nil })
 	explain := func() (overview.Explanation, error) {
 		n.inst.explanations.mu.Lock()
 		n.inst.explanations.earliest = 0
