The check of copies moves out of package cell

Comparing an object graph with its copy by reflection knows nothing of a cell. It is package testcopy now; which fields of a core are shared or dropped stays beside the core. No change of what is checked.

--- a/internal/core/cell/copy_test.go
+++ b/internal/core/cell/copy_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"coltsfootmux/internal/testcopy"
 )
 
 // A pointer, map or slice of the decision state that the copy shares with the original
@@ -15,8 +17,8 @@
 // holds, is found before any scenario uses it.
 func TestCopySharesNothing(t *testing.T) {
 	c := &Core{}
-	f := &filler{objects: map[reflect.Type]reflect.Value{reflect.TypeFor[*Core](): reflect.ValueOf(c)}}
-	f.fill(reflect.ValueOf(c).Elem())
+	f := &testcopy.Filler{Objects: map[reflect.Type]reflect.Value{reflect.TypeFor[*Core](): reflect.ValueOf(c)}}
+	f.Fill(reflect.ValueOf(c).Elem())
 	c.actions, c.trace = nil, nil
 	for _, p := range compareCopy(c, c.copy()) {
 		t.Error(p)
@@ -30,19 +32,19 @@
 		damage func(original, copied *Core)
 		want   string
 	}{
-		"shared map":         {func(o, n *Core) { n.cancels = o.cancels }, "Core.cancels: " + isShared},
-		"shared slice":       {func(o, n *Core) { n.fleet[0].cooldowns = o.fleet[0].cooldowns }, "worker.cooldowns: " + isShared},
-		"shared object":      {func(o, n *Core) { n.fleet[0].runs[0].unit = o.fleet[0].runs[0].unit }, isShared},
-		"shared key":         {func(o, n *Core) { n.batchEnds = map[*worker]endPosition{o.fleet[0]: {}} }, "Core.batchEnds: key " + isShared},
-		"shared other state": {func(o, n *Core) { n.crashes = o.crashes }, "History.failures: " + isShared},
+		"shared map":         {func(o, n *Core) { n.cancels = o.cancels }, "Core.cancels: " + testcopy.IsShared},
+		"shared slice":       {func(o, n *Core) { n.fleet[0].cooldowns = o.fleet[0].cooldowns }, "worker.cooldowns: " + testcopy.IsShared},
+		"shared object":      {func(o, n *Core) { n.fleet[0].runs[0].unit = o.fleet[0].runs[0].unit }, testcopy.IsShared},
+		"shared key":         {func(o, n *Core) { n.batchEnds = map[*worker]endPosition{o.fleet[0]: {}} }, "Core.batchEnds: key " + testcopy.IsShared},
+		"shared other state": {func(o, n *Core) { n.crashes = o.crashes }, "History.failures: " + testcopy.IsShared},
 		"missing map":        {func(_, n *Core) { n.drained = nil }, "Core.drained: nil"},
 		"second copy":        {func(_, n *Core) { w := *n.fleet[0]; n.fleet[0] = &w }, "copied more than once"},
 		"different number":   {func(_, n *Core) { n.term++ }, "Core.term"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := &Core{}
-			f := &filler{objects: map[reflect.Type]reflect.Value{reflect.TypeFor[*Core](): reflect.ValueOf(o)}}
-			f.fill(reflect.ValueOf(o).Elem())
+			f := &testcopy.Filler{Objects: map[reflect.Type]reflect.Value{reflect.TypeFor[*Core](): reflect.ValueOf(o)}}
+			f.Fill(reflect.ValueOf(o).Elem())
 			n := o.copy()
 			c.damage(o, n)
 			if got := strings.Join(compareCopy(o, n), "\n"); !strings.Contains(got, c.want) {
--- a/internal/core/cell/explain_test.go
+++ b/internal/core/cell/explain_test.go
@@ -10,6 +10,7 @@
 
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/overview"
+	"coltsfootmux/internal/testcopy"
 )
 
 // explain returns the explanation of a job as the owner would give it now.
@@ -182,8 +183,8 @@
 func TestEveryCriterionIsNamed(t *testing.T) {
 	for i := range reflect.TypeFor[score]().NumField() {
 		var a, b score
-		f := writable(reflect.ValueOf(&b).Elem().Field(i))
-		(&filler{}).fill(f)
+		f := testcopy.Writable(reflect.ValueOf(&b).Elem().Field(i))
+		(&testcopy.Filler{}).Fill(f)
 		if got := a.criterionAgainst(b); got == criterionOrder {
 			t.Errorf("score.%s is not named by criterionAgainst", reflect.TypeFor[score]().Field(i).Name)
 		}
