New work that the owner can't start in time is refused, the least urgent first

An instance that accepts a job did not know how late the owner was, and each job that waited cost the owner something in every pass, so that being late made it later.

The owner now measures for how long a job has stood that could start, and that passes leave out as too many starts have no answer. Above 0.8 s it has new jobs refused, in a record that all instances read anyway (that of its term): all of the least urgent priority at 1.8 s, of the next one at 2.8 s. Each instance refuses by a hash of the job's id, so that all give the same answer, with the time after which it may differ as Retry-After. A refusal is true: if less was refused within the last 20 s, so that an earlier attempt may have been accepted, the owner is asked first, and if it does not answer, the job is not refused. An heir goes on with the level of the owner before. Earlier versions ignore the field. The decisions are package shed.

--- a/internal/core/cell/ownlag.go
+++ b/internal/core/cell/ownlag.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"coltsfootmux/internal/core/lag"
@@ -23,3 +25,32 @@
 // answerTime returns the time within which an answer that usually takes up to a time has been acted
 // on, as the process runs late. Orders that are made again before add to the lag.
 func (c *Core) answerTime(usual time.Duration) time.Duration { return usual + lag.Allowance(c.lag) }
+
+// StartDelay returns for how long jobs have stood that could start, as too many starts have no answer.
+func (c *Core) StartDelay() time.Duration { return c.startDelay }
+
+// maxDelayedLooks bounds the groups of a pass for which a place is looked for to learn the delay.
+const maxDelayedLooks = 3
+
+// putOff returns for how long the jobs of groups that a pass has left out have stood that could start now.
+// In a pool that is more than half in use they may wait for room as well.
+func (c *Core) putOff(p *pass, left []*rankedGroup) time.Duration {
+	var waiting []*unit
+	groups := make(map[*unit]*rankedGroup)
+	for _, g := range left {
+		if g.occ.entry.runs > 0 || p.usedShare(g.pool) >= maxRelaxedShare {
+			continue
+		}
+		if at := slices.IndexFunc(g.units, func(u *unit) bool { return u.state == unitWaiting && c.now.Mono >= u.notBefore }); at >= 0 {
+			waiting = append(waiting, g.units[at])
+			groups[g.units[at]] = g
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *unit) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
+	for _, u := range waiting[:min(len(waiting), maxDelayedLooks)] {
+		if c.findWorkers(p, groups[u], u) != nil {
+			return c.standsFor(u)
+		}
+	}
+	return 0
+}
--- a/internal/core/cell/place.go
+++ b/internal/core/cell/place.go
@@ -20,15 +20,19 @@
 	defer c.requestAdvice(p)
 	defer c.reportStands(p)
 	unanswered := c.unansweredStarts()
-	for _, g := range p.ready {
+	var left []*rankedGroup
+	defer func() { c.startDelay = c.putOff(p, left) }()
+	for n, g := range p.ready {
 		maxStarts := c.startWindow(p, g) - unanswered
 		if p.starts < maxStarts {
 			c.placeGroup(p, g, maxStarts)
 			continue
 		}
+		left = append(left, g)
 		c.placementDue = true
 		c.nextPlacement = c.now.Mono + unansweredPause
 		if p.starts >= c.starts.Size(c.maxUnansweredStarts())-unanswered {
+			left = append(left, p.ready[n+1:]...)
 			return
 		}
 	}
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/core/witness"
 )
 
@@ -57,6 +58,8 @@
 	termSince          time.Duration
 	nextYieldRequest   time.Duration
 	allTopicsReachable bool
+	// refused is how much new work this owner has all instances refuse.
+	refused shed.Level
 	// unfitUntil is until when this instance leaves the claim after its own latest term to others, as it
 	// was unfit for it, and pausedUntil is until when it claims nothing, as it was paused.
 	unfitUntil  time.Duration
@@ -145,7 +148,7 @@
 	case YieldUnanswered:
 		c.requestYieldByVote(e)
 	case Tick:
-		c.allTopicsReachable = e.AllTopicsReachable
+		c.allTopicsReachable, c.refused = e.AllTopicsReachable, e.Refused
 	}
 	c.advance()
 	return c.actions
@@ -291,10 +294,15 @@
 	c.sendRelease(r)
 }
 
-// newRecord returns a record of this instance.
+// newRecord returns a record of this instance. A claim goes on with what the owner before refused.
 func (c *Core) newRecord(t, renewal int64) Record {
+	refused := c.latest.Refused
+	if c.ownedTerm != 0 {
+		refused = c.refused
+	}
 	return Record{
-		Term: t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay,
+		Refused: refused,
+		Term:    t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay,
 		Handovers: c.handovers(), EarlierOwners: max(0, c.earlierUntil-c.now), StartLimit: c.settings.StartLimit,
 	}
 }
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/core/witness"
 )
 
@@ -107,6 +108,8 @@
 type Tick struct {
 	// AllTopicsReachable says that this process can reach every topic of the store.
 	AllTopicsReachable bool
+	// Refused is how much new work an owner has all instances refuse.
+	Refused shed.Level
 }
 
 func (ReadResult) event()       {}
--- a/internal/core/term/record.go
+++ b/internal/core/term/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/core/witness"
 )
 
@@ -30,6 +31,8 @@
 	EarlierOwners time.Duration `cbor:"11,keyasint,omitempty"`
 	// StartLimit is the owner's Settings.StartLimit. Versions without it start tasks until KeepLimit.
 	StartLimit time.Duration `cbor:"12,keyasint,omitempty"`
+	// Refused is how much new work the owner has all instances refuse.
+	Refused shed.Level `cbor:"13,keyasint,omitempty"`
 }
 
 // position returns the place of the record among all renewals of all terms.
--- a/internal/instance/api.go
+++ b/internal/instance/api.go
@@ -82,7 +82,10 @@
 		i.recordRefusal(ctx, j, err)
 		return err
 	}
-	known, err := i.admit(ctx, j)
+	known, err := i.shed(ctx, j)
+	if err == nil && !known {
+		known, err = i.admit(ctx, j)
+	}
 	if err != nil {
 		i.recordRefusal(ctx, j, err)
 		return err
--- a/internal/instance/errors.go
+++ b/internal/instance/errors.go
@@ -18,6 +18,9 @@
 	// ErrCellFull means that a job was refused since the cell has no memory for it. It wraps
 	// ErrRefused.
 	ErrCellFull = eris.Wrap(ErrRefused, "the cell has no memory for the job")
+	// ErrOverloaded means that a job was refused since the cell's owner has too little processor time to
+	// start it. It wraps ErrRefused.
+	ErrOverloaded = eris.Wrap(ErrRefused, "the cell's owner is overloaded")
 	// ErrOutcomeUnknown means that it is not known whether a call was carried out.
 	ErrOutcomeUnknown = eris.New("outcome unknown")
 	// ErrUnavailable means that there is no answer now; nothing was changed.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,6 +105,8 @@
 
 	explanations explanations
 	admission    admission
+	// shedding is the work that this instance refuses for the owner's want of processor time.
+	shedding shedding
 	// lag is how late this process runs its own work.
 	lag lagMeter
 	// tickDelay is how late the latest tick came, in ns.
@@ -225,7 +227,7 @@
 		now := boottime()
 		i.recordTick(last, now)
 		last = now
-		i.stepTerm(term.Tick{AllTopicsReachable: i.storeMonitor.noTopicUnavailable()})
+		i.stepTerm(term.Tick{AllTopicsReachable: i.storeMonitor.noTopicUnavailable(), Refused: i.refusedByOwner()})
 		if o := i.owner.Load(); o != nil {
 			o.tick()
 			o.checkReach()
--- a/internal/instance/lag.go
+++ b/internal/instance/lag.go
@@ -96,7 +96,7 @@
 	attrs := []slog.Attr{slog.Bool("late", late >= lateProcess), slog.Duration("lag", late)}
 	if o := i.owner.Load(); o != nil {
 		w := o.work.totals()
-		attrs = append(attrs, slog.Int64("term", o.term))
+		attrs = append(attrs, slog.Int64("term", o.term), slog.Int64("refused_level", o.refusedLevel.Load()))
 		attrs = append(attrs, w.minus(r.work).attrs()...)
 		r.work = w
 	}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -12,6 +12,7 @@
 	mAccepted          = metric.NewCounter("coltsfootmux_jobs_accepted_total", "jobs", "jobs that are durable and were accepted here")
 	mRefused           = metric.NewCounter("coltsfootmux_jobs_refused_total", "jobs", "jobs refused here; they never run")
 	mRefusedFull       = metric.NewCounter("coltsfootmux_jobs_refused_full_total", "jobs", "jobs refused here because the cell has no memory for them; part of all refused jobs")
+	mRefusedShed       = metric.NewCounter("coltsfootmux_jobs_refused_overload_total", "jobs", "jobs refused here because the cell's owner lacks processor time; part of all refused jobs")
 	mUnconfirmed       = metric.NewCounter("coltsfootmux_jobs_unclear_total", "calls", "submissions and cancellations that were not confirmed")
 	mCancelled         = metric.NewCounter("coltsfootmux_cancellations_total", "calls", "cancellations accepted here")
 	mStatusAnswered    = metric.NewCounter("coltsfootmux_states_answered_total", "calls", "requests for a job's status answered here")
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -10,6 +10,7 @@
 	"coltsfootmux/internal/core/budget"
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/fitness"
+	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
 	"coltsfootmux/internal/job"
@@ -50,6 +51,10 @@
 	// fitness is the owner's judgement of itself.
 	fitnessMu sync.Mutex
 	fitness   *fitness.Core
+	// shed decides how much new work is refused; the instance's ticks alone use it. refusedLevel is its
+	// latest decision.
+	shed         *shed.Controller
+	refusedLevel atomic.Int64
 	// work counts what the owner spends its time on.
 	work ownerWork
 	// waitingChecks is the number of checks by witnesses that wait for mu.
@@ -65,6 +70,9 @@
 	}
 	o.confirmedAt.Store(int64(g.At))
 	o.lastStep.Store(int64(boottime()))
+	before := i.term.LatestRecord().Refused
+	o.shed = shed.NewController(boottime(), before)
+	o.refusedLevel.Store(int64(before))
 	o.fitness = fitness.New(boottime(), i.term.LatestRecord().Handovers)
 	o.ctx, o.cancel = context.WithCancel(i.ctx)
 	return o
@@ -161,7 +169,10 @@
 	return o.ctx.Err() == nil && !o.fenced.Load() && age <= o.inst.Settings.Cell.StartGrace
 }
 
-func (o *owner) tick() { o.step(cell.Tick{Lag: o.inst.lag.now()}) }
+func (o *owner) tick() {
+	o.step(cell.Tick{Lag: o.inst.lag.now()})
+	o.adjustShedding()
+}
 
 // followJobs follows the submissions and cancellations in topicsJobs[n].
 func (o *owner) followJobs(n int, from int64) {
--- a/internal/job/policy.go
+++ b/internal/job/policy.go
@@ -101,3 +101,22 @@
 	}
 	return 0
 }
+
+// PriorityCount returns how many different priorities the queues have.
+func (p *Policy) PriorityCount() int { return len(p.priorities(func(int) bool { return true })) }
+
+// LessUrgent returns how many different priorities of queues are less urgent than the given one.
+func (p *Policy) LessUrgent(priority int) int {
+	return len(p.priorities(func(other int) bool { return other > priority }))
+}
+
+// priorities returns the set of the queues' priorities that the function includes.
+func (p *Policy) priorities(include func(int) bool) map[int]bool {
+	out := make(map[int]bool)
+	for i := range p.Routes {
+		if q := p.Routes[i].Queue.Priority; include(q) {
+			out[q] = true
+		}
+	}
+	return out
+}
