Logs tell when a gang's orders left, and what a late process spends on memory

Of a gang that ran in part the log said when it was ordered, and nothing of when its orders left or were answered; of a process that stood still, nothing of its memory.

2242 has the time from the decision to the call and that of the call, 2300 and a histogram the time in which a gang was complete, one line a gang; 2296 has the heap, its limit, the collections of garbage and the level of refusals.

--- a/internal/core/cell/action.go
+++ b/internal/core/cell/action.go
@@ -14,8 +14,8 @@
 // Start asks for a start order to be sent to a worker.
 type Start struct {
 	Order external.StartOrder
-	// SendBy is the time until which the order may be sent, 0 for no bound.
-	SendBy time.Duration
+	// DecidedAt is when the order was decided, SendBy the time until which it may be sent, 0 for no bound.
+	DecidedAt, SendBy time.Duration
 	// Waited is how long the task waited after it became ready to run.
 	Waited time.Duration
 	// Resends is how many times the order was sent before, without an answer.
@@ -121,6 +121,18 @@
 	Runs int
 }
 
+// GangStarted reports, for the log, that all members of a gang are known to run.
+type GangStarted struct {
+	// Task is the first member, Tasks how many there are.
+	Task  job.TaskID
+	Tasks int
+	Run   int64
+	// Took is the time since they were ordered.
+	Took time.Duration
+}
+
+func (GangStarted) action() {}
+
 func (Start) action()              {}
 func (Stop) action()               {}
 func (Hold) action()               {}
--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -154,3 +154,12 @@
 		c.stopRun(r, reason)
 	}
 }
+
+// reportGang reports the start of a gang whose last member is known to run now.
+func (c *Core) reportGang(r *run) {
+	u := r.unit
+	if u == nil || !u.group.step.Gang || len(u.runs) < u.size || slices.ContainsFunc(u.runs, func(r *run) bool { return r.state != runRunning }) {
+		return
+	}
+	c.emit(GangStarted{Task: u.taskID(0), Tasks: u.size, Run: r.number, Took: u.start.Age(c.now.Mono)})
+}
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -355,6 +355,7 @@
 			r.staleThrough = c.lastHold
 			r.startedAt = now
 			r.markStarted()
+			c.reportGang(r)
 		}
 		c.resolveStart(r, ResolvedRunning)
 		c.clearSuspect(r)
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -44,7 +44,7 @@
 			OrderHeader: c.orderHeader(r.worker), Task: r.task, Run: r.number, Spec: r.unit.entry().job.Spec,
 			LeaseEnd: c.grantLease(r.worker), Checkpoint: r.startCheckpoint, Ticket: ticket,
 		},
-		SendBy: r.unit.start.SendBy(), Waited: r.unit.waited, Resends: r.startResends, TermAge: c.now.Mono - c.termConfirmedAt,
+		DecidedAt: c.now.Mono, SendBy: r.unit.start.SendBy(), Waited: r.unit.waited, Resends: r.startResends, TermAge: c.now.Mono - c.termConfirmedAt,
 	})
 }
 
@@ -91,6 +91,7 @@
 		r.startedAt = c.now.Mono
 		r.markStarted()
 		c.resolveStart(r, ResolvedRunning)
+		c.reportGang(r)
 	}
 	r.staleThrough = max(r.staleThrough, c.lastHold)
 }
--- a/internal/core/gangstart/start.go
+++ b/internal/core/gangstart/start.go
@@ -33,3 +33,6 @@
 func (s Start) IsOverdue(now time.Duration) bool {
 	return s.limit > 0 && now-s.orderedAt >= s.limit/completeShare
 }
+
+// Age returns how long ago the gang was ordered.
+func (s Start) Age(now time.Duration) time.Duration { return now - s.orderedAt }
--- a/internal/instance/actions.go
+++ b/internal/instance/actions.go
@@ -118,6 +118,9 @@
 		mUnconfirmedStarts.With(string(a.Result)).Inc()
 		evStartResolved.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run),
 			slog.String("worker", string(a.Worker)), slog.String("how", string(a.Result)), slog.Duration("took", a.Took))
+	case cell.GangStarted:
+		mGangStartTime.Update(a.Took.Seconds())
+		evGangStarted.Log(o.ctx, l, slog.String("task", a.Task.String()), slog.Int64("run", a.Run), slog.Int("tasks", a.Tasks), slog.Duration("took", a.Took))
 	case cell.Alarm:
 		mAlarms.With(string(a.Code)).Inc()
 		evAlarm.Log(o.ctx, l, slog.String("code", string(a.Code)), slog.String("job", string(a.Job)), slog.String("account", a.Account),
@@ -133,11 +136,13 @@
 
 func (o *owner) start(a cell.Start) {
 	order := a.Order
+	sentAt := boottime()
 	r, err := o.sendStart(a)
 	if err != nil || r.Refusal != external.RefusedNone {
 		mStartsFailed.Inc()
 		evStartFailed.Log(o.ctx, o.inst.logger, slog.String("task", order.Task.String()), slog.Int64("run", order.Run),
-			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)), slog.Any("error", err))
+			slog.String("worker", string(order.Worker)), slog.String("refusal", string(r.Refusal)),
+			slog.Duration("left_after", sentAt-a.DecidedAt), slog.Duration("took", boottime()-sentAt), slog.Any("error", err))
 	}
 	o.step(cell.StartAnswered{
 		Task: order.Task, Run: order.Run, Worker: order.Worker,
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -60,6 +60,7 @@
 	evJobStands         = logevent.New(2287, slog.LevelWarn, "job has nothing running although there is room for it")
 	evCellFull          = logevent.New(2293, slog.LevelWarn, "jobs refused as the cell has no memory for them")
 	evShedding          = logevent.New(2299, slog.LevelWarn, "owner lacks processor time to start jobs, or no longer; part of new jobs refused")
+	evGangStarted       = logevent.New(2300, slog.LevelInfo, "all members of a gang run")
 	evJobsDeferred      = logevent.New(2294, slog.LevelWarn, "tasks of jobs are put off as the open ones take the memory of the cell")
 	evCapacityUnknown   = logevent.New(2295, slog.LevelInfo, "owner did not say what the cell's jobs take")
 	evRelaxed           = logevent.New(2292, slog.LevelInfo, "task started without regard to a soft constraint, as its job stood")
--- a/internal/instance/lag.go
+++ b/internal/instance/lag.go
@@ -81,6 +81,8 @@
 	late bool
 	next time.Duration
 	work workTotals
+	// memory is what the process spends on the collection of garbage.
+	memory memoryReport
 }
 
 // step logs the lag, when it begins, now and then while it lasts, and when it is over.
@@ -93,7 +95,7 @@
 		return
 	}
 	r.next = now + lagReportInterval
-	attrs := []slog.Attr{slog.Bool("late", late >= lateProcess), slog.Duration("lag", late)}
+	attrs := append([]slog.Attr{slog.Bool("late", late >= lateProcess), slog.Duration("lag", late)}, r.memory.attrs()...)
 	if o := i.owner.Load(); o != nil {
 		w := o.work.totals()
 		attrs = append(attrs, slog.Int64("term", o.term), slog.Int64("refused_level", o.refusedLevel.Load()))
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -34,6 +34,7 @@
 	mStops              = metric.NewCounter("coltsfootmux_runs_stopped_total", "runs", "runs ordered to stop")
 	mRunsEnded          = metric.NewCounterVec("coltsfootmux_runs_ended_total", "runs", "how", "ended runs by how they ended")
 	mTaskWait           = metric.NewHistogram("coltsfootmux_task_wait_seconds", "seconds", "time from when a task could first run to its start")
+	mGangStartTime      = metric.NewHistogram("coltsfootmux_gang_start_seconds", "seconds", "time from the order of a gang until all of its members are known to run")
 	mJobsStood          = metric.NewCounterVec("coltsfootmux_jobs_stood_total", "reports", "reason", "reports of jobs that have nothing running although there is room, by reason")
 	mRelaxed            = metric.NewCounterVec("coltsfootmux_constraints_relaxed_total", "placements", "constraint", "placements of jobs that stood, without regard to a soft constraint")
 	mJobsEnded          = metric.NewCounterVec("coltsfootmux_jobs_ended_total", "jobs", "outcome", "ended jobs by outcome")
