One job that stood for another reason does not have work refused

Callers were refused for tens of seconds after a job had become startable that had stood for seconds for another reason: its whole wait counted as a delay of starts, and the level rose to its most at once.

The delay counts only as far back as each pass has left out a job that could start.

--- a/internal/core/cell/core.go
+++ b/internal/core/cell/core.go
@@ -41,9 +41,10 @@
 	// contactWindow limits how many workers are sent their first hold at the same
 	// time.
 	contactWindow contact.Window
-	// starts limits the starts without an answer, startDelay is for how long it has put off starts.
-	starts     startwindow.Window
-	startDelay time.Duration
+	// starts limits the starts without an answer. startDelay is for how long it has put off starts, and
+	// delayedSince since when each pass has put off some, or 0.
+	starts                   startwindow.Window
+	startDelay, delayedSince time.Duration
 	// resendsLeft is how many unanswered calls the current tick may still resend.
 	resendsLeft int
 	// nextContact is the first worker that the contact window left out; the next
--- a/internal/core/cell/ownlag.go
+++ b/internal/core/cell/ownlag.go
@@ -32,8 +32,9 @@
 // maxDelayedLooks bounds the groups of a pass for which a place is looked for to learn the delay.
 const maxDelayedLooks = 3
 
-// putOff returns for how long the jobs of groups that a pass has left out have stood that could start now.
-// In a pool that is more than half in use they may wait for room as well.
+// putOff returns for how long the jobs of groups that a pass has left out have stood that could start now, and
+// passes before have left out jobs that could: one may have stood for another reason until now. In a pool that is
+// more than half in use they may wait for room as well.
 func (c *Core) putOff(p *pass, left []*rankedGroup) time.Duration {
 	var waiting []*unit
 	groups := make(map[*unit]*rankedGroup)
@@ -48,9 +49,14 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b *unit) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
 	for _, u := range waiting[:min(len(waiting), maxDelayedLooks)] {
-		if c.findWorkers(p, groups[u], u) != nil {
-			return c.standsFor(u)
+		if c.findWorkers(p, groups[u], u) == nil {
+			continue
+		}
+		if c.delayedSince == 0 {
+			c.delayedSince = c.now.Mono
 		}
+		return min(c.standsFor(u), c.now.Mono-c.delayedSince)
 	}
+	c.delayedSince = 0
 	return 0
 }
