A late process does not take its peers for silent

Callers saw: calls on sound links fail with an unknown outcome, on all links of a process at once, after that process was paused or lacked processor time.

Cause: heartbeats.checkSilence compared the time of the check with the time at which the last frame was processed. A process that had not run for 3 s found all its peers silent at its first check, before it read the frames that waited in its sockets, and then paid for new handshakes.

Change: silence is counted by the checks, which are due every half heartbeat interval. One check counts two intervals at most, so that a late one leaves at least one more check for reading. Bounds: a process in time closes a silent link after 3 s as before, one that was stopped once 3 s after the stop at the latest, one that is always late at its third check.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -42,14 +42,11 @@
 	faulty      bool
 }
 
-// ticksPerHeartbeat is the number of Tick events per heartbeat interval.
-const ticksPerHeartbeat = 2
-
 func newConn(ws *websocket.Conn, l core.Limits, counts *counters, crossRegion bool) *conn {
 	ws.SetReadLimit(frame.MaxBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &conn{
-		ws: ws, counts: counts, crossRegion: crossRegion, tickInterval: l.HeartbeatInterval / ticksPerHeartbeat,
+		ws: ws, counts: counts, crossRegion: crossRegion, tickInterval: l.TickInterval(),
 		writeReady: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 }
--- a/internal/link/core/acceptor.go
+++ b/internal/link/core/acceptor.go
@@ -244,7 +244,7 @@
 }
 
 func (a *Acceptor) onTick(now time.Time) {
-	if why := a.heartbeats.checkSilence(now); why != "" {
+	if why := a.heartbeats.check(now); why != "" {
 		a.closeLink(why)
 		return
 	}
--- a/internal/link/core/dialer.go
+++ b/internal/link/core/dialer.go
@@ -237,7 +237,7 @@
 }
 
 func (d *Dialer) onTick(now time.Time) {
-	if why := d.heartbeats.checkSilence(now); why != "" {
+	if why := d.heartbeats.check(now); why != "" {
 		d.closeLink(why)
 		return
 	}
--- a/internal/link/core/event.go
+++ b/internal/link/core/event.go
@@ -35,7 +35,7 @@
 	}
 	// Writable reports that the socket can accept the next frame.
 	Writable struct{}
-	// Tick reports that time has passed. It is due several times per heartbeat interval.
+	// Tick reports that time has passed. It is due every Limits.TickInterval.
 	Tick struct{}
 	// Drain tells an Acceptor to accept no new calls.
 	Drain struct{}
--- a/internal/link/core/limits.go
+++ b/internal/link/core/limits.go
@@ -6,7 +6,8 @@
 type Limits struct {
 	// HeartbeatInterval is the time between heartbeats.
 	HeartbeatInterval time.Duration
-	// SilenceTimeout is how long nothing may be received before the link is closed.
+	// SilenceTimeout is how long nothing may be received before the link is closed. A
+	// process that checks its links late counts at most two tick intervals a check.
 	SilenceTimeout time.Duration
 	// IdleTimeout is how long a link without open calls is kept.
 	IdleTimeout time.Duration
@@ -59,3 +60,9 @@
 	}
 	return l
 }
+
+// ticksPerHeartbeat is the number of Tick events per heartbeat interval.
+const ticksPerHeartbeat = 2
+
+// TickInterval returns the time after which the next Tick event is due.
+func (l Limits) TickInterval() time.Duration { return l.HeartbeatInterval / ticksPerHeartbeat }
