Bytes of an unfinished frame are a sign of life

Callers saw: calls over a path that many links share fail with an unknown outcome after 3 s, although their answer arrived all the time, and again on the next link. Likewise after 4 s if the peer sent much data, with "heartbeats not echoed".

Cause: silence was measured in whole frames. A frame of 64 KiB takes longer than 3 s below 21 KB/s. An echo comes with a heartbeat of the peer, which waits behind the peer's data, and the limit did not ask whether a heartbeat had come at all.

Change: each check of a link says how much of an unfinished frame has been read; more than at the check before is a sign of life.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,6 +34,9 @@
 	// held and must not block.
 	performOwn func(core.Action)
 
+	// partialBytes is what has been read of a frame that has not arrived whole.
+	partialBytes atomic.Int64
+
 	writeReady chan struct{}
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -109,7 +113,7 @@
 	for {
 		select {
 		case <-t.C:
-			c.step(core.Tick{})
+			c.step(core.Tick{PartialBytes: int(c.partialBytes.Load())})
 		case <-c.ctx.Done():
 			return
 		}
@@ -125,6 +129,7 @@
 			c.setCloseReason(err)
 			return
 		}
+		c.partialBytes.Store(0)
 		c.step(core.Received{Frame: f})
 	}
 }
@@ -135,7 +140,7 @@
 		return frame.Frame{}, err
 	}
 	buf.Reset()
-	if _, err := io.Copy(buf, r); err != nil {
+	if _, err := io.Copy(buf, &partialReader{from: r, read: &c.partialBytes}); err != nil {
 		return frame.Frame{}, err
 	}
 	f, err := frame.Decode(buf.Bytes())
--- a/internal/link/core/acceptor.go
+++ b/internal/link/core/acceptor.go
@@ -66,7 +66,7 @@
 	case Writable:
 		a.onWritable(now)
 	case Tick:
-		a.onTick(now)
+		a.onTick(now, ev)
 	case Drain:
 		a.draining = true
 		a.emit(FramesPending{})
@@ -243,8 +243,8 @@
 	}
 }
 
-func (a *Acceptor) onTick(now time.Time) {
-	if why := a.heartbeats.check(now); why != "" {
+func (a *Acceptor) onTick(now time.Time, ev Tick) {
+	if why := a.heartbeats.check(now, ev.PartialBytes); why != "" {
 		a.closeLink(why)
 		return
 	}
--- a/internal/link/core/dialer.go
+++ b/internal/link/core/dialer.go
@@ -71,7 +71,7 @@
 	case Writable:
 		d.onWritable(now)
 	case Tick:
-		d.onTick(now)
+		d.onTick(now, ev)
 	case Down:
 		d.onDown()
 	}
@@ -236,8 +236,8 @@
 	d.callsByNumber[m.call] = m.outgoing
 }
 
-func (d *Dialer) onTick(now time.Time) {
-	if why := d.heartbeats.check(now); why != "" {
+func (d *Dialer) onTick(now time.Time, ev Tick) {
+	if why := d.heartbeats.check(now, ev.PartialBytes); why != "" {
 		d.closeLink(why)
 		return
 	}
--- a/internal/link/core/event.go
+++ b/internal/link/core/event.go
@@ -36,7 +36,10 @@
 	// Writable reports that the socket can accept the next frame.
 	Writable struct{}
 	// Tick reports that time has passed. It is due every Limits.TickInterval.
-	Tick struct{}
+	Tick struct {
+		// PartialBytes is what has been read of a frame that has not arrived whole.
+		PartialBytes int
+	}
 	// Drain tells an Acceptor to accept no new calls.
 	Drain struct{}
 	// Down reports that the connection has ended.
