Messages are sent in chunks of 32 KiB

Callers saw: links with peers of earlier versions, which judge silence in whole frames, fail as silent while this process sends them a large message over a slow path.

Cause: a chunk of 64 KiB takes 3 s at 21 KB/s, and heartbeats wait until it is sent.

Change: chunks that are sent have 32 KiB. What is accepted stays at 64 KiB, so that mixed versions work. Received chunks are joined at once only up to 16 KiB, as joining larger ones copies them twice.

--- a/internal/link/core/assembler.go
+++ b/internal/link/core/assembler.go
@@ -20,6 +20,9 @@
 	corrupt
 )
 
+// joinedChunkBytes bounds the length of chunks that are joined as they arrive.
+const joinedChunkBytes = 16 << 10
+
 // partialMessage is a message of which not all chunks have arrived.
 type partialMessage struct {
 	typ   frame.Type
@@ -84,7 +87,7 @@
 func (p *partialMessage) add(b []byte) {
 	p.size += len(b)
 	last := len(p.chunks) - 1
-	if last >= 0 && len(p.chunks[last])+len(b) <= frame.ChunkBytes {
+	if last >= 0 && len(p.chunks[last])+len(b) <= joinedChunkBytes {
 		p.chunks[last] = append(p.chunks[last], b...)
 		return
 	}
--- a/internal/link/core/message.go
+++ b/internal/link/core/message.go
@@ -7,6 +7,10 @@
 	"coltsfootmux/internal/wire"
 )
 
+// sendChunkBytes is the payload of a frame that is sent. It is below what peers accept (frame.ChunkBytes),
+// so that heartbeats and short messages do not wait long for a chunk on a slow path.
+const sendChunkBytes = 32 << 10
+
 // message is a request or answer that is being sent.
 type message struct {
 	typ     frame.Type
@@ -27,7 +31,7 @@
 
 // nextChunk returns the frame with the next chunk and whether it is the last one.
 func (m *message) nextChunk(now time.Time) (f frame.Frame, last bool) {
-	end := min(m.sent+frame.ChunkBytes, len(m.body))
+	end := min(m.sent+sendChunkBytes, len(m.body))
 	f = frame.Frame{
 		Type: m.typ, Call: m.call, Attempt: m.attempt, Kind: m.kind,
 		Offset: uint64(m.sent), Total: uint64(len(m.body)), Sum: m.sum,
@@ -43,5 +47,5 @@
 
 // nextFrameBytes returns an upper bound of the encoded size of the next frame.
 func (m *message) nextFrameBytes() int {
-	return min(frame.ChunkBytes, len(m.body)-m.sent) + frame.OverheadBytes
+	return min(sendChunkBytes, len(m.body)-m.sent) + frame.OverheadBytes
 }
--- a/internal/link/core/slowpath_test.go
+++ b/internal/link/core/slowpath_test.go
@@ -112,3 +112,34 @@
 		})
 	}
 }
+
+// TestHeartbeatsGoBetweenTheChunksOfALargeMessage guards against a peer that finds this process silent, as
+// its heartbeats wait for a chunk that takes seconds to send. Peers of earlier versions count whole frames.
+func TestHeartbeatsGoBetweenTheChunksOfALargeMessage(t *testing.T) {
+	const pathBytesPerSecond = 12_000
+	p := newPair()
+	p.startCall(t, 1, wire.KindSubmit, 300_000)
+	lastHeartbeat, lastFrame := startTime, startTime
+	for now := startTime; ; {
+		var out *frame.Frame
+		for _, a := range p.dialer.Step(now, core.Writable{}) {
+			if w, ok := a.(core.Write); ok {
+				out = &w.Frame
+			}
+		}
+		if out == nil {
+			return
+		}
+		now = now.Add(time.Duration(len(out.Payload)+frame.OverheadBytes) * time.Second / pathBytesPerSecond)
+		if gap := now.Sub(lastFrame); gap >= limits().SilenceTimeout {
+			t.Fatalf("%v between two frames", gap)
+		}
+		lastFrame = now
+		if out.Type == frame.Heartbeat {
+			if gap := now.Sub(lastHeartbeat); gap >= limits().SilenceTimeout {
+				t.Fatalf("%v between two heartbeats", gap)
+			}
+			lastHeartbeat = now
+		}
+	}
+}
