A peer whose links stay silent is dialled ever less often

Callers saw: an instance that accepts links and then stays silent is dialled by each other instance again as soon as the last link is found silent, 3.3 to 4.6 s after the dial before, for as long as it lasts. Calls wait for up to 3 s each time.

Cause: only failed dials had a wait before the next one, and a dial that opened a link cleared it. New links cost the peer handshakes, goroutines and calls that are sent again, so that the load on a peer that lacks time lasts as long as its silence.

Change: core.Redial decides when an address is dialled again. Failed dials wait as before. After a second link in a row that was silent or corrupt, or ended without a frame, there is a wait of up to 0.25 s, then 1 s, then 4 s, of which half is random, in which calls fail at once as not executed. A link that carried frames for the silence timeout (3 s) ends it. The first redial comes at once, as the connection alone may be lost. Checks by witnesses dial at once as before, so that no vote rests on a dial that was put off. Recovery: a peer that answers again is dialled 4 s later at most, however long it was silent. The random numbers of a pool have a lock of their own: run took the lock of the pool while it held that of an endpoint, and prune takes them in the other order.

--- a/internal/link/clientlink.go
+++ b/internal/link/clientlink.go
@@ -14,9 +14,10 @@
 // clientLink is the calling end of one link.
 type clientLink struct {
 	*conn
-	pool *Pool
-	addr string
-	peer Peer
+	dialer *core.Dialer
+	pool   *Pool
+	addr   string
+	peer   Peer
 	// waiters receive the results of the open calls; guarded by conn.mu.
 	waiters    map[core.Ticket]chan callResult
 	lastTicket core.Ticket
@@ -33,7 +34,8 @@
 		conn: newConn(ws, p.opts.Limits, &p.counts, peer.Region != p.self.Region),
 		pool: p, addr: addr, peer: peer, waiters: make(map[core.Ticket]chan callResult),
 	}
-	l.machine = core.NewDialer(time.Now(), attempt, p.opts.Limits, p.opts.Budget.ifCrossRegion(p.self, peer))
+	l.dialer = core.NewDialer(time.Now(), attempt, p.opts.Limits, p.opts.Budget.ifCrossRegion(p.self, peer))
+	l.machine = l.dialer
 	l.performOwn = l.perform
 	return l
 }
@@ -47,6 +49,13 @@
 	l.logEnd(log, addr, peer)
 }
 
+// end returns how the link ended.
+func (l *clientLink) end() core.LinkEnd {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return core.LinkEnd{Worked: l.dialer.Worked(), Faulty: l.faulty, Orderly: l.orderly}
+}
+
 func (l *clientLink) perform(a core.Action) {
 	switch a := a.(type) {
 	case core.Completed:
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -41,9 +41,11 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	// closeReason is why the connection ended. faulty reports that the state machine
-	// closed it because of silence or corrupt messages.
+	// closed it because of silence or corrupt messages, orderly that the link was idle or
+	// the peer has drained.
 	closeReason string
 	faulty      bool
+	orderly     bool
 }
 
 func newConn(ws *websocket.Conn, l core.Limits, counts *counters, crossRegion bool) *conn {
@@ -93,7 +95,8 @@
 		c.wakeWriter()
 	case core.CloseLink:
 		c.closeReason = a.Reason
-		c.faulty = a.Reason != core.CloseReasonIdle && a.Reason != core.CloseReasonDrained
+		c.orderly = a.Reason == core.CloseReasonIdle || a.Reason == core.CloseReasonDrained
+		c.faulty = !c.orderly
 		c.cancel()
 	default:
 		c.performOwn(a)
--- a/internal/link/core/dialer.go
+++ b/internal/link/core/dialer.go
@@ -53,6 +53,9 @@
 // OpenCalls returns the number of calls that have not ended.
 func (d *Dialer) OpenCalls() int { return len(d.openCalls) }
 
+// Worked returns the time from the opening of the link to the last frame that was received.
+func (d *Dialer) Worked() time.Duration { return d.heartbeats.worked() }
+
 // Step handles an event and returns the actions that follow from it. The slice is
 // valid until the next Step.
 func (d *Dialer) Step(now time.Time, ev Event) []Action {
--- a/internal/link/core/heartbeats.go
+++ b/internal/link/core/heartbeats.go
@@ -15,6 +15,7 @@
 // one direction is detected as well.
 type heartbeats struct {
 	limits Limits
+	opened time.Time
 	// sent and received are the highest heartbeat numbers sent and received, echoed
 	// is the highest number sent that the peer has echoed.
 	sent     uint64
@@ -37,7 +38,7 @@
 }
 
 func newHeartbeats(now time.Time, l Limits) heartbeats {
-	return heartbeats{limits: l, nextDue: now, lastCheck: now, unheard: silence{since: now}, unfinished: silence{since: now}}
+	return heartbeats{limits: l, opened: now, nextDue: now, lastCheck: now, unheard: silence{since: now}, unfinished: silence{since: now}}
 }
 
 // next returns a heartbeat if one is due.
@@ -75,6 +76,9 @@
 	}
 }
 
+// worked returns the time from the opening of the link to the last frame received.
+func (h *heartbeats) worked() time.Duration { return h.unfinished.since.Sub(h.opened) }
+
 // check is called at each Tick with what has been read of an unfinished frame. It returns
 // why the link must be closed, or "" if the peer is not silent.
 func (h *heartbeats) check(now time.Time, partialBytes int) string {
--- a/internal/link/core/limits.go
+++ b/internal/link/core/limits.go
@@ -11,6 +11,9 @@
 	SilenceTimeout time.Duration
 	// IdleTimeout is how long a link without open calls is kept.
 	IdleTimeout time.Duration
+	// MaxRedialWait bounds the wait for the next dial after links that opened and carried
+	// nothing.
+	MaxRedialWait time.Duration
 	// MaxOpenCalls bounds the calls that are open at the same time.
 	MaxOpenCalls int
 	// MaxQueueBytes bounds the payload that waits to be sent.
@@ -27,6 +30,7 @@
 		HeartbeatInterval: time.Second,
 		SilenceTimeout:    3 * time.Second,
 		IdleTimeout:       time.Minute,
+		MaxRedialWait:     4 * time.Second,
 		MaxOpenCalls:      4096,
 		MaxQueueBytes:     16 << 20,
 		MaxMessageBytes:   8 << 20,
@@ -46,6 +50,9 @@
 	if l.IdleTimeout == 0 {
 		l.IdleTimeout = d.IdleTimeout
 	}
+	if l.MaxRedialWait == 0 {
+		l.MaxRedialWait = d.MaxRedialWait
+	}
 	if l.MaxOpenCalls == 0 {
 		l.MaxOpenCalls = d.MaxOpenCalls
 	}
--- a/internal/link/endpoint.go
+++ b/internal/link/endpoint.go
@@ -9,6 +9,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
+
+	"coltsfootmux/internal/link/core"
 )
 
 // endpoint is an address that a pool calls, with its link or dial if there is one.
@@ -24,10 +26,7 @@
 	closed      bool
 	// attempt is the number of dials so far.
 	attempt uint32
-	// failures is the number of consecutive failed dials. After a failure no dial
-	// starts before retryAt.
-	failures int
-	retryAt  time.Time
+	redial  core.Redial
 }
 
 // disconnected reports whether there is neither a link nor a dial in progress.
@@ -45,7 +44,8 @@
 }
 
 // link returns the endpoint's link and dials one if there is none. Between a failed
-// dial and the next one it fails at once with ErrNotExecuted. While a dial that
+// dial, or links that carried nothing, and the next dial it fails at once with
+// ErrNotExecuted. While a dial that
 // follows a failed one is in progress it waits at most redialWait, so that an
 // unresponsive host delays only its first callers by the dial timeout.
 func (e *endpoint) link(ctx context.Context) (*clientLink, error) {
@@ -55,7 +55,7 @@
 		return l, nil
 	}
 	d, err := e.startDial()
-	failed := e.failures > 0
+	failed := e.redial.Failing()
 	e.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -82,7 +82,8 @@
 	if e.pendingDial != nil {
 		return e.pendingDial, nil
 	}
-	if time.Now().Before(e.retryAt) {
+	e.settle()
+	if !e.redial.MayDial(time.Now()) {
 		return nil, eris.Wrapf(ErrNotExecuted, "%s can't be reached; waiting to dial it again", e.addr)
 	}
 	e.attempt++
@@ -92,21 +93,29 @@
 	return d, nil
 }
 
+// settle takes the end of the last link into account; e.mu is held.
+func (e *endpoint) settle() {
+	if e.active == nil || e.active.ctx.Err() == nil {
+		return
+	}
+	e.redial.Ended(time.Now(), e.active.end(), e.pool.jitter())
+	e.active = nil
+}
+
 // run dials and then serves the link until it ends.
 func (e *endpoint) run(d *dialAttempt, attempt uint32) {
 	l, err := e.connect(attempt)
 	e.mu.Lock()
 	e.pendingDial = nil
 	if err != nil {
-		e.failures++
-		e.retryAt = time.Now().Add(e.pool.backoff(e.failures))
+		e.redial.DialFailed(time.Now(), e.pool.jitter())
 		d.err = eris.Wrapf(ErrNotExecuted, "dial %s: %v", e.addr, err)
 	} else {
-		e.failures = 0
+		e.redial.Opened()
 		e.active = l
 		d.link = l
 	}
-	closed, failures := e.closed, e.failures
+	closed, failures := e.closed, e.redial.FailedDials()
 	e.mu.Unlock()
 	close(d.done)
 	if err != nil {
@@ -117,6 +126,9 @@
 		l.cancel()
 	}
 	l.run()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
 }
 
 // logFailure logs the first of consecutive failed dials at a level that operators see.
@@ -156,12 +168,3 @@
 		e.active.cancel()
 	}
 }
-
-// backoff returns the time between the n-th consecutive failed dial and the next. It
-// is random between dialBackoffMin/2 and an upper bound that grows exponentially.
-func (p *Pool) backoff(n int) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	top := min(dialBackoffMin<<min(n-1, 10), dialBackoffMax)
-	return dialBackoffMin/2 + time.Duration(p.rand.Int64N(int64(top)))
-}
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"coltsfootmux/internal/link/core"
 	"coltsfootmux/internal/wire"
 )
 
@@ -20,8 +21,10 @@
 	self   Peer
 	counts counters
 
+	randMu sync.Mutex
+	rand   *rand.Rand
+
 	mu        sync.Mutex
-	rand      *rand.Rand
 	endpoints map[string]*endpoint
 	closed    bool
 	wg        sync.WaitGroup
@@ -104,7 +107,7 @@
 	e := p.endpoints[addr]
 	if e == nil {
 		p.prune(now)
-		e = &endpoint{pool: p, addr: addr}
+		e = &endpoint{pool: p, addr: addr, redial: core.NewRedial(p.opts.Limits)}
 		p.endpoints[addr] = e
 	}
 	e.lastUsed = now
@@ -122,6 +125,14 @@
 	}
 }
 
+// jitter returns a random number from 0 to 1. It does not take p.mu, as prune locks endpoints while
+// it holds that.
+func (p *Pool) jitter() float64 {
+	p.randMu.Lock()
+	defer p.randMu.Unlock()
+	return p.rand.Float64()
+}
+
 // Close closes all links, which fails their open calls, and waits until they are down.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/internal/link/pooloptions.go
+++ b/internal/link/pooloptions.go
@@ -32,8 +32,4 @@
 	endpointTTL = 5 * time.Minute
 	// redialWait is how long a call waits for a dial that follows a failed one.
 	redialWait = 100 * time.Millisecond
-	// dialBackoffMin and dialBackoffMax are the first and the largest upper bound of
-	// the time between dials.
-	dialBackoffMin = 50 * time.Millisecond
-	dialBackoffMax = 2 * time.Second
 )
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -1,8 +1,7 @@
 package link
 
-import "time"
-
-// DialAtOnce lets the next call to addr dial even if a dial has just failed. It is for calls that test
+// DialAtOnce lets the next call to addr dial even if a dial has just failed, or a link was
+// silent. It is for calls that test
 // whether the process answers now.
 func (p *Pool) DialAtOnce(addr string) {
 	p.mu.Lock()
@@ -13,5 +12,6 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.retryAt = time.Time{}
+	e.settle()
+	e.redial.DialAtOnce()
 }
--- a/internal/link/silent_test.go
+++ b/internal/link/silent_test.go
@@ -12,9 +12,9 @@
 	"coltsfootmux/internal/wire"
 )
 
-// fastLimits are limits with which a silent link is detected within half a second.
+// fastLimits are limits with which a silent link is detected within half a second and dialled again soon.
 func fastLimits() core.Limits {
-	return core.Limits{HeartbeatInterval: 50 * time.Millisecond, SilenceTimeout: 300 * time.Millisecond}
+	return core.Limits{HeartbeatInterval: 50 * time.Millisecond, SilenceTimeout: 300 * time.Millisecond, MaxRedialWait: 50 * time.Millisecond}
 }
 
 func TestSilentConnectionFailsItsCallsAndIsDialledAgain(t *testing.T) {
