The line of a failed link tells the causes apart

Callers saw: nothing directly. Logs of a failed link (1002) gave its reason only, so that three incidents could not be told apart: a peer that does not run, a path that is cut or full, or a process that is late itself.

Change: the line has the age of the link (age), the time since the last whole frame (last_frame) and since the last bytes (last_bytes), the payload that waited to be sent (queued_bytes), and how late this process checked the link at most since the last frame (check_late). The core gives them with the decision to close; no other lines are added.

Evidence: TestLogLineOfAFailedLinkTellsTheCausesApart failed before (none of the five attributes); TestClosedLinkTellsTheCausesApart has the values for a silent peer, one with data queued, a process that is always late, and a trickle.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -42,8 +42,9 @@
 	cancel     context.CancelFunc
 	// closeReason is why the connection ended. faulty reports that the state machine
 	// closed it because of silence or corrupt messages, orderly that the link was idle or
-	// the peer has drained.
+	// the peer has drained. health is what the state machine knew when it closed it.
 	closeReason string
+	health      core.Health
 	faulty      bool
 	orderly     bool
 }
@@ -73,12 +74,20 @@
 // logEnd logs the end of a connection after run has returned, and counts it if it
 // was faulty.
 func (c *conn) logEnd(l *slog.Logger, attrs ...slog.Attr) {
-	ev := evClosed
-	if c.faulty {
-		ev = evFailed
-		faultyLinks.Inc()
+	attrs = append(attrs, slog.String("reason", c.closeReason))
+	if !c.faulty {
+		evClosed.Log(context.Background(), l, attrs...)
+		return
+	}
+	faultyLinks.Inc()
+	evFailed.Log(context.Background(), l, append(attrs, healthAttrs(c.health)...)...)
+}
+
+func healthAttrs(h core.Health) []slog.Attr {
+	return []slog.Attr{
+		slog.Duration("age", h.Age), slog.Duration("last_frame", h.LastFrame), slog.Duration("last_bytes", h.LastBytes),
+		slog.Int("queued_bytes", h.QueuedBytes), slog.Duration("check_late", h.CheckLate),
 	}
-	ev.Log(context.Background(), l, append(attrs, slog.String("reason", c.closeReason))...)
 }
 
 func (c *conn) step(ev core.Event) {
@@ -94,7 +103,7 @@
 	case core.FramesPending:
 		c.wakeWriter()
 	case core.CloseLink:
-		c.closeReason = a.Reason
+		c.closeReason, c.health = a.Reason, a.Health
 		c.orderly = a.Reason == core.CloseReasonIdle || a.Reason == core.CloseReasonDrained
 		c.faulty = !c.orderly
 		c.cancel()
--- a/internal/link/core/acceptor.go
+++ b/internal/link/core/acceptor.go
@@ -110,17 +110,17 @@
 	if !a.holdRequest(now, c, f) {
 		a.receiving.discard(f.Call)
 		a.end(now, f.Call)
-		a.refuse(f, refusedOverloaded)
+		a.refuse(now, f, refusedOverloaded)
 		return
 	}
 	body, result := a.receiving.add(f)
 	switch result {
 	case incomplete:
 	case corrupt:
-		a.closeLink("request with missing or altered chunks")
+		a.closeLink(now, "request with missing or altered chunks")
 	case tooLong:
 		a.end(now, f.Call)
-		a.refuse(f, refusedTooLong)
+		a.refuse(now, f, refusedTooLong)
 	case complete:
 		c.running = true
 		a.emit(RunHandler{Call: f.Call, Kind: f.Kind, Body: body, Timeout: f.Timeout})
@@ -130,28 +130,28 @@
 // admit opens a call, or refuses it if the link is draining or a bound is reached.
 func (a *Acceptor) admit(now time.Time, f *frame.Frame) bool {
 	if a.draining {
-		a.refuse(f, refusedDraining)
+		a.refuse(now, f, refusedDraining)
 		return false
 	}
 	if len(a.openCalls) >= a.limits.MaxOpenCalls || a.sending.bytes > a.limits.MaxQueueBytes {
-		a.refuse(f, refusedOverloaded)
+		a.refuse(now, f, refusedOverloaded)
 		return false
 	}
 	c := &incomingCall{kind: f.Kind, attempt: f.Attempt}
 	if !a.hold(now, c, 0) {
-		a.refuse(f, refusedOverloaded)
+		a.refuse(now, f, refusedOverloaded)
 		return false
 	}
 	a.openCalls[f.Call] = c
 	return true
 }
 
-func (a *Acceptor) refuse(f *frame.Frame, code uint64) {
+func (a *Acceptor) refuse(now time.Time, f *frame.Frame, code uint64) {
 	a.controlFrames = append(a.controlFrames, frame.Frame{
 		Type: frame.Refuse, Call: f.Call, Attempt: f.Attempt, Kind: f.Kind, Offset: code, Total: code,
 	})
 	if len(a.controlFrames) > a.limits.MaxOpenCalls {
-		a.closeLink("refusals are not read")
+		a.closeLink(now, "refusals are not read")
 		return
 	}
 	a.emit(FramesPending{})
@@ -245,7 +245,7 @@
 
 func (a *Acceptor) onTick(now time.Time, ev Tick) {
 	if why := a.heartbeats.check(now, ev.PartialBytes); why != "" {
-		a.closeLink(why)
+		a.closeLink(now, why)
 		return
 	}
 	if !now.Before(a.heartbeats.nextDue) {
@@ -253,8 +253,8 @@
 	}
 }
 
-func (a *Acceptor) closeLink(reason string) {
-	a.emit(CloseLink{Reason: reason})
+func (a *Acceptor) closeLink(now time.Time, reason string) {
+	a.emit(CloseLink{Reason: reason, Health: a.heartbeats.health(now, a.sending.bytes)})
 	a.onDown()
 }
 
--- a/internal/link/core/action.go
+++ b/internal/link/core/action.go
@@ -39,7 +39,10 @@
 	// CancelHandler cancels the context of a running handler.
 	CancelHandler struct{ Call uint64 }
 	// CloseLink closes the connection.
-	CloseLink struct{ Reason string }
+	CloseLink struct {
+		Reason string
+		Health Health
+	}
 	// Drained reports that a draining Acceptor has answered all calls and sent its
 	// GoAway frame.
 	Drained struct{}
--- a/internal/link/core/dialer.go
+++ b/internal/link/core/dialer.go
@@ -144,7 +144,7 @@
 func (d *Dialer) onFrame(now time.Time, f *frame.Frame) {
 	d.heartbeats.onFrame(now, f)
 	if f.Type == frame.GoAway {
-		d.onGoAway(f.Call)
+		d.onGoAway(now, f.Call)
 		return
 	}
 	if f.Type == frame.Heartbeat || f.Attempt != d.attempt {
@@ -156,30 +156,30 @@
 	}
 	switch f.Type {
 	case frame.Response, frame.HandlerError:
-		d.onResponse(c, f)
+		d.onResponse(now, c, f)
 	case frame.Refuse:
 		d.onRefuse(c, f)
 	}
 }
 
 // onGoAway closes the link. Calls with a higher number than lastCall were not executed.
-func (d *Dialer) onGoAway(lastCall uint64) {
+func (d *Dialer) onGoAway(now time.Time, lastCall uint64) {
 	for _, c := range d.openCalls {
 		if c.request.call > lastCall {
 			c.sent = false
 		}
 	}
-	d.closeLink(CloseReasonDrained)
+	d.closeLink(now, CloseReasonDrained)
 }
 
-func (d *Dialer) onResponse(c *outgoingCall, f *frame.Frame) {
+func (d *Dialer) onResponse(now time.Time, c *outgoingCall, f *frame.Frame) {
 	body, result := d.receiving.add(f)
 	switch result {
 	case incomplete:
 	case tooLong:
 		d.fail(c, OutcomeUnknown, "answer exceeds the size limit")
 	case corrupt:
-		d.closeLink("answer with missing or altered chunks")
+		d.closeLink(now, "answer with missing or altered chunks")
 	case complete:
 		d.remove(c)
 		if f.Type == frame.HandlerError {
@@ -241,14 +241,14 @@
 
 func (d *Dialer) onTick(now time.Time, ev Tick) {
 	if why := d.heartbeats.check(now, ev.PartialBytes); why != "" {
-		d.closeLink(why)
+		d.closeLink(now, why)
 		return
 	}
 	if len(d.openCalls) > 0 {
 		d.lastUsed = now
 	}
 	if now.Sub(d.lastUsed) >= d.limits.IdleTimeout {
-		d.closeLink(CloseReasonIdle)
+		d.closeLink(now, CloseReasonIdle)
 		return
 	}
 	if !now.Before(d.heartbeats.nextDue) {
@@ -256,8 +256,8 @@
 	}
 }
 
-func (d *Dialer) closeLink(reason string) {
-	d.emit(CloseLink{Reason: reason})
+func (d *Dialer) closeLink(now time.Time, reason string) {
+	d.emit(CloseLink{Reason: reason, Health: d.heartbeats.health(now, d.sending.bytes)})
 	d.onDown()
 }
 
--- a/internal/link/core/heartbeats.go
+++ b/internal/link/core/heartbeats.go
@@ -23,8 +23,10 @@
 	received uint64
 	// nextDue is when the next heartbeat is sent.
 	nextDue time.Time
-	// lastCheck is when the peer's silence was last checked.
+	// lastCheck is when the peer's silence was last checked, checkLate how late a check
+	// was at most since the last frame.
 	lastCheck time.Time
+	checkLate time.Duration
 	// unheard is the time without a byte of the peer, unfinished that without a whole frame.
 	unheard    silence
 	unfinished silence
@@ -62,7 +64,7 @@
 func (h *heartbeats) onFrame(now time.Time, f *frame.Frame) {
 	h.unheard.end(now)
 	h.unfinished.end(now)
-	h.partialBytes = 0
+	h.partialBytes, h.checkLate = 0, 0
 	if f.Type != frame.Heartbeat {
 		return
 	}
@@ -97,6 +99,7 @@
 // measure counts the time since the last check.
 func (h *heartbeats) measure(now time.Time, partialBytes int) {
 	tick := h.limits.TickInterval()
+	h.checkLate = max(h.checkLate, now.Sub(h.lastCheck)-tick)
 	h.unheard.extend(now, h.lastCheck, tick)
 	h.unfinished.extend(now, h.lastCheck, tick)
 	h.unechoed.extend(now, h.lastCheck, tick)
@@ -116,3 +119,11 @@
 	due := int(h.limits.SilenceTimeout / h.limits.HeartbeatInterval)
 	return h.withoutEcho >= due || h.unechoed.counted >= slowPathFactor*h.limits.SilenceTimeout
 }
+
+// health returns what is known of the link, of which some payload waits to be sent.
+func (h *heartbeats) health(now time.Time, queuedBytes int) Health {
+	return Health{
+		Age: now.Sub(h.opened), LastFrame: now.Sub(h.unfinished.since), LastBytes: now.Sub(h.unheard.since),
+		QueuedBytes: queuedBytes, CheckLate: h.checkLate,
+	}
+}
