A late process does not give up its dials

Callers saw: calls fail as not executed, and then wait for the next dial, after the process that makes them was paused while it opened links, although the peers had answered.

Cause: the limit of a dial was a timer of 1 s. A process that was stopped beyond it handled the timer before the answers that waited in its sockets.

Change: core.DialTimer counts the time of a dial by checks, as links count silence: one check every quarter of the limit, which counts half of the limit at most. Bound: a process in time gives up after 1 s as before, one that is always late at its second check.

--- a/internal/link/endpoint.go
+++ b/internal/link/endpoint.go
@@ -143,7 +143,7 @@
 
 func (e *endpoint) connect(attempt uint32) (*clientLink, error) {
 	o := &e.pool.opts
-	ctx, cancel := context.WithTimeout(context.Background(), o.DialTimeout)
+	ctx, cancel := limitDial(o.DialTimeout)
 	defer cancel()
 	h := http.Header{}
 	e.pool.self.setHeaders(h)
@@ -152,7 +152,7 @@
 	}
 	ws, resp, err := websocket.Dial(ctx, "ws://"+e.addr+Path, &websocket.DialOptions{HTTPHeader: h, HTTPClient: dialClient})
 	if err != nil {
-		return nil, err
+		return nil, dialError(ctx, err)
 	}
 	return newClientLink(e.pool, ws, e.addr, attempt, peerFromHeaders(resp.Header)), nil
 }
--- a/internal/link/pooloptions.go
+++ b/internal/link/pooloptions.go
@@ -16,7 +16,8 @@
 	// Logger may be nil.
 	Logger *slog.Logger
 	Limits core.Limits
-	// DialTimeout bounds one dial; 0 means 1 s.
+	// DialTimeout bounds one dial, by checks of which each counts half of it at most; 0
+	// means 1 s.
 	DialTimeout time.Duration
 	// Budget limits the rate of bytes sent to other regions; nil means no limit.
 	Budget *Budget
