Heartbeats don't wait in the socket behind long messages

Callers saw: answers and requests that take longer than 4 s on a slow path never arrive. The link is closed as "heartbeats not echoed", and the same happens on the next one.

Cause: a socket takes up to 4 MiB at once. Heartbeats that are sent later stand behind that, so that the side that sends waits for echoes of heartbeats that have not left yet, and its peer for echoes of its own.

Change: the sockets of links take no more than 16 KiB beyond what they have sent (TCP_NOTSENT_LOWAT), at both ends. Messages wait in the queue of the link instead, which heartbeats and short messages pass. The rate of a path is not bounded by it. Connections of inbound.Server give access to their socket.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -71,6 +71,9 @@
 	return nil
 }
 
+// NetConn returns the connection itself, for options of its socket.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.step(admission.Closed)
--- a/internal/link/endpoint.go
+++ b/internal/link/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -158,7 +159,9 @@
 }
 
 // dialClient opens a new connection for each link and uses no proxy.
-var dialClient = &http.Client{Transport: &http.Transport{}}
+var dialClient = &http.Client{Transport: &http.Transport{
+	DialContext: (&net.Dialer{Control: limitUnsentOf}).DialContext,
+}}
 
 func (e *endpoint) close() {
 	e.mu.Lock()
--- a/internal/link/linktest/narrowpath.go
+++ b/internal/link/linktest/narrowpath.go
@@ -9,6 +9,9 @@
 // narrowPathBytes is what a narrow path passes on at a time.
 const narrowPathBytes = 1 << 10
 
+// narrowPathBuffer is what a narrow path holds in its socket.
+const narrowPathBuffer = 8 << 10
+
 // NewNarrowPath starts a TCP proxy to an address and returns its own address. Towards the one who
 // connects it passes on a number of bytes a second, in the other direction all at once. It accepts
 // connections until the test ends.
@@ -30,6 +33,7 @@
 				_ = c.Close()
 				continue
 			}
+			_ = d.(*net.TCPConn).SetReadBuffer(narrowPathBuffer)
 			go passOn(d, c, 0)
 			go passOn(c, d, bytesPerSecond)
 		}
--- a/internal/link/narrowpath_test.go
+++ b/internal/link/narrowpath_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,10 +13,12 @@
 
 	"github.com/coder/websocket"
 
+	"coltsfootmux/internal/inbound"
 	"coltsfootmux/internal/link"
 	"coltsfootmux/internal/link/core"
 	"coltsfootmux/internal/link/frame"
 	"coltsfootmux/internal/link/linktest"
+	"coltsfootmux/internal/model"
 	"coltsfootmux/internal/wire"
 )
 
@@ -70,3 +75,37 @@
 		t.Errorf("call: %v", err)
 	}
 }
+
+// serveInbound runs a server as instances do and returns its address.
+func serveInbound(t *testing.T, s *link.Server) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, s)
+	in := inbound.NewServer(inbound.Options{
+		Name: "test", Listener: ln, Handler: mux, MaxConns: 10, Logger: slog.New(slog.DiscardHandler),
+	})
+	go func() { _ = in.Serve() }()
+	t.Cleanup(func() { _ = in.Close() })
+	return ln.Addr().String()
+}
+
+// TestLongAnswerOverANarrowPathArrives guards against links that are closed because heartbeats, which carry
+// the echoes, wait in the socket's buffer behind seconds of data.
+func TestLongAnswerOverANarrowPathArrives(t *testing.T) {
+	const answerBytes, bytesPerSecond = 600_000, 160_000
+	limits := core.Limits{HeartbeatInterval: 200 * time.Millisecond, SilenceTimeout: time.Second}
+	s := link.NewServer(link.ServerOptions{Limits: limits})
+	link.Handle(s, wire.KindSubmit, func(context.Context, link.Peer, wire.Submit) (wire.SubmitReply, error) {
+		return wire.SubmitReply{Result: model.Result{Answer: make([]byte, answerBytes)}}, nil
+	})
+	addr := linktest.NewNarrowPath(t, serveInbound(t, s), bytesPerSecond)
+	p := newPool(t, link.PoolOptions{Limits: limits})
+	r, err := link.Call[wire.Submit, wire.SubmitReply](testContext(t), p, addr, wire.KindSubmit, wire.Submit{})
+	if err != nil || len(r.Result.Answer) != answerBytes {
+		t.Errorf("answer of %d bytes: %v", len(r.Result.Answer), err)
+	}
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -86,7 +86,7 @@
 		return
 	}
 	s.self.setHeaders(w.Header())
-	ws, err := websocket.Accept(w, r, nil)
+	ws, err := websocket.Accept(limitedResponse{w}, r, nil)
 	if err != nil {
 		evRefused.Log(r.Context(), s.opts.Logger, slog.String("error", err.Error()), slog.String("from", r.RemoteAddr))
 		return
