Claims follow a machine's place in its fleet

What callers saw: the term of a cell went to a machine with a narrow link and half the processor of the strong ones, and where all machines are weak to the weakest, which could not do its work.

Cause: the claim delay came from the machine's own share of a core, none from 0.4 cores on, so that 0.48 and 0.8 cores claimed alike. Below, 0.0144, 0.048 and 0.08 cores differed by 0.16 s, less than the second that such instances leave between two reads of the term. Link and memory did not count, and no machine of such a fleet was strong, so that an owner turned away by the store notified nobody.

Change: members announce their machine. package capacity ranks it against the strongest one known; the delay is 0, 0.4 or 0.8 s, and only those with the longest read the term once a second. Until the members have been read, and for members of earlier versions, the former rule holds. Claims remain conditional appends and need the same consents.

--- a/internal/core/term/claim.go
+++ b/internal/core/term/claim.go
@@ -37,7 +37,7 @@
 	if !c.needsConsent() {
 		return c.releasedClaimWait()
 	}
-	wait := c.settings.StaleAfter + c.settings.ClaimDelay
+	wait := c.settings.StaleAfter + c.claimDelay()
 	if len(c.latest.Witnesses) > 0 && !c.isWitness() {
 		wait += otherClaimDelay
 	}
@@ -82,7 +82,7 @@
 	if limit == 0 {
 		limit = c.settings.KeepLimit
 	}
-	return c.changedAt + byAnyClock(limit) + c.settings.StaleAfter + c.settings.ClaimDelay - c.now
+	return c.changedAt + byAnyClock(limit) + c.settings.StaleAfter + c.claimDelay() - c.now
 }
 
 // byAnyClock returns the time that passes on this clock at most while d passes on another.
--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/core/witness"
 )
@@ -12,6 +13,8 @@
 	settings Settings
 	self     string
 	addr     string
+	// rank is that of this machine in the fleet, 0 while it is not known.
+	rank capacity.Rank
 	// loaded says that the record has been read, and end is the offset up to which the
 	// topic has been read. Each write expects this end, so that it fails if a record has
 	// not been read yet.
@@ -143,6 +146,8 @@
 		c.stop()
 	case YieldRequested:
 		c.yield(e)
+	case Ranked:
+		c.rank = e.Rank
 	case Unfit:
 		c.onUnfit(e)
 	case YieldUnanswered:
--- a/internal/core/term/settings.go
+++ b/internal/core/term/settings.go
@@ -22,8 +22,8 @@
 	// its witnesses and peers. Their answers take up to 0.5 s and should arrive before the owner has to
 	// stop starting tasks.
 	QueryPeersAfter time.Duration
-	// ClaimDelay is added to StaleAfter at this instance. Different delays keep the claims
-	// of several instances apart and let instances near the store claim first.
+	// ClaimDelay is added to StaleAfter at this instance while the rank of its machine is not known, see
+	// package capacity.
 	ClaimDelay time.Duration
 	// MinTenure is how long an owner has held its term before an instance on a stronger
 	// machine requests it; 0 means that none does.
--- a/internal/core/term/successor.go
+++ b/internal/core/term/successor.go
@@ -46,7 +46,7 @@
 // releasedClaimWait returns how long the record of a released term must stay unchanged before a
 // claim: the successor that it names comes first, and instances come last that its witnesses don't answer.
 func (c *Core) releasedClaimWait() time.Duration {
-	wait := c.settings.ClaimDelay
+	wait := c.claimDelay()
 	switch {
 	case !c.latest.Released:
 		return wait
--- a/internal/instance/events.go
+++ b/internal/instance/events.go
@@ -98,5 +98,6 @@
 	evWorkerInvalid     = logevent.New(2248, slog.LevelWarn, "invalid worker entry")
 	evItemRefused       = logevent.New(2297, slog.LevelError, "the store will never take the progress of a job, or the roster")
 	evCheckpointsLeft   = logevent.New(2298, slog.LevelWarn, "checkpoints of a job left out of its stored progress")
+	evRanked            = logevent.New(2272, slog.LevelInfo, "rank of this machine in the fleet")
 	evHoldFailed        = logevent.New(2249, slog.LevelInfo, "hold not answered by the worker")
 )
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -66,6 +66,8 @@
 	policyMu        sync.Mutex
 	policyChanged   broadcast
 
+	// rank is the capacity.Rank of this machine that the term's core knows.
+	rank atomic.Int64
 	// readsIntervals is set while all members are of versions that read progress with intervals.
 	readsIntervals atomic.Bool
 
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/budget"
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/relay"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/witness"
@@ -42,6 +43,8 @@
 	// CellMemory is how many bytes the jobs of a cell may take on the machine, 0 if it sets no
 	// limit or the version of the record has none.
 	CellMemory budget.Limit `cbor:"6,keyasint,omitempty"`
+	// Machine is what the instance may use of its machine; not known in records of versions without it.
+	Machine capacity.Machine `cbor:"8,keyasint,omitzero"`
 	// ReadsIntervals says that the version of the instance reads job.Progress.Ended.
 	ReadsIntervals bool `cbor:"7,keyasint,omitempty"`
 }
@@ -53,6 +56,8 @@
 	addrs []string
 	// strongAddrs are those of strong instances, which claim a term without a delay.
 	strongAddrs map[string]bool
+	// fleet holds the machines of the records.
+	fleet capacity.Fleet
 	// forRelays are the members whose records have been read, see package relay.
 	forRelays []relay.Member
 	// forWitnesses are the instances that may become witnesses, see package witness.
@@ -65,16 +70,16 @@
 // whether others are known now.
 func (m *members) set(records []memberRecord, fixed []string, own string) (changed bool) {
 	addrs, strong, forRelays := slices.Clone(fixed), make(map[string]bool), []relay.Member(nil)
-	dataCentres := make(map[string]string)
+	dataCentres, fleet := make(map[string]string), fleetOf(records)
 	for _, r := range records {
 		dataCentres[r.Addr] = r.DataCentre
 		addrs = append(addrs, r.Addr)
-		strong[r.Addr] = r.ClaimDelay == 0
+		strong[r.Addr] = r.isStrong(fleet)
 		forRelays = append(forRelays, relay.Member{Addr: r.Addr, Region: r.Region, Capable: r.Relay})
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.strongAddrs, m.forRelays = strong, forRelays
+	m.strongAddrs, m.forRelays, m.fleet = strong, forRelays, fleet
 	slices.Sort(addrs)
 	addrs = slices.Compact(addrs)
 	at, _ := slices.BinarySearch(addrs, own)
@@ -89,6 +94,30 @@
 	return changed
 }
 
+// fleetOf returns the fleet of the records' machines.
+func fleetOf(records []memberRecord) capacity.Fleet {
+	var machines []capacity.Machine
+	for _, r := range records {
+		machines = append(machines, r.Machine)
+	}
+	return capacity.NewFleet(machines)
+}
+
+// isStrong reports whether the instance claims a term without a delay.
+func (r *memberRecord) isStrong(f capacity.Fleet) bool {
+	if rank := f.Rank(r.Machine); rank.Known() {
+		return rank.ClaimDelay() == 0
+	}
+	return r.ClaimDelay == 0
+}
+
+// rank returns the rank of a machine among those of the records.
+func (m *members) rank(of capacity.Machine) capacity.Rank {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Rank(of)
+}
+
 // witnessCandidates returns the addresses of the instances that an owner in the given data centre
 // may name as witnesses, in the order of preference, and last those that failed to answer recently.
 func (m *members) witnessCandidates(now time.Duration, ownDataCentre string) []string {
@@ -222,7 +251,7 @@
 func (i *Instance) announce(ctx context.Context) error {
 	value, err := encodeRecord(memberRecord{
 		Addr: i.Settings.LinkAddr, ClaimDelay: i.Settings.Term.ClaimDelay, Region: i.Settings.Region, Relay: i.Settings.Relay,
-		DataCentre: i.Settings.Zone, CellMemory: i.Settings.Cell.Memory, ReadsIntervals: true,
+		DataCentre: i.Settings.Zone, CellMemory: i.Settings.Cell.Memory, ReadsIntervals: true, Machine: i.Settings.Machine,
 	})
 	if err == nil {
 		_, err = i.store.Append(ctx, external.Append{
@@ -255,11 +284,23 @@
 	if i.members.set(records, i.Settings.Peers, i.Settings.LinkAddr) {
 		i.stepTerm(term.MembersChanged{})
 	}
+	i.rankMachine()
 	i.setCellLimit(records)
 	i.readsIntervals.Store(len(records) > 0 && !slices.ContainsFunc(records, func(r memberRecord) bool { return !r.ReadsIntervals }))
 	i.membersReadOnce.Do(func() { close(i.membersRead) })
 }
 
+// rankMachine passes the rank of this machine to the term's core if it has changed. One that has not
+// announced itself yet is ranked among the others by the next read.
+func (i *Instance) rankMachine() {
+	rank := i.members.rank(i.Settings.Machine)
+	if !rank.Known() || i.rank.Swap(int64(rank)) == int64(rank) {
+		return
+	}
+	i.stepTerm(term.Ranked{Rank: rank})
+	evRanked.Log(i.ctx, i.logger, slog.Int64("rank", int64(rank)), slog.Duration("claim_delay", rank.ClaimDelay()))
+}
+
 // peers returns the addresses of other instances to try, the cell's owner first.
 func (i *Instance) peers() []string {
 	return i.members.candidates(boottime(), i.ownerAddr())
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/external"
@@ -18,6 +19,8 @@
 	Region string
 	// Relay says that the machine can pass the policy on to others of its region.
 	Relay bool
+	// Machine is what the process may use of its machine.
+	Machine capacity.Machine
 	// LinkAddr is the address at which peers reach this instance.
 	LinkAddr string
 	// MemoryLimited says that the memory limit of the Go runtime is set for this process.
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -32,7 +32,10 @@
 const weakTermReadInterval = time.Second
 
 func (i *Instance) termReadInterval() time.Duration {
-	if i.Settings.Term.ClaimDelay > 0 && i.owner.Load() == nil {
+	i.termMu.Lock()
+	late := i.term.MayReadLate()
+	i.termMu.Unlock()
+	if late && i.owner.Load() == nil {
 		return weakTermReadInterval
 	}
 	return 0
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/core/confidence"
 	"coltsfootmux/internal/core/term"
@@ -17,6 +18,8 @@
 	host       host
 	settings   term.Settings
 	dataCentre string
+	// machine is that of the host; its figures are not known in most scenarios.
+	machine capacity.Machine
 	// clockOffset is the difference between this host's clock and the simulation's at its
 	// start, clockRate its speed, 1 for true time.
 	clockOffset time.Duration
@@ -121,6 +124,7 @@
 	i.readers = []*reader{r}
 	r.read(0)
 	i.tick()
+	i.readMembers(membersStartDelay)
 	i.probeWhileUnavailable()
 	i.pollPeers()
 }
--- a/internal/partitionsim/peers_test.go
+++ b/internal/partitionsim/peers_test.go
@@ -133,7 +133,7 @@
 
 // notifyPeers sends strong peers a record that the store does not accept from this instance.
 func (i *instance) notifyPeers(r term.Record) {
-	strong := slices.DeleteFunc(i.peers(), func(p *instance) bool { return p.settings.ClaimDelay != 0 })
+	strong := slices.DeleteFunc(i.peers(), func(p *instance) bool { return !i.sim.isStrong(p) })
 	for _, p := range strong[:min(len(strong), maxHandoverPeers)] {
 		i.callPeer(p, askTimeout, func(reply func()) {
 			p.stepTerm(term.PeerRecord{Record: r})
--- a/internal/partitionsim/votes_test.go
+++ b/internal/partitionsim/votes_test.go
@@ -176,7 +176,7 @@
 
 // termReadInterval is the least time between two reads of the term.
 func (i *instance) termReadInterval() time.Duration {
-	if i.settings.ClaimDelay > 0 && i.owner == nil {
+	if i.term.MayReadLate() && i.owner == nil {
 		return weakTermReadInterval
 	}
 	return 0
--- a/internal/partitionsim/witness_test.go
+++ b/internal/partitionsim/witness_test.go
@@ -245,7 +245,7 @@
 	var all []witness.Candidate
 	for _, p := range i.sim.instances {
 		if p != i {
-			all = append(all, witness.Candidate{Addr: string(p.host), DataCentre: p.dataCentre, Strong: p.settings.ClaimDelay == 0})
+			all = append(all, witness.Candidate{Addr: string(p.host), DataCentre: p.dataCentre, Strong: i.sim.isStrong(p)})
 		}
 	}
 	var out []string
