A term is requested by rank, not by a fixed claim delay

Cause: only an instance without a claim delay requested a term, and only from an owner with one. A machine of 0.48 cores had none, and where all lie below 0.4 cores nobody could request.

Change: the record of a term carries the owner's rank (field 14). Owners within a factor of two are left alone, so the term can't go round. Records without a rank are compared by claim delay as before.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -307,7 +307,7 @@
 	}
 	return Record{
 		Refused: refused,
-		Term:    t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.settings.ClaimDelay,
+		Term:    t, Owner: c.self, Addr: c.addr, Renewal: renewal, ClaimDelay: c.claimDelay(), Rank: c.rank,
 		Handovers: c.handovers(), EarlierOwners: max(0, c.earlierUntil-c.now), StartLimit: c.settings.StartLimit,
 	}
 }
--- a/internal/core/term/record.go
+++ b/internal/core/term/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/core/witness"
 )
@@ -18,7 +19,7 @@
 	Renewal int64 `cbor:"4,keyasint,omitempty"`
 	// Released says that the owner has given up the term.
 	Released bool `cbor:"5,keyasint,omitempty"`
-	// ClaimDelay is the owner's Settings.ClaimDelay; the weaker its machine, the longer.
+	// ClaimDelay is the claim delay of the owner's machine; the weaker it is, the longer.
 	ClaimDelay time.Duration `cbor:"6,keyasint,omitempty"`
 	// Witnesses are those of the term, see package witness. Without any, the owner does not keep
 	// the term while the store is away.
@@ -33,6 +34,8 @@
 	StartLimit time.Duration `cbor:"12,keyasint,omitempty"`
 	// Refused is how much new work the owner has all instances refuse.
 	Refused shed.Level `cbor:"13,keyasint,omitempty"`
+	// Rank is that of the owner's machine, 0 in records of versions without ranks.
+	Rank capacity.Rank `cbor:"14,keyasint,omitempty"`
 }
 
 // position returns the place of the record among all renewals of all terms.
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -168,7 +168,7 @@
 			return
 		}
 	}
-	if c.votes.yieldRequested && c.settings.ClaimDelay >= minYieldDelay {
+	if c.votes.yieldRequested && c.claimDelay() >= minYieldDelay {
 		c.yield(YieldRequested{Term: c.votes.term})
 	}
 }
@@ -180,7 +180,7 @@
 	if !ok || len(rec.Witnesses) >= minNamed || c.isWitness() || rec.Owner == c.self || rec.Addr == c.addr {
 		return false
 	}
-	if d := c.settings.ClaimDelay; d > 0 {
+	if d := c.claimDelay(); d > 0 {
 		return c.fewNamedFor() > weakFewNamedAfter+4*d
 	}
 	return c.fewNamedFor() >= fewNamedAfter
--- a/internal/core/term/yield.go
+++ b/internal/core/term/yield.go
@@ -6,20 +6,23 @@
 // its cost. It is a tenth of the longest claim delay.
 const minYieldDelay = 100 * time.Millisecond
 
-// requestYield requests the term of an owner on a weaker machine once it has held the
-// term for MinTenure. Only an instance without a claim delay requests it, as any other
-// would see the release too late: the former owner may claim again by then. So it may if the
-// term's witnesses don't answer this instance, which then claims late. After releases by unfit
-// owners none requests it: the stronger machine may be the one that was unfit.
+// yieldPatience is how many times its claim delay an instance waits longer than the strongest ones before
+// it requests a term, so that the term moves once.
+const yieldPatience = 5
+
+// requestYield requests the term of an owner on a clearly weaker machine once it has held the
+// term for MinTenure. An instance that may see the release late does not request it: the former owner may
+// claim again by then. So it may if the term's witnesses don't answer this instance, which then claims
+// late. After releases by unfit owners none requests it: the stronger machine may be the one that was unfit.
 func (c *Core) requestYield() {
 	minTenure := c.settings.MinTenure
 	if minTenure == 0 || c.stopping || c.ownedTerm != 0 || !c.storeOK || !c.allTopicsReachable || c.now < c.nextYieldRequest {
 		return
 	}
-	if c.latest.Term == 0 || c.latest.Released || c.settings.ClaimDelay != 0 || c.latest.ClaimDelay < minYieldDelay {
+	if c.latest.Term == 0 || c.latest.Released || !c.outranks(c.latest) {
 		return
 	}
-	if c.now-max(c.termSince, c.storeOKSince) < minTenure || c.latest.Handovers > 0 {
+	if c.now-max(c.termSince, c.storeOKSince) < minTenure+yieldPatience*c.claimDelay() || c.latest.Handovers > 0 {
 		return
 	}
 	if !c.isReachedForYield() {
@@ -30,6 +33,15 @@
 	c.emit(RequestYield{Addr: c.latest.Addr, Term: c.latest.Term})
 }
 
+// outranks reports whether this instance's machine is clearly stronger than the owner's. Owners whose rank
+// is not known are compared by their claim delay, as by earlier versions.
+func (c *Core) outranks(r Record) bool {
+	if c.rank.Known() && r.Rank.Known() {
+		return r.Rank.IsHalfOf(c.rank) && !c.MayReadLate()
+	}
+	return c.claimDelay() == 0 && r.ClaimDelay >= minYieldDelay
+}
+
 // yield releases the term to an instance on a stronger machine. It needs a recent
 // confirmation, as the release can't be written otherwise.
 func (c *Core) yield(e YieldRequested) {
