Soak: long stops of the owner, an owner short of time, gangs left in part

Users reported gangs of which members ran alone, and an owner whose links fell silent for 12 s. The soak had neither: the periods of a stopped owner ended at 1.5 s, below the silence after which links are given up, only all machines together were short of processor time, and nothing judged members that end alone.

The stand-in workers tell which runs ended alone, by whose orders; the soak reports them unless a fault was near. Planned work is not told apart from faults, so the rule counts in soaks of single faults only.

--- a/cmd/coltsfootmux-soak/main.go
+++ b/cmd/coltsfootmux-soak/main.go
@@ -40,7 +40,7 @@
 			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "duration of load and faults"},
 			&cli.BoolFlag{Name: "unfit", Usage: "beside all other faults, faults that last 20 s and by which the owner can't do its work"},
 			&cli.BoolFlag{Name: "unfit-alone", Usage: "faults as with --unfit in place of all others; work has to go on beside them"},
-			&cli.IntFlag{Name: "unfit-kind", Usage: "with these, only faults of one kind: 1 workers, 2 peers, 3 one-way loss, 4 narrow path, 5 stopped in a cycle, 6 most machines down, 7 all machines short of processor time; 0 for all but the last"},
+			&cli.IntFlag{Name: "unfit-kind", Usage: "with these, only faults of one kind: 1 workers, 2 peers, 3 one-way loss, 4 narrow path, 5 stopped in a cycle, 6 most machines down, 7 all machines short of processor time, 8 the owner stopped past the silence of its links in a cycle, 9 the owner short of processor time; 0 for 1 to 6"},
 			&cli.BoolFlag{Name: "pauses", Usage: "single faults of the owner in place of all others, each followed by a quiet time"},
 			&cli.BoolFlag{Name: "backlogs", Usage: "in place of all faults, ends of many tasks that workers can't list at once, while the store takes no progress or the owner is replaced"},
 			&cli.BoolFlag{Name: "small-records", Usage: "a store that takes small records and appends only, and jobs with many occurrences"},
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -22,8 +22,11 @@
 	// from is the beginning of the time that counts; bound is how long work may stand in it.
 	from  time.Time
 	bound time.Duration
-	// harmed is the machine that a lasting fault concerns, if one is in force.
-	harmed *machine
+	// harmed is the machine that a lasting fault concerns, if one is in force, and cut the same if the
+	// fault stops it or cuts its paths.
+	harmed, cut *machine
+	// changedAt is when the latest fault began or ended.
+	changedAt time.Time
 }
 
 // begin and end record that a fault begins or ends.
@@ -34,16 +37,33 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inForce += by
-	c.harmed = nil
-	c.from, c.bound = time.Now().Add(settleTime), standBound
+	c.harmed, c.cut, c.changedAt = nil, nil, time.Now()
+	c.from, c.bound = c.changedAt.Add(settleTime), standBound
 }
 
 // beginLasting records that a fault of one machine begins beside which work has to go on within
-// a bound.
-func (c *calm) beginLasting(harmed *machine, bound time.Duration) {
+// its bound.
+func (c *calm) beginLasting(harmed *machine, f lastingFault) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.harmed, c.from, c.bound = harmed, time.Now(), bound
+	c.harmed, c.from, c.bound = harmed, time.Now(), f.bound
+	if !f.slow {
+		c.cut = harmed
+	}
+}
+
+// cutMachine returns the machine that a lasting fault stops or cuts off, or nil.
+func (c *calm) cutMachine() *machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
+// isQuietSince reports whether no fault is in force, but one that lasts, and none began or ended since a time.
+func (c *calm) isQuietSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inForce == 0 && c.changedAt.Before(t)
 }
 
 // isHarmed reports whether a lasting fault concerns the machine.
--- a/internal/soak/liveness.go
+++ b/internal/soak/liveness.go
@@ -40,6 +40,9 @@
 	longest     time.Duration
 	longestCalm time.Duration
 	tooLong     int
+	// aloneRuns counts the members of gangs that ended alone; gangs judges them.
+	aloneRuns int
+	gangs     *gangJudge
 }
 
 // stand is what of a job stands: a task without end, or the whole job if task is zero.
@@ -51,7 +54,7 @@
 }
 
 func newLiveness(c *callers) *liveness {
-	return &liveness{callers: c, open: make(map[*submittedJob]bool), since: make(map[stand]time.Time), silentSince: make(map[*machine]time.Time)}
+	return &liveness{callers: c, open: make(map[*submittedJob]bool), since: make(map[stand]time.Time), silentSince: make(map[*machine]time.Time), gangs: newGangJudge(c.bed)}
 }
 
 // accepted adds a job; over removes it.
@@ -82,6 +85,7 @@
 	defer wg.Wait()
 	wg.Go(func() { l.askEvery(ctx) })
 	for ctx.Err() == nil {
+		l.gangs.seeOwner()
 		l.checkJobs(time.Now())
 		time.Sleep(standInterval)
 	}
@@ -92,6 +96,7 @@
 	defer l.mu.Unlock()
 	since := make(map[stand]time.Time)
 	l.callers.bed.fleet.With(func(f *fleet.Fleet) {
+		l.checkGangs(now, f)
 		halfInUse := f.HalfInUse()
 		for j := range l.open {
 			for _, s := range standsOf(f, j, halfInUse) {
--- a/internal/soak/liveness_test.go
+++ b/internal/soak/liveness_test.go
@@ -28,7 +28,7 @@
 			began := time.Now()
 			l.callers.bed.calm.end()
 			if c.lasting {
-				l.callers.bed.calm.beginLasting(nil, unfitBound)
+				l.callers.bed.calm.beginLasting(nil, lastingFault{bound: unfitBound})
 			}
 			l.accepted(j)
 			for d := time.Duration(0); d < 20*time.Second; d += standInterval {
--- a/internal/soak/unfit.go
+++ b/internal/soak/unfit.go
@@ -26,6 +26,8 @@
 type lastingFault struct {
 	fault
 	bound time.Duration
+	// slow faults leave the machine's process in touch with all others.
+	slow bool
 }
 
 // injectUnfit injects, one after another, faults that last and by which an owner can't do its
@@ -56,7 +58,7 @@
 func (s *testbed) playUnfit(f lastingFault, owner *machine) {
 	if s.opts.UnfitAlone {
 		f.begin()
-		s.calm.beginLasting(owner, f.bound)
+		s.calm.beginLasting(owner, f)
 		time.Sleep(unfitTime)
 		s.calm.begin()
 	} else {
@@ -90,7 +92,11 @@
 	case 4:
 		return s.dutyCycle(owner, time.Duration(100+rng.IntN(1400))*time.Millisecond, 0.5+0.48*rng.Float64())
 	case kindShortOfTime:
-		return s.shortOfTime(0.85 + 0.12*rng.Float64())
+		return s.shortOfTime("all machines", s.inService(), 0.85+0.12*rng.Float64())
+	case kindLongStops:
+		return s.dutyCycle(owner, minStopPeriod+time.Duration(rng.Int64N(int64(maxStopPeriod-minStopPeriod))), 0.85+0.1*rng.Float64())
+	case kindOwnerShortOfTime:
+		return s.shortOfTime(owner.name, []*machine{owner}, 0.85+0.08*rng.Float64())
 	default:
 		return s.mostDown(owner, others, 1+rng.IntN(max(1, len(others)/4)))
 	}
@@ -105,11 +111,19 @@
 	return kind
 }
 
-// unfitKinds is the number of kinds of which randomUnfit draws one. kindShortOfTime is played only if the
-// options ask for it, so that seeds draw the faults that they did before.
+// unfitKinds is the number of kinds of which randomUnfit draws one. The others are played only if the
+// options ask for them, so that seeds draw the faults that they did before.
 const (
-	unfitKinds      = 6
-	kindShortOfTime = unfitKinds
+	unfitKinds           = 6
+	kindShortOfTime      = unfitKinds
+	kindLongStops        = unfitKinds + 1
+	kindOwnerShortOfTime = unfitKinds + 2
+)
+
+// Periods of an owner that is stopped past the silence after which its peers give up their links with it.
+const (
+	minStopPeriod = 3200 * time.Millisecond
+	maxStopPeriod = 5 * time.Second
 )
 
 // cutFrom is a rule for the paths between one end and some others: out holds for connections
@@ -131,7 +145,7 @@
 }
 
 func (s *testbed) pathFault(name string, r rule) lastingFault {
-	return lastingFault{fault{name, func() { s.network.setRule(name, r) }, func() { s.network.setRule(name, nil) }}, unfitBound}
+	return lastingFault{fault{name, func() { s.network.setRule(name, r) }, func() { s.network.setRule(name, nil) }}, unfitBound, false}
 }
 
 // oneWayLoss loses what the owner sends, or what it receives, on its paths to all peers, to all
@@ -155,7 +169,7 @@
 	return lastingFault{fault{
 		fmt.Sprintf("%s has a path of %d Mbit/s", m.name, megabits),
 		func() { s.network.narrow(m.name, megabits*bytesPerMegabit) }, func() { s.network.narrow(m.name, 0) },
-	}, unfitBound}
+	}, unfitBound, false}
 }
 
 // dutyCycle stops a process for a share of each period.
@@ -174,21 +188,21 @@
 	return lastingFault{fault{
 		fmt.Sprintf("%s is stopped for %.0f %% of each %v", m.name, 100*stopped, period),
 		func() { go cycle() }, func() { cancel(); <-ended },
-	}, unfitBound}
+	}, unfitBound, false}
 }
 
 // shareTime is the period in which a machine that is short of processor time gets its share; answers
 // are read late, while no link or term ends for one period.
 const shareTime = 25 * time.Millisecond
 
-// shortOfTime leaves the processes of all machines a part of their processor time.
-func (s *testbed) shortOfTime(stopped float64) lastingFault {
+// shortOfTime leaves the processes of some machines a part of their processor time.
+func (s *testbed) shortOfTime(who string, machines []*machine, stopped float64) lastingFault {
 	var cycles []lastingFault
-	for _, m := range s.inService() {
+	for _, m := range machines {
 		cycles = append(cycles, s.dutyCycle(m, shareTime, stopped))
 	}
 	return lastingFault{fault{
-		fmt.Sprintf("all machines get %.0f %% of their processor time", 100*(1-stopped)),
+		fmt.Sprintf("%.0f %% of the processor time for %s", 100*(1-stopped), who),
 		func() {
 			for _, c := range cycles {
 				c.begin()
@@ -199,7 +213,7 @@
 				c.end()
 			}
 		},
-	}, unfitBound}
+	}, unfitBound, true}
 }
 
 // mostDown kills the owner and all of its peers but some, and starts them again at the end.
@@ -208,7 +222,7 @@
 	return lastingFault{fault{
 		fmt.Sprintf("%d of %d machines killed: %s", len(down), len(others)+1, strings.Join(down, " ")),
 		func() { s.killMachines(down) }, s.startAll,
-	}, downBound}
+	}, downBound, false}
 }
 
 func (s *testbed) killMachines(names []string) {
--- a/internal/soak/unfit_test.go
+++ b/internal/soak/unfit_test.go
@@ -54,7 +54,7 @@
 	if d := l.beyondBound(began.Add(settleTime+standBound+time.Second), began); d < standBound {
 		t.Errorf("after recovery: %v", d)
 	}
-	s.calm.beginLasting(nil, unfitBound)
+	s.calm.beginLasting(nil, lastingFault{bound: unfitBound})
 	if d := l.beyondBound(time.Now().Add(unfitBound+time.Second), began); d < unfitBound {
 		t.Errorf("beside a lasting fault: %v", d)
 	}
--- a/internal/standin/fleet/far.go
+++ b/internal/standin/fleet/far.go
@@ -11,7 +11,7 @@
 		return f.FarFactor
 	}
 	if run.step.Gang && run.step.SameRack {
-		for _, o := range f.gangs[run.gang()] {
+		for _, o := range f.members(run) {
 			if o.machine.Rack != rack {
 				return f.FarFactor
 			}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -35,8 +35,10 @@
 	machines []*Machine
 	// submitted holds the jobs that callers submitted.
 	submitted map[job.ID]*job.Job
-	// gangs holds the runs of each gang that are on machines.
-	gangs map[gangRun][]*taskRun
+	// gangs holds the runs of gangs of which a member is on a machine.
+	gangs map[gangRun]*gang
+	// alone holds the runs that ended alone, until they are taken.
+	alone []Alone
 	// noStartsAfter holds, by job, the time from which none of its tasks may start.
 	noStartsAfter map[job.ID]time.Duration
 	// drainedAfter holds, by data centre, the time from which no task may start there.
@@ -97,7 +99,7 @@
 // New returns a fleet without machines.
 func New(w WorkFunc) *Fleet {
 	return &Fleet{
-		work: w, MaxListedEnds: maxListedEnds, doneEnds: make(map[job.TaskID][]*doneEnd), crashes: make(map[job.TaskID]int), startsAfterCrashes: make(map[job.TaskID]int), failures: make(map[job.TaskID]int), acknowledgedFailures: make(map[job.TaskID]int), lastEnd: make(map[job.TaskID]time.Duration), tickets: make(map[stepOn][]ticket), byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun][]*taskRun),
+		work: w, MaxListedEnds: maxListedEnds, doneEnds: make(map[job.TaskID][]*doneEnd), crashes: make(map[job.TaskID]int), startsAfterCrashes: make(map[job.TaskID]int), failures: make(map[job.TaskID]int), acknowledgedFailures: make(map[job.TaskID]int), lastEnd: make(map[job.TaskID]time.Duration), tickets: make(map[stepOn][]ticket), byID: make(map[external.WorkerID]*Machine), submitted: make(map[job.ID]*job.Job), gangs: make(map[gangRun]*gang),
 		drainedAfter: make(map[string]time.Duration), noStartsAfter: make(map[job.ID]time.Duration), startedJobs: make(map[job.ID]bool), acknowledgedDone: make(map[job.TaskID]bool), everDone: make(map[job.TaskID]bool), listedDone: make(map[job.TaskID]*Machine),
 	}
 }
@@ -120,7 +122,7 @@
 		m.fleet.crashes[run.task]++
 		m.fleet.lastEnd[run.task] = m.fleet.now
 		m.fleet.forgetListedDone(m, run.task)
-		m.fleet.leaveGang(run)
+		m.fleet.loseMember(run)
 	}
 	for t, on := range m.fleet.listedDone {
 		if on == m {
@@ -206,6 +208,7 @@
 	}
 	if len(m.runs) > 0 && m.clock(now) > m.leaseEnd {
 		for _, run := range slices.Clone(m.runs) {
+			m.fleet.expireMember(run)
 			m.end(run, external.EndedLeaseExpired)
 		}
 		return
@@ -221,9 +224,7 @@
 	f := m.fleet
 	if run.step.Gang && !f.gangComplete(run) {
 		if f.now-run.startedAt > GangTimeout {
-			f.IncompleteGangs++
-			m.end(run, external.EndedGangIncomplete)
-			f.stopRestOfGang(run)
+			f.endAlone(run)
 		}
 		return
 	}
@@ -281,33 +282,10 @@
 	return gangRun{job: run.task.Job, occurrence: run.task.Occurrence, step: run.task.Step, run: run.number}
 }
 
-func (f *Fleet) joinGang(run *taskRun) {
-	if run.step.Gang {
-		f.gangs[run.gang()] = append(f.gangs[run.gang()], run)
-	}
-}
-
-func (f *Fleet) leaveGang(run *taskRun) {
-	if !run.step.Gang {
-		return
-	}
-	left := slices.DeleteFunc(f.gangs[run.gang()], func(o *taskRun) bool { return o == run })
-	if len(left) == 0 {
-		delete(f.gangs, run.gang())
-		return
-	}
-	f.gangs[run.gang()] = left
-}
-
-// members returns the runs of the gang that are on machines.
-func (f *Fleet) members(of *taskRun) []*taskRun { return slices.Clone(f.gangs[of.gang()]) }
-
 func sameStep(a, b job.TaskID) bool {
 	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
 }
 
-func (f *Fleet) gangComplete(run *taskRun) bool { return len(f.gangs[run.gang()]) == run.step.Count }
-
 // stopRestOfGang ends the other members of the run's gang.
 func (f *Fleet) stopRestOfGang(run *taskRun) {
 	if !run.step.Gang {
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -54,7 +54,7 @@
 		run.failsAt = f.now + minRejectDelay + time.Duration((o.Task.Index*37)%span)*time.Millisecond
 	}
 	m.runs = append(m.runs, run)
-	f.joinGang(run)
+	f.joinGang(run, o.FencingToken)
 	f.Starts++
 	f.startedJobs[o.Task.Job] = true
 	return m.orderResult(external.RefusedNone), nil
