Model check: the start of a gang

Looks for gangs left in part: orders leave one by one, arrive late or never, answers and stops too, and the owner may be stopped or replaced in between. No member may wait to the workers' limit without a stop that was ordered with half of the limit left, while its owner runs.

The decisions of gangstart are compared with the specification at all of its times. Gangs of a replaced owner are not specified.

--- a/internal/modelcheck/action.go
+++ b/internal/modelcheck/action.go
@@ -59,6 +59,8 @@
 	switch {
 	case int(k) < len(keyActionNames):
 		return keyActionNames[k]
+	case k >= GangTick && int(k-GangTick) < len(gangActionNames):
+		return gangActionNames[k-GangTick]
 	case k >= ConfigPublish && int(k-ConfigPublish) < len(configActionNames):
 		return configActionNames[k-ConfigPublish]
 	case k >= TermTick && int(k-TermTick) < len(termActionNames):
