Model of the cell: refusals, gangs left in part, and an owner that is slow for a while

The simulator accepted all jobs, so that those which would be refused counted as late, and TestOwnerAtASixthOfItsProcessorServesWhatIsAccepted could not judge what its name says. It now refuses by internal/core/shed: the controller takes in Core.StartDelay at each tick, the gate decides at submission with the level that instances know half a second later. Refused jobs are counted by kind and priority and never run.

Also tested: less urgent jobs are refused first, and none by an owner that has the time.

A run that ends as the rest of its gang did not run is a violation in each simulation; all calls reach their workers in time, so nothing excuses one.

TestCollapseDoesNotOutlastALackOfProcessorTime: a twelfth of the speed for 5 s, then service as before from 12 s (recover_s) after it.

--- a/internal/cellplay/result.go
+++ b/internal/cellplay/result.go
@@ -32,10 +32,13 @@
 
 // KindResult sums up the jobs of one kind.
 type KindResult struct {
-	Kind string
-	Jobs int
-	Done int
-	// WithinObjective is the fraction of the jobs that were done within their
+	Kind     string
+	Priority int
+	// Jobs is the number of accepted jobs, Refused that of those that were refused and did not run.
+	Jobs    int
+	Refused int
+	Done    int
+	// WithinObjective is the fraction of the accepted jobs that were done within their
 	// objective.
 	WithinObjective float64
 	// MeanObjectiveRatio is the mean ratio of a done job's duration to its
--- a/internal/cellplay/simulator.go
+++ b/internal/cellplay/simulator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootmux/internal/core/cell"
+	"coltsfootmux/internal/core/shed"
 	"coltsfootmux/internal/job"
 	"coltsfootmux/internal/standin/fleet"
 )
@@ -58,6 +59,7 @@
 	failureShares map[job.ID]float64
 	tally         *tally
 	standing      *standing
+	acceptance    acceptance
 	unfinished    int
 }
 
@@ -72,15 +74,28 @@
 	for _, t := range s.trace.Faults {
 		s.injectFault(t)
 	}
+	for _, d := range s.trace.Slowdowns {
+		s.injectSlowdown(d)
+	}
 	for s.now < s.trace.Params.ArrivalPeriod || s.unfinished > 0 && s.now < s.trace.Params.ArrivalPeriod+s.drainTime() {
 		s.advance()
 	}
-	out := s.tally.result(&t, r.Name, s.unfinished, s.fleet.Violations())
+	out := s.tally.result(&t, r.Name, s.unfinished, append(s.fleet.Violations(), s.aloneRuns()...))
 	out.Standing = s.standing.result()
 	out.IncompleteGangs = s.fleet.IncompleteGangs
 	return out
 }
 
+// aloneRuns describes the runs that ended as the rest of their gang did not start. No fault excuses one, as
+// all calls reach their workers in time.
+func (s *simulator) aloneRuns() []string {
+	var out []string
+	for _, a := range s.fleet.TakeAlone() {
+		out = append(out, fmt.Sprintf("%v: %v run %d on %s ended alone, %v after its gang was left in part", a.EndedAt, a.Task, a.Run, a.Worker, a.EndedAt-a.Since))
+	}
+	return out
+}
+
 // drainTime returns how long the simulation waits for unfinished jobs.
 func (s *simulator) drainTime() time.Duration {
 	if s.trace.Params.DrainTime > 0 {
@@ -91,11 +106,13 @@
 
 func newSimulator(t Trace) *simulator {
 	t.Policy.Index()
+	t.indexPriorities()
 	s := &simulator{trace: t, cpu: processor{speed: t.Params.ProcessorSpeed}, runTimes: make(map[job.ID][]time.Duration), failureShares: make(map[job.ID]float64), tally: newTally(&t), standing: newStanding(&t)}
 	s.fleet = fleet.New(s.runTimeOf)
 	for _, w := range t.Workers {
 		s.fleet.Add(w)
 	}
+	s.acceptance.controller = shed.NewController(0, 0)
 	s.core = cell.New(s.settings(), 1, &s.trace.Policy, s.instant())
 	return s
 }
@@ -119,6 +136,10 @@
 }
 
 func (s *simulator) submit(a Arrival) {
+	if s.refuses(&a.Job) {
+		s.tally.addRefused(&a)
+		return
+	}
 	s.unfinished++
 	s.runTimes[a.Job.ID] = a.RunTimes
 	s.failureShares[a.Job.ID] = a.FailureShare
@@ -138,6 +159,7 @@
 		late := s.cpu.observe(s.now)
 		s.cpu.spend(s.now, s.step(cell.TermConfirmed{At: s.now}))
 		s.cpu.spend(s.now, s.step(cell.Tick{Lag: late}))
+		s.adjustAcceptance()
 		s.tally.addSample(s.core.Load().Runs)
 		s.standing.check(s.now, s.fleet)
 	}
--- a/internal/cellplay/tally.go
+++ b/internal/cellplay/tally.go
@@ -15,6 +15,7 @@
 
 // tally records what happens to a trace's jobs.
 type tally struct {
+	countFrom    time.Duration
 	jobs         map[job.ID]*jobRecord
 	bySubmission []*jobRecord
 	starts       int
@@ -26,6 +27,8 @@
 // jobRecord is the history of one job.
 type jobRecord struct {
 	kind      string
+	priority  int
+	refused   bool
 	objective time.Duration
 	// wait is the time from submission to the first start, or negative if there was
 	// none.
@@ -35,12 +38,24 @@
 	done     bool
 }
 
-func newTally(t *Trace) *tally { return &tally{jobs: make(map[job.ID]*jobRecord, len(t.Jobs))} }
+func newTally(t *Trace) *tally {
+	return &tally{countFrom: t.CountFrom, jobs: make(map[job.ID]*jobRecord, len(t.Jobs))}
+}
 
 func (t *tally) addJob(a *Arrival) {
-	r := &jobRecord{kind: a.Job.Queue.Name, objective: a.Job.Objective(), wait: -1}
+	t.record(a)
+}
+
+// addRefused adds a job that was refused.
+func (t *tally) addRefused(a *Arrival) { t.record(a).refused = true }
+
+func (t *tally) record(a *Arrival) *jobRecord {
+	r := &jobRecord{kind: a.Job.Queue.Name, priority: a.Job.Queue.Priority, objective: a.Job.Objective(), wait: -1}
 	t.jobs[a.Job.ID] = r
-	t.bySubmission = append(t.bySubmission, r)
+	if a.At >= t.countFrom {
+		t.bySubmission = append(t.bySubmission, r)
+	}
+	return r
 }
 
 func (t *tally) addStart(a cell.Start) {
@@ -95,7 +110,8 @@
 
 // kindTally counts the jobs of one kind.
 type kindTally struct {
-	jobs, done, withinObjective int
+	priority                             int
+	jobs, refused, done, withinObjective int
 	// ratioSum is the sum of the ratios of done jobs' durations to their objectives.
 	ratioSum float64
 	waits    *hdrhistogram.Histogram
@@ -108,6 +124,11 @@
 }
 
 func (k *kindTally) add(r *jobRecord) {
+	k.priority = r.priority
+	if r.refused {
+		k.refused++
+		return
+	}
 	k.jobs++
 	if r.wait >= 0 {
 		_ = k.waits.RecordValue(min(r.wait.Milliseconds(), maxMillis))
@@ -125,7 +146,7 @@
 
 func (k *kindTally) result(name string) KindResult {
 	out := KindResult{
-		Kind: name, Jobs: k.jobs, Done: k.done, WithinObjective: float64(k.withinObjective) / float64(k.jobs),
+		Kind: name, Priority: k.priority, Jobs: k.jobs, Refused: k.refused, Done: k.done, WithinObjective: float64(k.withinObjective) / float64(max(k.jobs, 1)),
 		WaitP99: quantile(k.waits, 99), P50: quantile(k.times, 50), P99: quantile(k.times, 99),
 	}
 	if k.done > 0 {
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -23,6 +23,12 @@
 	Faults []WorkerFault
 	// Outages are the times in which the store takes nothing.
 	Outages []StoreOutage
+	// Slowdowns are the times in which the owner's processor is slower, or faster.
+	Slowdowns []Slowdown
+	// CountFrom is the time from which jobs are counted; earlier ones run as well.
+	CountFrom time.Duration
+	// priorities are those of the jobs, once the simulation has begun.
+	priorities map[int]bool
 	// RemoteDataFactor and GangYieldRunTimes are those of the mix.
 	RemoteDataFactor  float64
 	GangYieldRunTimes float64
@@ -57,6 +63,8 @@
 	ProcessorSpeed float64
 	// Burst multiplies the arrivals of urgent jobs in the second fifth of ArrivalPeriod, if above 1.
 	Burst float64
+	// Acceptance has jobs refused that the owner lacks the processor time to start.
+	Acceptance bool
 }
 
 // Draw returns a random trace of a mix.
