Partition simulation: gangs left in part, also by owners that yield

Members that end alone are violations, unless a process, a machine or a link was disturbed since a call before the gang's first start, or the network lost or delayed an order of the job; want of processor time excuses nothing. Owners have the platform's limit of gangs and don't send orders after their time.

An heir stops partial gangs only once it has heard of all workers.

--- a/internal/partitionsim/events_test.go
+++ b/internal/partitionsim/events_test.go
@@ -49,6 +49,7 @@
 		e := heap.Pop(&s.queue).(event)
 		s.now = e.at
 		s.fleet.Advance(s.now)
+		s.checkGangs()
 		e.do()
 	}
 	s.now = end
--- a/internal/partitionsim/network_test.go
+++ b/internal/partitionsim/network_test.go
@@ -91,6 +91,8 @@
 	timeout time.Duration
 	// execute carries the call out at its target, and calls reply if and when that answers.
 	execute func(reply func())
+	// delayed, if set, is called if the call does not reach its target, or does so late.
+	delayed func()
 	// refused, if set, reports that nothing listens at the target.
 	refused func() bool
 	// done receives the result at the caller, once.
@@ -190,6 +192,9 @@
 
 // carryOutLate carries a call out after its caller has given it up.
 func (s *simulation) carryOutLate(c call) {
+	if c.delayed != nil {
+		c.delayed()
+	}
 	s.schedule(s.between(300*time.Millisecond, 6*time.Second), func() {
 		if s.net.state(c.from.host, c.to) != linkOK {
 			return
--- a/internal/partitionsim/orders_test.go
+++ b/internal/partitionsim/orders_test.go
@@ -7,6 +7,7 @@
 
 	"coltsfootmux/internal/core/cell"
 	"coltsfootmux/internal/external"
+	"coltsfootmux/internal/job"
 )
 
 // orderTimeout bounds a call to a worker, in addition to its wait.
@@ -17,7 +18,7 @@
 	switch a := a.(type) {
 	case cell.Start:
 		o.inst.sim.checkStart(o, a.Order)
-		o.sendLater(func() { o.start(a.Order) })
+		o.sendLater(func() { o.start(a) })
 	case cell.Stop:
 		o.sendLater(func() { o.stop(a.Order) })
 	case cell.Hold:
@@ -52,7 +53,18 @@
 
 // callWorker plays a call to a worker. A call does not outlive the process that it reached.
 func (o *owner) callWorker(id external.WorkerID, timeout time.Duration, execute func(reply func()), done func(cell.Failure)) {
-	o.inst.sim.send(call{from: o.inst, to: host(id), timeout: timeout, execute: execute, done: func(r callResult) {
+	o.inst.sim.send(o.workerCall(id, timeout, execute, done))
+}
+
+// orderRun plays an order about a task's run.
+func (o *owner) orderRun(t job.TaskID, id external.WorkerID, execute func(reply func()), done func(cell.Failure)) {
+	c := o.workerCall(id, orderTimeout, execute, done)
+	c.delayed = func() { o.inst.sim.delayedOrders[t.Job] = true }
+	o.inst.sim.send(c)
+}
+
+func (o *owner) workerCall(id external.WorkerID, timeout time.Duration, execute func(reply func()), done func(cell.Failure)) call {
+	return call{from: o.inst, to: host(id), timeout: timeout, execute: execute, done: func(r callResult) {
 		switch r {
 		case callRefused:
 			done(cell.FailureConnectionRefused)
@@ -61,10 +73,15 @@
 		default:
 			done(cell.FailureNone)
 		}
-	}})
+	}}
 }
 
-func (o *owner) start(order external.StartOrder) {
+func (o *owner) start(a cell.Start) {
+	order := a.Order
+	if a.SendBy > 0 && o.inst.clock() > a.SendBy {
+		o.step(cell.StartAnswered{Task: order.Task, Run: order.Run, Worker: order.Worker, Failure: cell.FailureNotSent})
+		return
+	}
 	if !o.core.MayStart(o.inst.instant()) {
 		o.step(cell.StartAnswered{Task: order.Task, Run: order.Run, Worker: order.Worker, Failure: cell.FailureNotExecuted})
 		return
@@ -78,7 +95,7 @@
 		r, err = o.inst.sim.fleet.Start(context.Background(), order)
 		reply()
 	}
-	o.callWorker(order.Worker, orderTimeout, execute, func(f cell.Failure) {
+	o.orderRun(order.Task, order.Worker, execute, func(f cell.Failure) {
 		o.step(cell.StartAnswered{Task: order.Task, Run: order.Run, Worker: order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, cell.FailureOf(err))})
 	})
 }
@@ -90,7 +107,7 @@
 		r, err = o.inst.sim.fleet.Stop(context.Background(), order)
 		reply()
 	}
-	o.callWorker(order.Worker, orderTimeout, execute, func(f cell.Failure) {
+	o.orderRun(order.Task, order.Worker, execute, func(f cell.Failure) {
 		o.step(cell.StopAnswered{Task: order.Task, Run: order.Run, Worker: order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, cell.FailureOf(err))})
 	})
 }
--- a/internal/partitionsim/simulation_test.go
+++ b/internal/partitionsim/simulation_test.go
@@ -40,6 +40,10 @@
 	maxDelay           time.Duration
 	// storeDelay is what the store adds to each message.
 	storeDelay time.Duration
+	// disturbedAt is the latest time at which something was disturbed, and delayedOrders holds the jobs of
+	// which an order was delayed or lost on its way.
+	disturbedAt   time.Duration
+	delayedOrders map[job.ID]bool
 	// healed is set once no more faults are made.
 	healed bool
 	// violations are those that the simulation itself has found.
@@ -54,11 +58,12 @@
 func newSimulation(t *testing.T, seed uint64, instances, workers int) *simulation {
 	s := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 41)),
-		net:         network{cuts: make(map[direction]linkState), hostsDown: make(map[host]bool)},
-		store:       store{terms: topic{key: termKey}, progress: make(map[job.ID]job.Progress)},
-		renewalsEnd: make(map[int64]time.Duration),
-		fleet:       fleet.New(randomDurations(seed)),
-		policy:      &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
+		net:           network{cuts: make(map[direction]linkState), hostsDown: make(map[host]bool)},
+		store:         store{terms: topic{key: termKey}, progress: make(map[job.ID]job.Progress)},
+		delayedOrders: make(map[job.ID]bool),
+		renewalsEnd:   make(map[int64]time.Duration),
+		fleet:         fleet.New(randomDurations(seed)),
+		policy:        &job.Policy{Accounts: []job.Account{{Name: "a", GuaranteedGPU: 16}}},
 	}
 	s.lossRate, s.lateRate = s.rng.Float64()*0.06, s.rng.Float64()*0.06
 	s.maxDelay = s.between(3*time.Millisecond, 40*time.Millisecond)
@@ -96,6 +101,7 @@
 		Lease:              fleet.MaxLease - 50*time.Millisecond,
 		StartGrace:         t.StaleAfter - 200*time.Millisecond,
 		PreviousOwnerGrace: previousOwnerGrace(),
+		GangTimeout:        fleet.GangTimeout,
 		RemoteDataFactor:   3, OpenEarly: 250 * time.Millisecond, ReclaimWithin: 2700 * time.Millisecond,
 		Retention: 2 * time.Minute,
 	}
