Simulations of the cell's core judge members of gangs that end alone

They had neither the workers' limit of gangs as a setting nor a check of members that end alone. Both are in now. A run is excused if a worker or a path failed, the term was not confirmed, the store was down or the owner was replaced from a call before its gang's first start until its end, or if an order of its job was lost or delayed.

In the random scenarios almost all gangs are excused; no fault of the core that this check alone finds was seeded.

--- a/internal/core/cell/random_test.go
+++ b/internal/core/cell/random_test.go
@@ -216,7 +216,7 @@
 			break
 		}
 	}
-	if f := sim.fleet.Violations(); len(f) > 0 {
+	if f := sim.violations(); len(f) > 0 {
 		for _, l := range sim.reports {
 			t.Log(l)
 		}
--- a/internal/core/cell/simulation_test.go
+++ b/internal/core/cell/simulation_test.go
@@ -20,6 +20,7 @@
 	rng   *rand.Rand
 	now   time.Duration
 	fleet *fleet.Fleet
+	gangs gangJudge
 	// queue holds the calls that are not due yet; scheduled counts all that were made.
 	queue     []scheduledCall
 	scheduled int
@@ -121,7 +122,7 @@
 func testSettings() Settings {
 	return Settings{
 		Lease: fleet.MaxLease - 50*time.Millisecond, StartGrace: 1800 * time.Millisecond, PreviousOwnerGrace: 3 * time.Second,
-		ReclaimWithin:    2700 * time.Millisecond,
+		ReclaimWithin: 2700 * time.Millisecond, GangTimeout: fleet.GangTimeout,
 		RemoteDataFactor: 3, OpenEarly: 250 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
@@ -258,6 +259,7 @@
 	for s.now < end {
 		s.now += tickTime
 		s.fleet.Advance(s.now)
+		s.gangs.check(s)
 		s.carryOutDue()
 		if s.now%(50*time.Millisecond) == 0 {
 			for _, o := range s.owners {
@@ -308,11 +310,16 @@
 
 func (s *simulation) ended(id job.ID) bool { return s.progress[id].Outcome != job.Open }
 
+// violations returns what the fleet has seen that is forbidden.
+func (s *simulation) violations() []string {
+	return append(slices.Clone(s.fleet.Violations()), s.gangs.violations...)
+}
+
 // check fails the test if the fleet has seen anything forbidden, and logs the last
 // reports of a failed test.
 func (s *simulation) check() {
 	s.t.Helper()
-	for _, f := range s.fleet.Violations() {
+	for _, f := range s.violations() {
 		s.t.Error(f)
 	}
 	if s.t.Failed() {
--- a/internal/core/cell/simulationcalls_test.go
+++ b/internal/core/cell/simulationcalls_test.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// callAbout plays an order about a run of a job.
+func (s *simulation) callAbout(o *testOwner, id job.ID, worker external.WorkerID, execute func(), done func(Failure)) {
+	s.call(o, worker, callTime, execute, func(f Failure) {
+		if f != FailureNone {
+			s.gangs.noteDelay(id) // lost, or carried out late
+		}
+		done(f)
+	})
+}
+
 // ifSameIncarnation returns a function that calls execute, or dropped if the worker
 // has restarted meanwhile: a connection does not outlive the process that accepted it.
 func (s *simulation) ifSameIncarnation(id external.WorkerID, execute, dropped func()) func() {
@@ -85,7 +95,7 @@
 		var r external.OrderResult
 		var err error
 		execute := s.ifSameIncarnation(a.Order.Worker, func() { r, err = s.fleet.Start(ctx, a.Order) }, func() { err = external.ErrOutcomeUnknown })
-		s.call(o, a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
+		s.callAbout(o, a.Order.Task.Job, a.Order.Worker, execute, func(f Failure) {
 			s.step(o, StartAnswered{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	case Stop:
@@ -93,7 +103,7 @@
 		var r external.OrderResult
 		var err error
 		execute := s.ifSameIncarnation(a.Order.Worker, func() { r, err = s.fleet.Stop(ctx, a.Order) }, func() { err = external.ErrOutcomeUnknown })
-		s.call(o, a.Order.Worker, 700*time.Millisecond, execute, func(f Failure) {
+		s.callAbout(o, a.Order.Task.Job, a.Order.Worker, execute, func(f Failure) {
 			s.step(o, StopAnswered{Task: a.Order.Task, Run: a.Order.Run, Worker: a.Order.Worker, Refusal: r.Refusal, Failure: cmp.Or(f, FailureOf(err))})
 		})
 	case Pace:
