--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -296,13 +296,20 @@
 	}
 }
 
-// finishGang ends all members as done once the last of them has finished its work.
+// finishGang ends all members as done once the last of them has finished its work, unless one of them fails.
 func (f *Fleet) finishGang(run *taskRun) {
 	for _, o := range f.members(run) {
 		if o.remaining > 0 {
 			return
 		}
 	}
+	for _, o := range f.members(run) {
+		if _, fails := f.work(o.task, o.number); fails || o.machine.Mode == Failing {
+			o.machine.end(o, external.EndedFailed)
+			f.stopRestOfGang(run)
+			return
+		}
+	}
 	for _, o := range f.members(run) {
 		o.machine.end(o, external.EndedDone)
 	}
