A term that is released on request names the instance that requested it

What callers saw: a change of owner that led to another weak owner, and to a further one.

Cause: the release named nobody, so that the first to read it claimed. An instance that requests a term has found that the witnesses answer it; one that reads the release sooner has not.

Change: requests over links and by the store carry the address of the instance, and the release names it as the successor, as those of unfit owners do. Requests of earlier versions have no address and are answered as before. The tests of votes compare the whole record and now expect the address.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -288,13 +288,14 @@
 func (c *Core) stop() {
 	c.stopping = true
 	if c.ownedTerm != 0 {
-		c.release(ReasonReleased)
+		c.release(ReasonReleased, "")
 	}
 }
 
-func (c *Core) release(reason Reason) {
+// release releases the term, for the instance at the address successor if that is not empty.
+func (c *Core) release(reason Reason, successor string) {
 	r := c.newRecord(c.ownedTerm, c.latest.Renewal+1)
-	r.Released = true
+	r.Released, r.Successor = true, successor
 	c.lose(reason)
 	c.sendRelease(r)
 }
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -95,7 +95,11 @@
 type Stopping struct{}
 
 // YieldRequested says that an instance on a stronger machine requests the given term.
-type YieldRequested struct{ Term int64 }
+type YieldRequested struct {
+	Term int64
+	// Addr is the address of that instance; empty if its version does not say.
+	Addr string
+}
 
 // YieldUnanswered says that the owner of a term has not answered a RequestYield.
 type YieldUnanswered struct {
--- a/internal/core/term/vote.go
+++ b/internal/core/term/vote.go
@@ -10,7 +10,7 @@
 	// Voter is the incarnation that votes.
 	Voter  witness.ID `cbor:"2,keyasint"`
 	Reason VoteReason `cbor:"3,keyasint"`
-	// Addr is the address at which the voter of a VoteSilent serves its peers.
+	// Addr is the address at which the voter serves its peers.
 	Addr string `cbor:"4,keyasint,omitempty"`
 	// Unanswered is the number of instances, the voter of a VoteSilent among them, that the owner did not
 	// answer. The others have answered the voter. Votes of earlier versions have none.
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -34,9 +34,11 @@
 	// electorate are the witnesses that the record named when the first vote was read that still
 	// counts. An owner replaces witnesses that do not answer it.
 	electorate []Witness
-	// yieldRequested says that a request to yield was read, yieldAt when the latest was.
+	// yieldRequested says that a request to yield was read, yieldAt when the latest was and yieldAddr from
+	// which address.
 	yieldRequested bool
 	yieldAt        time.Duration
+	yieldAddr      string
 }
 
 // onVotes records votes against the owner of the latest term that have not been read before, which
@@ -57,7 +59,7 @@
 				c.tenure.nextCheck = min(c.tenure.nextCheck, c.now)
 			}
 		case VoteStronger:
-			c.votes.yieldRequested, c.votes.yieldAt = true, c.now
+			c.votes.yieldRequested, c.votes.yieldAt, c.votes.yieldAddr = true, c.now, v.Addr
 		}
 	}
 }
@@ -169,7 +171,7 @@
 		}
 	}
 	if c.votes.yieldRequested && c.claimDelay() >= minYieldDelay {
-		c.yield(YieldRequested{Term: c.votes.term})
+		c.yield(YieldRequested{Term: c.votes.term, Addr: c.votes.yieldAddr})
 	}
 }
 
--- a/internal/core/term/yield.go
+++ b/internal/core/term/yield.go
@@ -43,11 +43,12 @@
 }
 
 // yield releases the term to an instance on a stronger machine. It needs a recent
-// confirmation, as the release can't be written otherwise.
+// confirmation, as the release can't be written otherwise. The requesting instance claims first, as
+// others that are weaker may be quicker to read the release.
 func (c *Core) yield(e YieldRequested) {
 	if c.ownedTerm == 0 || c.ownedTerm != e.Term || c.now-c.termSince < c.settings.MinTenure || c.now-c.tenure.storedAt > c.settings.QueryPeersAfter {
 		return
 	}
-	c.release(ReasonYielded)
+	c.release(ReasonYielded, e.Addr)
 	c.nextWrite = c.now + c.settings.StaleAfter // gives the requesting instance time to claim
 }
--- a/internal/core/term/yieldvote.go
+++ b/internal/core/term/yieldvote.go
@@ -34,5 +34,5 @@
 	}
 	y.interval = min(max(2*y.interval, voteValidity), maxYieldVoteInterval)
 	y.next = c.now + y.interval
-	c.emit(WriteVote{Vote: Vote{Term: e.Term, Voter: witness.IDOf(c.self), Reason: VoteStronger}})
+	c.emit(WriteVote{Vote: Vote{Term: e.Term, Voter: witness.IDOf(c.self), Reason: VoteStronger, Addr: c.addr}})
 }
--- a/internal/core/term/yieldvote_test.go
+++ b/internal/core/term/yieldvote_test.go
@@ -11,7 +11,7 @@
 	for _, a := range p.all[1].core.Step(p.now, YieldUnanswered{Term: 1, Asked: asked, Answered: answered}) {
 		if w, ok := a.(WriteVote); ok {
 			p.topic.entries = append(p.topic.entries, entry{vote: &w.Vote})
-			return w.Vote == Vote{Term: 1, Voter: idOf(1), Reason: VoteStronger}
+			return w.Vote == Vote{Term: 1, Voter: idOf(1), Reason: VoteStronger, Addr: p.all[1].core.addr}
 		}
 	}
 	return false
--- a/internal/instance/yieldvote_test.go
+++ b/internal/instance/yieldvote_test.go
@@ -24,7 +24,7 @@
 	r.waitFor("the strong one is a witness", func() bool { return strong.inst.isWitnessOf(strong.inst.latestTermRecord()) })
 	weak.gate.refuse(strong.inst.Settings.Name, true)
 	r.waitFor("the strong owner", func() bool { return r.owner() == strong })
-	if v := r.votes()[strong.inst.Settings.Name]; v != (term.Vote{Term: 1, Voter: strong.inst.witnessID, Reason: term.VoteStronger}) {
+	if v := r.votes()[strong.inst.Settings.Name]; v != (term.Vote{Term: 1, Voter: strong.inst.witnessID, Reason: term.VoteStronger, Addr: strong.inst.Settings.LinkAddr}) {
 		t.Errorf("latest vote: %+v", v)
 	}
 }
--- a/internal/partitionsim/peers_test.go
+++ b/internal/partitionsim/peers_test.go
@@ -146,7 +146,7 @@
 func (i *instance) requestYield(a term.RequestYield) {
 	p := i.sim.instanceAt(a.Addr)
 	i.callPeer(p, askTimeout, func(reply func()) {
-		p.stepTerm(term.YieldRequested{Term: a.Term})
+		p.stepTerm(term.YieldRequested{Term: a.Term, Addr: string(i.host)})
 		reply()
 	}, func(r callResult) {
 		if r != callAnswered {
--- a/internal/wire/yield.go
+++ b/internal/wire/yield.go
@@ -4,4 +4,6 @@
 // stronger machine.
 type Yield struct {
 	Term int64 `cbor:"1,keyasint"`
+	// Addr is the address of the instance that requests the term; empty in versions without it.
+	Addr string `cbor:"2,keyasint,omitempty"`
 }
