An instance that is late, or has lost its term, requests none for a while

A strong machine that is short of processor time took the term and lost it again and again.

Cause: it is in time while it owns nothing, and requests the term of any weaker owner after 3 s.

Change: no request from a process that was late by 0.1 s or more within a second, nor for a minute after a term lost without a release, two to sixteen for further ones in a row.

--- a/internal/core/term/core.go
+++ b/internal/core/term/core.go
@@ -56,11 +56,12 @@
 	attempts      attempts
 	nextPeerQuery time.Duration
 	stopping      bool
-	// termSince is when the present term was first seen, nextYieldRequest the earliest
-	// time of the next RequestYield.
+	// termSince is when the present term was first seen.
 	termSince          time.Duration
-	nextYieldRequest   time.Duration
+	requests           requests
 	allTopicsReachable bool
+	// lag is how late this process runs its own work.
+	lag time.Duration
 	// refused is how much new work this owner has all instances refuse.
 	refused shed.Level
 	// unfitUntil is until when this instance leaves the claim after its own latest term to others, as it
@@ -153,7 +154,7 @@
 	case YieldUnanswered:
 		c.requestYieldByVote(e)
 	case Tick:
-		c.allTopicsReachable, c.refused = e.AllTopicsReachable, e.Refused
+		c.allTopicsReachable, c.refused, c.lag = e.AllTopicsReachable, e.Refused, e.Lag
 	}
 	c.advance()
 	return c.actions
@@ -239,13 +240,16 @@
 	}
 	c.ownedTerm, c.lastOwnedTerm, c.confirmedAt, c.startConfirmedAt = r.Term, r.Term, sentAt, sentAt
 	c.tenure = newTenure(sentAt)
-	c.tenure.handovers = r.Handovers
+	c.tenure.handovers, c.tenure.gainedAt = r.Handovers, c.now
 	c.nextWrite = sentAt + c.settings.RenewInterval
 	c.emit(Gained{Term: r.Term, At: sentAt, EarlierUntil: c.earlierUntil})
 }
 
 func (c *Core) lose(reason Reason) {
 	c.emit(Lost{Term: c.ownedTerm, Reason: reason})
+	if reason == ReasonUnconfirmed || reason == ReasonHigherTerm {
+		c.requests.lostTerm(c.now, c.now-c.tenure.gainedAt)
+	}
 	c.ownedTerm = 0
 }
 
--- a/internal/core/term/event.go
+++ b/internal/core/term/event.go
@@ -112,6 +112,8 @@
 type Tick struct {
 	// AllTopicsReachable says that this process can reach every topic of the store.
 	AllTopicsReachable bool
+	// Lag is how late this process runs its own work.
+	Lag time.Duration
 	// Refused is how much new work an owner has all instances refuse.
 	Refused shed.Level
 }
--- a/internal/core/term/tenure.go
+++ b/internal/core/term/tenure.go
@@ -33,6 +33,8 @@
 	promises map[witness.ID]time.Duration
 	// silentSince holds since when a witness has not answered, by address.
 	silentSince map[string]time.Duration
+	// gainedAt is when the term was gained.
+	gainedAt time.Duration
 	// handovers is Record.Handovers of the claim.
 	handovers int64
 	// unansweredSince is since when no instance has answered a check; unanswered says that it is so.
--- a/internal/core/term/yield.go
+++ b/internal/core/term/yield.go
@@ -1,6 +1,10 @@
 package term
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/core/lag"
+)
 
 // minYieldDelay is the least claim delay of an owner at which a change of owner is worth
 // its cost. It is a tenth of the longest claim delay.
@@ -13,10 +17,11 @@
 // requestYield requests the term of an owner on a clearly weaker machine once it has held the
 // term for MinTenure. An instance that may see the release late does not request it: the former owner may
 // claim again by then. So it may if the term's witnesses don't answer this instance, which then claims
-// late. After releases by unfit owners none requests it: the stronger machine may be the one that was unfit.
+// late. A process that is itself late requests none. After releases by unfit owners none does: the stronger
+// machine may be the one that was unfit.
 func (c *Core) requestYield() {
 	minTenure := c.settings.MinTenure
-	if minTenure == 0 || c.stopping || c.ownedTerm != 0 || !c.storeOK || !c.allTopicsReachable || c.now < c.nextYieldRequest {
+	if minTenure == 0 || c.stopping || c.ownedTerm != 0 || !c.storeOK || !c.allTopicsReachable || c.now < c.requests.next || lag.IsShort(c.lag) {
 		return
 	}
 	if c.latest.Term == 0 || c.latest.Released || !c.outranks(c.latest) {
@@ -29,7 +34,7 @@
 		return
 	}
 	c.yieldReach = reach{} // to be found out again for the next request
-	c.nextYieldRequest = c.now + minTenure
+	c.requests.next = c.now + minTenure
 	c.emit(RequestYield{Addr: c.latest.Addr, Term: c.latest.Term})
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -229,7 +229,7 @@
 		now := boottime()
 		i.recordTick(last, now)
 		last = now
-		i.stepTerm(term.Tick{AllTopicsReachable: i.storeMonitor.noTopicUnavailable(), Refused: i.refusedByOwner()})
+		i.stepTerm(term.Tick{AllTopicsReachable: i.storeMonitor.noTopicUnavailable(), Refused: i.refusedByOwner(), Lag: i.lag.since(now - lagReportInterval)})
 		if o := i.owner.Load(); o != nil {
 			o.tick()
 			o.checkReach()
--- a/internal/partitionsim/capacity_test.go
+++ b/internal/partitionsim/capacity_test.go
@@ -1,6 +1,7 @@
 package partitionsim
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +148,44 @@
 func TestWeakestOwnerHandsItsTermToAStrongerInstance(t *testing.T) {
 	runFleetsWithout(t, strongMachine, middleMachine, func(s *simulation) { s.checkOwnerIsOn(middleMachine) })
 }
+
+// lateCost is the processor time that an event takes at an instance that is late although it owns nothing.
+const lateCost = 40 * time.Millisecond
+
+// minOwnerCost is the processor time of an event at which an instance is late once it owns the cell.
+const minOwnerCost = 8 * time.Millisecond
+
+// TestNextOwnerIsInTime guards against an instance that claims although it is short of processor time,
+// as a witness before others that are in time.
+func TestNextOwnerIsInTime(t *testing.T) {
+	runFleets(t, ofEach(9, strongMachine), func(s *simulation) {
+		s.run(calmBefore)
+		o := s.ownerNow()
+		if o == nil {
+			s.violationf("no instance owns the cell")
+			return
+		}
+		for _, w := range o.term.LatestRecord().Witnesses {
+			s.instanceAt(w.Addr).shortOfTime(lateCost)
+		}
+		s.run(s.between(time.Second, 3*time.Second))
+		if i := s.nextOwner(); i != nil && i.processor.cost > 0 {
+			s.violationf("%s owns the cell and has been late by %v", i.name(), i.processor.lag.Since(s.now, s.now-time.Second))
+		}
+	})
+}
+
+// TestTermDoesNotGoRoundThroughALateInstance guards against a strong instance that is short of processor
+// time, requests the term, loses it and requests it again.
+func TestTermDoesNotGoRoundThroughALateInstance(t *testing.T) {
+	runFleets(t, append(ofEach(4, middleMachine), strongMachine), func(s *simulation) {
+		at := slices.IndexFunc(s.instances, func(i *instance) bool { return i.isOn(strongMachine) })
+		s.instances[at].shortOfTime(s.between(minOwnerCost, lateCost))
+		s.run(calmBefore)
+		before := s.ownerships
+		s.run(time.Minute)
+		if n := s.ownerships - before; n > 2 {
+			s.violationf("%d further owners within a minute", n)
+		}
+	})
+}
--- a/internal/partitionsim/instance_test.go
+++ b/internal/partitionsim/instance_test.go
@@ -57,6 +57,8 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
+	// lagWindow is the time of which the lag counts for a request of a term, as in package instance.
+	lagWindow = time.Second
 	// weakTermReadInterval is the least time between two reads of the term by an instance
 	// with a claim delay.
 	weakTermReadInterval = time.Second
@@ -171,7 +173,7 @@
 
 // tick passes the time to the cores.
 func (i *instance) tick() {
-	i.stepTerm(term.Tick{AllTopicsReachable: i.storeAvailable})
+	i.stepTerm(term.Tick{AllTopicsReachable: i.storeAvailable, Lag: i.processor.lag.Since(i.sim.now, i.sim.now-lagWindow)})
 	if i.owner != nil {
 		i.owner.step(cell.Tick{Lag: i.processor.lag.Now(i.sim.now)})
 		i.owner.checkReach()
