An owner that is voted out names the strongest voter

What callers saw: the term went from an owner short of time to ever weaker ones (a tenth of the site's processors: 0.08, 0.0144, 0.08, 0.0144 cores).

Cause: the release named the first voter by the order of the witnesses, whatever its machine, and others claim 1.2 s later.

Change: a vote carries the rank of the voter's machine, and the release names the strongest. Voters of earlier versions come last; if no rank is known, the first one, as before.

--- a/internal/core/term/vote.go
+++ b/internal/core/term/vote.go
@@ -1,6 +1,9 @@
 package term
 
-import "coltsfootmux/internal/core/witness"
+import (
+	"coltsfootmux/internal/core/capacity"
+	"coltsfootmux/internal/core/witness"
+)
 
 // Vote is a record by which an instance asks the owner of a term to release it. It is appended to
 // the topic of the term under a key of its own and without a condition: as it moves the end of the
@@ -15,6 +18,8 @@
 	// Unanswered is the number of instances, the voter of a VoteSilent among them, that the owner did not
 	// answer. The others have answered the voter. Votes of earlier versions have none.
 	Unanswered int `cbor:"5,keyasint,omitempty"`
+	// Rank is that of the voter's machine, 0 if it is not known.
+	Rank capacity.Rank `cbor:"6,keyasint,omitempty"`
 	// Offset is the vote's place in the topic.
 	Offset int64 `cbor:"-"`
 }
--- a/internal/core/term/votes.go
+++ b/internal/core/term/votes.go
@@ -1,9 +1,12 @@
 package term
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/witness"
 )
 
@@ -29,8 +32,9 @@
 	// where the voters serve their peers.
 	silent map[witness.ID]time.Duration
 	addrs  map[witness.ID]string
-	// unanswered holds Vote.Unanswered of each.
+	// unanswered holds Vote.Unanswered of each, ranks Vote.Rank.
 	unanswered map[witness.ID]int
+	ranks      map[witness.ID]capacity.Rank
 	// electorate are the witnesses that the record named when the first vote was read that still
 	// counts. An owner replaces witnesses that do not answer it.
 	electorate []Witness
@@ -56,6 +60,7 @@
 			}
 			if c.votes.mayVote(c.latest.Witnesses, v.Voter) {
 				c.votes.silent[v.Voter], c.votes.addrs[v.Voter], c.votes.unanswered[v.Voter] = c.now, v.Addr, v.Unanswered
+				c.votes.ranks[v.Voter] = v.Rank
 				c.tenure.nextCheck = min(c.tenure.nextCheck, c.now)
 			}
 		case VoteStronger:
@@ -70,7 +75,7 @@
 	if v.term != c.latest.Term || v.silent == nil {
 		*v = votes{
 			term: c.latest.Term, silent: make(map[witness.ID]time.Duration), addrs: make(map[witness.ID]string),
-			unanswered: make(map[witness.ID]int),
+			unanswered: make(map[witness.ID]int), ranks: make(map[witness.ID]capacity.Rank),
 		}
 	}
 	for voter, at := range v.silent {
@@ -108,6 +113,18 @@
 	return false
 }
 
+// rank returns the rank of a witness, or of a later incarnation on its machine, that has voted. One that is
+// not known comes after all others.
+func (v *votes) rank(w Witness) capacity.Rank {
+	rank := capacity.Rank(math.MaxInt64)
+	for voter := range v.silent {
+		if witness.SameMachine(voter, w.ID) && v.ranks[voter].Known() {
+			rank = min(rank, v.ranks[voter])
+		}
+	}
+	return rank
+}
+
 // VotedOut reports whether most witnesses of the latest term have voted against its owner, or, if it
 // names too few, more instances than it has on its side.
 func (c *Core) VotedOut() bool {
@@ -123,14 +140,19 @@
 	return v.mostOf(c.latest.Witnesses) || v.mostOf(v.electorate)
 }
 
-// voter returns the address of a witness that has voted against the owner. It has found that most of the
-// others answer it, which another instance that claims first may not be able to say.
+// voter returns the address of the strongest witness that has voted against the owner. It has found that most
+// of the others answer it, which another instance that claims first may not be able to say.
 func (c *Core) voter() string {
+	byRank := func(a, b Witness) int { return cmp.Compare(c.votes.rank(a), c.votes.rank(b)) }
+	var voters []Witness
 	for _, w := range slices.Concat(c.latest.Witnesses, c.votes.electorate) {
 		if c.votes.has(w) {
-			return w.Addr
+			voters = append(voters, w)
 		}
 	}
+	if len(voters) > 0 {
+		return slices.MinFunc(voters, byRank).Addr
+	}
 	var addrs []string
 	for voter := range c.votes.silent {
 		addrs = append(addrs, c.votes.addrs[voter])
--- a/internal/instance/ownercheck.go
+++ b/internal/instance/ownercheck.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"coltsfootmux/internal/core/capacity"
 	"coltsfootmux/internal/core/confidence"
 	"coltsfootmux/internal/core/term"
 	"coltsfootmux/internal/core/witness"
@@ -131,7 +132,7 @@
 		case confidence.AskOthers:
 			i.spawn(func(ctx context.Context) { i.askOtherWitnesses(ctx, a) })
 		case confidence.Vote:
-			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent, Addr: i.Settings.LinkAddr, Unanswered: a.Unanswered}
+			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent, Addr: i.Settings.LinkAddr, Unanswered: a.Unanswered, Rank: capacity.Rank(i.rank.Load())}
 			i.spawn(func(ctx context.Context) { i.writeVote(ctx, v) })
 		case confidence.Changed:
 			evOwnerSilent.Log(i.ctx, i.logger, slog.Int64("term", a.Term), slog.String("addr", a.Addr), slog.Bool("silent", a.Silent), slog.Duration("for", a.For))
--- a/internal/partitionsim/votes_test.go
+++ b/internal/partitionsim/votes_test.go
@@ -87,7 +87,7 @@
 		case confidence.AskOthers:
 			i.deliver(0, func() { i.askOtherWitnesses(a) })
 		case confidence.Vote:
-			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent, Addr: string(i.host), Unanswered: a.Unanswered}
+			v := term.Vote{Term: a.Term, Voter: i.witnessID, Reason: term.VoteSilent, Addr: string(i.host), Unanswered: a.Unanswered, Rank: i.sim.members().Rank(i.machine)}
 			i.deliver(i.sim.between(0, maxSendDelay), func() { i.writeVote(v) })
 		case confidence.Changed:
 			i.sim.tracef("%s: owner %s of term %d silent: %v, for %v", i.name(), a.Addr, a.Term, a.Silent, a.For)
