A gang in part is stopped though a stop is lost, and a complete one is not

Callers would see a member run alone whose gang was stopped late: one member without a confirmed start was stopped by itself, which hid its gang from the deadline, and a stop that was lost was repeated only after the allowance for the owner's lag. And complete gangs were stopped, again and again, as one answer of many was lost while the owner ran late. Found by the review of this change.

A gang has its bounds until all members are known to run, whatever becomes of one of them; the stops of a late gang are repeated each 0.2 s, without the allowance and the budget of the tick; once no order may be sent any more, the workers of unanswered members are asked for their lists; a gang that was stopped waits half a second.

--- a/internal/core/cell/gang.go
+++ b/internal/core/cell/gang.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"coltsfootmux/internal/core/gangstart"
 	"coltsfootmux/internal/core/room"
 )
 
@@ -134,21 +135,25 @@
 	return on
 }
 
-// stopLateGangs stops the gangs of which a member is still not known to run, before the others have
-// waited for it to the workers' limit.
-func (c *Core) stopLateGangs() {
+// followGangStarts asks the workers for members whose orders are not answered, once no order may be sent any
+// more, and stops the gangs that are not complete before the members that run have waited to the workers' limit.
+func (c *Core) followGangStarts() {
 	for _, w := range c.fleet {
 		for _, r := range w.runs {
-			if r.unit != nil && r.isUnanswered() && r.unit.start.IsOverdue(c.now.Mono) {
+			if r.unit == nil || r.unit.state == unitDone || !r.unit.start.IsPending() {
+				continue
+			}
+			if r.state == runStarting && c.now.Mono > r.unit.start.SendBy() && w.probeHold == 0 {
+				w.probeDue = true
+			}
+			if r.unit.start.IsOverdue(c.now.Mono) {
+				r.unit.notBefore = max(r.unit.notBefore, c.now.Mono+lateGangPause)
 				c.stopRuns(r.unit, ReasonGangLate)
 			}
 		}
 	}
 }
 
-// isUnanswered reports whether it is not known that the run was started.
-func (r *run) isUnanswered() bool { return r.state == runStarting || r.state == runUnconfirmed }
-
 func (c *Core) stopRuns(u *unit, reason StopReason) {
 	for _, r := range slices.Clone(u.runs) {
 		c.stopRun(r, reason)
@@ -162,4 +167,5 @@
 		return
 	}
 	c.emit(GangStarted{Task: u.taskID(0), Tasks: u.size, Run: r.number, Took: u.start.Age(c.now.Mono)})
+	u.start = gangstart.Start{}
 }
--- a/internal/core/cell/holds.go
+++ b/internal/core/cell/holds.go
@@ -322,9 +322,7 @@
 			return
 		}
 		c.finishUnit(u)
-		for _, r := range slices.Clone(u.runs) {
-			c.stopRun(r, ReasonTaskEnded)
-		}
+		c.stopRuns(u, ReasonTaskEnded)
 	case external.EndedFailed:
 		c.countFailure(u, e.Run)
 	}
--- a/internal/core/cell/jobs.go
+++ b/internal/core/cell/jobs.go
@@ -161,9 +161,7 @@
 		if o == job.Complete {
 			continue // the other members of a gang end by themselves
 		}
-		for _, r := range slices.Clone(u.runs) {
-			c.stopRun(r, reason)
-		}
+		c.stopRuns(u, reason)
 	}
 	c.closeJob(e)
 	c.placementDue = true
@@ -286,9 +284,7 @@
 	}
 	c.finishUnit(u)
 	if !u.group.step.Gang {
-		for _, o := range slices.Clone(u.runs) {
-			c.stopRun(o, ReasonTaskEnded)
-		}
+		c.stopRuns(u, ReasonTaskEnded)
 	}
 }
 
@@ -310,10 +306,7 @@
 
 // stopRestOfGang stops the other members of a gang when one has ended early.
 func (c *Core) stopRestOfGang(u *unit) {
-	if !u.group.step.Gang || u.state == unitDone {
-		return
-	}
-	for _, r := range slices.Clone(u.runs) {
-		c.stopRun(r, ReasonGangBroken)
+	if u.group.step.Gang && u.state != unitDone {
+		c.stopRuns(u, ReasonGangBroken)
 	}
 }
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -200,7 +200,7 @@
 			c.removeWorker(w)
 		}
 	}
-	c.stopLateGangs()
+	c.followGangStarts()
 	c.chooseRecordedRuns()
 	c.moveStragglers()
 	c.refreshSpeeds()
@@ -235,6 +235,9 @@
 func (c *Core) followUpStop(r *run) {
 	now := c.now.Mono
 	switch {
+	case r.stopAckedAt == 0 && r.stopReason == ReasonGangLate && r.stopResends < maxGangStopResends && now-r.stopSentAt > resendAfter:
+		r.stopResends++
+		c.sendStop(r) // the members that run do not wait longer for a late owner
 	case r.stopAckedAt == 0 && r.stopResends < maxResends && now-r.stopSentAt > c.answerTime(resendAfter) && c.takeResend():
 		r.stopResends++
 		c.sendStop(r)
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -118,6 +118,10 @@
 	maxStallTime = 4 * time.Second
 	// runsPerTerm is how many run numbers of a task are set aside for each term.
 	runsPerTerm = 1000
+	// maxGangStopResends replaces maxResends for the stops of a gang that was not complete in time.
+	maxGangStopResends = 8
+	// lateGangPause is how long a gang waits that was stopped as it was not complete in time.
+	lateGangPause = 500 * time.Millisecond
 	// drainDecisionTime is how long after a worker began to drain the runs without
 	// checkpoints may be moved; see shouldMove.
 	drainDecisionTime = 300 * time.Millisecond
@@ -135,9 +139,7 @@
 	reserveInterval = time.Second
 	// maxUnansweredStarts bounds the starts without an answer; the bound is one for
 	// every workersPerUnansweredStart workers if that is more, as pools of thousands
-	// are owned by stronger machines. A new owner of 350 workers with 0.19 cores that
-	// ordered 383 jobs at once could neither process the answers in time nor renew
-	// its term (docs/MEASUREMENTS.md).
+	// are owned by stronger machines.
 	maxUnansweredStarts       = 64
 	workersPerUnansweredStart = 5
 	// newTermNoticeTime is how long a previous owner that reaches the store takes to
--- a/internal/core/gangstart/start.go
+++ b/internal/core/gangstart/start.go
@@ -20,6 +20,9 @@
 // members of a gang; 0 for no bound.
 func New(now, limit time.Duration) Start { return Start{orderedAt: now, limit: limit} }
 
+// IsPending reports whether the start has bounds.
+func (s Start) IsPending() bool { return s.limit > 0 }
+
 // SendBy returns the time until which its orders may be sent, 0 for no bound.
 func (s Start) SendBy() time.Duration {
 	if s.limit == 0 {
