Questions to witnesses dial at once

An owner that the store does not serve keeps its term by promises, and a claim needs consents, within 2.5 s. A witness whose links were silent several times may not be dialled for up to 4 s since silent peers are dialled ever less often, so that a term could be lost although the witnesses answer again. Found by the review, by reading; the sequence was not played. Such questions dial at once now, as the checks of an owner do.

--- a/internal/instance/witness.go
+++ b/internal/instance/witness.go
@@ -50,6 +50,7 @@
 	if addr == i.Settings.LinkAddr {
 		return i.answerAsWitness(ctx, q), nil
 	}
+	i.pool.DialAtOnce(addr)
 	return askPeer[wire.WitnessQuery, wire.WitnessReply](ctx, i, addr, wire.KindWitness, q)
 }
 
