A job is refused only after its owner was asked for it

A caller could be told that a job never runs which an earlier attempt had handed in: an instance took it for certain that nobody had accepted the job by its own history of levels, which says nothing of an instance that had not learnt of the level, or counted its priorities by another policy.

The owner is asked for each job that is to be refused, and if it does not answer, the job is not refused. The history of levels is gone. It costs the owner one call for each refused attempt.

--- a/internal/cellplay/acceptance.go
+++ b/internal/cellplay/acceptance.go
@@ -14,8 +14,8 @@
 // acceptance decides which of the submitted jobs are refused since the owner lacks processor time.
 type acceptance struct {
 	controller *shed.Controller
-	gate       shed.Gate
-	level      shed.Level
+	// level is what the owner has decided, known what the instances know of it.
+	level, known shed.Level
 }
 
 // adjustAcceptance lets the owner decide anew how much is refused.
@@ -26,14 +26,14 @@
 	level := s.acceptance.controller.Step(s.now, s.core.StartDelay(), s.trace.priorityCount())
 	if level != s.acceptance.level {
 		s.acceptance.level = level
-		s.after(levelDelay, func() { s.acceptance.gate.Observe(s.now, level) })
+		s.after(levelDelay, func() { s.acceptance.known = level })
 	}
 }
 
 // refuses decides on a job that its caller hands in for the first time, so that the owner knows of no
 // earlier attempt.
 func (s *simulator) refuses(j *job.Job) bool {
-	return s.trace.Params.Acceptance && s.acceptance.gate.Decide(s.now, j.ID, s.trace.lessUrgent(j.Queue.Priority)) != shed.Accept
+	return s.trace.Params.Acceptance && s.acceptance.known.Refuses(j.ID, s.trace.lessUrgent(j.Queue.Priority))
 }
 
 // priorityCount returns how many different priorities the jobs of the trace have.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -107,8 +107,6 @@
 
 	explanations explanations
 	admission    admission
-	// shedding is the work that this instance refuses for the owner's want of processor time.
-	shedding shedding
 	// lag is how late this process runs its own work.
 	lag lagMeter
 	// tickDelay is how late the latest tick came, in ns.
--- a/internal/instance/shedding.go
+++ b/internal/instance/shedding.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"sync"
 	"time"
 
 	"coltsfootmux/internal/core/shed"
@@ -15,7 +14,7 @@
 
 func init() {
 	gauge("coltsfootmux_refused_level", "percent", "how much of the new jobs the cell's owner has refused: 100 for each priority of which all are", func(i *Instance) float64 {
-		return float64(i.shedding.level())
+		return float64(i.refusedLevel())
 	})
 }
 
@@ -33,54 +32,31 @@
 // Unwrap returns ErrOverloaded.
 func (e *OverloadError) Unwrap() error { return ErrOverloaded }
 
-// shedding is what an instance refuses for the owner's want of processor time.
-type shedding struct {
-	mu   sync.Mutex
-	gate shed.Gate
-}
-
-func (s *shedding) observe(l shed.Level) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gate.Observe(boottime(), l)
-}
-
-func (s *shedding) level() shed.Level {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.gate.Level()
-}
-
-func (s *shedding) decide(id job.ID, rank int) (shed.Decision, time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.gate.Decide(boottime(), id, rank), s.gate.RetryAfter(id, rank)
-}
-
-// shed refuses a job that the owner has no processor time to start, unless an earlier attempt may have been
-// accepted: then the owner is asked, and if it does not answer, the job is not refused. Error: *OverloadError.
+// shed refuses a job that the owner has no processor time to start, unless the owner knows it from an earlier
+// attempt. If the owner does not answer, the job is not refused. Error: *OverloadError.
 func (i *Instance) shed(ctx context.Context, j *job.Job) (known bool, err error) {
-	p := i.policy.Load()
-	if p == nil || i.shedding.level() == 0 {
+	level, p := i.refusedLevel(), i.policy.Load()
+	if level == 0 || p == nil {
+		return false, nil
+	}
+	rank := p.policy.LessUrgent(j.Queue.Priority)
+	if !level.Refuses(j.ID, rank) {
 		return false, nil
 	}
-	decision, retryAfter := i.shedding.decide(j.ID, p.policy.LessUrgent(j.Queue.Priority))
-	switch decision {
-	case shed.Accept:
+	r, err := i.askOwnerForJob(ctx, j.ID)
+	if err != nil || !r.Known {
 		return false, nil
-	case shed.RefuseIfUnknown:
-		r, err := i.askOwnerForJob(ctx, j.ID)
-		if err != nil || !r.Known {
-			return false, nil
-		}
-		if r.Status != job.Unknown {
-			return true, nil
-		}
+	}
+	if r.Status != job.Unknown {
+		return true, nil
 	}
 	mRefusedShed.Inc()
-	return false, &OverloadError{RetryAfter: retryAfter}
+	return false, &OverloadError{RetryAfter: level.RetryAfter(j.ID, rank)}
 }
 
+// refusedLevel returns how much new work the owner has all instances refuse.
+func (i *Instance) refusedLevel() shed.Level { return i.latestTermRecord().Refused }
+
 // askOwnerForJob asks the owner alone for the state of a job.
 func (i *Instance) askOwnerForJob(ctx context.Context, id job.ID) (wire.JobReply, error) {
 	if o := i.owner.Load(); o != nil {
--- a/internal/instance/term.go
+++ b/internal/instance/term.go
@@ -86,9 +86,6 @@
 		i.performTermAction(a)
 	}
 	i.termMu.Unlock()
-	if after.Term != 0 {
-		i.shedding.observe(after.Refused)
-	}
 	if before.Term != after.Term || before.Owner != after.Owner {
 		evOwnerChanged.Log(i.ctx, i.logger, slog.Int64("term", after.Term), slog.String("owner", after.Owner), slog.String("addr", after.Addr))
 	}
