--- a/internal/core/startwindow/window.go
+++ b/internal/core/startwindow/window.go
@@ -11,8 +11,7 @@
 const (
 	// minSize lets an owner make progress however late it runs.
 	minSize = 8
-	// promptAnswerTime is the longest time of an answer that has not waited for the processor: two
-	// round trips between regions, of 40 ms each, on a new connection, and the worker's own time.
+	// promptAnswerTime is the longest time of an answer that has not waited for the processor.
 	promptAnswerTime = 250 * time.Millisecond
 	// increase is by how much the window grows in the time of one answer.
 	increase = 4
