Slow workers don't have the owner order less and refuse jobs

The window of starts without an answer shrank for each late answer, also where a slow worker had made it late, and what the window held back counted as want of processor time.

The window shrinks only if the process itself runs late; the delay counts only while the window is smaller than usual or the process is late. TestSlowWorkersDoNotShrinkTheWindow.

--- a/internal/cellplay/actions.go
+++ b/internal/cellplay/actions.go
@@ -75,8 +75,10 @@
 			if err == nil && r.Refusal == external.RefusedNone {
 				s.standing.started(o.Task.Job)
 			}
-			answer(func(f cell.Failure) cell.Event {
-				return cell.StartAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(f, err)}
+			s.after(s.trace.Params.StartAnswerTime, func() {
+				answer(func(f cell.Failure) cell.Event {
+					return cell.StartAnswered{Task: o.Task, Run: o.Run, Worker: o.Worker, Refusal: r.Refusal, Clock: r.Clock, Failure: failureOf(f, err)}
+				})
 			})
 		})
 	})
--- a/internal/cellplay/slowowner_test.go
+++ b/internal/cellplay/slowowner_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// TestJobsAreNotRefusedForSlowWorkers guards against an owner with processor time enough that orders little and
+// has jobs refused, as its workers answer late.
+func TestJobsAreNotRefusedForSlowWorkers(t *testing.T) {
+	for seed := range uint64(3) {
+		trace := slowOwnerTrace(seed, 4*fullSpeed)
+		trace.Params.Acceptance, trace.Params.StartAnswerTime = true, 600*time.Millisecond
+		r := Simulate(trace, Rankings()[0])
+		for priority, share := range refused(r) {
+			if share > 0 {
+				t.Errorf("seed %d: %.3f of the jobs of priority %d refused", seed, share, priority)
+			}
+		}
+	}
+}
+
 // kindOf returns the result of a kind.
 func kindOf(r Result, kind string) KindResult {
 	for _, k := range r.Kinds {
--- a/internal/cellplay/trace.go
+++ b/internal/cellplay/trace.go
@@ -65,6 +65,8 @@
 	Burst float64
 	// Acceptance has jobs refused that the owner lacks the processor time to start.
 	Acceptance bool
+	// StartAnswerTime is how long workers take to answer a start.
+	StartAnswerTime time.Duration
 }
 
 // Draw returns a random trace of a mix.
--- a/internal/core/cell/orders.go
+++ b/internal/core/cell/orders.go
@@ -62,7 +62,7 @@
 	}
 	now := c.now.Mono
 	if r.state == runStarting && r.startResends == 0 {
-		c.starts.Answered(now, r.createdAt, c.maxUnansweredStarts())
+		c.starts.Answered(now, r.createdAt, c.lag, c.maxUnansweredStarts())
 	}
 	switch {
 	case ev.Failure == FailureFenced:
--- a/internal/core/cell/ownlag.go
+++ b/internal/core/cell/ownlag.go
@@ -34,23 +34,29 @@
 const maxDelayedLooks = 3
 
 // measureStartDelay takes in the groups that a pass has left out: for how long their jobs have stood that could
-// start now. In a pool that is more than half in use they may wait for room as well.
+// start now. In a pool that is more than half in use they may wait for room as well, and with the whole window for
+// slow workers.
 func (c *Core) measureStartDelay(p *pass, left []*rankedGroup) {
-	var waiting []*unit
-	groups := make(map[*unit]*rankedGroup)
+	if most := c.maxUnansweredStarts(); c.starts.Size(most) == most && !lag.IsShort(c.lag) {
+		left = nil
+	}
+	type look struct {
+		g *rankedGroup
+		u *unit
+	}
+	var waiting []look
 	for _, g := range left {
 		if g.occ.entry.runs > 0 || p.usedShare(g.pool) >= maxRelaxedShare {
 			continue
 		}
 		if at := slices.IndexFunc(g.units, func(u *unit) bool { return u.state == unitWaiting && c.now.Mono >= u.notBefore }); at >= 0 {
-			waiting = append(waiting, g.units[at])
-			groups[g.units[at]] = g
+			waiting = append(waiting, look{g, g.units[at]})
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *unit) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
+	slices.SortStableFunc(waiting, func(a, b look) int { return cmp.Compare(a.u.waitingSince, b.u.waitingSince) })
 	waiting = waiting[:min(len(waiting), maxDelayedLooks)]
-	if at := slices.IndexFunc(waiting, func(u *unit) bool { return c.findWorkers(p, groups[u], u) != nil }); at >= 0 {
-		c.startDelay.PutOff(c.now.Mono, c.standsFor(waiting[at]))
+	if at := slices.IndexFunc(waiting, func(l look) bool { return c.findWorkers(p, l.g, l.u) != nil }); at >= 0 {
+		c.startDelay.PutOff(c.now.Mono, c.standsFor(waiting[at].u))
 	} else {
 		c.startDelay = shed.Delay{}
 	}
--- a/internal/core/startwindow/window.go
+++ b/internal/core/startwindow/window.go
@@ -6,7 +6,11 @@
 // sent now, and the rest waits in the order of its urgency.
 package startwindow
 
-import "time"
+import (
+	"time"
+
+	"coltsfootmux/internal/core/lag"
+)
 
 const (
 	// minSize lets an owner make progress however late it runs.
@@ -36,13 +40,14 @@
 }
 
 // Answered adjusts the window, whose limit is at most the given one, after the answer to a start that
-// was ordered at a time.
-func (w *Window) Answered(now, orderedAt time.Duration, most int) {
+// was ordered at a time, by a process that runs late by so much. A late answer to a process in time has waited
+// for its worker, and fewer starts would not bring it sooner.
+func (w *Window) Answered(now, orderedAt, late time.Duration, most int) {
 	if w.size == 0 {
 		w.size = float64(most)
 	}
 	switch {
-	case now-orderedAt <= promptAnswerTime:
+	case now-orderedAt <= promptAnswerTime || !lag.IsShort(late):
 		w.size = min(w.size+increase/w.size, float64(most))
 	case orderedAt >= w.shrunkAt:
 		w.size = max(w.size*decrease, minSize)
--- a/internal/core/startwindow/window_test.go
+++ b/internal/core/startwindow/window_test.go
@@ -25,7 +25,7 @@
 		}
 		free = max(free, sent[0]+way) + each
 		now = free
-		w.Answered(now, sent[0], most)
+		w.Answered(now, sent[0], max(0, now-sent[0]-way), most)
 		if now > span/2 {
 			oldest = max(oldest, now-sent[0])
 			answers++
@@ -61,9 +61,21 @@
 func TestOneBurstOfLateAnswersShrinksTheWindowOnce(t *testing.T) {
 	var w Window
 	for range most {
-		w.Answered(2*time.Second, time.Second, most)
+		w.Answered(2*time.Second, time.Second, 500*ms, most)
 	}
 	if got := w.Size(most); got < most/2 {
 		t.Errorf("%d of %d", got, most)
 	}
 }
+
+// TestSlowWorkersDoNotShrinkTheWindow guards against an owner with processor time enough that orders little, as
+// its workers answer late.
+func TestSlowWorkersDoNotShrinkTheWindow(t *testing.T) {
+	var w Window
+	for now := time.Second; now < time.Minute; now += 100 * ms {
+		w.Answered(now, now-700*ms, 2*ms, most)
+	}
+	if got := w.Size(most); got != most {
+		t.Errorf("%d of %d", got, most)
+	}
+}
