--- a/internal/core/cell/ownlag.go
+++ b/internal/core/cell/ownlag.go
@@ -30,9 +30,6 @@
 // StartDelay returns for how long jobs have stood that could start, as too many starts have no answer.
 func (c *Core) StartDelay() time.Duration { return c.startDelay.Value() }
 
-// maxDelayedLooks bounds the groups of a pass for which a place is looked for to learn the delay.
-const maxDelayedLooks = 3
-
 // measureStartDelay takes in the groups that a pass has left out: for how long their jobs have stood that could
 // start now. In a pool that is more than half in use they may wait for room as well, and with the whole window for
 // slow workers.
--- a/internal/core/cell/settings.go
+++ b/internal/core/cell/settings.go
@@ -120,6 +120,8 @@
 	runsPerTerm = 1000
 	// maxGangStopResends replaces maxResends for the stops of a gang that was not complete in time.
 	maxGangStopResends = 8
+	// maxDelayedLooks bounds the groups of a pass for which a place is looked for to learn the delay of starts.
+	maxDelayedLooks = 3
 	// lateGangPause is how long a gang waits that was stopped as it was not complete in time.
 	lateGangPause = 500 * time.Millisecond
 	// drainDecisionTime is how long after a worker began to drain the runs without
